--- /dev/null
+++ b/petrelwood/brain.py
@@ -0,0 +1,506 @@
+"""Every decision of one dispatcher, and nothing else; `ports.py` holds the interface.
+
+How to call it: `Brain(now, terms, seed, outlet)` starts an instance. Then, in the order of events,
+`listed` / `list_lost` (news of workers), `activation`, `answer` (a send has ended), `begun` (a stream has
+started), `left` (the client went), `stands` (a hold was answered), `probed` and `ring`. It acts only through
+its `ports.Outlet`, within these calls. Times are whole nanoseconds.
+
+An activation passes answer duty -> admission -> hold per function -> placement and loading -> guarded send;
+its answers come back the other way.
+"""
+from collections import deque
+from random import Random
+from zlib import crc32
+
+from petrelwood import ports
+from petrelwood.ports import COMPLETED, NEVER_RAN
+
+LIMIT = 0.5              # most copies of one function placed from here: part of the listed workers
+BACKLOG = 1.0            # held activations for each lane before a copy is added
+SLOTS = 12               # buckets in a ring
+
+
+class Ring:
+    """Counts over the last `span`, in buckets of time used again in turn."""
+
+    def __init__(self, span):
+        self.width, self.counts, self.slot = max(1, -(-span // SLOTS)), [0] * (SLOTS + 1), 0
+
+    def _turn(self, now):
+        slot = now // self.width
+        for stale in range(max(self.slot + 1, slot - SLOTS), slot + 1):
+            self.counts[stale % (SLOTS + 1)] = 0
+        self.slot = max(self.slot, slot)
+
+    def add(self, now, much=1):
+        self._turn(now)
+        self.counts[self.slot % (SLOTS + 1)] += much
+
+    def most(self, now):
+        """No less than what the span holds."""
+        self._turn(now)
+        return sum(self.counts)
+
+    def least(self, now):
+        """No more than what the span holds."""
+        return self.most(now) - self.counts[(self.slot + 1) % (SLOTS + 1)]
+
+
+class Worker:
+    def __init__(self, entry, fall, now):
+        self.id, self.out, self.sent = entry.worker, {}, Ring(fall)
+        self.heard, self.cap, self.strikes, self.rest, self.bad_fn = now, None, 0, 0, None
+        self.report, self.out_then, self.silent = None, 0, False
+        self.update(entry)
+
+    def update(self, entry):
+        self.zone, self.cell, self.power = entry.zone, entry.cell, entry.power
+        self.booted, self.usable = entry.booted, entry.usable
+
+
+class Copy:
+    """What is believed of a function's copy on one worker."""
+    __slots__ = ("worker", "busy", "loading", "seen", "ours", "renewed", "errors", "shut")
+
+    def __init__(self, worker, now, ours):
+        self.worker, self.busy, self.loading, self.seen = worker, 0, 0, now
+        self.ours, self.renewed, self.errors, self.shut = ours, now, 0, 0
+
+
+class Function:
+    def __init__(self, key, lanes):
+        self.key, self.lanes, self.held, self.copies, self.called = key, lanes, deque(), {}, 0
+        self.service, self.load_time, self.order, self.edition, self.pause = 0, 0, (), -1, 0
+
+
+class Act:
+    __slots__ = ("id", "fn", "type", "due", "born", "sends", "out", "bound", "work", "held")
+
+    def __init__(self, id_, fn, type_, due, born, work):
+        self.id, self.fn, self.type, self.due, self.born, self.work = id_, fn, type_, due, born, work
+        self.sends, self.out, self.bound, self.held = [], 0, None, False   # bound: the first send that may have run
+
+
+class Send:
+    __slots__ = ("act", "n", "worker", "copy", "at", "cold", "open", "ran")
+
+    def __init__(self, act, worker, copy, at, cold):
+        self.act, self.n, self.worker, self.copy, self.at = act, len(act.sends), worker, copy, at
+        self.cold, self.open, self.ran = cold, True, True
+
+
+class Brain:
+    def __init__(self, now, terms, seed, outlet):
+        self.terms, self.out, self.chance = terms, outlet, Random(seed).random
+        self.workers, self.functions, self.acts, self.edition = {}, {}, {}, 0
+        self.target = min(t.target_latency for t in terms.types.values())
+        self.sweep = max(terms.tick, self.target // 50)
+        self.usual, self.mean_out, self.mean_report = self.target // 4, 1.0, None
+        self.done, self.taken, self.loads = (Ring(terms.guarantees.cold), Ring(terms.orders.period or 1),
+                                             Ring(terms.orders.period or 1))
+        self.waiting, self.next_probe, self.next_tidy, self.asked = {}, now, now, now
+        self.out.wake("sweep", self.sweep)
+        if terms.asks:
+            self.out.subscribe()
+
+    # -- news of workers ---------------------------------------------------------------------------
+    def listed(self, now, entries, whole):
+        self.edition += 1
+        if whole:
+            named = {e.worker for e in entries}
+            for worker in self.workers.values():
+                worker.usable = worker.usable and worker.id in named
+        for entry in entries:
+            worker = self.workers.get(entry.worker)
+            if worker is None:
+                self.workers[entry.worker] = Worker(entry, self.terms.guarantees.fall, now)
+                continue
+            if entry.booted != worker.booted:
+                self._forget(worker)
+                worker.strikes, worker.rest, worker.cap, worker.silent = 0, 0, None, False
+            worker.update(entry)
+        for worker in [w for w in self.workers.values() if not w.usable]:
+            self._forget(worker)
+        self._flow_all(now)
+
+    def list_lost(self, now):
+        self.asked = now - self.terms.guarantees.ask_within // 2 + int(self.chance() * self.target)
+
+    def _forget(self, worker):
+        for fn in self.functions.values():
+            copy = fn.copies.get(worker.id)
+            if copy and not copy.busy:
+                del fn.copies[worker.id]
+
+    # -- answer duty -------------------------------------------------------------------------------
+    def activation(self, now, act_id, key, type_name, customer, due, lanes, work, load_time):
+        self.taken.add(now)
+        fn = self.functions.get(key)
+        if fn is None:
+            fn = self.functions[key] = Function(key, lanes)
+        fn.lanes, fn.called = lanes, now
+        fn.load_time = load_time or fn.load_time
+        act = self.acts[act_id] = Act(act_id, fn, self.terms.types[type_name], due, now, work)
+        self._hold(act, now)
+
+    def left(self, now, act_id):
+        act = self.acts.pop(act_id, None)
+        if act:
+            self._drop_sends(act)
+
+    def begun(self, now, act_id, n, worker_id):
+        act = self.acts.get(act_id)
+        if act:
+            act.due = 1 << 62
+        self._heard(now, worker_id)
+
+    def _drop_sends(self, act):
+        """A send that no client waits for any more is called back, where that is allowed."""
+        if self.terms.allowed.cancel:
+            for send in act.sends:
+                if send.open:
+                    self.out.cancel(act.id, send.n)
+
+    def _end(self, act, now):
+        """The final answer of what is given up: at once, a rejection where no effect can follow."""
+        del self.acts[act.id]
+        ran = any(send.ran for send in act.sends)
+        effect, group = act.type.effect, act.type.scope
+        if not ran or effect == ports.REPEATABLE or effect == ports.DEDUPLICATED and group == "all":
+            fn = act.fn
+            wait = self._service(fn) * (len(fn.held) + 1) // max(1, len(fn.copies) * fn.lanes)
+            self.out.reject(act.id, min(wait, self.terms.allowed.max_retry_after)
+                            if self.terms.allowed.retry_after else 0)
+        else:
+            self.out.abort(act.id)
+        self._drop_sends(act)
+
+    def _may_send(self, act, now):
+        """Whether the rules and what is allowed leave the activation another send anywhere."""
+        if len(act.sends) >= self.terms.allowed.sends or act.out and not self.terms.allowed.overlap:
+            return False
+        if act.due - now <= max(self._service(act.fn) // 4, 2 * self.sweep):
+            return False
+        if act.bound is None or act.type.effect == ports.REPEATABLE:
+            return True
+        return act.type.effect == ports.DEDUPLICATED and now < act.bound.at + act.type.window
+
+    def _in_group(self, act, worker):
+        if act.bound is None or act.type.effect == ports.REPEATABLE or act.type.scope == "all":
+            return True
+        first = act.bound.worker
+        return worker.zone == first.zone if act.type.scope == "zone" else worker.cell == first.cell
+
+    # -- hold per function -------------------------------------------------------------------------
+    def _hold(self, act, now, front=False):
+        fn = act.fn = self.functions.setdefault(act.fn.key, act.fn)
+        if not act.held:
+            act.held = True
+            (fn.held.appendleft if front else fn.held.append)(act)
+        self.waiting[fn.key] = fn
+        self._flow(fn, now)
+
+    def _flow_all(self, now):
+        for fn in list(self.waiting.values()):
+            self._flow(fn, now)
+
+    def _flow(self, fn, now):
+        """Sends what is held to free lanes; then adds copies, or rejects at the limit."""
+        kept, stuck = [], False
+        while fn.held:
+            act = fn.held.popleft()
+            act.held = False
+            if self.acts.get(act.id) is not act:
+                continue
+            if not self._may_send(act, now) or not act.out and now - act.born > (act.due - act.born) // 2:
+                if not act.out:
+                    self._end(act, now)
+                continue
+            copy = None if stuck and act.bound is None else self._lane(fn, act, now)
+            if copy:
+                self._send(act, copy, now)
+            else:
+                stuck = stuck or act.bound is None
+                act.held = True
+                kept.append(act)
+        fn.held.extend(kept)
+        limit = max(1, int(LIMIT * len(self.workers)))
+        while fn.held and now >= fn.pause:
+            lanes = len(fn.copies) * fn.lanes
+            if len(fn.held) <= BACKLOG * lanes:
+                break
+            if len(fn.copies) >= limit:
+                while len(fn.held) > 2 * BACKLOG * lanes:
+                    act = fn.held.pop()
+                    act.held = False
+                    if not act.out:
+                        self._end(act, now)
+                break
+            if not self._add_copy(fn, now):
+                break
+        if not fn.held:
+            self.waiting.pop(fn.key, None)
+
+    def _lane(self, fn, act, now):
+        """The known copy with a free lane on the least loaded worker."""
+        best, best_load = None, 0
+        for copy in list(fn.copies.values()):
+            worker = copy.worker
+            if not copy.busy and not copy.loading and now - copy.seen > self.terms.orders.keep:
+                del fn.copies[worker.id]
+                continue
+            if copy.busy >= fn.lanes or now < copy.shut or copy.loading and not self.terms.orders.loads_on_send:
+                continue
+            if not self._open(worker, now) or not self._in_group(act, worker) or worker in [
+                    s.worker for s in act.sends]:
+                continue
+            load = self._load(worker) + (worker.zone != self.terms.zone)
+            if best is None or load < best_load:
+                best, best_load = copy, load
+        return best
+
+    # -- placement and loading ---------------------------------------------------------------------
+    def _load(self, worker):
+        """Load as activations in hand: the last report against the fleet's mean, and what was sent since."""
+        if worker.report is None or not self.mean_report:
+            return self.mean_out * self.terms.dispatchers + len(worker.out) - self.mean_out
+        return (worker.report / self.mean_report * self.mean_out * self.terms.dispatchers
+                + len(worker.out) - worker.out_then)
+
+    def _add_copy(self, fn, now):
+        """One more copy, on the less loaded of the first two workers in hash order that hold none."""
+        if fn.edition != self.edition:
+            fn.order = sorted((w for w in self.workers.values() if w.usable),
+                              key=lambda w: (crc32(f"{fn.key} {w.id}".encode()), w.id))
+            fn.edition = self.edition
+        act = fn.held[0]
+        two = []
+        for worker in fn.order:
+            if worker.id not in fn.copies and self._open(worker, now) and self._in_group(act, worker):
+                two.append(worker)
+                if len(two) == 2:
+                    break
+        if not two:
+            return False
+        worker = min(two, key=self._load)
+        copy = Copy(worker, now, True)
+        if self.terms.orders.loads_on_send:
+            if worker in [s.worker for s in act.sends]:
+                return False
+            fn.held.popleft().held = False
+            fn.copies[worker.id] = copy
+            copy.loading = now
+            self._send(act, copy, now)
+            return True
+        if not self._order(fn, worker, now):
+            return False
+        fn.copies[worker.id] = copy
+        copy.loading = now
+        return True
+
+    # -- the guard: every send and every load order leaves here ------------------------------------
+    def _open(self, worker, now):
+        """Whether the worker may be given anything: listed, not resting or silent, within its cap and budget."""
+        if not worker.usable or worker.silent or now < worker.rest:
+            return False
+        if worker.strikes > 1 and worker.out or worker.cap is not None and len(worker.out) >= worker.cap:
+            return False
+        return self._cold_room(worker, now) >= 1
+
+    def _cold_room(self, worker, now):
+        """Our part of what a cold worker bears: as much of its capacity as we make a warm one use."""
+        g = self.terms.guarantees
+        age = now - worker.booted
+        if not worker.booted or age >= g.cold:
+            return 1
+        part = g.cold_from + (1 - g.cold_from) * max(0, age) / g.cold
+        warm = sum(1 for w in self.workers.values() if w.usable and not 0 <= now - w.booted < g.cold or not w.booted)
+        rate = self.done.least(now) / max(1, warm) / g.cold
+        return max(1, g.fall_multiple / 2 * part * rate * g.fall) - worker.sent.most(now)
+
+    def _send(self, act, copy, now):
+        worker = copy.worker
+        send = Send(act, worker, copy, now, bool(copy.loading))
+        act.sends.append(send)
+        act.out += 1
+        if act.bound is None:
+            act.bound = send
+        copy.busy += 1
+        copy.seen = now
+        worker.out[act.id, send.n] = send
+        worker.sent.add(now)
+        self.out.send(act.id, worker.id, 0)
+
+    def _order(self, fn, worker, now, copies=1):
+        o = self.terms.orders
+        if not o.allowed or not worker.usable:
+            return False
+        if o.period and self.loads.most(now) + 1 > o.free + o.part * self.taken.least(now):
+            return False
+        self.loads.add(now)
+        self.out.hold(worker.id, fn.key, copies)
+        return True
+
+    # -- what comes back ---------------------------------------------------------------------------
+    def _heard(self, now, worker_id):
+        worker = self.workers.get(worker_id)
+        if worker:
+            worker.heard, worker.silent = now, False
+        return worker
+
+    def _read(self, worker, report):
+        if report:
+            load = report.get("running", 0) + report.get("waiting", 0) + report.get("loads", 0)
+            worker.report = report.get("cores", 0) + (load if "running" in report else 0)
+            worker.out_then = len(worker.out)
+
+    def _service(self, fn):
+        return fn.service or self.usual
+
+    def answer(self, now, act_id, n, worker_id, code, note, crowd, over, took, report):
+        worker = self.workers.get(worker_id)
+        send = worker.out.pop((act_id, n), None) if worker else None
+        if send is None:
+            return
+        act, copy, fn = send.act, send.copy, send.act.fn
+        send.open, act.out, copy.busy = False, act.out - 1, copy.busy - 1
+        if code in NEVER_RAN:
+            send.ran = False
+            if act.bound is send:
+                act.bound = next((s for s in act.sends if s.ran), None)
+        self._read(worker, report)
+        if code not in (ports.TIMED_OUT, ports.CANCELLED, ports.NOT_SENT):
+            self._heard(now, worker_id)
+        if code == COMPLETED:
+            self._completed(now, send, note, took)
+        elif code not in (ports.CANCELLED, ports.NOT_SENT):
+            self._failed(now, send, code, note)
+        if over:
+            if self.acts.pop(act_id, None):
+                self._drop_sends(act)
+        elif self.acts.get(act_id) is act and not act.out:
+            if self._may_send(act, now):
+                self._hold(act, now, front=True)
+            else:
+                self._end(act, now)
+        self._flow(fn, now)
+
+    def _completed(self, now, send, note, took):
+        fn, copy, worker = send.act.fn, send.copy, send.worker
+        self.done.add(now)
+        if worker.id not in fn.copies:
+            fn.copies[worker.id] = copy
+        copy.loading, copy.seen, copy.errors = 0, now, 0
+        worker.strikes = 0
+        if note == ports.FOUND_WARM or note == 0 and not send.cold:
+            fn.service = fn.service + (took - fn.service) // 8 if fn.service else took
+            self.usual += (took - self.usual) // 64
+            if took > send.act.type.target_latency * 3 // 4:
+                worker.cap = max(1.0, min(worker.cap or len(worker.out) + 1, len(worker.out) + 1) * 0.8)
+        if worker.cap is not None and len(worker.out) + 1 >= worker.cap:
+            worker.cap += 1 / worker.cap
+
+    def _failed(self, now, send, code, note):
+        """What an end other than an answer says of copy and worker. A fast error must not free its lane at
+        once and draw the backlog: the copy stays shut for the usual service, longer each time in a row."""
+        fn, copy, worker = send.act.fn, send.copy, send.worker
+        if code in (ports.MISSING, ports.RESET, ports.NO_CONNECTION) or note == ports.LOAD_FAILED:
+            if fn.copies.get(worker.id) is copy:
+                del fn.copies[worker.id]
+            copy.loading = 0
+            fn.pause = max(fn.pause, now + self._service(fn) // 4) if note == ports.LOAD_FAILED else fn.pause
+        if code == ports.MISSING:
+            return
+        copy.errors += 1
+        copy.shut = now + (self._service(fn) << min(copy.errors - 1, 6))
+        if code == ports.FULL:
+            worker.cap = max(1.0, len(worker.out) * 0.8)
+            return
+        if fn.key != worker.bad_fn or code != ports.ERROR:
+            worker.strikes, worker.bad_fn = worker.strikes + 1, fn.key
+        if worker.strikes > 1 or code == ports.NO_CONNECTION:
+            worker.rest = now + (self.target // 4 << min(worker.strikes, 6))
+        if code in (ports.RESET, ports.NO_CONNECTION):
+            self._forget(worker)
+
+    def stands(self, now, worker_id, key, code, copies, took):
+        worker, fn = self.workers.get(worker_id), self.functions.get(key)
+        if code not in (ports.TIMED_OUT, ports.RESET, ports.NO_CONNECTION):
+            self._heard(now, worker_id)
+        if not worker or not fn:
+            return
+        copy = fn.copies.get(worker_id)
+        if copies and worker.usable:
+            if copy is None:
+                copy = fn.copies[worker_id] = Copy(worker, now, True)
+            copy.loading, copy.seen = 0, now
+        elif copy and copy.loading:
+            if not copy.busy:
+                del fn.copies[worker_id]
+            copy.loading = 0
+            fn.pause = now + self._service(fn) // 2
+        self._flow(fn, now)
+
+    def probed(self, now, worker_id, code, took, report):
+        worker = self.workers.get(worker_id)
+        if worker and code == COMPLETED:
+            self._read(worker, report)
+
+    # -- what time brings --------------------------------------------------------------------------
+    def ring(self, now, mark):
+        if mark != "sweep":
+            return
+        self.out.wake("sweep", self.sweep)
+        fleet = [w for w in self.workers.values() if w.usable]
+        if fleet:
+            self.mean_out += (sum(len(w.out) for w in fleet) / len(fleet) - self.mean_out) / 8
+            reports = [w.report for w in fleet if w.report is not None]
+            self.mean_report = sum(reports) / len(reports) if reports else None
+        for worker in list(self.workers.values()):
+            self._watch(worker, now)
+        if self.terms.allowed.probe and self.terms.reports_by_probe and now >= self.next_probe:
+            self.next_probe = now + self.target // 2
+            for worker in fleet:
+                self.out.probe(worker.id)
+        if self.terms.asks and now - self.asked > self.terms.guarantees.ask_within // 2:
+            self.asked = now
+            self.out.subscribe()
+        if now >= self.next_tidy:
+            self.next_tidy = now + self.terms.orders.keep // 16
+            self._tidy(now)
+        self._flow_all(now)
+
+    def _watch(self, worker, now):
+        """A worker that owes answers and gives none is silent: nothing new goes there, and what it holds gets
+        a second send elsewhere where a repeat is allowed. Guards against hung, stopped and cut-off workers."""
+        if not worker.out:
+            if worker.silent:
+                worker.silent, worker.strikes = False, 2
+                worker.rest = now + self.target
+            return
+        first = next(iter(worker.out.values()))
+        fn = first.act.fn
+        patience = 3 * self._service(fn) + (2 * (fn.load_time or self.target) if first.cold else 0)
+        if now - max(worker.heard, first.at) > max(patience, self.target // 2):
+            worker.silent = True
+            for send in list(worker.out.values()):
+                act = send.act
+                if self.acts.get(act.id) is act and act.out == 1 and send.open and not act.held \
+                        and act.type.effect != ports.ONCE_ONLY and self._may_send(act, now):
+                    self._hold(act, now, front=True)
+
+    def _tidy(self, now):
+        keep = self.terms.orders.keep
+        for fn in list(self.functions.values()):
+            for copy in list(fn.copies.values()):
+                if not copy.busy and now - max(copy.seen, copy.loading) > keep:
+                    del fn.copies[copy.worker.id]
+                elif (copy.ours and not copy.busy and not copy.loading and now - copy.seen > keep * 3 // 4
+                      and now - fn.called < keep and now - copy.renewed > keep and self._open(copy.worker, now)):
+                    copy.renewed = now
+                    self._order(fn, copy.worker, now)
+            if not fn.copies and not fn.held and now - fn.called > keep:
+                del self.functions[fn.key]
+        for worker in list(self.workers.values()):
+            if not worker.usable and not worker.out:
+                del self.workers[worker.id]
--- /dev/null
+++ b/petrelwood/drill.py
@@ -0,0 +1,176 @@
+"""The adapter: speaks the simulator's wire on standard input and output (`python -m petrelwood.drill`).
+
+It hosts any number of instances of the module, which share nothing, and translates names, units and
+codes only: each event becomes one call on its instance, each call on its `Line` one wire message.
+"""
+import sys
+
+import orjson
+
+from petrelwood import ports
+from petrelwood.brain import Brain
+
+US = 1000   # nanoseconds in the wire's unit of time
+CODES = {"GOOD": ports.COMPLETED, "BAD": ports.ERROR, "FULL": ports.FULL, "LATE": ports.TIMED_OUT,
+         "NOCONN": ports.NO_CONNECTION, "RST": ports.RESET, "CXL": ports.CANCELLED,
+         "NOP": ports.NOT_SENT, "MISS": ports.MISSING}
+REPORT = {"concurrent": "running", "depth": "waiting", "load_share": "cores", "x0": "pinned", "x1": "loads"}
+EFFECTS = {"repeatable": ports.REPEATABLE, "by_key": ports.DEDUPLICATED, "once": ports.ONCE_ONLY}
+
+
+class Line:
+    """Outlet of one instance: the wire messages of the batch in hand."""
+
+    def __init__(self):
+        self.orders = []
+
+    def send(self, act, worker, limit):
+        self.orders.append({"t": "callOut", "corr": act, "runner": worker, "allowFor": limit // US})
+
+    def reject(self, act, retry_after):
+        self.orders.append({"t": "sayNo", "corr": act, "retryAfter": retry_after // US})
+
+    def abort(self, act):
+        self.orders.append({"t": "endFailed", "corr": act})
+
+    def cancel(self, act, n):
+        self.orders.append({"t": "dropAttempt", "corr": act, "n": n})
+
+    def hold(self, worker, fn, copies):
+        self.orders.append({"t": "startCopy", "callee": fn, "runner": worker, "nInst": copies})
+
+    def probe(self, worker):
+        self.orders.append({"t": "askLoad", "runner": worker})
+
+    def wake(self, mark, wait):
+        self.orders.append({"t": "sleep", "mark": mark, "wait": -(-wait // US)})
+
+    def subscribe(self):
+        self.orders.append({"t": "streamChanges", "enable": True})
+
+
+def terms(o):
+    fam, g, p, fees = o.get("familyInfo") or {}, o["guarantees"], o["permissions"], o.get("fees") or {}
+    return ports.Terms(
+        zone=o.get("zone") or "", dispatchers=o["balancers"],
+        types={c["name"]: ports.NamespaceType(
+            c["slo"] * US, c["deadline"] * US, EFFECTS[c["effect"]], c.get("keyScope") or "all",
+            (c.get("window") or 0) * US, c.get("value", 1.0), c.get("lateValue") or 0.0)
+            for c in o["classes"]},
+        quotas={t["name"]: t["quotaRps"] for t in o.get("tenants") or ()},
+        over_share=o.get("overShareWorth") or 0.0,
+        guarantees=ports.Guarantees(
+            g["graceToAnswer"] * US, (g.get("askWithin") or 0) * US, g["cold"] * US, g["startCapacity"],
+            g["fallMultiple"], g["fall"] * US),
+        orders=ports.LoadOrders(
+            bool(fam.get("mayOrder")), fam.get("onMiss") != "miss", bool(fam.get("saysWarm")),
+            fam["keep"] * US, fam.get("memoryPrice") or 0.0, fam.get("freeLoads") or 0.0,
+            fam.get("loadPart") or 0.0, (fam.get("loadPeriod") or 0) * US),
+        allowed=ports.Allowed(
+            p["maxAttempts"], bool(p.get("secondCopies")), bool(p.get("cancelling")), bool(p.get("probes")),
+            bool(p.get("retryAfter")), (p.get("maxRetryAfter") or 0) * US),
+        asks=o.get("membershipMode") == "ask", reports_by_probe=(o.get("loadInfo") or {}).get("how") == "pull",
+        tick=o["tick"] * US, probe_price=fees.get("probe") or 0.0, zone_price=fees.get("crossZone") or 0.0)
+
+
+def report(gauge):
+    return gauge and {REPORT[name]: value for name, value in gauge.items() if name in REPORT}
+
+
+def listed(e):
+    return ports.Listed(e["runner"], e.get("rackZone") or "", e.get("cluster") or 0, e.get("powerHint") or 1,
+                        (e.get("bootTime") or 0) * US, e["stageState"] == "U")
+
+
+class Host:
+    """The instances of this process and its numbered lists."""
+
+    def __init__(self):
+        self.pages, self.brains, self.lines = {}, {}, {}
+
+    def batch(self, frame):
+        now, touched = frame["simTime"] * US, {}
+        for group in frame["dispatchers"]:
+            who = group.get("dispatcherId")
+            for event in group["in"]:
+                if event["t"] == "register":
+                    self.pages[event["page"]] = [listed(e) for e in event["elements"]]
+                else:
+                    touched[who] = True
+                    self.event(now, who, event)
+        replies = []
+        for who in touched:
+            line = self.lines.get(who)
+            if line and line.orders:
+                replies.append({"dispatcherId": who, "orders": line.orders})
+                line.orders = []
+        return {"turn": frame["turn"], "dispatchers": replies}
+
+    def event(self, now, who, e):
+        kind = e["t"]
+        if kind == "newInstance":
+            line = self.lines[who] = Line()
+            self.brains[who] = Brain(now, terms(e["options"]), e["salt"], line)
+            return
+        if kind == "halt":
+            self.brains.pop(who, None)
+            self.lines.pop(who, None)
+            return
+        if kind not in KNOWN:
+            raise ValueError(f"unknown event {kind!r}")
+        brain = self.brains.get(who)
+        if brain is None:
+            raise ValueError(f"event {kind!r} for dispatcher {who!r}, which was not started")
+        if kind == "workItem":
+            brain.activation(now, e["corr"], e["callee"], e["priority"], e.get("org") or "", e["due"] * US,
+                             int(e.get("width") or 1), (e.get("work") or 0) * US,
+                             int((e.get("loadTimeMs") or 0) * 1000 * US))
+        elif kind == "completed":
+            note = e.get("detail") or 0
+            brain.answer(now, e["corr"], e["n"], e["runner"], CODES[e["stateCode"]], note & 7, note >> 3,
+                         bool(e.get("over")), e["took"] * US, report(e.get("gauge")))
+        elif kind == "ring":
+            brain.ring(now, e["mark"])
+        elif kind == "stands":
+            brain.stands(now, e["runner"], e["callee"], CODES[e["stateCode"]], e.get("nInst") or 0, e["took"] * US)
+        elif kind == "echo":
+            brain.probed(now, e["runner"], CODES[e["stateCode"]], e["took"] * US, report(e.get("gauge")))
+        elif kind == "directoryUpdate":
+            scope = e["scope"]
+            if scope not in ("incr", "total", "warm_copy", "lost"):
+                raise ValueError(f"unknown scope {scope!r}")
+            if scope == "lost":
+                brain.list_lost(now)
+            else:
+                brain.listed(now, self.pages[e["page"]], scope != "incr")
+        elif kind == "left":
+            brain.left(now, e["corr"])
+        elif kind == "streaming":
+            brain.begun(now, e["corr"], e["n"], e["runner"])
+
+
+KNOWN = frozenset(("workItem", "completed", "ring", "stands", "echo", "directoryUpdate", "left", "streaming",
+                   "fromPeer"))
+
+
+def main():
+    host = Host()
+    for number, raw in enumerate(sys.stdin.buffer, 1):
+        if not raw.strip():
+            continue
+        try:
+            frame = orjson.loads(raw)
+            reply = host.batch(frame)
+        except orjson.JSONDecodeError as fault:
+            return f"petrelwood: line {number} is not JSON: {fault}"
+        except KeyError as fault:
+            return f"petrelwood: line {number}: missing or unknown: {fault}"
+        except (ValueError, TypeError, AttributeError) as fault:
+            return f"petrelwood: line {number}: {fault}"
+        sys.stdout.buffer.write(orjson.dumps(reply) + b"\n")
+        sys.stdout.buffer.flush()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
