--- a/petrelwood/brain.py
+++ b/petrelwood/brain.py
@@ -17,6 +17,7 @@
 
 LIMIT = 0.5              # most copies of one function placed from here: part of the listed workers
 BACKLOG = 1.0            # held activations for each lane before a copy is added
+LAG = 1 / 6              # how long the first must have been held before that, part of the target latency
 SLOTS = 12               # buckets in a ring
 
 
@@ -50,7 +51,7 @@
     def __init__(self, entry, fall, now):
         self.id, self.out, self.sent = entry.worker, {}, Ring(fall)
         self.heard, self.cap, self.strikes, self.rest, self.bad_fn = now, None, 0, 0, None
-        self.report, self.out_then, self.silent = None, 0, False
+        self.loading, self.report, self.out_then, self.silent, self.pace, self.shrunk = 0, None, 0, False, 1.0, 0
         self.update(entry)
 
     def update(self, entry):
@@ -82,11 +83,11 @@
 
 
 class Send:
-    __slots__ = ("act", "n", "worker", "copy", "at", "cold", "open", "ran")
+    __slots__ = ("act", "n", "worker", "copy", "at", "cold", "open", "ran", "ahead")
 
     def __init__(self, act, worker, copy, at, cold):
         self.act, self.n, self.worker, self.copy, self.at = act, len(act.sends), worker, copy, at
-        self.cold, self.open, self.ran = cold, True, True
+        self.cold, self.open, self.ran, self.ahead = cold, True, True, len(worker.out)
 
 
 class Brain:
@@ -224,13 +225,14 @@
                 act.held = True
                 kept.append(act)
         fn.held.extend(kept)
+        lanes = len(fn.copies) * fn.lanes
         limit = max(1, int(LIMIT * len(self.workers)))
         while fn.held and now >= fn.pause:
-            lanes = len(fn.copies) * fn.lanes
-            if len(fn.held) <= BACKLOG * lanes:
+            lanes = sum(fn.lanes if c.loading else c.busy for c in fn.copies.values())
+            if len(fn.held) <= BACKLOG * lanes or fn.copies and now - fn.held[0].born < self.target * LAG:
                 break
             if len(fn.copies) >= limit:
-                while len(fn.held) > 2 * BACKLOG * lanes:
+                while len(fn.held) > 2 * BACKLOG * len(fn.copies) * fn.lanes:
                     act = fn.held.pop()
                     act.held = False
                     if not act.out:
@@ -276,7 +278,7 @@
         act = fn.held[0]
         two = []
         for worker in fn.order:
-            if worker.id not in fn.copies and self._open(worker, now) and self._in_group(act, worker):
+            if worker.id not in fn.copies and worker.loading < 2 and self._open(worker, now) and self._in_group(act, worker):
                 two.append(worker)
                 if len(two) == 2:
                     break
@@ -328,6 +330,7 @@
         copy.busy += 1
         copy.seen = now
         worker.out[act.id, send.n] = send
+        worker.loading += send.cold
         worker.sent.add(now)
         self.out.send(act.id, worker.id, 0)
 
@@ -364,6 +367,7 @@
             return
         act, copy, fn = send.act, send.copy, send.act.fn
         send.open, act.out, copy.busy = False, act.out - 1, copy.busy - 1
+        worker.loading -= send.cold
         if code in NEVER_RAN:
             send.ran = False
             if act.bound is send:
@@ -393,11 +397,19 @@
         copy.loading, copy.seen, copy.errors = 0, now, 0
         worker.strikes = 0
         if note == ports.FOUND_WARM or note == 0 and not send.cold:
-            fn.service = fn.service + (took - fn.service) // 8 if fn.service else took
-            self.usual += (took - self.usual) // 64
-            if took > send.act.type.target_latency * 3 // 4:
-                worker.cap = max(1.0, min(worker.cap or len(worker.out) + 1, len(worker.out) + 1) * 0.8)
-        if worker.cap is not None and len(worker.out) + 1 >= worker.cap:
+            fn.service = fn.service + (took - fn.service) // (8 * (1 + send.ahead)) if fn.service else took
+            self.usual += (took - self.usual) // (64 * (1 + send.ahead))
+            self._pace(worker, took / self._service(fn), now)
+
+    def _pace(self, worker, ratio, now):
+        """How many sends a worker is given at once follows how its answers compare with the usual service:
+        guards against crowding a worker whose copies have more lanes than it has cores, slow or not."""
+        worker.pace += (min(ratio, 8) - worker.pace) / 8
+        if worker.pace > 2.5:
+            if now - worker.shrunk > self.usual:
+                worker.shrunk = now
+                worker.cap = max(1.0, min(worker.cap or len(worker.out) + 1, len(worker.out) + 1) * 0.85)
+        elif worker.cap is not None and len(worker.out) + 1 >= worker.cap:
             worker.cap += 1 / worker.cap
 
     def _failed(self, now, send, code, note):
