--- a/petrelwood/brain.py
+++ b/petrelwood/brain.py
@@ -18,6 +18,7 @@
 LIMIT = 0.5              # most copies of one function placed from here: part of the listed workers
 BACKLOG = 1.0            # held activations for each lane before a copy is added
 LAG = 1 / 6              # how long the first must have been held before that, part of the target latency
+SECOND = 1_000_000_000
 SLOTS = 12               # buckets in a ring
 
 
@@ -75,10 +76,11 @@
 
 
 class Act:
-    __slots__ = ("id", "fn", "type", "due", "born", "sends", "out", "bound", "work", "held")
+    __slots__ = ("id", "fn", "type", "due", "born", "sends", "out", "bound", "work", "held", "beyond")
 
     def __init__(self, id_, fn, type_, due, born, work):
         self.id, self.fn, self.type, self.due, self.born, self.work = id_, fn, type_, due, born, work
+        self.beyond = False                              # beyond its customer's share
         self.sends, self.out, self.bound, self.held = [], 0, None, False   # bound: the first send that may have run
 
 
@@ -99,6 +101,9 @@
         self.usual, self.mean_out, self.mean_report = self.target // 4, 1.0, None
         self.done, self.taken, self.loads = (Ring(terms.guarantees.cold), Ring(terms.orders.period or 1),
                                              Ring(terms.orders.period or 1))
+        self.buckets = {name: [quota * self.target / SECOND / terms.dispatchers, now, quota]
+                        for name, quota in terms.quotas.items()}
+        self.quotas, self.rate, self.last_taken = sum(terms.quotas.values()) or 1, 0.0, now
         self.waiting, self.next_probe, self.next_tidy, self.asked = {}, now, now, now
         self.out.wake("sweep", self.sweep)
         if terms.asks:
@@ -142,8 +147,24 @@
         fn.lanes, fn.called = lanes, now
         fn.load_time = load_time or fn.load_time
         act = self.acts[act_id] = Act(act_id, fn, self.terms.types[type_name], due, now, work)
+        act.beyond = self._beyond_share(customer, now)
         self._hold(act, now)
 
+    def _beyond_share(self, customer, now):
+        """Whether the customer asks more here than its share: of the fleet's traffic we see one part in so many
+        dispatchers, or more when what comes in here says so."""
+        bucket = self.buckets.get(customer)
+        if bucket is None:
+            return False
+        self.rate += (SECOND / max(now - self.last_taken, self.terms.tick) - self.rate) / 64
+        part = max(1 / self.terms.dispatchers, self.rate / self.quotas / 1.3)
+        self.last_taken = now
+        tokens, at, quota = bucket
+        tokens = min(tokens + (now - at) * quota * part / SECOND, 1 + quota * part * self.target / SECOND)
+        beyond = tokens < 1
+        bucket[:2] = tokens - (not beyond), now
+        return beyond
+
     def left(self, now, act_id):
         act = self.acts.pop(act_id, None)
         if act:
@@ -202,10 +223,16 @@
         self._flow(fn, now)
 
     def _flow_all(self, now):
-        for fn in list(self.waiting.values()):
-            self._flow(fn, now)
+        for spare in (False, True):
+            for fn in list(self.waiting.values()):
+                self._flow(fn, now, spare)
+
+    def _lesser(self, act, now):
+        """What can no longer be answered within its target latency, or is beyond its customer's share, takes
+        only what the others leave: under overload fresh work keeps its worth instead of all being late."""
+        return act.beyond or now - act.born + self._service(act.fn) > act.type.target_latency
 
-    def _flow(self, fn, now):
+    def _flow(self, fn, now, spare=False):
         """Sends what is held to free lanes; then adds copies, or rejects at the limit."""
         kept, stuck = [], False
         while fn.held:
@@ -217,11 +244,13 @@
                 if not act.out:
                     self._end(act, now)
                 continue
-            copy = None if stuck and act.bound is None else self._lane(fn, act, now)
+            copy = None
+            if not (stuck and act.bound is None) and (spare or not self._lesser(act, now)):
+                copy = self._lane(fn, act, now)
+                stuck = stuck or copy is None and act.bound is None
             if copy:
                 self._send(act, copy, now)
             else:
-                stuck = stuck or act.bound is None
                 act.held = True
                 kept.append(act)
         fn.held.extend(kept)
