--- a/petrelwood/brain.py
+++ b/petrelwood/brain.py
@@ -426,8 +426,8 @@
         copy.loading, copy.seen, copy.errors = 0, now, 0
         worker.strikes = 0
         if note == ports.FOUND_WARM or note == 0 and not send.cold:
-            fn.service = fn.service + (took - fn.service) // (8 * (1 + send.ahead)) if fn.service else took
-            self.usual += (took - self.usual) // (64 * (1 + send.ahead))
+            fn.service = fn.service + (took - fn.service) // (8 * (1 + send.ahead) ** 2) if fn.service else took
+            self.usual += (took - self.usual) // (64 * (1 + send.ahead) ** 2)
             self._pace(worker, took / self._service(fn), now)
 
     def _pace(self, worker, ratio, now):
