--- a/petrelwood/brain.py
+++ b/petrelwood/brain.py
@@ -18,7 +18,6 @@
 LIMIT = 0.5              # most copies of one function placed from here: part of the listed workers
 BACKLOG = 1.0            # held activations for each lane before a copy is added
 LAG = 1 / 6              # how long the first must have been held before that, part of the target latency
-CROWDED = 0.2            # known copies fill so much of the fleet's memory: further copies one at a time
 SECOND = 1_000_000_000
 SLOTS = 12               # buckets in a ring
 
@@ -57,7 +56,7 @@
         self.update(entry)
 
     def update(self, entry):
-        self.zone, self.cell, self.kind = entry.zone, entry.cell, entry.kind
+        self.zone, self.cell = entry.zone, entry.cell
         self.booted, self.usable = entry.booted, entry.usable
 
 
@@ -73,7 +72,7 @@
 class Function:
     def __init__(self, key, lanes):
         self.key, self.lanes, self.held, self.copies, self.called = key, lanes, deque(), {}, 0
-        self.service, self.load_time, self.order, self.edition, self.pause, self.memory = 0, 0, (), -1, 0, 0
+        self.service, self.load_time, self.order, self.edition, self.pause = 0, 0, (), -1, 0
 
 
 class Act:
@@ -105,7 +104,7 @@
         self.buckets = {name: [quota * self.target / SECOND / terms.dispatchers, now, quota]
                         for name, quota in terms.quotas.items()}
         self.quotas, self.rate, self.last_taken = sum(terms.quotas.values()) or 1, 0.0, now
-        self.room, self.filled, self.spreading = 0, 0, None
+        self.spreading = None
         self.waiting, self.next_probe, self.next_tidy, self.asked = {}, now, now, now
         self.out.wake("sweep", self.sweep)
         if terms.asks:
@@ -129,7 +128,6 @@
             worker.update(entry)
         for worker in [w for w in self.workers.values() if not w.usable]:
             self._forget(worker)
-        self.room = sum(self.terms.memory.get(w.kind, 0) for w in self.workers.values() if w.usable)
         self._flow_all(now)
 
     def list_lost(self, now):
@@ -142,12 +140,12 @@
                 del fn.copies[worker.id]
 
     # -- answer duty -------------------------------------------------------------------------------
-    def activation(self, now, act_id, key, type_name, customer, due, lanes, work, load_time, memory):
+    def activation(self, now, act_id, key, type_name, customer, due, lanes, work, load_time):
         self.taken.add(now)
         fn = self.functions.get(key)
         if fn is None:
             fn = self.functions[key] = Function(key, lanes)
-        fn.lanes, fn.called, fn.memory = lanes, now, memory
+        fn.lanes, fn.called = lanes, now
         fn.load_time = load_time or fn.load_time
         act = self.acts[act_id] = Act(act_id, fn, self.terms.types[type_name], due, now, work)
         act.beyond = self._beyond_share(customer, now)
@@ -272,15 +270,12 @@
                 break
             if fn.copies and not self._may_spread(fn, now) or not self._add_copy(fn, now):
                 break
-            self.filled += fn.memory
         if not fn.held:
             self.waiting.pop(fn.key, None)
 
     def _may_spread(self, fn, now):
-        """While known copies crowd the fleet's memory a further copy pushes another function's out, and the loads
-        feed on each other: then one at a time, for the function with the longest backlog."""
-        if self.filled <= CROWDED * self.room:
-            return True
+        """A further copy may push another function's out, and such loads feed on each other: so one at a time,
+        for the function with the longest backlog. Guards against thrash in overload, scans and after releases."""
         last = self.spreading
         if last and last.loading and now - last.loading < 2 * self.target:
             return False
@@ -547,7 +542,7 @@
                     self._hold(act, now, front=True)
 
     def _tidy(self, now):
-        keep, self.filled = self.terms.orders.keep, 0
+        keep = self.terms.orders.keep
         for fn in list(self.functions.values()):
             for copy in list(fn.copies.values()):
                 if not copy.busy and now - max(copy.seen, copy.loading) > keep:
@@ -556,7 +551,6 @@
                       and now - fn.called < keep and now - copy.renewed > keep and self._open(copy.worker, now)):
                     copy.renewed = now
                     self._order(fn, copy.worker, now)
-            self.filled += len(fn.copies) * fn.memory
             if not fn.copies and not fn.held and now - fn.called > keep:
                 del self.functions[fn.key]
         for worker in list(self.workers.values()):
--- a/petrelwood/drill.py
+++ b/petrelwood/drill.py
@@ -53,7 +53,6 @@
     fam, g, p, fees = o.get("familyInfo") or {}, o["guarantees"], o["permissions"], o.get("fees") or {}
     return ports.Terms(
         zone=o.get("zone") or "", dispatchers=o["balancers"],
-        memory=dict(zip(o.get("kinds") or (), fam.get("kindMemoryMb") or ())),
         types={c["name"]: ports.NamespaceType(
             c["slo"] * US, c["deadline"] * US, EFFECTS[c["effect"]], c.get("keyScope") or "all",
             (c.get("window") or 0) * US, c.get("value", 1.0), c.get("lateValue") or 0.0)
@@ -79,7 +78,7 @@
 
 
 def listed(e):
-    return ports.Listed(e["runner"], e.get("rackZone") or "", e.get("cluster") or 0, e.get("machine") or "",
+    return ports.Listed(e["runner"], e.get("rackZone") or "", e.get("cluster") or 0,
                         (e.get("bootTime") or 0) * US, e["stageState"] == "U")
 
 
@@ -125,7 +124,7 @@
         if kind == "workItem":
             brain.activation(now, e["corr"], e["callee"], e["priority"], e.get("org") or "", e["due"] * US,
                              int(e.get("width") or 1), (e.get("work") or 0) * US,
-                             int((e.get("loadTimeMs") or 0) * 1000 * US), e.get("sizeMb") or 0)
+                             int((e.get("loadTimeMs") or 0) * 1000 * US))
         elif kind == "completed":
             note = e.get("detail") or 0
             brain.answer(now, e["corr"], e["n"], e["runner"], CODES[e["stateCode"]], note & 7, note >> 3,
--- a/petrelwood/ports.py
+++ b/petrelwood/ports.py
@@ -59,7 +59,6 @@
     """All that the module is told at start."""
     zone: str
     dispatchers: int
-    memory: dict           # kind of worker -> its memory, in the unit of an activation's
     types: dict            # name -> NamespaceType
     quotas: dict           # customer -> activations a second, at all dispatchers together
     over_share: float      # what an activation beyond its customer's share is worth
@@ -78,7 +77,6 @@
     worker: str
     zone: str
     cell: int
-    kind: str
     booted: int            # 0: long ago
     usable: bool           # False: it drains or is gone
 
