--- a/petrelwood/brain.py
+++ b/petrelwood/brain.py
@@ -99,6 +99,7 @@
         self.target = min(t.target_latency for t in terms.types.values())
         self.sweep = max(terms.tick, self.target // 50)
         self.usual, self.mean_out, self.mean_report = self.target // 4, 1.0, None
+        self.told = self.took = self.target / 8          # mean hint of cost, mean time taken
         self.done, self.taken, self.loads = (Ring(terms.guarantees.cold), Ring(terms.orders.period or 1),
                                              Ring(terms.orders.period or 1))
         self.buckets = {name: [quota * self.target / SECOND / terms.dispatchers, now, quota]
@@ -202,7 +203,7 @@
         """Whether the rules and what is allowed leave the activation another send anywhere."""
         if len(act.sends) >= self.terms.allowed.sends or act.out and not self.terms.allowed.overlap:
             return False
-        if act.due - now <= max(self._service(act.fn) // 4, 2 * self.sweep):
+        if act.due - now <= max(self._need(act) // 2, 2 * self.sweep):
             return False
         if act.bound is None or act.type.effect == ports.REPEATABLE:
             return True
@@ -231,7 +232,7 @@
     def _lesser(self, act, now):
         """What can no longer be answered within its target latency, or is beyond its customer's share, takes
         only what the others leave: under overload fresh work keeps its worth instead of all being late."""
-        return act.beyond or now - act.born + self._service(act.fn) > act.type.target_latency
+        return act.beyond or now - act.born + self._need(act) > act.type.target_latency
 
     def _flow(self, fn, now, spare=False):
         """Sends what is held to free lanes; then adds copies, or rejects at the limit."""
@@ -397,6 +398,10 @@
             worker.report = report.get("cores", 0) + (load if "running" in report else 0)
             worker.out_then = len(worker.out)
 
+    def _need(self, act):
+        """The usual time of this activation: by its own hint where there is one."""
+        return int(act.work * self.took / self.told) if act.work else self._service(act.fn)
+
     def _service(self, fn):
         return fn.service or self.usual
 
@@ -439,7 +444,11 @@
         if note == ports.FOUND_WARM or note == 0 and not send.cold:
             fn.service = fn.service + (took - fn.service) // (8 * (1 + send.ahead) ** 2) if fn.service else took
             self.usual += (took - self.usual) // (64 * (1 + send.ahead) ** 2)
-            self._pace(worker, took / self._service(fn), now)
+            if send.act.work:
+                part = 1 / (64 * (1 + send.ahead) ** 2)
+                self.told += (send.act.work - self.told) * part
+                self.took += (took - self.took) * part
+            self._pace(worker, took / self._need(send.act), now)
 
     def _pace(self, worker, ratio, now):
         """How many sends a worker is given at once follows how its answers compare with the usual service:
