--- a/petrelwood/brain.py
+++ b/petrelwood/brain.py
@@ -209,7 +209,10 @@
             return True
         return act.type.effect == ports.DEDUPLICATED and now < act.bound.at + act.type.window
 
-    def _in_group(self, act, worker):
+    def _fits(self, act, worker):
+        """Whether the worker is new to the activation, and in the group that the rules bind it to."""
+        if any(s.worker is worker and s.ran for s in act.sends):
+            return False
         if act.bound is None or act.type.effect == ports.REPEATABLE or act.type.scope == "all":
             return True
         first = act.bound.worker
@@ -247,16 +250,15 @@
                     self._end(act, now)
                 continue
             copy = None
-            if not (stuck and act.bound is None) and (spare or not self._lesser(act, now)):
+            if (act.sends or not stuck) and (spare or not self._lesser(act, now)):
                 copy = self._lane(fn, act, now)
-                stuck = stuck or copy is None and act.bound is None
+                stuck = stuck or copy is None and not act.sends   # a resend has fewer lanes: it blocks nobody
             if copy:
                 self._send(act, copy, now)
             else:
                 act.held = True
                 kept.append(act)
         fn.held.extend(kept)
-        lanes = len(fn.copies) * fn.lanes
         limit = max(1, int(LIMIT * len(self.workers)))
         while fn.held and now >= fn.pause:
             lanes = sum(fn.lanes if c.loading else c.busy for c in fn.copies.values())
@@ -292,8 +294,7 @@
                 continue
             if copy.busy >= fn.lanes or now < copy.shut or copy.loading and not self.terms.orders.loads_on_send:
                 continue
-            if not self._open(worker, now) or not self._in_group(act, worker) or worker in [
-                    s.worker for s in act.sends]:
+            if not self._open(worker, now) or not self._fits(act, worker):
                 continue
             load = self._load(worker) + (worker.zone != self.terms.zone)
             if best is None or load < best_load:
@@ -317,7 +318,8 @@
         act = fn.held[0]
         two = []
         for worker in fn.order:
-            if worker.id not in fn.copies and worker.loading < 2 and self._open(worker, now) and self._in_group(act, worker):
+            if (worker.id not in fn.copies and worker.loading < 2 and self._open(worker, now)
+                    and self._fits(act, worker)):
                 two.append(worker)
                 if len(two) == 2:
                     break
@@ -327,18 +329,13 @@
         copy = Copy(worker, now, True)
         if fn.copies:
             self.spreading = copy
+        fn.copies[worker.id], copy.loading = copy, now
         if self.terms.orders.loads_on_send:
-            if worker in [s.worker for s in act.sends]:
-                return False
             fn.held.popleft().held = False
-            fn.copies[worker.id] = copy
-            copy.loading = now
             self._send(act, copy, now)
-            return True
-        if not self._order(fn, worker, now):
+        elif not self._order(fn, worker, now):
+            del fn.copies[worker.id]
             return False
-        fn.copies[worker.id] = copy
-        copy.loading = now
         return True
 
     # -- the guard: every send and every load order leaves here ------------------------------------
@@ -437,8 +434,8 @@
     def _completed(self, now, send, note, took):
         fn, copy, worker = send.act.fn, send.copy, send.worker
         self.done.add(now)
-        if worker.id not in fn.copies:
-            fn.copies[worker.id] = copy
+        if worker.usable:
+            copy = fn.copies.setdefault(worker.id, copy)
         copy.loading, copy.seen, copy.errors = 0, now, 0
         worker.strikes = 0
         if note == ports.FOUND_WARM or note == 0 and not send.cold:
--- /dev/null
+++ b/tests/desk.py
@@ -0,0 +1,78 @@
+"""A desk for one instance of the module: it writes down each decision, and compares with the kept trace."""
+import difflib
+import pathlib
+import unittest
+
+from petrelwood import ports
+from petrelwood.brain import Brain
+
+MS = 1_000_000
+KEPT = pathlib.Path(__file__).with_name("traces")
+
+
+def terms(effect=ports.REPEATABLE, self_loading=True, ration=(0, 0, 0), dispatchers=2):
+    return ports.Terms(
+        zone="north", dispatchers=dispatchers,
+        types={"plain": ports.NamespaceType(1000 * MS, 4000 * MS, effect, "zone", 1500 * MS, 1.0, 0.3)},
+        quotas={}, over_share=0.1,
+        guarantees=ports.Guarantees(10 * MS, 0, 8000 * MS, 0.25, 2.0, 1000 * MS),
+        orders=ports.LoadOrders(True, self_loading, True, 8000 * MS, 0.1, *ration),
+        allowed=ports.Allowed(3, True, True, True, True, 500 * MS),
+        asks=False, reports_by_probe=False, tick=2 * MS, probe_price=0.01, zone_price=0.05)
+
+
+def worker(name, zone="north", booted=0, usable=True):
+    return ports.Listed(name, zone, 0, booted * MS, usable)
+
+
+class Desk:
+    def __init__(self, kept, workers=("a", "b", "c"), **changes):
+        self.now, self.lines, self.wakes, self.kept = 0, [], [], kept
+        self.brain = Brain(0, terms(**changes), 7, self)
+        self.brain.listed(0, [w if isinstance(w, ports.Listed) else worker(w) for w in workers], True)
+
+    def say(self, text):
+        self.lines.append(f"{self.now // MS:6d}  {text}")
+
+    def send(self, act, worker, limit):
+        self.say(f"send {act} to {worker}")
+
+    def reject(self, act, retry_after):
+        self.say(f"reject {act}, back after {retry_after // MS}")
+
+    def abort(self, act):
+        self.say(f"abort {act}")
+
+    def cancel(self, act, n):
+        self.say(f"cancel {act}#{n}")
+
+    def hold(self, worker, fn, copies):
+        self.say(f"order {copies} of {fn} on {worker}")
+
+    def probe(self, worker):
+        self.say(f"probe {worker}")
+
+    def wake(self, mark, wait):
+        self.wakes.append((self.now + wait, mark))
+
+    def at(self, ms):
+        """Lets time pass, ringing each wake on the way."""
+        while self.wakes and self.wakes[0][0] <= ms * MS:
+            self.now, mark = self.wakes.pop(0)
+            self.brain.ring(self.now, mark)
+        self.now = ms * MS
+
+    def come(self, *acts, fn=1, lanes=1, patience=3000):
+        for act in acts:
+            self.brain.activation(self.now, act, fn, "plain", "", self.now + patience * MS, lanes, 0, 300 * MS)
+
+    def answer(self, act, worker, code=ports.COMPLETED, n=0, took=100, note=1):
+        self.say(f"       {act}#{n} on {worker}: {code}")
+        self.brain.answer(self.now, act, n, worker, code, note if code == ports.COMPLETED else 0, 0,
+                          code == ports.COMPLETED, took * MS, None)
+
+    def end(self, test: unittest.TestCase):
+        """Fails with the difference unless the trace is the kept one."""
+        kept = (KEPT / f"{self.kept}.txt").read_text().splitlines()
+        found = [line.rstrip() for line in self.lines]
+        test.assertEqual(kept, found, "\n" + "\n".join(difflib.unified_diff(kept, found, "kept", "found", "", "")))
--- /dev/null
+++ b/tests/test_decisions.py
@@ -0,0 +1,99 @@
+import unittest
+
+from desk import Desk, worker
+from petrelwood import ports
+
+
+class OrdinaryPath(unittest.TestCase):
+    def test_holds_for_a_free_lane_then_adds_one_copy(self):
+        d = Desk("ordinary")
+        d.come("x1")
+        d.at(400); d.answer("x1", "a" if "to a" in d.lines[0] else d.lines[0][-1], note=2, took=400)
+        d.come("x2", "x3"); d.at(480); d.answer("x2", d.lines[0][-1])
+        d.come("x4", "x5", "x6"); d.at(900)
+        d.end(self)
+
+    def test_one_further_copy_at_a_time(self):
+        """Found on lugano rough-1 (simulated servers): loads that push each other's copies out."""
+        d = Desk("one_at_a_time", workers="abcdefgh")
+        for fn in (1, 2, 3):
+            d.come(f"p{fn}", f"q{fn}", f"r{fn}", f"s{fn}", fn=fn)
+        d.at(600)
+        d.end(self)
+
+
+class Rules(unittest.TestCase):
+    def test_one_final_answer_and_nothing_after(self):
+        d = Desk("one_answer", workers="a")
+        d.come("x1", "x2"); d.at(1600)
+        d.answer("x1", "a", ports.TIMED_OUT, took=1600); d.answer("x1", "a", ports.TIMED_OUT, took=1600)
+        d.brain.left(d.now, "x2"); d.at(4000)
+        d.end(self)
+
+    def test_once_only_never_again_unless_it_provably_never_ran(self):
+        d = Desk("once_only", effect=ports.ONCE_ONLY)
+        d.come("x1"); d.answer("x1", d.lines[-1][-1], ports.FULL)
+        d.at(700); d.answer("x1", d.lines[-1][-1], ports.ERROR, n=1)
+        d.at(3000)
+        d.end(self)
+
+    def test_deduplicated_stays_in_its_group_and_window(self):
+        north = [worker("a"), worker("b")]
+        d = Desk("deduplicated", workers=north + [worker(w, "south") for w in "cdef"], effect=ports.DEDUPLICATED)
+        d.come("x1"); d.answer("x1", d.lines[-1][-1], ports.ERROR)
+        d.at(300); d.come("x2", fn=2); d.at(1900); d.answer("x2", d.lines[-1][-1], ports.ERROR)
+        d.at(4000)
+        d.end(self)
+
+    def test_nothing_new_to_a_worker_that_drains(self):
+        d = Desk("drain", workers="ab", self_loading=False)
+        d.come("x1"); first = d.lines[-1][-1]
+        d.brain.stands(d.now, first, 1, ports.COMPLETED, 1, 0)
+        d.brain.listed(d.now, [worker(first, usable=False)], False)
+        d.come("x2", "x3"); d.at(2000)
+        d.end(self)
+
+    def test_cold_worker_gets_our_part_of_its_budget(self):
+        d = Desk("cold_budget", workers=[worker("a", booted=1), worker("b", usable=False)])
+        d.at(10)
+        d.come("x1", "x2", "x3", "x4", lanes=8); d.at(900); d.answer("x1", "a", note=2)
+        d.at(1300)
+        d.end(self)
+
+    def test_load_orders_stay_in_their_ration(self):
+        d = Desk("ration", workers="abcd", self_loading=False, ration=(2, 0.2, 1000 * 10**6))
+        for fn in range(1, 7):
+            d.come(f"x{fn}", fn=fn)
+        d.at(1500)
+        d.end(self)
+
+
+class Failures(unittest.TestCase):
+    def test_fast_errors_do_not_draw_the_backlog(self):
+        d = Desk("fast_errors", workers="a")
+        d.come("x1"); d.at(400); d.answer("x1", "a", note=2, took=400)
+        d.come(*[f"y{i}" for i in range(6)])
+        for i in range(40):
+            d.at(400 + 10 * i)
+            if " send " in d.lines[-1]:
+                d.answer(d.lines[-1].split()[2], "a", ports.ERROR, took=2)
+        d.end(self)
+
+    def test_silent_worker_gets_nothing_new_and_loses_what_it_holds(self):
+        d = Desk("silent", workers="ab")
+        d.come("x1"); first = d.lines[-1][-1]
+        d.at(400); d.answer("x1", first, note=2, took=400)
+        d.come("x2"); d.at(1400); d.come("x3", fn=1)
+        d.at(1700)
+        d.end(self)
+
+    def test_a_resend_that_finds_no_lane_does_not_block_the_rest(self):
+        d = Desk("no_block", workers="a")
+        d.come("x1", lanes=2); d.at(400); d.answer("x1", "a", note=2, took=400)
+        d.come("x2", lanes=2); d.at(420); d.answer("x2", "a", ports.ERROR, took=20)
+        d.at(800); d.come("x3", lanes=2); d.at(900)
+        d.end(self)
+
+
+if __name__ == "__main__":
+    unittest.main()
