--- a/petrelwood/brain.py
+++ b/petrelwood/brain.py
@@ -19,6 +19,7 @@
 BACKLOG = 1.0            # held activations for each lane before a copy is added
 LAG = 1 / 6              # how long the first must have been held before that, part of the target latency
 SECOND = 1_000_000_000
+SLACK = 1.3              # a customer's share here: so much more than an equal part, as dispatchers differ
 SLOTS = 12               # buckets in a ring
 
 
@@ -102,9 +103,7 @@
         self.told = self.took = self.target / 8          # mean hint of cost, mean time taken
         self.done, self.taken, self.loads = (Ring(terms.guarantees.cold), Ring(terms.orders.period or 1),
                                              Ring(terms.orders.period or 1))
-        self.buckets = {name: [quota * self.target / SECOND / terms.dispatchers, now, quota]
-                        for name, quota in terms.quotas.items()}
-        self.quotas, self.rate, self.last_taken = sum(terms.quotas.values()) or 1, 0.0, now
+        self.buckets = {name: [1, now, SLACK * quota / SECOND / terms.dispatchers] for name, quota in terms.quotas.items()}
         self.spreading = None
         self.waiting, self.next_probe, self.next_tidy, self.asked = {}, now, now, now
         self.out.wake("sweep", self.sweep)
@@ -136,9 +135,7 @@
 
     def _forget(self, worker):
         for fn in self.functions.values():
-            copy = fn.copies.get(worker.id)
-            if copy and not copy.busy:
-                del fn.copies[worker.id]
+            fn.copies.pop(worker.id, None)
 
     # -- answer duty -------------------------------------------------------------------------------
     def activation(self, now, act_id, key, type_name, customer, due, lanes, work, load_time):
@@ -153,16 +150,12 @@
         self._hold(act, now)
 
     def _beyond_share(self, customer, now):
-        """Whether the customer asks more here than its share: of the fleet's traffic we see one part in so many
-        dispatchers, or more when what comes in here says so."""
+        """Whether the customer asks more here than our part of its share."""
         bucket = self.buckets.get(customer)
         if bucket is None:
             return False
-        self.rate += (SECOND / max(now - self.last_taken, self.terms.tick) - self.rate) / 64
-        part = max(1 / self.terms.dispatchers, self.rate / self.quotas / 1.3)
-        self.last_taken = now
-        tokens, at, quota = bucket
-        tokens = min(tokens + (now - at) * quota * part / SECOND, 1 + quota * part * self.target / SECOND)
+        tokens, at, rate = bucket
+        tokens = min(tokens + (now - at) * rate, 1 + rate * self.target)
         beyond = tokens < 1
         bucket[:2] = tokens - (not beyond), now
         return beyond
@@ -259,13 +252,14 @@
                 act.held = True
                 kept.append(act)
         fn.held.extend(kept)
-        limit = max(1, int(LIMIT * len(self.workers)))
+        limit = max(2, int(LIMIT * len(self.workers)))
         while fn.held and now >= fn.pause:
-            lanes = sum(fn.lanes if c.loading else c.busy for c in fn.copies.values())
+            known = [c for c in fn.copies.values() if not c.worker.silent and now >= c.worker.rest]
+            lanes = sum(fn.lanes if c.loading else c.busy for c in known)
             if len(fn.held) <= BACKLOG * lanes or fn.copies and now - fn.held[0].born < self.target * LAG:
                 break
-            if len(fn.copies) >= limit:
-                while len(fn.held) > 2 * BACKLOG * len(fn.copies) * fn.lanes:
+            if len(known) >= limit:
+                while len(fn.held) > 2 * BACKLOG * len(known) * fn.lanes:
                     act = fn.held.pop()
                     act.held = False
                     if not act.out:
