--- a/petrelwood/brain.py
+++ b/petrelwood/brain.py
@@ -288,7 +288,8 @@
                 continue
             if copy.busy >= fn.lanes or now < copy.shut or copy.loading and not self.terms.orders.loads_on_send:
                 continue
-            if not self._open(worker, now) or not self._fits(act, worker):
+            if (not self._open(worker, now) or not self._fits(act, worker)
+                    or act.due - now < self._need(act) * (worker.pace - 1)):
                 continue
             load = self._load(worker) + (worker.zone != self.terms.zone)
             if best is None or load < best_load:
