--- a/petrelwood/brain.py
+++ b/petrelwood/brain.py
@@ -20,6 +20,7 @@
 LAG = 1 / 6              # how long the first must have been held before that, part of the target latency
 SECOND = 1_000_000_000
 SLACK = 1.3              # a customer's share here: so much more than an equal part, as dispatchers differ
+CROWDED = 1.8            # a worker is, when its answers take so many times the usual
 SLOTS = 12               # buckets in a ring
 
 
@@ -289,7 +290,7 @@
             if copy.busy >= fn.lanes or now < copy.shut or copy.loading and not self.terms.orders.loads_on_send:
                 continue
             if (not self._open(worker, now) or not self._fits(act, worker)
-                    or act.due - now < self._need(act) * (worker.pace - 1)):
+                    or worker.pace > CROWDED and act.due - now < self._need(act) * worker.pace):
                 continue
             load = self._load(worker) + (worker.zone != self.terms.zone)
             if best is None or load < best_load:
@@ -440,13 +441,14 @@
                 part = 1 / (64 * (1 + send.ahead) ** 2)
                 self.told += (send.act.work - self.told) * part
                 self.took += (took - self.took) * part
-            self._pace(worker, took / self._need(send.act), now)
+            self._pace(worker, took, self._need(send.act), now)
 
-    def _pace(self, worker, ratio, now):
+    def _pace(self, worker, took, need, now):
         """How many sends a worker is given at once follows how its answers compare with the usual service:
         guards against crowding a worker whose copies have more lanes than it has cores, slow or not."""
-        worker.pace += (min(ratio, 8) - worker.pace) / 8
-        if worker.pace > 2.5:
+        some = self.usual / 4                            # keeps rough hints of light work from counting much
+        worker.pace += (min((took + some) / (need + some), 8) - worker.pace) / 8
+        if worker.pace > CROWDED:
             if now - worker.shrunk > self.usual:
                 worker.shrunk = now
                 worker.cap = max(1.0, min(worker.cap or len(worker.out) + 1, len(worker.out) + 1) * 0.85)
