--- a/petrelwood/brain.py
+++ b/petrelwood/brain.py
@@ -54,7 +54,8 @@
     def __init__(self, entry, fall, now):
         self.id, self.out, self.sent = entry.worker, {}, Ring(fall)
         self.heard, self.cap, self.strikes, self.rest, self.bad_fn = now, None, 0, 0, None
-        self.loading, self.report, self.out_then, self.silent, self.pace, self.shrunk = 0, None, 0, False, 1.0, 0
+        self.loading, self.report, self.out_then, self.silent = 0, None, 0, False
+        self.pace, self.shrunk = 1.0, 0
         self.update(entry)
 
     def update(self, entry):
@@ -64,31 +65,28 @@
 
 class Copy:
     """What is believed of a function's copy on one worker."""
-    __slots__ = ("worker", "busy", "loading", "seen", "ours", "renewed", "errors", "shut")
 
-    def __init__(self, worker, now, ours):
+    def __init__(self, worker, now):
         self.worker, self.busy, self.loading, self.seen = worker, 0, 0, now
-        self.ours, self.renewed, self.errors, self.shut = ours, now, 0, 0
+        self.renewed, self.errors, self.shut = now, 0, 0
 
 
 class Function:
-    def __init__(self, key, lanes):
-        self.key, self.lanes, self.held, self.copies, self.called = key, lanes, deque(), {}, 0
+    def __init__(self, key):
+        self.key, self.lanes, self.held, self.copies, self.called = key, 1, deque(), {}, 0
         self.service, self.load_time, self.order, self.edition, self.pause = 0, 0, (), -1, 0
 
 
 class Act:
-    __slots__ = ("id", "fn", "type", "due", "born", "sends", "out", "bound", "work", "held", "beyond")
 
     def __init__(self, id_, fn, type_, due, born, work):
         self.id, self.fn, self.type, self.due, self.born, self.work = id_, fn, type_, due, born, work
         self.beyond = False                              # beyond its customer's share
-        self.sends, self.out, self.bound, self.held = [], 0, None, False   # bound: the first send that may have run
+        self.sends, self.out, self.held = [], 0, False
+        self.bound = None                                # the first send that may have run
 
 
 class Send:
-    __slots__ = ("act", "n", "worker", "copy", "at", "cold", "open", "ran", "ahead")
-
     def __init__(self, act, worker, copy, at, cold):
         self.act, self.n, self.worker, self.copy, self.at = act, len(act.sends), worker, copy, at
         self.cold, self.open, self.ran, self.ahead = cold, True, True, len(worker.out)
@@ -104,14 +102,14 @@
         self.told = self.took = self.target / 8          # mean hint of cost, mean time taken
         self.done, self.taken, self.loads = (Ring(terms.guarantees.cold), Ring(terms.orders.period or 1),
                                              Ring(terms.orders.period or 1))
-        self.buckets = {name: [1, now, SLACK * quota / SECOND / terms.dispatchers] for name, quota in terms.quotas.items()}
+        part = SLACK / SECOND / terms.dispatchers
+        self.buckets = {name: [1, now, part * quota] for name, quota in terms.quotas.items()}
         self.spreading = None
         self.waiting, self.next_probe, self.next_tidy, self.asked = {}, now, now, now
         self.out.wake("sweep", self.sweep)
         if terms.asks:
             self.out.subscribe()
 
-    # -- news of workers ---------------------------------------------------------------------------
     def listed(self, now, entries, whole):
         self.edition += 1
         if whole:
@@ -138,12 +136,9 @@
         for fn in self.functions.values():
             fn.copies.pop(worker.id, None)
 
-    # -- answer duty -------------------------------------------------------------------------------
     def activation(self, now, act_id, key, type_name, customer, due, lanes, work, load_time):
         self.taken.add(now)
-        fn = self.functions.get(key)
-        if fn is None:
-            fn = self.functions[key] = Function(key, lanes)
+        fn = self.functions.get(key) or self.functions.setdefault(key, Function(key))
         fn.lanes, fn.called = lanes, now
         fn.load_time = load_time or fn.load_time
         act = self.acts[act_id] = Act(act_id, fn, self.terms.types[type_name], due, now, work)
@@ -179,13 +174,14 @@
                 if send.open:
                     self.out.cancel(act.id, send.n)
 
-    def _end(self, act, now):
-        """The final answer of what is given up: at once, a rejection where no effect can follow."""
-        del self.acts[act.id]
-        ran = any(send.ran for send in act.sends)
-        effect, group = act.type.effect, act.type.scope
-        if not ran or effect == ports.REPEATABLE or effect == ports.DEDUPLICATED and group == "all":
-            fn = act.fn
+    def _give_up(self, act, now):
+        """The final answer, at once, unless a send is out: a rejection where no effect can follow."""
+        act.held = False
+        if act.out or self.acts.pop(act.id, None) is None:
+            return
+        fn, type_ = act.fn, act.type
+        if (not act.bound or type_.effect == ports.REPEATABLE
+                or type_.effect == ports.DEDUPLICATED and type_.scope == "all"):
             wait = self._service(fn) * (len(fn.held) + 1) // max(1, len(fn.copies) * fn.lanes)
             self.out.reject(act.id, min(wait, self.terms.allowed.max_retry_after)
                             if self.terms.allowed.retry_after else 0)
@@ -212,7 +208,6 @@
         first = act.bound.worker
         return worker.zone == first.zone if act.type.scope == "zone" else worker.cell == first.cell
 
-    # -- hold per function -------------------------------------------------------------------------
     def _hold(self, act, now, front=False):
         fn = act.fn = self.functions.setdefault(act.fn.key, act.fn)
         if not act.held:
@@ -240,8 +235,7 @@
             if self.acts.get(act.id) is not act:
                 continue
             if not self._may_send(act, now) or not act.out and now - act.born > (act.due - act.born) // 2:
-                if not act.out:
-                    self._end(act, now)
+                self._give_up(act, now)
                 continue
             copy = None
             if (act.sends or not stuck) and (spare or not self._lesser(act, now)):
@@ -261,10 +255,7 @@
                 break
             if len(known) >= limit:
                 while len(fn.held) > 2 * BACKLOG * len(known) * fn.lanes:
-                    act = fn.held.pop()
-                    act.held = False
-                    if not act.out:
-                        self._end(act, now)
+                    self._give_up(fn.held.pop(), now)
                 break
             if fn.copies and not self._may_spread(fn, now) or not self._add_copy(fn, now):
                 break
@@ -272,8 +263,8 @@
             self.waiting.pop(fn.key, None)
 
     def _may_spread(self, fn, now):
-        """A further copy may push another function's out, and such loads feed on each other: so one at a time,
-        for the function with the longest backlog. Guards against thrash in overload, scans and after releases."""
+        """A further copy may push another function's out, and such loads feed on each other: so one at
+        a time, for the function with the longest backlog. Guards against thrash in overload and scans."""
         last = self.spreading
         if last and last.loading and now - last.loading < 2 * self.target:
             return False
@@ -287,9 +278,8 @@
             if not copy.busy and not copy.loading and now - copy.seen > self.terms.orders.keep:
                 del fn.copies[worker.id]
                 continue
-            if copy.busy >= fn.lanes or now < copy.shut or copy.loading and not self.terms.orders.loads_on_send:
-                continue
-            if (not self._open(worker, now) or not self._fits(act, worker)
+            if (copy.busy >= fn.lanes or now < copy.shut or not self._open(worker, now)
+                    or copy.loading and not self.terms.orders.loads_on_send or not self._fits(act, worker)
                     or worker.pace > CROWDED and act.due - now < self._need(act) * worker.pace):
                 continue
             load = self._load(worker) + (worker.zone != self.terms.zone)
@@ -297,7 +287,6 @@
                 best, best_load = copy, load
         return best
 
-    # -- placement and loading ---------------------------------------------------------------------
     def _load(self, worker):
         """Load as activations in hand: the last report against the fleet's mean, and what was sent since."""
         if worker.report is None or not self.mean_report:
@@ -322,7 +311,7 @@
         if not two:
             return False
         worker = min(two, key=self._load)
-        copy = Copy(worker, now, True)
+        copy = Copy(worker, now)
         if fn.copies:
             self.spreading = copy
         fn.copies[worker.id], copy.loading = copy, now
@@ -334,9 +323,8 @@
             return False
         return True
 
-    # -- the guard: every send and every load order leaves here ------------------------------------
     def _open(self, worker, now):
-        """Whether the worker may be given anything: listed, not resting or silent, within its cap and budget."""
+        """Whether the worker may be given anything: listed, neither resting nor silent, within its cap."""
         if not worker.usable or worker.silent or now < worker.rest:
             return False
         if worker.strikes > 1 and worker.out or worker.cap is not None and len(worker.out) >= worker.cap:
@@ -350,7 +338,7 @@
         if not worker.booted or age >= g.cold:
             return 1
         part = g.cold_from + (1 - g.cold_from) * max(0, age) / g.cold
-        warm = sum(1 for w in self.workers.values() if w.usable and not 0 <= now - w.booted < g.cold or not w.booted)
+        warm = sum(w.usable and (not w.booted or now - w.booted >= g.cold) for w in self.workers.values())
         rate = self.done.least(now) / max(1, warm) / g.cold
         return max(1, g.fall_multiple / 2 * part * rate * g.fall) - worker.sent.most(now)
 
@@ -378,12 +366,9 @@
         self.out.hold(worker.id, fn.key, copies)
         return True
 
-    # -- what comes back ---------------------------------------------------------------------------
     def _heard(self, now, worker_id):
-        worker = self.workers.get(worker_id)
-        if worker:
-            worker.heard, worker.silent = now, False
-        return worker
+        if worker_id in self.workers:
+            self.workers[worker_id].heard, self.workers[worker_id].silent = now, False
 
     def _read(self, worker, report):
         if report:
@@ -398,7 +383,7 @@
     def _service(self, fn):
         return fn.service or self.usual
 
-    def answer(self, now, act_id, n, worker_id, code, note, crowd, over, took, report):
+    def answer(self, now, act_id, n, worker_id, code, note, over, took, report):
         worker = self.workers.get(worker_id)
         send = worker.out.pop((act_id, n), None) if worker else None
         if send is None:
@@ -424,7 +409,7 @@
             if self._may_send(act, now):
                 self._hold(act, now, front=True)
             else:
-                self._end(act, now)
+                self._give_up(act, now)
         self._flow(fn, now)
 
     def _completed(self, now, send, note, took):
@@ -435,10 +420,10 @@
         copy.loading, copy.seen, copy.errors = 0, now, 0
         worker.strikes = 0
         if note == ports.FOUND_WARM or note == 0 and not send.cold:
-            fn.service = fn.service + (took - fn.service) // (8 * (1 + send.ahead) ** 2) if fn.service else took
-            self.usual += (took - self.usual) // (64 * (1 + send.ahead) ** 2)
+            part = 1 / (64 * (1 + send.ahead) ** 2)      # lightly loaded workers tell the usual time best
+            fn.service = int(fn.service + (took - fn.service) * 8 * part) if fn.service else took
+            self.usual = int(self.usual + (took - self.usual) * part)
             if send.act.work:
-                part = 1 / (64 * (1 + send.ahead) ** 2)
                 self.told += (send.act.work - self.told) * part
                 self.took += (took - self.took) * part
             self._pace(worker, took, self._need(send.act), now)
@@ -471,14 +456,14 @@
         if code == ports.FULL:
             worker.cap = max(1.0, len(worker.out) * 0.8)
             return
-        if fn.key != worker.bad_fn or code != ports.ERROR:
+        if fn.key != worker.bad_fn or code != ports.ERROR:   # one function's own errors are not the worker's
             worker.strikes, worker.bad_fn = worker.strikes + 1, fn.key
         if worker.strikes > 1 or code == ports.NO_CONNECTION:
             worker.rest = now + (self.target // 4 << min(worker.strikes, 6))
         if code in (ports.RESET, ports.NO_CONNECTION):
             self._forget(worker)
 
-    def stands(self, now, worker_id, key, code, copies, took):
+    def stands(self, now, worker_id, key, code, copies):
         worker, fn = self.workers.get(worker_id), self.functions.get(key)
         if code not in (ports.TIMED_OUT, ports.RESET, ports.NO_CONNECTION):
             self._heard(now, worker_id)
@@ -486,8 +471,7 @@
             return
         copy = fn.copies.get(worker_id)
         if copies and worker.usable:
-            if copy is None:
-                copy = fn.copies[worker_id] = Copy(worker, now, True)
+            copy = fn.copies.setdefault(worker_id, Copy(worker, now))
             copy.loading, copy.seen = 0, now
         elif copy and copy.loading:
             if not copy.busy:
@@ -496,16 +480,13 @@
             fn.pause = now + self._service(fn) // 2
         self._flow(fn, now)
 
-    def probed(self, now, worker_id, code, took, report):
+    def probed(self, now, worker_id, code, report):
         worker = self.workers.get(worker_id)
         if worker and code == COMPLETED:
             self._read(worker, report)
 
-    # -- what time brings --------------------------------------------------------------------------
     def ring(self, now, mark):
-        if mark != "sweep":
-            return
-        self.out.wake("sweep", self.sweep)
+        self.out.wake(mark, self.sweep)
         fleet = [w for w in self.workers.values() if w.usable]
         if fleet:
             self.mean_out += (sum(len(w.out) for w in fleet) / len(fleet) - self.mean_out) / 8
@@ -526,8 +507,8 @@
         self._flow_all(now)
 
     def _watch(self, worker, now):
-        """A worker that owes answers and gives none is silent: nothing new goes there, and what it holds gets
-        a second send elsewhere where a repeat is allowed. Guards against hung, stopped and cut-off workers."""
+        """A worker that owes answers and gives none is silent: nothing new goes there, and what it holds
+        gets a second send elsewhere where a repeat is allowed. Guards against hung and cut-off workers."""
         if not worker.out:
             if worker.silent:
                 worker.silent, worker.strikes = False, 2
@@ -550,10 +531,10 @@
             for copy in list(fn.copies.values()):
                 if not copy.busy and now - max(copy.seen, copy.loading) > keep:
                     del fn.copies[copy.worker.id]
-                elif (copy.ours and not copy.busy and not copy.loading and now - copy.seen > keep * 3 // 4
-                      and now - fn.called < keep and now - copy.renewed > keep and self._open(copy.worker, now)):
+                elif (not copy.busy and not copy.loading and now - copy.seen > keep * 3 // 4
+                      and now - fn.called < keep and now - copy.renewed > keep
+                      and self._open(copy.worker, now) and self._order(fn, copy.worker, now)):
                     copy.renewed = now
-                    self._order(fn, copy.worker, now)
             if not fn.copies and not fn.held and now - fn.called > keep:
                 del self.functions[fn.key]
         for worker in list(self.workers.values()):
--- a/petrelwood/drill.py
+++ b/petrelwood/drill.py
@@ -4,6 +4,7 @@
 codes only: each event becomes one call on its instance, each call on its `Line` one wire message.
 """
 import sys
+import traceback
 
 import orjson
 
@@ -50,27 +51,24 @@
 
 
 def terms(o):
-    fam, g, p, fees = o.get("familyInfo") or {}, o["guarantees"], o["permissions"], o.get("fees") or {}
+    fam, g, p = o["familyInfo"], o["guarantees"], o["permissions"]
     return ports.Terms(
         zone=o.get("zone") or "", dispatchers=o["balancers"],
         types={c["name"]: ports.NamespaceType(
-            c["slo"] * US, c["deadline"] * US, EFFECTS[c["effect"]], c.get("keyScope") or "all",
-            (c.get("window") or 0) * US, c.get("value", 1.0), c.get("lateValue") or 0.0)
+            c["slo"] * US, EFFECTS[c["effect"]], c.get("keyScope") or "all", (c.get("window") or 0) * US)
             for c in o["classes"]},
         quotas={t["name"]: t["quotaRps"] for t in o.get("tenants") or ()},
-        over_share=o.get("overShareWorth") or 0.0,
         guarantees=ports.Guarantees(
-            g["graceToAnswer"] * US, (g.get("askWithin") or 0) * US, g["cold"] * US, g["startCapacity"],
+            (g.get("askWithin") or 0) * US, g["cold"] * US, g["startCapacity"],
             g["fallMultiple"], g["fall"] * US),
         orders=ports.LoadOrders(
-            bool(fam.get("mayOrder")), fam.get("onMiss") != "miss", bool(fam.get("saysWarm")),
-            fam["keep"] * US, fam.get("memoryPrice") or 0.0, fam.get("freeLoads") or 0.0,
-            fam.get("loadPart") or 0.0, (fam.get("loadPeriod") or 0) * US),
+            bool(fam.get("mayOrder")), fam.get("onMiss") != "miss", fam["keep"] * US,
+            fam.get("freeLoads") or 0.0, fam.get("loadPart") or 0.0, (fam.get("loadPeriod") or 0) * US),
         allowed=ports.Allowed(
             p["maxAttempts"], bool(p.get("secondCopies")), bool(p.get("cancelling")), bool(p.get("probes")),
             bool(p.get("retryAfter")), (p.get("maxRetryAfter") or 0) * US),
-        asks=o.get("membershipMode") == "ask", reports_by_probe=(o.get("loadInfo") or {}).get("how") == "pull",
-        tick=o["tick"] * US, probe_price=fees.get("probe") or 0.0, zone_price=fees.get("crossZone") or 0.0)
+        asks=o.get("membershipMode") == "ask",
+        reports_by_probe=(o.get("loadInfo") or {}).get("how") == "pull", tick=o["tick"] * US)
 
 
 def report(gauge):
@@ -127,14 +125,14 @@
                              int((e.get("loadTimeMs") or 0) * 1000 * US))
         elif kind == "completed":
             note = e.get("detail") or 0
-            brain.answer(now, e["corr"], e["n"], e["runner"], CODES[e["stateCode"]], note & 7, note >> 3,
+            brain.answer(now, e["corr"], e["n"], e["runner"], CODES[e["stateCode"]], note & 7,
                          bool(e.get("over")), e["took"] * US, report(e.get("gauge")))
         elif kind == "ring":
             brain.ring(now, e["mark"])
         elif kind == "stands":
-            brain.stands(now, e["runner"], e["callee"], CODES[e["stateCode"]], e.get("nInst") or 0, e["took"] * US)
+            brain.stands(now, e["runner"], e["callee"], CODES[e["stateCode"]], e.get("nInst") or 0)
         elif kind == "echo":
-            brain.probed(now, e["runner"], CODES[e["stateCode"]], e["took"] * US, report(e.get("gauge")))
+            brain.probed(now, e["runner"], CODES[e["stateCode"]], report(e.get("gauge")))
         elif kind == "directoryUpdate":
             scope = e["scope"]
             if scope not in ("incr", "total", "warm_copy", "lost"):
@@ -163,10 +161,12 @@
             reply = host.batch(frame)
         except orjson.JSONDecodeError as fault:
             return f"petrelwood: line {number} is not JSON: {fault}"
-        except KeyError as fault:
-            return f"petrelwood: line {number}: missing or unknown: {fault}"
-        except (ValueError, TypeError, AttributeError) as fault:
-            return f"petrelwood: line {number}: {fault}"
+        except Exception as fault:      # reported with its place, never swallowed; the process ends
+            at = traceback.extract_tb(fault.__traceback__)[-1]
+            if at.filename.endswith("brain.py"):
+                return f"petrelwood: line {number}: fault in the module at brain.py:{at.lineno}: {fault!r}"
+            what = "missing or unknown field" if isinstance(fault, KeyError) else "malformed"
+            return f"petrelwood: line {number}: {what}: {fault}"
         sys.stdout.buffer.write(orjson.dumps(reply) + b"\n")
         sys.stdout.buffer.flush()
     return 0
--- a/petrelwood/ports.py
+++ b/petrelwood/ports.py
@@ -18,16 +18,12 @@
 
 class NamespaceType(NamedTuple):
     target_latency: int
-    action_timeout: int
     effect: str            # REPEATABLE, DEDUPLICATED or ONCE_ONLY
     scope: str             # DEDUPLICATED: "all", "zone" or "cell", the group that drops repeats
     window: int            # DEDUPLICATED: how long it remembers them
-    utility: float
-    late_utility: float    # the part of the utility that a late answer still earns
 
 
 class Guarantees(NamedTuple):
-    answer_slack: int      # how long after `due` a final answer still counts
     ask_within: int
     cold: int              # a worker is warm this long after its start
     cold_from: float       # the part of its capacity that it starts with
@@ -38,9 +34,7 @@
 class LoadOrders(NamedTuple):
     allowed: bool
     loads_on_send: bool    # a worker without a copy loads it by itself when an activation comes
-    tells_warm: bool
     keep: int              # an idle copy stays at least this long
-    memory_price: float
     free: float            # the ration: so many, and `part` of the activations taken, in each `period`
     part: float
     period: int            # 0: no ration
@@ -61,15 +55,12 @@
     dispatchers: int
     types: dict            # name -> NamespaceType
     quotas: dict           # customer -> activations a second, at all dispatchers together
-    over_share: float      # what an activation beyond its customer's share is worth
     guarantees: Guarantees
     orders: LoadOrders
     allowed: Allowed
     asks: bool             # the list of workers must be asked for
     reports_by_probe: bool
     tick: int
-    probe_price: float
-    zone_price: float
 
 
 class Listed(NamedTuple):
--- a/tests/desk.py
+++ b/tests/desk.py
@@ -13,12 +13,12 @@
 def terms(effect=ports.REPEATABLE, self_loading=True, ration=(0, 0, 0), dispatchers=2):
     return ports.Terms(
         zone="north", dispatchers=dispatchers,
-        types={"plain": ports.NamespaceType(1000 * MS, 4000 * MS, effect, "zone", 1500 * MS, 1.0, 0.3)},
-        quotas={}, over_share=0.1,
-        guarantees=ports.Guarantees(10 * MS, 0, 8000 * MS, 0.25, 2.0, 1000 * MS),
-        orders=ports.LoadOrders(True, self_loading, True, 8000 * MS, 0.1, *ration),
+        types={"plain": ports.NamespaceType(1000 * MS, effect, "zone", 1500 * MS)},
+        quotas={},
+        guarantees=ports.Guarantees(0, 8000 * MS, 0.25, 2.0, 1000 * MS),
+        orders=ports.LoadOrders(True, self_loading, 8000 * MS, *ration),
         allowed=ports.Allowed(3, True, True, True, True, 500 * MS),
-        asks=False, reports_by_probe=False, tick=2 * MS, probe_price=0.01, zone_price=0.05)
+        asks=False, reports_by_probe=False, tick=2 * MS)
 
 
 def worker(name, zone="north", booted=0, usable=True):
@@ -68,7 +68,7 @@
 
     def answer(self, act, worker, code=ports.COMPLETED, n=0, took=100, note=1):
         self.say(f"       {act}#{n} on {worker}: {code}")
-        self.brain.answer(self.now, act, n, worker, code, note if code == ports.COMPLETED else 0, 0,
+        self.brain.answer(self.now, act, n, worker, code, note if code == ports.COMPLETED else 0,
                           code == ports.COMPLETED, took * MS, None)
 
     def end(self, test: unittest.TestCase):
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -48,7 +48,7 @@
     def test_nothing_new_to_a_worker_that_drains(self):
         d = Desk("drain", workers="ab", self_loading=False)
         d.come("x1"); first = d.lines[-1][-1]
-        d.brain.stands(d.now, first, 1, ports.COMPLETED, 1, 0)
+        d.brain.stands(d.now, first, 1, ports.COMPLETED, 1)
         d.brain.listed(d.now, [worker(first, usable=False)], False)
         d.come("x2", "x3"); d.at(2000)
         d.end(self)
