--- a/petrelwood/brain.py
+++ b/petrelwood/brain.py
@@ -300,8 +300,7 @@
             fn.order = sorted((w for w in self.workers.values() if w.usable),
                               key=lambda w: (crc32(f"{fn.key} {w.id}".encode()), w.id))
             fn.edition = self.edition
-        act = fn.held[0]
-        two = []
+        act, two = fn.held[0], []
         for worker in fn.order:
             if (worker.id not in fn.copies and worker.loading < 2 and self._open(worker, now)
                     and self._fits(act, worker)):
@@ -310,7 +309,8 @@
                     break
         if not two:
             return False
-        worker = min(two, key=self._load)
+        # loads within a factor of two count as equal: dispatchers, each with its own view, then share copies
+        worker = two[-1] if 2 * self._load(two[-1]) < self._load(two[0]) else two[0]
         copy = Copy(worker, now)
         if fn.copies:
             self.spreading = copy
