--- a/petrelwood/brain.py
+++ b/petrelwood/brain.py
@@ -279,8 +279,7 @@
                 del fn.copies[worker.id]
                 continue
             if (copy.busy >= fn.lanes or now < copy.shut or not self._open(worker, now)
-                    or copy.loading and not self.terms.orders.loads_on_send or not self._fits(act, worker)
-                    or worker.pace > CROWDED and act.due - now < self._need(act) * worker.pace):
+                    or copy.loading and not self.terms.orders.loads_on_send or not self._fits(act, worker)):
                 continue
             load = self._load(worker) + (worker.zone != self.terms.zone)
             if best is None or load < best_load:
@@ -516,8 +515,8 @@
             return
         first = next(iter(worker.out.values()))
         fn = first.act.fn
-        patience = 3 * self._service(fn) + (2 * (fn.load_time or self.target) if first.cold else 0)
-        if now - max(worker.heard, first.at) > max(patience, self.target // 2):
+        patience = 6 * self._service(fn) + (3 * (fn.load_time or self.target) if first.cold else 0)
+        if now - max(worker.heard, first.at) > max(patience, self.target):
             worker.silent = True
             for send in list(worker.out.values()):
                 act = send.act
