--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -83,8 +83,8 @@
         d = Desk("silent", workers="ab")
         d.come("x1"); first = d.lines[-1][-1]
         d.at(400); d.answer("x1", first, note=2, took=400)
-        d.come("x2"); d.at(1400); d.come("x3", fn=1)
-        d.at(1700)
+        d.come("x2"); d.at(1800); d.come("x3", fn=1)
+        d.at(2600)
         d.end(self)
 
     def test_a_resend_that_finds_no_lane_does_not_block_the_rest(self):
