--- a/petrelwood/brain.py
+++ b/petrelwood/brain.py
@@ -279,7 +279,8 @@
                 del fn.copies[worker.id]
                 continue
             if (copy.busy >= fn.lanes or now < copy.shut or not self._open(worker, now)
-                    or copy.loading and not self.terms.orders.loads_on_send or not self._fits(act, worker)):
+                    or copy.loading and not self.terms.orders.loads_on_send or not self._fits(act, worker)
+                    or worker.pace > CROWDED and act.due - now < self._need(act) * worker.pace):
                 continue
             load = self._load(worker) + (worker.zone != self.terms.zone)
             if best is None or load < best_load:
