Time-outs no longer bring a worker to rest

Hung workers are still met by silence, slow ones by the cap; it may hurt where a worker drops sends without a sign and still answers others.

--- a/petrelwood/brain.py
+++ b/petrelwood/brain.py
@@ -453,8 +453,8 @@
             return
         copy.errors += 1
         copy.shut = now + (self._service(fn) << min(copy.errors - 1, 6))
-        if code == ports.FULL:
-            worker.cap = max(1.0, len(worker.out) * 0.8)
+        if code in (ports.FULL, ports.TIMED_OUT):       # crowded, slow or silent: cap and silence answer that
+            worker.cap = max(1.0, len(worker.out) * 0.8) if code == ports.FULL else worker.cap
             return
         if fn.key != worker.bad_fn or code != ports.ERROR:   # one function's own errors are not the worker's
             worker.strikes, worker.bad_fn = worker.strikes + 1, fn.key
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -87,6 +87,15 @@
         d.at(2600)
         d.end(self)
 
+    def test_time_outs_bring_no_rest(self):
+        """Found on i327267 (simulated servers): overload made time-outs, and rests took workers away from it."""
+        d = Desk("no_rest", workers="a")
+        d.come("x1", "x2", "x3", lanes=4, patience=600); d.at(600)
+        for act in ("x1", "x2", "x3"):
+            d.answer(act, "a", ports.TIMED_OUT, took=600)
+        d.at(1300); d.come("x4", lanes=4)
+        d.end(self)
+
     def test_a_resend_that_finds_no_lane_does_not_block_the_rest(self):
         d = Desk("no_block", workers="a")
         d.come("x1", lanes=2); d.at(400); d.answer("x1", "a", note=2, took=400)
