--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -93,7 +93,7 @@
         d.come("x1", "x2", "x3", lanes=4, patience=600); d.at(600)
         for act in ("x1", "x2", "x3"):
             d.answer(act, "a", ports.TIMED_OUT, took=600)
-        d.at(1300); d.come("x4", lanes=4)
+        d.at(1300); d.come("x4", lanes=4); d.at(1800)
         d.end(self)
 
     def test_a_resend_that_finds_no_lane_does_not_block_the_rest(self):
