--- a/petrelwood/brain.py
+++ b/petrelwood/brain.py
@@ -5,9 +5,8 @@
 started), `left` (the client went), `stands` (a hold was answered), `probed` and `ring`. It acts only through
 its `ports.Outlet`, within these calls. Times are whole nanoseconds.
 
-An activation passes answer duty -> admission -> hold per function -> placement and loading -> guarded send;
-its answers come back the other way.
-"""
+An activation passes answer duty -> admission -> hold per function -> placement and loading -> guarded send,
+its answers the other way."""
 from collections import deque
 from random import Random
 from zlib import crc32
@@ -15,13 +14,17 @@
 from petrelwood import ports
 from petrelwood.ports import COMPLETED, NEVER_RAN
 
+SPREAD = 3               # copies of one function for each worker's worth of it, so that no worker lives by it
+RECENT = 64              # activations over which a function's part of all is counted
 LIMIT = 0.5              # most copies of one function placed from here: part of the listed workers
 BACKLOG = 1.0            # held activations for each lane before a copy is added
 LAG = 1 / 6              # how long the first must have been held before that, part of the target latency
 SECOND = 1_000_000_000
 SLACK = 1.3              # a customer's share here: so much more than an equal part, as dispatchers differ
+TIGHT = 1.3              # a function is, when the least loaded of its workers has so many times the mean load
 CROWDED = 1.8            # a worker is, when its answers take so many times the usual
 SLOTS = 12               # buckets in a ring
+MIX, MASK, LONG = 0x9E3779B1, 0xFFFFFFFF, 1 << 50        # spread the bits of a hash; long ago
 
 
 class Ring:
@@ -36,36 +39,31 @@
             self.counts[stale % (SLOTS + 1)] = 0
         self.slot = max(self.slot, slot)
 
-    def add(self, now, much=1):
+    def add(self, now):
         self._turn(now)
-        self.counts[self.slot % (SLOTS + 1)] += much
+        self.counts[self.slot % (SLOTS + 1)] += 1
 
-    def most(self, now):
-        """No less than what the span holds."""
+    def most(self, now):                                 # no less than what the span holds
         self._turn(now)
         return sum(self.counts)
 
-    def least(self, now):
-        """No more than what the span holds."""
+    def least(self, now):                                # no more than that
         return self.most(now) - self.counts[(self.slot + 1) % (SLOTS + 1)]
 
 
 class Worker:
-    def __init__(self, entry, fall, now):
-        self.id, self.out, self.sent = entry.worker, {}, Ring(fall)
-        self.heard, self.cap, self.strikes, self.rest, self.bad_fn = now, None, 0, 0, None
-        self.loading, self.report, self.out_then, self.silent = 0, None, 0, False
-        self.pace, self.shrunk = 1.0, 0
+    def __init__(self, entry, now):
+        self.id, self.hash, self.out = entry.worker, crc32(entry.worker.encode()), {}
+        self.heard, self.cap, self.rest, self.silent, self.loading = now, None, 0, False, 0
+        self.report, self.out_then, self.read, self.asked = None, 0, now - LONG, now - LONG
+        self.pace, self.shrunk, self.slot, self.room = 1.0, 0, -1, 0
         self.update(entry)
 
     def update(self, entry):
-        self.zone, self.cell = entry.zone, entry.cell
-        self.booted, self.usable = entry.booted, entry.usable
+        _, self.zone, self.cell, self.booted, self.usable = entry
 
 
-class Copy:
-    """What is believed of a function's copy on one worker."""
-
+class Copy:                                             # what is believed of a function's copy on one worker
     def __init__(self, worker, now):
         self.worker, self.busy, self.loading, self.seen = worker, 0, 0, now
         self.renewed, self.errors, self.shut = now, 0, 0
@@ -74,15 +72,14 @@
 class Function:
     def __init__(self, key):
         self.key, self.lanes, self.held, self.copies, self.called = key, 1, deque(), {}, 0
-        self.service, self.load_time, self.order, self.edition, self.pause = 0, 0, (), -1, 0
+        self.service, self.load_time, self.pause, self.recent, self.missed = 0, 0, 0, 0, -LONG
+        self.hash, self.tight = crc32(f"{key}".encode()), False
 
 
 class Act:
-
     def __init__(self, id_, fn, type_, due, born, work):
         self.id, self.fn, self.type, self.due, self.born, self.work = id_, fn, type_, due, born, work
-        self.beyond = False                              # beyond its customer's share
-        self.sends, self.out, self.held = [], 0, False
+        self.sends, self.out, self.held, self.beyond = [], 0, False, False   # beyond its customer's share
         self.bound = None                                # the first send that may have run
 
 
@@ -95,38 +92,35 @@
 class Brain:
     def __init__(self, now, terms, seed, outlet):
         self.terms, self.out, self.chance = terms, outlet, Random(seed).random
-        self.workers, self.functions, self.acts, self.edition = {}, {}, {}, 0
-        self.target = min(t.target_latency for t in terms.types.values())
+        self.workers, self.functions, self.acts, self.recent, self.waiting = {}, {}, {}, deque(), {}
+        self.dispatchers, self.target = terms.dispatchers, min(t.target_latency for t in terms.types.values())
         self.sweep = max(terms.tick, self.target // 50)
-        self.usual, self.mean_out, self.mean_report = self.target // 4, 1.0, None
+        self.usual, self.mean, self.mean_report = self.target // 4, 1.0, None
         self.told = self.took = self.target / 8          # mean hint of cost, mean time taken
-        self.done, self.taken, self.loads = (Ring(terms.guarantees.cold), Ring(terms.orders.period or 1),
-                                             Ring(terms.orders.period or 1))
+        self.done, period = Ring(terms.guarantees.cold), terms.orders.period or 1
+        self.taken, self.loads = Ring(period), Ring(period)
         part = SLACK / SECOND / terms.dispatchers
         self.buckets = {name: [1, now, part * quota] for name, quota in terms.quotas.items()}
-        self.spreading = None
-        self.waiting, self.next_probe, self.next_tidy, self.asked = {}, now, now, now
-        self.out.wake("sweep", self.sweep)
+        self.fleet, self.warm, self.owing, self.out_now, self.pace, self.spreading = [], 1, {}, 0, 1.0, None
+        self.spread_after = self.next_wake = self.next_look = self.next_tidy = self.asked = now
+        self._wake(now, self.sweep)
         if terms.asks:
             self.out.subscribe()
 
     def listed(self, now, entries, whole):
-        self.edition += 1
         if whole:
             named = {e.worker for e in entries}
-            for worker in self.workers.values():
-                worker.usable = worker.usable and worker.id in named
+            for worker in self.fleet:
+                worker.usable = worker.id in named
         for entry in entries:
-            worker = self.workers.get(entry.worker)
-            if worker is None:
-                self.workers[entry.worker] = Worker(entry, self.terms.guarantees.fall, now)
-                continue
+            worker = self.workers.setdefault(entry.worker, Worker(entry, now))
             if entry.booted != worker.booted:
                 self._forget(worker)
-                worker.strikes, worker.rest, worker.cap, worker.silent = 0, 0, None, False
+                worker.rest, worker.cap, worker.silent = 0, None, False
             worker.update(entry)
-        for worker in [w for w in self.workers.values() if not w.usable]:
+        for worker in (w for w in self.fleet if not w.usable):
             self._forget(worker)
+        self.fleet = [w for w in self.workers.values() if w.usable]
         self._flow_all(now)
 
     def list_lost(self, now):
@@ -139,47 +133,47 @@
     def activation(self, now, act_id, key, type_name, customer, due, lanes, work, load_time):
         self.taken.add(now)
         fn = self.functions.get(key) or self.functions.setdefault(key, Function(key))
-        fn.lanes, fn.called = lanes, now
-        fn.load_time = load_time or fn.load_time
+        fn.lanes, fn.called, fn.recent, fn.load_time = lanes, now, fn.recent + 1, load_time or fn.load_time
+        self.recent.append(fn)
+        if len(self.recent) > RECENT:
+            self.recent.popleft().recent -= 1
         act = self.acts[act_id] = Act(act_id, fn, self.terms.types[type_name], due, now, work)
         act.beyond = self._beyond_share(customer, now)
         self._hold(act, now)
+        unheard = [c.worker for c in fn.copies.values()  # one probe at most: where it may go next
+                   if c.worker.usable and now - max(c.worker.asked, c.worker.read) > self.target // 2]
+        if unheard and self.terms.allowed.probe and self.terms.reports_by_probe:
+            worker = min(unheard, key=lambda w: max(w.asked, w.read))
+            worker.asked = now
+            self.out.probe(worker.id)
 
     def _beyond_share(self, customer, now):
         """Whether the customer asks more here than our part of its share."""
         bucket = self.buckets.get(customer)
-        if bucket is None:
+        if not bucket:
             return False
-        tokens, at, rate = bucket
-        tokens = min(tokens + (now - at) * rate, 1 + rate * self.target)
-        beyond = tokens < 1
-        bucket[:2] = tokens - (not beyond), now
-        return beyond
+        tokens = min(bucket[0] + (now - bucket[1]) * bucket[2], 1 + bucket[2] * self.target)
+        bucket[:2] = tokens - (tokens >= 1), now
+        return tokens < 1
 
     def left(self, now, act_id):
-        act = self.acts.pop(act_id, None)
-        if act:
-            self._drop_sends(act)
+        if act_id in self.acts:
+            self._drop_sends(self.acts.pop(act_id))
 
     def begun(self, now, act_id, n, worker_id):
-        act = self.acts.get(act_id)
-        if act:
-            act.due = 1 << 62
-        self._heard(now, worker_id)
+        if act_id in self.acts:
+            self.acts[act_id].due, self.workers[worker_id].heard = 1 << 62, now
 
     def _drop_sends(self, act):
-        """A send that no client waits for any more is called back, where that is allowed."""
-        if self.terms.allowed.cancel:
-            for send in act.sends:
-                if send.open:
-                    self.out.cancel(act.id, send.n)
+        for send in act.sends:                           # no client waits for it any more
+            if send.open and self.terms.allowed.cancel:
+                self.out.cancel(act.id, send.n)
 
     def _give_up(self, act, now):
         """The final answer, at once, unless a send is out: a rejection where no effect can follow."""
-        act.held = False
+        fn, type_, act.held = act.fn, act.type, False
         if act.out or self.acts.pop(act.id, None) is None:
             return
-        fn, type_ = act.fn, act.type
         if (not act.bound or type_.effect == ports.REPEATABLE
                 or type_.effect == ports.DEDUPLICATED and type_.scope == "all"):
             wait = self._service(fn) * (len(fn.held) + 1) // max(1, len(fn.copies) * fn.lanes)
@@ -191,9 +185,8 @@
 
     def _may_send(self, act, now):
         """Whether the rules and what is allowed leave the activation another send anywhere."""
-        if len(act.sends) >= self.terms.allowed.sends or act.out and not self.terms.allowed.overlap:
-            return False
-        if act.due - now <= max(self._need(act) // 2, 2 * self.sweep):
+        if (len(act.sends) >= self.terms.allowed.sends or act.out and not self.terms.allowed.overlap
+                or act.due - now <= max(self._need(act) // 2, 2 * self.sweep)):
             return False
         if act.bound is None or act.type.effect == ports.REPEATABLE:
             return True
@@ -205,8 +198,8 @@
             return False
         if act.bound is None or act.type.effect == ports.REPEATABLE or act.type.scope == "all":
             return True
-        first = act.bound.worker
-        return worker.zone == first.zone if act.type.scope == "zone" else worker.cell == first.cell
+        group = "zone" if act.type.scope == "zone" else "cell"
+        return getattr(worker, group) == getattr(act.bound.worker, group)
 
     def _hold(self, act, now, front=False):
         fn = act.fn = self.functions.setdefault(act.fn.key, act.fn)
@@ -215,6 +208,14 @@
             (fn.held.appendleft if front else fn.held.append)(act)
         self.waiting[fn.key] = fn
         self._flow(fn, now)
+        if fn.held:
+            self._wake(now, self.sweep)
+
+    def _wake(self, now, wait):
+        """One wake is awaited at a time; those that an earlier one replaced find nothing to do."""
+        if not now < self.next_wake <= now + wait:
+            self.next_wake = now + wait
+            self.out.wake("sweep", wait)
 
     def _flow_all(self, now):
         for spare in (False, True):
@@ -237,17 +238,16 @@
             if not self._may_send(act, now) or not act.out and now - act.born > (act.due - act.born) // 2:
                 self._give_up(act, now)
                 continue
-            copy = None
             if (act.sends or not stuck) and (spare or not self._lesser(act, now)):
                 copy = self._lane(fn, act, now)
-                stuck = stuck or copy is None and not act.sends   # a resend has fewer lanes: it blocks nobody
-            if copy:
-                self._send(act, copy, now)
-            else:
-                act.held = True
-                kept.append(act)
+                if copy:
+                    self._send(act, copy, now)
+                    continue
+                stuck = stuck or not act.sends           # a resend has fewer lanes: it blocks nobody
+            act.held = True
+            kept.append(act)
         fn.held.extend(kept)
-        limit = max(2, int(LIMIT * len(self.workers)))
+        limit = max(2, int(LIMIT * len(self.fleet)))
         while fn.held and now >= fn.pause:
             known = [c for c in fn.copies.values() if not c.worker.silent and now >= c.worker.rest]
             lanes = sum(fn.lanes if c.loading else c.busy for c in known)
@@ -257,18 +257,21 @@
                 while len(fn.held) > 2 * BACKLOG * len(known) * fn.lanes:
                     self._give_up(fn.held.pop(), now)
                 break
-            if fn.copies and not self._may_spread(fn, now) or not self._add_copy(fn, now):
+            if fn.copies and not self._may_spread(fn, now) or not self._add_copy(fn, fn.held[0], now):
+                fn.pause = now + int(self.target * LAG)
                 break
+        if fn.tight and fn.copies and not fn.held and now >= fn.pause and self._may_spread(fn, now):
+            self._add_copy(fn, None, now)
         if not fn.held:
             self.waiting.pop(fn.key, None)
 
     def _may_spread(self, fn, now):
         """A further copy may push another function's out, and such loads feed on each other: so one at
         a time, for the function with the longest backlog. Guards against thrash in overload and scans."""
-        last = self.spreading
-        if last and last.loading and now - last.loading < 2 * self.target:
+        if now < self.spread_after and (not self.spreading or self.spreading.loading):
             return False
-        return fn is max(self.waiting.values(), key=lambda f: len(f.held) / (len(f.copies) or 1))
+        longest = max(self.waiting.values(), default=fn, key=lambda f: len(f.held) / (len(f.copies) or 1))
+        return not fn.held or fn is longest
 
     def _lane(self, fn, act, now):
         """The known copy with a free lane on the least loaded worker."""
@@ -279,43 +282,47 @@
                 del fn.copies[worker.id]
                 continue
             if (copy.busy >= fn.lanes or now < copy.shut or not self._open(worker, now)
-                    or copy.loading and not self.terms.orders.loads_on_send or not self._fits(act, worker)
-                    or worker.pace > CROWDED and act.due - now < self._need(act) * worker.pace):
+                    or copy.loading and not self.terms.orders.loads_on_send or not self._fits(act, worker)):
                 continue
-            load = self._load(worker) + (worker.zone != self.terms.zone)
+            load = self._load(worker, now) + (worker.zone != self.terms.zone)
             if best is None or load < best_load:
                 best, best_load = copy, load
+        fn.tight = best_load > TIGHT * self.mean + 1
         return best
 
-    def _load(self, worker):
-        """Load as activations in hand: the last report against the fleet's mean, and what was sent since."""
-        if worker.report is None or not self.mean_report:
-            return self.mean_out * self.terms.dispatchers + len(worker.out) - self.mean_out
-        return (worker.report / self.mean_report * self.mean_out * self.terms.dispatchers
-                + len(worker.out) - worker.out_then)
-
-    def _add_copy(self, fn, now):
-        """One more copy, on the less loaded of the first two workers in hash order that hold none."""
-        if fn.edition != self.edition:
-            fn.order = sorted((w for w in self.workers.values() if w.usable),
-                              key=lambda w: (crc32(f"{fn.key} {w.id}".encode()), w.id))
-            fn.edition = self.edition
-        act, two = fn.held[0], []
-        for worker in fn.order:
-            if (worker.id not in fn.copies and worker.loading < 2 and self._open(worker, now)
-                    and self._fits(act, worker)):
+    def _load(self, worker, now):
+        """Load as activations in hand: how last report and pace of answers compare with the fleet's, less the
+        older they are, and what was sent since."""
+        fresh, pace = max(0, 1 - (now - worker.read) / self.terms.orders.keep), worker.pace / self.pace
+        if self.mean_report and worker.report is not None:
+            pace *= worker.report / self.mean_report
+        return self.mean * (1 + (pace - 1) * fresh) + len(worker.out) - worker.out_then * fresh
+
+    def _add_copy(self, fn, act, now):
+        """One more copy, on the less loaded of the first two workers in hash order that hold none. What the
+        fleet needs on many workers begins anywhere among the first so many, with those of our zone: or all
+        dispatchers, each with a little of it, would send it to the same worker."""
+        o, two = self.terms.orders, []
+        guess = not fn.copies and (o.loads_on_send or now - fn.missed > o.keep)
+        if not guess and not self._may_order(now):
+            return False
+        order = sorted(self.fleet, key=lambda w: (w.hash ^ fn.hash) * MIX & MASK)
+        some = int(SPREAD * len(order) * (fn.recent - 0.5) / (len(self.recent) + RECENT // 4))
+        if some > 1 and self.dispatchers > 1:
+            order[:some] = sorted(order[:some], key=lambda w: (w.zone != self.terms.zone, self.chance()))
+        for worker in order:
+            if len(two) < 2 and (worker.id not in fn.copies and worker.loading < 2 and self._open(worker, now)
+                                 and (act is None or self._fits(act, worker))):
                 two.append(worker)
-                if len(two) == 2:
-                    break
         if not two:
             return False
         # loads within a factor of two count as equal: dispatchers, each with its own view, then share copies
-        worker = two[-1] if 2 * self._load(two[-1]) < self._load(two[0]) else two[0]
+        worker = two[-1 if 2 * self._load(two[-1], now) < self._load(two[0], now) else 0]
         copy = Copy(worker, now)
         if fn.copies:
-            self.spreading = copy
-        fn.copies[worker.id], copy.loading = copy, now
-        if self.terms.orders.loads_on_send:
+            self.spreading, self.spread_after = copy, now + 2 * self.target
+        fn.copies[worker.id], copy.loading = copy, max(1, now) * (o.loads_on_send or not guess)
+        if guess:            # where loads are ordered, another dispatcher's copy may stand there
             fn.held.popleft().held = False
             self._send(act, copy, now)
         elif not self._order(fn, worker, now):
@@ -325,59 +332,52 @@
 
     def _open(self, worker, now):
         """Whether the worker may be given anything: listed, neither resting nor silent, within its cap."""
-        if not worker.usable or worker.silent or now < worker.rest:
-            return False
-        if worker.strikes > 1 and worker.out or worker.cap is not None and len(worker.out) >= worker.cap:
-            return False
-        return self._cold_room(worker, now) >= 1
+        return (worker.usable and not worker.silent and now >= worker.rest
+                and (worker.cap is None or len(worker.out) < worker.cap) and self._cold_room(worker, now) > 0)
 
     def _cold_room(self, worker, now):
-        """Our part of what a cold worker bears: as much of its capacity as we make a warm one use."""
-        g = self.terms.guarantees
-        age = now - worker.booted
+        """Our part of what a cold worker bears, in each `fall` since its start: as much as we make a warm one
+        do, or our part of one core. A part under one send is drawn, so that all together keep the budget."""
+        g, age = self.terms.guarantees, now - worker.booted
         if not worker.booted or age >= g.cold:
             return 1
-        part = g.cold_from + (1 - g.cold_from) * max(0, age) / g.cold
-        warm = sum(w.usable and (not w.booted or now - w.booted >= g.cold) for w in self.workers.values())
-        rate = self.done.least(now) / max(1, warm) / g.cold
-        return max(1, g.fall_multiple / 2 * part * rate * g.fall) - worker.sent.most(now)
+        slot = max(0, age) // g.fall
+        if slot != worker.slot:
+            part = g.cold_from + (1 - g.cold_from) * slot * g.fall / g.cold
+            rate = max(self.done.least(now) / max(1, self.warm) / g.cold, 1 / self.usual / self.dispatchers)
+            worker.slot, worker.room = slot, int(g.fall_multiple / 3 * part * rate * g.fall + self.chance())
+        return worker.room
 
     def _send(self, act, copy, now):
         worker = copy.worker
         send = Send(act, worker, copy, now, bool(copy.loading))
         act.sends.append(send)
-        act.out += 1
-        if act.bound is None:
-            act.bound = send
-        copy.busy += 1
-        copy.seen = now
+        act.out, act.bound = act.out + 1, act.bound or send
+        copy.busy, copy.seen = copy.busy + 1, now
         worker.out[act.id, send.n] = send
-        worker.loading += send.cold
-        worker.sent.add(now)
+        worker.loading, worker.room = worker.loading + send.cold, worker.room - 1
+        self.owing[worker.id], self.out_now = worker, self.out_now + 1
         self.out.send(act.id, worker.id, 0)
 
-    def _order(self, fn, worker, now, copies=1):
-        o = self.terms.orders
-        if not o.allowed or not worker.usable:
-            return False
-        if o.period and self.loads.most(now) + 1 > o.free + o.part * self.taken.least(now):
-            return False
-        self.loads.add(now)
-        self.out.hold(worker.id, fn.key, copies)
-        return True
+    def _may_order(self, now):
+        o, most = self.terms.orders, self.loads.most(now)
+        return o.allowed and (not o.period or most + 1 <= o.free + o.part * self.taken.least(now))
 
-    def _heard(self, now, worker_id):
-        if worker_id in self.workers:
-            self.workers[worker_id].heard, self.workers[worker_id].silent = now, False
+    def _order(self, fn, worker, now):
+        if worker.usable and self._may_order(now):
+            self.loads.add(now)
+            self.out.hold(worker.id, fn.key, 1)
+            return True
 
-    def _read(self, worker, report):
+    def _read(self, worker, report, now):
         if report:
             load = report.get("running", 0) + report.get("waiting", 0) + report.get("loads", 0)
             worker.report = report.get("cores", 0) + (load if "running" in report else 0)
-            worker.out_then = len(worker.out)
+            worker.out_then, worker.read = len(worker.out), now
+            self.mean_report = self.mean_report or worker.report
+            self.mean_report += (worker.report - self.mean_report) / 16
 
-    def _need(self, act):
-        """The usual time of this activation: by its own hint where there is one."""
+    def _need(self, act):                                # its usual time, by its own hint where there is one
         return int(act.work * self.took / self.told) if act.work else self._service(act.fn)
 
     def _service(self, fn):
@@ -388,23 +388,21 @@
         send = worker.out.pop((act_id, n), None) if worker else None
         if send is None:
             return
-        act, copy, fn = send.act, send.copy, send.act.fn
-        send.open, act.out, copy.busy = False, act.out - 1, copy.busy - 1
-        worker.loading -= send.cold
+        act, fn = send.act, send.act.fn
+        send.open, act.out, send.copy.busy = False, act.out - 1, send.copy.busy - 1
+        worker.loading, self.out_now = worker.loading - send.cold, self.out_now - 1
         if code in NEVER_RAN:
             send.ran = False
-            if act.bound is send:
-                act.bound = next((s for s in act.sends if s.ran), None)
-        self._read(worker, report)
+            act.bound = next((s for s in act.sends if s.ran), None)
+        self._read(worker, report, now)
         if code not in (ports.TIMED_OUT, ports.CANCELLED, ports.NOT_SENT):
-            self._heard(now, worker_id)
+            worker.heard, worker.silent = now, False
         if code == COMPLETED:
             self._completed(now, send, note, took)
         elif code not in (ports.CANCELLED, ports.NOT_SENT):
             self._failed(now, send, code, note)
         if over:
-            if self.acts.pop(act_id, None):
-                self._drop_sends(act)
+            self.left(now, act_id)
         elif self.acts.get(act_id) is act and not act.out:
             if self._may_send(act, now):
                 self._hold(act, now, front=True)
@@ -418,7 +416,6 @@
         if worker.usable:
             copy = fn.copies.setdefault(worker.id, copy)
         copy.loading, copy.seen, copy.errors = 0, now, 0
-        worker.strikes = 0
         if note == ports.FOUND_WARM or note == 0 and not send.cold:
             part = 1 / (64 * (1 + send.ahead) ** 2)      # lightly loaded workers tell the usual time best
             fn.service = int(fn.service + (took - fn.service) * 8 * part) if fn.service else took
@@ -432,7 +429,9 @@
         """How many sends a worker is given at once follows how its answers compare with the usual service:
         guards against crowding a worker whose copies have more lanes than it has cores, slow or not."""
         some = self.usual / 4                            # keeps rough hints of light work from counting much
-        worker.pace += (min((took + some) / (need + some), 8) - worker.pace) / 8
+        pace = min((took + some) / (need + some), 8)
+        worker.pace, worker.read = worker.pace + (pace - worker.pace) / 8, now
+        self.pace += (pace - self.pace) / 64
         if worker.pace > CROWDED:
             if now - worker.shrunk > self.usual:
                 worker.shrunk = now
@@ -441,34 +440,33 @@
             worker.cap += 1 / worker.cap
 
     def _failed(self, now, send, code, note):
-        """What an end other than an answer says of copy and worker. A fast error must not free its lane at
-        once and draw the backlog: the copy stays shut for the usual service, longer each time in a row."""
+        """A fast error must not free its lane at once and draw the backlog: the copy stays shut for the usual
+        service, longer each time in a row."""
         fn, copy, worker = send.act.fn, send.copy, send.worker
         if code in (ports.MISSING, ports.RESET, ports.NO_CONNECTION) or note == ports.LOAD_FAILED:
             if fn.copies.get(worker.id) is copy:
                 del fn.copies[worker.id]
             copy.loading = 0
-            fn.pause = max(fn.pause, now + self._service(fn) // 4) if note == ports.LOAD_FAILED else fn.pause
+            if note == ports.LOAD_FAILED:
+                self._load_failed(fn, now)
         if code == ports.MISSING:
+            fn.missed = now
             return
         copy.errors += 1
         copy.shut = now + (self._service(fn) << min(copy.errors - 1, 6))
-        if code in (ports.FULL, ports.TIMED_OUT):       # crowded, slow or silent: cap and silence answer that
-            worker.cap = max(1.0, len(worker.out) * 0.8) if code == ports.FULL else worker.cap
-            return
-        if fn.key != worker.bad_fn or code != ports.ERROR:   # one function's own errors are not the worker's
-            worker.strikes, worker.bad_fn = worker.strikes + 1, fn.key
-        if worker.strikes > 1 or code == ports.NO_CONNECTION:
-            worker.rest = now + (self.target // 4 << min(worker.strikes, 6))
+        if code == ports.FULL:
+            worker.pace, worker.read, fn.tight = min(8, worker.pace * 2), now, True
+            worker.cap = max(1.0, len(worker.out) * 0.8)
         if code in (ports.RESET, ports.NO_CONNECTION):
+            worker.rest = now + self.target // 4
             self._forget(worker)
 
     def stands(self, now, worker_id, key, code, copies):
         worker, fn = self.workers.get(worker_id), self.functions.get(key)
-        if code not in (ports.TIMED_OUT, ports.RESET, ports.NO_CONNECTION):
-            self._heard(now, worker_id)
         if not worker or not fn:
             return
+        if code not in (ports.TIMED_OUT, ports.RESET, ports.NO_CONNECTION):
+            worker.heard, worker.silent = now, False
         copy = fn.copies.get(worker_id)
         if copies and worker.usable:
             copy = fn.copies.setdefault(worker_id, Copy(worker, now))
@@ -477,52 +475,55 @@
             if not copy.busy:
                 del fn.copies[worker_id]
             copy.loading = 0
-            fn.pause = now + self._service(fn) // 2
+            self._load_failed(fn, now)
         self._flow(fn, now)
 
+    def _load_failed(self, fn, now):
+        """A crowded store turns fetches away and stops when pushed: ask less, above all further copies."""
+        fn.pause, self.spreading, self.spread_after = now + self.target // 4, None, now + 2 * self.target
+
     def probed(self, now, worker_id, code, report):
-        worker = self.workers.get(worker_id)
-        if worker and code == COMPLETED:
-            self._read(worker, report)
+        if worker_id in self.workers and code == COMPLETED:
+            self._read(self.workers[worker_id], report, now)
 
     def ring(self, now, mark):
-        self.out.wake(mark, self.sweep)
-        fleet = [w for w in self.workers.values() if w.usable]
-        if fleet:
-            self.mean_out += (sum(len(w.out) for w in fleet) / len(fleet) - self.mean_out) / 8
-            reports = [w.report for w in fleet if w.report is not None]
-            self.mean_report = sum(reports) / len(reports) if reports else None
-        for worker in list(self.workers.values()):
+        if now < self.next_wake:
+            return
+        if now >= self.next_look:
+            self._look(now)
+        self._flow_all(now)
+        self._wake(now, self.sweep if self.waiting else max(self.sweep, self.next_look - now))
+
+    def _look(self, now):
+        """What is due now and then, and must cost little on a large fleet."""
+        g, self.next_look = self.terms.guarantees, now + self.target // 8
+        self.mean += (self.out_now * self.dispatchers / max(1, len(self.fleet)) - self.mean) / 16
+        self.warm = sum(not w.booted or now - w.booted >= g.cold for w in self.fleet)
+        for worker in list(self.owing.values()):
             self._watch(worker, now)
-        if self.terms.allowed.probe and self.terms.reports_by_probe and now >= self.next_probe:
-            self.next_probe = now + self.target // 2
-            for worker in fleet:
-                self.out.probe(worker.id)
-        if self.terms.asks and now - self.asked > self.terms.guarantees.ask_within // 2:
+        if self.terms.asks and now - self.asked > g.ask_within // 2:
             self.asked = now
             self.out.subscribe()
         if now >= self.next_tidy:
             self.next_tidy = now + self.terms.orders.keep // 16
             self._tidy(now)
-        self._flow_all(now)
 
     def _watch(self, worker, now):
         """A worker that owes answers and gives none is silent: nothing new goes there, and what it holds
         gets a second send elsewhere where a repeat is allowed. Guards against hung and cut-off workers."""
         if not worker.out:
+            del self.owing[worker.id]
             if worker.silent:
-                worker.silent, worker.strikes = False, 2
-                worker.rest = now + self.target
+                worker.silent, worker.rest = False, now + self.target
             return
         first = next(iter(worker.out.values()))
-        fn = first.act.fn
-        patience = 6 * self._service(fn) + (3 * (fn.load_time or self.target) if first.cold else 0)
+        patience = 6 * self._service(first.act.fn) + 3 * first.cold * (first.act.fn.load_time or self.target)
         if now - max(worker.heard, first.at) > max(patience, self.target):
             worker.silent = True
             for send in list(worker.out.values()):
                 act = send.act
-                if self.acts.get(act.id) is act and act.out == 1 and send.open and not act.held \
-                        and act.type.effect != ports.ONCE_ONLY and self._may_send(act, now):
+                if (self.acts.get(act.id) is act and act.out == 1 and not act.held
+                        and act.type.effect != ports.ONCE_ONLY and self._may_send(act, now)):
                     self._hold(act, now, front=True)
 
     def _tidy(self, now):
@@ -532,11 +533,10 @@
                 if not copy.busy and now - max(copy.seen, copy.loading) > keep:
                     del fn.copies[copy.worker.id]
                 elif (not copy.busy and not copy.loading and now - copy.seen > keep * 3 // 4
-                      and now - fn.called < keep and now - copy.renewed > keep
-                      and self._open(copy.worker, now) and self._order(fn, copy.worker, now)):
+                      and now - fn.called < keep < now - copy.renewed):
                     copy.renewed = now
-            if not fn.copies and not fn.held and now - fn.called > keep:
+                    if self.chance() * self.dispatchers < 1 and self._open(copy.worker, now):  # one for all
+                        self._order(fn, copy.worker, now)
+            if not fn.copies and not fn.held and not fn.recent and now - fn.called > keep:
                 del self.functions[fn.key]
-        for worker in list(self.workers.values()):
-            if not worker.usable and not worker.out:
-                del self.workers[worker.id]
+        self.workers = {w.id: w for w in self.workers.values() if w.usable or w.out}
