Placement waits for reports of the first two; tight reset after an order

Cause: new copies were placed by hash order blindly, since reports of 60 workers are seconds old at 90 dispatchers; a crowded send ordered copies again and again until the limit.

--- a/petrelwood/brain.py
+++ b/petrelwood/brain.py
@@ -21,7 +21,7 @@
 LAG = 1 / 6              # how long the first must have been held before that, part of the target latency
 SECOND = 1_000_000_000
 SLACK = 1.3              # a customer's share here: so much more than an equal part, as dispatchers differ
-TIGHT = 1.3              # a function is, when the least loaded of its workers has so many times the mean load
+TIGHT = 1.5              # a function is, when the least loaded of its workers has so many times the mean load
 CROWDED = 1.8            # a worker is, when its answers take so many times the usual
 SLOTS = 12               # buckets in a ring
 MIX, MASK, LONG = 0x9E3779B1, 0xFFFFFFFF, 1 << 50        # spread the bits of a hash; long ago
@@ -102,6 +102,7 @@
         part = SLACK / SECOND / terms.dispatchers
         self.buckets = {name: [1, now, part * quota] for name, quota in terms.quotas.items()}
         self.fleet, self.warm, self.owing, self.out_now, self.pace, self.spreading = [], 1, {}, 0, 1.0, None
+        self.salt = int(self.chance() * MASK)
         self.spread_after = self.next_wake = self.next_look = self.next_tidy = self.asked = now
         self._wake(now, self.sweep)
         if terms.asks:
@@ -140,12 +141,16 @@
         act = self.acts[act_id] = Act(act_id, fn, self.terms.types[type_name], due, now, work)
         act.beyond = self._beyond_share(customer, now)
         self._hold(act, now)
-        unheard = [c.worker for c in fn.copies.values()  # one probe at most: where it may go next
-                   if c.worker.usable and now - max(c.worker.asked, c.worker.read) > self.target // 2]
-        if unheard and self.terms.allowed.probe and self.terms.reports_by_probe:
-            worker = min(unheard, key=lambda w: max(w.asked, w.read))
+        self._probe(sorted((c.worker for c in fn.copies.values()), key=lambda w: max(w.asked, w.read))[:1], now)
+
+    def _probe(self, workers, now):
+        """Asks those that were not heard of lately, where load reports come by probes."""
+        unheard = [w for w in workers if w.usable and now - max(w.asked, w.read) > self.target // 2
+                   and self.terms.allowed.probe and self.terms.reports_by_probe]
+        for worker in unheard:
             worker.asked = now
             self.out.probe(worker.id)
+        return unheard
 
     def _beyond_share(self, customer, now):
         """Whether the customer asks more here than our part of its share."""
@@ -258,10 +263,9 @@
                     self._give_up(fn.held.pop(), now)
                 break
             if fn.copies and not self._may_spread(fn, now) or not self._add_copy(fn, fn.held[0], now):
-                fn.pause = now + int(self.target * LAG)
                 break
         if fn.tight and fn.copies and not fn.held and now >= fn.pause and self._may_spread(fn, now):
-            self._add_copy(fn, None, now)
+            fn.tight = not self._add_copy(fn, None, now)
         if not fn.held:
             self.waiting.pop(fn.key, None)
 
@@ -287,7 +291,7 @@
             load = self._load(worker, now) + (worker.zone != self.terms.zone)
             if best is None or load < best_load:
                 best, best_load = copy, load
-        fn.tight = best_load > TIGHT * self.mean + 1
+        fn.tight = best_load > (1 if len(fn.copies) < self._wanted(fn) else TIGHT) * self.mean + 1
         return best
 
     def _load(self, worker, now):
@@ -298,6 +302,11 @@
             pace *= worker.report / self.mean_report
         return self.mean * (1 + (pace - 1) * fresh) + len(worker.out) - worker.out_then * fresh
 
+    def _wanted(self, fn):
+        """On how many workers the others need it, by its part of our own mix, which is doubted while new."""
+        part = (fn.recent - 0.5) / (len(self.recent) + RECENT // 4)
+        return int(SPREAD * len(self.fleet) * part * (1 - 1 / self.dispatchers))
+
     def _add_copy(self, fn, act, now):
         """One more copy, on the less loaded of the first two workers in hash order that hold none. What the
         fleet needs on many workers begins anywhere among the first so many, with those of our zone: or all
@@ -305,19 +314,23 @@
         o, two = self.terms.orders, []
         guess = not fn.copies and (o.loads_on_send or now - fn.missed > o.keep)
         if not guess and not self._may_order(now):
+            fn.pause = now + int(self.target * LAG)
             return False
         order = sorted(self.fleet, key=lambda w: (w.hash ^ fn.hash) * MIX & MASK)
-        some = int(SPREAD * len(order) * (fn.recent - 0.5) / (len(self.recent) + RECENT // 4))
-        if some > 1 and self.dispatchers > 1:
-            order[:some] = sorted(order[:some], key=lambda w: (w.zone != self.terms.zone, self.chance()))
+        some = self._wanted(fn)
+        if some > 1:
+            order[:some] = sorted(order[:some], key=lambda w: (w.zone != self.terms.zone, (w.hash ^ self.salt) * MIX & MASK))
         for worker in order:
             if len(two) < 2 and (worker.id not in fn.copies and worker.loading < 2 and self._open(worker, now)
                                  and (act is None or self._fits(act, worker))):
                 two.append(worker)
         if not two:
+            fn.pause = now + int(self.target * LAG)
+            return False
+        if self._probe(two, now):                        # placed as soon as they have answered, or at the next sweep
             return False
-        # loads within a factor of two count as equal: dispatchers, each with its own view, then share copies
-        worker = two[-1 if 2 * self._load(two[-1], now) < self._load(two[0], now) else 0]
+        # loads within that factor count as equal: dispatchers, each with its own view, then share copies
+        worker = two[-1 if TIGHT * self._load(two[-1], now) < self._load(two[0], now) else 0]
         copy = Copy(worker, now)
         if fn.copies:
             self.spreading, self.spread_after = copy, now + 2 * self.target
@@ -485,6 +498,7 @@
     def probed(self, now, worker_id, code, report):
         if worker_id in self.workers and code == COMPLETED:
             self._read(self.workers[worker_id], report, now)
+            self._flow_all(now)
 
     def ring(self, now, mark):
         if now < self.next_wake:
