--- a/petrelwood/brain.py
+++ b/petrelwood/brain.py
@@ -19,7 +19,6 @@
 LIMIT = 0.5              # most copies of one function placed from here: part of the listed workers
 BACKLOG = 1.0            # held activations for each lane before a copy is added
 LAG = 1 / 6              # how long the first must have been held before that, part of the target latency
-SECOND = 1_000_000_000
 SLACK = 1.3              # a customer's share here: so much more than an equal part, as dispatchers differ
 TIGHT = 1.5              # a function is, when the least loaded of its workers has so many times the mean load
 CROWDED = 1.8            # a worker is, when its answers take so many times the usual
@@ -63,6 +62,10 @@
         _, self.zone, self.cell, self.booted, self.usable = entry
 
 
+def mixed(worker, hash_):
+    return (worker.hash ^ hash_) * MIX & MASK
+
+
 class Copy:                                             # what is believed of a function's copy on one worker
     def __init__(self, worker, now):
         self.worker, self.busy, self.loading, self.seen = worker, 0, 0, now
@@ -84,9 +87,9 @@
 
 
 class Send:
-    def __init__(self, act, worker, copy, at, cold):
-        self.act, self.n, self.worker, self.copy, self.at = act, len(act.sends), worker, copy, at
-        self.cold, self.open, self.ran, self.ahead = cold, True, True, len(worker.out)
+    def __init__(self, act, copy, at):
+        self.act, self.n, self.worker, self.copy, self.at = act, len(act.sends), copy.worker, copy, at
+        self.cold, self.open, self.ran, self.ahead = bool(copy.loading), True, True, len(copy.worker.out)
 
 
 class Brain:
@@ -99,7 +102,7 @@
         self.told = self.took = self.target / 8          # mean hint of cost, mean time taken
         self.done, period = Ring(terms.guarantees.cold), terms.orders.period or 1
         self.taken, self.loads = Ring(period), Ring(period)
-        part = SLACK / SECOND / terms.dispatchers
+        part = SLACK / 1e9 / terms.dispatchers
         self.buckets = {name: [1, now, part * quota] for name, quota in terms.quotas.items()}
         self.fleet, self.warm, self.owing, self.out_now, self.pace, self.spreading = [], 1, {}, 0, 1.0, None
         self.salt = int(self.chance() * MASK)
@@ -117,7 +120,7 @@
             worker = self.workers.setdefault(entry.worker, Worker(entry, now))
             if entry.booted != worker.booted:
                 self._forget(worker)
-                worker.rest, worker.cap, worker.silent = 0, None, False
+                worker.rest, worker.cap, worker.silent, worker.pace = 0, None, False, 1.0
             worker.update(entry)
         for worker in (w for w in self.fleet if not w.usable):
             self._forget(worker)
@@ -141,16 +144,17 @@
         act = self.acts[act_id] = Act(act_id, fn, self.terms.types[type_name], due, now, work)
         act.beyond = self._beyond_share(customer, now)
         self._hold(act, now)
-        self._probe(sorted((c.worker for c in fn.copies.values()), key=lambda w: max(w.asked, w.read))[:1], now)
+        if self.terms.reports_by_probe:
+            known = (c.worker for c in fn.copies.values() if c.worker.usable)
+            self._probe(sorted(known, key=lambda w: max(w.asked, w.read))[:1], now)
 
     def _probe(self, workers, now):
-        """Asks those that were not heard of lately, where load reports come by probes."""
-        unheard = [w for w in workers if w.usable and now - max(w.asked, w.read) > self.target // 2
-                   and self.terms.allowed.probe and self.terms.reports_by_probe]
-        for worker in unheard:
-            worker.asked = now
-            self.out.probe(worker.id)
-        return unheard
+        """Asks those not heard of lately, where that is allowed; whether any is still to answer."""
+        for worker in workers:
+            if now - max(worker.asked, worker.read) > self.target // 2 and self.terms.allowed.probe:
+                worker.asked = now
+                self.out.probe(worker.id)
+        return any(w.read < w.asked > now - self.sweep for w in workers)
 
     def _beyond_share(self, customer, now):
         """Whether the customer asks more here than our part of its share."""
@@ -209,16 +213,14 @@
     def _hold(self, act, now, front=False):
         fn = act.fn = self.functions.setdefault(act.fn.key, act.fn)
         if not act.held:
-            act.held = True
             (fn.held.appendleft if front else fn.held.append)(act)
-        self.waiting[fn.key] = fn
+        act.held, self.waiting[fn.key] = True, fn
         self._flow(fn, now)
         if fn.held:
             self._wake(now, self.sweep)
 
     def _wake(self, now, wait):
-        """One wake is awaited at a time; those that an earlier one replaced find nothing to do."""
-        if not now < self.next_wake <= now + wait:
+        if not now < self.next_wake <= now + wait:       # a wake that another replaced finds nothing due
             self.next_wake = now + wait
             self.out.wake("sweep", wait)
 
@@ -228,8 +230,7 @@
                 self._flow(fn, now, spare)
 
     def _lesser(self, act, now):
-        """What can no longer be answered within its target latency, or is beyond its customer's share, takes
-        only what the others leave: under overload fresh work keeps its worth instead of all being late."""
+        """What would be late, or is beyond a share, flows after the rest: fresh work keeps its worth."""
         return act.beyond or now - act.born + self._need(act) > act.type.target_latency
 
     def _flow(self, fn, now, spare=False):
@@ -270,8 +271,7 @@
             self.waiting.pop(fn.key, None)
 
     def _may_spread(self, fn, now):
-        """A further copy may push another function's out, and such loads feed on each other: so one at
-        a time, for the function with the longest backlog. Guards against thrash in overload and scans."""
+        """Further copies push others out, and such loads feed on each other: one at a time."""
         if now < self.spread_after and (not self.spreading or self.spreading.loading):
             return False
         longest = max(self.waiting.values(), default=fn, key=lambda f: len(f.held) / (len(f.copies) or 1))
@@ -295,8 +295,7 @@
         return best
 
     def _load(self, worker, now):
-        """Load as activations in hand: how last report and pace of answers compare with the fleet's, less the
-        older they are, and what was sent since."""
+        """Activations in hand: by report and pace against the fleet's, less the older they are."""
         fresh, pace = max(0, 1 - (now - worker.read) / self.terms.orders.keep), worker.pace / self.pace
         if self.mean_report and worker.report is not None:
             pace *= worker.report / self.mean_report
@@ -308,26 +307,24 @@
         return int(SPREAD * len(self.fleet) * part * (1 - 1 / self.dispatchers))
 
     def _add_copy(self, fn, act, now):
-        """One more copy, on the less loaded of the first two workers in hash order that hold none. What the
-        fleet needs on many workers begins anywhere among the first so many, with those of our zone: or all
-        dispatchers, each with a little of it, would send it to the same worker."""
-        o, two = self.terms.orders, []
+        """One more copy, on the less loaded of the first two in hash order that hold none. What others need
+        too begins anywhere among so many, our zone first: or all, each with a little, take the same."""
+        o, zone, two = self.terms.orders, self.terms.zone, []
         guess = not fn.copies and (o.loads_on_send or now - fn.missed > o.keep)
         if not guess and not self._may_order(now):
             fn.pause = now + int(self.target * LAG)
             return False
-        order = sorted(self.fleet, key=lambda w: (w.hash ^ fn.hash) * MIX & MASK)
+        order = sorted(self.fleet, key=lambda w: mixed(w, fn.hash))
         some = self._wanted(fn)
         if some > 1:
-            order[:some] = sorted(order[:some], key=lambda w: (w.zone != self.terms.zone, (w.hash ^ self.salt) * MIX & MASK))
+            order[:some] = sorted(order[:some], key=lambda w: (w.zone != zone, mixed(w, self.salt)))
         for worker in order:
             if len(two) < 2 and (worker.id not in fn.copies and worker.loading < 2 and self._open(worker, now)
                                  and (act is None or self._fits(act, worker))):
                 two.append(worker)
         if not two:
             fn.pause = now + int(self.target * LAG)
-            return False
-        if self._probe(two, now):                        # placed as soon as they have answered, or at the next sweep
+        if not two or self._probe(two, now):             # placed once they answer, or at the next sweep
             return False
         # loads within that factor count as equal: dispatchers, each with its own view, then share copies
         worker = two[-1 if TIGHT * self._load(two[-1], now) < self._load(two[0], now) else 0]
@@ -362,8 +359,7 @@
         return worker.room
 
     def _send(self, act, copy, now):
-        worker = copy.worker
-        send = Send(act, worker, copy, now, bool(copy.loading))
+        worker, send = copy.worker, Send(act, copy, now)
         act.sends.append(send)
         act.out, act.bound = act.out + 1, act.bound or send
         copy.busy, copy.seen = copy.busy + 1, now
@@ -439,29 +435,26 @@
             self._pace(worker, took, self._need(send.act), now)
 
     def _pace(self, worker, took, need, now):
-        """How many sends a worker is given at once follows how its answers compare with the usual service:
-        guards against crowding a worker whose copies have more lanes than it has cores, slow or not."""
+        """Caps what a worker holds of ours by how its answers compare with the usual: against crowding."""
         some = self.usual / 4                            # keeps rough hints of light work from counting much
         pace = min((took + some) / (need + some), 8)
         worker.pace, worker.read = worker.pace + (pace - worker.pace) / 8, now
         self.pace += (pace - self.pace) / 64
-        if worker.pace > CROWDED:
-            if now - worker.shrunk > self.usual:
-                worker.shrunk = now
-                worker.cap = max(1.0, min(worker.cap or len(worker.out) + 1, len(worker.out) + 1) * 0.85)
-        elif worker.cap is not None and len(worker.out) + 1 >= worker.cap:
+        if worker.pace > CROWDED and now - worker.shrunk > self.usual:
+            worker.shrunk, most = now, len(worker.out) + 1
+            worker.cap = max(1.0, min(worker.cap or most, most) * 0.85)
+        elif worker.pace <= CROWDED and worker.cap is not None and len(worker.out) + 1 >= worker.cap:
             worker.cap += 1 / worker.cap
 
     def _failed(self, now, send, code, note):
-        """A fast error must not free its lane at once and draw the backlog: the copy stays shut for the usual
-        service, longer each time in a row."""
+        """A fast error must not free its lane and draw the backlog: its copy stays shut, longer each time."""
         fn, copy, worker = send.act.fn, send.copy, send.worker
         if code in (ports.MISSING, ports.RESET, ports.NO_CONNECTION) or note == ports.LOAD_FAILED:
             if fn.copies.get(worker.id) is copy:
                 del fn.copies[worker.id]
             copy.loading = 0
-            if note == ports.LOAD_FAILED:
-                self._load_failed(fn, now)
+        if note == ports.LOAD_FAILED:
+            self._load_failed(fn, now)
         if code == ports.MISSING:
             fn.missed = now
             return
@@ -485,8 +478,7 @@
             copy = fn.copies.setdefault(worker_id, Copy(worker, now))
             copy.loading, copy.seen = 0, now
         elif copy and copy.loading:
-            if not copy.busy:
-                del fn.copies[worker_id]
+            del fn.copies[worker_id]
             copy.loading = 0
             self._load_failed(fn, now)
         self._flow(fn, now)
@@ -498,7 +490,7 @@
     def probed(self, now, worker_id, code, report):
         if worker_id in self.workers and code == COMPLETED:
             self._read(self.workers[worker_id], report, now)
-            self._flow_all(now)
+        self._flow_all(now)
 
     def ring(self, now, mark):
         if now < self.next_wake:
@@ -523,8 +515,7 @@
             self._tidy(now)
 
     def _watch(self, worker, now):
-        """A worker that owes answers and gives none is silent: nothing new goes there, and what it holds
-        gets a second send elsewhere where a repeat is allowed. Guards against hung and cut-off workers."""
+        """Who owes answers and gives none gets nothing new; what it holds a second send if it may repeat."""
         if not worker.out:
             del self.owing[worker.id]
             if worker.silent:
--- a/tests/desk.py
+++ b/tests/desk.py
@@ -10,15 +10,15 @@
 KEPT = pathlib.Path(__file__).with_name("traces")
 
 
-def terms(effect=ports.REPEATABLE, self_loading=True, ration=(0, 0, 0), dispatchers=2):
+def terms(effect=ports.REPEATABLE, self_loading=True, ration=(0, 0, 0), dispatchers=2, probes=False):
     return ports.Terms(
         zone="north", dispatchers=dispatchers,
         types={"plain": ports.NamespaceType(1000 * MS, effect, "zone", 1500 * MS)},
         quotas={},
         guarantees=ports.Guarantees(0, 8000 * MS, 0.25, 2.0, 1000 * MS),
         orders=ports.LoadOrders(True, self_loading, 8000 * MS, *ration),
-        allowed=ports.Allowed(3, True, True, True, True, 500 * MS),
-        asks=False, reports_by_probe=False, tick=2 * MS)
+        allowed=ports.Allowed(3, True, True, probes, True, 500 * MS),
+        asks=False, reports_by_probe=probes, tick=2 * MS)
 
 
 def worker(name, zone="north", booted=0, usable=True):
@@ -27,7 +27,7 @@
 
 class Desk:
     def __init__(self, kept, workers=("a", "b", "c"), **changes):
-        self.now, self.lines, self.wakes, self.kept = 0, [], [], kept
+        self.now, self.lines, self.wakes, self.asked, self.rings, self.kept = 0, [], [], [], [], kept
         self.brain = Brain(0, terms(**changes), 7, self)
         self.brain.listed(0, [w if isinstance(w, ports.Listed) else worker(w) for w in workers], True)
 
@@ -50,6 +50,7 @@
         self.say(f"order {copies} of {fn} on {worker}")
 
     def probe(self, worker):
+        self.asked.append(worker)
         self.say(f"probe {worker}")
 
     def wake(self, mark, wait):
@@ -57,8 +58,10 @@
 
     def at(self, ms):
         """Lets time pass, ringing each wake on the way."""
-        while self.wakes and self.wakes[0][0] <= ms * MS:
-            self.now, mark = self.wakes.pop(0)
+        while self.wakes and min(self.wakes)[0] <= ms * MS:
+            self.now, mark = min(self.wakes)
+            self.wakes.remove((self.now, mark))
+            self.rings.append(self.now)
             self.brain.ring(self.now, mark)
         self.now = ms * MS
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -22,6 +22,30 @@
         d.end(self)
 
 
+    def test_a_placement_asks_the_first_two_and_takes_the_less_loaded(self):
+        """Found on lugano-later big-1 (simulated servers): placed blindly, slow workers jam."""
+        d = Desk("placement", workers="abcd", probes=True, dispatchers=90)
+        d.come("x1")
+        for name in d.asked:
+            d.brain.probed(d.now, name, ports.COMPLETED, {"cores": 0.9 if name == d.asked[0] else 0.3})
+        d.at(50)
+        d.end(self)
+
+    def test_many_dispatchers_begin_at_different_workers(self):
+        """Found on verbund-later big-1 (simulated servers): 184 dispatchers sent a hot function to one worker."""
+        d = Desk("spread", workers="abcdefghijklmnop", dispatchers=180)
+        for i in range(12):
+            d.come(f"x{i}", lanes=8); d.at(100 * i + 100)
+        d.end(self)
+
+    def test_many_sleep_until_something_is_held_or_due(self):
+        d = Desk("sleep", workers="a", dispatchers=180)
+        d.come("x1"); d.answer("x1", "a"); before = len(d.rings); d.at(1000)
+        d.say(f"{len(d.rings) - before} wakes while idle"); d.come("x2", "x3"); before = len(d.rings); d.at(2000)
+        d.say(f"{len(d.rings) - before} wakes while one is held")
+        d.end(self)
+
+
 class Rules(unittest.TestCase):
     def test_one_final_answer_and_nothing_after(self):
         d = Desk("one_answer", workers="a")
