Cap on all that is out here while most answers are slow; deduplicated window kept

Now a cap on all sends out here is cut while over half of the answers take beyond a third of the target latency and 1.8 times the usual, once for what was sent before the cut, not under two sends a worker of our part; slow fleets teach the usual service slowly; rests double with each silence.

--- a/petrelwood/brain.py
+++ b/petrelwood/brain.py
@@ -53,15 +53,29 @@
 class Worker:
     def __init__(self, entry, now):
         self.id, self.hash, self.out = entry.worker, crc32(entry.worker.encode()), {}
-        self.heard, self.cap, self.rest, self.silent, self.loading = now, None, 0, False, 0
+        self.heard, self.cap, self.rest, self.silent, self.loading = now, Cap(), 0, False, 0
         self.report, self.out_then, self.read, self.asked = None, 0, now - LONG, now - LONG
-        self.pace, self.shrunk, self.slot, self.room = 1.0, 0, -1, 0
+        self.pace, self.silences, self.slot, self.room = 1.0, 0, -1, 0
         self.update(entry)
 
     def update(self, entry):
         _, self.zone, self.cell, self.booted, self.usable = entry
 
 
+class Cap:                                              # how many sends at once: None is no cap
+    def __init__(self):
+        self.most, self.cut_at = None, 0
+
+    def answered(self, slow, out, now, sent, least=1.0):     # one cut for what was sent before it
+        if slow and sent >= self.cut_at:
+            self.most, self.cut_at = max(least, min(self.most or out + 1, out + 1) * 0.85), now
+        elif not slow and self.most is not None and out + 1 >= self.most:
+            self.most += 1 / self.most
+
+    def full(self, out):
+        return self.most is not None and out >= self.most
+
+
 def mixed(worker, hash_):
     return (worker.hash ^ hash_) * MIX & MASK
 
@@ -83,7 +97,7 @@
     def __init__(self, id_, fn, type_, due, born, work):
         self.id, self.fn, self.type, self.due, self.born, self.work = id_, fn, type_, due, born, work
         self.sends, self.out, self.held, self.beyond = [], 0, False, False   # beyond its customer's share
-        self.bound = None                                # the first send that may have run
+        self.bound = None                                # the first send, unless none may have run
 
 
 class Send:
@@ -104,7 +118,8 @@
         self.taken, self.loads = Ring(period), Ring(period)
         part = SLACK / 1e9 / terms.dispatchers
         self.buckets = {name: [1, now, part * quota] for name, quota in terms.quotas.items()}
-        self.fleet, self.warm, self.owing, self.out_now, self.pace, self.spreading = [], 1, {}, 0, 1.0, None
+        self.fleet, self.warm, self.owing, self.out_now, self.spreading = [], 1, {}, 0, None
+        self.cap, self.slow, self.pace = Cap(), 0.0, 1.0
         self.salt = int(self.chance() * MASK)
         self.spread_after = self.next_wake = self.next_look = self.next_tidy = self.asked = now
         self._wake(now, self.sweep)
@@ -120,7 +135,7 @@
             worker = self.workers.setdefault(entry.worker, Worker(entry, now))
             if entry.booted != worker.booted:
                 self._forget(worker)
-                worker.rest, worker.cap, worker.silent, worker.pace = 0, None, False, 1.0
+                worker.rest, worker.cap, worker.silent, worker.pace = 0, Cap(), False, 1.0
             worker.update(entry)
         for worker in (w for w in self.fleet if not w.usable):
             self._forget(worker)
@@ -185,7 +200,7 @@
             return
         if (not act.bound or type_.effect == ports.REPEATABLE
                 or type_.effect == ports.DEDUPLICATED and type_.scope == "all"):
-            wait = self._service(fn) * (len(fn.held) + 1) // max(1, len(fn.copies) * fn.lanes)
+            wait = (fn.service or self.usual) * (len(fn.held) + 1) // max(1, len(fn.copies) * fn.lanes)
             self.out.reject(act.id, min(wait, self.terms.allowed.max_retry_after)
                             if self.terms.allowed.retry_after else 0)
         else:
@@ -280,7 +295,7 @@
     def _lane(self, fn, act, now):
         """The known copy with a free lane on the least loaded worker."""
         best, best_load = None, 0
-        for copy in list(fn.copies.values()):
+        for copy in list(fn.copies.values()) * (not self.cap.full(self.out_now)):
             worker = copy.worker
             if not copy.busy and not copy.loading and now - copy.seen > self.terms.orders.keep:
                 del fn.copies[worker.id]
@@ -301,8 +316,7 @@
             pace *= worker.report / self.mean_report
         return self.mean * (1 + (pace - 1) * fresh) + len(worker.out) - worker.out_then * fresh
 
-    def _wanted(self, fn):
-        """On how many workers the others need it, by its part of our own mix, which is doubted while new."""
+    def _wanted(self, fn):           # on how many workers others need it: by our own mix, doubted while new
         part = (fn.recent - 0.5) / (len(self.recent) + RECENT // 4)
         return int(SPREAD * len(self.fleet) * part * (1 - 1 / self.dispatchers))
 
@@ -311,7 +325,7 @@
         too begins anywhere among so many, our zone first: or all, each with a little, take the same."""
         o, zone, two = self.terms.orders, self.terms.zone, []
         guess = not fn.copies and (o.loads_on_send or now - fn.missed > o.keep)
-        if not guess and not self._may_order(now):
+        if not guess and not self._may_order(now) or guess and self.cap.full(self.out_now):
             fn.pause = now + int(self.target * LAG)
             return False
         order = sorted(self.fleet, key=lambda w: mixed(w, fn.hash))
@@ -332,7 +346,7 @@
         if fn.copies:
             self.spreading, self.spread_after = copy, now + 2 * self.target
         fn.copies[worker.id], copy.loading = copy, max(1, now) * (o.loads_on_send or not guess)
-        if guess:            # where loads are ordered, another dispatcher's copy may stand there
+        if guess:                                        # another dispatcher's copy may stand there
             fn.held.popleft().held = False
             self._send(act, copy, now)
         elif not self._order(fn, worker, now):
@@ -343,7 +357,7 @@
     def _open(self, worker, now):
         """Whether the worker may be given anything: listed, neither resting nor silent, within its cap."""
         return (worker.usable and not worker.silent and now >= worker.rest
-                and (worker.cap is None or len(worker.out) < worker.cap) and self._cold_room(worker, now) > 0)
+                and not worker.cap.full(len(worker.out)) and self._cold_room(worker, now) > 0)
 
     def _cold_room(self, worker, now):
         """Our part of what a cold worker bears, in each `fall` since its start: as much as we make a warm one
@@ -387,10 +401,10 @@
             self.mean_report += (worker.report - self.mean_report) / 16
 
     def _need(self, act):                                # its usual time, by its own hint where there is one
-        return int(act.work * self.took / self.told) if act.work else self._service(act.fn)
+        return int(act.work * self.took / self.told) if act.work else (act.fn.service or self.usual)
 
-    def _service(self, fn):
-        return fn.service or self.usual
+    def _late(self, act):                                # an answer that took so long is slow
+        return max(CROWDED * self._need(act), act.type.target_latency // 3)
 
     def answer(self, now, act_id, n, worker_id, code, note, over, took, report):
         worker = self.workers.get(worker_id)
@@ -402,7 +416,7 @@
         worker.loading, self.out_now = worker.loading - send.cold, self.out_now - 1
         if code in NEVER_RAN:
             send.ran = False
-            act.bound = next((s for s in act.sends if s.ran), None)
+            act.bound = act.bound if any(s.ran for s in act.sends) else None     # the earliest, even if disproved
         self._read(worker, report, now)
         if code not in (ports.TIMED_OUT, ports.CANCELLED, ports.NOT_SENT):
             worker.heard, worker.silent = now, False
@@ -424,45 +438,51 @@
         self.done.add(now)
         if worker.usable:
             copy = fn.copies.setdefault(worker.id, copy)
-        copy.loading, copy.seen, copy.errors = 0, now, 0
+        copy.loading, copy.seen, copy.errors, worker.silences = 0, now, 0, 0
         if note == ports.FOUND_WARM or note == 0 and not send.cold:
-            part = 1 / (64 * (1 + send.ahead) ** 2)      # lightly loaded workers tell the usual time best
+            # lightly loaded workers tell the usual time best, and a jam must not become the usual
+            part = 1 / (64 * (1 + send.ahead) ** 2) / (16 if self.slow > 0.5 else 1)
             fn.service = int(fn.service + (took - fn.service) * 8 * part) if fn.service else took
             self.usual = int(self.usual + (took - self.usual) * part)
             if send.act.work:
                 self.told += (send.act.work - self.told) * part
                 self.took += (took - self.took) * part
             self._pace(worker, took, self._need(send.act), now)
+        if not send.cold and note < ports.BEGAN_LOAD:
+            self._slow(took > self._late(send.act), send, now)
 
     def _pace(self, worker, took, need, now):
         """Caps what a worker holds of ours by how its answers compare with the usual: against crowding."""
-        some = self.usual / 4                            # keeps rough hints of light work from counting much
-        pace = min((took + some) / (need + some), 8)
+        pace = min((4 * took + self.usual) / (4 * need + self.usual), 8)     # rough hints of light work count less
         worker.pace, worker.read = worker.pace + (pace - worker.pace) / 8, now
         self.pace += (pace - self.pace) / 64
-        if worker.pace > CROWDED and now - worker.shrunk > self.usual:
-            worker.shrunk, most = now, len(worker.out) + 1
-            worker.cap = max(1.0, min(worker.cap or most, most) * 0.85)
-        elif worker.pace <= CROWDED and worker.cap is not None and len(worker.out) + 1 >= worker.cap:
-            worker.cap += 1 / worker.cap
+        worker.cap.answered(worker.pace > CROWDED, len(worker.out), now, now - self.usual)
+
+    def _slow(self, slow, send, now):
+        """Most answers slow: it is not single workers. Fewer sends at once, and the rest waits here."""
+        self.slow += (slow - self.slow) / 16
+        self.cap.answered(self.slow > 0.5, self.out_now, now, send.at,
+                          max(1.0, 2 * len(self.fleet) / self.dispatchers))       # two sends for each worker
 
     def _failed(self, now, send, code, note):
         """A fast error must not free its lane and draw the backlog: its copy stays shut, longer each time."""
         fn, copy, worker = send.act.fn, send.copy, send.worker
         if code in (ports.MISSING, ports.RESET, ports.NO_CONNECTION) or note == ports.LOAD_FAILED:
+            copy.loading = 0
             if fn.copies.get(worker.id) is copy:
                 del fn.copies[worker.id]
-            copy.loading = 0
         if note == ports.LOAD_FAILED:
             self._load_failed(fn, now)
         if code == ports.MISSING:
             fn.missed = now
             return
+        copy.shut = now + ((fn.service or self.usual) << min(copy.errors, 6))
         copy.errors += 1
-        copy.shut = now + (self._service(fn) << min(copy.errors - 1, 6))
+        if code == ports.FULL or not send.cold and now - send.at > self._late(send.act):
+            self._slow(True, send, now)
         if code == ports.FULL:
             worker.pace, worker.read, fn.tight = min(8, worker.pace * 2), now, True
-            worker.cap = max(1.0, len(worker.out) * 0.8)
+            worker.cap.answered(True, len(worker.out) - 1, now, now)
         if code in (ports.RESET, ports.NO_CONNECTION):
             worker.rest = now + self.target // 4
             self._forget(worker)
@@ -519,10 +539,11 @@
         if not worker.out:
             del self.owing[worker.id]
             if worker.silent:
-                worker.silent, worker.rest = False, now + self.target
+                worker.silent, worker.silences = False, worker.silences + 1
+                worker.rest, worker.cap.most = now + (self.target << min(worker.silences, 4)), 1.0
             return
         first = next(iter(worker.out.values()))
-        patience = 6 * self._service(first.act.fn) + 3 * first.cold * (first.act.fn.load_time or self.target)
+        patience = 6 * (first.act.fn.service or self.usual) + 3 * first.cold * (first.act.fn.load_time or self.target)
         if now - max(worker.heard, first.at) > max(patience, self.target):
             worker.silent = True
             for send in list(worker.out.values()):
