--- a/petrelwood/brain.py
+++ b/petrelwood/brain.py
@@ -20,15 +20,13 @@
 BACKLOG = 1.0            # held activations for each lane before a copy is added
 LAG = 1 / 6              # how long the first must have been held before that, part of the target latency
 SLACK = 1.3              # a customer's share here: so much more than an equal part, as dispatchers differ
-TIGHT = 1.5              # a function is, when the least loaded of its workers has so many times the mean load
+TIGHT = 1.5              # loads within it count as equal, so that dispatchers agree; beyond it a copy is added
 CROWDED = 1.8            # a worker is, when its answers take so many times the usual
 SLOTS = 12               # buckets in a ring
 MIX, MASK, LONG = 0x9E3779B1, 0xFFFFFFFF, 1 << 50        # spread the bits of a hash; long ago
 
 
-class Ring:
-    """Counts over the last `span`, in buckets of time used again in turn."""
-
+class Ring:                                             # counts over the last `span`, in buckets used in turn
     def __init__(self, span):
         self.width, self.counts, self.slot = max(1, -(-span // SLOTS)), [0] * (SLOTS + 1), 0
 
@@ -56,9 +54,6 @@
         self.heard, self.cap, self.rest, self.silent, self.loading = now, Cap(), 0, False, 0
         self.report, self.out_then, self.read, self.asked = None, 0, now - LONG, now - LONG
         self.pace, self.silences, self.slot, self.room = 1.0, 0, -1, 0
-        self.update(entry)
-
-    def update(self, entry):
         _, self.zone, self.cell, self.booted, self.usable = entry
 
 
@@ -119,12 +114,10 @@
         part = SLACK / 1e9 / terms.dispatchers
         self.buckets = {name: [1, now, part * quota] for name, quota in terms.quotas.items()}
         self.fleet, self.warm, self.owing, self.out_now, self.spreading = [], 1, {}, 0, None
-        self.cap, self.slow, self.pace = Cap(), 0.0, 1.0
+        self.cap, self.slow, self.pace, self.asked = Cap(), 0.0, 1.0, now - LONG
         self.salt = int(self.chance() * MASK)
-        self.spread_after = self.next_wake = self.next_look = self.next_tidy = self.asked = now
+        self.spread_after = self.next_wake = self.next_look = self.next_tidy = now
         self._wake(now, self.sweep)
-        if terms.asks:
-            self.out.subscribe()
 
     def listed(self, now, entries, whole):
         if whole:
@@ -136,7 +129,7 @@
             if entry.booted != worker.booted:
                 self._forget(worker)
                 worker.rest, worker.cap, worker.silent, worker.pace = 0, Cap(), False, 1.0
-            worker.update(entry)
+            _, worker.zone, worker.cell, worker.booted, worker.usable = entry
         for worker in (w for w in self.fleet if not w.usable):
             self._forget(worker)
         self.fleet = [w for w in self.workers.values() if w.usable]
@@ -171,11 +164,10 @@
                 self.out.probe(worker.id)
         return any(w.read < w.asked > now - self.sweep for w in workers)
 
-    def _beyond_share(self, customer, now):
-        """Whether the customer asks more here than our part of its share."""
-        bucket = self.buckets.get(customer)
-        if not bucket:
+    def _beyond_share(self, customer, now):              # whether it asks more here than our part
+        if customer not in self.buckets:
             return False
+        bucket = self.buckets[customer]
         tokens = min(bucket[0] + (now - bucket[1]) * bucket[2], 1 + bucket[2] * self.target)
         bucket[:2] = tokens - (tokens >= 1), now
         return tokens < 1
@@ -254,9 +246,8 @@
         while fn.held:
             act = fn.held.popleft()
             act.held = False
-            if self.acts.get(act.id) is not act:
-                continue
-            if not self._may_send(act, now) or not act.out and now - act.born > (act.due - act.born) // 2:
+            if (self.acts.get(act.id) is not act or not self._may_send(act, now)
+                    or not act.out and now - act.born > (act.due - act.born) // 2):
                 self._give_up(act, now)
                 continue
             if (act.sends or not stuck) and (spare or not self._lesser(act, now)):
@@ -278,19 +269,15 @@
                 while len(fn.held) > 2 * BACKLOG * len(known) * fn.lanes:
                     self._give_up(fn.held.pop(), now)
                 break
-            if fn.copies and not self._may_spread(fn, now) or not self._add_copy(fn, fn.held[0], now):
+            if fn.copies and not self._may_spread(now) or not self._add_copy(fn, fn.held[0], now):
                 break
-        if fn.tight and fn.copies and not fn.held and now >= fn.pause and self._may_spread(fn, now):
+        if fn.tight and fn.copies and not fn.held and now >= fn.pause and self._may_spread(now):
             fn.tight = not self._add_copy(fn, None, now)
         if not fn.held:
             self.waiting.pop(fn.key, None)
 
-    def _may_spread(self, fn, now):
-        """Further copies push others out, and such loads feed on each other: one at a time."""
-        if now < self.spread_after and (not self.spreading or self.spreading.loading):
-            return False
-        longest = max(self.waiting.values(), default=fn, key=lambda f: len(f.held) / (len(f.copies) or 1))
-        return not fn.held or fn is longest
+    def _may_spread(self, now):   # copies push others out, and such loads feed on each other: one at a time
+        return now >= self.spread_after or self.spreading is not None and not self.spreading.loading
 
     def _lane(self, fn, act, now):
         """The known copy with a free lane on the least loaded worker."""
@@ -317,8 +304,8 @@
         return self.mean * (1 + (pace - 1) * fresh) + len(worker.out) - worker.out_then * fresh
 
     def _wanted(self, fn):           # on how many workers others need it: by our own mix, doubted while new
-        part = (fn.recent - 0.5) / (len(self.recent) + RECENT // 4)
-        return int(SPREAD * len(self.fleet) * part * (1 - 1 / self.dispatchers))
+        others = SPREAD * len(self.fleet) * (1 - 1 / self.dispatchers)
+        return int(others * (fn.recent - 0.5) / (len(self.recent) + RECENT // 4))
 
     def _add_copy(self, fn, act, now):
         """One more copy, on the less loaded of the first two in hash order that hold none. What others need
@@ -340,7 +327,6 @@
             fn.pause = now + int(self.target * LAG)
         if not two or self._probe(two, now):             # placed once they answer, or at the next sweep
             return False
-        # loads within that factor count as equal: dispatchers, each with its own view, then share copies
         worker = two[-1 if TIGHT * self._load(two[-1], now) < self._load(two[0], now) else 0]
         copy = Copy(worker, now)
         if fn.copies:
@@ -349,10 +335,7 @@
         if guess:                                        # another dispatcher's copy may stand there
             fn.held.popleft().held = False
             self._send(act, copy, now)
-        elif not self._order(fn, worker, now):
-            del fn.copies[worker.id]
-            return False
-        return True
+        return guess or self._order(fn, worker, now)
 
     def _open(self, worker, now):
         """Whether the worker may be given anything: listed, neither resting nor silent, within its cap."""
@@ -416,7 +399,7 @@
         worker.loading, self.out_now = worker.loading - send.cold, self.out_now - 1
         if code in NEVER_RAN:
             send.ran = False
-            act.bound = act.bound if any(s.ran for s in act.sends) else None     # the earliest, even if disproved
+            act.bound = act.bound if any(s.ran for s in act.sends) else None     # even if disproved
         self._read(worker, report, now)
         if code not in (ports.TIMED_OUT, ports.CANCELLED, ports.NOT_SENT):
             worker.heard, worker.silent = now, False
@@ -453,7 +436,7 @@
 
     def _pace(self, worker, took, need, now):
         """Caps what a worker holds of ours by how its answers compare with the usual: against crowding."""
-        pace = min((4 * took + self.usual) / (4 * need + self.usual), 8)     # rough hints of light work count less
+        pace = min((4 * took + self.usual) / (4 * need + self.usual), 8)   # rough hints of little count less
         worker.pace, worker.read = worker.pace + (pace - worker.pace) / 8, now
         self.pace += (pace - self.pace) / 64
         worker.cap.answered(worker.pace > CROWDED, len(worker.out), now, now - self.usual)
@@ -498,8 +481,7 @@
             copy = fn.copies.setdefault(worker_id, Copy(worker, now))
             copy.loading, copy.seen = 0, now
         elif copy and copy.loading:
-            del fn.copies[worker_id]
-            copy.loading = 0
+            fn.copies.pop(worker_id).loading = 0
             self._load_failed(fn, now)
         self._flow(fn, now)
 
@@ -538,13 +520,13 @@
         """Who owes answers and gives none gets nothing new; what it holds a second send if it may repeat."""
         if not worker.out:
             del self.owing[worker.id]
-            if worker.silent:
-                worker.silent, worker.silences = False, worker.silences + 1
-                worker.rest, worker.cap.most = now + (self.target << min(worker.silences, 4)), 1.0
+            if worker.silent:                            # tried again later each time, by one send
+                worker.silent, worker.silences, worker.cap.most = False, min(worker.silences + 1, 4), 1.0
+                worker.rest = now + (self.target << worker.silences)
             return
         first = next(iter(worker.out.values()))
-        patience = 6 * (first.act.fn.service or self.usual) + 3 * first.cold * (first.act.fn.load_time or self.target)
-        if now - max(worker.heard, first.at) > max(patience, self.target):
+        fn, load = first.act.fn, 3 * first.cold * (first.act.fn.load_time or self.target)
+        if now - max(worker.heard, first.at) > max(6 * (fn.service or self.usual) + load, self.target):
             worker.silent = True
             for send in list(worker.out.values()):
                 act = send.act
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -1,6 +1,6 @@
 import unittest
 
-from desk import Desk, worker
+from desk import MS, Desk, worker
 from petrelwood import ports
 
 
@@ -69,6 +69,15 @@
         d.at(4000)
         d.end(self)
 
+    def test_window_holds_though_the_first_send_never_ran(self):
+        """Found on ie886b5 (simulated servers): a second send was out when the first was disproved."""
+        d = Desk("disproved", workers="abc", effect=ports.DEDUPLICATED)
+        d.come("x0", lanes=2); first = d.lines[-1][-1]; d.answer("x0", first, note=1)
+        d.come("x1", lanes=2, patience=6000); d.at(1600); second = d.lines[-1][-1]
+        d.answer("x1", first, ports.MISSING); d.at(1700); d.answer("x1", second, ports.ERROR, n=1)
+        d.at(2900)
+        d.end(self)
+
     def test_nothing_new_to_a_worker_that_drains(self):
         d = Desk("drain", workers="ab", self_loading=False)
         d.come("x1"); first = d.lines[-1][-1]
@@ -113,6 +122,18 @@
         d.at(2600)
         d.end(self)
 
+    def test_while_most_answers_are_slow_fewer_are_sent_at_once(self):
+        """Found on i8a87f1 (simulated servers): each of many dispatchers has one or two out, all of them late."""
+        d = Desk("slow_fleet", workers="ab", dispatchers=90)
+        d.come("w", lanes=8); d.at(100); d.answer("w", d.lines[0][-1])
+        for i in range(1, 50):
+            d.come(f"x{i}", lanes=8, patience=1500); d.at(100 * i + 100)
+            for line in [line for line in d.lines if " send " in line and int(line.split()[0]) == d.now // MS - 900]:
+                d.answer(line.split()[2], line[-1], took=900)
+        out = sum(" send " in line for line in d.lines[-14:])
+        d.say(f"{out} sends among the last 14 lines")
+        d.end(self)
+
     def test_time_outs_bring_no_rest(self):
         """Found on i327267 (simulated servers): overload made time-outs, and rests took workers away from it."""
         d = Desk("no_rest", workers="a")
