--- a/petrelwood/brain.py
+++ b/petrelwood/brain.py
@@ -14,13 +14,13 @@
 from petrelwood import ports
 from petrelwood.ports import COMPLETED, NEVER_RAN
 
-SPREAD = 3               # copies of one function for each worker's worth of it, so that no worker lives by it
+SPREAD = 1.5             # copies of one function for each worker's worth of it, so that no worker lives by it
 RECENT = 64              # activations over which a function's part of all is counted
 LIMIT = 0.5              # most copies of one function placed from here: part of the listed workers
 BACKLOG = 1.0            # held activations for each lane before a copy is added
 LAG = 1 / 6              # how long the first must have been held before that, part of the target latency
 SLACK = 1.3              # a customer's share here: so much more than an equal part, as dispatchers differ
-TIGHT = 1.5              # loads within it count as equal, so that dispatchers agree; beyond it a copy is added
+TIGHT = 1.5              # loads within it count as equal, so dispatchers agree; beyond it a copy is added
 CROWDED = 1.8            # a worker is, when its answers take so many times the usual
 SLOTS = 12               # buckets in a ring
 MIX, MASK, LONG = 0x9E3779B1, 0xFFFFFFFF, 1 << 50        # spread the bits of a hash; long ago
