--- a/petrelwood/brain.py
+++ b/petrelwood/brain.py
@@ -14,7 +14,7 @@
 from petrelwood import ports
 from petrelwood.ports import COMPLETED, NEVER_RAN
 
-SPREAD = 1.5             # copies of one function for each worker's worth of it, so that no worker lives by it
+SPREAD = 4               # copies of one function for each worker's worth of it, so that no worker lives by it
 RECENT = 64              # activations over which a function's part of all is counted
 LIMIT = 0.5              # most copies of one function placed from here: part of the listed workers
 BACKLOG = 1.0            # held activations for each lane before a copy is added
@@ -111,8 +111,7 @@
         self.told = self.took = self.target / 8          # mean hint of cost, mean time taken
         self.done, period = Ring(terms.guarantees.cold), terms.orders.period or 1
         self.taken, self.loads = Ring(period), Ring(period)
-        part = SLACK / 1e9 / terms.dispatchers
-        self.buckets = {name: [1, now, part * quota] for name, quota in terms.quotas.items()}
+        self.buckets = {c: [1, now, SLACK / 1e9 / terms.dispatchers * q] for c, q in terms.quotas.items()}
         self.fleet, self.warm, self.owing, self.out_now, self.spreading = [], 1, {}, 0, None
         self.cap, self.slow, self.pace, self.asked = Cap(), 0.0, 1.0, now - LONG
         self.salt = int(self.chance() * MASK)
@@ -269,15 +268,17 @@
                 while len(fn.held) > 2 * BACKLOG * len(known) * fn.lanes:
                     self._give_up(fn.held.pop(), now)
                 break
-            if fn.copies and not self._may_spread(now) or not self._add_copy(fn, fn.held[0], now):
+            if fn.copies and not self._may_spread(fn, now) or not self._add_copy(fn, fn.held[0], now):
                 break
-        if fn.tight and fn.copies and not fn.held and now >= fn.pause and self._may_spread(now):
+        if fn.tight and fn.copies and not fn.held and now >= fn.pause and self._may_spread(fn, now):
             fn.tight = not self._add_copy(fn, None, now)
         if not fn.held:
             self.waiting.pop(fn.key, None)
 
-    def _may_spread(self, now):   # copies push others out, and such loads feed on each other: one at a time
-        return now >= self.spread_after or self.spreading is not None and not self.spreading.loading
+    def _may_spread(self, fn, now):    # copies push others out, such loads feed on each other: one at a time
+        longest = max(self.waiting.values(), default=fn, key=lambda f: len(f.held) / (len(f.copies) or 1))
+        return (not fn.held or fn is longest) and (
+            now >= self.spread_after or self.spreading is not None and not self.spreading.loading)
 
     def _lane(self, fn, act, now):
         """The known copy with a free lane on the least loaded worker."""
@@ -423,8 +424,7 @@
             copy = fn.copies.setdefault(worker.id, copy)
         copy.loading, copy.seen, copy.errors, worker.silences = 0, now, 0, 0
         if note == ports.FOUND_WARM or note == 0 and not send.cold:
-            # lightly loaded workers tell the usual time best, and a jam must not become the usual
-            part = 1 / (64 * (1 + send.ahead) ** 2) / (16 if self.slow > 0.5 else 1)
+            part = 1 / (64 * (1 + send.ahead) ** 2) / (16 if self.slow > 0.5 else 1)    # a jam is not usual
             fn.service = int(fn.service + (took - fn.service) * 8 * part) if fn.service else took
             self.usual = int(self.usual + (took - self.usual) * part)
             if send.act.work:
