An overdue wake is no longer put off by an activation in the same batch

A pending wake now stands until its ring. Holds for any front end whose timers come after its input.

--- a/petrelwood/brain.py
+++ b/petrelwood/brain.py
@@ -115,7 +115,7 @@
         self.fleet, self.warm, self.owing, self.out_now, self.spreading = [], 1, {}, 0, None
         self.cap, self.slow, self.pace, self.asked = Cap(), 0.0, 1.0, now - LONG
         self.salt = int(self.chance() * MASK)
-        self.spread_after = self.next_wake = self.next_look = self.next_tidy = now
+        self.next_wake, self.spread_after, self.next_look, self.next_tidy = LONG << 12, now, now, now
         self._wake(now, self.sweep)
 
     def listed(self, now, entries, whole):
@@ -226,7 +226,7 @@
             self._wake(now, self.sweep)
 
     def _wake(self, now, wait):
-        if not now < self.next_wake <= now + wait:       # a wake that another replaced finds nothing due
+        if self.next_wake > now + wait:                  # an overdue one stands: its ring may follow
             self.next_wake = now + wait
             self.out.wake("sweep", wait)
 
@@ -235,8 +235,7 @@
             for fn in list(self.waiting.values()):
                 self._flow(fn, now, spare)
 
-    def _lesser(self, act, now):
-        """What would be late, or is beyond a share, flows after the rest: fresh work keeps its worth."""
+    def _lesser(self, act, now):    # late, or beyond a share: flows after the rest, as fresh work is worth more
         return act.beyond or now - act.born + self._need(act) > act.type.target_latency
 
     def _flow(self, fn, now, spare=False):
@@ -495,8 +494,9 @@
         self._flow_all(now)
 
     def ring(self, now, mark):
-        if now < self.next_wake:
+        if now < self.next_wake:                         # replaced by an earlier one
             return
+        self.next_wake = LONG << 12
         if now >= self.next_look:
             self._look(now)
         self._flow_all(now)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -54,6 +54,15 @@
         d.brain.left(d.now, "x2"); d.at(4000)
         d.end(self)
 
+    def test_sweeps_go_on_while_activations_come_just_before_each_wake(self):
+        """Found on lugano's overload day (simulated servers): a wake put off again and again lost an activation."""
+        d = Desk("overdue_wake", workers="a")
+        d.come("x0", patience=300); d.come("late", patience=200)
+        for i in range(1, 12):
+            d.now = i * 20 * MS                          # the activation comes first, then what rings by then
+            d.come(f"y{i}"); d.at(i * 20)
+        d.end(self)
+
     def test_once_only_never_again_unless_it_provably_never_ran(self):
         d = Desk("once_only", effect=ports.ONCE_ONLY)
         d.come("x1"); d.answer("x1", d.lines[-1][-1], ports.FULL)
