--- a/petrelwood/brain.py
+++ b/petrelwood/brain.py
@@ -235,7 +235,7 @@
             for fn in list(self.waiting.values()):
                 self._flow(fn, now, spare)
 
-    def _lesser(self, act, now):   # late, or beyond a share: flows after all else, as fresh work is worth more
+    def _lesser(self, act, now):     # late, or beyond a share: flows after all fresh work
         return act.beyond or now - act.born + self._need(act) > act.type.target_latency
 
     def _flow(self, fn, now, spare=False):
