--- /dev/null
+++ b/Makefile
@@ -0,0 +1,17 @@
+# `make demo` plays the bad day, `make test` runs all tests; each does its own set-up.
+PY = .venv/bin/python
+.PHONY: demo test setup
+
+setup: .venv/ready
+
+.venv/ready: requirements.txt pyproject.toml
+	test -x $(PY) || python3 -m venv .venv
+	$(PY) -m pip -q install --disable-pip-version-check -r requirements.txt
+	$(PY) -m pip -q install --disable-pip-version-check --no-deps -e .
+	touch .venv/ready
+
+demo: .venv/ready
+	.venv/bin/petrelwood day bad
+
+test: .venv/ready
+	$(PY) -m unittest discover -s tests -v
--- /dev/null
+++ b/benchmarks/module_pace.py
@@ -0,0 +1,125 @@
+"""What the module alone costs at a dispatcher's pace, and what it rejects there.
+
+    .venv/bin/python benchmarks/module_pace.py [--workers 100] [--rate 900] [--seconds 50] [--seed 1]
+
+One instance; simulated answers of 20 ms + an exponential 200 ms, workers without limit, a load of 300 ms, functions
+with Pareto popularity of shape 1.1, one lane a copy. Prints CPU an activation and how activations ended; with
+`--top` also the rejections of the hottest function, whose copies the design limits.
+"""
+import argparse
+import collections
+import heapq
+import random
+import time
+
+from petrelwood import ports
+from petrelwood.brain import Brain
+
+MS = 1_000_000
+
+
+class Fleet:
+    """Answers what the module sends, in virtual time."""
+
+    def __init__(self, workers, functions, rate, seed, dispatchers=1, load_ms=300):
+        self.now, self.heap, self.n, self.load = 0, [], 0, load_ms * MS
+        self.times, self.arrivals = random.Random(f"{seed}/times"), random.Random(f"{seed}/arrivals")
+        weights = sorted((self.arrivals.paretovariate(1.1) for _ in range(functions)), reverse=True)
+        total, sums = 0.0, []
+        for weight in weights:
+            total += weight
+            sums.append(total)
+        self.sums, self.rate = sums, rate
+        self.stands, self.sends, self.fns, self.ends, self.of = {}, {}, {}, collections.Counter(), collections.Counter()
+        self.cpu, self.handled = 0, 0
+        self.terms = ports.Terms(
+            "", dispatchers, {"plain": ports.NamespaceType(1000 * MS, ports.REPEATABLE, "all", 0)}, {},
+            ports.Guarantees(0, 15_000 * MS, 0.2, 2.0, 3000 * MS),
+            ports.LoadOrders(True, True, 8000 * MS, 0.0, 0.0, 0),
+            ports.Allowed(4, True, True, False, True, 2000 * MS), False, False, 2 * MS)
+        self.brain = Brain(0, self.terms, seed, self)
+        self.brain.listed(0, [ports.Listed(f"10.0.{i // 250}.{i % 250}:1", "", 0, 0, True) for i in range(workers)],
+                          True)
+
+    def at(self, when, *what):
+        self.n += 1
+        heapq.heappush(self.heap, (when, self.n, what))
+
+    def send(self, act, worker, limit):
+        n = self.sends[act] = self.sends.get(act, -1) + 1
+        took = 20 * MS + int(self.times.expovariate(1 / (200 * MS)))
+        stood = self.stands.get((worker, self.fns[act]), self.now + self.load)
+        cold = (worker, self.fns[act]) not in self.stands
+        self.stands[worker, self.fns[act]] = stood
+        took += max(0, stood - self.now)
+        self.at(self.now + took, "answer", act, n, worker, took, ports.BEGAN_LOAD if cold else ports.FOUND_WARM)
+
+    def hold(self, worker, fn, copies):
+        self.stands.setdefault((worker, fn), self.now + self.load)
+        self.at(max(self.now + MS, self.stands[worker, fn]), "stands", worker, fn)
+
+    def reject(self, act, retry_after):
+        self.ends["rejected"] += 1
+        self.of[self.fns.pop(act)] += 1
+
+    def abort(self, act):
+        self.ends["aborted"] += 1
+        self.fns.pop(act)
+
+    def cancel(self, act, n):
+        pass
+
+    def wake(self, mark, wait):
+        self.at(self.now + wait, "ring", mark)
+
+    def tell(self, call, *args):
+        begun = time.process_time_ns()
+        call(self.now, *args)
+        self.cpu += time.process_time_ns() - begun
+
+    def run(self, seconds):
+        due, number, brain, late = 0, 0, self.brain, 0
+        while due < seconds * 1000 * MS or self.fns:
+            if due < seconds * 1000 * MS and (not self.heap or due <= self.heap[0][0]):
+                self.now, number = due, number + 1
+                fn, pick = 0, self.arrivals.random() * self.sums[-1]
+                low, high = 0, len(self.sums) - 1
+                while low < high:
+                    fn = (low + high) // 2
+                    low, high = (fn + 1, high) if self.sums[fn] < pick else (low, fn)
+                self.fns[f"a{number}"] = low
+                self.tell(brain.activation, f"a{number}", low, "plain", "", due + 2500 * MS, 1, 0, 0)
+                due += int(self.arrivals.expovariate(self.rate) * 1e9)
+                continue
+            self.now, _, (what, *args) = heapq.heappop(self.heap)
+            if what == "ring":
+                self.tell(brain.ring, *args)
+            elif what == "stands":
+                self.tell(brain.stands, *args, ports.COMPLETED, 1)
+            else:
+                act, n, worker, took, note = args
+                if self.fns.pop(act, None) is not None:
+                    self.ends["completed"] += 1
+                    late += took > 1000 * MS
+                self.tell(brain.answer, act, n, worker, ports.COMPLETED, note, True, took, None)
+        return number
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
+    for name, value in (("workers", 100), ("rate", 900), ("seconds", 50), ("functions", 2000), ("seed", 1),
+                        ("dispatchers", 1)):
+        parser.add_argument(f"--{name}", type=int, default=value)
+    parser.add_argument("--top", action="store_true")
+    o = parser.parse_args()
+    fleet = Fleet(o.workers, o.functions, o.rate, o.seed, o.dispatchers)
+    number = fleet.run(o.seconds)
+    print(f"{o.workers} workers, {o.rate} a second, {number} activations: {fleet.cpu / number / 1000:.0f} us of CPU "
+          f"each; " + ", ".join(f"{k} {v / number:.1%}" for k, v in sorted(fleet.ends.items())))
+    if o.top:
+        print("rejections of the hottest functions:", fleet.of.most_common(5), "of all",
+              sum(fleet.of.values()))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/petrelwood/cli/__main__.py
@@ -0,0 +1,5 @@
+import sys
+
+from petrelwood.cli.main import main
+
+sys.exit(main())
--- /dev/null
+++ b/petrelwood/cli/main.py
@@ -0,0 +1,215 @@
+"""`petrelwood`: one command with sub-commands. Exit 2 with one clear line where what was given is wrong."""
+import asyncio
+import base64
+import json
+import pathlib
+import secrets
+import sys
+import tempfile
+import time
+
+import click
+
+from petrelwood.settings.document import BadFile
+
+EXAMPLES = {
+    "serve": "petrelwood serve gateway.kdl",
+    "worker": "petrelwood worker bad --name w1 --store 127.0.3.1:7000 --listen 127.0.1.1:7100",
+    "sign": "petrelwood sign --key whsec_... --id msg_1 body.json",
+    "verify": "petrelwood verify --key whsec_... --id msg_1 --timestamp 1764600000 --signature 'v1,...' body.json",
+    "day": "petrelwood day bad --seed 3 --json result.json",
+    "audit": "petrelwood audit runs/bad-3",
+}
+
+
+class Address(click.ParamType):
+    name = "HOST:PORT"
+
+    def convert(self, value, param, ctx):
+        if isinstance(value, tuple):
+            return value
+        host, _, port = value.rpartition(":")
+        if not host or not port.isdigit() or int(port) > 65535:
+            self.fail(f"'{value}' is no address like 127.0.0.1:8080", param, ctx)
+        return host.strip("[]"), int(port)
+
+
+def command(group, name):
+    """A sub-command whose help ends with an example."""
+    return group.command(name, epilog=f"Example: {EXAMPLES[name]}" if name in EXAMPLES else None)
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 110})
+@click.version_option(package_name="petrelwood", prog_name="petrelwood")
+def cli():
+    """A gateway that runs calls on workers which load functions or models on demand, and its tools."""
+
+
+@command(cli, "serve")
+@click.argument("file", type=click.Path(dir_okay=False))
+@click.option("--log", type=click.Choice(["json", "text"]), default="json", show_default=True)
+@click.option("--level", type=click.Choice(["debug", "info", "warning", "error"]), default="info", show_default=True)
+def serve(file, log, level):
+    """Runs one dispatcher with the settings in FILE (KDL) until SIGTERM."""
+    from petrelwood.cli.logs import open_log
+    from petrelwood.dispatch import serve as server
+    from petrelwood.settings import gateway
+    described = gateway.read(file)
+    sys.exit(server.run(described, open_log(log, level, dispatcher=described.name)))
+
+
+def _standin(function):
+    for option in (click.option("--seed", type=int, default=1, show_default=True),
+                   click.option("--records", type=click.Path(file_okay=False), default="",
+                                help="where to write what it saw"),
+                   click.option("--listen", type=Address(), default="127.0.0.1:0", show_default=True),
+                   click.argument("day")):
+        function = option(function)
+    return function
+
+
+def _day(name):
+    from petrelwood.emulate import script
+    return script.read(script.find(name))
+
+
+def _folder(path):
+    if path:
+        pathlib.Path(path).mkdir(parents=True, exist_ok=True)
+    return path
+
+
+@command(cli, "worker")
+@_standin
+@click.option("--name", required=True)
+@click.option("--store", type=Address(), required=True)
+@click.option("--booted", type=int, default=0, help="wall-clock start, ns; 0: long ago, and warm")
+def worker(day, listen, records, seed, name, store, booted):
+    """A stand-in worker as DAY describes it. The day's first second comes on standard input."""
+    from petrelwood.standins import worker as standin
+    asyncio.run(standin.serve(_day(day), name, listen, store, _folder(records), booted, seed))
+
+
+@command(cli, "store")
+@_standin
+def store(day, listen, records, seed):
+    """A stand-in store of models."""
+    from petrelwood.standins import store as standin
+    asyncio.run(standin.serve(_day(day), listen, _folder(records)))
+
+
+@command(cli, "roster")
+@_standin
+def roster(day, listen, records, seed):
+    """A stand-in roster; news of workers comes on standard input, a JSON object a line."""
+    from petrelwood.standins import roster as standin
+    asyncio.run(standin.serve(_day(day), listen, _folder(records)))
+
+
+@command(cli, "portal")
+@click.argument("day")
+@click.option("--plan", type=click.Path(exists=True, dir_okay=False), required=True,
+              help="JSON: start, seed, dispatchers' addresses, customers' keys")
+@click.option("--records", type=click.Path(file_okay=False), default="")
+def portal(day, plan, records):
+    """A stand-in portal: signs and sends the traffic of DAY."""
+    from petrelwood.settings import gateway
+    from petrelwood.standins import portal as standin
+    told, described = json.loads(pathlib.Path(plan).read_text()), _day(day)
+    timeouts, repeatable = {}, set()
+    for node in described.terms.every("namespace-type"):
+        name, type_, timeout, _ = gateway._type(node)
+        timeouts[name] = timeout / 1e9
+        if type_.effect == "repeatable":
+            repeatable.add(name)
+    keys = {c: [(s, bytes.fromhex(k)) for s, k in pairs] for c, pairs in told["keys"].items()}
+    asyncio.run(standin.serve(
+        described, {n: tuple(a) for n, a in told["dispatchers"].items()}, keys, timeouts, repeatable,
+        _folder(records), told["start"], told["seed"], tell=lambda c: print(json.dumps(c), flush=True)))
+
+
+def _signing_key(text):
+    prefix, _, rest = text.partition("_")
+    schemes = {"whsec": "v1", "whsk": "v1a", "whpk": "v1a"}
+    try:
+        return schemes[prefix], base64.b64decode(rest, validate=True)
+    except (KeyError, ValueError):
+        raise click.BadParameter("a key is whsec_..., whsk_... (private) or whpk_... (public), in base64") from None
+
+
+@command(cli, "sign")
+@click.argument("body", type=click.File("rb"))
+@click.option("--key", required=True, help="whsec_... or an Ed25519 private key whsk_...")
+@click.option("--id", "id_", default="", help="the webhook-id; drawn if not given")
+@click.option("--timestamp", type=int, default=0, help="seconds; now if not given")
+def sign(body, key, id_, timestamp):
+    """Signs BODY ('-' for standard input) and prints the three headers."""
+    from petrelwood.fronts import signing
+    scheme, raw = _signing_key(key)
+    if key.startswith("whpk_"):
+        raise click.BadParameter("a public key can't sign; whsk_ is the private one")
+    id_, timestamp = id_ or f"msg_{secrets.token_hex(12)}", timestamp or int(time.time())
+    click.echo(f"webhook-id: {id_}\nwebhook-timestamp: {timestamp}\n"
+               f"webhook-signature: {signing.sign(scheme, raw, id_, timestamp, body.read())}")
+
+
+@command(cli, "verify")
+@click.argument("body", type=click.File("rb"))
+@click.option("--key", required=True, multiple=True, help="whsec_... or whpk_...; may be given several times")
+@click.option("--id", "id_", required=True)
+@click.option("--timestamp", type=int, required=True)
+@click.option("--signature", required=True, help="the whole webhook-signature header")
+def verify(body, key, id_, timestamp, signature):
+    """Whether a signature of BODY holds under one of the keys: exit 0 or 1."""
+    from petrelwood.fronts import signing
+    held = signing.Verifier([_signing_key(k) for k in key]).holds(signature, id_, timestamp, body.read())
+    click.echo("it holds" if held else "no signature holds")
+    sys.exit(0 if held else 1)
+
+
+@command(cli, "day")
+@click.argument("name")
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--json", "result", type=click.Path(dir_okay=False), help="also write the result here")
+@click.option("--folder", type=click.Path(file_okay=False), help="keep logs and records here")
+@click.option("--quiet", is_flag=True, help="no live progress")
+def day(name, seed, result, folder, quiet):
+    """Plays a day with real processes on loopback and judges it: exit 0 only if every rule held."""
+    from petrelwood.cli import show
+    from petrelwood.lab import day as lab
+    described = _day(name)
+    with tempfile.TemporaryDirectory(prefix="petrelwood-") as own:
+        where = pathlib.Path(folder or own)
+        if folder and where.exists() and any(where.iterdir()):
+            raise click.BadParameter(f"{folder} is not empty", param_hint="--folder")
+        where.mkdir(parents=True, exist_ok=True)
+        with show.progress(described, quiet) as tell:
+            run = lab.Run(described, seed, where, tell)
+            try:
+                asyncio.run(run.play())
+            except lab.DayFailed as fault:
+                raise click.ClickException(str(fault)) from None
+        sys.exit(show.verdict(run.case(), described, seed, result))
+
+
+@command(cli, "audit")
+@click.argument("folder", type=click.Path(exists=True, file_okay=False))
+@click.option("--day", "name", default="bad", show_default=True, help="the day that was played")
+@click.option("--json", "result", type=click.Path(dir_okay=False))
+def audit(folder, name, result):
+    """Judges a played day again, from the records that `petrelwood day --folder FOLDER` kept."""
+    from petrelwood.cli import show
+    from petrelwood.lab import day as lab
+    described = _day(name)
+    sys.exit(show.verdict(lab.case_of(folder, described), described, None, result))
+
+
+def main():
+    try:
+        cli(prog_name="petrelwood", standalone_mode=True)
+    except BadFile as fault:
+        click.echo(f"petrelwood: {fault}", err=True)
+        return 2
+    except KeyboardInterrupt:
+        return 130
+    return 0
--- /dev/null
+++ b/petrelwood/decide/duty.py
@@ -0,0 +1,117 @@
+"""The book of what is owed: each activation taken gets exactly one final answer, in time.
+
+It knows the sends of each activation that are still out, who waits for the answer, and when it is due. The
+dispatcher tells it what happened; it says what follows. What it closes can't be closed again, whoever asks: a
+second answer for the same activation is counted as a fault and goes nowhere.
+"""
+import heapq
+
+from petrelwood.decide import ledger as led
+
+
+class Owed:
+    """One activation. `waiting` are the fronts' exchanges: each one gets the answer."""
+    __slots__ = ("id", "key", "customer", "type", "came", "due", "sends", "out", "waiting", "body", "fn", "lanes",
+                 "number")
+
+    def __init__(self, id_, key, ask, due, fn, lanes, body, number):
+        self.id, self.key, self.due, self.number = id_, key, due, number
+        self.customer, self.type, self.came = ask.customer, ask.type, ask.came
+        self.fn, self.lanes, self.body = fn, lanes, body
+        self.sends, self.out, self.waiting = 0, set(), []
+
+
+    def __lt__(self, other):
+        return self.number < other.number
+
+
+class Duty:
+    """Times in ns."""
+
+    def __init__(self, intake, ledger, prefix=""):
+        self.intake, self.ledger, self.prefix, self.acts, self.by_key = intake, ledger, prefix, {}, {}
+        self.ends, self.last = [], 0
+        self.counts = {"taken": 0, led.COMPLETED: 0, led.REJECTED: 0, led.ABORTED: 0, led.LEFT: 0,
+                       "overdue": 0, "twice": 0, "joined": 0, "defects": 0}
+
+    def take(self, now, key, ask, due, fn, lanes, body, waiter):
+        """A new activation, from an `intake.Ask` whose verdict was TAKE."""
+        self.last += 1
+        act = Owed(f"{self.prefix}{self.last}", key, ask, due, fn, lanes, body, self.last)
+        act.waiting.append((waiter, due))
+        self.acts[act.id] = self.by_key[key] = act
+        self.ledger.entries[key].act = act.id
+        heapq.heappush(self.ends, (due, act.number, act))
+        self.intake.took(ask.customer)
+        self.counts["taken"] += 1
+        return act
+
+    def join(self, now, key, due, waiter):
+        """A retry waits for the answer of the try that runs; False where there is none to wait for."""
+        act = self.by_key.get(key)
+        if act is None:
+            return False
+        act.waiting.append((waiter, due))
+        heapq.heappush(self.ends, (due, act.number, act))
+        self.counts["joined"] += 1
+        return True
+
+    def sent(self, act_id):
+        """The number of the send that goes out now; None where the activation has ended: nothing may follow."""
+        act = self.acts.get(act_id)
+        if act is None:
+            return None
+        n, act.sends = act.sends, act.sends + 1
+        act.out.add(n)
+        return n
+
+    def returned(self, act_id, n):
+        """A send has ended. Whether it was out and its activation still owes an answer."""
+        act = self.acts.get(act_id)
+        if act is None or n not in act.out:
+            return False
+        act.out.remove(n)
+        return True
+
+    def left(self, now, act_id, waiter):
+        """A client went. 'end' where nobody waits any more and the activation need not go on."""
+        act = self.acts.get(act_id)
+        if act is None:
+            return None
+        act.waiting = [pair for pair in act.waiting if pair[0] is not waiter]
+        if act.waiting or self.ledger.outlives_client(act.type):
+            return None
+        return "end"
+
+    def end(self, now, act_id, outcome, body=None):
+        """Closes an activation; its waiters, or None where it was closed before."""
+        act = self.acts.pop(act_id, None)
+        if act is None:
+            self.counts["twice"] += 1
+            return None
+        if self.by_key.get(act.key) is act:
+            del self.by_key[act.key]
+        self.counts[outcome] += 1
+        self.intake.ended(act.customer, now - act.came)
+        self.ledger.ended(act.key, outcome, body, act.sends > 0)
+        return act
+
+    def next_due(self):
+        while self.ends and self.ends[0][2].id not in self.acts:
+            heapq.heappop(self.ends)
+        return self.ends[0][0] if self.ends else None
+
+    def overdue(self, now):
+        """What is out of time: (activation, waiters to be answered apart, whether the activation itself is)."""
+        found = []
+        while self.ends and self.ends[0][0] <= now:
+            act = heapq.heappop(self.ends)[2]
+            if act.id not in self.acts:
+                continue
+            if now >= act.due:
+                found.append((act, [], True))
+                continue
+            late = [waiter for waiter, due in act.waiting if due <= now]
+            act.waiting = [pair for pair in act.waiting if pair[1] > now]
+            found.append((act, late, False))
+        return found
--- /dev/null
+++ b/petrelwood/decide/membership.py
@@ -0,0 +1,131 @@
+"""What this dispatcher has been told of workers: the list, its gaps, and each worker's lives.
+
+The roster sends a whole list or changes, each with an id that grows. A change that does not follow the one before
+means that something was missed: the list is then asked for anew. A worker's start is told as wall-clock time and
+turned into this dispatcher's own clock once a life, so that a stepped clock makes no new life of it.
+"""
+from typing import NamedTuple
+
+from petrelwood import ports
+from petrelwood.decide.comeback import Comeback
+
+USABLE, DRAINING, GONE = "usable", "draining", "gone"
+
+
+class Entry(NamedTuple):
+    """One worker as the roster tells it."""
+    worker: str
+    address: tuple         # (host, port)
+    zone: str
+    cell: int
+    booted: int            # wall-clock ns of its start; 0: long ago
+    state: str
+
+
+class Member:
+    def __init__(self, entry, booted):
+        self.entry, self.booted, self.told = entry, booted, 0     # told: when it was first said to be leaving
+
+
+class Membership:
+    """`told` hands the module's own shape on: (entries, whole). Times in ns of our clock unless said otherwise."""
+
+    def __init__(self, lost_after, first_wait, chance):
+        self.members, self.epoch, self.number = {}, None, 0
+        self.lost_after, self.heard, self.lost = lost_after, 0, False
+        self.comeback = Comeback(first_wait, 64 * first_wait, chance)
+
+    @property
+    def resume(self):
+        """The id to resume after, or None for a whole list."""
+        return None if self.epoch is None else f"{self.epoch}-{self.number}"
+
+    def forget(self):
+        """Something was missed: nothing to resume after, the whole list is wanted."""
+        self.epoch, self.number = None, 0
+
+    def event(self, id_):
+        """'next' where it follows what we have, 'old' where we have it, 'gap' where something was missed."""
+        epoch, _, number = id_.rpartition("-")
+        if not number.isdigit():
+            return "gap"
+        if epoch != self.epoch:
+            return "gap"
+        if int(number) <= self.number:
+            return "old"
+        return "next" if int(number) == self.number + 1 else "gap"
+
+    def alive(self, now):
+        """Bytes came from the roster. Whether this ends a time without it."""
+        was, self.heard, self.lost = self.lost, now, False
+        self.comeback.succeeded()
+        return was
+
+    def silent(self, now):
+        """Whether the list has just been lost: said once for each time."""
+        if self.lost or now - self.heard < self.lost_after:
+            return False
+        self.lost = True
+        return True
+
+    def whole(self, id_, entries, now, wall):
+        """Takes a whole list; (listed entries for the module, workers that are leaving or gone)."""
+        self.epoch, _, number = id_.rpartition("-")
+        self.number = int(number)
+        named = {e.worker for e in entries}
+        leaving = [w for w, m in self.members.items() if w not in named and m.entry.state == USABLE]
+        for worker in [w for w in self.members if w not in named]:
+            del self.members[worker]
+        listed, more = self._take(entries, now, wall)
+        return listed, leaving + more
+
+    def change(self, id_, entries, now, wall):
+        """Takes changes that follow; the same pair."""
+        self.number = int(id_.rpartition("-")[2])
+        return self._take(entries, now, wall)
+
+    def _take(self, entries, now, wall):
+        listed, leaving = [], []
+        for entry in entries:
+            member = self.members.get(entry.worker)
+            if member is None or member.entry.booted != entry.booted:
+                age = max(0, wall - entry.booted)
+                was = member
+                member = self.members[entry.worker] = Member(entry, max(1, now - age) if entry.booted else 0)
+                if was is not None and was.entry.state == USABLE and entry.state == USABLE:
+                    member.told = 0
+            if entry.state == USABLE:
+                member.told = 0
+            elif not member.told:
+                member.told = now
+                leaving.append(entry.worker)
+            member.entry = entry
+            listed.append(ports.Listed(entry.worker, entry.zone, entry.cell, member.booted, entry.state == USABLE))
+            if entry.state == GONE:
+                del self.members[entry.worker]
+        return listed, leaving
+
+    def usable(self, worker):
+        member = self.members.get(worker)
+        return member is not None and member.entry.state == USABLE
+
+    def address(self, worker):
+        member = self.members.get(worker)
+        return member.entry.address if member else None
+
+
+def entry(raw):
+    """An `Entry` of what a roster sent; ValueError tells what is wrong with it."""
+    if not isinstance(raw, dict):
+        raise ValueError("an entry must be an object")
+    try:
+        host, _, port = raw["address"].rpartition(":")
+        made = Entry(raw["worker"], (host, int(port)), raw.get("zone") or "", int(raw.get("cell") or 0),
+                     int(raw.get("booted") or 0), raw["state"])
+    except (KeyError, ValueError, TypeError, AttributeError) as fault:
+        raise ValueError(f"an entry lacks or garbles {fault}") from None
+    if not isinstance(made.worker, str) or not made.worker or not isinstance(made.zone, str) or not host:
+        raise ValueError("an entry's worker, zone and address must be text")
+    if made.state not in (USABLE, DRAINING, GONE):
+        raise ValueError(f"an entry's state can't be {made.state!r}")
+    return made
--- /dev/null
+++ b/petrelwood/dispatch/core.py
@@ -0,0 +1,301 @@
+"""The running dispatcher: tells the module what happens and carries out what it decides.
+
+    front -> signature -> intake (room, retry or replay, patience) -> duty -> module -> link -> worker
+
+and back. One loop, one module. What happens while the module is being told of something is told after that, in
+order: the module is never entered twice. A defect ends the activations it touched with an abort, never the others.
+"""
+import asyncio
+import time
+import traceback
+from collections import deque
+from random import Random
+
+from petrelwood import ports
+from petrelwood.brain import Brain
+from petrelwood.decide import intake as stage
+from petrelwood.decide import ledger as led
+from petrelwood.decide.duty import Duty
+from petrelwood.decide.intake import Intake
+from petrelwood.decide.ledger import Ledger
+from petrelwood.decide.membership import Membership
+from petrelwood.links.roster import RosterLink
+from petrelwood.links.worker import WorkerLink
+
+CHECK = 0.05               # seconds between looks at links and lines that are not at rest
+MOST_IN_A_TURN = 10_000    # what follows from what, before the loop is let go on
+
+
+class Dispatcher:
+    """One dispatcher on the running loop. It is the module's `ports.Outlet`."""
+
+    def __init__(self, gateway, log, brain=Brain):
+        chance = Random(gateway.seed)
+        self.gateway, self.log, self.name, self.loop = gateway, log, gateway.name, asyncio.get_running_loop()
+        self.limits, self.terms, start = gateway.limits, gateway.terms, time.monotonic_ns()
+        self.ledger = Ledger(self.limits.ledger, self.limits.results, gateway.tolerance, self.terms.types,
+                             gateway.remember, time.time_ns())
+        self.intake = Intake(self.limits, gateway.timeouts, self.terms, self.ledger, chance.random)
+        self.duty = Duty(self.intake, self.ledger, f"{self.name}-{time.time_ns() // 1000:x}-")
+        self.membership = Membership(self.terms.orders.keep, gateway.workers.connect_within, chance.random)
+        self.roster = RosterLink(gateway.roster, self.membership, 4 * gateway.workers.connect_within, self, log)
+        self.links, self.flying, self.busy, self.inbox, self.telling, self.touched = {}, {}, {}, deque(), False, None
+        self.brain = brain(start, self.terms, gateway.seed, self)
+        self.chance, self.due_timer, self.due_at, self.checks, self.fronts = chance, None, 0, None, []
+        self.listed_once = asyncio.Event()
+        self.counts = {"sends": 0, "orders": 0, "probes": 0, "refused_by_guard": 0}
+
+    # Time.
+    now = staticmethod(time.monotonic_ns)
+
+    async def sleep_until(self, when):
+        await asyncio.sleep(max(0, when - self.now()) / 1e9)
+
+    def open(self):
+        self.roster.open()
+        self.checks = self.loop.call_later(CHECK, self._check)
+
+    def _check(self):
+        self.checks = self.loop.call_later(CHECK, self._check)
+        now = self.now()
+        for link in list(self.busy):
+            if not link.check(now):
+                self.busy.pop(link, None)
+        for front in self.fronts:
+            front.check(now)
+        if self.membership.silent(now):
+            self.log.warning("the list of workers is lost")
+            self.roster.drop()
+            self.soon(self._tell_brain, "list_lost")
+
+    def active(self, link):
+        self.busy[link] = True
+
+    # One thing after the other.
+    def soon(self, call, *args):
+        """Does it now, or after what is being done."""
+        self.inbox.append((call, args))
+        if not self.telling:
+            self._drain()
+
+    def _drain(self):
+        self.telling = True
+        try:
+            for _ in range(MOST_IN_A_TURN):
+                if not self.inbox:
+                    break
+                call, args = self.inbox.popleft()
+                self.touched = set()
+                try:
+                    call(*args)
+                except Exception as fault:
+                    self.defect(getattr(call, "__name__", "call"), fault, args)
+        finally:
+            self.telling = False
+        if self.inbox:
+            self.loop.call_soon(self._drain)
+
+    def _tell_brain(self, what, *args):
+        getattr(self.brain, what)(self.now(), *args)
+
+    def defect(self, where, fault, args=()):
+        """Ends what the failed call had touched, and goes on."""
+        touched = (self.touched or set()) | {a for a in args if isinstance(a, str) and a in self.duty.acts}
+        at = traceback.extract_tb(fault.__traceback__)[-1]
+        self.duty.counts["defects"] += 1
+        self.log.error("defect", where=where, at=f"{at.filename}:{at.lineno}", fault=repr(fault),
+                       aborted=len(touched))
+        for act_id in sorted(touched):
+            if act_id in self.duty.acts:
+                self._finish(act_id, led.ABORTED, why="a defect in the dispatcher")
+                try:
+                    self.brain.left(self.now(), act_id)
+                except Exception as second:
+                    self.log.error("defect", where="left", fault=repr(second), act=act_id)
+
+    # From the fronts.
+    def ask(self, ask, function, rule, body, exchange):
+        self.soon(self._ask, ask, function, rule, body, exchange)
+
+    def _ask(self, ask, function, rule, body, exchange):
+        now, key = self.now(), (ask.customer, ask.id)
+        verdict = self.intake.ask(now, time.time_ns(), ask)
+        if verdict.what == stage.JOIN:
+            act = self.duty.by_key.get(key)
+            if act is not None and self.duty.join(now, key, verdict.due, exchange):
+                exchange.act = act.id
+                self._arm()
+                return
+            exchange.answer(stage.ABORT, why="an earlier try may have run and must not run again")
+        elif verdict.what == stage.TAKE:
+            act = self.duty.take(now, key, ask, verdict.due, function, rule.lanes, body, exchange)
+            exchange.act = act.id
+            self.touched.add(act.id)
+            self._arm()
+            self.brain.activation(now, act.id, function, ask.type, ask.customer, verdict.due, rule.lanes, 0,
+                                  rule.load_time)
+        else:
+            exchange.answer(verdict.what, verdict.body, verdict.retry_after, verdict.why)
+
+    def left(self, act_id, exchange):
+        """The client of an exchange hung up."""
+        self.soon(self._left, act_id, exchange)
+
+    def _left(self, act_id, exchange):
+        if self.duty.left(self.now(), act_id, exchange) == "end":
+            self.duty.end(self.now(), act_id, led.LEFT)
+            self.brain.left(self.now(), act_id)
+
+    def _finish(self, act_id, outcome, body=None, retry_after=0, why=""):
+        act = self.duty.end(self.now(), act_id, outcome, body)
+        if act is None:
+            self.log.error("a second final answer was held back", act=act_id, outcome=outcome)
+            return
+        for exchange, _ in act.waiting:
+            exchange.answer(outcome, body or b"", retry_after, why, act.id)
+
+    # Deadlines.
+    def _arm(self):
+        due = self.duty.next_due()
+        if due is None or self.due_timer is not None and self.due_at <= due:
+            return
+        if self.due_timer is not None:
+            self.due_timer.cancel()
+        self.due_at = due
+        self.due_timer = self.loop.call_later(max(0, due - self.now()) / 1e9, self._due)
+
+    def _due(self):
+        self.due_timer = None
+        for act, late, whole in self.duty.overdue(self.now()):
+            if whole:
+                self.soon(self._out_of_time, act.id)
+            for exchange in late:
+                exchange.answer(led.ABORTED, why="the first try still runs", act=act.id)
+        self._arm()
+
+    def _out_of_time(self, act_id):
+        """Its sends time out, of which the module makes an answer; if it does not, there is one all the same."""
+        act = self.duty.acts.get(act_id)
+        if act is None:
+            return
+        for n in sorted(act.out):
+            self.links[self.flying[act_id, n]].late(act_id, n)
+        self.soon(self._overdue, act_id)
+
+    def _overdue(self, act_id):
+        if act_id in self.duty.acts:
+            self.duty.counts["overdue"] += 1
+            self.log.error("overdue", act=act_id, sends=self.duty.acts[act_id].sends)
+            self._finish(act_id, led.ABORTED, why="out of time")
+            self.brain.left(self.now(), act_id)
+
+    # From the links.
+    def returned(self, act_id, n, worker, code, note, body, at, gauge):
+        now = self.now()
+        self.flying.pop((act_id, n), None)
+        owing = self.duty.returned(act_id, n)
+        if owing and code == ports.COMPLETED:
+            self._finish(act_id, led.COMPLETED, body)
+        self.touched.add(act_id)
+        self.brain.answer(now, act_id, n, worker, code, note, act_id not in self.duty.acts, now - at, gauge)
+
+    def held(self, worker, fn, code, copies):
+        self.brain.stands(self.now(), worker, fn, code, copies)
+
+    def probed(self, worker, code, gauge):
+        self.brain.probed(self.now(), worker, code, gauge)
+
+    def listed(self, entries, leaving, whole):
+        self.soon(self._listed, entries, leaving, whole)
+
+    def _listed(self, entries, leaving, whole):
+        for worker in leaving:
+            if worker in self.links:
+                self.links[worker].recall()
+        for entry in entries:
+            link, address = self.links.get(entry.worker), self.membership.address(entry.worker)
+            if link is not None and address is not None and link.address != address:
+                link.give_up("the worker has moved")
+                link.address = address
+            if link is None and entry.usable:
+                self.links[entry.worker] = WorkerLink(entry.worker, address, self.gateway.workers,
+                                                      self.chance.random, self, self.log)
+        self.brain.listed(self.now(), entries, whole)
+        for worker in [w for w, link in self.links.items() if w not in self.membership.members and not link.owes()]:
+            self.links.pop(worker).give_up("it has left the list")
+        self.listed_once.set()
+
+    # The module's outlet.
+    def send(self, act, worker, limit):
+        self.touched.add(act)
+        owed = self.duty.acts.get(act)
+        n = self.duty.sent(act)
+        if n is None:
+            self.log.error("a send after the final answer was held back", act=act, worker=worker)
+            return
+        now, link = self.now(), self.links.get(worker)
+        if link is None or not self.membership.usable(worker):
+            self.counts["refused_by_guard"] += 1
+            self.soon(self.returned, act, n, worker, ports.NOT_SENT, 0, b"", now, None)
+            return
+        self.counts["sends"] += 1
+        self.flying[act, n] = worker
+        link.run(act, n, owed.fn, f"{owed.key[0]}/{owed.key[1]}", owed.due - now, owed.lanes, owed.body)
+
+    def reject(self, act, retry_after):
+        self.touched.add(act)
+        wait = self.intake.come_back(retry_after) if retry_after else 0
+        self._finish(act, led.REJECTED, retry_after=wait)
+
+    def abort(self, act):
+        self.touched.add(act)
+        self._finish(act, led.ABORTED)
+
+    def cancel(self, act, n):
+        worker = self.flying.get((act, n))
+        if worker is not None:
+            self.links[worker].cancel(act, n)
+
+    def hold(self, worker, fn, copies):
+        link, rule = self.links.get(worker), self.gateway.rule(fn)
+        if link is None or not self.membership.usable(worker):
+            self.counts["refused_by_guard"] += 1
+            self.soon(self.held, worker, fn, ports.NOT_SENT, 0)
+            return
+        self.counts["orders"] += 1
+        link.hold(fn, rule.lanes, copies)
+
+    def probe(self, worker):
+        self.counts["probes"] += 1
+        if worker in self.links:
+            self.links[worker].probe()
+        else:
+            self.soon(self.probed, worker, ports.NO_CONNECTION, None)
+
+    def wake(self, mark, wait):
+        self.loop.call_later(wait / 1e9, self.soon, self._ring, mark)
+
+    def _ring(self, mark):
+        self.brain.ring(self.now(), mark)
+
+    def subscribe(self):
+        """The roster pushes: there is nothing to ask for."""
+
+    # The end.
+    async def close(self):
+        """Takes nothing new, answers all that is owed, and ends."""
+        self.intake.closing = True
+        for front in self.fronts:
+            front.stop()
+        while self.duty.acts:
+            await asyncio.sleep(CHECK / 5)
+        for front in self.fronts:
+            front.close_idle()
+        self.roster.close()
+        self.checks.cancel()
+        await asyncio.sleep(CHECK)
+
+    def figures(self):
+        """What is counted, for logs and tests."""
+        return {**self.duty.counts, **self.counts, "held": self.intake.held,
+                "ledger": dict(self.ledger.counts), "ids": len(self.ledger.entries)}
--- /dev/null
+++ b/petrelwood/emulate/machine.py
@@ -0,0 +1,363 @@
+"""A model of a worker: cores, lanes, copies that lapse, memory, loads, a queue, cold starts, and bad behaviour.
+
+Activations at work share the cores; more than the cores bear make it less efficient. A worker that has just started
+does part of its work, rising evenly, and falls over when it is sent too much for too long. Times in ns, sizes in
+bytes, work in ns of one core at speed 1.
+"""
+from collections import OrderedDict, deque
+from typing import NamedTuple
+
+
+class Build(NamedTuple):
+    """What a worker is made of."""
+    cores: int
+    speed: float
+    memory: int
+    loads: int             # at a time; twice as many wait
+    queue: int             # activations that wait for a lane or a load
+    keep: int              # an idle copy lapses after that
+    cold: int
+    cold_from: float
+    fall_multiple: float   # 0: it never falls over
+    fall: int
+    thrash: float          # for each activation at work beyond the cores
+    eager: bool            # starts another copy by itself when all lanes are taken
+    loads_on_send: bool
+    start_share: float     # of a load's time, spent on the start; the rest is the fetch
+
+
+class Model(NamedTuple):
+    """One function's model."""
+    name: str
+    lanes: int
+    size: int
+    load_time: int         # the usual time of a load
+
+
+class Job:
+    __slots__ = ("model", "work", "left", "done", "due", "copy", "came", "note", "where")
+
+    def __init__(self, model, work, due, done, came):
+        self.model, self.work, self.left, self.due, self.done = model, work, float(work), due, done
+        self.copy, self.came, self.note, self.where = None, came, 1, "new"
+
+
+class Copy:
+    __slots__ = ("model", "busy", "idle_since", "release", "stale")
+
+    def __init__(self, model, now, release):
+        self.model, self.busy, self.idle_since, self.release, self.stale = model, 0, now, release, False
+
+
+class Machine:
+    """`fetch(size, done)` gets bytes from the store. A job ends by `done(word, note)`, word 'ok', 'full',
+    'missing', 'late' or 'cancelled'; a hold by `done(word, copies)`."""
+
+    def __init__(self, clock, build, fetch, chance, booted=0):
+        self.clock, self.build, self.fetch, self.chance, self.booted = clock, build, fetch, chance, booted
+        self.copies, self.loading, self.load_queue, self.queue, self.at_work = {}, {}, deque(), {}, {}
+        self.waiting, self.images, self.releases, self.used = 0, OrderedDict(), {}, 0
+        self.slowness, self.paused_until, self.hung, self.fallen = 1.0, 0, False, False
+        self.seen, self.timer, self.window, self.holds = clock.now(), None, deque(), []
+        self.counts = {"ran": 0, "loads": 0, "failed_loads": 0, "refused": 0, "evicted": 0}
+
+    # How much it can do.
+    def capacity(self):
+        """Cores' worth of speed-1 work a second, now."""
+        if self.fallen:
+            return 0.0
+        part = 1.0
+        age = self.clock.now() - self.booted
+        if self.booted and age < self.build.cold:
+            part = self.build.cold_from + (1 - self.build.cold_from) * age / self.build.cold
+        return self.build.cores * self.build.speed * part / self.slowness
+
+    def _rate(self):
+        n = len(self.at_work)
+        if not n or self.clock.now() < self.paused_until or self.hung:
+            return 0.0
+        over = max(0, n - self.build.cores)
+        return min(1.0, self.build.cores / n) * self.capacity() / self.build.cores / (1 + self.build.thrash * over)
+
+    def _move(self):
+        now = self.clock.now()
+        begun = max(self.seen, self.paused_until)
+        if now > begun and self.at_work and not self.hung:
+            done = (now - begun) * self._rate()
+            for job in self.at_work.values():
+                job.left -= done
+        self.seen = now
+
+    def _next(self):
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        if self.at_work and not self.hung and not self.fallen:
+            now = self.clock.now()
+            if now < self.paused_until:
+                self.timer = self.clock.at(self.paused_until, self._moved)
+                return
+            rate = self._rate() or 1e-9
+            left = max(0.0, min(job.left for job in self.at_work.values()))
+            wait = int(left / rate) + 1000
+            if self.booted and now - self.booted < self.build.cold:
+                wait = min(wait, self.build.cold // 64)  # its pace changes meanwhile
+            self.timer = self.clock.at(now + wait, self._moved)
+
+    def _moved(self):
+        self.timer = None
+        self._move()
+        for job in [j for j in self.at_work.values() if j.left <= 1]:
+            self._over(job, "ok")
+        self._next()
+
+    # Activations.
+    def run(self, model, work, due, done):
+        """Takes one; the job, by which it can be cancelled, or None where it was turned away at once."""
+        now = self.clock.now()
+        self._arrived(work, now)
+        job = Job(model, work, due, done, now)
+        if self.fallen:
+            return None                                  # it answers nothing any more
+        copy = self._free(model)
+        if copy is not None:
+            self._begin(job, copy)
+            return job
+        if self.waiting >= self.build.queue:
+            self.counts["refused"] += 1
+            done("full", 0)
+            return None
+        stands = self.copies.get(model.name) or model.name in self.loading
+        if not stands and not self.build.loads_on_send:
+            done("missing", 0)
+            return None
+        if not stands or self.build.eager and not self._comes(model):
+            began = self._load(model)
+            if not began and not stands:
+                self.counts["refused"] += 1
+                done("full", 0)
+                return None
+            job.note = 2 if began else 3
+        elif model.name in self.loading:
+            job.note = 3
+        self.queue.setdefault(model.name, deque()).append(job)
+        job.where = "queue"
+        self.waiting += 1
+        return job
+
+    def _comes(self, model):
+        coming = self.loading.get(model.name, 0) * model.lanes
+        return coming > len(self.queue.get(model.name, ()))
+
+    def _arrived(self, work, now):
+        if not self.booted or not self.build.fall_multiple or now - self.booted >= self.build.cold:
+            return
+        self.window.append((now, work))
+        while self.window and now - self.window[0][0] > self.build.fall:
+            self.window.popleft()
+        able = self.capacity() * self.build.fall
+        asked = sum(work for _, work in self.window)
+        if now - self.booted > self.build.fall and asked > self.build.fall_multiple * able * 1.25:
+            self.fallen = True
+
+    def _free(self, model):
+        """A copy with a free lane; the busiest first, so that others may lapse."""
+        free = [c for c in self.copies.get(model.name, ()) if c.busy < model.lanes and not c.stale]
+        return max(free, key=lambda c: c.busy, default=None)
+
+    def _begin(self, job, copy):
+        self._move()
+        job.copy, copy.busy, job.where = copy, copy.busy + 1, "work"
+        self.at_work[id(job)] = job
+        self.counts["ran"] += 1
+        self._next()
+
+    def _over(self, job, word):
+        del self.at_work[id(job)]
+        copy, job.where = job.copy, "over"
+        copy.busy -= 1
+        copy.idle_since = self.clock.now()
+        if not copy.busy:
+            if copy.stale:
+                self._unload(copy)
+            else:
+                self.clock.at(copy.idle_since + self.build.keep, self._lapse, copy, copy.idle_since)
+        self._serve(job.model)
+        job.done(word, job.note)
+
+    def _serve(self, model):
+        waits = self.queue.get(model.name)
+        while waits:
+            copy = self._free(model)
+            if copy is None:
+                return
+            job = waits.popleft()
+            self.waiting -= 1
+            if self.clock.now() >= job.due:              # what is out of time is not begun
+                job.where = "over"
+                job.done("late", 0)
+                continue
+            self._begin(job, copy)
+        if waits is not None and not waits:
+            self.queue.pop(model.name, None)
+
+    def cancel(self, job, stops_work):
+        """Ends a job where the worker can: what waits is dropped, what runs only where that is its way."""
+        if job.where == "queue":
+            waits = self.queue.get(job.model.name)
+            if waits and job in waits:
+                waits.remove(job)
+                self.waiting -= 1
+                job.where = "over"
+                job.done("cancelled", 0)
+        elif job.where == "work" and stops_work:
+            self._move()
+            self._over(job, "cancelled")
+            self._next()
+
+    # Copies.
+    def hold(self, model, count, done):
+        """At least so many copies; those that stand begin their idle time anew."""
+        now = self.clock.now()
+        stand = [c for c in self.copies.get(model.name, ()) if not c.stale]
+        for copy in stand:
+            if not copy.busy and count:
+                copy.idle_since = now
+                self.clock.at(now + self.build.keep, self._lapse, copy, now)
+        missing = count - len(stand) - self.loading.get(model.name, 0)
+        if missing <= 0:
+            if len(stand) >= count:
+                done("ok", len(stand))
+            else:
+                self._tell_later(model, count, done)
+            return
+        for _ in range(missing):
+            if not self._load(model):
+                done("full", len(stand))
+                return
+        self._tell_later(model, count, done)
+
+    def _tell_later(self, model, count, done):
+        self.holds.append((model.name, count, done))
+
+    def _holds_told(self, model, failed):
+        left = []
+        for name, count, done in self.holds:
+            stand = len([c for c in self.copies.get(name, ()) if not c.stale])
+            if name != model.name:
+                left.append((name, count, done))
+            elif stand >= count:
+                done("ok", stand)
+            elif failed or not self.loading.get(name):
+                done("error", stand)
+            else:
+                left.append((name, count, done))
+        self.holds = left
+
+    def _load(self, model):
+        """Begins or queues a load; whether there was room for it."""
+        if sum(self.loading.values()) >= 3 * self.build.loads or not self._room(model.size):
+            return False
+        self.used += model.size
+        self.loading[model.name] = self.loading.get(model.name, 0) + 1
+        self.load_queue.append(model)
+        self._loads()
+        return True
+
+    def _loads(self):
+        while self.load_queue and sum(self.loading.values()) - len(self.load_queue) < self.build.loads:
+            model = self.load_queue.popleft()
+            release = self.releases.get(model.name, 0)
+            start = int(model.load_time * self.build.start_share)
+            if self.images.get(model.name) == release:
+                self.images.move_to_end(model.name)
+                self.clock.at(self.clock.now() + start, self._loaded, model, release, True)
+            else:
+                self.fetch(model.size, lambda ok, m=model, r=release, s=start: self.clock.at(
+                    self.clock.now() + (s if ok else 0), self._loaded, m, r, ok))
+
+    def _loaded(self, model, release, ok):
+        self.loading[model.name] -= 1
+        if not self.loading[model.name]:
+            del self.loading[model.name]
+        if ok:
+            self.counts["loads"] += 1
+            self.images[model.name] = release
+            while len(self.images) > 256:
+                self.images.popitem(last=False)
+            copy = Copy(model, self.clock.now(), release)
+            copy.stale = release != self.releases.get(model.name, 0)
+            if copy.stale:
+                self.used -= model.size
+            else:
+                self.copies.setdefault(model.name, []).append(copy)
+                self.clock.at(copy.idle_since + self.build.keep, self._lapse, copy, copy.idle_since)
+                self._serve(model)
+        else:
+            self.counts["failed_loads"] += 1
+            self.used -= model.size
+        if not self.copies.get(model.name) and model.name not in self.loading:
+            for job in self.queue.pop(model.name, ()):
+                self.waiting -= 1
+                job.where = "over"
+                job.done("missing", 4)
+        self._holds_told(model, not ok)
+        self._loads()
+
+    def _room(self, size):
+        """Unloads idle copies, the one idle longest first, until there is room."""
+        if size > self.build.memory:
+            return False
+        while self.used + size > self.build.memory:
+            idle = [c for copies in self.copies.values() for c in copies if not c.busy]
+            if not idle:
+                return False
+            self.counts["evicted"] += 1
+            self._unload(min(idle, key=lambda c: c.idle_since))
+        return True
+
+    def _unload(self, copy):
+        copies = self.copies.get(copy.model.name, [])
+        if copy in copies:
+            copies.remove(copy)
+            self.used -= copy.model.size
+            if not copies:
+                del self.copies[copy.model.name]
+
+    def _lapse(self, copy, since):
+        if not copy.busy and copy.idle_since == since:
+            self._unload(copy)
+
+    def release(self, names):
+        """These functions are released anew: their copies and images are void, those at work when they are done."""
+        for name in names:
+            self.releases[name] = self.releases.get(name, 0) + 1
+            self.images.pop(name, None)
+            for copy in list(self.copies.get(name, ())):
+                copy.stale = True
+                if not copy.busy:
+                    self._unload(copy)
+
+    # Bad behaviour.
+    def slow(self, times):
+        self._move()
+        self.slowness = times
+        self._next()
+
+    def pause(self, length):
+        self._move()
+        self.paused_until = max(self.paused_until, self.clock.now() + length)
+        self._next()
+
+    def hang(self, on):
+        self._move()
+        self.hung = on
+        self._next()
+
+    def gauge(self):
+        """The load report: the fields that the module reads."""
+        busy = sum(c.model.size for copies in self.copies.values() for c in copies if c.busy)
+        loading = self.used - sum(c.model.size for copies in self.copies.values() for c in copies)
+        return {"running": len(self.at_work), "waiting": self.waiting,
+                "cores": min(1.0, len(self.at_work) / self.build.cores),
+                "pinned": (busy + loading) / self.build.memory, "loads": sum(self.loading.values())}
--- /dev/null
+++ b/petrelwood/emulate/script.py
@@ -0,0 +1,195 @@
+"""A day as a script in KDL: the platform, its traffic, and what goes wrong when.
+
+    day "NAME" { length "26s"; rate 120 ... }      the platform and the traffic
+    terms { ... }                                  what each gateway's file says, word for word
+    trouble "KIND" at="5s" ...                     one trouble each
+
+`TROUBLES` names every kind, what it takes and what it does.
+"""
+import hashlib
+import pathlib
+from typing import NamedTuple
+
+from petrelwood.emulate.machine import Build, Model
+from petrelwood.settings import document as doc
+
+SECOND = 1_000_000_000
+OWN = pathlib.Path(__file__).parent.parent / "lab" / "days"
+
+# kind -> (properties it takes besides at=, what it does)
+TROUBLES = {
+    "release": ({"part": doc.share}, "so many of the functions are released anew: their copies and images are void"),
+    "roster-late": ({"for": doc.duration, "by": doc.duration}, "the roster runs so much later"),
+    "roster-lost": ({"for": doc.duration}, "the roster closes its streams and takes none"),
+    "drain": ({"worker": doc.text, "for": doc.duration}, "a worker is announced as draining, then as usable again"),
+    "hang": ({"worker": doc.text, "for": doc.duration}, "a worker takes calls and answers nothing"),
+    "slow": ({"worker": doc.text, "for": doc.duration, "times": doc.number}, "a worker is so many times slower"),
+    "pause": ({"worker": doc.text, "for": doc.duration}, "a worker stands still"),
+    "reset": ({"worker": doc.text}, "a worker resets its connections in the middle of answers"),
+    "restart": ({"worker": doc.text, "down": doc.duration}, "a worker is killed and comes back cold"),
+    "silent-accept": ({"worker": doc.text, "for": doc.duration}, "a worker accepts connections and says nothing"),
+    "garbage": ({"worker": doc.text}, "a worker sends what is no message, once, on each connection"),
+    "store-stop": ({"for": doc.duration}, "the store stops"),
+    "replays": ({"for": doc.duration, "part": doc.share}, "old requests are sent again word for word"),
+    "forgeries": ({"for": doc.duration, "part": doc.share}, "requests come with a wrong signature"),
+    "slow-senders": ({"for": doc.duration, "count": doc.count}, "connections that send a byte now and then"),
+    "overuse": ({"customer": doc.text, "for": doc.duration, "times": doc.number}, "a customer asks so many times more"),
+    "burst": ({"for": doc.duration, "times": doc.number}, "all traffic is so many times more"),
+    "kill": ({"dispatcher": doc.text, "down": doc.duration}, "a dispatcher is killed outright and started again"),
+    "stop": ({"dispatcher": doc.text, "down": doc.duration}, "a dispatcher is told to end, and started again"),
+}
+
+
+class Trouble(NamedTuple):
+    kind: str
+    at: int
+    span: int              # ns; 0: it has none
+    what: dict             # its other properties
+
+
+class Kind(NamedTuple):
+    """A family of functions in the traffic."""
+    prefix: str
+    type: str
+    count: int
+    part: float            # of all activations
+    zipf: float
+    work: int              # ns of one core, the mean
+    lanes: int
+    size: int
+    load_time: int
+    customers: tuple       # those that call it; all if empty
+
+    def model(self, name):
+        """The model of one function: sizes differ, the same for everyone who asks."""
+        turn = 0.5 + int(hashlib.sha256(name.encode()).hexdigest()[:6], 16) / 0xFFFFFF
+        return Model(name, self.lanes, int(self.size * turn), int(self.load_time * turn))
+
+
+class Client(NamedTuple):
+    name: str
+    part: float            # of all activations
+    share: float           # activations a second that it is entitled to; 0: no share is kept
+    patience: int          # s, as Prefer: wait tells it; 0: not told
+    retries: int
+    honours: float         # the part of Retry-After hints that it follows
+    impatient: float       # the part that hangs up early
+
+
+class Day(NamedTuple):
+    file: str
+    name: str
+    length: int
+    settle: int            # after the last arrival
+    rate: float
+    dispatchers: tuple     # names
+    halls: tuple
+    workers: tuple         # (name, hall, cell)
+    build: Build
+    store: dict
+    roster_late: int
+    stops_work: bool       # a cancel stops running work
+    kinds: tuple
+    clients: tuple
+    troubles: tuple
+    terms: object          # the document node whose children go into each gateway's file
+
+    def kind(self, function):
+        for kind in self.kinds:
+            if function.startswith(kind.prefix):
+                return kind
+        return None
+
+    def released(self, part, seed):
+        """The functions that a release of that part renews: the same everywhere."""
+        names = [f"{k.prefix}{i}" for k in self.kinds for i in range(k.count)]
+        mark = [(hashlib.sha256(f"{seed}/{n}".encode()).hexdigest(), n) for n in names]
+        return [n for _, n in sorted(mark)[:round(part * len(names))]]
+
+
+def find(name):
+    """The file of a day: a path, or the name of one that the project brings."""
+    path = pathlib.Path(name)
+    if path.suffix == ".kdl" or path.exists():
+        return path
+    own = OWN / f"{name}.kdl"
+    if not own.exists():
+        names = sorted(p.stem for p in OWN.glob("*.kdl"))
+        raise doc.BadFile(name, 0, f"there is no such day{doc.meant(name, names)}")
+    return own
+
+
+def _trouble(node, day_length, workers, dispatchers, customers):
+    kind = node.arg(doc.one_of(*TROUBLES), "a kind")
+    takes = TROUBLES[kind][0]
+    at, span = node.prop("at", doc.duration), node.prop("for", doc.duration) if "for" in takes else 0
+    what = {name: node.prop(name, read) for name, read in takes.items() if name != "for"}
+    node.done(1)
+    if at > day_length:
+        raise node.bad(f"'{kind}' begins after the day's end")
+    for name, known in (("worker", workers), ("dispatcher", dispatchers), ("customer", customers)):
+        if name in what and what[name] not in known:
+            raise node.bad(f"there is no {name} '{what[name]}'{doc.meant(what[name], sorted(known))}")
+    return Trouble(kind, at, span, what)
+
+
+def _kind(node):
+    made = Kind(node.arg(doc.text, "a prefix"), node.prop("type", doc.text), node.prop("count", doc.count),
+                node.prop("part", doc.share), node.prop("zipf", doc.number, 1.1), node.prop("work", doc.duration),
+                node.prop("lanes", doc.count, 1), node.prop("size", doc.size), node.prop("load-time", doc.duration),
+                tuple(c.arg(doc.text, "a customer") for c in node.every("customer")))
+    node.done(1)
+    return made
+
+
+def _client(node):
+    made = Client(node.arg(doc.text, "a name"), node.prop("part", doc.share), node.prop("share", doc.number, 0),
+                  node.prop("patience", doc.count, 0), node.prop("retries", doc.count, 1),
+                  node.prop("honours", doc.share, 1.0),
+                  node.prop("impatient", doc.share, 0.0))
+    node.done(1)
+    return made
+
+
+def read(path):
+    """The day that a file describes. Raises `document.BadFile`."""
+    file = doc.File(path)
+    node, fleet, terms = file.child("day"), file.child("fleet"), file.child("terms")
+    length, count = node.value("length", doc.duration), node.value("dispatchers", doc.count)
+    dispatchers = tuple(f"d{i + 1}" for i in range(count))
+    halls = node.child("halls")
+    names = tuple(halls.arg(doc.text, "a hall", at=i) for i in range(len(halls.args)))
+    if not names:
+        raise halls.bad("'halls' needs a name")
+    many, cell = fleet.value("workers", doc.count), fleet.value("cell", doc.count, 4) or 1
+    workers = tuple((f"w{i + 1}", names[i % len(names)], 1 + i % len(names) * 1000 + i // len(names) // cell)
+                    for i in range(many))
+    bound = terms.child("workers")
+    cold, fall = bound.child("cold"), bound.child("fall")
+    build = Build(fleet.value("cores", doc.count), fleet.value("speed", doc.number, 1.0),
+                  fleet.value("memory", doc.size), fleet.value("loads", doc.count, 4),
+                  fleet.value("queue", doc.count, 60), bound.value("keep", doc.duration),
+                  cold.arg(doc.duration, "a time"), cold.prop("from", doc.share),
+                  fall.prop("multiple", doc.number), fall.arg(doc.duration, "a time"),
+                  fleet.value("thrash", doc.number, 0.02), fleet.value("eager", doc.yes, False),
+                  bound.value("on-miss", doc.text) == "load", fleet.value("start-share", doc.share, 0.5))
+    stops_work = fleet.value("cancel-stops-work", doc.yes, False)
+    fleet.done()
+    shelf = file.child("store")
+    store = {"pace": shelf.value("pace", doc.size), "takes": shelf.value("takes", doc.count, 8),
+             "thrash": shelf.value("thrash", doc.number, 0.05)}
+    shelf.done()
+    kinds = tuple(_kind(n) for n in file.every("functions"))
+    clients = tuple(_client(n) for n in file.every("client"))
+    if not kinds or not clients:
+        raise file.bad("a day needs 'functions' and a 'client'")
+    customers = {c.name for c in clients}
+    troubles = tuple(_trouble(n, length, {w[0] for w in workers}, set(dispatchers), customers)
+                     for n in file.every("trouble"))
+    day = Day(str(path), node.arg(doc.text, "a name"), length, node.value("settle", doc.duration, 6 * SECOND),
+              node.value("rate", doc.number), dispatchers, names, workers, build, store,
+              node.value("roster-late", doc.duration, 0), stops_work, kinds, clients,
+              tuple(sorted(troubles, key=lambda t: (t.at, t.kind))), terms)
+    node.done(1)
+    file.done()
+    return day
--- /dev/null
+++ b/petrelwood/fronts/__init__.py
@@ -0,0 +1,1 @@
+"""How activations come in: protocol names end here."""
--- /dev/null
+++ b/petrelwood/fronts/webhook.py
@@ -0,0 +1,301 @@
+"""The webhook front: Standard Webhooks on HTTP/1.1, `POST /hooks/CUSTOMER/FUNCTION`.
+
+A connection reads ahead a few requests (pipelining); each begins at once, answers leave in the order of the requests.
+Wrong requests end here with a problem document; rightly signed ones go to the core, whose answer comes back through
+`Exchange.answer`, once. `Prefer: wait=N` (RFC 7240) tells the client's patience in seconds.
+"""
+import socket
+import time
+from collections import deque
+
+import httptools
+from tornado.concurrent import Future
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.netutil import bind_sockets
+from tornado.tcpserver import TCPServer
+
+from petrelwood.decide import intake as stage
+from petrelwood.fronts import problem
+from petrelwood.fronts.signing import Verifier
+
+SECOND = 1_000_000_000
+READ = 65_536
+TAKEN_TYPES = (b"application/json", b"application/octet-stream", b"text/plain")
+STATUS = {stage.GIVE: 200, stage.CONFLICT: 409, stage.ABORT: 504, stage.SPENT: 409}
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+class Exchange:
+    """One request and the room for its one answer."""
+    __slots__ = ("line", "url", "headers", "body", "head_size", "came", "reply", "last", "act", "method", "refused")
+
+    def __init__(self, line, came):
+        self.line, self.url, self.headers, self.body, self.head_size = line, b"", {}, [], 0
+        self.came, self.reply, self.last, self.act, self.method, self.refused = came, None, False, None, b"", None
+
+    def answer(self, what, body=b"", retry_after=0, why="", act=None):
+        """The final answer, from the core: 'completed', 'rejected', 'aborted' or a verdict of the intake."""
+        if what in ("completed", stage.GIVE):
+            self.respond(200, body, b"application/json", act=act)
+        elif what in ("rejected", stage.REFUSE):
+            status = 429 if why == stage.OVER_PART else 503
+            self.fail(status, why or "turned away; trying again does no harm", act, retry_after)
+        elif what == "aborted":
+            self.fail(504, why or "no answer in time, or none that proves anything", act)
+        else:
+            self.fail(STATUS[what], why, act)
+
+    def fail(self, status, detail, act=None, retry_after=0, last=False):
+        self.respond(status, problem.document(status, detail, act), b"application/problem+json", act, retry_after,
+                     last)
+
+    def respond(self, status, body, kind, act=None, retry_after=0, last=False):
+        if self.reply is not None:
+            return
+        self.last = self.last or last
+        head = [b"HTTP/1.1 %d %s\r\nContent-Type: %s\r\nContent-Length: %d\r\n" % (
+            status, problem.TITLES[status].encode(), kind, len(body))]
+        if act:
+            head.append(b"Activation-Id: %s\r\n" % act.encode())
+        if retry_after:
+            head.append(b"Retry-After: %d\r\n" % -(-retry_after // SECOND))
+        if self.last:
+            head.append(b"Connection: close\r\n")
+        self.reply = b"".join(head) + b"\r\n" + body
+        self.line.flush()
+
+
+class Line:
+    """One connection. It is also what httptools calls back."""
+
+    def __init__(self, front, stream, peer):
+        self.front, self.stream, self.peer = front, stream, peer
+        self.limits, self.waiting, self.now = front.limits, deque(), None
+        self.parser, self.closing, self.reading, self.over = httptools.HttpRequestParser(self), False, True, False
+        self.deadline = time.monotonic_ns() + self.limits.head_within
+        stream.set_close_callback(self.gone)
+
+    async def serve(self):
+        try:
+            while not self.closing:
+                data = await self.stream.read_bytes(READ, partial=True)
+                try:
+                    self.parser.feed_data(data)
+                except httptools.HttpParserUpgrade:
+                    self._wrong(400, "no other protocol is spoken here")
+                except httptools.HttpParserError as fault:
+                    self._wrong(400, f"not HTTP/1.1: {fault}")
+                if len(self.waiting) > self.limits.pipeline:
+                    self.reading = False
+                while not self.reading and not self.closing:
+                    await self.front.room(self)
+        except StreamClosedError:
+            pass
+
+    def _wrong(self, status, detail):
+        """The rest of the connection can't be understood: one answer, then it ends."""
+        self.closing = True
+        if self.now is None:
+            self.now = Exchange(self, time.monotonic_ns())
+            self.waiting.append(self.now)
+        self.now.fail(status, detail, last=True)
+
+    # What httptools calls, in the order of the bytes.
+    def on_message_begin(self):
+        now = time.monotonic_ns()
+        self.now = Exchange(self, now)
+        self.waiting.append(self.now)
+        self.deadline = now + self.limits.head_within
+
+    def on_url(self, url):
+        self.now.url += url
+        self._grew(len(url))
+
+    def on_header(self, name, value):
+        self._grew(len(name) + len(value) + 4)
+        name = name.lower()
+        if name in self.now.headers:
+            value = self.now.headers[name] + (b" " if name == b"webhook-signature" else b", ") + value
+        self.now.headers[name] = value
+
+    def _grew(self, size):
+        self.now.head_size += size
+        if self.now.head_size > self.limits.header and self.now.refused is None:
+            self.now.refused = (431, "the head is too large")
+
+    def on_headers_complete(self):
+        now, headers = self.now, self.now.headers
+        now.method = self.parser.get_method()
+        self.deadline = time.monotonic_ns() + self.limits.body_within
+        length = headers.get(b"content-length", b"0")
+        if now.refused is None and length.isdigit() and int(length) > self.limits.body:
+            now.refused = (413, f"the body may hold {self.limits.body} bytes")
+        if now.refused is not None:
+            now.fail(*now.refused, last=True)
+        elif headers.get(b"expect", b"").lower() == b"100-continue" and len(self.waiting) == 1:
+            self.stream.write(CONTINUE)
+
+    def on_body(self, data):
+        now = self.now
+        now.head_size = 0 if not now.body else now.head_size
+        now.body.append(data)
+        now.head_size += len(data)
+        if now.head_size > self.limits.body and now.reply is None:
+            now.fail(413, f"the body may hold {self.limits.body} bytes", last=True)
+
+    def on_message_complete(self):
+        exchange, self.now = self.now, None
+        self.deadline = 0
+        exchange.last = exchange.last or not self.parser.should_keep_alive()
+        if exchange.reply is None:
+            self.front.handle(exchange)
+
+    def flush(self):
+        """Writes the answers that are ready, in the order of the requests."""
+        out = []
+        while self.waiting and self.waiting[0].reply is not None:
+            exchange = self.waiting.popleft()
+            out.append(exchange.reply)
+            if exchange.last:                            # what was sent after it is not answered
+                self.closing = True
+                self._drop()
+        if out and not self.stream.closed():
+            done = self.stream.write(b"".join(out))
+            done.add_done_callback(self._written)
+        if not self.waiting and not self.closing and self.now is None:
+            self.deadline = time.monotonic_ns() + self.limits.idle
+        if not self.reading and len(self.waiting) <= self.limits.pipeline // 2 or self.closing:
+            self.reading = True
+            self.front.wake(self)
+
+    def _written(self, done):
+        if done.exception() is None and self.closing and not self.waiting:
+            self.stream.close()
+
+    def slow(self, now):
+        """Asked now and then: a sender that is too slow, or idle too long, is closed."""
+        if not self.deadline or now < self.deadline:
+            return
+        if self.now is not None:
+            self._wrong(408, "the request came too slowly")
+        elif not self.waiting:
+            self.stream.close()
+
+    def gone(self):
+        self.over = self.closing = True
+        self.front.lines.discard(self)
+        self.front.wake(self)
+        self._drop()
+
+    def _drop(self):
+        """Nobody waits on this connection any more."""
+        dropped, self.waiting = self.waiting, deque()
+        for exchange in dropped:
+            if exchange.act is not None and exchange.reply is None:
+                self.front.core.left(exchange.act, exchange)
+
+
+class Webhooks(TCPServer):
+    """The listener. `core` takes what is signed rightly: `dispatch.core.Dispatcher`."""
+
+    def __init__(self, gateway, core, log):
+        super().__init__(max_buffer_size=2 * READ)
+        self.gateway, self.core, self.limits, self.log = gateway, core, gateway.limits, log
+        self.verifiers = {name: Verifier(c.keys) for name, c in gateway.customers.items()}
+        self.lines, self.rooms, self.rules = set(), {}, {}
+        self.counts = {}
+
+    def open(self, address):
+        sockets = bind_sockets(address[1], address[0], family=socket.AF_UNSPEC, reuse_port=False)
+        self.add_sockets(sockets)
+        return sockets[0].getsockname()[:2]
+
+    def _count(self, what):
+        self.counts[what] = self.counts.get(what, 0) + 1
+
+    async def handle_stream(self, stream: IOStream, address):
+        if len(self.lines) >= self.limits.connections:
+            self._count("connections refused")
+            stream.close()
+            return
+        stream.set_nodelay(True)
+        line = Line(self, stream, address)
+        self.lines.add(line)
+        await line.serve()
+
+    def room(self, line):
+        self.rooms[line] = future = Future()
+        return future
+
+    def wake(self, line):
+        future = self.rooms.pop(line, None)
+        if future is not None and not future.done():
+            future.set_result(None)
+
+    def check(self, now):
+        for line in list(self.lines):
+            line.slow(now)
+
+    def close_idle(self):
+        """At the end: lines on which nothing is owed are closed."""
+        for line in list(self.lines):
+            if not line.waiting:
+                line.stream.close()
+
+    def handle(self, exchange):
+        """A whole request: who, what, and whether the signature holds; then the core."""
+        status, detail, ask, rule, function = self._read(exchange)
+        if status:
+            self._count(str(status))
+            exchange.fail(status, detail)
+            return
+        self.core.ask(ask, function, rule, b"".join(exchange.body), exchange)
+
+    def _read(self, x):
+        headers = x.headers
+        parts = x.url.split(b"?", 1)[0].split(b"/")
+        if len(parts) != 4 or parts[1] != b"hooks":
+            return 404, "activations are posted to /hooks/CUSTOMER/FUNCTION", None, None, None
+        if x.method != b"POST":
+            return 405, "activations are posted", None, None, None
+        try:
+            customer, function = parts[2].decode("ascii"), parts[3].decode("ascii")
+        except UnicodeDecodeError:
+            return 404, "customer and function are plain ASCII", None, None, None
+        verifier = self.verifiers.get(customer)
+        kind = headers.get(b"content-type", b"application/octet-stream").split(b";")[0].strip().lower()
+        if kind not in TAKEN_TYPES:
+            return 415, f"a body may be {', '.join(t.decode() for t in TAKEN_TYPES)}", None, None, None
+        id_, stamp = headers.get(b"webhook-id"), headers.get(b"webhook-timestamp")
+        signature = headers.get(b"webhook-signature")
+        if not id_ or not stamp or not signature:
+            return 400, "webhook-id, webhook-timestamp and webhook-signature are needed", None, None, None
+        if len(id_) > 256 or not stamp.isdigit() or len(stamp) > 12 or not id_.isascii():
+            return 400, "webhook-id or webhook-timestamp is malformed", None, None, None
+        wall, seconds = time.time_ns(), int(stamp)
+        if abs(wall - seconds * SECOND) > self.gateway.tolerance:
+            return 400, "webhook-timestamp is too far from this clock", None, None, None
+        text = id_.decode("ascii")
+        if verifier is None or not verifier.holds(signature.decode("latin-1"), text, seconds, b"".join(x.body)):
+            return 401, "no signature holds", None, None, None
+        rule = self.rules.get(function)
+        if rule is None:
+            rule = self.gateway.rule(function)
+            if rule is None:
+                return 404, f"there is no function '{function[:80]}'", None, None, None
+            if len(self.rules) < 100_000:
+                self.rules[function] = rule
+        wait = patience_of(headers.get(b"prefer", b""))
+        if wait is None:
+            return 400, "Prefer: wait=N takes whole seconds, 1 or more", None, None, None
+        return 0, "", stage.Ask(customer, text, seconds * SECOND, rule.type, x.came, wait * SECOND), rule, function
+
+
+def patience_of(header):
+    """Seconds of `wait` in a Prefer header (RFC 7240); 0 if it has none, None if it is malformed."""
+    for part in header.replace(b";", b",").split(b","):
+        name, equals, value = part.strip().partition(b"=")
+        if name.strip().lower() == b"wait":
+            value = value.strip().strip(b'"')
+            return int(value) if equals and value.isdigit() and 0 < int(value) < 1 << 31 else None
+    return 0
--- /dev/null
+++ b/petrelwood/lab/day.py
@@ -0,0 +1,260 @@
+"""Plays a day with real processes on loopback: a store, workers, a roster, dispatchers, a portal.
+
+The runner is the day's operator: it starts and kills processes, tells the roster, and hands the records to the audit.
+Each process listens on a loopback address of its own, so that one that comes back finds its port free.
+"""
+import asyncio
+import base64
+import json
+import os
+import pathlib
+import random
+import signal
+import sys
+import time
+
+import ckdl
+from cryptography.hazmat.primitives import serialization
+from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
+
+from petrelwood.audit import rules
+from petrelwood.settings import gateway as settings
+
+START_WITHIN = 60          # seconds for a process to be ready, on a busy machine
+LEAD = 1_500_000_000       # ns between the last process's readiness and the day's first second
+
+
+class DayFailed(Exception):
+    """The day could not be played; `str()` tells why."""
+
+
+class Process:
+    def __init__(self, name, args, folder):
+        self.name, self.args, self.folder, self.child, self.address = name, args, folder, None, None
+
+    async def start(self):
+        log = open(self.folder / f"{self.name}.log", "ab")
+        self.child = await asyncio.create_subprocess_exec(
+            *self.args, stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE, stderr=log)
+        log.close()
+        try:
+            line = await asyncio.wait_for(self.child.stdout.readline(), START_WITHIN)
+            host, _, port = json.loads(line)["ready"].rpartition(":")
+        except (asyncio.TimeoutError, ValueError, KeyError):
+            tail = (self.folder / f"{self.name}.log").read_text(errors="replace").strip().splitlines()[-3:]
+            raise DayFailed(f"{self.name} did not start: {' | '.join(tail) or 'it said nothing'}") from None
+        self.address = host, int(port)
+        return self.address
+
+    def tell(self, message):
+        self.child.stdin.write(json.dumps(message).encode() + b"\n")
+
+    async def kill(self):
+        self.child.kill()
+        await self.child.wait()
+
+    async def stop(self, within=15):
+        if self.child is None or self.child.returncode is not None:
+            return
+        self.child.send_signal(signal.SIGTERM)
+        try:
+            await asyncio.wait_for(self.child.wait(), within)
+        except asyncio.TimeoutError:
+            await self.kill()
+
+
+class Run:
+    """One play of a day in a folder. `program` starts one of our commands; `dispatcher` one that serves a file."""
+
+    def __init__(self, day, seed, folder, tell=None, program=None, dispatcher=None):
+        self.day, self.seed, self.folder, self.tell = day, seed, pathlib.Path(folder), tell or (lambda *_: None)
+        self.program = program or [sys.executable, "-m", "petrelwood.cli"]
+        self.dispatcher = dispatcher or [*self.program, "serve"]
+        self.records = self.folder / "records"
+        self.records.mkdir(parents=True, exist_ok=True)
+        self.log = open(self.records / "operator.jsonl", "ab", buffering=0)
+        self.processes, self.workers, self.dispatchers, self.booted = [], {}, {}, {}
+        self.zones = {name: (hall, cell) for name, hall, cell in day.workers}
+        self.tasks, self.keys, self.roster, self.store = [], {}, None, None
+        self.chance = random.Random(f"{seed}/keys")
+
+    def put(self, what, **fields):
+        self.log.write(json.dumps({"t": what, "at": time.monotonic_ns(), "who": "operator", **fields}).encode() + b"\n")
+
+    def process(self, name, args):
+        made = Process(name, args, self.folder)
+        self.processes.append(made)
+        return made
+
+    # What each part is started with.
+    def _standin(self, what, listen, *more):
+        return [*self.program, what, self.day.file, "--listen", listen, "--records", str(self.records),
+                "--seed", str(self.seed), *more]
+
+    def _worker_args(self, name, number, booted, port=0):
+        store = f"{self.store.address[0]}:{self.store.address[1]}"
+        return self._standin("worker", f"127.0.1.{number}:{port}", "--name", name, "--store", store,
+                             "--booted", str(booted))
+
+    def _entry(self, name, state):
+        host, port = self.workers[name].address
+        hall, cell = self.zones[name]
+        return {"worker": name, "address": f"{host}:{port}", "zone": hall, "cell": cell,
+                "booted": self.booted[name], "state": state}
+
+    def _make_keys(self):
+        for client in self.day.clients:
+            secret, private = self.chance.randbytes(32), self.chance.randbytes(32)
+            self.keys[client.name] = [("v1", secret), ("v1a", private)]
+
+    def gateway_file(self, name, number, port=0):
+        """Writes one dispatcher's file; its path."""
+        day = self.day
+        host, rport = self.roster.address
+        rows = [f'gateway "{name}" {{', f'    listen "127.0.2.{number}:{port}"', f'    roster "{host}:{rport}"',
+                f'    zone "{day.halls[(number - 1) % len(day.halls)]}"', f"    seed {self.seed * 100 + number}",
+                f"    dispatchers {len(day.dispatchers)}", "}"]
+        for client in day.clients:
+            share = f" share={client.share}" if client.share else ""
+            rows.append(f'customer "{client.name}"{share} {{')
+            for scheme, key in self.keys[client.name]:
+                if scheme == "v1a":
+                    key = Ed25519PrivateKey.from_private_bytes(key).public_key().public_bytes(
+                        serialization.Encoding.Raw, serialization.PublicFormat.Raw)
+                prefix = "whsec" if scheme == "v1" else "whpk"
+                rows.append(f'    key "{prefix}_{base64.b64encode(key).decode()}"')
+            rows.append("}")
+        terms = str(ckdl.Document([child.raw for child in day.terms.children]))
+        path = self.folder / f"{name}.kdl"
+        path.write_text("\n".join(rows) + "\n" + terms)
+        os.chmod(path, 0o600)
+        return path
+
+    async def _begin(self):
+        day = self.day
+        self.store = self.process("store", self._standin("store", "127.0.3.1:0"))
+        self.roster = self.process("roster", self._standin("roster", "127.0.3.2:0"))
+        await asyncio.gather(self.store.start(), self.roster.start())
+        for number, (name, hall, cell) in enumerate(day.workers, 1):
+            self.booted[name] = 0
+            self.workers[name] = self.process(name, self._worker_args(name, number, 0))
+            self.put("worker", worker=name, zone=hall, cell=cell)
+        await asyncio.gather(*(w.start() for w in self.workers.values()))
+
+    async def _dispatchers(self):
+        for name in self.day.workers:
+            self.roster.tell({**self._entry(name[0], "usable"), "now": True})
+        self._make_keys()
+        for number, name in enumerate(self.day.dispatchers, 1):
+            path = self.gateway_file(name, number)
+            self.dispatchers[name] = self.process(name, [*self.dispatcher, str(path)])
+        await asyncio.gather(*(d.start() for d in self.dispatchers.values()))
+
+    async def play(self):
+        """The case, ready to be judged. Raises `DayFailed`."""
+        try:
+            await self._begin()
+            await self._dispatchers()
+            self.start = time.monotonic_ns() + LEAD
+            for process in (self.roster, self.store, *self.workers.values()):
+                process.tell({"start": self.start})
+            for trouble in self.day.troubles:
+                if trouble.kind in OPERATES:
+                    self.tasks.append(asyncio.ensure_future(self._later(self.start + trouble.at, OPERATES[trouble.kind],
+                                                                        trouble)))
+            counts = await self._portal(self.start)
+            await asyncio.gather(*self.tasks)
+            return counts
+        finally:
+            for task in self.tasks:
+                task.cancel()
+            await asyncio.gather(*(p.stop() for p in self.processes if p.name.startswith("d")))
+            await asyncio.gather(*(p.stop() for p in self.processes))
+            self.log.close()
+
+    async def _later(self, when, call, trouble):
+        await asyncio.sleep(max(0, when - time.monotonic_ns()) / 1e9)
+        self.tell(f"{trouble.kind} {' '.join(str(v) for v in trouble.what.values())}")
+        await call(self, trouble)
+
+    async def _portal(self, start):
+        plan = {"start": start, "seed": self.seed,
+                "dispatchers": {n: list(d.address) for n, d in self.dispatchers.items()},
+                "keys": {c: [[s, k.hex()] for s, k in keys] for c, keys in self.keys.items()}}
+        path = self.folder / "plan.json"
+        path.write_text(json.dumps(plan))
+        os.chmod(path, 0o600)
+        child = await asyncio.create_subprocess_exec(
+            *self.program, "portal", self.day.file, "--plan", str(path), "--records", str(self.records),
+            stdin=asyncio.subprocess.DEVNULL, stdout=asyncio.subprocess.PIPE,
+            stderr=open(self.folder / "portal.log", "wb"))
+        counts = {}
+        try:
+            while line := await child.stdout.readline():
+                counts = json.loads(line)
+                self.tell(counts)
+            if await child.wait():
+                raise DayFailed("the portal failed: " + (self.folder / "portal.log").read_text()[-500:])
+        finally:
+            if child.returncode is None:
+                child.kill()
+                await child.wait()
+        return counts
+
+    # What the operator does.
+    async def _drain(self, trouble):
+        name = trouble.what["worker"]
+        self.roster.tell(self._entry(name, "draining"))
+        await asyncio.sleep(trouble.span / 1e9)
+        self.roster.tell(self._entry(name, "usable"))
+
+    async def _restart(self, trouble):
+        name = trouble.what["worker"]
+        number = [w[0] for w in self.day.workers].index(name) + 1
+        port = self.workers[name].address[1]
+        await self.workers[name].kill()
+        self.roster.tell(self._entry(name, "gone"))
+        await asyncio.sleep(trouble.what["down"] / 1e9)
+        self.booted[name] = time.time_ns()
+        again = self.process(name, self._worker_args(name, number, self.booted[name], port))
+        self.workers[name] = again
+        await again.start()
+        again.tell({"start": self.start})
+        self.roster.tell(self._entry(name, "usable"))
+
+    async def _kill(self, trouble):
+        name = trouble.what["dispatcher"]
+        self.put("killed", name=name)
+        await self.dispatchers[name].kill()
+        await self._again(name, trouble)
+
+    async def _stop(self, trouble):
+        name = trouble.what["dispatcher"]
+        await self.dispatchers[name].stop()
+        await self._again(name, trouble)
+
+    async def _again(self, name, trouble):
+        await asyncio.sleep(trouble.what["down"] / 1e9)
+        number = self.day.dispatchers.index(name) + 1
+        path = self.gateway_file(name, number, self.dispatchers[name].address[1])
+        again = self.process(name, [*self.dispatcher, str(path)])
+        self.dispatchers[name] = again
+        await again.start()
+
+    def case(self):
+        """What the stand-ins saw, arranged for the rules."""
+        return case_of(self.folder, self.day)
+
+
+OPERATES = {"drain": Run._drain, "restart": Run._restart, "kill": Run._kill, "stop": Run._stop}
+
+
+def case_of(folder, day):
+    """A played day's folder as a case. Raises `document.BadFile` if it holds no such day."""
+    folder = pathlib.Path(folder)
+    gateway = settings.read(folder / f"{day.dispatchers[0]}.kdl")
+    works = {}
+    for kind in day.kinds:
+        works.setdefault(kind.type, kind.work)
+    return rules.Case(rules.load(folder / "records"), gateway.terms, gateway.workers.drain_grace, day.build, works)
--- /dev/null
+++ b/petrelwood/links/__init__.py
@@ -0,0 +1,1 @@
+"""Links to workers and to the roster."""
--- /dev/null
+++ b/petrelwood/links/roster.py
@@ -0,0 +1,94 @@
+"""The link to the roster: who is usable, draining or gone, by server-sent events.
+
+`GET /workers` answers with an endless stream: `list` with all entries, `change` with some, each with an id
+`EPOCH-NUMBER` that grows by one; comments keep it alive. `Last-Event-ID` resumes after a break. What is believed
+of the list is decided in `decide.membership`; 'told' counts from the moment the bytes are here.
+"""
+import asyncio
+import socket
+import time
+
+import httptools
+import orjson
+from tornado.iostream import IOStream, StreamClosedError
+
+from petrelwood.decide import membership as members
+from petrelwood.links.sse import Events
+
+READ = 65_536
+
+
+class RosterLink:
+    """`core` hears of each list and change through `listed`. It is also what httptools calls back."""
+
+    def __init__(self, address, membership, connect_within, core, log):
+        self.address, self.membership, self.core, self.log = address, membership, core, log
+        self.within, self.stream, self.task, self.events, self.lists = connect_within / 1e9, None, None, None, 0
+
+    def open(self):
+        self.task = self.core.loop.create_task(self._keep())
+
+    def close(self):
+        self.task.cancel()
+        self.drop()
+
+    def drop(self):
+        """Ends the connection, as after silence; it is tried again."""
+        if self.stream is not None:
+            self.stream.close()
+
+    async def _keep(self):
+        while True:
+            why = "the stream ended"
+            try:
+                await self._follow()
+            except (StreamClosedError, OSError, ValueError, asyncio.TimeoutError,
+                    httptools.HttpParserError) as fault:
+                why = str(fault) or repr(fault)
+            finally:
+                self.drop()
+            until = self.membership.comeback.failed(self.core.now())
+            self.log.info("roster lost", why=why, again_in_ms=(until - self.core.now()) // 1_000_000)
+            await self.core.sleep_until(until)
+
+    async def _follow(self):
+        host, port = self.address
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        self.stream, self.events = IOStream(socket.socket(family)), Events()
+        parser, resume = httptools.HttpResponseParser(self), self.membership.resume
+        await asyncio.wait_for(self.stream.connect(self.address), self.within)
+        await self.stream.write((
+            f"GET /workers HTTP/1.1\r\nHost: {host}:{port}\r\nAccept: text/event-stream\r\n"
+            f"User-Agent: {self.core.name}\r\n" +
+            (f"Last-Event-ID: {resume}\r\n" if resume else "") + "\r\n").encode())
+        while True:
+            data = await self.stream.read_bytes(READ, partial=True)
+            if self.membership.alive(self.core.now()):
+                self.log.info("roster heard again")
+            parser.feed_data(data)
+            status = parser.get_status_code()
+            if status and status != 200:
+                raise ValueError(f"the roster answered {status}")
+
+    def on_body(self, chunk):
+        now = self.core.now()
+        for kind, data, id_ in self.events.feed(chunk):
+            if kind in ("list", "change"):
+                self._event(kind, [members.entry(raw) for raw in orjson.loads(data)], id_, now)
+
+    def on_message_complete(self):
+        self.drop()
+
+    def _event(self, kind, entries, id_, now):
+        if kind == "list":
+            self.lists += 1
+            listed, leaving = self.membership.whole(id_, entries, now, time.time_ns())
+            self.core.listed(listed, leaving, True)
+            return
+        follows = self.membership.event(id_)
+        if follows == "next":
+            listed, leaving = self.membership.change(id_, entries, now, time.time_ns())
+            self.core.listed(listed, leaving, False)
+        elif follows == "gap":
+            self.membership.forget()
+            raise ValueError(f"a gap in the list before {id_}")
--- /dev/null
+++ b/petrelwood/links/worker.py
@@ -0,0 +1,266 @@
+"""The link to one worker: many calls on one connection, and what each one's end proves.
+
+Methods of a worker (MessagePack-RPC):
+
+    run [act, n, function, mark, time left in ns, lanes, body] -> [act, n, note, body, gauge]
+                                                         error [word, act, n, note, gauge]
+    hold [function, lanes, count] -> [word, copies]      cancel [act, n]  (a notification)
+    probe [] -> gauge
+    hello [worker, its start time]  (its first notification; ours is hello [dispatcher])
+
+What is decided about a link is in `decide.linkstate`, what an end proves in `decide.fate`.
+"""
+import socket
+from collections import deque
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from petrelwood.decide import fate, linkstate
+from petrelwood.links import rpc
+
+BATCH = 65_536             # bytes handed to the socket at a time; the rest waits here and can be taken back
+GAUGES = ("running", "waiting", "cores", "pinned", "loads")
+
+
+class Call:
+    __slots__ = ("kind", "act", "n", "fn", "at", "frame", "stage", "msgid")
+
+    def __init__(self, kind, act, n, fn, at, frame, msgid):
+        self.kind, self.act, self.n, self.fn, self.at = kind, act, n, fn, at
+        self.frame, self.stage, self.msgid = frame, fate.WAITING, msgid
+
+
+class WorkerLink:
+    """`core` hears of each end: `returned`, `held`, `probed`. Never from within one of our own methods."""
+
+    def __init__(self, worker, address, terms, chance, core, log):
+        self.worker, self.address, self.terms, self.core, self.log = worker, address, terms, core, log
+        self.state = linkstate.LinkState(worker, terms, chance)
+        self.stream, self.waiting, self.waiting_bytes, self.out, self.runs = None, deque(), 0, {}, {}
+        self.last, self.writing, self.soon = 0, False, False
+        self.counts = {"sent": 0, "answered": 0, "strays": 0, "lost": 0, "recalled": 0}
+
+    # What the dispatcher asks.
+    def run(self, act, n, fn, mark, left, lanes, body):
+        self._call("run", act, n, fn, [act, n, fn, mark, left, lanes, body])
+
+    def hold(self, fn, lanes, copies):
+        self._call("hold", None, copies, fn, [fn, lanes, copies])
+
+    def probe(self):
+        self._call("probe", None, 0, None, [])
+
+    def cancel(self, act, n):
+        """Ends the wait for a send; the worker is told where it may have heard of it."""
+        call = self.runs.get((act, n))
+        if call is None:
+            return
+        if call.stage == fate.HANDED:
+            self._notice("cancel", [act, n])
+        self._end(call, fate.of_cancel(call.stage))
+
+    def late(self, act, n):
+        """The time of a send is up."""
+        call = self.runs.get((act, n))
+        if call is not None:
+            if call.stage == fate.HANDED:
+                self._notice("cancel", [act, n])
+            self._end(call, fate.of_time(call.stage))
+
+    def recall(self):
+        """The worker drains or is gone: what has not left yet is taken back."""
+        for call in list(self.waiting):
+            code = fate.of_recall(call.stage)
+            if code is not None and call.kind != "probe":
+                self.counts["recalled"] += 1
+                self._end(call, code)
+
+    def owes(self):
+        return bool(self.waiting or self.out)
+
+    def _call(self, kind, act, n, fn, params):
+        now = self.core.now()
+        self.last = (self.last + 1) & 0xFFFFFFFF
+        call = Call(kind, act, n, fn, now, rpc.request(self.last, kind, params), self.last)
+        if kind == "run":
+            self.runs[act, n] = call
+        wish = self.state.wants(now)
+        if wish == "refuse":
+            self._tell(call, fate.of_loss(fate.WAITING))
+        elif self.waiting_bytes + len(call.frame) > self.terms.queue:
+            self._tell(call, fate.of_crowding())
+        else:
+            self.waiting.append(call)
+            self.waiting_bytes += len(call.frame)
+            self.core.active(self)
+            if wish == "connect":
+                self._connect(now)
+            self._flush_soon()
+
+    # The way out.
+    def _flush_soon(self):
+        if not self.soon and not self.writing and self.state.state == linkstate.UP:
+            self.soon = True
+            self.core.loop.call_soon(self._flush)
+
+    def _flush(self):
+        self.soon = False
+        while self.waiting and not self.writing and self.state.state == linkstate.UP:
+            size, chunk = 0, []
+            while self.waiting and size < BATCH:
+                call = self.waiting.popleft()
+                call.stage = fate.HANDED
+                self.out[call.msgid] = call
+                size += len(call.frame)
+                self.waiting_bytes -= len(call.frame)
+                chunk.append(call.frame)
+                call.frame = None
+                self.counts["sent"] += 1
+            self._write(b"".join(chunk))
+
+    def _write(self, data):
+        try:
+            done = self.stream.write(data)
+        except StreamClosedError:
+            return                                       # the close callback tells of it
+        if not done.done():
+            self.writing = True
+            done.add_done_callback(self._written)
+
+    def _written(self, done):
+        self.writing = False
+        if not done.cancelled() and done.exception() is None:
+            self._flush()
+
+    def _notice(self, method, params):
+        if self.state.state == linkstate.UP and not self.stream.closed():
+            try:
+                self.stream.write(rpc.notice(method, params)).add_done_callback(lambda done: done.exception())
+            except StreamClosedError:
+                pass
+
+    # The connection.
+    def _connect(self, now):
+        self.state.connecting(now)
+        host, port = self.address
+        self.writing = False
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        self.stream = IOStream(socket.socket(family), max_buffer_size=self.terms.frame + BATCH)
+        self.core.loop.create_task(self._serve(self.stream, (host, port)))
+
+    async def _serve(self, stream, address):
+        why = "closed by the peer"
+        try:
+            await stream.connect(address)
+            stream.set_nodelay(True)
+            self.state.connected(self.core.now())
+            stream.write(rpc.notice("hello", [self.core.name])).add_done_callback(lambda done: done.exception())
+            reader = rpc.Reader(self.terms.frame)
+            while True:
+                data = await stream.read_bytes(BATCH, partial=True)
+                self.state.hears(self.core.now())
+                for message in reader.feed(data):
+                    self._message(message)
+        except StreamClosedError as fault:
+            why = str(fault.real_error or why)
+        except rpc.Garbage as fault:
+            why = str(fault)
+        except OSError as fault:
+            why = str(fault)
+        except Exception as fault:
+            why = repr(fault)
+            self.core.defect("link", fault)
+        self._lost(stream, why)
+
+    def _lost(self, stream, why):
+        stream.close()
+        if self.stream is not stream or self.state.state == linkstate.DOWN:
+            return
+        was_up = self.state.state == linkstate.UP
+        self.state.lost(self.core.now())
+        self.counts["lost"] += 1
+        self.log.info("link lost", worker=self.worker, why=why, was_up=was_up, out=len(self.out),
+                      waiting=len(self.waiting))
+        for call in list(self.out.values()) + list(self.waiting):
+            self._end(call, fate.of_loss(call.stage))
+
+    def give_up(self, why):
+        if self.stream is not None:
+            self._lost(self.stream, why)
+
+    def check(self, now):
+        """Asked often while the link is not at rest; whether it still has to be."""
+        verdict = self.state.check(now, bool(self.out))
+        if verdict == "give up":
+            self.give_up("nothing was heard in time")
+        elif verdict == "ping":
+            self._call("probe", None, 0, None, [])
+        for call in [c for c in self.out.values() if c.kind != "run" and now - c.at > self.terms.order_within]:
+            self._end(call, fate.of_time(call.stage))
+        return self.owes() or self.state.state in (linkstate.CONNECTING, linkstate.GREETING)
+
+    # The way back.
+    def _message(self, message):
+        if message[0] == rpc.RESPONSE:
+            self._response(message[1], message[2], message[3])
+        elif message[0] == rpc.NOTICE and message[1] == "hello" and self.state.state == linkstate.GREETING:
+            if len(message[2]) != 2 or not isinstance(message[2][1], int):
+                raise rpc.Garbage("a malformed greeting")
+            if not self.state.greeted(self.core.now(), *message[2]):
+                raise rpc.Garbage(f"the peer is {message[2][0]!r}")
+            self._flush()
+        elif self.state.state != linkstate.UP:
+            raise rpc.Garbage("it did not greet first")
+
+    def _response(self, msgid, error, result):
+        call = self.out.get(msgid)
+        if call is None:                                 # its wait has ended; or nobody ever asked
+            self.counts["strays"] += 1
+            return
+        self.counts["answered"] += 1
+        if call.kind == "run":
+            parts = error if error is not None else result
+            if not isinstance(parts, list) or len(parts) != 5:
+                raise rpc.Garbage("a malformed answer")
+            head, parts = (parts[0], parts[1:]) if error is not None else (None, parts)
+            if parts[0] != call.act or parts[1] != call.n:
+                raise rpc.Garbage("an answer for another activation")
+            gauge = _gauge(parts[3 if error is not None else 4])
+            body = parts[3] if error is None else b""
+            note = parts[2] if isinstance(parts[2], int) else 0
+            if not isinstance(body, bytes):
+                raise rpc.Garbage("an answer's body must be bytes")
+            self._end(call, fate.of_error(head) if error is not None else "completed", note, body, gauge)
+        elif call.kind == "hold":
+            good = isinstance(result, list) and len(result) == 2 and isinstance(result[1], int)
+            self._end(call, ("completed" if result[0] == "ok" else fate.of_error(result[0])) if good else
+                      fate.of_error(error), result[1] if good else 0)
+        else:
+            self._end(call, "completed" if error is None else fate.of_error(error), gauge=_gauge(result))
+
+    def _end(self, call, code, note=0, body=b"", gauge=None):
+        if call.stage == fate.WAITING:
+            try:
+                self.waiting.remove(call)
+                self.waiting_bytes -= len(call.frame)
+            except ValueError:
+                return
+        elif self.out.pop(call.msgid, None) is None:
+            return
+        self._tell(call, code, note, body, gauge)
+
+    def _tell(self, call, code, note=0, body=b"", gauge=None):
+        call.stage = fate.ANSWERED
+        if call.kind == "run":
+            self.runs.pop((call.act, call.n), None)
+            self.core.soon(self.core.returned, call.act, call.n, self.worker, code, note, body, call.at, gauge)
+        elif call.kind == "hold":
+            self.core.soon(self.core.held, self.worker, call.fn, code, note)
+        else:
+            self.core.soon(self.core.probed, self.worker, code, gauge)
+
+
+def _gauge(raw):
+    if not isinstance(raw, dict):
+        return None
+    return {name: raw[name] for name in GAUGES if isinstance(raw.get(name), (int, float))}
--- /dev/null
+++ b/petrelwood/settings/gateway.py
@@ -0,0 +1,204 @@
+"""What a gateway's file says, decoded once: who calls, which functions there are, and the terms of the module."""
+import base64
+import binascii
+from typing import NamedTuple
+
+from petrelwood import ports
+from petrelwood.settings import document as doc
+
+SECOND = 1_000_000_000
+HMAC_BYTES, ED25519_BYTES = range(24, 65), (32,)
+
+
+class Customer(NamedTuple):
+    name: str
+    share: float          # activations a second at all dispatchers together; 0: no share is kept
+    keys: tuple           # (scheme, bytes): "v1" with an HMAC secret, "v1a" with an Ed25519 public key
+
+
+class FunctionRule(NamedTuple):
+    pattern: str          # a whole name, or the beginning of names before a '*'
+    type: str             # its namespace type
+    lanes: int
+    load_time: int        # ns; 0: not known
+
+
+class Limits(NamedTuple):
+    connections: int
+    header: int           # bytes of one request's head
+    body: int             # bytes
+    head_within: int      # ns from the connection's start, or the first byte, to the end of the head
+    body_within: int
+    idle: int
+    pipeline: int         # requests read ahead on one connection
+    held: int             # activations owed an answer
+    per_customer: float   # the part of them that one customer may hold
+    ledger: int           # ids remembered
+    results: int          # bytes of answers kept for retries
+
+
+class WorkerTerms(NamedTuple):
+    connect_within: int   # ns, to a connection that has greeted
+    queue: int            # bytes waiting for a worker that does not read
+    frame: int            # bytes of one message at most
+    quiet: int            # a link that owes something and is silent so long is closed
+    drain_grace: int
+    order_within: int
+
+
+class Gateway(NamedTuple):
+    name: str
+    listen: tuple
+    roster: tuple
+    seed: int
+    tolerance: int        # ns a webhook's time may be off
+    timeouts: dict        # namespace type -> action timeout, ns
+    remember: dict        # namespace type -> how long an id is remembered, ns
+    limits: Limits
+    workers: WorkerTerms
+    customers: dict
+    functions: tuple
+    terms: ports.Terms
+
+    def rule(self, function):
+        """The rule of a function: its own name first, then the longest beginning; None if there is none."""
+        best = None
+        for rule in self.functions:
+            if rule.pattern == function:
+                return rule
+            if rule.pattern.endswith("*") and function.startswith(rule.pattern[:-1]):
+                if best is None or len(rule.pattern) > len(best.pattern):
+                    best = rule
+        return best
+
+
+def key(node, where, value):
+    """A key as Standard Webhooks writes it: `whsec_` and a base64 secret, or `whpk_` and an Ed25519 public key."""
+    prefix, _, rest = doc.text(node, where, value).partition("_")
+    schemes = {"whsec": ("v1", HMAC_BYTES), "whpk": ("v1a", ED25519_BYTES)}
+    if prefix not in schemes:
+        raise node.bad(f"{where} must begin with 'whsec_' or 'whpk_'")
+    scheme, sizes = schemes[prefix]
+    try:
+        raw = base64.b64decode(rest, validate=True)
+    except (binascii.Error, ValueError):
+        raise node.bad(f"{where} is not base64 after '{prefix}_'") from None
+    if len(raw) not in sizes:
+        raise node.bad(f"{where} holds {len(raw)} bytes; {prefix} takes {sizes[0]}" +
+                       (f" to {sizes[-1]}" if len(sizes) > 1 else ""))
+    return scheme, raw
+
+
+def _customer(node):
+    name, share = node.arg(doc.text, "a name"), node.prop("share", doc.number, 0)
+    keys = []
+    for child in node.every("key"):
+        keys.append(child.arg(key, "a key"))
+        child.done(1)
+    if not keys:
+        raise node.bad(f"customer '{name}' has no key")
+    node.done(1)
+    return Customer(name, float(share), tuple(keys))
+
+
+def _type(node):
+    name = node.arg(doc.text, "a name")
+    target, timeout = node.value("target-latency", doc.duration), node.value("action-timeout", doc.duration)
+    if target > timeout:
+        raise node.bad(f"namespace type '{name}': its target latency is over its action timeout")
+    effect = node.value("effect", doc.one_of(ports.REPEATABLE, ports.DEDUPLICATED, ports.ONCE_ONLY))
+    deduplicated = effect == ports.DEDUPLICATED
+    scope = node.value("scope", doc.one_of("all", "zone", "cell"), doc.REQUIRED if deduplicated else "all")
+    window = node.value("window", doc.duration, doc.REQUIRED if deduplicated else 0)
+    remember = node.value("remember", doc.duration, 0)
+    node.done(1)
+    return name, ports.NamespaceType(target, effect, scope, window), timeout, remember
+
+
+def _unique(nodes, name):
+    seen = {}
+    for node in nodes:
+        label = node.args[0] if node.args else None
+        if label in seen:
+            raise node.bad(f"{name} '{label}' is given twice; first on line {seen[label]}")
+        seen[label] = node.line
+    return nodes
+
+
+def _limits(node):
+    read = node.value if node else lambda name, kind, default: default
+    limits = Limits(
+        read("connections", doc.count, 2000), read("header", doc.size, 16_000), read("body", doc.size, 1_000_000),
+        read("head-within", doc.duration, 5 * SECOND), read("body-within", doc.duration, 10 * SECOND),
+        read("idle", doc.duration, 75 * SECOND), read("pipeline", doc.count, 16),
+        read("held", doc.count, 20_000), read("per-customer", doc.share, 0.8),
+        read("ledger", doc.count, 500_000), read("results", doc.size, 64_000_000))
+    if node:
+        node.done()
+    return limits
+
+
+def _worker_terms(node):
+    """(how links behave, the module's guarantees, its load orders, what is allowed)"""
+    cold, fall, sends = node.child("cold"), node.child("fall"), node.child("sends")
+    ration = node.child("ration", None)
+    keep, on_miss = node.value("keep", doc.duration), node.value("on-miss", doc.one_of("load", "miss"))
+    within = node.value("connect-within", doc.duration, SECOND // 4)
+    terms = WorkerTerms(within, node.value("queue", doc.size, 4_000_000), node.value("frame", doc.size, 8_000_000),
+                        node.value("quiet", doc.duration, 30 * SECOND),
+                        node.value("drain-grace", doc.duration, SECOND // 4),
+                        node.value("order-within", doc.duration, 10 * SECOND))
+    guarantees = ports.Guarantees(
+        0, cold.arg(doc.duration, "a time"), cold.prop("from", doc.share),
+        fall.prop("multiple", doc.number), fall.arg(doc.duration, "a time"))
+    orders = ports.LoadOrders(
+        node.value("orders", doc.yes, True), on_miss == "load", keep,
+        *((float(ration.prop("free", doc.number)), ration.prop("part", doc.share), ration.prop("period", doc.duration))
+          if ration else (0.0, 0.0, 0)))
+    allowed = ports.Allowed(
+        sends.arg(doc.count, "a number"), sends.prop("overlap", doc.yes, True), node.value("cancel", doc.yes, True),
+        node.value("probe", doc.yes, True), True, node.value("most-retry-after", doc.duration, 10 * SECOND))
+    by_probe = node.value("reports", doc.one_of("answers", "probe"), "answers") == "probe"
+    for part, args in ((cold, 1), (fall, 1), (sends, 1), (ration, 0), (node, 0)):
+        if part:
+            part.done(args)
+    return terms, guarantees, orders, allowed, by_probe
+
+
+def read(path):
+    """The gateway that a file describes. Raises `document.BadFile` with the first thing that is wrong."""
+    file = doc.File(path)
+    node = file.child("gateway")
+    name, zone = node.arg(doc.text, "a name"), node.value("zone", doc.text, "")
+    listen, roster = node.value("listen", doc.address), node.value("roster", doc.address)
+    seed, dispatchers = node.value("seed", doc.count, 0), node.value("dispatchers", doc.count, 1)
+    tick = node.value("tick", doc.duration, SECOND // 500)
+    tolerance = node.value("tolerance", doc.duration, 300 * SECOND)
+    node.done(1)
+    if not dispatchers:
+        raise node.bad("'dispatchers' must be 1 or more: this one counts")
+    types, timeouts, remember = {}, {}, {}
+    for one in _unique(file.every("namespace-type"), "namespace type"):
+        label, type_, timeout, keep = _type(one)
+        types[label], timeouts[label], remember[label] = type_, timeout, max(keep, 2 * tolerance)
+    if not types:
+        raise file.bad("no 'namespace-type' is given")
+    customers = {c.name: c for c in map(_customer, _unique(file.every("customer"), "customer"))}
+    if not customers:
+        raise file.bad("no 'customer' is given")
+    functions = []
+    for one in _unique(file.every("function"), "function"):
+        type_ = one.prop("type", doc.text)
+        if type_ not in types:
+            raise one.bad(f"there is no namespace type '{type_}'{doc.meant(type_, sorted(types))}")
+        rule = FunctionRule(one.arg(doc.text, "a name"), type_, one.prop("lanes", doc.count, 1) or 1,
+                            one.prop("load-time", doc.duration, 0))
+        one.done(1)
+        functions.append(rule)
+    limits = _limits(file.child("limits", None))
+    workers, guarantees, orders, allowed, by_probe = _worker_terms(file.child("workers"))
+    file.done()
+    terms = ports.Terms(zone, dispatchers, types, {c.name: c.share for c in customers.values() if c.share},
+                        guarantees, orders, allowed, False, by_probe, tick)
+    return Gateway(name, listen, roster, seed, tolerance, timeouts, remember, limits, workers, customers,
+                   tuple(functions), terms)
--- /dev/null
+++ b/petrelwood/standins/portal.py
@@ -0,0 +1,197 @@
+"""A stand-in portal: many customers' clients that sign webhooks, retry, replay, forge, dawdle and hang up.
+
+It records each try and its answer as seen on its sockets. Once-only activations are asked for again only after a
+rejection or where no byte went out, deduplicated ones too; repeatable ones also after a broken connection.
+"""
+import asyncio
+import base64
+import bisect
+import itertools
+import math
+import time
+
+import orjson
+
+from petrelwood.fronts.signing import sign
+from petrelwood.standins import host
+from petrelwood.standins.caller import Broken, Caller, request
+from petrelwood.standins.records import Records
+
+REPLAY_KEPT = 400
+
+
+class Portal:
+    def __init__(self, day, dispatchers, keys, records, seed, clock_off):
+        self.day, self.keys, self.records, self.clock_off = day, keys, records, clock_off
+        self.callers = {name: Caller(address) for name, address in dispatchers.items()}
+        self.arrivals, self.picks = host.stream(seed, "arrivals"), host.stream(seed, "picks")
+        self.manners, self.last, self.open, self.seed = host.stream(seed, "manners"), 0, 0, seed
+        self.rates = {c.name: day.rate * c.part for c in day.clients}
+        self.more, self.forged, self.replayed, self.slow = {}, 0.0, 0.0, 0
+        self.old, self.counts, self.tasks = [], {}, set()
+        self.kinds, self.cuts = {}, {}
+        for kind in day.kinds:
+            sums = list(itertools.accumulate((i + 1) ** -kind.zipf for i in range(kind.count)))
+            self.cuts[kind.prefix] = [s / sums[-1] for s in sums]
+        for client in day.clients:
+            may = [k for k in day.kinds if not k.customers or client.name in k.customers]
+            self.kinds[client.name] = (may, [k.part for k in may])
+
+    def count(self, what):
+        self.counts[what] = self.counts.get(what, 0) + 1
+
+    def spawn(self, work):
+        task = asyncio.ensure_future(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def client(self, client, until):
+        """Arrivals of one customer, drawn ahead of all answers."""
+        due = time.monotonic_ns()
+        while due < until:
+            rate = self.rates[client.name] * self.more.get(client.name, 1.0) * self.more.get("", 1.0)
+            due += int(self.arrivals.expovariate(rate) * 1e9)
+            await asyncio.sleep(max(0, due - time.monotonic_ns()) / 1e9)
+            self.spawn(self.activation(client))
+
+    def draw(self, client):
+        kind = self.picks.choices(*self.kinds[client.name])[0]
+        number = bisect.bisect(self.cuts[kind.prefix], self.picks.random())
+        work = int(kind.work * math.exp(self.picks.gauss(-0.08, 0.4)))
+        return kind, f"{kind.prefix}{min(number, kind.count - 1)}", work
+
+    def message(self, client, function, id_, body, patience, wrong=False):
+        """The bytes of a signed request, and the time that it carries."""
+        stamp = time.time() + self.clock_off
+        stamp = max(int(stamp), self.stamps.get(id_, 0) + 1)
+        self.stamps[id_] = stamp
+        scheme, secret = self.manners.choice(self.keys[client.name])
+        signature = sign(scheme, secret, id_, stamp, body + b"?" if wrong else body)
+        headers = {"Content-Type": "application/json", "webhook-id": id_, "webhook-timestamp": stamp,
+                   "webhook-signature": f"v1,{base64.b64encode(b'other').decode()} {signature}"}
+        if patience:
+            headers["Prefer"] = f"wait={patience}"
+        return request(f"/hooks/{client.name}/{function}", headers, body), stamp
+
+    stamps = {}
+
+    async def activation(self, client):
+        """One activation with its client's retries, to whatever end."""
+        kind, function, work = self.draw(client)
+        self.last += 1
+        self.open += 1
+        id_ = f"msg_{self.seed}_{self.last}"
+        body = orjson.dumps({"work": work, "applicant": self.last})
+        wrong = self.manners.random() < self.forged
+        dispatcher = self.manners.choice(list(self.callers))
+        tries = 1 + client.retries
+        ends = "none"
+        for n in range(tries):
+            ends, wait = await self.once(client, kind, function, id_, body, dispatcher, n, wrong)
+            again = ends in ("rejected", "refused") or ends == "broken" and kind.type in self.repeatable
+            if ends == "refused":
+                dispatcher = self.manners.choice(list(self.callers))
+            if not again or wrong or n + 1 == tries:
+                break
+            follows = self.manners.random() < client.honours
+            await asyncio.sleep(wait if follows and wait else 0.02 + 0.2 * self.manners.random())
+        self.open -= 1
+        self.count(ends)
+        self.stamps.pop(id_, None)
+
+    async def once(self, client, kind, function, id_, body, dispatcher, n, wrong):
+        """(how this try ended, seconds after which it may come back)"""
+        message, stamp = self.message(client, function, id_, body, client.patience, wrong)
+        timeout = self.timeouts[kind.type]
+        patience = min(client.patience, timeout) if client.patience else timeout
+        leaves = patience * (0.1 + 0.5 * self.manners.random()) if self.manners.random() < client.impatient else None
+        common = {"key": f"{client.name}/{id_}", "stamp": stamp, "to": dispatcher, "try": n}
+        begun = time.monotonic_ns()
+        self.records.put("ask", type=kind.type, fn=function, patience=int(patience * 1e9), wrong=wrong,
+                         leaves=leaves is not None, **common)
+        try:
+            reply = await self.callers[dispatcher].call(message, leaves or patience * 1.25)
+        except asyncio.TimeoutError:
+            self.records.put("left", early=leaves is not None, **common)
+            if len(self.old) < REPLAY_KEPT:
+                self.old.append((dispatcher, message, common["key"], stamp))
+            return "left", 0
+        except Broken as fault:
+            self.records.put("broken", sent=fault.sent, **common)
+            return ("broken" if fault.sent else "refused"), 0
+        self.records.put("answer", status=reply.status, act=reply.headers.get(b"activation-id", b"").decode(),
+                         took=time.monotonic_ns() - begun, **common)
+        if len(self.old) < REPLAY_KEPT and not wrong:
+            self.old.append((dispatcher, message, common["key"], stamp))
+        if reply.status in (429, 503):
+            return "rejected", int(reply.headers.get(b"retry-after", b"0"))
+        return {200: "completed", 504: "aborted", 401: "unsigned", 409: "conflict"}.get(reply.status, "odd"), 0
+
+    async def replays(self, until):
+        while time.monotonic_ns() < until:
+            await asyncio.sleep(self.manners.expovariate(max(0.01, self.day.rate * self.replayed)))
+            if not self.old:
+                continue
+            dispatcher, message, key, stamp = self.manners.choice(self.old)
+            begun = time.monotonic_ns()
+            try:
+                reply = await self.callers[dispatcher].call(message, 5)
+                self.records.put("replayed", key=key, stamp=stamp, status=reply.status, to=dispatcher,
+                                 took=time.monotonic_ns() - begun)
+                self.count(f"replay {reply.status}")
+            except (Broken, asyncio.TimeoutError):
+                self.count("replay lost")
+
+    async def dawdle(self, until):
+        """One connection that sends a byte now and then; the gateway should end it."""
+        caller = self.callers[self.manners.choice(list(self.callers))]
+        try:
+            stream = await caller.connect()
+            for byte in b"POST /hooks/slow/sender HTTP/1.1\r\nHost: gateway\r\nX-Slow: " + b"a" * 1000:
+                await stream.write(bytes([byte]))
+                await asyncio.sleep(0.2)
+                if time.monotonic_ns() > until:
+                    break
+            self.count("dawdled")
+            stream.close()
+        except Exception:
+            self.count("dawdler closed")
+
+    def troubles(self, start):
+        def many(t):
+            for _ in range(t.what["count"]):
+                self.spawn(self.dawdle(start + t.at + t.span))
+
+        def replays(t):
+            self.replayed = t.what["part"]
+            self.spawn(self.replays(start + t.at + t.span))
+
+        def times(name):
+            return (lambda t: self.more.__setitem__(name(t), t.what["times"]),
+                    lambda t: self.more.pop(name(t), None))
+        return {"forgeries": (lambda t: setattr(self, "forged", t.what["part"]),
+                              lambda t: setattr(self, "forged", 0.0)),
+                "replays": (replays, None), "slow-senders": (many, None),
+                "overuse": times(lambda t: t.what["customer"]), "burst": times(lambda t: "")}
+
+
+async def serve(day, dispatchers, keys, timeouts, repeatable, folder, start, seed, clock_off=0.0, tell=None):
+    """Plays the day's traffic from `start` on; returns when all is answered."""
+    records = Records(folder, "portal")
+    portal = Portal(day, dispatchers, keys, records, seed, clock_off)
+    portal.timeouts, portal.repeatable = timeouts, repeatable
+    await asyncio.sleep(max(0, start - time.monotonic_ns()) / 1e9)
+    host.play(day, start, portal.troubles(start))
+    until = start + day.length
+    clients = [asyncio.ensure_future(portal.client(c, until)) for c in day.clients]
+    while time.monotonic_ns() < until + day.settle and (portal.open or not all(c.done() for c in clients)):
+        await asyncio.sleep(0.5)
+        if tell:
+            tell({"at": (time.monotonic_ns() - start) / 1e9, "open": portal.open, **portal.counts})
+    for client in clients:
+        client.cancel()
+    for caller in portal.callers.values():
+        caller.close()
+    records.put("counts", open=portal.open, **portal.counts)
+    records.close()
+    return portal.counts
--- /dev/null
+++ b/petrelwood/standins/store.py
@@ -0,0 +1,45 @@
+"""A stand-in store of models: the model of `emulate.store` behind MessagePack-RPC (`fetch [bytes]`)."""
+import asyncio
+
+from tornado.iostream import StreamClosedError
+from tornado.netutil import bind_sockets
+from tornado.tcpserver import TCPServer
+
+from petrelwood.emulate.clock import LoopClock
+from petrelwood.emulate.store import Store
+from petrelwood.links import rpc
+from petrelwood.standins import host
+from petrelwood.standins.records import Records
+
+
+class StoreServer(TCPServer):
+    def __init__(self, day):
+        super().__init__()
+        self.store = Store(LoopClock(), **day.store)
+
+    async def handle_stream(self, stream, address):
+        reader = rpc.Reader(1_000_000)
+        try:
+            while True:
+                for message in reader.feed(await stream.read_bytes(65536, partial=True)):
+                    self.store.fetch(message[3][0], lambda ok, i=message[1]: self.reply(stream, i, ok))
+        except (StreamClosedError, rpc.Garbage):
+            stream.close()
+
+    @staticmethod
+    def reply(stream, msgid, ok):
+        if not stream.closed():
+            stream.write(rpc.response(msgid, None, "ok" if ok else "refused")).add_done_callback(
+                lambda done: done.exception())
+
+
+async def serve(day, listen, folder):
+    server, records = StoreServer(day), Records(folder, "store")
+    server.add_sockets(sockets := bind_sockets(listen[1], listen[0]))
+    hearing = asyncio.ensure_future(host.listen_to_operator(lambda said: host.play(
+        day, said["start"], {"store-stop": (lambda t: server.store.stop(t.span), None)})))
+    host.ready(sockets[0].getsockname()[:2])
+    await host.until_told()
+    hearing.cancel()
+    records.put("counts", **server.store.counts)
+    records.close()
--- /dev/null
+++ b/petrelwood/standins/worker.py
@@ -0,0 +1,177 @@
+"""A stand-in worker: the model of `emulate.machine` behind MessagePack-RPC, with misbehaviour by script."""
+import asyncio
+import hashlib
+import os
+import socket
+import struct
+import time
+
+import orjson
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.netutil import bind_sockets
+from tornado.tcpserver import TCPServer
+
+from petrelwood.emulate.clock import LoopClock
+from petrelwood.emulate.machine import Machine
+from petrelwood.links import rpc
+from petrelwood.standins import host
+from petrelwood.standins.records import Records
+
+MOST = 8_000_000
+LINGER = struct.pack("ii", 1, 0)       # closing then resets
+
+
+class StoreLink:
+    """Fetches from the store's process; without it every fetch fails."""
+
+    def __init__(self, address):
+        self.address, self.stream, self.waits, self.last = address, None, {}, 0
+
+    async def follow(self):
+        while True:
+            try:
+                self.stream = IOStream(socket.socket())
+                await self.stream.connect(self.address)
+                reader = rpc.Reader(MOST)
+                while True:
+                    for message in reader.feed(await self.stream.read_bytes(65536, partial=True)):
+                        done = self.waits.pop(message[1], None)
+                        if done:
+                            done(message[3] == "ok")
+            except (StreamClosedError, OSError):
+                waits, self.waits = self.waits, {}
+                for done in waits.values():
+                    done(False)
+                await asyncio.sleep(0.1)
+
+    def fetch(self, size, done):
+        self.last += 1
+        if self.stream is None or self.stream.closed():
+            done(False)
+            return
+        self.waits[self.last] = done
+        self.stream.write(rpc.request(self.last, "fetch", [size])).add_done_callback(lambda f: f.exception())
+
+
+class Worker(TCPServer):
+    def __init__(self, day, name, store, records, booted, seed):
+        super().__init__()
+        self.day, self.name, self.records, self.booted = day, name, records, booted
+        self.store = StoreLink(store)
+        chance = host.stream(seed, name)
+        self.machine = Machine(LoopClock(), day.build, self.store.fetch, chance,
+                               time.monotonic_ns() if booted else 0)
+        self.lines, self.mute, self.silent, self.seed = {}, False, False, seed
+        self.garbage = False
+
+    async def handle_stream(self, stream, address):
+        stream.set_nodelay(True)
+        if self.silent:                                  # accepted, and nothing more
+            await asyncio.sleep(3600)
+        self.lines[stream] = {"who": "?", "jobs": {}}
+        reader = rpc.Reader(MOST)
+        self.write(stream, rpc.notice("hello", [self.name, self.booted]))
+        try:
+            while True:
+                for message in reader.feed(await stream.read_bytes(65536, partial=True)):
+                    self.message(stream, message)
+        except (StreamClosedError, rpc.Garbage):
+            stream.close()
+        finally:
+            line = self.lines.pop(stream)
+            for job in line["jobs"].values():
+                self.machine.cancel(job, self.day.stops_work)
+
+    def write(self, stream, data):
+        if not stream.closed() and not self.mute:
+            stream.write(data).add_done_callback(lambda done: done.exception())
+
+    def message(self, stream, message):
+        line = self.lines[stream]
+        if message[0] == rpc.REQUEST:
+            getattr(self, "on_" + message[2])(stream, line, message[1], message[3])
+        elif message[1] == "hello":
+            line["who"] = message[2][0]
+        elif message[1] == "cancel":
+            job = line["jobs"].get(tuple(message[2]))
+            if job is not None:
+                self.machine.cancel(job, self.day.stops_work)
+
+    def on_probe(self, stream, line, msgid, params):
+        self.write(stream, rpc.response(msgid, None, self.machine.gauge()))
+
+    def on_hold(self, stream, line, msgid, params):
+        fn, _, count = params
+        self.records.put("hold", by=line["who"], fn=fn, count=count)
+        kind = self.day.kind(fn)
+
+        def done(word, copies):
+            self.write(stream, rpc.response(msgid, None, [word, copies]))
+        self.machine.hold(kind.model(fn), count, done)
+
+    def on_run(self, stream, line, msgid, params):
+        act, n, fn, mark, left, _, body = params
+        kind = self.day.kind(fn)
+        self.records.put("run", by=line["who"], act=act, n=n, fn=fn, mark=mark, type=kind.type)
+        try:
+            work = int(orjson.loads(body)["work"])
+        except (ValueError, KeyError, TypeError):
+            work = kind.work
+
+        def done(word, note):
+            line["jobs"].pop((act, n), None)
+            self.records.put("ran", by=line["who"], act=act, n=n, word=word, mark=mark, muted=self.mute)
+            if word == "ok":
+                result = orjson.dumps({"by": self.name, "of": hashlib.sha256(body).hexdigest()[:16]})
+                reply = rpc.response(msgid, None, [act, n, note, result, self.machine.gauge()])
+            else:
+                reply = rpc.response(msgid, [word, act, n, note, self.machine.gauge()], None)
+            if self.garbage:
+                self.garbage, reply = False, b"\xc1 this is no message"
+            self.write(stream, reply)
+        job = self.machine.run(kind.model(fn), work, time.monotonic_ns() + left, done)
+        if job is not None and job.where != "over":
+            line["jobs"][act, n] = job
+
+    # Misbehaviour.
+    def reset(self, trouble=None):
+        for stream in list(self.lines):
+            stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER)
+            stream.close()
+
+    def begin_silence(self, trouble):
+        self.silent = True
+        self.reset()
+
+    def end_silence(self, trouble):
+        self.silent = False
+
+    def hang(self, on):
+        self.mute = on
+        self.machine.hang(on)
+
+    def troubles(self):
+        return {
+            "release": (lambda t: self.machine.release(self.day.released(t.what["part"], self.seed)), None),
+            "hang": (lambda t: self.hang(True), lambda t: self.hang(False)),
+            "slow": (lambda t: self.machine.slow(t.what["times"]), lambda t: self.machine.slow(1.0)),
+            "pause": (lambda t: self.machine.pause(t.span), None),
+            "reset": (self.reset, None),
+            "silent-accept": (self.begin_silence, self.end_silence),
+            "garbage": (lambda t: setattr(self, "garbage", True), None)}
+
+
+async def serve(day, name, listen, store, folder, booted, seed):
+    records = Records(folder, name)
+    worker = Worker(day, name, store, records, booted, seed)
+    worker.add_sockets(sockets := bind_sockets(listen[1], listen[0]))
+    asyncio.ensure_future(worker.store.follow())
+    mine = day._replace(troubles=tuple(t for t in day.troubles if t.what.get("worker", name) == name))
+    hearing = asyncio.ensure_future(host.listen_to_operator(
+        lambda said: host.play(mine, said["start"], worker.troubles())))
+    records.put("up", booted=booted, pid=os.getpid())
+    host.ready(sockets[0].getsockname()[:2])
+    await host.until_told()
+    hearing.cancel()
+    records.put("counts", fallen=worker.machine.fallen, **worker.machine.counts)
+    records.close()
