--- a/petrelwood/brain.py
+++ b/petrelwood/brain.py
@@ -109,7 +109,7 @@
     def __init__(self, id_, fn, type_, due, born, work):
         self.id, self.fn, self.type, self.due, self.born, self.work = id_, fn, type_, due, born, work
         self.sends, self.out, self.held, self.beyond = [], 0, False, False   # beyond its customer's share
-        self.bound = None                                # the first send, unless none may have run
+        self.bound, self.full = None, ()                 # first send, unless none may have run; who was full
 
     def __lt__(self, other):                             # any order will do for what is due at one time
         return False
@@ -375,7 +375,7 @@
             return False
         for worker in self._order_of(fn):
             if (worker.id not in fn.copies and worker.loading < 2 and self._open(worker, now)
-                    and (act is None or self._fits(act, worker))):
+                    and (act is None or self._fits(act, worker) and worker not in act.full)):
                 two.append(worker)
                 if len(two) == 2:
                     break
@@ -515,7 +515,8 @@
     def _failed(self, now, send, code, note):
         """A fast error must not free its lane and draw the backlog: its copy stays shut, longer each time."""
         fn, copy, worker = send.act.fn, send.copy, send.worker
-        if code in (ports.MISSING, ports.RESET, ports.NO_CONNECTION) or note == ports.LOAD_FAILED:
+        if (code in (ports.MISSING, ports.RESET, ports.NO_CONNECTION) or note == ports.LOAD_FAILED
+                or code == ports.FULL and copy.loading):     # turned away: no load began
             copy.loading = 0
             if fn.copies.get(worker.id) is copy:
                 del fn.copies[worker.id]
@@ -529,6 +530,7 @@
         if code == ports.FULL or not send.cold and now - send.at > self._late(send.act):
             self._slow(True, send, now)
         if code == ports.FULL:
+            send.act.full += (worker,)
             worker.pace, worker.read, fn.tight = min(8, worker.pace * 2), now, True
             worker.cap.answered(True, len(worker.out) - 1, now, now)
         if code in (ports.RESET, ports.NO_CONNECTION):
--- a/petrelwood/settings/document.py
+++ b/petrelwood/settings/document.py
@@ -4,6 +4,7 @@
 each node begins, in document order, and the first line whose addition makes the text unreadable.
 """
 import difflib
+import json
 import pathlib
 import re
 
@@ -140,7 +141,6 @@
 
     def __init__(self, file, raw, places):
         self.file, self.name, self.args, self.props = str(file), raw.name, list(raw.args), dict(raw.properties)
-        self.raw = raw
         self.line, self.column = next(places, (0, 0))
         self.children = [Node(file, child, places) for child in raw.children]
         self.known_props, self.known_children = set(), set()
@@ -283,3 +283,21 @@
     if not host or not port.isdigit() or int(port) > 65535:
         raise node.bad(f"{where} must be an address like \"127.0.0.1:8080\", not {value!r}")
     return host.strip("[]"), int(port)
+
+
+def render(nodes, depth=0):
+    """Nodes as KDL 2 text, comments aside."""
+    rows = []
+    for node in nodes:
+        parts = [_value(node.name) if WORD.fullmatch(node.name) is None else node.name]
+        parts += [_value(arg) for arg in node.args]
+        parts += [f"{name}={_value(value)}" for name, value in node.props.items()]
+        block = f" {{\n{render(node.children, depth + 1)}{'    ' * depth}}}" if node.children else ""
+        rows.append("    " * depth + " ".join(parts) + block + "\n")
+    return "".join(rows)
+
+
+def _value(value):
+    if value is None or isinstance(value, bool):
+        return "#" + str(value).lower().replace("none", "null")
+    return json.dumps(value, ensure_ascii=False)
--- /dev/null
+++ b/tests/broken.py
@@ -0,0 +1,79 @@
+"""`python broken.py RULE FILE`: serves a gateway that breaks one rule on purpose, so that the audit can be proved."""
+import sys
+
+from petrelwood import ports
+from petrelwood.brain import Brain, Copy
+from petrelwood.cli.logs import open_log
+from petrelwood.decide import fate
+from petrelwood.decide.membership import Membership
+from petrelwood.dispatch import serve
+from petrelwood.dispatch.core import Dispatcher
+from petrelwood.settings import gateway
+
+
+class Drops(Brain):
+    """Rule 1: every tenth activation is forgotten."""
+    seen = 0
+
+    def activation(self, *args):
+        Drops.seen += 1
+        if Drops.seen % 10:
+            super().activation(*args)
+
+
+class Chases(Brain):
+    """Rule 1: sends again after the final answer."""
+
+    def answer(self, now, act_id, n, worker_id, *rest):
+        super().answer(now, act_id, n, worker_id, *rest)
+        core, link = self.out, self.out.links[worker_id]
+        core.loop.call_later(1.0, link.run, act_id, n + 1, "applicant-1", "mittelland/late", 10**9, 4, b"{}")
+
+
+class Floods(Brain):
+    """Rule 4: gives a worker that has just started all it can."""
+
+    def _hold(self, act, now, front=False):
+        cold = next((w for w in self.fleet if w.booted), None)
+        if cold is None or act.sends:
+            return super()._hold(act, now, front)
+        self._send(act, act.fn.copies.setdefault(cold.id, Copy(cold, now)), now)
+
+
+class Orders(Brain):
+    """Rule 5: orders a load for every other activation."""
+    seen = 0
+
+    def activation(self, now, act_id, key, *rest):
+        super().activation(now, act_id, key, *rest)
+        Orders.seen += 1
+        if Orders.seen % 2 and self.fleet:
+            self.out.hold(self.fleet[Orders.seen % len(self.fleet)].id, key, 1)
+
+
+def break_rule(name):
+    """The module to run, after the program has been spoilt."""
+    if name == "forgets":
+        Dispatcher._overdue = lambda self, act_id: None
+        return Drops
+    if name == "chases":
+        return Chases
+    if name == "repeats":
+        fate.of_loss = lambda stage: ports.NO_CONNECTION  # claims of all that was lost that it never ran
+    elif name == "ignores drains":
+        Membership.usable = lambda self, worker: True
+        take = Membership._take
+
+        def usable(self, entries, now, wall):
+            return [e._replace(usable=True) for e in take(self, entries, now, wall)[0]], []
+        Membership._take = usable
+    elif name == "floods":
+        return Floods
+    elif name == "orders":
+        return Orders
+    return Brain
+
+
+if __name__ == "__main__":
+    brain = break_rule(sys.argv[1])
+    sys.exit(serve.run(gateway.read(sys.argv[2]), open_log("json"), brain))
--- /dev/null
+++ b/tests/test_audit.py
@@ -0,0 +1,65 @@
+"""The audit is proved: a sound dispatcher passes a short day, and one that breaks a rule is caught by that rule."""
+import asyncio
+import pathlib
+import sys
+import tempfile
+import unittest
+
+from petrelwood.audit import rules
+from petrelwood.emulate import script
+from petrelwood.lab import day as lab
+
+HERE = pathlib.Path(__file__).parent
+
+
+HOW = ("nothing", "forgets", "chases", "repeats", "ignores drains", "floods", "orders")
+
+
+async def play_all():
+    """A short day with each kind of dispatcher, a few at a time: {how: (findings by rule, ends)}."""
+    described, room, played = script.read(HERE / "days" / "small.kdl"), asyncio.Semaphore(3), {}
+
+    async def play(how):
+        with tempfile.TemporaryDirectory() as folder:
+            async with room:
+                run = lab.Run(described, 1, folder, dispatcher=[sys.executable, str(HERE / "broken.py"), how])
+                await run.play()
+            case = run.case()
+            played[how] = {f.rule: f for f in rules.judge(case)}, rules.outcomes(case)
+    await asyncio.gather(*map(play, HOW))
+    return played
+
+
+class Proof(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.played = asyncio.run(play_all())
+
+    def caught(self, how, rule):
+        found, _ = self.played[how]
+        self.assertTrue(found[rule].broken, f"a dispatcher that {how} was not caught; looked at {found[rule].looked}")
+        return found
+
+    def test_a_sound_dispatcher_breaks_none(self):
+        found, ends = self.played["nothing"]
+        self.assertEqual({f.rule: f.broken for f in found.values() if f.broken}, {})
+        self.assertTrue(all(f.looked for f in found.values()), {r: f.looked for r, f in found.items()})
+        self.assertGreater(ends["score"]["completed"] + ends["book"]["completed"], 200)
+
+    def test_rule_1_an_activation_that_is_forgotten(self):
+        self.assertIn("no answer", str(self.caught("forgets", 1)[1].broken))
+
+    def test_rule_1_a_send_after_the_answer(self):
+        self.assertIn("after its answer", str(self.caught("chases", 1)[1].broken))
+
+    def test_rule_2_a_once_only_that_is_sent_again(self):
+        self.caught("repeats", 2)
+
+    def test_rule_3_a_drain_that_is_ignored(self):
+        self.caught("ignores drains", 3)
+
+    def test_rule_4_a_cold_worker_that_is_flooded(self):
+        self.caught("floods", 4)
+
+    def test_rule_5_orders_beyond_the_ration(self):
+        self.caught("orders", 5)
