MQTT triggers: a second front on the same core; TLS on fronts and links

Devices publish activations over MQTT 5 and get their one final answer by request/response. A session for each customer, a shared subscription between dispatchers, the acknowledgements and the window as decide/delivery.py decides them; answers leave with the acknowledgement in one write. The intake, ledger and duty are the webhooks' own: a recorded set of twelve cases ends the same through either front. A stand-in broker on the model of emulate/broker.py.

Tests on real sockets: killed between PUBREC and PUBREL, a broker that throws all out, forgets its sessions, accepts and is silent, expiry, reply topics that may not be, drain under load, 2,000 sessions that come back.

--- a/petrelwood/brain.py
+++ b/petrelwood/brain.py
@@ -85,7 +85,7 @@
     What waits no longer is passed over when its turn comes: no event walks over all that is held."""
     def __init__(self, key):
         self.key, self.lanes, self.held, self.copies, self.called = key, 1, deque(), {}, 0
-        self.late, self.ends, self.waits = deque(), [], 0
+        self.late, self.ends, self.waits, self.grown = deque(), [], 0, -LONG
         self.service, self.load_time, self.pause, self.recent, self.missed = 0, 0, 0, 0, -LONG
         self.hash, self.tight = crc32(f"{key}".encode()), False
 
@@ -264,9 +264,10 @@
             self.out.wake("sweep", wait)
 
     def _flow_all(self, now):
-        for spare in (False, True):
-            for fn in list(self.waiting.values()):
-                self._flow(fn, now, spare)
+        for fn in list(self.waiting.values()):
+            self._flow(fn, now)
+        for fn in [f for f in self.waiting.values() if f.late or f.grown == now]:
+            self._flow(fn, now, True)
 
     def _lesser(self, act, now):     # late, or beyond a share: flows after all fresh work
         return act.beyond or now - act.born + self._need(act) > act.type.target_latency
@@ -387,7 +388,7 @@
         copy = Copy(worker, now)
         if fn.copies:
             self.spreading.append((copy, now + 2 * self.target))
-        fn.copies[worker.id], copy.loading = copy, max(1, now) * (o.loads_on_send or not guess)
+        fn.copies[worker.id], fn.grown, copy.loading = copy, now, max(1, now) * (o.loads_on_send or not guess)
         if guess:                                        # another dispatcher's copy may stand there
             fn.drop(act)
             self._send(act, copy, now)
@@ -565,10 +566,12 @@
         if now < self.next_wake:                         # replaced by an earlier one
             return
         self.next_wake = LONG << 12
-        if now >= self.next_look:
-            self._look(now)
-        self._flow_all(now)
-        self._wake(now, self.sweep if self.waiting else max(self.sweep, self.next_look - now))
+        try:
+            if now >= self.next_look:
+                self._look(now)
+            self._flow_all(now)
+        finally:                                         # whatever fails, the sweeps go on
+            self._wake(now, self.sweep if self.waiting else max(self.sweep, self.next_look - now))
 
     def _look(self, now):
         """What is due now and then, and must cost little on a large fleet."""
--- a/petrelwood/dispatch/core.py
+++ b/petrelwood/dispatch/core.py
@@ -23,6 +23,7 @@
 from petrelwood.links.worker import WorkerLink
 
 CHECK = 0.05               # seconds between looks at links and lines that are not at rest
+RENEW = 5_000_000_000      # ns between looks at certificates
 MOST_IN_A_TURN = 10_000    # what follows from what, before the loop is let go on
 
 
@@ -42,7 +43,8 @@
         self.links, self.flying, self.busy, self.inbox, self.telling, self.touched = {}, {}, {}, deque(), False, None
         self.brain = brain(start, self.terms, gateway.seed, self)
         self.chance, self.due_timer, self.due_at, self.checks, self.fronts = chance, None, 0, None, []
-        self.listed_once = asyncio.Event()
+        self.listed_once, self.renew_at = asyncio.Event(), start + RENEW
+        self.identities = [tls for tls in (gateway.tls, gateway.worker_tls, gateway.mqtt and gateway.mqtt.tls) if tls]
         self.counts = {"sends": 0, "orders": 0, "probes": 0, "refused_by_guard": 0}
 
     # Time.
@@ -63,6 +65,10 @@
                 self.busy.pop(link, None)
         for front in self.fronts:
             front.check(now)
+        if now >= self.renew_at:
+            self.renew_at = now + RENEW
+            for tls in self.identities:
+                tls.renew(self.log)
         if self.membership.silent(now):
             self.log.warning("the list of workers is lost")
             self.roster.drop()
@@ -219,7 +225,7 @@
                 link.address = address
             if link is None and entry.usable:
                 self.links[entry.worker] = WorkerLink(entry.worker, address, self.gateway.workers,
-                                                      self.chance.random, self, self.log)
+                                                      self.chance.random, self, self.log, self.gateway.worker_tls)
         self.brain.listed(self.now(), entries, whole)
         for worker in [w for w, link in self.links.items() if w not in self.membership.members and not link.owes()]:
             self.links.pop(worker).give_up("it has left the list")
@@ -287,7 +293,7 @@
         self.intake.closing = True
         for front in self.fronts:
             front.stop()
-        while self.duty.acts:
+        while self.duty.acts or not all(front.quiet() for front in self.fronts):
             await asyncio.sleep(CHECK / 5)
         for front in self.fronts:
             front.close_idle()
--- a/petrelwood/dispatch/serve.py
+++ b/petrelwood/dispatch/serve.py
@@ -7,6 +7,7 @@
 from petrelwood.brain import Brain
 from petrelwood.dispatch.core import Dispatcher
 from petrelwood.dispatch.stall import StallWatch
+from petrelwood.fronts.mqtt import Mqtt
 from petrelwood.fronts.webhook import Webhooks
 
 
@@ -24,6 +25,10 @@
     if not ends.is_set():                                # without a list nothing can be served
         front = Webhooks(gateway, core, log)
         core.fronts.append(front)
+        if gateway.mqtt is not None:
+            triggers = Mqtt(gateway.mqtt, core, log)
+            core.fronts.append(triggers)
+            triggers.open()
         host, port = front.open(gateway.listen)
         log.info("listening", host=host, port=port)
         print(json.dumps({"ready": f"{host}:{port}"}), flush=True)
--- a/petrelwood/fronts/mqtt.py
+++ b/petrelwood/fronts/mqtt.py
@@ -20,7 +20,7 @@
 
 SECOND = 1_000_000_000
 READ = 65_536
-IDS = 512                  # packet identifiers of ours: few, so that a new life can release them all at its start
+IDS = 256                  # packet identifiers of ours: few, so that a new life can release them all at its start
 STATUS = {"completed": "completed", stage.GIVE: "completed", "rejected": "rejected", stage.REFUSE: "rejected",
           "aborted": "aborted", stage.ABORT: "aborted", stage.CONFLICT: "rejected", stage.SPENT: "aborted"}
 ENDED = "the session was lost before its message was begun; it may run elsewhere"
@@ -374,6 +374,8 @@
             session.check(now)
 
     def stop(self):
+        # A broker that is away is not waited for any longer than a client waits.
+        self.ends = self.core.now() + max(self.core.gateway.timeouts.values())
         self.stopping = self.core.loop.create_task(self._drain())
 
     async def _drain(self):
@@ -381,8 +383,9 @@
 
     def quiet(self):
         """Whether all is answered and the broker has the answers."""
-        return self.stopping is not None and self.stopping.done() and all(
-            s.deliveries.idle() and not s.unsent and not s.answers or not s.up for s in self.sessions)
+        return self.stopping is not None and self.stopping.done() and (
+            self.core.now() >= self.ends or all(
+                s.deliveries.idle() and not s.unsent and not s.answers for s in self.sessions))
 
     def close_idle(self):
         self.closed = True
--- a/petrelwood/fronts/webhook.py
+++ b/petrelwood/fronts/webhook.py
@@ -199,7 +199,7 @@
     """The listener. `core` takes what is signed rightly: `dispatch.core.Dispatcher`."""
 
     def __init__(self, gateway, core, log):
-        super().__init__(max_buffer_size=2 * READ)
+        super().__init__(max_buffer_size=2 * READ, ssl_options=gateway.tls.server() if gateway.tls else None)
         self.gateway, self.core, self.limits, self.log = gateway, core, gateway.limits, log
         self.verifiers = {name: Verifier(c.keys) for name, c in gateway.customers.items()}
         self.lines, self.rooms, self.rules = set(), {}, {}
@@ -236,6 +236,11 @@
         for line in list(self.lines):
             line.slow(now)
 
+    @staticmethod
+    def quiet():
+        """Answers are written as they are made: nothing is owed here."""
+        return True
+
     def close_idle(self):
         """At the end: lines on which nothing is owed are closed."""
         for line in list(self.lines):
--- a/petrelwood/links/worker.py
+++ b/petrelwood/links/worker.py
@@ -13,7 +13,7 @@
 import socket
 from collections import deque
 
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import IOStream, SSLIOStream, StreamClosedError
 
 from petrelwood.decide import fate, linkstate
 from petrelwood.links import rpc
@@ -33,8 +33,8 @@
 class WorkerLink:
     """`core` hears of each end: `returned`, `held`, `probed`. Never from within one of our own methods."""
 
-    def __init__(self, worker, address, terms, chance, core, log):
-        self.worker, self.address, self.terms, self.core, self.log = worker, address, terms, core, log
+    def __init__(self, worker, address, terms, chance, core, log, tls=None):
+        self.worker, self.address, self.terms, self.core, self.log, self.tls = worker, address, terms, core, log, tls
         self.state = linkstate.LinkState(worker, terms, chance)
         self.stream, self.waiting, self.waiting_bytes, self.out, self.runs = None, deque(), 0, {}, {}
         self.last, self.writing, self.soon = 0, False, False
@@ -145,13 +145,16 @@
         host, port = self.address
         self.writing = False
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        self.stream = IOStream(socket.socket(family), max_buffer_size=self.terms.frame + BATCH)
+        most = self.terms.frame + BATCH
+        self.stream = (IOStream(socket.socket(family), max_buffer_size=most) if self.tls is None else
+                       SSLIOStream(socket.socket(family), ssl_options=self.tls.client(), max_buffer_size=most))
         self.core.loop.create_task(self._serve(self.stream, (host, port)))
 
     async def _serve(self, stream, address):
         why = "closed by the peer"
         try:
-            await stream.connect(address)
+            await (stream.connect(address) if self.tls is None else
+                   stream.connect(address, server_hostname=self.tls.server_name(address[0])))
             stream.set_nodelay(True)
             self.state.connected(self.core.now())
             stream.write(rpc.notice("hello", [self.core.name])).add_done_callback(lambda done: done.exception())
--- a/petrelwood/settings/gateway.py
+++ b/petrelwood/settings/gateway.py
@@ -1,9 +1,11 @@
 """What a gateway's file says, decoded once: who calls, which functions there are, and the terms of the module."""
 import base64
 import binascii
+import pathlib
 from typing import NamedTuple
 
 from petrelwood import ports
+from petrelwood.links.tls import BadIdentity, Identity
 from petrelwood.settings import document as doc
 
 SECOND = 1_000_000_000
@@ -46,6 +48,23 @@
     order_within: int
 
 
+class MqttTerms(NamedTuple):
+    broker: tuple
+    user: str
+    password: bytes
+    group: str            # of the shared subscription: the same at all dispatchers
+    keep_alive: int       # ns
+    session: int          # how long the broker keeps a session without a connection, ns
+    window_least: int     # activations of one customer under way at a time
+    window_most: int
+    connect_within: int
+    most: int             # bytes of one packet
+    answers_kept: int     # answers that wait for the broker, for each customer
+    comeback_first: int
+    comeback_most: int
+    tls: object           # links.tls.Identity, or None
+
+
 class Gateway(NamedTuple):
     name: str
     listen: tuple
@@ -59,6 +78,9 @@
     customers: dict
     functions: tuple
     terms: ports.Terms
+    tls: object           # of the webhook front: links.tls.Identity, or None
+    worker_tls: object
+    mqtt: object          # MqttTerms, or None
 
     def rule(self, function):
         """The rule of a function: its own name first, then the longest beginning; None if there is none."""
@@ -138,6 +160,53 @@
     return limits
 
 
+def _tls(node, mutual=False):
+    """The identity that a `tls` child gives, or None."""
+    found = node.child("tls", None)
+    if found is None:
+        return None
+    base = pathlib.Path(node.file).parent
+    paths = [str(base / value) if value else "" for value in (
+        found.prop(name, doc.text, "") for name in ("cert", "key", "trusts"))]
+    mutual, name = found.prop("mutual", doc.yes, mutual), found.prop("name", doc.text, "")
+    found.done()
+    try:
+        return Identity(*paths, mutual, name)
+    except BadIdentity as fault:
+        raise found.bad(str(fault)) from None
+
+
+def _mqtt(node):
+    if node is None:
+        return None
+    window, base = node.child("window", None), pathlib.Path(node.file).parent
+    least = window.prop("least", doc.count, 4) if window else 4
+    most = window.prop("most", doc.count, 256) if window else 256
+    if not 0 < least <= most <= 65535:
+        raise (window or node).bad("'window' needs 0 < least <= most <= 65535")
+    if window:
+        window.done()
+    password, file = node.value("password", doc.text, ""), node.value("password-file", doc.text, "")
+    if file:
+        try:
+            password = (base / file).read_text().strip()
+        except OSError as fault:
+            raise node.bad(f"'password-file' can't be read: {fault.strerror}") from None
+    made = MqttTerms(
+        node.value("broker", doc.address), node.value("user", doc.text, None), password.encode() if password else None,
+        node.value("group", doc.text, "petrelwood"), node.value("keep-alive", doc.duration, 20 * SECOND),
+        node.value("session", doc.duration, 30 * SECOND), least, most,
+        node.value("connect-within", doc.duration, 2 * SECOND), node.value("packet", doc.size, 1_000_000),
+        node.value("answers", doc.count, 10_000), node.value("come-back", doc.duration, SECOND // 10),
+        node.value("come-back-most", doc.duration, 10 * SECOND), _tls(node))
+    node.done()
+    if made.keep_alive < SECOND:
+        raise node.bad("'keep-alive' must be 1 s or more: the protocol counts in seconds")
+    if set(made.group) & set("+#/"):
+        raise node.bad("'group' can't hold '+', '#' or '/'")
+    return made
+
+
 def _worker_terms(node):
     """(how links behave, the module's guarantees, its load orders, what is allowed)"""
     cold, fall, sends = node.child("cold"), node.child("fall"), node.child("sends")
@@ -159,10 +228,11 @@
         sends.arg(doc.count, "a number"), sends.prop("overlap", doc.yes, True), node.value("cancel", doc.yes, True),
         node.value("probe", doc.yes, True), True, node.value("most-retry-after", doc.duration, 10 * SECOND))
     by_probe = node.value("reports", doc.one_of("answers", "probe"), "answers") == "probe"
+    tls = _tls(node)
     for part, args in ((cold, 1), (fall, 1), (sends, 1), (ration, 0), (node, 0)):
         if part:
             part.done(args)
-    return terms, guarantees, orders, allowed, by_probe
+    return terms, guarantees, orders, allowed, by_probe, tls
 
 
 def read(path):
@@ -174,6 +244,7 @@
     seed, dispatchers = node.value("seed", doc.count, 0), node.value("dispatchers", doc.count, 1)
     tick = node.value("tick", doc.duration, SECOND // 500)
     tolerance = node.value("tolerance", doc.duration, 300 * SECOND)
+    tls = _tls(node)
     node.done(1)
     if not dispatchers:
         raise node.bad("'dispatchers' must be 1 or more: this one counts")
@@ -196,9 +267,10 @@
         one.done(1)
         functions.append(rule)
     limits = _limits(file.child("limits", None))
-    workers, guarantees, orders, allowed, by_probe = _worker_terms(file.child("workers"))
+    mqtt = _mqtt(file.child("mqtt", None))
+    workers, guarantees, orders, allowed, by_probe, worker_tls = _worker_terms(file.child("workers"))
     file.done()
     terms = ports.Terms(zone, dispatchers, types, {c.name: c.share for c in customers.values() if c.share},
                         guarantees, orders, allowed, False, by_probe, tick)
     return Gateway(name, listen, roster, seed, tolerance, timeouts, remember, limits, workers, customers,
-                   tuple(functions), terms)
+                   tuple(functions), terms, tls, worker_tls, mqtt)
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -111,7 +111,8 @@
 
 
 def answer(worker, stream, msgid, params, body=b'{"ok":1}'):
-    stream.write(rpc.response(msgid, None, [params[0], params[1], 1, body, {"running": 1}]))
+    if not stream.closed():
+        stream.write(rpc.response(msgid, None, [params[0], params[1], 1, body, {"running": 1}]))
 
 
 def later(seconds, body=b'{"ok":1}'):
--- /dev/null
+++ b/tests/test_mqtt.py
@@ -0,0 +1,344 @@
+"""MQTT triggers on real sockets: a broker, dispatchers, workers and a client in one process."""
+import asyncio
+import pathlib
+import socket
+import tempfile
+import time
+
+import orjson
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.testing import bind_unused_port
+
+from petrelwood.dispatch.core import Dispatcher
+from petrelwood.fronts.mqtt import Mqtt
+from petrelwood.links import packets as mq
+from petrelwood.settings import gateway
+from petrelwood.standins.broker import BrokerServer
+
+from rig import FILE, KEY, Case, Worker, later, never, says
+
+MQTT = 'mqtt {{ broker "127.0.0.1:{port}"; user "gateway"; password "g"; keep-alive "1s"; session "{session}"; ' \
+       'come-back "20ms"; come-back-most "200ms"; connect-within "500ms"; window least=2 most={most} }}\n'
+USERS = {"gateway": b"g", "x": b"x"}
+
+
+class Client:
+    """A customer's device: publishes, and keeps what answers come, by correlation."""
+
+    def __init__(self, port, name="device", user="x"):
+        self.port, self.name, self.user, self.answers, self.acks, self.id = port, name, user, {}, {}, 0
+
+    async def open(self, clean=1, session=0, reply="reply/x/device"):
+        self.stream = IOStream(socket.socket())
+        await self.stream.connect(("127.0.0.1", self.port))
+        self.send(mq.Packet(mq.CONNECT, client=self.name, clean=clean, keep_alive=60, user=self.user,
+                            password=USERS[self.user], props={"session_expiry": session}))
+        self.reader, self.reply, self.connack = mq.Reader(), reply, asyncio.get_running_loop().create_future()
+        self.task = asyncio.ensure_future(self.read())
+        found = await asyncio.wait_for(self.connack, 5)
+        if not found.present:
+            self.send(mq.Packet(mq.SUBSCRIBE, 65000, props={}, filters=[(reply, 2)]))
+        return found
+
+    def send(self, packet):
+        self.stream.write(mq.write(packet))
+
+    async def read(self):
+        try:
+            while True:
+                for p in self.reader.feed(await self.stream.read_bytes(65536, partial=True)):
+                    if p.type == mq.CONNACK:
+                        self.connack.set_result(p)
+                    elif p.type == mq.PUBLISH:
+                        status = dict(p.props["user"])
+                        self.answers.setdefault(p.props["correlation_data"], []).append((status["status"], p.payload))
+                        if p.qos:
+                            self.send(mq.Packet(mq.PUBACK if p.qos == 1 else mq.PUBREC, p.id))
+                    elif p.type == mq.PUBREL:
+                        self.send(mq.Packet(mq.PUBCOMP, p.id))
+                    elif p.type in (mq.PUBACK, mq.PUBREC):
+                        self.acks[p.id] = p.code
+                        if p.type == mq.PUBREC and p.code < 0x80:
+                            self.send(mq.Packet(mq.PUBREL, p.id))
+        except StreamClosedError:
+            pass
+
+    def ask(self, function, correlation, qos=1, expiry=None, topic=None, reply=None, body=b"{}", dup=0, id_=0):
+        self.id = id_ or self.id + 1
+        props = {"response_topic": reply or self.reply, "correlation_data": correlation}
+        if expiry is not None:
+            props["message_expiry"] = expiry
+        self.send(mq.Packet(mq.PUBLISH, self.id if qos else 0, topic=topic or f"act/x/{function.split('-')[0]}/{function}",
+                            payload=body, qos=qos, dup=dup, retain=0, props=props))
+        return self.id
+
+    def close(self):
+        self.stream.close()
+
+
+class MqttCase(Case):
+    """`begin` starts the workers and the first dispatcher with its broker; `another` one more of them."""
+
+    async def begin(self, *workers, most=64, session="5s", dispatchers=1, **more):
+        sock, self.port = bind_unused_port()
+        self.broker, self.facts = BrokerServer(USERS, lambda what, **f: self.facts.append((what, f))), []
+        self.broker.add_sockets([sock])
+        self.settings = MQTT.format(port=self.port, session=session, most=most)
+        await super().begin(*workers, **more)
+        self.cores = []
+        for number in range(dispatchers):
+            await self.another(f"d{number}")
+        self.client = Client(self.port)
+        await self.client.open()
+
+    async def another(self, name):
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "g.kdl"
+            path.write_text(FILE.format(roster=self.gateway.roster[1], key=KEY, limits='body "20KB"', workers="").replace(
+                'gateway "d"', f'gateway "{name}"') + self.settings)
+            described = gateway.read(path)
+        core = Dispatcher(described, self.log)
+        core.open()
+        await asyncio.wait_for(core.listed_once.wait(), 5)
+        front = Mqtt(described.mqtt, core, self.log)
+        core.fronts.append(front)
+        front.open()
+        await self.until(lambda: all(s.up and not s.fresh for s in front.sessions))
+        self.cores.append(core)
+        return core
+
+    def kill(self, core):
+        """As outright as it can be within one process: nothing of it is written any more."""
+        for front in core.fronts:
+            front.closed = True
+            for session in front.sessions:
+                session.task.cancel()
+                if session.stream is not None:
+                    session.stream.close()
+        for link in core.links.values():
+            link.give_up("killed")
+        core.roster.close()
+        core.checks.cancel()
+        if core.due_timer is not None:
+            core.due_timer.cancel()
+        self.cores.remove(core)
+
+    async def asyncTearDown(self):
+        for core in list(getattr(self, "cores", ())):
+            self.kill(core)
+        self.client.close()
+        self.broker.stop()
+        self.broker.drop_all()
+        await super().asyncTearDown()
+
+    async def answered(self, *correlations, within=6):
+        await self.until(lambda: all(c in self.client.answers for c in correlations), within)
+        return [self.client.answers[c][0][0] for c in correlations]
+
+
+class Path(MqttCase):
+    async def test_each_quality_and_kind_is_answered_once(self):
+        await self.begin(Worker("w1"), Worker("w2"), dispatchers=2)
+        names = []
+        for qos in (0, 1, 2):
+            for kind in ("again", "hall", "once"):
+                names.append(f"{kind}{qos}".encode())
+                self.client.ask(f"{kind}-1", names[-1], qos)
+        self.assertEqual(await self.answered(*names), ["completed"] * 9)
+        await asyncio.sleep(0.1)
+        self.assertEqual({len(a) for a in self.client.answers.values()}, {1})
+        self.assertEqual(self.runs(), 9)
+
+    async def test_what_may_not_be_is_refused_with_a_reason(self):
+        await self.begin(Worker("w1"))
+        for topic, reply, code in (("act/x/again/again-1", "reply/y/1", mq.NOT_AUTHORIZED),
+                                   ("act/x/again/unknown", None, 0), ("act/x/once/again-1", None, 0)):
+            self.client.ask("again-1", topic.encode(), 2, topic=topic, reply=reply)
+        self.client.ask("again-1", b"foreign", 1, topic="act/y/again/again-1")
+        await self.answered(b"act/x/again/unknown", b"act/x/once/again-1")
+        self.assertEqual([a[0][0] for a in self.client.answers.values()], ["rejected", "rejected"])
+        await self.until(lambda: self.client.acks.get(4) == mq.NOT_AUTHORIZED)
+        self.assertEqual((self.runs(), self.cores[0].fronts[0].figures()["refused"]), (0, 3))
+
+    async def test_the_clients_patience_is_the_message_expiry(self):
+        await self.begin(Worker("w1", never))
+        begun = time.monotonic()
+        self.client.ask("once-1", b"short", 2, expiry=1)
+        self.assertEqual(await self.answered(b"short"), ["aborted"])
+        self.assertLess(time.monotonic() - begun, 1.1)
+        self.client.ask("once-1", b"none", 2, expiry=0)
+        await asyncio.sleep(0.2)
+        self.assertNotIn(b"none", self.client.answers)   # it expired at the broker: never delivered
+        self.assertIn("expired", [what for what, _ in self.facts])
+
+    async def test_a_client_that_asks_again_joins_or_gets_the_same_answer(self):
+        await self.begin(Worker("w1", later(0.3)))
+        self.client.ask("once-1", b"same", 2)
+        self.client.ask("once-1", b"same", 2)
+        await self.until(lambda: len(self.client.answers.get(b"same", ())) == 2)
+        self.client.ask("once-1", b"same", 2)
+        await self.until(lambda: len(self.client.answers[b"same"]) == 3)
+        self.assertEqual((self.runs(), {a for a in self.client.answers[b"same"]}), (1, {("completed", b'{"ok":1}')}))
+
+    async def test_the_broker_holds_what_the_window_does_not_take(self):
+        await self.begin(w := Worker("w1", later(0.2)), most=8)
+        for i in range(40):
+            self.client.ask("again-1", b"%d" % i, 1)
+        await self.until(lambda: w.runs)
+        session = self.cores[0].fronts[0].sessions[0]
+        seen = 0
+        while len(self.client.answers) < 40:
+            seen = max(seen, len(session.deliveries.known))
+            await asyncio.sleep(0.01)
+        self.assertLessEqual(seen, 8)
+        self.assertTrue({a[0][0] for a in self.client.answers.values()} <= {"completed", "rejected"})
+
+
+class Trouble(MqttCase):
+    async def test_a_killed_dispatchers_repeatable_messages_are_answered_elsewhere(self):
+        await self.begin(w := Worker("w1", later(0.6)), dispatchers=2)
+        names = [b"%d" % i for i in range(12)]
+        for name in names:
+            self.client.ask("again-1", name, 1)
+        await self.until(lambda: len(w.runs) >= 4)
+        self.kill(self.cores[0])
+        self.assertEqual(set(await self.answered(*names)), {"completed"})
+        await asyncio.sleep(0.2)
+        self.assertEqual({len(a) for a in self.client.answers.values()}, {1})
+
+    async def test_killed_between_pubrec_and_pubrel_nothing_runs_twice(self):
+        await self.begin(w := Worker("w1"), dispatchers=2)
+        core = self.cores[0]
+        session = core.fronts[0].sessions[0]
+        session.deliveries.released = lambda now, id_: None      # its PUBRELs are never read
+        names = [b"%d" % i for i in range(6)]
+        for name in names:
+            self.client.ask("once-1", name, 2)
+        await self.until(lambda: any(d.state == "proving" for d in session.deliveries.known.values()))
+        held = {d.what.correlation for d in session.deliveries.known.values()}
+        self.kill(core)
+        await self.another("d0")                          # the same session: the broker sends its PUBRELs again
+        others = [n for n in names if n not in held]
+        await self.answered(*others)
+        await asyncio.sleep(0.3)
+        marks = [p[3] for p in w.runs]
+        self.assertEqual(len(marks), len(set(marks)))
+        self.assertFalse(held & set(self.client.answers))  # the killed one's duty has ended with it
+
+    async def test_a_broker_that_throws_all_out(self):
+        await self.begin(w := Worker("w1", later(0.3)), dispatchers=2)
+        names = [b"o%d" % i for i in range(8)] + [b"r%d" % i for i in range(8)]
+        for name in names:
+            self.client.ask("once-1" if name[:1] == b"o" else "again-1", name, 2)
+        await self.until(lambda: len(w.runs) >= 6)
+        for stream in [s for s, session in self.broker.streams.items() if session.client.startswith("d")
+                       and session.client != "device"]:
+            stream.close()
+        self.assertEqual(set(await self.answered(*names)), {"completed"})
+        await asyncio.sleep(0.2)
+        self.assertEqual({n: len(a) for n, a in self.client.answers.items() if len(a) > 1}, {})
+        marks = [p[3] for p in w.runs if p[2] == "once-1"]
+        self.assertEqual(len(marks), len(set(marks)))
+
+    async def test_a_broker_that_forgets_its_sessions(self):
+        await self.begin(Worker("w1", later(0.3)))
+        for i in range(4):
+            self.client.ask("once-1", b"%d" % i, 2)
+        await self.until(lambda: self.runs() == 4)
+        self.broker.forget()
+        self.client.close()
+        await self.client.open()
+        await self.until(lambda: self.cores[0].fronts[0].sessions[0].up)
+        self.client.ask("again-1", b"after", 1)
+        self.assertEqual(await self.answered(b"after"), ["completed"])
+
+    async def test_a_broker_that_accepts_and_is_silent(self):
+        await self.begin(Worker("w1"))
+        session = self.cores[0].fronts[0].sessions[0]
+        self.broker.silence(True)
+        await self.until(lambda: not session.up)
+        waited = session.comeback.failures
+        await self.until(lambda: session.comeback.failures >= waited + 1)
+        self.broker.silence(False)
+        await self.until(lambda: session.up, 10)
+        self.client.close()
+        await self.client.open()
+        self.client.ask("again-1", b"after", 1)
+        self.assertEqual(await self.answered(b"after"), ["completed"])
+
+    async def test_an_answer_waits_for_a_client_whose_session_lives(self):
+        await self.begin(Worker("w1", later(0.4)))
+        self.client.close()
+        away = Client(self.port, "away")
+        await away.open(clean=1, session=30, reply="reply/x/away")
+        away.ask("once-1", b"1", 2)
+        await self.until(lambda: away.acks)
+        away.close()
+        await self.until(lambda: self.runs() == 1)
+        await asyncio.sleep(0.6)
+        self.client = away
+        self.assertEqual((await away.open(clean=0, session=30, reply="reply/x/away")).present, 1)
+        self.assertEqual(await self.answered(b"1"), ["completed"])
+
+    async def test_a_drain_loses_and_doubles_nothing(self):
+        await self.begin(w := Worker("w1", later(0.2)), dispatchers=2)
+        core, names = self.cores[0], [b"%s%d" % (k, i) for i in range(20) for k in (b"r", b"o")]
+        for name in names[:20]:
+            self.client.ask("once-1" if name[:1] == b"o" else "again-1", name, 2)
+        await self.until(lambda: w.runs)
+        closing = asyncio.ensure_future(core.close())
+        for name in names[20:]:
+            self.client.ask("once-1" if name[:1] == b"o" else "again-1", name, 2)
+        await asyncio.wait_for(closing, 10)
+        ends = await self.answered(*names)
+        self.assertTrue(set(ends) <= {"completed", "rejected"}, set(ends))
+        self.assertGreater(ends.count("completed"), 20)
+        await asyncio.sleep(0.2)
+        self.assertEqual({n: len(a) for n, a in self.client.answers.items() if len(a) > 1}, {})
+        marks = [p[3] for p in w.runs if p[2] == "once-1"]
+        self.assertEqual(len(marks), len(set(marks)))
+
+    async def test_two_thousand_sessions_come_back_within_a_second(self):
+        await self.begin(Worker("w1"))
+        made, model = [], self.broker.model
+        for i in range(2000):
+            packet = mq.Packet(mq.CONNECT, client=f"many{i}", clean=0, user="x", will=None, props={"session_expiry": 30})
+            model.connect(packet, made.append, lambda code: None)
+        self.broker.drop_all()
+        begun = time.monotonic()
+        for i in range(2000):
+            session = model.sessions[f"many{i}"]
+            model.gone(session, session.life, False)
+            model.connect(mq.Packet(mq.CONNECT, client=f"many{i}", clean=0, user="x", will=None,
+                                    props={"session_expiry": 30}), made.append, lambda code: None)
+        self.client.close()
+        await self.client.open()
+        self.client.ask("again-1", b"after", 1)
+        self.assertEqual(await self.answered(b"after"), ["completed"])
+        self.assertEqual(sum(p.present for p in made if p.type == mq.CONNACK), 2000)
+        self.assertLess(time.monotonic() - begun, 20)
+
+
+class SameDecision(MqttCase):
+    async def test_a_recorded_case_gives_the_same_decision_through_either_front(self):
+        """Each case once by webhook and once by MQTT: how it ends, and how often it reaches a worker."""
+        cases = [(kind, word) for kind in ("again", "hall", "once") for word in ("ok", "error", "full", "never")]
+
+        def by_body(w, s, m, p):
+            word = orjson.loads(p[6])["word"]
+            {"ok": later(0), "never": never}.get(word, says(word))(w, s, m, p)
+        await self.begin(w := Worker("w1", by_body))
+        self.core.fronts = self.core.fronts[:1]
+        for number, (kind, word) in enumerate(cases):
+            with self.subTest(kind=kind, word=word):
+                body, counted = orjson.dumps({"word": word}), []
+                before = len(w.runs)
+                status, _ = await self.post(f"{kind}-a{number}", body=body, Prefer="wait=1")
+                await asyncio.sleep(0.01)
+                counted.append(({200: "completed", 503: "rejected", 504: "aborted"}[status], len(w.runs) - before))
+                before, name = len(w.runs), b"%d" % number
+                self.client.ask(f"{kind}-b{number}", name, 2, body=body, expiry=1)
+                counted.append(((await self.answered(name))[0], len(w.runs) - before))
+                self.assertEqual(counted[0][0], counted[1][0])
+                if kind == "once" and word != "full":
+                    self.assertEqual(counted[0][1], counted[1][1])
