--- a/petrelwood/audit/rules.py
+++ b/petrelwood/audit/rules.py
@@ -44,8 +44,9 @@
 class Case:
     """The records of a run, arranged for the rules. `terms`: ports.Terms; `works`: namespace type -> mean ns."""
 
-    def __init__(self, records, terms, drain_grace, build, works):
+    def __init__(self, records, terms, drain_grace, build, works, away=()):
         self.terms, self.grace, self.build, self.works = terms, drain_grace, build, works
+        self.away = away                                 # when the broker was to be away: (begin, end)
         self.by = collections.defaultdict(list)
         for record in records:
             self.by[record["t"]].append(record)
@@ -110,6 +111,7 @@
         for run in case.sends[act]:
             if run["at"] > at + SLACK:
                 found.breaks(f"{act}: sent to {run['who']} {(run['at'] - at) / 1e9:.2f} s after its answer")
+    _one_answer_by_mqtt(case, found)
     for replay in case.by["replayed"]:
         found.looked += 1
         # 503: signed before the present life of the dispatcher, which takes no such thing
@@ -118,6 +120,35 @@
     return found
 
 
+def _one_answer_by_mqtt(case, found):
+    """Each message that a dispatcher took has one answer in time. None is owed where the dispatcher that had it was
+    killed, or where the broker was away when its time was up; never two."""
+    answers, numbers, holders = collections.defaultdict(list), {}, collections.defaultdict(list)
+    for answer in case.by["manswer"]:
+        answers[answer["key"]].append(answer)
+    for record in case.by["published"]:
+        if record["topic"].startswith("act/"):
+            numbers[record["message"]] = record["correlation"]
+    for record in case.by["delivered"]:
+        if record["message"] in numbers:
+            holders[numbers[record["message"]]].append(record)
+    for ask in case.by["mask"]:
+        found.looked += 1
+        got, had = answers[ask["key"]], holders[ask["key"]]
+        ends = ask["at"] + ask["patience"]
+        if len(got) > 1:
+            found.breaks(f"message {bytes.fromhex(ask['key']).decode()}: {len(got)} answers, "
+                         f"{[a['status'] for a in got]}")
+        away = any(begin - SLACK <= ends and ask["at"] <= end + 4 * SLACK for begin, end in case.away)
+        if not got and had and not away:
+            if not any(case.killed(h["client"].split(".")[0], h["at"], ends) for h in had):
+                found.breaks(f"message {bytes.fromhex(ask['key']).decode()}: no answer, and {had[-1]['client']} "
+                             "had it")
+        elif got and got[0]["at"] > ends + SLACK // 5 and not away:
+            found.breaks(f"message {bytes.fromhex(ask['key']).decode()}: answered "
+                         f"{(got[0]['at'] - ends) / 1e9:.2f} s after its time")
+
+
 def no_effect_twice(case):
     found = Finding(2)
     for mark, runs in case.runs.items():
@@ -220,6 +251,11 @@
     asks, holds = collections.defaultdict(list), collections.defaultdict(list)
     for ask in case.by["ask"]:
         asks[ask["to"]].append(ask["at"])
+    for taken in case.by["delivered"]:                   # messages to dispatchers are asks too
+        name = taken["client"].split(".")[0]
+        asks[name].append(taken["at"])
+    for times in asks.values():
+        times.sort()
     for hold in case.by["hold"]:
         if hold["count"]:
             holds[hold["by"]].append(hold["at"])
@@ -248,6 +284,13 @@
     names = {200: "completed", 503: "rejected", 429: "rejected", 504: "aborted", 401: "unsigned", 409: "conflict"}
     for answer in case.by["answer"]:
         table[types[answer["key"], answer["stamp"]]][names.get(answer["status"], str(answer["status"]))] += 1
+    asked = {r["key"]: r["type"] for r in case.by["mask"]}
+    for answer in case.by["manswer"]:
+        table[asked[answer["key"]]][answer["status"]] += 1
+    for key, answers in collections.Counter(a["key"] for a in case.by["manswer"]).items():
+        asked.pop(key)
+    for type_ in asked.values():
+        table[type_]["unanswered"] += 1
     for kind in ("left", "broken"):
         for record in case.by[kind]:
             table[types[record["key"], record["stamp"]]][kind] += 1
--- a/petrelwood/cli/main.py
+++ b/petrelwood/cli/main.py
@@ -18,6 +18,7 @@
     "sign": "petrelwood sign --key whsec_... --id msg_1 body.json",
     "verify": "petrelwood verify --key whsec_... --id msg_1 --timestamp 1764600000 --signature 'v1,...' body.json",
     "day": "petrelwood day bad --seed 3 --json result.json",
+    "publish": "petrelwood publish --broker 127.0.0.1:1883 --customer x --type score --function applicant-1 body.json",
     "audit": "petrelwood audit runs/bad-3",
 }
 
@@ -106,22 +107,76 @@
     asyncio.run(standin.serve(_day(day), listen, _folder(records)))
 
 
-@command(cli, "portal")
-@click.argument("day")
-@click.option("--plan", type=click.Path(exists=True, dir_okay=False), required=True,
-              help="JSON: start, seed, dispatchers' addresses, customers' keys")
-@click.option("--records", type=click.Path(file_okay=False), default="")
-def portal(day, plan, records):
-    """A stand-in portal: signs and sends the traffic of DAY."""
+def _clients(function):
+    for option in (click.option("--records", type=click.Path(file_okay=False), default=""),
+                   click.option("--plan", type=click.Path(exists=True, dir_okay=False), required=True,
+                                help="JSON: start, seed, addresses, customers' keys"),
+                   click.argument("day")):
+        function = option(function)
+    return function
+
+
+@command(cli, "broker")
+@_standin
+def broker(day, listen, records, seed):
+    """A stand-in MQTT 5 broker. A customer's password is its name; the gateways' user is 'gateway'."""
+    from petrelwood.standins import broker as standin
+    described = _day(day)
+    users = {c.name: c.name.encode() for c in described.clients}
+    asyncio.run(standin.serve(described, listen, _folder(records), {**users, "gateway": b"gateway"}))
+
+
+@command(cli, "devices")
+@_clients
+def devices(day, plan, records):
+    """Stand-in devices: publish the MQTT traffic of DAY."""
+    from petrelwood.standins import devices as standin
+    told = json.loads(pathlib.Path(plan).read_text())
+    described = _day(day)
+    asyncio.run(standin.serve(described, tuple(told["broker"]), *_kinds_of(described), _folder(records), told["start"],
+                              told["seed"], tell=lambda c: print(json.dumps(c), flush=True)))
+
+
+@command(cli, "publish")
+@click.argument("body", type=click.File("rb"))
+@click.option("--broker", "address", type=Address(), required=True)
+@click.option("--customer", required=True, help="also the user")
+@click.option("--password", default="", help="the customer's name if not given")
+@click.option("--type", "type_", required=True, help="namespace type")
+@click.option("--function", required=True)
+@click.option("--qos", type=click.IntRange(0, 2), default=2, show_default=True)
+@click.option("--wait", type=click.IntRange(1), default=5, show_default=True, help="patience, seconds")
+def publish(body, address, customer, password, type_, function, qos, wait):
+    """Publishes BODY as an activation, prints its answer: exit 0 completed, 1 rejected or aborted, 3 none in time."""
+    from petrelwood.standins import devices as standin
+    try:
+        status, payload = asyncio.run(standin.publish_one(
+            address, customer, (password or customer).encode(), type_, function, body.read(), qos, wait))
+    except (OSError, ValueError) as fault:
+        raise click.ClickException(str(fault)) from None
+    click.echo(f"{status}: {payload.decode('utf-8', 'replace')}" if status else f"no answer in {wait} s")
+    sys.exit({"completed": 0, None: 3}.get(status, 1))
+
+
+def _kinds_of(described):
+    """(action timeouts in seconds, which namespace types are repeatable)"""
     from petrelwood.settings import gateway
-    from petrelwood.standins import portal as standin
-    told, described = json.loads(pathlib.Path(plan).read_text()), _day(day)
     timeouts, repeatable = {}, set()
     for node in described.terms.every("namespace-type"):
         name, type_, timeout, _ = gateway._type(node)
         timeouts[name] = timeout / 1e9
         if type_.effect == "repeatable":
             repeatable.add(name)
+    return timeouts, repeatable
+
+
+@command(cli, "portal")
+@_clients
+def portal(day, plan, records):
+    """A stand-in portal: signs and sends the webhooks of DAY."""
+    from petrelwood.standins import portal as standin
+    told, described = json.loads(pathlib.Path(plan).read_text()), _day(day)
+    timeouts, repeatable = _kinds_of(described)
     keys = {c: [(s, bytes.fromhex(k)) for s, k in pairs] for c, pairs in told["keys"].items()}
     asyncio.run(standin.serve(
         described, {n: tuple(a) for n, a in told["dispatchers"].items()}, keys, timeouts, repeatable,
--- a/petrelwood/cli/show.py
+++ b/petrelwood/cli/show.py
@@ -1,6 +1,7 @@
 """What a person sees of a day: live progress, and the tables at its end."""
 import contextlib
 import json
+import sys
 import time
 
 from rich.console import Console
@@ -13,15 +14,15 @@
 def progress(day, quiet):
     """A call that takes what the day tells: counts, or a trouble's words."""
     console, begun = Console(stderr=True, highlight=False), time.monotonic()
-    state = {"shown": 0.0}
+    state = {}
 
     def tell(what):
         if quiet:
             return
         if isinstance(what, str):
             console.print(f"[dim]{time.monotonic() - begun:5.1f} s[/]  [yellow]{what}[/]")
-        elif what["at"] - state["shown"] >= 2 or what["at"] < state["shown"]:
-            state["shown"] = what["at"]
+        elif what["at"] - state.get("mqtt open" in what, -9) >= 2:
+            state["mqtt open" in what] = what["at"]
             counts = "  ".join(f"{k} {v}" for k, v in sorted(what.items()) if k != "at")
             console.print(f"[dim]{time.monotonic() - begun:5.1f} s[/]  day {max(0, what['at']):4.1f} of "
                           f"{day.length / 1e9:.0f} s  {counts}")
@@ -34,7 +35,7 @@
 
 def verdict(case, day, seed, result):
     """Prints both tables; 0 if every rule held and something was seen to be completed."""
-    console, findings, ends = Console(highlight=False), rules.judge(case), rules.outcomes(case)
+    console, findings, ends = Console(highlight=False, width=None if sys.stdout.isatty() else 118), rules.judge(case), rules.outcomes(case)
     table = Table(title=f"The five rules on day '{day.name}'" + (f", seed {seed}" if seed is not None else ""))
     for heading in ("rule", "looked at", "broken", "first"):
         table.add_column(heading, overflow="fold")
@@ -43,7 +44,7 @@
                       f"[red]{len(found.broken)}[/]" if found.broken else "[green]0[/]",
                       found.broken[0] if found.broken else "")
     console.print(table)
-    columns = ["completed", "rejected", "aborted", "left", "broken", "conflict", "unsigned"]
+    columns = ["completed", "rejected", "aborted", "left", "broken", "conflict", "unsigned", "unanswered"]
     table = Table(title="How the tries of activations ended")
     for heading in ("namespace type", *columns, "sends each"):
         table.add_column(heading, justify="right" if heading != "namespace type" else "left")
--- a/petrelwood/emulate/script.py
+++ b/petrelwood/emulate/script.py
@@ -29,6 +29,10 @@
     "restart": ({"worker": doc.text, "down": doc.duration}, "a worker is killed and comes back cold"),
     "silent-accept": ({"worker": doc.text, "for": doc.duration}, "a worker accepts connections and says nothing"),
     "garbage": ({"worker": doc.text}, "a worker sends what is no message, once, on each connection"),
+    "broker-drop": ({}, "the broker throws out all clients at once"),
+    "broker-lost": ({"for": doc.duration}, "the broker is away; its sessions are kept"),
+    "broker-silent": ({"for": doc.duration}, "the broker accepts connections and says nothing"),
+    "broker-forgets": ({}, "the broker loses its sessions and what they held"),
     "store-stop": ({"for": doc.duration}, "the store stops"),
     "replays": ({"for": doc.duration, "part": doc.share}, "old requests are sent again word for word"),
     "forgeries": ({"for": doc.duration, "part": doc.share}, "requests come with a wrong signature"),
@@ -74,6 +78,8 @@
     retries: int
     honours: float         # the part of Retry-After hints that it follows
     impatient: float       # the part that hangs up early
+    by: str                # "webhook" or "mqtt"
+    devices: int           # sessions at the broker
 
 
 class Day(NamedTuple):
@@ -146,7 +152,8 @@
     made = Client(node.arg(doc.text, "a name"), node.prop("part", doc.share), node.prop("share", doc.number, 0),
                   node.prop("patience", doc.count, 0), node.prop("retries", doc.count, 1),
                   node.prop("honours", doc.share, 1.0),
-                  node.prop("impatient", doc.share, 0.0))
+                  node.prop("impatient", doc.share, 0.0), node.prop("by", doc.one_of("webhook", "mqtt"), "webhook"),
+                  node.prop("devices", doc.count, 4))
     node.done(1)
     return made
 
--- a/petrelwood/lab/day.py
+++ b/petrelwood/lab/day.py
@@ -76,7 +76,7 @@
         self.log = open(self.records / "operator.jsonl", "ab", buffering=0)
         self.processes, self.workers, self.dispatchers, self.booted = [], {}, {}, {}
         self.zones = {name: (hall, cell) for name, hall, cell in day.workers}
-        self.tasks, self.keys, self.roster, self.store = [], {}, None, None
+        self.tasks, self.keys, self.roster, self.store, self.broker = [], {}, None, None, None
         self.chance = random.Random(f"{seed}/keys")
 
     def put(self, what, **fields):
@@ -125,6 +125,9 @@
                 prefix = "whsec" if scheme == "v1" else "whpk"
                 rows.append(f'    key "{prefix}_{base64.b64encode(key).decode()}"')
             rows.append("}")
+        if self.broker is not None:
+            rows += ["mqtt {", '    broker "%s:%d"' % self.broker.address, '    user "gateway"', '    password "gateway"',
+                     '    keep-alive "2s"', '    session "6s"', '    come-back "50ms"', '    come-back-most "1s"', "}"]
         terms = document.render(day.terms.children)
         path = self.folder / f"{name}.kdl"
         path.write_text("\n".join(rows) + "\n" + terms)
@@ -135,7 +138,9 @@
         day = self.day
         self.store = self.process("store", self._standin("store", "127.0.3.1:0"))
         self.roster = self.process("roster", self._standin("roster", "127.0.3.2:0"))
-        await asyncio.gather(self.store.start(), self.roster.start())
+        if any(client.by == "mqtt" for client in day.clients):
+            self.broker = self.process("broker", self._standin("broker", "127.0.3.3:0"))
+        await asyncio.gather(*(p.start() for p in self.processes))
         for number, (name, hall, cell) in enumerate(day.workers, 1):
             self.booted[name] = 0
             self.workers[name] = self.process(name, self._worker_args(name, number, 0))
@@ -157,13 +162,15 @@
             await self._begin()
             await self._dispatchers()
             self.start = time.monotonic_ns() + LEAD
-            for process in (self.roster, self.store, *self.workers.values()):
+            self.put("start", start=self.start)
+            for process in (self.roster, self.store, *self.workers.values(), *([self.broker] if self.broker else ())):
                 process.tell({"start": self.start})
             for trouble in self.day.troubles:
                 if trouble.kind in OPERATES:
                     self.tasks.append(asyncio.ensure_future(self._later(self.start + trouble.at, OPERATES[trouble.kind],
                                                                         trouble)))
-            counts = await self._portal(self.start)
+            counts, *_ = await asyncio.gather(
+                self._clients("portal", self.start), *([self._clients("devices", self.start)] if self.broker else ()))
             await asyncio.gather(*self.tasks)
             return counts
         finally:
@@ -178,16 +185,18 @@
         self.tell(f"{trouble.kind} {' '.join(str(v) for v in trouble.what.values())}")
         await call(self, trouble)
 
-    async def _portal(self, start):
+    async def _clients(self, what, start):
         plan = {"start": start, "seed": self.seed,
                 "dispatchers": {n: list(d.address) for n, d in self.dispatchers.items()},
                 "keys": {c: [[s, k.hex()] for s, k in keys] for c, keys in self.keys.items()}}
-        path = self.folder / "plan.json"
+        if self.broker is not None:
+            plan["broker"] = list(self.broker.address)
+        path = self.folder / f"plan-{what}.json"
         path.write_text(json.dumps(plan))
         os.chmod(path, 0o600)
-        with open(self.folder / "portal.log", "wb") as log:
+        with open(self.folder / f"{what}.log", "wb") as log:
             child = await asyncio.create_subprocess_exec(
-                *self.program, "portal", self.day.file, "--plan", str(path), "--records", str(self.records),
+                *self.program, what, self.day.file, "--plan", str(path), "--records", str(self.records),
                 stdin=asyncio.subprocess.DEVNULL, stdout=asyncio.subprocess.PIPE, stderr=log)
         counts = {}
         try:
@@ -195,7 +204,7 @@
                 counts = json.loads(line)
                 self.tell(counts)
             if await child.wait():
-                raise DayFailed("the portal failed: " + (self.folder / "portal.log").read_text()[-500:])
+                raise DayFailed(f"{what} failed: " + (self.folder / f"{what}.log").read_text()[-500:])
         finally:
             if child.returncode is None:
                 child.kill()
@@ -257,4 +266,7 @@
     works = {}
     for kind in day.kinds:
         works.setdefault(kind.type, kind.work)
-    return rules.Case(rules.load(folder / "records"), gateway.terms, gateway.workers.drain_grace, day.build, works)
+    records = rules.load(folder / "records")
+    start = next((r["start"] for r in records if r["t"] == "start"), 0)
+    away = [(start + t.at, start + t.at + t.span) for t in day.troubles if t.kind in ("broker-lost", "broker-silent")]
+    return rules.Case(records, gateway.terms, gateway.workers.drain_grace, day.build, works, away)
--- a/petrelwood/standins/portal.py
+++ b/petrelwood/standins/portal.py
@@ -20,6 +20,25 @@
 REPLAY_KEPT = 400
 
 
+class Choice:
+    """Which function a customer calls, and how much work it is."""
+
+    def __init__(self, day, chance):
+        self.chance, self.kinds, self.cuts = chance, {}, {}
+        for kind in day.kinds:
+            sums = list(itertools.accumulate((i + 1) ** -kind.zipf for i in range(kind.count)))
+            self.cuts[kind.prefix] = [s / sums[-1] for s in sums]
+        for client in day.clients:
+            may = [k for k in day.kinds if not k.customers or client.name in k.customers]
+            self.kinds[client.name] = (may, [k.part for k in may])
+
+    def draw(self, client):
+        kind = self.chance.choices(*self.kinds[client.name])[0]
+        number = bisect.bisect(self.cuts[kind.prefix], self.chance.random())
+        work = int(kind.work * math.exp(self.chance.gauss(-0.08, 0.4)))
+        return kind, f"{kind.prefix}{min(number, kind.count - 1)}", work
+
+
 class Portal:
     def __init__(self, day, dispatchers, keys, records, seed, clock_off):
         self.day, self.keys, self.records, self.clock_off = day, keys, records, clock_off
@@ -29,13 +48,7 @@
         self.rates = {c.name: day.rate * c.part for c in day.clients}
         self.more, self.forged, self.replayed, self.slow = {}, 0.0, 0.0, 0
         self.old, self.counts, self.tasks = [], {}, set()
-        self.kinds, self.cuts = {}, {}
-        for kind in day.kinds:
-            sums = list(itertools.accumulate((i + 1) ** -kind.zipf for i in range(kind.count)))
-            self.cuts[kind.prefix] = [s / sums[-1] for s in sums]
-        for client in day.clients:
-            may = [k for k in day.kinds if not k.customers or client.name in k.customers]
-            self.kinds[client.name] = (may, [k.part for k in may])
+        self.choice = Choice(day, self.picks)
 
     def count(self, what):
         self.counts[what] = self.counts.get(what, 0) + 1
@@ -54,12 +67,6 @@
             await asyncio.sleep(max(0, due - time.monotonic_ns()) / 1e9)
             self.spawn(self.activation(client))
 
-    def draw(self, client):
-        kind = self.picks.choices(*self.kinds[client.name])[0]
-        number = bisect.bisect(self.cuts[kind.prefix], self.picks.random())
-        work = int(kind.work * math.exp(self.picks.gauss(-0.08, 0.4)))
-        return kind, f"{kind.prefix}{min(number, kind.count - 1)}", work
-
     def message(self, client, function, id_, body, patience, wrong=False):
         """The bytes of a signed request, and the time that it carries."""
         stamp = time.time() + self.clock_off
@@ -77,7 +84,7 @@
 
     async def activation(self, client):
         """One activation with its client's retries, to whatever end."""
-        kind, function, work = self.draw(client)
+        kind, function, work = self.choice.draw(client)
         self.last += 1
         self.open += 1
         id_ = f"msg_{self.seed}_{self.last}"
@@ -183,7 +190,7 @@
     await asyncio.sleep(max(0, start - time.monotonic_ns()) / 1e9)
     host.play(day, start, portal.troubles(start))
     until = start + day.length
-    clients = [asyncio.ensure_future(portal.client(c, until)) for c in day.clients]
+    clients = [asyncio.ensure_future(portal.client(c, until)) for c in day.clients if c.by == "webhook"]
     while time.monotonic_ns() < until + day.settle and (portal.open or not all(c.done() for c in clients)):
         await asyncio.sleep(0.5)
         if tell:
