--- a/Makefile
+++ b/Makefile
@@ -4,9 +4,9 @@
 
 setup: .venv/ready
 
-.venv/ready: requirements.txt pyproject.toml
+.venv/ready: requirements.txt requirements-test.txt pyproject.toml
 	test -x $(PY) || python3 -m venv .venv
-	$(PY) -m pip -q install --disable-pip-version-check -r requirements.txt
+	$(PY) -m pip -q install --disable-pip-version-check -r requirements.txt -r requirements-test.txt
 	$(PY) -m pip -q install --disable-pip-version-check --no-deps -e .
 	touch .venv/ready
 
--- a/petrelwood/fronts/webhook.py
+++ b/petrelwood/fronts/webhook.py
@@ -5,6 +5,7 @@
 `Exchange.answer`, once. `Prefer: wait=N` (RFC 7240) tells the client's patience in seconds.
 """
 import socket
+import ssl
 import time
 from collections import deque
 
@@ -89,8 +90,9 @@
                     self.reading = False
                 while not self.reading and not self.closing:
                     await self.front.room(self)
-        except StreamClosedError:
-            pass
+        except StreamClosedError as fault:
+            if isinstance(fault.real_error, ssl.SSLError):
+                self.front._count("handshakes refused")
 
     def _wrong(self, status, detail):
         """The rest of the connection can't be understood: one answer, then it ends."""
