The dispatcher's core is free of I/O: clock and links are handed in

The emulator is to drive the very code that serves. What a dispatcher does between fronts and links moves to dispatch/core.py with a clock and a link factory handed in; dispatch/dispatcher.py is that core on a loop.

--- a/petrelwood/emulate/clock.py
+++ b/petrelwood/clocks.py
@@ -1,9 +1,12 @@
-"""Clocks for the models: `now()` in ns, `at(when, call, *args)` with a handle that can be cancelled."""
+"""Clocks: `now()` in ns, `wall()` in ns of the epoch, `at(when, call, *args)` with a handle that can be cancelled."""
 import asyncio
 import heapq
 import time
 
 
+WALL = 1_700_000_000 * 10**9     # where virtual time begins on the wall
+
+
 class LoopClock:
     """The real clock, on a running asyncio loop."""
 
@@ -11,6 +14,7 @@
         self.loop = asyncio.get_running_loop()
 
     now = staticmethod(time.monotonic_ns)
+    wall = staticmethod(time.time_ns)
 
     def at(self, when, call, *args):
         return self.loop.call_later(max(0, when - time.monotonic_ns()) / 1e9, call, *args)
@@ -35,6 +39,9 @@
     def now(self):
         return self.time
 
+    def wall(self):
+        return WALL + self.time
+
     def at(self, when, call, *args):
         entry = _Entry(call, args)
         self.asked += 1
--- a/petrelwood/dispatch/core.py
+++ b/petrelwood/dispatch/core.py
@@ -1,15 +1,13 @@
-"""The running dispatcher: tells the module what happens and carries out what it decides.
+"""What a dispatcher does between its fronts and its links: it tells the module what happens and carries out what it
+decides. Free of I/O: the clock and the links are handed in, so that the emulator drives this very code.
 
     front -> signature -> intake (room, retry or replay, patience) -> duty -> module -> link -> worker
 
-and back. One loop, one module. What happens while the module is being told of something is told after that, in
-order: the module is never entered twice. A defect ends the activations it touched with an abort, never the others.
+and back. What happens while the module is being told of something is told after that, in order: the module is never
+entered twice. A defect ends the activations it touched with an abort, never the others.
 """
-import asyncio
-import time
 import traceback
 from collections import deque
-from random import Random
 
 from petrelwood import ports
 from petrelwood.brain import Brain
@@ -19,63 +17,37 @@
 from petrelwood.decide.intake import Intake
 from petrelwood.decide.ledger import Ledger
 from petrelwood.decide.membership import Membership
-from petrelwood.links.roster import RosterLink
-from petrelwood.links.worker import WorkerLink
 
-CHECK = 0.05               # seconds between looks at links and lines that are not at rest
-RENEW = 5_000_000_000      # ns between looks at certificates
-MOST_IN_A_TURN = 10_000    # what follows from what, before the loop is let go on
+MOST_IN_A_TURN = 10_000    # what follows from what, before the clock is let go on
 
 
-class Dispatcher:
-    """One dispatcher on the running loop. It is the module's `ports.Outlet`."""
+class Core:
+    """One dispatcher. It is the module's `ports.Outlet`. `clock` as in `clocks`; `chance` a seeded `random.Random`;
+    `link(worker, address, core)` makes a link: `run`, `hold`, `probe`, `cancel`, `late`, `recall`, `owes`, `give_up`,
+    which hear nothing but tells us `returned`, `held`, `probed` through `soon`."""
 
-    def __init__(self, gateway, log, brain=Brain):
-        chance = Random(gateway.seed)
-        self.gateway, self.log, self.name, self.loop = gateway, log, gateway.name, asyncio.get_running_loop()
-        self.limits, self.terms, start = gateway.limits, gateway.terms, time.monotonic_ns()
+    def __init__(self, gateway, clock, chance, link, log, brain=Brain):
+        self.gateway, self.log, self.name, self.clock, self.make_link = gateway, log, gateway.name, clock, link
+        self.now, self.limits, self.terms, start = clock.now, gateway.limits, gateway.terms, clock.now()
+        self.chance = chance
         self.ledger = Ledger(self.limits.ledger, self.limits.results, gateway.tolerance, self.terms.types,
-                             gateway.remember, time.time_ns())
+                             gateway.remember, clock.wall())
         self.intake = Intake(self.limits, gateway.timeouts, self.terms, self.ledger, chance.random)
-        self.duty = Duty(self.intake, self.ledger, f"{self.name}-{time.time_ns() // 1000:x}-")
+        self.duty = Duty(self.intake, self.ledger, f"{self.name}-{clock.wall() // 1000:x}-")
         self.membership = Membership(self.terms.orders.keep, gateway.workers.connect_within, chance.random)
-        self.roster = RosterLink(gateway.roster, self.membership, 4 * gateway.workers.connect_within, self, log)
-        self.links, self.flying, self.busy, self.inbox, self.telling, self.touched = {}, {}, {}, deque(), False, None
-        self.brain = brain(start, self.terms, gateway.seed, self)
-        self.chance, self.due_timer, self.due_at, self.checks, self.fronts = chance, None, 0, None, []
-        self.listed_once, self.renew_at = asyncio.Event(), start + RENEW
-        self.identities = [tls for tls in (gateway.tls, gateway.worker_tls, gateway.mqtt and gateway.mqtt.tls) if tls]
+        self.links, self.flying, self.inbox, self.telling, self.touched = {}, {}, deque(), False, None
+        self.due_timer, self.due_at, self.rules = None, 0, {}
         self.counts = {"sends": 0, "orders": 0, "probes": 0, "refused_by_guard": 0}
+        self.brain = brain(start, self.terms, gateway.seed, self)
 
-    # Time.
-    now = staticmethod(time.monotonic_ns)
-
-    async def sleep_until(self, when):
-        await asyncio.sleep(max(0, when - self.now()) / 1e9)
-
-    def open(self):
-        self.roster.open()
-        self.checks = self.loop.call_later(CHECK, self._check)
-
-    def _check(self):
-        self.checks = self.loop.call_later(CHECK, self._check)
-        now = self.now()
-        for link in list(self.busy):
-            if not link.check(now):
-                self.busy.pop(link, None)
-        for front in self.fronts:
-            front.check(now)
-        if now >= self.renew_at:
-            self.renew_at = now + RENEW
-            for tls in self.identities:
-                tls.renew(self.log)
-        if self.membership.silent(now):
-            self.log.warning("the list of workers is lost")
-            self.roster.drop()
-            self.soon(self._tell_brain, "list_lost")
-
-    def active(self, link):
-        self.busy[link] = True
+    def rule(self, function):
+        """The rule of a function, looked up once."""
+        found = self.rules.get(function, self)
+        if found is self:
+            found = self.gateway.rule(function)
+            if len(self.rules) < 100_000:
+                self.rules[function] = found
+        return found
 
     # One thing after the other.
     def soon(self, call, *args):
@@ -99,7 +71,7 @@
         finally:
             self.telling = False
         if self.inbox:
-            self.loop.call_soon(self._drain)
+            self.clock.at(self.now(), self._drain)
 
     def _tell_brain(self, what, *args):
         getattr(self.brain, what)(self.now(), *args)
@@ -125,7 +97,7 @@
 
     def _ask(self, ask, function, rule, body, exchange):
         now, key = self.now(), (ask.customer, ask.id)
-        verdict = self.intake.ask(now, time.time_ns(), ask)
+        verdict = self.intake.ask(now, self.clock.wall(), ask)
         if verdict.what == stage.JOIN:
             act = self.duty.by_key.get(key)
             if act is not None and self.duty.join(now, key, verdict.due, exchange):
@@ -168,7 +140,7 @@
         if self.due_timer is not None:
             self.due_timer.cancel()
         self.due_at = due
-        self.due_timer = self.loop.call_later(max(0, due - self.now()) / 1e9, self._due)
+        self.due_timer = self.clock.at(due, self._due)
 
     def _due(self):
         self.due_timer = None
@@ -224,12 +196,10 @@
                 link.give_up("the worker has moved")
                 link.address = address
             if link is None and entry.usable:
-                self.links[entry.worker] = WorkerLink(entry.worker, address, self.gateway.workers,
-                                                      self.chance.random, self, self.log, self.gateway.worker_tls)
+                self.links[entry.worker] = self.make_link(entry.worker, address, self)
         self.brain.listed(self.now(), entries, whole)
         for worker in [w for w, link in self.links.items() if w not in self.membership.members and not link.owes()]:
             self.links.pop(worker).give_up("it has left the list")
-        self.listed_once.set()
 
     # The module's outlet.
     def send(self, act, worker, limit):
@@ -263,7 +233,7 @@
             self.links[worker].cancel(act, n)
 
     def hold(self, worker, fn, copies):
-        link, rule = self.links.get(worker), self.gateway.rule(fn)
+        link, rule = self.links.get(worker), self.rule(fn)
         if link is None or not self.membership.usable(worker):
             self.counts["refused_by_guard"] += 1
             self.soon(self.held, worker, fn, ports.NOT_SENT, 0)
@@ -279,7 +249,7 @@
             self.soon(self.probed, worker, ports.NO_CONNECTION, None)
 
     def wake(self, mark, wait):
-        self.loop.call_later(wait / 1e9, self.soon, self._ring, mark)
+        self.clock.at(self.now() + wait, self.soon, self._ring, mark)
 
     def _ring(self, mark):
         self.brain.ring(self.now(), mark)
@@ -287,20 +257,6 @@
     def subscribe(self):
         """The roster pushes: there is nothing to ask for."""
 
-    # The end.
-    async def close(self):
-        """Takes nothing new, answers all that is owed, and ends."""
-        self.intake.closing = True
-        for front in self.fronts:
-            front.stop()
-        while self.duty.acts or not all(front.quiet() for front in self.fronts):
-            await asyncio.sleep(CHECK / 5)
-        for front in self.fronts:
-            front.close_idle()
-        self.roster.close()
-        self.checks.cancel()
-        await asyncio.sleep(CHECK)
-
     def figures(self):
         """What is counted, for logs and tests."""
         return {**self.duty.counts, **self.counts, "held": self.intake.held,
--- /dev/null
+++ b/petrelwood/dispatch/dispatcher.py
@@ -0,0 +1,72 @@
+"""The running dispatcher: the core on a loop, with its links to workers and the roster, its fronts, its end."""
+import asyncio
+from random import Random
+
+from petrelwood.brain import Brain
+from petrelwood.clocks import LoopClock
+from petrelwood.dispatch.core import Core
+from petrelwood.links.roster import RosterLink
+from petrelwood.links.worker import WorkerLink
+
+CHECK = 0.05               # seconds between looks at links and lines that are not at rest
+RENEW = 5_000_000_000      # ns between looks at certificates
+
+
+class Dispatcher(Core):
+    """One dispatcher on the running loop."""
+
+    def __init__(self, gateway, log, brain=Brain):
+        self.busy, self.checks, self.fronts, self.loop = {}, None, [], asyncio.get_running_loop()
+        super().__init__(gateway, LoopClock(), Random(gateway.seed), self._link, log, brain)
+        self.roster = RosterLink(gateway.roster, self.membership, 4 * gateway.workers.connect_within, self, log)
+        self.listed_once, self.renew_at = asyncio.Event(), self.now() + RENEW
+        self.identities = [tls for tls in (gateway.tls, gateway.worker_tls, gateway.mqtt and gateway.mqtt.tls) if tls]
+
+    def _link(self, worker, address, core):
+        return WorkerLink(worker, address, self.gateway.workers, self.chance.random, core, self.log,
+                          self.gateway.worker_tls)
+
+    async def sleep_until(self, when):
+        await asyncio.sleep(max(0, when - self.now()) / 1e9)
+
+    def open(self):
+        self.roster.open()
+        self.checks = self.loop.call_later(CHECK, self._check)
+
+    def _check(self):
+        self.checks = self.loop.call_later(CHECK, self._check)
+        now = self.now()
+        for link in list(self.busy):
+            if not link.check(now):
+                self.busy.pop(link, None)
+        for front in self.fronts:
+            front.check(now)
+        if now >= self.renew_at:
+            self.renew_at = now + RENEW
+            for tls in self.identities:
+                tls.renew(self.log)
+        if self.membership.silent(now):
+            self.log.warning("the list of workers is lost")
+            self.roster.drop()
+            self.soon(self._tell_brain, "list_lost")
+
+    def active(self, link):
+        self.busy[link] = True
+
+    def listed(self, entries, leaving, whole):
+        super().listed(entries, leaving, whole)
+        self.listed_once.set()
+
+    # The end.
+    async def close(self):
+        """Takes nothing new, answers all that is owed, and ends."""
+        self.intake.closing = True
+        for front in self.fronts:
+            front.stop()
+        while self.duty.acts or not all(front.quiet() for front in self.fronts):
+            await asyncio.sleep(CHECK / 5)
+        for front in self.fronts:
+            front.close_idle()
+        self.roster.close()
+        self.checks.cancel()
+        await asyncio.sleep(CHECK)
--- a/petrelwood/dispatch/serve.py
+++ b/petrelwood/dispatch/serve.py
@@ -5,7 +5,7 @@
 import sys
 
 from petrelwood.brain import Brain
-from petrelwood.dispatch.core import Dispatcher
+from petrelwood.dispatch.dispatcher import Dispatcher
 from petrelwood.dispatch.stall import StallWatch
 from petrelwood.fronts.mqtt import Mqtt
 from petrelwood.fronts.webhook import Webhooks
--- a/petrelwood/fronts/mqtt.py
+++ b/petrelwood/fronts/mqtt.py
@@ -212,7 +212,7 @@
         self.counts["messages"] += 1
         self.counts["again"] += packet.dup
         response, asked = packet.props.get("response_topic"), reply.asked(topic, self.customer)
-        rule = core.gateway.rule(asked.function) if not asked.why else None
+        rule = core.rule(asked.function) if not asked.why else None
         why = asked.why or ("there is no such function" if rule is None else
                             "the function is of another namespace type" if rule.type != asked.type else "")
         code = mq.NOT_AUTHORIZED if response is not None and not reply.may_answer(response, self.customer) else 0
@@ -359,7 +359,7 @@
 
 
 class Mqtt:
-    """All customers' sessions. `core` takes what they ask: `dispatch.core.Dispatcher`."""
+    """All customers' sessions. `core` takes what they ask: `dispatch.core.Core`."""
 
     def __init__(self, terms, core, log):
         self.terms, self.core, self.log, self.closed, self.stopping = terms, core, log, False, None
--- a/petrelwood/fronts/webhook.py
+++ b/petrelwood/fronts/webhook.py
@@ -198,13 +198,13 @@
 
 
 class Webhooks(TCPServer):
-    """The listener. `core` takes what is signed rightly: `dispatch.core.Dispatcher`."""
+    """The listener. `core` takes what is signed rightly: `dispatch.core.Core`."""
 
     def __init__(self, gateway, core, log):
         super().__init__(max_buffer_size=2 * READ, ssl_options=gateway.tls.server() if gateway.tls else None)
         self.gateway, self.core, self.limits, self.log = gateway, core, gateway.limits, log
         self.verifiers = {name: Verifier(c.keys) for name, c in gateway.customers.items()}
-        self.lines, self.rooms, self.rules = set(), {}, {}
+        self.lines, self.rooms = set(), {}
         self.counts = {}
 
     def open(self, address):
@@ -285,13 +285,9 @@
         text = id_.decode("ascii")
         if verifier is None or not verifier.holds(signature.decode("latin-1"), text, seconds, b"".join(x.body)):
             return 401, "no signature holds", None, None, None
-        rule = self.rules.get(function)
+        rule = self.core.rule(function)
         if rule is None:
-            rule = self.gateway.rule(function)
-            if rule is None:
-                return 404, f"there is no function '{function[:80]}'", None, None, None
-            if len(self.rules) < 100_000:
-                self.rules[function] = rule
+            return 404, f"there is no function '{function[:80]}'", None, None, None
         wait = patience_of(headers.get(b"prefer", b""))
         if wait is None:
             return 400, "Prefer: wait=N takes whole seconds, 1 or more", None, None, None
--- a/petrelwood/standins/broker.py
+++ b/petrelwood/standins/broker.py
@@ -7,7 +7,7 @@
 from tornado.tcpserver import TCPServer
 
 from petrelwood.emulate.broker import Broker
-from petrelwood.emulate.clock import LoopClock
+from petrelwood.clocks import LoopClock
 from petrelwood.links import packets as mq
 from petrelwood.standins import host
 from petrelwood.standins.records import Records
--- a/petrelwood/standins/store.py
+++ b/petrelwood/standins/store.py
@@ -5,7 +5,7 @@
 from tornado.netutil import bind_sockets
 from tornado.tcpserver import TCPServer
 
-from petrelwood.emulate.clock import LoopClock
+from petrelwood.clocks import LoopClock
 from petrelwood.emulate.store import Store
 from petrelwood.links import rpc
 from petrelwood.standins import host
--- a/petrelwood/standins/worker.py
+++ b/petrelwood/standins/worker.py
@@ -11,7 +11,7 @@
 from tornado.netutil import bind_sockets
 from tornado.tcpserver import TCPServer
 
-from petrelwood.emulate.clock import LoopClock
+from petrelwood.clocks import LoopClock
 from petrelwood.emulate.machine import Machine
 from petrelwood.links import rpc
 from petrelwood.standins import host
--- a/tests/broken.py
+++ b/tests/broken.py
@@ -7,7 +7,7 @@
 from petrelwood.decide import fate
 from petrelwood.decide.membership import Membership
 from petrelwood.dispatch import serve
-from petrelwood.dispatch.core import Dispatcher
+from petrelwood.dispatch.dispatcher import Dispatcher
 from petrelwood.settings import gateway
 
 
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -11,7 +11,7 @@
 from tornado.tcpserver import TCPServer
 from tornado.testing import bind_unused_port
 
-from petrelwood.dispatch.core import Dispatcher
+from petrelwood.dispatch.dispatcher import Dispatcher
 from petrelwood.fronts.signing import sign
 from petrelwood.fronts.webhook import Webhooks
 from petrelwood.links import rpc, sse
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -7,7 +7,7 @@
 from petrelwood.decide import delivery as deliver
 from petrelwood.decide import reply
 from petrelwood.emulate.broker import Broker
-from petrelwood.emulate.clock import VirtualClock
+from petrelwood.clocks import VirtualClock
 from petrelwood.links import packets as mq
 
 from kept import compare
--- a/tests/test_mqtt.py
+++ b/tests/test_mqtt.py
@@ -9,7 +9,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.testing import bind_unused_port
 
-from petrelwood.dispatch.core import Dispatcher
+from petrelwood.dispatch.dispatcher import Dispatcher
 from petrelwood.fronts.mqtt import Mqtt
 from petrelwood.links import packets as mq
 from petrelwood.settings import gateway
