A new MQTT life without a session at the broker answers at once; emulated troubles named

There is nothing to release then, and they leave at once; the tests' keep-alive is now 60 s, so that they would see it. The catalogue of troubles grows by what the emulator is to play; workers can be met by part.

--- a/benchmarks/dispatcher.py
+++ b/benchmarks/dispatcher.py
@@ -63,13 +63,19 @@
                     else:
                         reply = rpc.response(msgid, None, {"running": 1})
                     if self.took and method == "run":
-                        loop.call_later(self.took, stream.write, reply)
+                        loop.call_later(self.took, self.write, stream, reply)
                     else:
                         stream.write(reply)
         except StreamClosedError:
             pass
 
 
+    @staticmethod
+    def write(stream, reply):
+        if not stream.closed():
+            stream.write(reply)
+
+
 class Roster(TCPServer):
     entries = []
 
--- a/benchmarks/mqtt.py
+++ b/benchmarks/mqtt.py
@@ -133,6 +133,8 @@
             each = (setup.cpu() - cpu) / max(1, len(took)) * 1e6
             most = ((await base.closed_load(setup, 192, o.seconds))[0] / o.seconds if name == "webhook" else
                     await load.as_fast(int(name[-1]), o.seconds))
+            if not took:
+                raise SystemExit(f"{name}: no answer came")
             rows.setdefault(name, []).append((base.quantile(took, .5) * 1000, base.quantile(took, .99) * 1000, each, most))
         load.close()
     for _ in range(o.runs):
--- a/petrelwood/emulate/script.py
+++ b/petrelwood/emulate/script.py
@@ -44,6 +44,34 @@
 }
 
 
+# Those that need the true state of the platform or the clients, so far played in the emulator alone.
+EMULATED = {
+    "hot": ({"for": doc.duration, "part": doc.share, "functions": doc.count},
+            "functions not seen before draw that part of all traffic"),
+    "scan": ({"for": doc.duration, "part": doc.share}, "that part of the calls is for functions wanted only once"),
+    "heavy": ({"for": doc.duration, "part": doc.share, "times": doc.number},
+              "that part of the activations costs so many times the usual work"),
+    "hurry": ({"for": doc.duration, "part": doc.share, "patience": doc.share},
+              "that part of the clients waits only that share of the target latency"),
+    "shift": ({"part": doc.share}, "that part of the traffic moves to one hall, for good"),
+    "ageing": ({"part": doc.share, "for": doc.duration, "times": doc.number, "down": doc.duration},
+               "workers grow slower and slower, die once and come back cold"),
+    "pauses": ({"part": doc.share, "for": doc.duration, "length": doc.duration, "every": doc.duration},
+               "workers stand still again and again"),
+    "cut": ({"dispatcher": doc.text, "hall": doc.text, "for": doc.duration},
+            "nothing passes from that dispatcher to that hall; the other way all does"),
+    "lying": ({"worker": doc.text, "for": doc.duration}, "a worker's load reports say that it is idle"),
+    "wrong-answers": ({"worker": doc.text, "for": doc.duration}, "a worker answers the wrong activation"),
+    "leak": ({"worker": doc.text, "for": doc.duration, "size": doc.size},
+             "a worker's memory is never released: so much is gone each second"),
+    "clock-step": ({"dispatcher": doc.text, "by": doc.duration}, "a dispatcher's wall clock jumps ahead"),
+    "crash": ({"part": doc.share, "down": doc.duration}, "that part of the dispatchers is killed and started again"),
+    "roll": ({"part": doc.share, "for": doc.duration, "down": doc.duration},
+             "that part of the dispatchers is restarted, one after another"),
+}
+WORKERS = ("drain", "hang", "slow", "pause", "reset", "restart", "silent-accept")      # take part= in place of worker=
+
+
 class Trouble(NamedTuple):
     kind: str
     at: int
@@ -63,6 +91,9 @@
     size: int
     load_time: int
     customers: tuple       # those that call it; all if empty
+    turning: float         # the part of the functions that gives way to others
+    spell: int             # each so long, ns; 0: never
+    timed: float           # the part of the activations that comes from timers
 
     def model(self, name):
         """The model of one function: sizes differ, the same for everyone who asks."""
@@ -106,6 +137,16 @@
                 return kind
         return None
 
+    def hit(self, trouble, seed):
+        """The workers that a trouble meets: the one it names, the part it draws, or all."""
+        names = [w[0] for w in self.workers]
+        if "worker" in trouble.what:
+            return [trouble.what["worker"]]
+        if "part" not in trouble.what or trouble.kind not in WORKERS + ("ageing", "pauses"):
+            return names
+        mark = sorted((hashlib.sha256(f"{seed}/{trouble.kind}/{trouble.at}/{n}".encode()).hexdigest(), n) for n in names)
+        return [n for _, n in mark[:max(1, round(trouble.what["part"] * len(names)))]]
+
     def released(self, part, seed):
         """The functions that a release of that part renews: the same everywhere."""
         names = [f"{k.prefix}{i}" for k in self.kinds for i in range(k.count)]
@@ -126,11 +167,15 @@
 
 
 def _trouble(node, day_length, workers, dispatchers, customers):
-    kind = node.arg(doc.one_of(*TROUBLES), "a kind")
-    takes = TROUBLES[kind][0]
+    kind = node.arg(doc.one_of(*TROUBLES, *EMULATED), "a kind")
+    takes = {**TROUBLES, **EMULATED}[kind][0]
+    if kind in WORKERS and "part" in node.props:
+        takes = {**{k: v for k, v in takes.items() if k != "worker"}, "part": doc.share}
     at, span = node.prop("at", doc.duration), node.prop("for", doc.duration) if "for" in takes else 0
     what = {name: node.prop(name, read) for name, read in takes.items() if name != "for"}
     node.done(1)
+    if span > day_length:
+        raise node.bad(f"'{kind}' lasts longer than the day")
     if at > day_length:
         raise node.bad(f"'{kind}' begins after the day's end")
     for name, known in (("worker", workers), ("dispatcher", dispatchers), ("customer", customers)):
@@ -143,7 +188,9 @@
     made = Kind(node.arg(doc.text, "a prefix"), node.prop("type", doc.text), node.prop("count", doc.count),
                 node.prop("part", doc.share), node.prop("zipf", doc.number, 1.1), node.prop("work", doc.duration),
                 node.prop("lanes", doc.count, 1), node.prop("size", doc.size), node.prop("load-time", doc.duration),
-                tuple(c.arg(doc.text, "a customer") for c in node.every("customer")))
+                tuple(c.arg(doc.text, "a customer") for c in node.every("customer")),
+                node.prop("turning", doc.share, 0.0), node.prop("spell", doc.duration, 0),
+                node.prop("timed", doc.share, 0.0))
     node.done(1)
     return made
 
@@ -200,3 +247,17 @@
     node.done(1)
     file.done()
     return day
+
+
+def gateway_text(day, name, number, listen, roster, keys, seed, broker=""):
+    """The file of one dispatcher of a day. `keys`: customer -> keys as the file has them."""
+    rows = [f'gateway "{name}" {{', f'    listen "{listen}"', f'    roster "{roster}"',
+            f'    zone "{day.halls[(number - 1) % len(day.halls)]}"', f"    seed {seed * 1000 + number}",
+            f"    dispatchers {len(day.dispatchers)}", "}"]
+    for client in day.clients:
+        rows += [f'customer "{client.name}"' + (f" share={client.share}" if client.share else "") + " {"]
+        rows += [f'    key "{key}"' for key in keys[client.name]] + ["}"]
+    if broker:
+        rows += ["mqtt {", f'    broker "{broker}"', '    user "gateway"', '    password "gateway"', '    keep-alive "2s"',
+                 '    session "6s"', '    come-back "50ms"', '    come-back-most "1s"', "}"]
+    return "\n".join(rows) + "\n" + doc.render(day.terms.children)
--- a/petrelwood/fronts/mqtt.py
+++ b/petrelwood/fronts/mqtt.py
@@ -127,7 +127,9 @@
         if not first.present:
             self._write(mq.Packet(mq.SUBSCRIBE, self._id(), props={}, filters=[
                 (reply.filter_of(terms.group, self.customer), 2)]))
-        if self.fresh:                                   # what an earlier life has begun to send is let go
+        if self.fresh and not first.present:
+            self.fresh = False                           # the broker remembers nothing of an earlier life
+        elif self.fresh:                                 # what an earlier life has begun to send is let go
             self._write(*(mq.Packet(mq.PUBREL, id_) for id_ in range(1, IDS + 1)))
         self.front.core.soon(self.deliveries.resume, self.front.core.now(), bool(first.present))
         self._resend(bool(first.present))
--- a/petrelwood/lab/day.py
+++ b/petrelwood/lab/day.py
@@ -17,7 +17,7 @@
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 
 from petrelwood.audit import rules
-from petrelwood.settings import document
+from petrelwood.emulate import script
 from petrelwood.settings import gateway as settings
 
 START_WITHIN = 60          # seconds for a process to be ready, on a busy machine
@@ -108,29 +108,24 @@
             secret, private = self.chance.randbytes(32), self.chance.randbytes(32)
             self.keys[client.name] = [("v1", secret), ("v1a", private)]
 
+    @staticmethod
+    def _public(scheme, key):
+        """A key as a gateway's file has it."""
+        if scheme == "v1":
+            return "whsec_" + base64.b64encode(key).decode()
+        public = Ed25519PrivateKey.from_private_bytes(key).public_key()
+        return "whpk_" + base64.b64encode(public.public_bytes(
+            serialization.Encoding.Raw, serialization.PublicFormat.Raw)).decode()
+
     def gateway_file(self, name, number, port=0):
         """Writes one dispatcher's file; its path."""
-        day = self.day
-        host, rport = self.roster.address
-        rows = [f'gateway "{name}" {{', f'    listen "127.0.2.{number}:{port}"', f'    roster "{host}:{rport}"',
-                f'    zone "{day.halls[(number - 1) % len(day.halls)]}"', f"    seed {self.seed * 100 + number}",
-                f"    dispatchers {len(day.dispatchers)}", "}"]
+        day, keys = self.day, {}
         for client in day.clients:
-            share = f" share={client.share}" if client.share else ""
-            rows.append(f'customer "{client.name}"{share} {{')
-            for scheme, key in self.keys[client.name]:
-                if scheme == "v1a":
-                    key = Ed25519PrivateKey.from_private_bytes(key).public_key().public_bytes(
-                        serialization.Encoding.Raw, serialization.PublicFormat.Raw)
-                prefix = "whsec" if scheme == "v1" else "whpk"
-                rows.append(f'    key "{prefix}_{base64.b64encode(key).decode()}"')
-            rows.append("}")
-        if self.broker is not None:
-            rows += ["mqtt {", '    broker "%s:%d"' % self.broker.address, '    user "gateway"', '    password "gateway"',
-                     '    keep-alive "2s"', '    session "6s"', '    come-back "50ms"', '    come-back-most "1s"', "}"]
-        terms = document.render(day.terms.children)
+            keys[client.name] = [self._public(scheme, key) for scheme, key in self.keys[client.name]]
+        text = script.gateway_text(day, name, number, f"127.0.2.{number}:{port}", "%s:%d" % self.roster.address, keys,
+                                   self.seed, "%s:%d" % self.broker.address if self.broker else "")
         path = self.folder / f"{name}.kdl"
-        path.write_text("\n".join(rows) + "\n" + terms)
+        path.write_text(text)
         os.chmod(path, 0o600)
         return path
 
@@ -158,6 +153,9 @@
 
     async def play(self):
         """The case, ready to be judged. Raises `DayFailed`."""
+        apart = [t.kind for t in self.day.troubles if t.kind in script.EMULATED]
+        if apart:
+            raise DayFailed(f"'{apart[0]}' plays in the emulator only: petrelwood emulate {self.day.file}")
         try:
             await self._begin()
             await self._dispatchers()
@@ -213,13 +211,17 @@
 
     # What the operator does.
     async def _drain(self, trouble):
-        name = trouble.what["worker"]
-        self.roster.tell(self._entry(name, "draining"))
+        names = self.day.hit(trouble, self.seed)
+        for name in names:
+            self.roster.tell(self._entry(name, "draining"))
         await asyncio.sleep(trouble.span / 1e9)
-        self.roster.tell(self._entry(name, "usable"))
+        for name in names:
+            self.roster.tell(self._entry(name, "usable"))
 
     async def _restart(self, trouble):
-        name = trouble.what["worker"]
+        await asyncio.gather(*(self._restart_one(name, trouble) for name in self.day.hit(trouble, self.seed)))
+
+    async def _restart_one(self, name, trouble):
         number = [w[0] for w in self.day.workers].index(name) + 1
         port = self.workers[name].address[1]
         await self.workers[name].kill()
--- a/petrelwood/settings/document.py
+++ b/petrelwood/settings/document.py
@@ -200,10 +200,10 @@
 class File(Node):
     """A whole file: a node without a name or place."""
 
-    def __init__(self, path):
+    def __init__(self, path, text=None):
         path = pathlib.Path(path)
         try:
-            text = path.read_text(encoding="utf-8")
+            text = path.read_text(encoding="utf-8") if text is None else text
         except OSError as fault:
             raise BadFile(path, 0, f"can't be read: {fault.strerror}") from None
         except UnicodeDecodeError as fault:
--- a/petrelwood/settings/gateway.py
+++ b/petrelwood/settings/gateway.py
@@ -235,9 +235,10 @@
     return terms, guarantees, orders, allowed, by_probe, tls
 
 
-def read(path):
-    """The gateway that a file describes. Raises `document.BadFile` with the first thing that is wrong."""
-    file = doc.File(path)
+def read(path, text=None):
+    """The gateway that a file, or a text in its place, describes. Raises `document.BadFile` with the first thing that
+    is wrong."""
+    file = doc.File(path, text)
     node = file.child("gateway")
     name, zone = node.arg(doc.text, "a name"), node.value("zone", doc.text, "")
     listen, roster = node.value("listen", doc.address), node.value("roster", doc.address)
--- a/petrelwood/standins/worker.py
+++ b/petrelwood/standins/worker.py
@@ -166,7 +166,7 @@
     worker = Worker(day, name, store, records, booted, seed)
     worker.add_sockets(sockets := bind_sockets(listen[1], listen[0]))
     asyncio.ensure_future(worker.store.follow())
-    mine = day._replace(troubles=tuple(t for t in day.troubles if t.what.get("worker", name) == name))
+    mine = day._replace(troubles=tuple(t for t in day.troubles if name in day.hit(t, seed)))
     hearing = asyncio.ensure_future(host.listen_to_operator(
         lambda said: host.play(mine, said["start"], worker.troubles())))
     records.put("up", booted=booted, pid=os.getpid())
--- a/tests/test_mqtt.py
+++ b/tests/test_mqtt.py
@@ -17,7 +17,7 @@
 
 from rig import FILE, KEY, Case, Worker, later, never, says
 
-MQTT = 'mqtt {{ broker "127.0.0.1:{port}"; user "gateway"; password "g"; keep-alive "1s"; session "{session}"; ' \
+MQTT = 'mqtt {{ broker "127.0.0.1:{port}"; user "gateway"; password "g"; keep-alive "{alive}s"; session "{session}"; ' \
        'come-back "20ms"; come-back-most "200ms"; connect-within "500ms"; window least=2 most={most} }}\n'
 USERS = {"gateway": b"g", "x": b"x"}
 
@@ -79,11 +79,11 @@
 class MqttCase(Case):
     """`begin` starts the workers and the first dispatcher with its broker; `another` one more of them."""
 
-    async def begin(self, *workers, most=64, session="5s", dispatchers=1, **more):
+    async def begin(self, *workers, most=64, session="5s", alive=60, dispatchers=1, **more):
         sock, self.port = bind_unused_port()
         self.broker, self.facts = BrokerServer(USERS, lambda what, **f: self.facts.append((what, f))), []
         self.broker.add_sockets([sock])
-        self.settings = MQTT.format(port=self.port, session=session, most=most)
+        self.settings = MQTT.format(port=self.port, session=session, most=most, alive=alive)
         await super().begin(*workers, **more)
         self.cores = []
         for number in range(dispatchers):
@@ -253,7 +253,7 @@
         self.assertEqual(await self.answered(b"after"), ["completed"])
 
     async def test_a_broker_that_accepts_and_is_silent(self):
-        await self.begin(Worker("w1"))
+        await self.begin(Worker("w1"), alive=1)
         session = self.cores[0].fronts[0].sessions[0]
         self.broker.silence(True)
         await self.until(lambda: not session.up)
