--- /dev/null
+++ b/petrelwood/cli/emulated.py
@@ -0,0 +1,125 @@
+"""Commands on the emulator: one day, its difference from the sockets, experiments."""
+import asyncio
+import json
+import pathlib
+import sys
+import tempfile
+import time
+
+import click
+
+
+def tables(console, row, title):
+    from rich.table import Table
+    table = Table(title=title)
+    for heading in ("figure", "value"):
+        table.add_column(heading, justify="left" if heading == "figure" else "right")
+    for name, value in row.items():
+        table.add_row(name, f"{value:.3f}" if isinstance(value, float) else str(value))
+    console.print(table)
+
+
+def add(cli, find, command):
+    """Adds the sub-commands to a group; `find` reads a day by name."""
+    from petrelwood.emulate import policies
+
+    @command(cli, "emulate")
+    @click.argument("script")
+    @click.option("--seed", type=int, default=1, show_default=True)
+    @click.option("--policy", type=click.Choice(list(policies.named())), default="petrelwood", show_default=True,
+                  help="baselines are for comparison only")
+    @click.option("--json", "result", type=click.Path(dir_okay=False))
+    def emulate(script, seed, policy, result):
+        """Plays SCRIPT in virtual time and judges it: exit 0 only if every rule held and all adds up."""
+        from petrelwood.cli import show
+        from petrelwood.emulate import result as results
+        from petrelwood.emulate.platform import Platform
+        day, begun = find(script), time.monotonic()
+        platform = Platform(day, seed, policies.named()[policy]).run()
+        took, row, wrong = time.monotonic() - begun, results.row(platform), results.conserved(platform)
+        from rich.console import Console
+        console = Console(highlight=False, width=None if sys.stdout.isatty() else 118)
+        tables(console, row, f"day '{day.name}' in the emulator, seed {seed}, {policy} (simulated servers)")
+        console.print(f"{platform.events} events in {took:.1f} s")
+        for line in wrong[:5]:
+            console.print(f"[red]does not add up: {line}[/]")
+        code = show.verdict(platform.case(), day, seed, result)
+        sys.exit(code or bool(wrong))
+
+    @command(cli, "compare")
+    @click.argument("script")
+    @click.option("--seed", type=int, default=1, show_default=True)
+    @click.option("--json", "result", type=click.Path(dir_okay=False))
+    def compare(script, seed, result):
+        """Plays SCRIPT over sockets and in the emulator, and tells how far the two differ and where."""
+        from rich.console import Console
+        from rich.table import Table
+
+        from petrelwood.lab import day as lab
+        from petrelwood.lab import difference
+        day = find(script)
+        with tempfile.TemporaryDirectory(prefix="petrelwood-") as folder:
+            run = lab.Run(day, seed, folder)
+            try:
+                asyncio.run(run.play())
+            except lab.DayFailed as fault:
+                raise click.ClickException(str(fault)) from None
+            found = difference.between(day, seed, run.case())
+        table = Table(title=f"day '{day.name}', seed {seed}: over sockets and emulated")
+        for heading in ("figure", "sockets", "emulated", "difference"):
+            table.add_column(heading, justify="left" if heading == "figure" else "right")
+        for name, (real, emulated) in found.items():
+            table.add_row(name, f"{real:.3f}", f"{emulated:.3f}", f"{emulated - real:+.3f}")
+        Console(highlight=False, width=None if sys.stdout.isatty() else 118).print(table)
+        if result:
+            pathlib.Path(result).write_text(json.dumps({"day": day.name, "seed": seed, "figures": found}, indent=1))
+
+    @cli.group("experiment")
+    def experiment():
+        """Factors x levels x seeds on the emulator, over all cores; tables, charts, a report."""
+
+    @command(experiment, "run")
+    @click.argument("file", type=click.Path(dir_okay=False))
+    @click.option("--out", type=click.Path(file_okay=False), required=True)
+    @click.option("--jobs", type=click.IntRange(1), default=None, help="as many as cores if not given")
+    def run(file, out, jobs):
+        """Runs the experiment in FILE, or what is left of it."""
+        from petrelwood.lab import experiment as lab
+        described = lab.read(file)
+        done, failed = lab.run(described, pathlib.Path(out), jobs,
+                               lambda text: click.echo(text, err=True))
+        click.echo(f"{done} runs stand in {out}, {failed} of them failed")
+        sys.exit(1 if failed else 0)
+
+    @command(experiment, "table")
+    @click.argument("out", type=click.Path(exists=True, file_okay=False))
+    @click.option("--figure", default="service", show_default=True)
+    def table(out, figure):
+        """Paired differences from the first policy, with bootstrap intervals and Holm's correction."""
+        from petrelwood.lab import experiment as lab
+        try:
+            for line in lab.table_lines(pathlib.Path(out), figure):
+                click.echo(line)
+        except KeyError as fault:
+            raise click.ClickException(f"there is no figure {fault}") from None
+
+    @command(experiment, "report")
+    @click.argument("out", type=click.Path(exists=True, file_okay=False))
+    @click.option("--to", type=click.Path(dir_okay=False), required=True, help="one HTML file that needs no network")
+    @click.option("--figure", "figures", multiple=True, default=("service", "worst 5 s", "p99 ms", "fetched"))
+    def report(out, to, figures):
+        """Tables and charts in one file."""
+        from petrelwood.lab import report as lab
+        lab.write(pathlib.Path(out), pathlib.Path(to), figures)
+        click.echo(f"written: {to}")
+
+    @command(experiment, "search")
+    @click.argument("file", type=click.Path(dir_okay=False))
+    @click.option("--runs", type=click.IntRange(1), default=40, show_default=True)
+    @click.option("--seed", type=int, default=1, show_default=True)
+    @click.option("--keep", type=click.Path(file_okay=False), required=True, help="where found scripts go")
+    def search(file, runs, seed, keep):
+        """Draws troubles for the day in FILE, looks for the worst and for broken rules, and shrinks what it finds."""
+        from petrelwood.lab import search as lab
+        for line in lab.search(file, runs, seed, pathlib.Path(keep), lambda text: click.echo(text, err=True)):
+            click.echo(line)
--- a/petrelwood/cli/main.py
+++ b/petrelwood/cli/main.py
@@ -19,6 +19,12 @@
     "verify": "petrelwood verify --key whsec_... --id msg_1 --timestamp 1764600000 --signature 'v1,...' body.json",
     "day": "petrelwood day bad --seed 3 --json result.json",
     "publish": "petrelwood publish --broker 127.0.0.1:1883 --customer x --type score --function applicant-1 body.json",
+    "emulate": "petrelwood emulate bad --seed 3",
+    "compare": "petrelwood compare bad",
+    "run": "petrelwood experiment run benchmarks/experiments/policies.kdl --out results/policies",
+    "table": "petrelwood experiment table results/policies --figure 'worst 5 s'",
+    "report": "petrelwood experiment report results/policies --to report.html",
+    "search": "petrelwood experiment search petrelwood/lab/days/bad.kdl --runs 40 --keep found",
     "audit": "petrelwood audit runs/bad-3",
 }
 
@@ -259,6 +265,15 @@
     sys.exit(show.verdict(lab.case_of(folder, described), described, None, result))
 
 
+def _later_commands():
+    """What needs heavier libraries only when it is used."""
+    from petrelwood.cli import emulated
+    emulated.add(cli, _day, command)
+
+
+_later_commands()
+
+
 def main():
     try:
         cli(prog_name="petrelwood", standalone_mode=True)
--- /dev/null
+++ b/petrelwood/emulate/link.py
@@ -0,0 +1,242 @@
+"""Links and workers of the emulator: the model of a worker at the end of a network with distances and cuts.
+
+A link keeps to the same rules as the one on sockets: `decide.linkstate` tells when to connect, `decide.fate` what an
+end proves. A call is handed over once the connection has greeted; it arrives one way's time later.
+"""
+from collections import deque
+
+from petrelwood.decide import fate, linkstate
+
+HOP = 100_000              # ns that a connection takes beyond the way: the handshakes
+
+
+class Node:
+    """One worker: its machine, which is made anew at each start, and the links that reach it."""
+
+    def __init__(self, platform, name, hall, cell):
+        self.platform, self.name, self.hall, self.cell = platform, name, hall, cell
+        self.machine, self.booted, self.life, self.silent, self.muted, self.lying = None, 0, 0, False, False, False
+        self.wrong, self.links, self.drop = False, [], set()
+
+    def start(self, booted):
+        self.machine, self.booted = self.platform.make_machine(booted), booted
+        self.life += 1
+
+    def stop(self):
+        """Killed outright: whoever is connected sees it one way's time later."""
+        self.machine = None
+        self.break_all()
+
+    def break_all(self):
+        links, self.links = self.links, []
+        for link in links:
+            self.platform.after(link.way(), link.broken, self.life)
+            if self.machine is not None:
+                link.leave(self.machine)
+
+    def gauge(self):
+        gauge = self.machine.gauge()
+        return {**gauge, "running": 0, "waiting": 0, "cores": 0.0, "loads": 0} if self.lying else gauge
+
+
+class Call:
+    __slots__ = ("kind", "act", "n", "fn", "at", "stage", "args", "job", "over")
+
+    def __init__(self, kind, act, n, fn, at, args):
+        self.kind, self.act, self.n, self.fn, self.at, self.args = kind, act, n, fn, at, args
+        self.stage, self.job, self.over = fate.WAITING, None, False
+
+
+class Link:
+    """From one dispatcher to one worker; what `dispatch.core.Core` asks of a link."""
+    __slots__ = ("platform", "node", "core", "hall", "terms", "state", "waiting", "out", "runs", "life", "dead", "attempt",
+                 "address", "worker", "counts")
+
+    def __init__(self, platform, node, core, hall, terms, chance):
+        self.platform, self.node, self.core, self.hall, self.terms = platform, node, core, hall, terms
+        self.state = linkstate.LinkState(node.name, terms, chance)
+        self.worker, self.address = node.name, (node.name, 0)
+        self.waiting, self.out, self.runs, self.life, self.dead, self.attempt = deque(), {}, {}, 0, False, 0
+        self.counts = {}
+
+    def way(self):
+        return self.platform.way(self.hall, self.node.hall)
+
+    # What the core asks.
+    def run(self, act, n, fn, mark, left, lanes, body):
+        call = Call("run", act, n, fn, self.core.now(), (mark, left, body))
+        self.runs[act, n] = call
+        self._call(call)
+
+    def hold(self, fn, lanes, copies):
+        self._call(Call("hold", None, copies, fn, self.core.now(), ()))
+
+    def probe(self):
+        self._call(Call("probe", None, 0, None, self.core.now(), ()))
+
+    def cancel(self, act, n):
+        call = self.runs.get((act, n))
+        if call is not None:
+            self._tell_worker(call)
+            self._end(call, fate.of_cancel(call.stage))
+
+    def late(self, act, n):
+        call = self.runs.get((act, n))
+        if call is not None:
+            self._tell_worker(call)
+            self._end(call, fate.of_time(call.stage))
+
+    def recall(self):
+        for call in list(self.waiting):
+            if call.kind != "probe":
+                self._end(call, fate.of_recall(call.stage))
+
+    def owes(self):
+        return bool(self.waiting or self.out)
+
+    def give_up(self, why):
+        self._lost()
+
+    def _call(self, call):
+        now = self.core.now()
+        wish = self.state.wants(now)
+        if wish == "refuse":
+            self._tell(call, fate.of_loss(fate.WAITING))
+            return
+        if self.state.state == linkstate.UP:
+            self._hand(call)
+            return
+        self.waiting.append(call)
+        if wish == "connect":
+            self.state.connecting(now)
+            self.attempt += 1
+            self.platform.after(self.terms.connect_within, self._too_long, self.attempt)
+            if not self.platform.is_cut(self.core.name, self.node.hall):
+                self.platform.after(3 * self.way() + HOP, self._connected, self.attempt)
+
+    def _too_long(self, attempt):
+        if attempt == self.attempt and self.state.state in (linkstate.CONNECTING, linkstate.GREETING):
+            self._lost()
+
+    def _connected(self, attempt):
+        if self.dead or attempt != self.attempt or self.state.state != linkstate.CONNECTING:
+            return
+        if self.node.machine is None:
+            self._lost()
+            return
+        if self.node.silent:
+            return                                       # accepted, and nothing more: it never greets
+        self.state.connected(self.core.now())
+        self.state.greeted(self.core.now(), self.node.name, self.node.booted)
+        self.life = self.node.life
+        self.node.links.append(self)
+        while self.waiting:
+            self._hand(self.waiting.popleft())
+
+    def _hand(self, call):
+        call.stage = fate.HANDED
+        self.out[id(call)] = call
+        if not self.platform.is_cut(self.core.name, self.node.hall):
+            self.platform.after(self.way(), self._arrives, call, self.life)
+
+    # At the worker.
+    def _arrives(self, call, life):
+        node = self.node
+        if self.dead or node.machine is None or node.life != life or life != self.life:
+            return
+        if call.kind == "probe":
+            self._back(call, "completed", 0, b"")
+        elif call.kind == "hold":
+            self.platform.saw("hold", who=node.name, by=self.core.name, fn=call.fn, count=call.n)
+            node.machine.hold(self.platform.model(call.fn), call.n,
+                              lambda word, copies: self._back(call, word, copies, b""))
+        else:
+            self._runs(call)
+
+    def _runs(self, call):
+        node, (mark, left, body) = self.node, call.args
+        kind = self.platform.kind(call.fn)
+        self.platform.saw("run", who=node.name, by=self.core.name, act=call.act, n=call.n, fn=call.fn, mark=mark,
+                          type=kind.type)
+
+        def done(word, note):
+            call.job = None
+            self.platform.saw("ran", who=node.name, by=self.core.name, act=call.act, n=call.n, word=word, mark=mark,
+                              muted=node.muted)
+            self._back(call, word, note, b"ok")
+        job = node.machine.run(self.platform.model(call.fn), body, self.platform.clock.now() + left, done)
+        if job is not None and job.where != "over":
+            call.job = job
+
+    def _back(self, call, word, note, body):
+        if self.node.muted or self.node.machine is None:
+            return
+        if self.node.wrong and call.kind == "run":       # it answers another activation: that ends the connection
+            self.platform.after(self.way(), self._lost)
+            return
+        gauge = self.node.gauge()
+        self.platform.after(self.way(), self._answered, call, word, note, body, gauge, self.life)
+
+    def _answered(self, call, word, note, body, gauge, life):
+        if self.dead or life != self.life or call.over:
+            return
+        self.state.hears(self.core.now())
+        self._end(call, "completed" if word in ("ok", "completed") else fate.of_error(word), note, body, gauge)
+
+    def _tell_worker(self, call):
+        if call.stage == fate.HANDED and not self.platform.is_cut(self.core.name, self.node.hall):
+            self.platform.after(self.way(), self._cancels, call)
+
+    def _cancels(self, call):
+        if call.job is not None and self.node.machine is not None:
+            self.node.machine.cancel(call.job, self.platform.day.stops_work)
+
+    # The end of a connection.
+    def broken(self, life):
+        if life == self.life:
+            self._lost()
+
+    def leave(self, machine):
+        """The connection is gone: the worker drops what waits for it."""
+        for call in list(self.out.values()):
+            if call.job is not None:
+                machine.cancel(call.job, self.platform.day.stops_work)
+
+    def _lost(self):
+        if self.dead or self.state.state == linkstate.DOWN:
+            return
+        self.state.lost(self.core.now())
+        self.life = -1
+        if self in self.node.links:
+            self.node.links.remove(self)
+            if self.node.machine is not None:
+                self.leave(self.node.machine)
+        for call in list(self.out.values()) + list(self.waiting):
+            self._end(call, fate.of_loss(call.stage))
+
+    def die(self):
+        """Its dispatcher was killed."""
+        self.dead = True
+        if self in self.node.links:
+            self.node.links.remove(self)
+            if self.node.machine is not None:
+                self.leave(self.node.machine)
+
+    def _end(self, call, code, note=0, body=b"", gauge=None):
+        if call.stage == fate.WAITING:
+            self.waiting.remove(call)
+        elif self.out.pop(id(call), None) is None:
+            return
+        self._tell(call, code, note, body, gauge)
+
+    def _tell(self, call, code, note=0, body=b"", gauge=None):
+        call.over, core = True, self.core
+        if self.dead:
+            return
+        if call.kind == "run":
+            self.runs.pop((call.act, call.n), None)
+            core.soon(core.returned, call.act, call.n, self.worker, code, note, body, call.at, gauge)
+        elif call.kind == "hold":
+            core.soon(core.held, self.worker, call.fn, code, note)
+        else:
+            core.soon(core.probed, self.worker, code, gauge)
--- a/petrelwood/emulate/machine.py
+++ b/petrelwood/emulate/machine.py
@@ -254,6 +254,17 @@
                 left.append((name, count, done))
         self.holds = left
 
+    def stand(self, models):
+        """Copies that stand loaded from the beginning, as far as there is room."""
+        now = self.clock.now()
+        for model in models:
+            if self.used + model.size <= self.build.memory // 2:
+                copy = Copy(model, now, 0)
+                self.copies.setdefault(model.name, []).append(copy)
+                self.used += model.size
+                self.images[model.name] = 0
+                self.clock.at(now + self.build.keep, self._lapse, copy, now)
+
     def _load(self, model):
         """Begins or queues a load; whether there was room for it."""
         if sum(self.loading.values()) >= 3 * self.build.loads or not self._room(model.size):
--- /dev/null
+++ b/petrelwood/emulate/platform.py
@@ -0,0 +1,454 @@
+"""The whole platform in virtual time: workers, store, roster, halls, dispatchers, clients, and what goes wrong.
+
+It drives the code that serves: `dispatch.core.Core` with the module and all of `decide`. Deterministic from a seed. What
+passes is recorded as the stand-ins record it, so that the same audit judges both.
+"""
+import collections
+from random import Random
+
+from petrelwood.brain import Brain
+from petrelwood.clocks import VirtualClock
+from petrelwood.decide import membership as members
+from petrelwood.dispatch.core import Core
+from petrelwood.emulate import script
+from petrelwood.emulate.link import Link, Node
+from petrelwood.emulate.machine import Machine
+from petrelwood.emulate.store import Store
+from petrelwood.emulate.streams import Stream
+from petrelwood.emulate.traffic import Clients
+from petrelwood.settings import gateway as settings
+
+SECOND, MS = 1_000_000_000, 1_000_000
+KEY = "whsec_" + "A" * 43 + "="
+FRONT_NOTICE = 1_500 * MS  # a front layer goes on sending to a dead dispatcher for that long
+
+
+class Silent:
+    """A log that counts."""
+
+    def __init__(self):
+        self.counts = collections.Counter()
+
+    def _count(self, event, **more):
+        self.counts[event] += 1
+
+    debug = info = warning = error = _count
+
+
+class LifeClock:
+    """The clock of one dispatcher's life: what a dead one had asked for does not happen."""
+
+    def __init__(self, clock):
+        self.clock, self.alive, self.now, self.step = clock, True, clock.now, 0
+
+    def wall(self):
+        return self.clock.wall() + self.step
+
+    def at(self, when, call, *args):
+        return self.clock.at(when, self._run, call, args)
+
+    def _run(self, call, args):
+        if self.alive:
+            call(*args)
+
+
+class Platform:
+    """One day. `policy` makes the module (`Brain`, or a baseline of `emulate.policies`); `keep` keeps all records."""
+
+    def __init__(self, day, seed, policy=Brain, keep=True, across=600_000, within=200_000):
+        self.day, self.seed, self.clock, self.policy, self.keep = day, seed, VirtualClock(), policy, keep
+        self.records, self.events, self.across, self.within, self.client_way = [], 0, across, within, 400_000
+        self.gateway = settings.read("day", script.gateway_text(
+            day, "d", 1, "127.0.0.1:1", "127.0.0.1:1", {c.name: [KEY] for c in day.clients}, seed))
+        self.types, self.timeouts = self.gateway.terms.types, self.gateway.timeouts
+        self.repeatable = {n: t.effect == "repeatable" for n, t in self.types.items()}
+        self.models, self.cuts, self.log = {}, set(), Silent()
+        self.store = Store(self.clock, **day.store)
+        self.ways, self.loads = self.stream("ways"), self.stream("loads")
+        self.nodes = {name: Node(self, name, hall, cell) for name, hall, cell in day.workers}
+        standing = day.standing(seed)
+        for name, hall, cell in day.workers:
+            self.nodes[name].start(0)
+            self.nodes[name].machine.stand(map(self.model, standing[name]))
+            self.saw("worker", who="operator", worker=name, zone=hall, cell=cell)
+        self.roster_late, self.number, self.closed = day.roster_late, 0, False
+        self.entries = {name: self._entry(name, members.USABLE) for name in self.nodes}
+        self.cores, self.lives, self.halls, self.known = {}, {}, {}, {}
+        self.open_tries, self.by_hall, self.dead = collections.defaultdict(dict), {}, {}
+        for number, name in enumerate(day.dispatchers):
+            self.halls[name] = day.halls[number % len(day.halls)]
+            self.lives[name] = 0
+        for hall in day.halls:
+            self.by_hall[hall] = [n for n in day.dispatchers if self.halls[n] == hall] or list(day.dispatchers)
+        for name in day.dispatchers:
+            self._start(name, list(self.entries.values()))
+        self.time_course = [collections.Counter() for _ in range((day.length + day.settle) // SECOND + 2)]
+        self.clients = Clients(self, seed)
+        for trouble in day.troubles:
+            self.clock.at(trouble.at, self._trouble, trouble)
+        self.clock.at(SECOND, self._look)
+
+    def stream(self, purpose):
+        return Stream(self.seed, purpose)
+
+    def saw(self, what, **facts):
+        if self.keep:
+            facts["t"], facts["at"] = what, self.clock.time
+            self.records.append(facts)
+
+    def after(self, wait, call, *args):
+        return self.clock.at(self.clock.time + wait, call, *args)
+
+    # The network.
+    def way(self, a, b):
+        return int((self.within if a == b else self.across) * (0.9 + 0.2 * self.ways.uniform()))
+
+    def is_cut(self, dispatcher, hall):
+        return (dispatcher, hall) in self.cuts
+
+    # Workers.
+    def make_machine(self, booted):
+        return Machine(self.clock, self.day.build, self.store.fetch, self.loads.uniform, self.clock.now() if booted else 0)
+
+    def kind(self, fn):
+        return self.day.kind(fn)
+
+    def model(self, fn):
+        found = self.models.get(fn)
+        if found is None:
+            found = self.models[fn] = self.day.kind(fn).model(fn)
+        return found
+
+    def _entry(self, name, state):
+        node = self.nodes[name]
+        return members.Entry(name, (name, 1), node.hall, node.cell, node.booted, state)
+
+    def _restart(self, name, down):
+        self.nodes[name].stop()
+        self._news(name, members.GONE)
+        self.after(down, self._back, name)
+
+    def _back(self, name):
+        node = self.nodes[name]
+        node.start(self.clock.wall())
+        self.saw("up", who=name, booted=node.booted)
+        self._news(name, members.USABLE)
+
+    # The roster.
+    def _news(self, name, state):
+        self.after(self.roster_late, self._told, self._entry(name, state))
+
+    def _told(self, entry):
+        if self.closed:
+            self.after(SECOND // 4, self._told, entry)
+            return
+        self.number += 1
+        self.entries[entry.worker] = entry
+        if entry.state == members.GONE:
+            del self.entries[entry.worker]
+        for name in self.day.dispatchers:
+            self.after(int(20 * MS * self.ways.uniform()), self._tell, name, self.lives[name], entry, self.number)
+
+    def _tell(self, name, life, entry, number):
+        core = self.cores.get(name)
+        if core is None or self.lives[name] != life:
+            return
+        self.saw("told", who="roster", to=name, kind="change", entries=[(entry.worker, entry.state, entry.booted)])
+        follows, now = core.membership.event(f"e-{number}"), self.clock.now()
+        if follows == "old":
+            return
+        if follows == "gap":                             # news overtook each other: the whole list is asked for
+            self._list(name, list(self.entries.values()))
+            return
+        listed, leaving = core.membership.change(f"e-{number}", [entry], now, core.clock.wall())
+        core.listed(listed, leaving, False)
+
+    def _list(self, name, entries):
+        core = self.cores[name]
+        self.saw("told", who="roster", to=name, kind="list", entries=[(e.worker, e.state, e.booted) for e in entries])
+        listed, leaving = core.membership.whole(f"e-{self.number}", entries, self.clock.now(), core.clock.wall())
+        core.listed(listed, leaving, True)
+        self.known[name] = entries
+
+    # Dispatchers.
+    def _start(self, name, entries):
+        number = self.day.dispatchers.index(name) + 1
+        described = self.gateway._replace(
+            name=name, seed=self.seed * 1000 + number, terms=self.gateway.terms._replace(zone=self.halls[name]))
+        clock, chance = LifeClock(self.clock), Random(described.seed)
+
+        def link(worker, address, core):
+            return Link(self, self.nodes[worker], core, self.halls[name], described.workers, chance.random)
+        self.cores[name] = Core(described, clock, chance, link, self.log, self.policy)
+        truth = getattr(self.cores[name].brain, "see", None)
+        if truth is not None:
+            truth(self)
+        self._list(name, entries)
+
+    def _kill(self, name, down):
+        core = self.cores.pop(name, None)
+        if core is None:
+            return
+        core.clock.alive = False
+        self.lives[name] += 1
+        self.dead[name] = self.clock.now()
+        self.saw("killed", who="operator", name=name)
+        for link in core.links.values():
+            link.die()
+        for made in list(self.open_tries.pop(name, ())):
+            self.after(self.client_way, self.clients.broken, made)
+        self.after(down, self._again, name)
+
+    def _again(self, name):
+        """It comes back with its last list, and hears the present one a little later."""
+        self.dead.pop(name, None)
+        self._start(name, self.known[name])
+        self.after(self.roster_late + 20 * MS, self._refresh, name, self.lives[name])
+
+    def _refresh(self, name, life):
+        if self.lives[name] == life and name in self.cores:
+            self._list(name, list(self.entries.values()))
+
+    def dispatcher_for(self, hall, manners):
+        """A front layer spreads clients over the dispatchers of their hall; it notices a dead one late."""
+        names = self.by_hall[hall]
+        for _ in range(4):
+            name = manners.pick(names)
+            if name not in self.dead or self.clock.now() - self.dead[name] < FRONT_NOTICE:
+                return name
+        return name
+
+    def ask(self, name, life, made):
+        """A try arrives at its dispatcher."""
+        core = self.cores.get(name)
+        if core is None or self.lives[name] != life:
+            self.clients.broken(made)
+            return
+        wish = made.wish
+        self.open_tries[name][made] = True
+        core.ask(self.clients.ask_of(made), wish.fn, core.rule(wish.fn), wish.work, made)
+
+    def left(self, made):
+        core = self.cores.get(made.to)
+        self.open_tries[made.to].pop(made, None)
+        if core is not None and made.act is not None and made.act in core.duty.acts:
+            core.left(made.act, made)
+
+    def wish_ended(self, wish):
+        second = min(wish.begun // SECOND, len(self.time_course) - 1)
+        counts = self.time_course[second]
+        target = self.types[wish.kind.type].target_latency
+        counts["in time" if wish.ended == "completed" and wish.took <= target else
+               "late" if wish.ended == "completed" else wish.ended] += 1
+
+    # What goes wrong.
+    def _trouble(self, trouble):
+        begin = getattr(self, "_on_" + trouble.kind.replace("-", "_"))
+        begin(trouble, [self.nodes[n] for n in self.day.hit(trouble, self.seed)])
+
+    def _span(self, trouble, begin, end):
+        begin()
+        self.after(trouble.span, end)
+
+    def _on_release(self, t, nodes):
+        names = self.day.released(t.what["part"], self.seed)
+        for node in nodes:
+            if node.machine is not None:
+                node.machine.release(names)
+
+    def _on_roster_late(self, t, nodes):
+        self._span(t, lambda: setattr(self, "roster_late", self.roster_late + t.what["by"]),
+                   lambda: setattr(self, "roster_late", self.roster_late - t.what["by"]))
+
+    def _on_roster_lost(self, t, nodes):
+        self._span(t, lambda: setattr(self, "closed", True), lambda: setattr(self, "closed", False))
+
+    def _on_drain(self, t, nodes):
+        for node in nodes:
+            self._news(node.name, members.DRAINING)
+            self.after(t.span, self._news, node.name, members.USABLE)
+
+    def _each(self, t, nodes, begin, end):
+        """Begins and ends it at each of the nodes, in their present life only."""
+        for node in nodes:
+            if node.machine is None:
+                continue
+            begin(node)
+            self.after(t.span, lambda node=node, life=node.life: node.life == life and node.machine and end(node))
+
+    def _on_hang(self, t, nodes):
+        def hang(node, on):
+            node.muted = on
+            node.machine.hang(on)
+        self._each(t, nodes, lambda n: hang(n, True), lambda n: hang(n, False))
+
+    def _on_slow(self, t, nodes):
+        self._each(t, nodes, lambda n: n.machine.slow(t.what["times"]), lambda n: n.machine.slow(1.0))
+
+    def _on_pause(self, t, nodes):
+        self._each(t, nodes, lambda n: n.machine.pause(t.span), lambda n: None)
+
+    def _on_pauses(self, t, nodes):
+        for node in nodes:
+            self._paused(node, t, self.clock.now() + t.span)
+
+    def _paused(self, node, t, until):
+        if self.clock.now() < until:
+            if node.machine is not None:
+                node.machine.pause(t.what["length"])
+            self.after(int(t.what["every"] * (0.7 + 0.6 * self.ways.uniform())), self._paused, node, t, until)
+
+    def _on_reset(self, t, nodes):
+        for node in nodes:
+            node.break_all()
+
+    def _on_restart(self, t, nodes):
+        for node in nodes:
+            self._restart(node.name, t.what["down"])
+
+    def _on_silent_accept(self, t, nodes):
+        def begin(node):
+            node.silent = True
+            node.break_all()
+        self._each(t, nodes, begin, lambda n: setattr(n, "silent", False))
+
+    def _on_garbage(self, t, nodes):
+        self._on_reset(t, nodes)                         # what is no message ends the connection
+
+    def _on_lying(self, t, nodes):
+        self._each(t, nodes, lambda n: setattr(n, "lying", True), lambda n: setattr(n, "lying", False))
+
+    def _on_wrong_answers(self, t, nodes):
+        self._each(t, nodes, lambda n: setattr(n, "wrong", True), lambda n: setattr(n, "wrong", False))
+
+    def _on_leak(self, t, nodes):
+        for node in nodes:
+            self._leaks(node, node.life, t, self.clock.now() + t.span)
+
+    def _leaks(self, node, life, t, until):
+        if node.life == life and node.machine is not None and self.clock.now() < until:
+            node.machine.used = min(node.machine.build.memory, node.machine.used + t.what["size"] // 4)
+            self.after(SECOND // 4, self._leaks, node, life, t, until)
+
+    def _on_ageing(self, t, nodes):
+        for node in nodes:
+            self._ages(node, node.life, t, self.clock.now())
+
+    def _ages(self, node, life, t, begun):
+        if node.life != life or node.machine is None:
+            return
+        age = (self.clock.now() - begun) / t.span
+        if age >= 1:
+            self._restart(node.name, t.what["down"])
+        else:
+            node.machine.slow(1 + (t.what["times"] - 1) * age)
+            self.after(t.span // 16, self._ages, node, life, t, begun)
+
+    def _on_store_stop(self, t, nodes):
+        self.store.stop(t.span)
+
+    def _on_cut(self, t, nodes):
+        pair = t.what["dispatcher"], t.what["hall"]
+        self._span(t, lambda: self.cuts.add(pair), lambda: self.cuts.discard(pair))
+
+    def _on_clock_step(self, t, nodes):
+        core = self.cores.get(t.what["dispatcher"])
+        if core is not None:
+            core.clock.step += t.what["by"]
+
+    def _on_kill(self, t, nodes):
+        self._kill(t.what["dispatcher"], t.what["down"])
+
+    def _on_stop(self, t, nodes):
+        """Told to end: it takes nothing new, answers what it owes, and is started again."""
+        name = t.what["dispatcher"]
+        core = self.cores.get(name)
+        if core is not None:
+            core.intake.closing = True
+            self._stops(name, self.lives[name], t.what["down"])
+
+    def _stops(self, name, life, down):
+        core = self.cores.get(name)
+        if core is None or self.lives[name] != life:
+            return
+        if core.duty.acts:
+            self.after(10 * MS, self._stops, name, life, down)
+        else:
+            self.after(2 * self.client_way, self._kill, name, down)
+
+    def _drawn(self, part, purpose):
+        stream = self.stream(purpose)
+        names = sorted(self.day.dispatchers, key=lambda n: stream.uniform())
+        return names[:max(1, round(part * len(names)))]
+
+    def _on_crash(self, t, nodes):
+        for name in self._drawn(t.what["part"], f"crash {t.at}"):
+            self._kill(name, t.what["down"])
+
+    def _on_roll(self, t, nodes):
+        names = self._drawn(t.what["part"], f"roll {t.at}")
+        for number, name in enumerate(names):
+            self.after(t.span * number // len(names), self._kill, name, t.what["down"])
+
+    def _on_hot(self, t, nodes):
+        kind = self.day.kinds[self.clients.picks.below(len(self.day.kinds))]
+        hot = (t.what["part"], [f"{kind.prefix}hot-{t.at}-{i}" for i in range(t.what["functions"] or 1)])
+        self._span(t, lambda: self.clients.hot.append(hot), lambda: self.clients.hot.remove(hot))
+
+    def _on_scan(self, t, nodes):
+        self._span(t, lambda: setattr(self.clients, "scanning", t.what["part"]),
+                   lambda: setattr(self.clients, "scanning", 0.0))
+
+    def _on_heavy(self, t, nodes):
+        self._span(t, lambda: setattr(self.clients, "heavy", (t.what["part"], t.what["times"])),
+                   lambda: setattr(self.clients, "heavy", (0.0, 1.0)))
+
+    def _on_hurry(self, t, nodes):
+        self._span(t, lambda: setattr(self.clients, "hurry", (t.what["part"], t.what["patience"])),
+                   lambda: setattr(self.clients, "hurry", (0.0, 1.0)))
+
+    def _on_shift(self, t, nodes):
+        self.clients.shifted = (t.what["part"], self.day.halls[0])
+
+    def _on_overuse(self, t, nodes):
+        name = t.what["customer"]
+        self._span(t, lambda: self.clients.more.__setitem__(name, t.what["times"]),
+                   lambda: self.clients.more.pop(name, None))
+
+    def _on_burst(self, t, nodes):
+        self._span(t, lambda: self.clients.more.__setitem__("", t.what["times"]),
+                   lambda: self.clients.more.pop("", None))
+
+    def _nothing(self, t, nodes):
+        """What only fronts on sockets can meet."""
+
+    _on_replays = _on_forgeries = _on_slow_senders = _nothing
+    _on_broker_drop = _on_broker_lost = _on_broker_silent = _on_broker_forgets = _nothing
+
+    # The run.
+    def _look(self):
+        second = min(self.clock.now() // SECOND, len(self.time_course) - 1)
+        course = self.time_course[second]
+        course["loads"] = sum(n.machine.counts["loads"] for n in self.nodes.values() if n.machine)
+        course["copies"] = sum(sum(map(len, n.machine.copies.values())) for n in self.nodes.values() if n.machine)
+        course["at work"] = sum(len(n.machine.at_work) for n in self.nodes.values() if n.machine)
+        self.after(SECOND, self._look)
+
+    def run(self):
+        """Plays the day to its end; itself."""
+        end = self.day.length + self.day.settle
+        self.events = self.clock.run(end)
+        for node in self.nodes.values():
+            if node.machine is not None:
+                self.saw("counts", who=node.name, fallen=node.machine.fallen)
+        return self
+
+    def case(self):
+        """What was seen, arranged for the five rules."""
+        from petrelwood.audit import rules
+        works = {}
+        for kind in self.day.kinds:
+            works.setdefault(kind.type, kind.work)
+        return rules.Case(self.records, self.gateway.terms, self.gateway.workers.drain_grace, self.day.build, works)
+
+
--- /dev/null
+++ b/petrelwood/emulate/policies.py
@@ -0,0 +1,141 @@
+"""Baselines in place of the module, for comparison only: none of them is a way that the program decides.
+
+They keep the rules by the same means (no send to whom is leaving, no second send where it may have run) and place each
+activation at once on some worker, which loads what it lacks. `Oracle` sees the true state of all workers, which nobody
+can; it is held to be an upper bound, though greedy.
+"""
+from random import Random
+from zlib import crc32
+
+from petrelwood import ports
+
+
+class Plain:
+    """Sends at once; again elsewhere where that is provably harmless. `pick(act, now, but)` is the policy."""
+
+    def __init__(self, now, terms, seed, outlet):
+        self.terms, self.out, self.chance = terms, outlet, Random(seed)
+        self.workers, self.acts, self.load, self.turn = {}, {}, {}, seed
+        self.fleet = []
+
+    def listed(self, now, entries, whole):
+        if whole:
+            self.workers = {}
+        for entry in entries:
+            self.workers[entry.worker] = entry
+        self.fleet = sorted(w for w, e in self.workers.items() if e.usable and self._warm(e, now))
+
+    def _warm(self, entry, now):
+        return not entry.booted or now - entry.booted >= self.terms.guarantees.cold // 2
+
+    def list_lost(self, now):
+        pass
+
+    def activation(self, now, act_id, key, type_name, customer, due, lanes, work, load_time):
+        self.acts[act_id] = [key, self.terms.types[type_name], due, 0, False, None]
+        self._send(act_id, now, ())
+
+    def _send(self, act_id, now, but):
+        act = self.acts[act_id]
+        names = [w for w in self.fleet if w not in but] or self.fleet
+        if not names or act[3] >= self.terms.allowed.sends or now >= act[2]:
+            self._ends(act_id)
+            return
+        worker = self.pick(act[0], names, now)
+        act[3], act[5] = act[3] + 1, worker
+        self.load[worker] = self.load.get(worker, 0) + 1
+        self.out.send(act_id, worker, 0)
+
+    def _ends(self, act_id):
+        act = self.acts.pop(act_id)
+        if act[4] and act[1].effect != ports.REPEATABLE:
+            self.out.abort(act_id)
+        else:
+            self.out.reject(act_id, self.terms.allowed.max_retry_after // 4)
+
+    def left(self, now, act_id):
+        self.acts.pop(act_id, None)
+
+    def begun(self, now, act_id, n, worker_id):
+        pass
+
+    def answer(self, now, act_id, n, worker_id, code, note, over, took, report):
+        self.load[worker_id] = self.load.get(worker_id, 1) - 1
+        act = self.acts.get(act_id)
+        if act is None:
+            return
+        if over:
+            del self.acts[act_id]
+            return
+        act[4] = act[4] or code not in ports.NEVER_RAN
+        if act[4] and act[1].effect != ports.REPEATABLE:
+            self._ends(act_id)
+        else:
+            self._send(act_id, now, (worker_id,))
+
+    def stands(self, now, worker_id, key, code, copies):
+        pass
+
+    def probed(self, now, worker_id, code, report):
+        pass
+
+    def ring(self, now, mark):
+        pass
+
+
+class RandomOfTwo(Plain):
+    """The one with fewer of ours in hand, of two drawn."""
+
+    def pick(self, key, names, now):
+        a, b = self.chance.choice(names), self.chance.choice(names)
+        return a if self.load.get(a, 0) <= self.load.get(b, 0) else b
+
+
+class LeastOutstanding(Plain):
+    def pick(self, key, names, now):
+        least = min(self.load.get(n, 0) for n in names)
+        return self.chance.choice([n for n in names if self.load.get(n, 0) == least])
+
+
+class RoundRobin(Plain):
+    def pick(self, key, names, now):
+        self.turn += 1
+        return names[self.turn % len(names)]
+
+
+class BoundedHash(Plain):
+    """The first in the function's hash order that holds no more than 1.25 times the mean of ours."""
+
+    def pick(self, key, names, now):
+        bound = 1.25 * (sum(self.load.values()) + 1) / len(names)
+        ranked = sorted(names, key=lambda n: crc32(f"{key}/{n}".encode()))
+        return next((n for n in ranked if self.load.get(n, 0) + 1 <= max(1.0, bound)), ranked[0])
+
+
+class Oracle(Plain):
+    """Sees the machines: a worker with a free lane of a standing copy, else the one where it would be done first."""
+
+    def see(self, platform):
+        self.platform = platform
+
+    def pick(self, key, names, now):
+        model, best, best_cost = self.platform.model(key), names[0], None
+        for name in names:
+            node = self.platform.nodes[name]
+            machine = node.machine
+            if machine is None or node.muted or node.silent:
+                continue
+            copies = machine.copies.get(key, ())
+            free = any(c.busy < model.lanes and not c.stale for c in copies)
+            crowd = (len(machine.at_work) + machine.waiting + 1) / max(0.1, machine.capacity())
+            cost = max(1.0, crowd) + (0 if free else 2 if copies or key in machine.loading else 5)
+            if best_cost is None or cost < best_cost:
+                best, best_cost = name, cost
+        return best
+
+
+def named():
+    """All policies by name, the module first."""
+    from petrelwood.brain import Brain
+    return {"petrelwood": Brain, "random-of-two": RandomOfTwo, "least-outstanding": LeastOutstanding,
+            "round-robin": RoundRobin, "bounded-hash": BoundedHash, "oracle": Oracle}
--- /dev/null
+++ b/petrelwood/emulate/result.py
@@ -0,0 +1,85 @@
+"""What a day in the emulator comes to, as a flat row of figures and a check that nothing was lost in between."""
+import collections
+
+SECOND = 1_000_000_000
+LATE, OVER = 0.3, 0.1      # utility of an answer after its target latency, and of what lies beyond a share
+
+
+def worth(platform, wish):
+    """(utility got, utility asked for) of one wish."""
+    asked = wish.value * (OVER if wish.over_share else 1.0)
+    if wish.ended != "completed":
+        return 0.0, asked
+    target = platform.types[wish.kind.type].target_latency
+    return asked * (1.0 if wish.took <= target else LATE), asked
+
+
+def row(platform):
+    """The figures of a day that has been played."""
+    wishes, ends = platform.clients.wishes, collections.Counter()
+    got = asked = 0.0
+    windows, customers, took = collections.defaultdict(lambda: [0.0, 0.0]), collections.defaultdict(lambda: [0.0, 0.0]), []
+    for wish in wishes:
+        ends[wish.ended] += 1
+        mine, all_ = worth(platform, wish)
+        got, asked = got + mine, asked + all_
+        for table, key in ((windows, wish.begun // (5 * SECOND)), (customers, wish.client.name)):
+            table[key][0] += mine
+            table[key][1] += all_
+        if wish.ended == "completed":
+            took.append(wish.took)
+    took.sort()
+    cores = list(platform.cores.values())
+    counts = collections.Counter()
+    for core in cores:
+        counts.update(core.counts)
+        counts.update({f"duty {k}": v for k, v in core.duty.counts.items()})
+    share = [a / b for a, b in windows.values() if b > 0]
+    figures = {
+        "service": got / asked if asked else 0.0,
+        "worst 5 s": min(share, default=0.0),
+        "worst customer": min((a / b for a, b in customers.values() if b > 0), default=0.0),
+        "wishes": len(wishes), "tries": sum(w.tries for w in wishes),
+        "completed": ends["completed"], "rejected": ends["rejected"], "aborted": ends["aborted"], "left": ends["left"],
+        "broken": ends["broken"] + ends["conflict"], "open": ends[None],
+        "sends": counts["sends"], "orders": counts["orders"], "probes": counts["probes"],
+        "overdue": counts["duty overdue"], "twice": counts["duty twice"], "defects": platform.log.counts["defect"],
+        "fetched": platform.store.counts["fetched"], "fetches refused": platform.store.counts["refused"],
+        "loads": sum(n.machine.counts["loads"] for n in platform.nodes.values() if n.machine),
+        "fallen": sum(n.machine.fallen for n in platform.nodes.values() if n.machine),
+        "events": platform.events}
+    for part in (50, 90, 99):
+        figures[f"p{part} ms"] = took[min(len(took) - 1, len(took) * part // 100)] / 1e6 if took else 0.0
+    return figures
+
+
+def conserved(platform):
+    """What does not add up: an empty list if all does. Called at any time of a day."""
+    wrong = []
+    for node in platform.nodes.values():
+        machine = node.machine
+        if machine is None:
+            continue
+        copies = [c for held in machine.copies.values() for c in held]
+        stale = {id(j.copy): j.copy for j in machine.at_work.values() if j.copy.stale}
+        size = sum(c.model.size for c in copies) + sum(
+            platform.model(name).size * n for name, n in machine.loading.items())
+        if size > machine.build.memory or machine.used < size and not stale:
+            wrong.append(f"{node.name}: {machine.used} bytes used, copies and loads take {size}")
+        busy = sum(c.busy for c in copies) + sum(c.busy for c in stale.values() if c not in copies)
+        if busy != len(machine.at_work):
+            wrong.append(f"{node.name}: {busy} lanes busy, {len(machine.at_work)} activations at work")
+        if any(c.busy > c.model.lanes or c.busy < 0 for c in copies):
+            wrong.append(f"{node.name}: a copy has more activations than lanes")
+        if machine.waiting != sum(map(len, machine.queue.values())):
+            wrong.append(f"{node.name}: {machine.waiting} said to wait, {sum(map(len, machine.queue.values()))} do")
+        if any(j.left > j.work + 1 for j in machine.at_work.values()):
+            wrong.append(f"{node.name}: work grew")
+    for name, core in platform.cores.items():
+        counts = core.duty.counts
+        ended = counts["completed"] + counts["rejected"] + counts["aborted"] + counts["left"]
+        if counts["taken"] != ended + len(core.duty.acts):
+            wrong.append(f"{name}: {counts['taken']} taken, {ended} ended, {len(core.duty.acts)} open")
+        if core.intake.held != len(core.duty.acts):
+            wrong.append(f"{name}: {core.intake.held} held, {len(core.duty.acts)} owed")
+    return wrong
--- a/petrelwood/emulate/script.py
+++ b/petrelwood/emulate/script.py
@@ -7,6 +7,7 @@
 `TROUBLES` names every kind, what it takes and what it does.
 """
 import hashlib
+import math
 import pathlib
 from typing import NamedTuple
 
@@ -126,6 +127,7 @@
     store: dict
     roster_late: int
     stops_work: bool       # a cancel stops running work
+    warm: bool             # workers hold what they were asked for lately when the day begins
     kinds: tuple
     clients: tuple
     troubles: tuple
@@ -147,6 +149,21 @@
         mark = sorted((hashlib.sha256(f"{seed}/{trouble.kind}/{trouble.at}/{n}".encode()).hexdigest(), n) for n in names)
         return [n for _, n in mark[:max(1, round(trouble.what["part"] * len(names)))]]
 
+    def standing(self, seed):
+        """{worker: [function]}: what stands loaded when the day begins, as if the traffic had gone on for long: copies
+        for what each function has at work on average, where it is called at all within a keep-alive."""
+        names, found = [w[0] for w in self.workers], {w[0]: [] for w in self.workers}
+        for kind in self.kinds if self.warm else ():
+            weights = [(i + 1) ** -kind.zipf for i in range(kind.count)]
+            for i, weight in enumerate(weights):
+                calls = self.rate * kind.part * weight / sum(weights)
+                if calls * self.build.keep / 1e9 < 1:
+                    continue
+                for copy in range(min(len(names), max(1, math.ceil(1.5 * calls * kind.work / 1e9 / kind.lanes)))):
+                    mark = int(hashlib.sha256(f"{seed}/{kind.prefix}{i}/{copy}".encode()).hexdigest()[:8], 16)
+                    found[names[mark % len(names)]].append(f"{kind.prefix}{i}")
+        return found
+
     def released(self, part, seed):
         """The functions that a release of that part renews: the same everywhere."""
         names = [f"{k.prefix}{i}" for k in self.kinds for i in range(k.count)]
@@ -228,6 +245,7 @@
                   fleet.value("thrash", doc.number, 0.02), fleet.value("eager", doc.yes, False),
                   bound.value("on-miss", doc.text) == "load", fleet.value("start-share", doc.share, 0.5))
     stops_work = fleet.value("cancel-stops-work", doc.yes, False)
+    warm = fleet.value("warm", doc.yes, True)
     fleet.done()
     shelf = file.child("store")
     store = {"pace": shelf.value("pace", doc.size), "takes": shelf.value("takes", doc.count, 8),
@@ -242,7 +260,7 @@
                      for n in file.every("trouble"))
     day = Day(str(path), node.arg(doc.text, "a name"), length, node.value("settle", doc.duration, 6 * SECOND),
               node.value("rate", doc.number), dispatchers, names, workers, build, store,
-              node.value("roster-late", doc.duration, 0), stops_work, kinds, clients,
+              node.value("roster-late", doc.duration, 0), stops_work, warm, kinds, clients,
               tuple(sorted(troubles, key=lambda t: (t.at, t.kind))), terms)
     node.done(1)
     file.done()
--- /dev/null
+++ b/petrelwood/lab/difference.py
@@ -0,0 +1,29 @@
+"""How far the emulator is from the sockets: the same script, seed and figures, from the same kind of records."""
+from petrelwood.audit import rules
+from petrelwood.emulate.platform import Platform
+
+
+def figures(case):
+    """Shares and times of a played day that mean the same wherever it was played."""
+    ends, found = rules.outcomes(case), {}
+    total = {name: sum(counts.get(name, 0) for counts in ends.values())
+             for name in ("completed", "rejected", "aborted", "left", "broken", "sends", "sent")}
+    tries = max(1, sum(total[n] for n in ("completed", "rejected", "aborted", "left", "broken")))
+    for name in ("completed", "rejected", "aborted", "left", "broken"):
+        found[f"{name}, share of tries"] = total[name] / tries
+    found["tries"] = float(tries)
+    found["sends an activation"] = total["sends"] / max(1, total["sent"])
+    took = sorted(a["took"] for a in case.by["answer"] if a["status"] == 200)
+    for part in (50, 90, 99):
+        found[f"p{part} of completed, s"] = took[min(len(took) - 1, len(took) * part // 100)] / 1e9 if took else 0.0
+    found["load orders"] = float(sum(1 for h in case.by["hold"] if h["count"]))
+    words = [r["word"] for r in case.by["ran"]]
+    found["found full, share of sends"] = words.count("full") / max(1, len(words))
+    found["rules broken"] = float(sum(len(f.broken) for f in rules.judge(case)))
+    return found
+
+
+def between(day, seed, case):
+    """{figure: (over sockets, emulated)}"""
+    real, emulated = figures(case), figures(Platform(day, seed).run().case())
+    return {name: (real[name], emulated[name]) for name in real}
--- /dev/null
+++ b/petrelwood/lab/experiment.py
@@ -0,0 +1,292 @@
+"""Experiments on the emulator: factors x levels x seeds, paired by seed, over all cores, resumed after a kill.
+
+    experiment "NAME" {
+        day "bad"; day "quiet.kdl"          // scripts
+        policy "petrelwood"; policy "bounded-hash"
+        seeds from=1 count=8
+        factor "rate" 60 120 240            // rate, dispatchers, workers, store (a multiple of its pace), troubles
+        within "120s"                       // a run that takes longer is ended and kept as such
+    }
+
+Each run is a process of its own and leaves one file, written beside and then renamed: what stands is whole, and a second
+start does only what is missing. `results.parquet` holds all rows with what made them.
+"""
+import base64
+import collections
+import hashlib
+import importlib.metadata
+import itertools
+import json
+import multiprocessing
+import os
+import pathlib
+import subprocess
+import time
+import traceback
+from typing import NamedTuple
+
+import pyarrow
+import pyarrow.parquet
+from hdrh.histogram import HdrHistogram
+
+from petrelwood.emulate import policies, script
+from petrelwood.settings import document as doc
+
+LEVELS = {"rate": doc.number, "dispatchers": doc.count, "workers": doc.count, "store": doc.number, "troubles": doc.yes}
+HEAT = 60                  # seconds of the map of workers
+
+
+class Experiment(NamedTuple):
+    name: str
+    text: str              # the file, as it was
+    days: tuple            # scripts' paths
+    policies: tuple        # the first one is what the others are compared with
+    seeds: tuple
+    factors: tuple         # (name, levels)
+    within: float          # seconds
+
+
+class Run(NamedTuple):
+    day: str
+    policy: str
+    seed: int
+    levels: tuple          # (factor, level)
+
+    @property
+    def id(self):
+        text = json.dumps([pathlib.Path(self.day).stem, self.policy, self.seed, self.levels])
+        return hashlib.sha256(text.encode()).hexdigest()[:16]
+
+
+def read(path):
+    """The experiment that a file describes. Raises `document.BadFile`."""
+    file = doc.File(path)
+    node = file.child("experiment")
+    name, days, seen, factors = node.arg(doc.text, "a name"), [], [], []
+    for one in node.every("day"):
+        given = one.arg(doc.text, "a script")
+        near = pathlib.Path(path).parent / given
+        days.append(str(script.find(str(near) if near.exists() else given)))
+        script.read(days[-1])
+        one.done(1)
+    for one in node.every("policy"):
+        seen.append(one.arg(doc.one_of(*policies.named()), "a policy"))
+        one.done(1)
+    seeds = node.child("seeds")
+    first, count = seeds.prop("from", doc.count, 1), seeds.prop("count", doc.count)
+    for one in node.every("factor"):
+        factor = one.arg(doc.one_of(*LEVELS), "a factor")
+        levels = tuple(LEVELS[factor](one, f"a level of '{factor}'", value) for value in one.args[1:])
+        if not levels:
+            raise one.bad(f"factor '{factor}' has no levels")
+        factors.append((factor, levels))
+    within = node.value("within", doc.duration, 300 * 10**9) / 1e9
+    if not days or not seen or not count:
+        raise node.bad("an experiment needs a 'day', a 'policy' and seeds")
+    seeds.done()
+    node.done(1)
+    file.done()
+    return Experiment(name, pathlib.Path(path).read_text(), tuple(days), tuple(seen),
+                      tuple(range(first, first + count)), tuple(factors), within)
+
+
+def runs(experiment):
+    combos = list(itertools.product(*([(name, level) for level in levels] for name, levels in experiment.factors)))
+    return [Run(day, policy, seed, levels) for day in experiment.days for levels in combos
+            for seed in experiment.seeds for policy in experiment.policies]
+
+
+def with_levels(day, levels):
+    """The day with its factors set."""
+    for name, level in levels:
+        if name == "rate":
+            day = day._replace(rate=level)
+        elif name == "store":
+            day = day._replace(store={**day.store, "pace": int(day.store["pace"] * level)})
+        elif name == "troubles" and not level:
+            day = day._replace(troubles=())
+        elif name == "dispatchers":
+            names = tuple(f"d{i + 1}" for i in range(level))
+            day = day._replace(dispatchers=names, troubles=tuple(
+                t for t in day.troubles if t.what.get("dispatcher", "d1") in names))
+        elif name == "workers":
+            cell = max(1, len(day.workers) // len(day.halls) // 4)
+            made = tuple((f"w{i + 1}", day.halls[i % len(day.halls)],
+                          1 + i % len(day.halls) * 1000 + i // len(day.halls) // cell) for i in range(level))
+            day = day._replace(workers=made, troubles=tuple(
+                t for t in day.troubles if t.what.get("worker", "w1") in {w[0] for w in made}))
+    return day
+
+
+def play(run):
+    """The row of one run: its figures, rules broken, what does not add up, its course and its times."""
+    from petrelwood.audit import rules
+    from petrelwood.emulate import result
+    from petrelwood.emulate.platform import Platform
+    day = with_levels(script.read(run.day), run.levels)
+    begun = time.process_time()
+    platform = Platform(day, run.seed, policies.named()[run.policy]).run()
+    row = result.row(platform)
+    row["cpu s"] = time.process_time() - begun
+    found = rules.judge(platform.case())
+    row["rules broken"] = sum(len(f.broken) for f in found)
+    row["broken rule"] = "; ".join(f"{f.rule}: {f.broken[0]}" for f in found if f.broken)
+    row["does not add up"] = len(result.conserved(platform))
+    times = HdrHistogram(1, 3_600_000, 3)
+    for wish in platform.clients.wishes:
+        if wish.ended == "completed":
+            times.record_value(max(1, wish.took // 1_000_000))
+    row["times"] = base64.b64encode(times.encode()).decode()
+    row["course"] = json.dumps([dict(c) for c in platform.time_course])
+    heat = collections.defaultdict(lambda: [0] * HEAT)
+    for record in platform.records:
+        if record["t"] == "run" and record["at"] // 10**9 < HEAT:
+            heat[record["who"]][record["at"] // 10**9] += 1
+    row["heat"] = json.dumps(heat)
+    return row
+
+
+def _child(run, path):
+    try:
+        row, status = play(run), "ended"
+    except Exception:
+        row, status = {"error": traceback.format_exc()[-2000:]}, "failed"
+    _put(path, run, status, row)
+
+
+def _put(path, run, status, row):
+    made = {"status": status, "day": pathlib.Path(run.day).stem, "policy": run.policy, "seed": run.seed,
+            **{f"factor {k}": float(v) for k, v in run.levels}, **row}
+    part = path.with_suffix(f".part{os.getpid()}")
+    part.write_text(json.dumps(made))
+    os.replace(part, path)
+
+
+def run(experiment, out, jobs, tell):
+    """Does what is missing; (runs that stand, those of them that failed or never ended)."""
+    folder = out / "runs"
+    folder.mkdir(parents=True, exist_ok=True)
+    for part in folder.glob("*.part*"):                  # of a start that was killed
+        part.unlink()
+    kept = out / "experiment.kdl"
+    if kept.exists() and kept.read_text() != experiment.text:
+        raise doc.BadFile(kept, 1, "the folder holds runs of another experiment; give an empty one")
+    kept.write_text(experiment.text)
+    wanted = runs(experiment)
+    left = [r for r in wanted if not (folder / f"{r.id}.json").exists()]
+    alive, begun, ended = {}, time.monotonic(), 0
+    jobs = jobs or os.cpu_count() or 1
+    context = multiprocessing.get_context("fork")
+    queue = list(reversed(left))
+    while queue or alive:
+        while queue and len(alive) < jobs:
+            one = queue.pop()
+            child = context.Process(target=_child, args=(one, folder / f"{one.id}.json"))
+            child.start()
+            alive[child] = (one, time.monotonic())
+        time.sleep(0.02)
+        for child, (one, since) in list(alive.items()):
+            path = folder / f"{one.id}.json"
+            if child.is_alive() and time.monotonic() - since < experiment.within:
+                continue
+            if child.is_alive():
+                child.kill()
+                child.join()
+                _put(path, one, "never ended", {})
+            child.join()
+            if not path.exists():
+                _put(path, one, "failed", {"error": f"the process ended with {child.exitcode}"})
+            del alive[child]
+            ended += 1
+            spent = time.monotonic() - begun
+            tell(f"{len(wanted) - len(left) + ended} of {len(wanted)} runs, about "
+                 f"{spent / ended * (len(left) - ended):.0f} s left")
+    rows = [json.loads((folder / f"{r.id}.json").read_text()) for r in wanted]
+    write_parquet(experiment, rows, out / "results.parquet")
+    return len(rows), sum(r["status"] != "ended" for r in rows)
+
+
+def write_parquet(experiment, rows, path):
+    names = sorted({name for row in rows for name in row})
+    commit = subprocess.run(["git", "rev-parse", "HEAD"], capture_output=True, text=True).stdout.strip()
+    made = {"experiment": experiment.text, "commit": commit, "seeds": json.dumps(experiment.seeds),
+            "libraries": json.dumps({name: importlib.metadata.version(name) for name in ("numpy", "scipy", "pyarrow")})}
+    table = pyarrow.table({name: [row.get(name) for row in rows] for name in names})
+    part = path.with_suffix(".part")
+    pyarrow.parquet.write_table(table.replace_schema_metadata(made), part, compression="zstd")
+    os.replace(part, path)
+
+
+def rows_of(out):
+    """(rows that ended, what made them)"""
+    table = pyarrow.parquet.read_table(out / "results.parquet")
+    made = {k.decode(): v.decode() for k, v in (table.schema.metadata or {}).items() if not k.startswith(b"ARROW")}
+    return [r for r in table.to_pylist() if r["status"] == "ended"], made
+
+
+def setting(row):
+    """The day and the levels of a row: what is paired."""
+    levels = " ".join(f"{k[7:]}={v:g}" for k, v in sorted(row.items()) if k.startswith("factor ") and v is not None)
+    return f"{row['day']} {levels}".strip()
+
+
+def first_policy(made):
+    file = doc.File("experiment.kdl", made["experiment"])
+    return file.child("experiment").every("policy")[0].args[0]
+
+
+def interval(values, seed=1):
+    """(mean, lower, upper) of a mean, by bootstrap, 95%; the mean alone three times where there are too few."""
+    import numpy
+    from scipy import stats
+    values = numpy.asarray(values, dtype=float)
+    if len(values) < 3 or numpy.ptp(values) == 0:
+        return float(values.mean()), float(values.mean()), float(values.mean())
+    found = stats.bootstrap((values,), numpy.mean, n_resamples=2000, method="BCa", rng=numpy.random.default_rng(seed))
+    return float(values.mean()), float(found.confidence_interval.low), float(found.confidence_interval.high)
+
+
+def differences(out, figure):
+    """[(setting, policy, pairs, mean of the first, mean difference, lower, upper, corrected p)]: paired by seed, with
+    the sign-flip test and Holm's correction over the whole table."""
+    import numpy
+    from scipy import stats
+    rows, made = rows_of(out)
+    first, by = first_policy(made), {}
+    for row in rows:
+        by.setdefault((setting(row), row["policy"]), {})[row["seed"]] = row[figure]
+    found = []
+    for (where, policy), values in sorted(by.items()):
+        base = by.get((where, first), {})
+        seeds = sorted(set(values) & set(base))
+        if policy == first or not seeds:
+            continue
+        gaps = numpy.array([values[s] - base[s] for s in seeds], dtype=float)
+        p = 1.0
+        if len(seeds) > 2 and numpy.ptp(gaps):
+            p = float(stats.permutation_test((gaps,), numpy.mean, permutation_type="samples", n_resamples=4999,
+                                             rng=numpy.random.default_rng(1)).pvalue)
+        found.append([where, policy, len(seeds), float(numpy.mean([base[s] for s in seeds])), *interval(gaps), p])
+    worst = 0.0
+    for rank, row in enumerate(sorted(found, key=lambda r: r[-1])):
+        worst = max(worst, min(1.0, row[-1] * (len(found) - rank)))
+        row[-1] = worst
+    return [tuple(row) for row in found]
+
+
+def merged_times(rows):
+    """One histogram of the times of all these rows."""
+    whole = HdrHistogram(1, 3_600_000, 3)
+    for row in rows:
+        whole.add(HdrHistogram.decode(base64.b64decode(row["times"])))
+    return whole
+
+
+def table_lines(out, figure):
+    rows, made = rows_of(out)
+    first = first_policy(made)
+    yield f"{figure}, difference from {first}, paired by seed (simulated servers; 95% bootstrap, p after Holm)"
+    for where, policy, pairs, base, mean, low, high, p in differences(out, figure):
+        yield f"{where:40s} {policy:18s} n={pairs:<3d} {base:9.3f} {mean:+9.3f} [{low:+.3f}, {high:+.3f}] p={p:.3f}"
+    broken = [r for r in rows if r["policy"] == first and (r["rules broken"] or r["does not add up"])]
+    yield f"{first}: {len(broken)} runs with a broken rule or figures that do not add up"
--- a/petrelwood/standins/worker.py
+++ b/petrelwood/standins/worker.py
@@ -169,6 +169,8 @@
     mine = day._replace(troubles=tuple(t for t in day.troubles if name in day.hit(t, seed)))
     hearing = asyncio.ensure_future(host.listen_to_operator(
         lambda said: host.play(mine, said["start"], worker.troubles())))
+    if not booted:
+        worker.machine.stand(day.kind(fn).model(fn) for fn in day.standing(seed)[name])
     records.put("up", booted=booted, pid=os.getpid())
     host.ready(sockets[0].getsockname()[:2])
     await host.until_told()
