--- a/petrelwood/emulate/traffic.py
+++ b/petrelwood/emulate/traffic.py
@@ -217,7 +217,8 @@
         wait = int((0.02 + 0.2 * self.manners.uniform()) * 1e9)
         if retry_after and self.manners.uniform() < wish.client.honours:
             wait = -(-retry_after // SECOND) * SECOND
-        if wish.tries > wish.client.retries or now + wait >= self.platform.day.length + self.platform.day.settle:
+        end = self.platform.day.length + self.platform.day.settle
+        if wish.tries > wish.client.retries or now + wait + wish.patience >= end:
             self._ends(wish, ended)
         else:
             self.platform.after(wait, self._try, wish, to)
