--- /dev/null
+++ b/petrelwood/store/__init__.py
@@ -0,0 +1,1 @@
+"""Storage that survives crashes: an append-only tail with checksums, and the history of use in columns."""
--- /dev/null
+++ b/petrelwood/store/history.py
@@ -0,0 +1,233 @@
+"""The history of use: what was called, when, cold or warm, how long it waited. Columns, by day, compressed.
+
+Rows are noted in memory and written to a tail (`store.tail`) in groups; when a group of `ROLL` rows or a new day is full, a
+Parquet file of it is written beside, renamed, and only then the tail begins anew. So a kill at any byte loses no more than
+what was noted since the last flush, and what was dropped is said. A file that is renamed while its tail still stands is
+known by the tail's number, so no row counts twice.
+
+A full or failing disk stops the history, never the dispatching: `note` then does nothing and `stopped` tells why.
+"""
+import datetime
+import pathlib
+import struct
+
+import pyarrow
+import pyarrow.parquet
+
+from petrelwood.store import tail
+
+ROLL = 50_000              # rows of one file
+GROUP = 256                # rows noted before they are written
+ROW = struct.Struct("<qHHHBIII")
+COLUMNS = (("at", pyarrow.int64()), ("function", pyarrow.string()), ("customer", pyarrow.string()),
+           ("hall", pyarrow.string()), ("how", pyarrow.uint8()), ("waited_us", pyarrow.uint32()),
+           ("took_us", pyarrow.uint32()), ("load_us", pyarrow.uint32()))
+WARM, COLD, JOINED, NEVER = range(4)      # how: found a copy, began a load, waited for one, was not completed
+
+
+def day_of(at):
+    return datetime.datetime.fromtimestamp(at / 1e9, datetime.timezone.utc).strftime("%Y-%m-%d")
+
+
+class History:
+    """`most`: bytes on disk; `keep`: days. Times are wall-clock ns."""
+
+    def __init__(self, folder, most=1 << 30, keep=60, files=None, group=GROUP, roll=ROLL):
+        self.folder, self.most, self.keep, self.files = pathlib.Path(folder), most, keep, files or tail.Files()
+        self.group, self.roll, self.stopped, self.names, self.rows = group, roll, None, {}, []
+        self.dropped, self.lost, self.noted, self.log, self.since = 0, 0, 0, None, 0
+        self.folder.mkdir(parents=True, exist_ok=True)
+        try:
+            self._open()
+        except (tail.Failed, OSError) as fault:
+            self._stop(fault)
+
+    def _stop(self, fault):
+        if self.stopped is None:
+            self.stopped = str(fault)
+            self.lost += self.since
+
+    def _tails(self):
+        return sorted(self.folder.glob("tail-*.log"))
+
+    def _open(self):
+        """Finds the tail; rows that a file already has are not taken again."""
+        for part in self.folder.glob("**/*.part"):
+            part.unlink()
+        done = sealed(self.folder)
+        self.number = max([n for n, _ in done] + [int(p.stem.split("-")[1]) for p in self._tails()], default=1)
+        for path in self._tails():
+            number = int(path.stem.split("-")[1])
+            if number == self.number and number not in {n for n, _ in done}:
+                continue                                 # the one that goes on
+            for record in tail.scan(path.read_bytes())[0]:     # a seal that a kill has cut short: it is finished
+                self._replay(record)
+            self._write_days([r for r in self.rows if (number, day_of(r[0])) not in done], number)
+            self.rows, self.names = [], {}
+            self.files.remove(str(path))
+            self.number = max(self.number, number + 1)
+        self.log = tail.Log(self.folder / f"tail-{self.number:08d}.log", self.files)
+        self.dropped = self.log.dropped
+        for record in self.log.records:
+            self._replay(record)
+
+    def _replay(self, record):
+        kind, body = record[:1], record[1:]
+        if kind == b"n":
+            self.names[body[2:].decode("utf-8")] = struct.unpack("<H", body[:2])[0]
+        elif kind == b"r":
+            by = {number: name for name, number in self.names.items()}
+            for at in range(0, len(body), ROW.size):
+                when, fn, customer, hall, how, waited, took, load = ROW.unpack_from(body, at)
+                self.rows.append((when, by[fn], by[customer], by[hall], how, waited, took, load))
+
+    def _name(self, text):
+        number = self.names.get(text)
+        if number is None:
+            number = self.names[text] = len(self.names)
+            self.log.append(b"n" + struct.pack("<H", number) + text.encode("utf-8"))
+        return number
+
+    def note(self, at, function, customer, hall, how, waited, took, load):
+        """One activation's end; ns, as large as 71 minutes are kept. Cheap: most calls only append to a list."""
+        if self.stopped is not None:
+            return
+        row = (at, function, customer, hall, how, min(waited // 1000, 0xFFFFFFFF), min(took // 1000, 0xFFFFFFFF),
+               min(load // 1000, 0xFFFFFFFF))
+        self.rows.append(row)
+        self.noted += 1
+        self.since += 1
+        if self.since >= self.group:
+            self.flush()
+
+    def flush(self, sync=False):
+        """Writes what was noted; when enough stands, a file of columns is made of it."""
+        if self.stopped is not None:
+            return
+        try:
+            if self.since:
+                packed = b"".join(ROW.pack(row[0], self._name(row[1]), self._name(row[2]), self._name(row[3]), *row[4:])
+                                  for row in self.rows[-self.since:])
+                if not self.log.append(b"r" + packed):
+                    raise tail.Failed("the tail is full")
+                self.log.flush()
+                self.since = 0
+            if sync:
+                self.log.sync()
+            if len(self.rows) >= self.roll or len(self.names) > 60_000:
+                self.seal()
+        except (tail.Failed, OSError) as fault:
+            self._stop(fault)
+
+    def seal(self):
+        """The rows become files, one a day; the tail begins anew."""
+        self.log.sync()
+        number = self.number
+        self._write_days(self.rows, number)
+        old, self.number, self.rows, self.names = self.log, number + 1, [], {}
+        self.log = tail.Log(self.folder / f"tail-{self.number:08d}.log", self.files)
+        old.close()
+        self.files.remove(str(old.path))
+        self.retain()
+
+    def _write_days(self, rows, number):
+        for day in sorted({day_of(row[0]) for row in rows}):
+            some = sorted(row for row in rows if day_of(row[0]) == day)
+            target = self.folder / f"day={day}" / f"rows-{some[0][0]:020d}-{number}.parquet"
+            target.parent.mkdir(exist_ok=True)
+            self._write(some, target)
+
+    def _write(self, rows, target):
+        part = target.with_suffix(".part")
+        columns = {name: pyarrow.array([row[i] for row in rows], type_) for i, (name, type_) in enumerate(COLUMNS)}
+        pyarrow.parquet.write_table(pyarrow.table(columns), part, compression="zstd")
+        self.files.replace(str(part), str(target))
+
+    def retain(self):
+        """Forgets the oldest days: those over `keep`, then whatever is over the bound on disk."""
+        days = sorted(self.folder.glob("day=*"))
+        sizes = {day: sum(p.stat().st_size for p in day.iterdir()) for day in days}
+        while days and (len(days) > self.keep or sum(sizes[d] for d in days) > self.most):
+            if len(days) == 1:
+                break
+            oldest = days.pop(0)
+            for path in oldest.iterdir():
+                path.unlink()
+            oldest.rmdir()
+
+    def compact(self):
+        """One file for each day; (files before, files after). Parts are written beside and renamed."""
+        before = after = 0
+        for day in sorted(self.folder.glob("day=*")):
+            paths = sorted(day.glob("rows-*.parquet"))
+            before += len(paths)
+            after += min(1, len(paths))
+            if len(paths) < 2:
+                continue
+            table = pyarrow.concat_tables([pyarrow.parquet.read_table(p) for p in paths]).sort_by("at")
+            highest = max(int(p.stem.split("-")[2]) for p in paths)
+            part = day / "whole.part"
+            pyarrow.parquet.write_table(table, part, compression="zstd")
+            target = day / f"rows-{table['at'][0].as_py():020d}-{highest}.parquet"
+            self.files.replace(str(part), str(target))
+            for path in paths:
+                if path != target:
+                    self.files.remove(str(path))
+        return before, after
+
+    def close(self):
+        self.flush(sync=True)
+        try:
+            if self.log is not None and self.stopped is None:
+                self.log.close()
+        except (tail.Failed, OSError) as fault:
+            self._stop(fault)
+
+
+def sealed(folder):
+    """{(tail's number, day)} whose rows stand in a file of their own. Compacted files carry their highest number."""
+    return {(int(p.stem.split("-")[2]), p.parent.name[4:]) for p in pathlib.Path(folder).glob("day=*/rows-*-*.parquet")}
+
+
+def read(folder, since=0, until=1 << 62):
+    """All rows of a folder with `since <= at < until`, as a table sorted by time, the tail's among them."""
+    folder = pathlib.Path(folder)
+    tables = [pyarrow.parquet.read_table(p, filters=[("at", ">=", since), ("at", "<", until)])
+              for p in sorted(folder.glob("day=*/rows-*.parquet"))]
+    done = sealed(folder)
+    for path in sorted(folder.glob("tail-*.log")):
+        number = int(path.stem.split("-")[1])
+        records, _, _ = tail.scan(path.read_bytes())
+        whole = History.__new__(History)
+        whole.names, whole.rows = {}, []
+        for record in records:
+            whole._replay(record)
+        rows = [r for r in whole.rows if since <= r[0] < until and (number, day_of(r[0])) not in done]
+        tables.append(pyarrow.table({name: pyarrow.array([r[i] for r in rows], type_)
+                                     for i, (name, type_) in enumerate(COLUMNS)}))
+    if not tables:
+        return pyarrow.table({name: pyarrow.array([], type_) for name, type_ in COLUMNS})
+    return pyarrow.concat_tables(tables).sort_by("at")
+
+
+def verify(folder):
+    """What is wrong with a folder, a line each; empty if nothing is."""
+    wrong = []
+    for path in sorted(pathlib.Path(folder).glob("day=*/rows-*.parquet")):
+        try:
+            table = pyarrow.parquet.read_table(path)
+        except (OSError, pyarrow.ArrowException) as fault:
+            wrong.append(f"{path}: {str(fault).splitlines()[0]}")
+            continue
+        days = {day_of(at) for at in (table["at"][0].as_py(), table["at"][-1].as_py())} if len(table) else set()
+        if days - {path.parent.name[4:]}:
+            wrong.append(f"{path}: holds rows of {', '.join(sorted(days))}")
+    for path in sorted(pathlib.Path(folder).glob("tail-*.log")):
+        try:
+            _, whole, why = tail.scan(path.read_bytes())
+        except tail.Refused as fault:
+            wrong.append(f"{path}: {fault}")
+            continue
+        if why:
+            wrong.append(f"{path}: {why}, {path.stat().st_size - whole} bytes after it")
+    return wrong
