Early loads: forecasts weighed by back-test, a planner, an account that holds back by itself

The operators' first wish once the program runs. decide/forecast.py counts calls in slots and believes the plain seasonal mean unless another method has long scored a tenth better (ranked probability score of a negative binomial); decide/planner.py wishes copies by worth for each byte, drawn so that many dispatchers wish what one would; decide/account.py ends each early load in one of six ways and holds back where it does not pay. The module takes a wish by a call of its own, only where nothing real waits and within half of the ration.

Tests: the score is proper; the greedy plan is within one wish of the best over 60 small cases; 1, 4, 100 and 300 dispatchers wish the same within a quarter; gaps, steps of the clock, a doubled season, daylight saving, a date that does not come.

--- a/petrelwood/brain.py
+++ b/petrelwood/brain.py
@@ -2,8 +2,8 @@
 
 How to call it: `Brain(now, terms, seed, outlet)` starts an instance. Then, in the order of events,
 `listed` / `list_lost` (news of workers), `activation`, `answer` (a send has ended), `begun` (a stream has
-started), `left` (the client went), `stands` (a hold was answered), `probed` and `ring`. It acts only through
-its `ports.Outlet`, within these calls. Times are whole nanoseconds.
+started), `left` (the client went), `stands` (a hold was answered), `wish` (a load ahead), `probed` and
+`ring`. It acts only through its `ports.Outlet`, within these calls. Times are whole nanoseconds.
 
 An activation passes answer duty -> admission -> hold per function -> placement and loading -> guarded send,
 its answers the other way."""
@@ -22,6 +22,7 @@
 BACKLOG = 1.0            # held activations for each lane before a copy is added
 AT_ONCE = 1 / 8          # further copies that load at a time, for each worker of our part of the fleet
 LAG = 1 / 6              # how long the first must have been held before that, part of the target latency
+EARLY = 0.5              # of the ration on orders, what early loads may use
 SLACK = 1.3              # a customer's share here: so much more than an equal part, as dispatchers differ
 TIGHT = 1.5              # loads within it count as equal, so dispatchers agree; beyond it a copy is added
 CROWDED = 1.8            # a worker is, when its answers take so many times the usual
@@ -369,17 +370,12 @@
     def _add_copy(self, fn, act, now):
         """One more copy, on the less loaded of the first two in hash order that hold none. What others need
         too begins anywhere among so many, our zone first: or all, each with a little, take the same."""
-        o, two = self.terms.orders, []
+        o = self.terms.orders
         guess = not fn.copies and (o.loads_on_send or now - fn.missed > o.keep)
         if not guess and not self._may_order(now) or guess and self.cap.full(self.out_now):
             fn.pause = now + int(self.target * LAG)
             return False
-        for worker in self._order_of(fn):
-            if (worker.id not in fn.copies and worker.loading < 2 and self._open(worker, now)
-                    and (act is None or self._fits(act, worker) and worker not in act.full)):
-                two.append(worker)
-                if len(two) == 2:
-                    break
+        two = self._first_two(fn, act, now)
         if not two:
             fn.pause = now + int(self.target * LAG)
         if not two or self._probe(two, now):             # placed once they answer, or at the next sweep
@@ -394,6 +390,26 @@
             self._send(act, copy, now)
         return guess or self._order(fn, worker, now)
 
+    def _first_two(self, fn, act, now):
+        return list(islice((
+            w for w in self._order_of(fn) if w.id not in fn.copies and w.loading < 2 and self._open(w, now)
+            and (act is None or self._fits(act, w) and w not in act.full)), 2))
+
+    def wish(self, now, key, lanes, load_time):
+        """The planner's wish for one copy ahead of a call: the worker that it is ordered on, or None. Never
+        where something real waits, answers are slow or loads fail; of the ration it gets a part (`EARLY`)."""
+        fn = self.functions.setdefault(key, Function(key))
+        fn.lanes, fn.load_time = lanes, load_time or fn.load_time
+        quiet = not self.waiting and self.slow <= 0.5 and now >= max(fn.pause, self.spread_after)
+        two = self._first_two(fn, None, now) if quiet and self._may_order(now, EARLY) else ()
+        if not two:
+            return None
+        worker = min(two, key=lambda w: self._load(w, now))
+        copy = fn.copies[worker.id] = Copy(worker, now)
+        copy.loading = max(1, now)
+        self._order(fn, worker, now)
+        return worker.id
+
     def _order_of(self, fn):                             # the fleet in the function's hash order
         salt, mix, mask = fn.hash, MIX, MASK
         ranks = [((hash_ ^ salt) * mix & mask) << 20 | n for n, hash_ in enumerate(self.hashes)]
@@ -432,9 +448,9 @@
         self.owing[worker.id], self.out_now = worker, self.out_now + 1
         self.out.send(act.id, worker.id, 0)
 
-    def _may_order(self, now):
+    def _may_order(self, now, part=1.0):
         o, most = self.terms.orders, self.loads.most(now)
-        return o.allowed and (not o.period or most + 1 <= o.free + o.part * self.taken.least(now))
+        return o.allowed and (not o.period or most + 1 <= part * (o.free + o.part * self.taken.least(now)))
 
     def _order(self, fn, worker, now):
         if worker.usable and self._may_order(now):
--- a/petrelwood/dispatch/core.py
+++ b/petrelwood/dispatch/core.py
@@ -14,9 +14,12 @@
 from petrelwood.decide import intake as stage
 from petrelwood.decide import ledger as led
 from petrelwood.decide.duty import Duty
+from petrelwood.decide.early import EarlyLoads
+from petrelwood.decide.forecast import Calendar
 from petrelwood.decide.intake import Intake
 from petrelwood.decide.ledger import Ledger
 from petrelwood.decide.membership import Membership
+from petrelwood.decide.planner import Prices
 
 MOST_IN_A_TURN = 10_000    # what follows from what, before the clock is let go on
 
@@ -39,6 +42,25 @@
         self.due_timer, self.due_at, self.rules = None, 0, {}
         self.counts = {"sends": 0, "orders": 0, "probes": 0, "refused_by_guard": 0}
         self.brain = brain(start, self.terms, gateway.seed, self)
+        self.early, self.note = None, None               # `note(...)` of `store.history`, where one is kept
+        if gateway.early is not None and hasattr(self.brain, "wish"):
+            self._begin_early(gateway.early)
+
+    def _begin_early(self, terms):
+        calendar = Calendar(terms.slot, terms.season, terms.week, terms.events)
+        orders = self.terms.orders
+        self.early = EarlyLoads(calendar, Prices(terms.fetch, terms.memory_price), orders.keep, self.terms.dispatchers,
+                                self.chance.random, lambda *wish: self.brain.wish(self.now(), *wish), self.terms.zone,
+                                terms.size, terms.memory)
+        self.clock.at(self.now() + terms.slot, self._early_turn)
+
+    def _early_turn(self):
+        self.soon(self._plan)
+        self.clock.at(self.now() + self.gateway.early.slot, self._early_turn)
+
+    def _plan(self):
+        orders = self.terms.orders
+        self.early.turn(self.now(), self.clock.wall(), 1e9 if not orders.period else orders.free)
 
     def rule(self, function):
         """The rule of a function, looked up once."""
@@ -110,6 +132,8 @@
             exchange.act = act.id
             self.touched.add(act.id)
             self._arm()
+            if self.early is not None:
+                self.early.called(now, self.clock.wall(), function, rule.lanes, rule.load_time, ask.type)
             self.brain.activation(now, act.id, function, ask.type, ask.customer, verdict.due, rule.lanes, 0,
                                   rule.load_time)
         else:
@@ -171,13 +195,30 @@
     def returned(self, act_id, n, worker, code, note, body, at, gauge):
         now = self.now()
         self.flying.pop((act_id, n), None)
+        owed = self.duty.acts.get(act_id)
         owing = self.duty.returned(act_id, n)
         if owing and code == ports.COMPLETED:
             self._finish(act_id, led.COMPLETED, body)
+        if owed is not None and (self.early is not None or self.note is not None):
+            self._learn(now, owed, worker, code, note, now - at)
         self.touched.add(act_id)
         self.brain.answer(now, act_id, n, worker, code, note, act_id not in self.duty.acts, now - at, gauge)
 
+    def _learn(self, now, owed, worker, code, note, took):
+        """What history and early loads want to know of a send's end."""
+        warm = note in (0, ports.FOUND_WARM)
+        if self.early is not None:
+            if code == ports.COMPLETED:
+                self.early.ran(now, owed.fn, worker, warm, took, 0 if warm else took)
+            elif code == ports.MISSING:
+                self.early.missed(now, owed.fn, worker)
+        if self.note is not None and code == ports.COMPLETED:
+            self.note(self.clock.wall(), owed.fn, owed.customer, self.terms.zone, note & 3, now - took - owed.came, took,
+                      0 if warm else took)
+
     def held(self, worker, fn, code, copies):
+        if self.early is not None:
+            self.early.stands(self.now(), fn, worker, code == ports.COMPLETED)
         self.brain.stands(self.now(), worker, fn, code, copies)
 
     def probed(self, worker, code, gauge):
--- a/petrelwood/dispatch/dispatcher.py
+++ b/petrelwood/dispatch/dispatcher.py
@@ -7,6 +7,7 @@
 from petrelwood.dispatch.core import Core
 from petrelwood.links.roster import RosterLink
 from petrelwood.links.worker import WorkerLink
+from petrelwood.store.history import History
 
 CHECK = 0.05               # seconds between looks at links and lines that are not at rest
 RENEW = 5_000_000_000      # ns between looks at certificates
@@ -19,6 +20,10 @@
         self.busy, self.checks, self.fronts, self.loop = {}, None, [], asyncio.get_running_loop()
         super().__init__(gateway, LoopClock(), Random(gateway.seed), self._link, log, brain)
         self.roster = RosterLink(gateway.roster, self.membership, 4 * gateway.workers.connect_within, self, log)
+        self.history = None
+        if gateway.history is not None:
+            self.history = History(gateway.history.folder, gateway.history.most, gateway.history.keep)
+            self.note, self.told_stop = self.history.note, False
         self.listed_once, self.renew_at = asyncio.Event(), self.now() + RENEW
         self.identities = [tls for tls in (gateway.tls, gateway.worker_tls, gateway.mqtt and gateway.mqtt.tls) if tls]
 
@@ -45,6 +50,11 @@
             self.renew_at = now + RENEW
             for tls in self.identities:
                 tls.renew(self.log)
+            if self.history is not None:
+                self.history.flush()
+                if self.history.stopped and not self.told_stop:
+                    self.told_stop = True
+                    self.log.warning("the history has stopped; dispatching goes on", why=self.history.stopped)
         if self.membership.silent(now):
             self.log.warning("the list of workers is lost")
             self.roster.drop()
@@ -69,4 +79,6 @@
             front.close_idle()
         self.roster.close()
         self.checks.cancel()
+        if self.history is not None:
+            self.history.close()
         await asyncio.sleep(CHECK)
--- a/petrelwood/emulate/link.py
+++ b/petrelwood/emulate/link.py
@@ -174,6 +174,8 @@
         if self.node.wrong and call.kind == "run":       # it answers another activation: that ends the connection
             self.platform.after(self.way(), self._lost)
             return
+        if call.kind == "run" and word == "ok" and note in (2, 3):
+            self.platform.colds += 1
         gauge = self.node.gauge()
         self.platform.after(self.way(), self._answered, call, word, note, body, gauge, self.life)
 
--- a/petrelwood/emulate/platform.py
+++ b/petrelwood/emulate/platform.py
@@ -60,8 +60,11 @@
         self.records, self.events, self.across, self.within, self.client_way = [], 0, across, within, 400_000
         self.gateway = settings.read("day", script.gateway_text(
             day, "d", 1, "127.0.0.1:1", "127.0.0.1:1", {c.name: [KEY] for c in day.clients}, seed))
+        if not day.early:
+            self.gateway = self.gateway._replace(early=None)
         self.types, self.timeouts = self.gateway.terms.types, self.gateway.timeouts
         self.repeatable = {n: t.effect == "repeatable" for n, t in self.types.items()}
+        self.colds = 0                                   # activations that waited for a load
         self.models, self.cuts, self.log = {}, set(), Silent()
         self.store = Store(self.clock, **day.store)
         self.ways, self.loads = self.stream("ways"), self.stream("loads")
--- a/petrelwood/emulate/result.py
+++ b/petrelwood/emulate/result.py
@@ -1,6 +1,8 @@
 """What a day in the emulator comes to, as a flat row of figures and a check that nothing was lost in between."""
 import collections
 
+from petrelwood.decide import account
+
 SECOND = 1_000_000_000
 LATE, OVER = 0.3, 0.1      # utility of an answer after its target latency, and of what lies beyond a share
 
@@ -48,6 +50,13 @@
         "loads": sum(n.machine.counts["loads"] for n in platform.nodes.values() if n.machine),
         "fallen": sum(n.machine.fallen for n in platform.nodes.values() if n.machine),
         "events": platform.events}
+    early = [c.early for c in cores if c.early is not None]
+    figures["early loads"] = sum(e.made for e in early)
+    figures["early refused"] = sum(e.refused for e in early)
+    for end in account.ENDS:
+        figures[f"early {end}"] = sum(e.account.whole.ends[end] for e in early)
+    figures["early balance s"] = sum(e.account.whole.seconds for e in early)
+    figures["cold starts"] = platform.colds
     for part in (50, 90, 99):
         figures[f"p{part} ms"] = took[min(len(took) - 1, len(took) * part // 100)] / 1e6 if took else 0.0
     return figures
--- a/petrelwood/emulate/script.py
+++ b/petrelwood/emulate/script.py
@@ -95,6 +95,7 @@
     turning: float         # the part of the functions that gives way to others
     spell: int             # each so long, ns; 0: never
     timed: float           # the part of the activations that comes from timers
+    season: int            # each function has its time in a season so long, ns; 0: called at any time
 
     def model(self, name):
         """The model of one function: sizes differ, the same for everyone who asks."""
@@ -132,6 +133,7 @@
     clients: tuple
     troubles: tuple
     terms: object          # the document node whose children go into each gateway's file
+    early: bool = True     # early loads, where the terms have them
 
     def kind(self, function):
         for kind in self.kinds:
@@ -207,7 +209,7 @@
                 node.prop("lanes", doc.count, 1), node.prop("size", doc.size), node.prop("load-time", doc.duration),
                 tuple(c.arg(doc.text, "a customer") for c in node.every("customer")),
                 node.prop("turning", doc.share, 0.0), node.prop("spell", doc.duration, 0),
-                node.prop("timed", doc.share, 0.0))
+                node.prop("timed", doc.share, 0.0), node.prop("season", doc.duration, 0))
     node.done(1)
     return made
 
--- a/petrelwood/emulate/traffic.py
+++ b/petrelwood/emulate/traffic.py
@@ -1,5 +1,6 @@
 """The clients of the emulator: arrivals drawn ahead of all answers, patience, retries, hints that some follow."""
 import bisect
+import zlib
 
 from petrelwood.decide import intake as stage
 
@@ -18,8 +19,18 @@
             self.cuts.append(total)
         self.total, self.names = total, [f"{kind.prefix}{i}" for i in range(kind.count)]
 
-    def draw(self, uniform):
-        return self.names[min(bisect.bisect(self.cuts, uniform * self.total), len(self.names) - 1)]
+    def draw(self, stream, now):
+        for _ in range(24 if self.kind.season else 1):
+            name = self.names[min(bisect.bisect(self.cuts, stream.uniform() * self.total), len(self.names) - 1)]
+            if not self.kind.season or stream.uniform() < self._active(name, now):
+                break
+        return name
+
+    def _active(self, name, now):
+        """How much a function is called at this time of the season: one hump, a fifth of it wide."""
+        phase = zlib.crc32(name.encode()) / 2 ** 32
+        off = (now / self.kind.season - phase + 0.5) % 1 - 0.5
+        return max(0.005, 1 - (off / 0.1) ** 2)
 
     def turn(self):
         """A part of the functions changes places with others."""
@@ -103,7 +114,7 @@
         self._next(client)
         may, sums, total = self.parts[client.name]
         kind = may[min(bisect.bisect(sums, self.picks.uniform() * total), len(may) - 1)]
-        fn, pick = self.popular[kind.prefix].draw(self.picks.uniform()), self.picks.uniform()
+        fn, pick = self.popular[kind.prefix].draw(self.picks, self.platform.clock.now()), self.picks.uniform()
         for part, names in self.hot:
             if pick < part:
                 fn = names[int(pick / part * len(names)) % len(names)]
--- a/petrelwood/lab/experiment.py
+++ b/petrelwood/lab/experiment.py
@@ -32,7 +32,7 @@
 from petrelwood.emulate import policies, script
 from petrelwood.settings import document as doc
 
-LEVELS = {"rate": doc.number, "dispatchers": doc.count, "workers": doc.count, "store": doc.number, "troubles": doc.yes,
+LEVELS = {"rate": doc.number, "dispatchers": doc.count, "workers": doc.count, "store": doc.number, "troubles": doc.yes, "early": doc.yes,
           "trouble": doc.one_of("none", *script.TROUBLES, *script.EMULATED)}
 HEAT = 60                  # seconds of the map of workers
 
@@ -106,6 +106,8 @@
             day = day._replace(store={**day.store, "pace": int(day.store["pace"] * level)})
         elif name == "troubles" and not level:
             day = day._replace(troubles=())
+        elif name == "early":
+            day = day._replace(early=level)
         elif name == "trouble":
             day = day._replace(troubles=tuple(t for t in day.troubles if t.kind == level))
         elif name == "dispatchers":
--- a/petrelwood/settings/gateway.py
+++ b/petrelwood/settings/gateway.py
@@ -1,6 +1,7 @@
 """What a gateway's file says, decoded once: who calls, which functions there are, and the terms of the module."""
 import base64
 import binascii
+import datetime
 import pathlib
 from typing import NamedTuple
 
@@ -65,6 +66,23 @@
     tls: object           # links.tls.Identity, or None
 
 
+class EarlyTerms(NamedTuple):
+    slot: int             # ns that a forecast counts calls in
+    season: int           # what repeats: a day, in service
+    week: int             # 0: weeks do not matter
+    events: tuple         # (begin, end, factor, prefix), wall clock ns
+    fetch: float          # seconds of cold wait that a fetch from the store is worth
+    memory_price: float   # and a gigabyte held idle for a second
+    size: int             # bytes of a usual copy
+    memory: int           # bytes that early loads of this dispatcher may hold; 0: no bound
+
+
+class HistoryTerms(NamedTuple):
+    folder: str
+    keep: int             # days
+    most: int             # bytes on disk
+
+
 class Gateway(NamedTuple):
     name: str
     listen: tuple
@@ -81,6 +99,8 @@
     tls: object           # of the webhook front: links.tls.Identity, or None
     worker_tls: object
     mqtt: object          # MqttTerms, or None
+    early: object         # EarlyTerms, or None: nothing is loaded ahead
+    history: object       # HistoryTerms, or None
 
     def rule(self, function):
         """The rule of a function: its own name first, then the longest beginning; None if there is none."""
@@ -207,6 +227,47 @@
     return made
 
 
+def date(node, where, value):
+    """A date and time as ISO 8601 has it, with its offset; wall clock ns."""
+    try:
+        found = datetime.datetime.fromisoformat(doc.text(node, where, value))
+    except ValueError:
+        raise node.bad(f"{where} must be a time like \"2026-12-31T08:00+01:00\", not {value!r}") from None
+    if found.tzinfo is None:
+        raise node.bad(f"{where} needs its offset from UTC, as in \"{value}+01:00\"")
+    return int(found.timestamp()) * SECOND
+
+
+def _early(node):
+    if node is None:
+        return None
+    events = []
+    for one in node.every("event"):
+        begin = one.prop("from", date)
+        events.append((begin, begin + one.prop("for", doc.duration), float(one.prop("factor", doc.number)),
+                       one.arg(doc.text, "the beginning of functions' names")))
+        one.done(1)
+    season = node.value("season", doc.duration, 86_400 * SECOND)
+    made = EarlyTerms(node.value("slot", doc.duration, 60 * SECOND), season,
+                      7 * season if node.value("weeks", doc.yes, True) else 0, tuple(events),
+                      node.value("fetch-price", doc.duration, SECOND // 5) / SECOND,
+                      float(node.value("memory-price", doc.number, 0.002)), node.value("copy-size", doc.size, 10**9),
+                      node.value("memory", doc.size, 0))
+    node.done()
+    if not 0 < made.slot <= made.season:
+        raise node.bad("'slot' must be over 0 and no longer than 'season'")
+    return made
+
+
+def _history(node):
+    if node is None:
+        return None
+    made = HistoryTerms(str(pathlib.Path(node.file).parent / node.value("folder", doc.text)),
+                        node.value("keep", doc.count, 60), node.value("most", doc.size, 1 << 30))
+    node.done()
+    return made
+
+
 def _worker_terms(node):
     """(how links behave, the module's guarantees, its load orders, what is allowed)"""
     cold, fall, sends = node.child("cold"), node.child("fall"), node.child("sends")
@@ -268,10 +329,11 @@
         one.done(1)
         functions.append(rule)
     limits = _limits(file.child("limits", None))
-    mqtt = _mqtt(file.child("mqtt", None))
+    mqtt, early = _mqtt(file.child("mqtt", None)), _early(file.child("early", None))
+    history = _history(file.child("history", None))
     workers, guarantees, orders, allowed, by_probe, worker_tls = _worker_terms(file.child("workers"))
     file.done()
     terms = ports.Terms(zone, dispatchers, types, {c.name: c.share for c in customers.values() if c.share},
                         guarantees, orders, allowed, False, by_probe, tick)
     return Gateway(name, listen, roster, seed, tolerance, timeouts, remember, limits, workers, customers,
-                   tuple(functions), terms, tls, worker_tls, mqtt)
+                   tuple(functions), terms, tls, worker_tls, mqtt, early, history)
--- /dev/null
+++ b/tests/test_forecast.py
@@ -0,0 +1,286 @@
+"""Forecasts, plans and accounts: proper scores, back-tests, gaps and steps of the clock, greedy against the best, turns."""
+import itertools
+import math
+import random
+import unittest
+
+from petrelwood.decide import account as ac
+from petrelwood.decide import forecast as fc
+from petrelwood.decide import planner
+from petrelwood.decide.early import EarlyLoads
+
+from kept import compare
+
+S = 10**9
+SLOT, DAY = 600 * S, 86_400 * S
+CALENDAR = fc.Calendar(SLOT, DAY, 7 * DAY)
+
+
+def poisson(chance, mean):
+    limit, product, count = math.exp(-mean), chance.random(), 0
+    while product > limit:
+        product, count = product * chance.random(), count + 1
+    return count
+
+
+def busy(at):
+    """Calls a slot at a time: a working day's hump."""
+    hour = at % DAY / DAY * 24
+    return 12 * max(0.05, math.sin(math.pi * (hour - 6) / 14)) if 6 < hour < 20 else 0.4
+
+
+class Scores(unittest.TestCase):
+    def test_the_score_is_proper(self):
+        """Over counts that are drawn from a distribution no other forecast scores better than that distribution."""
+        chance = random.Random(2)
+        counts = [poisson(chance, 6.0) for _ in range(4000)]
+        found = {mean: sum(fc.score(mean, 1.0001, c) for c in counts) for mean in (3.0, 5.0, 6.0, 7.0, 10.0)}
+        self.assertEqual(min(found, key=found.get), 6.0)
+        spread = {s: sum(fc.score(6.0, s, c) for c in counts) for s in (1.0001, 2.0, 5.0)}
+        self.assertEqual(min(spread, key=spread.get), 1.0001)
+
+    def test_the_normals_form_meets_the_sum(self):
+        self.assertLess(abs(fc.score(390, 2.0, 380) / fc.score(410, 2.0, 400) - 1), 0.05)
+
+    def test_probabilities_sum_up(self):
+        self.assertLess(abs(fc.probabilities(5.0, 3.0, 200)[-1] - 1), 1e-9)
+        self.assertLess(abs(fc.at_least_one(0.5, 1.0001) - (1 - math.exp(-0.5))), 1e-3)
+
+
+class BackTest(unittest.TestCase):
+    def play(self, pace, days, chance):
+        """(scores of the believed, of the plain method) over the last third, and the series."""
+        series, mine, plain = fc.Series(), [], []
+        for slot in range(days * 144):
+            at = slot * SLOT
+            keys, count = CALENDAR.keys(at), poisson(chance, pace(at))
+            if slot > days * 96:
+                mean, spread = series.forecast(keys)
+                mine.append(fc.score(mean, spread, count))
+                plain.append(fc.score(series.means(keys)["seasonal"], series.spreads["seasonal"], count))
+            series.learn(keys, count)
+        return sum(mine) / len(mine), sum(plain) / len(plain), series
+
+    def test_the_plain_method_stays_where_nothing_pays(self):
+        mine, plain, series = self.play(busy, 21, random.Random(1))
+        self.assertEqual(series.believed, "seasonal")
+        self.assertLess(abs(mine / plain - 1), 1e-9)
+
+    def test_another_is_believed_where_it_pays(self):
+        def doubling(at):
+            return busy(at) * 1.12 ** (at // DAY)
+        mine, plain, series = self.play(doubling, 21, random.Random(1))
+        self.assertNotEqual(series.believed, "seasonal")
+        self.assertLess(mine, 0.9 * plain)
+
+    def test_seasons_beat_the_recent_pace_at_the_edges_of_the_day(self):
+        _, _, series = self.play(busy, 14, random.Random(3))
+        self.assertLess(series.scores["seasonal"], series.scores["recent"])
+
+
+class Whole(unittest.TestCase):
+    def learned(self, days=8, functions=5, **more):
+        chance, found = random.Random(4), fc.Forecast(more.get("calendar", CALENDAR), lambda f: f[:2])
+        for slot in range(days * 144):
+            for number in range(functions):
+                for _ in range(poisson(chance, busy(slot * SLOT) / (number + 1))):
+                    found.called(slot * SLOT + 1, f"ab{number}")
+            found.passes((slot + 1) * SLOT)
+        return found
+
+    def test_what_has_no_history_borrows_from_its_kind(self):
+        found, noon = self.learned(), 8 * DAY + 13 * 3600 * S
+        mean, spread = found.ahead(noon, "ab99")
+        self.assertTrue(1 < mean < 12, mean)
+        self.assertEqual(found.ahead(noon, "zz1"), (0.0, 2.0))
+
+    def test_a_function_that_turns_hot_is_seen_within_a_slot(self):
+        found, at = self.learned(), 8 * DAY
+        for _ in range(300):
+            found.called(at + 1, "ab4")
+        found.passes(at + SLOT)
+        self.assertGreater(found.ahead(at + SLOT, "ab4")[0], 200)
+        for slot in range(1, 8):
+            found.passes(at + (slot + 1) * SLOT)
+        self.assertLess(found.ahead(at + 9 * SLOT, "ab4")[0], 5)
+
+    def test_a_known_date_counts_and_one_that_does_not_come_is_forgotten(self):
+        noon = 8 * DAY + 13 * 3600 * S
+        calendar = fc.Calendar(SLOT, DAY, 7 * DAY, [(noon, noon + SLOT, 5.0, "ab")])
+        found, plain = self.learned(calendar=calendar), self.learned()
+        self.assertAlmostEqual(found.ahead(noon, "ab0")[0] / plain.ahead(noon, "ab0")[0], 5.0)
+        self.assertEqual(found.ahead(noon + SLOT, "ab0")[0], plain.ahead(noon + SLOT, "ab0")[0])
+
+    def test_gaps_steps_and_a_doubled_day(self):
+        found, at = self.learned(), 8 * DAY
+        before = found.ahead(9 * DAY + 13 * 3600 * S, "ab0")
+        found.called(at, "ab0")
+        found.passes(at - 3 * DAY)                       # the clock steps back: that slot is thrown away
+        self.assertEqual((found.broken, found.ahead(9 * DAY + 13 * 3600 * S, "ab0")), (1, before))
+        found.passes(at + 30 * DAY)                      # nobody was here for a month
+        self.assertEqual(found.broken, 2)
+        self.assertFalse(found.stale(at + 30 * DAY))
+        self.assertTrue(found.stale(at + 31 * DAY))
+
+    def test_daylight_saving_costs_two_edges_and_no_more(self):
+        """The wall clock of the calls shifts by an hour: within two days the forecast has followed."""
+        chance, series, errors = random.Random(6), fc.Series(), []
+        for slot in range(21 * 144):
+            at = slot * SLOT
+            keys, mean = CALENDAR.keys(at), busy(at + (3600 * S if slot >= 14 * 144 else 0))
+            if slot >= 14 * 144:
+                errors.append(abs((series.forecast(keys)[0] or 0) - mean))
+            series.learn(keys, poisson(chance, mean))
+        days = [sum(errors[i * 144:(i + 1) * 144]) / 144 for i in range(7)]
+        self.assertLess(days[5], days[0])
+
+    def test_thousands_of_functions_are_bounded(self):
+        found = fc.Forecast(CALENDAR, lambda f: "", most=50)
+        for slot in range(40):
+            for number in range(200):
+                found.called(slot * SLOT, f"f{slot}-{number}")
+        found.passes(41 * SLOT)
+        self.assertLessEqual(len(found.series), 50)
+
+
+PRICES = planner.Prices(0.2, 0.002)
+
+
+def model(size=10**9, load=S, copies=0, lanes=1, work=S // 5):
+    return planner.Model(size, load, lanes, work, copies)
+
+
+class Plans(unittest.TestCase):
+    def plan(self, functions, means, dispatchers=1, chance=None, memory=1 << 60, orders=99, store=1.0):
+        return planner.plan(0, functions, lambda n: (means[n], 1.2), planner.Room(memory, orders, store), 60 * S, 60 * S,
+                            PRICES, dispatchers, chance or (lambda: 0.0))
+
+    def test_what_is_called_is_wished_and_what_is_not_or_stands_is_not(self):
+        functions = {"often": model(), "never": model(), "stands": model(copies=9), "once": model(load=S // 100)}
+        found = self.plan(functions, {"often": 30, "never": 0.0, "stands": 30, "once": 0.3})
+        self.assertEqual({w.function for w in found}, {"often"})
+        self.assertTrue(all(w.worth > 0 for w in found))
+
+    def test_room_ration_and_store_bound_it(self):
+        functions = {f"f{i}": model() for i in range(20)}
+        means = {name: 5.0 for name in functions}
+        self.assertEqual(len(self.plan(functions, means, memory=3 * 10**9)), 3)
+        self.assertEqual(len(self.plan(functions, means, orders=4.5)), 4)
+        self.assertEqual(self.plan(functions, means, store=0.0), [])
+
+    def test_greedy_is_within_one_wish_of_the_best(self):
+        chance = random.Random(8)
+        for _ in range(60):
+            functions = {f"f{i}": model(size=chance.randrange(1, 9) * 10**8, load=chance.randrange(1, 9) * S // 4)
+                         for i in range(9)}
+            means = {name: chance.uniform(0.2, 3) for name in functions}
+            memory = chance.randrange(8, 25) * 10**8
+            found = self.plan(functions, means, memory=memory)
+            self.assertLessEqual(sum(functions[w.function].size for w in found), memory)
+            worths = {n: planner.worth(means[n], 1.2, m, 60 * S, 60 * S, PRICES) for n, m in functions.items()}
+            once = {w.function: w.worth for w in found}
+            best = max((sum(max(0, worths[n]) for n in some) for size in range(10)
+                        for some in itertools.combinations(functions, size)
+                        if sum(functions[n].size for n in some) <= memory), default=0)
+            self.assertGreaterEqual(sum(once.values()) + max(worths.values()) + 1e-9, best)
+
+    def test_many_dispatchers_take_turns_without_talk(self):
+        """With the same history all together wish about what one alone would, at 1, 4, 100 and 300."""
+        functions = {f"f{i}": model(size=10**8) for i in range(60)}
+        means = {name: 4.0 for name in functions}
+        alone = len(self.plan(functions, means))
+        for count in (1, 4, 100, 300):
+            made, turns = 0, 6
+            for turn in range(turns):
+                for number in range(count):
+                    chance = random.Random(f"{turn}/{number}").random
+                    made += len(self.plan(functions, means, count, chance))
+            self.assertLess(abs(made / turns / alone - 1), 0.25, (count, made / turns, alone))
+
+
+class Accounts(unittest.TestCase):
+    def test_each_early_load_ends_in_one_way(self):
+        account, lines = ac.Account(PRICES, 60 * S, lambda: 0.5), []
+
+        def say(text, end=None):
+            lines.append(f"{text}: {end or '-'}; {account.whole.seconds:+.2f} s, open {len(account.open)}")
+        for name in "abcdef":
+            account.ordered(0, name, "n", "w1", 60 * S, 10**9, 2 * S)
+        account.stands(S, "a", "w1", True); say("a called warm at 5 s", account.called(5 * S, "a", "w1", True))
+        say("b called while it loads", account.called(S, "b", "w1", False))
+        account.stands(S, "c", "w1", False); say("c failed")
+        account.stands(S, "d", "w1", True, pushed="z"); account.pushed_out(9 * S, "z"); say("z missed what d pushed out")
+        account.stands(S, "e", "w1", True); account.sweep(60 * S); say("e and f lapse")
+        account.stopped(61 * S, "g", "n"); say("g was stopped")
+        compare(self, "account", lines + list(account.lines()))
+
+    def test_a_negative_balance_holds_back_and_is_tried_again_later_each_time(self):
+        account, tried = ac.Account(planner.Prices(1.0, 0.0), 60 * S, lambda: 0.99), []
+        for minute in range(600):
+            now = minute * 60 * S
+            if account.may(now, "f", "n"):
+                tried.append(minute)
+                account.ordered(now, "f", "n", "w", now + 30 * S, 1, S)
+                account.sweep(now + 31 * S)
+        gaps = [b - a for a, b in zip(tried, tried[1:])]
+        self.assertLess(len(tried), 40)
+        self.assertGreater(max(gaps), 4 * min(gaps))
+
+    def test_what_pays_goes_on(self):
+        account = ac.Account(PRICES, 60 * S, lambda: 0.5)
+        for turn in range(100):
+            now = turn * 60 * S
+            self.assertTrue(account.may(now, "f", "n"))
+            account.ordered(now, "f", "n", "w", now + 60 * S, 1, 2 * S)
+            account.stands(now + S, "f", "w", True)
+            self.assertEqual(account.called(now + 5 * S, "f", "w", True), ac.IN_TIME)
+
+
+class Early(unittest.TestCase):
+    def made(self, wish, dispatchers=1):
+        return EarlyLoads(fc.Calendar(10 * S, 3600 * S, 0), PRICES, 60 * S, dispatchers, random.Random(1).random, wish, "n")
+
+    def play(self, early, slots, functions=("a", "b")):
+        for slot in range(slots):
+            now = slot * 10 * S
+            for name in functions:
+                for _ in range(3):
+                    early.called(now + S, now + S, name, 1, S, "t")
+                early.ran(now + 2 * S, name, "w0", True, S // 5, 0)
+            yield now + 9 * S
+
+    def test_it_wishes_what_is_called_and_takes_a_refusal(self):
+        wished = []
+        early = self.made(lambda fn, lanes, load: wished.append(fn) or (f"w{len(wished)}" if len(wished) % 2 else None))
+        for now in self.play(early, 30):
+            early.known["a"].copies.clear()
+            early.turn(now, now, 10)
+        self.assertEqual(set(wished), {"a"})
+        self.assertEqual(early.made + early.refused, len(wished))
+
+    def test_stale_absurd_or_missing_forecasts_wish_nothing(self):
+        wished = []
+        early = self.made(lambda fn, lanes, load: wished.append(fn))
+        self.assertEqual(early.turn(S, S, 10), 0)
+        for now in self.play(early, 30):
+            pass
+        early.known["a"].copies.clear()
+        self.assertEqual(early.turn(now + 3600 * S, now + 3600 * S, 10), 0)
+        early.forecast.calendar.events = [(0, 1 << 62, 10_000.0, "")]
+        early.forecast.slot = (now + 3600 * S) // (10 * S)
+        early.turn(now + 3600 * S, now + 3600 * S, 10)
+        self.assertEqual(wished, [])
+
+    def test_a_store_that_fails_stops_early_loads_before_it_is_pushed_over(self):
+        wished = []
+        early = self.made(lambda fn, lanes, load: wished.append(fn) or f"w{len(wished)}")
+        for now in self.play(early, 40):
+            early.known["a"].copies.clear()
+            early.turn(now, now, 10)
+            if now > 150 * S:
+                for _ in range(5):
+                    early.stands(now, "b", "w9", False)
+        late = len(wished)
+        self.assertLess(early.store, 0.5)
+        self.assertEqual(early.turn(now + 10 * S, now + 10 * S, 10), 0)
+        self.assertLess(late, 30)
