--- a/petrelwood/cli/main.py
+++ b/petrelwood/cli/main.py
@@ -24,6 +24,9 @@
     "run": "petrelwood experiment run benchmarks/experiments/policies.kdl --out results/policies",
     "table": "petrelwood experiment table results/policies --figure 'worst 5 s'",
     "report": "petrelwood experiment report results/policies --to report.html",
+    "show": "petrelwood history show history/d1 --function applicant-3 --since 2026-12-01T08:00",
+    "backtest": "petrelwood forecast backtest history/d1 --slot 600",
+    "explain": "petrelwood forecast explain history/d1 applicant-3 --chart applicant-3.png",
     "search": "petrelwood experiment search petrelwood/lab/days/bad.kdl --runs 40 --keep found",
     "audit": "petrelwood audit runs/bad-3",
 }
@@ -267,8 +270,9 @@
 
 def _later_commands():
     """What needs heavier libraries only when it is used."""
-    from petrelwood.cli import emulated
+    from petrelwood.cli import emulated, past
     emulated.add(cli, _day, command)
+    past.add(cli, command)
 
 
 _later_commands()
--- a/petrelwood/decide/early.py
+++ b/petrelwood/decide/early.py
@@ -24,8 +24,8 @@
     """`wish(function, lanes, load_time)` is the module's, and returns the worker or None. `share`: this dispatcher's
     part of all calls, 1 / dispatchers where nothing better is known."""
 
-    def __init__(self, calendar, prices, keep, dispatchers, chance, wish, hall, size=0, memory=0, most=64):
-        self.forecast, self.keep, self.dispatchers, self.chance = Forecast(calendar, self._kin), keep, dispatchers, chance
+    def __init__(self, calendar, prices, keep, dispatchers, chance, wish, hall, size=0, memory=0, most=64, sliced=False):
+        self.forecast, self.keep, self.dispatchers, self.chance = Forecast(calendar, self._kin, sliced=sliced), keep, dispatchers, chance
         self.account, self.prices = Account(prices, 2 * calendar.slot, chance), prices
         self.wish, self.hall, self.size, self.memory, self.most = wish, hall, size, memory, most
         self.known, self.store, self.busiest, self.now_counts = {}, 1.0, 1.0, 0
--- a/petrelwood/decide/forecast.py
+++ b/petrelwood/decide/forecast.py
@@ -15,6 +15,7 @@
 HOT = 4.0                  # a slot so many spreads over its forecast makes the function hot
 COOL = 3                   # slots without it that end that
 KIN = 12                   # slots of a function's own that outweigh what it borrows
+JOBS = 3                   # ended slots that may wait to be learnt
 MOST_SEASONS = 14          # of each slot that are kept
 WEEKS = 4                  # of a slot of the week before it says more than that of the day
 
@@ -177,8 +178,9 @@
     """All functions of one dispatcher. `kin(function)` names what it is like, for those without history; `calendar` a
     `Calendar`. Times are wall-clock ns; a clock that steps back, or a gap, ends the slot that was open."""
 
-    def __init__(self, calendar, kin, most=20_000):
-        self.calendar, self.kin, self.most = calendar, kin, most
+    def __init__(self, calendar, kin, most=20_000, sliced=False):
+        self.calendar, self.kin, self.most, self.sliced = calendar, kin, most, sliced
+        self.jobs = deque()                              # ended slots that are not learnt yet: (keys, counts, names left)
         self.series, self.kinds, self.counts, self.slot = {}, {}, {}, None
         self.broken = 0                                  # slots that were thrown away
 
@@ -214,14 +216,34 @@
             if function not in self.series and len(self.series) < self.most:
                 self.series[function] = Series()
         totals = {}
-        for function, series in self.series.items():
-            count = counts.get(function, 0)
-            series.learn(keys, count)
+        for function in self.series:
             group = totals.setdefault(self.kin(function), [0, 0])
-            group[0] += count
+            group[0] += counts.get(function, 0)
             group[1] += 1
         for kind, (count, members) in totals.items():
             self.kinds.setdefault(kind, Series()).learn(keys, count / members)
+        if len(self.jobs) >= JOBS:                       # so far behind that the oldest slot is given up
+            self.jobs.popleft()
+            self.broken += 1
+        self.jobs.append((keys, counts, list(self.series)))
+        if not self.sliced:
+            self.work(len(self.series))
+
+    def work(self, count):
+        """Learns the next so many functions of the slots that have ended; whether more are left. A caller that must not
+        stand still (`sliced`) does this a few at a time."""
+        while self.jobs and count > 0:
+            keys, counts, names = self.jobs[0]
+            while names and count > 0:
+                name, count = names.pop(), count - 1
+                if name in self.series:
+                    self.series[name].learn(keys, counts.get(name, 0))
+            if not names:
+                self.jobs.popleft()
+                self._forget()
+        return bool(self.jobs)
+
+    def _forget(self):
         if len(self.series) >= self.most:
             for function in [f for f, s in self.series.items() if not s.recent.level or s.recent.level < 1e-3]:
                 del self.series[function]
--- a/petrelwood/dispatch/core.py
+++ b/petrelwood/dispatch/core.py
@@ -29,6 +29,8 @@
     `link(worker, address, core)` makes a link: `run`, `hold`, `probe`, `cancel`, `late`, `recall`, `owes`, `give_up`,
     which hear nothing but tells us `returned`, `held`, `probed` through `soon`."""
 
+    slices = False             # whether forecasts are learnt a few functions at a time
+
     def __init__(self, gateway, clock, chance, link, log, brain=Brain):
         self.gateway, self.log, self.name, self.clock, self.make_link = gateway, log, gateway.name, clock, link
         self.now, self.limits, self.terms, start = clock.now, gateway.limits, gateway.terms, clock.now()
@@ -51,7 +53,7 @@
         orders = self.terms.orders
         self.early = EarlyLoads(calendar, Prices(terms.fetch, terms.memory_price), orders.keep, self.terms.dispatchers,
                                 self.chance.random, lambda *wish: self.brain.wish(self.now(), *wish), self.terms.zone,
-                                terms.size, terms.memory)
+                                terms.size, terms.memory, sliced=self.slices)
         self.clock.at(self.now() + terms.slot, self._early_turn)
 
     def _early_turn(self):
--- a/petrelwood/dispatch/dispatcher.py
+++ b/petrelwood/dispatch/dispatcher.py
@@ -10,11 +10,13 @@
 from petrelwood.store.history import History
 
 CHECK = 0.05               # seconds between looks at links and lines that are not at rest
+LEARNT = 20                # functions whose forecasts are learnt at each look: about a twentieth of a core
 RENEW = 5_000_000_000      # ns between looks at certificates
 
 
 class Dispatcher(Core):
     """One dispatcher on the running loop."""
+    slices = True
 
     def __init__(self, gateway, log, brain=Brain):
         self.busy, self.checks, self.fronts, self.loop = {}, None, [], asyncio.get_running_loop()
@@ -46,6 +48,8 @@
                 self.busy.pop(link, None)
         for front in self.fronts:
             front.check(now)
+        if self.early is not None:
+            self.early.forecast.work(LEARNT)
         if now >= self.renew_at:
             self.renew_at = now + RENEW
             for tls in self.identities:
--- a/petrelwood/emulate/traffic.py
+++ b/petrelwood/emulate/traffic.py
@@ -118,6 +118,7 @@
         for part, names in self.hot:
             if pick < part:
                 fn = names[int(pick / part * len(names)) % len(names)]
+                kind = self.platform.kind(fn)            # a hot function has a type of its own
                 break
             pick = (pick - part) / (1 - part)
         if self.scanning and pick < self.scanning:
--- a/petrelwood/lab/experiment.py
+++ b/petrelwood/lab/experiment.py
@@ -224,6 +224,8 @@
 
 def rows_of(out):
     """(rows that ended, what made them)"""
+    if not (out / "results.parquet").exists():
+        raise doc.BadFile(out, 0, "its runs have not all ended; start `experiment run` again, it does what is missing")
     table = pyarrow.parquet.read_table(out / "results.parquet")
     made = {k.decode(): v.decode() for k, v in (table.schema.metadata or {}).items() if not k.startswith(b"ARROW")}
     return [r for r in table.to_pylist() if r["status"] == "ended"], made
--- /dev/null
+++ b/petrelwood/lab/past.py
@@ -0,0 +1,106 @@
+"""Forecasts replayed over a history: scores on its last third, and one function explained."""
+import collections
+
+import numpy
+
+from petrelwood.decide import forecast as fc
+from petrelwood.store import history
+
+SECOND = 10**9
+
+
+def counts(folder, slot):
+    """(functions, matrix of calls by function and slot, the first slot) of a whole history."""
+    table = history.read(folder)
+    if not len(table):
+        return [], numpy.zeros((0, 0), dtype=int), 0
+    slots = numpy.asarray(table["at"].to_numpy()) // slot
+    column = table["function"].combine_chunks().dictionary_encode()
+    names, codes = column.dictionary.to_pylist(), numpy.asarray(column.indices)
+    first = int(slots.min())
+    found = numpy.zeros((len(names), int(slots.max()) - first + 1), dtype=int)
+    numpy.add.at(found, (codes, slots - first), 1)
+    return names, found, first
+
+
+def _replay(row, first, calendar):
+    """Each slot's forecasts by method and the believed one, before it is learnt: [(count, {method: (mean, spread)})]"""
+    series, steps = fc.Series(), []
+    for number, count in enumerate(row.tolist()):
+        keys = calendar.keys((first + number) * calendar.slot)
+        made = {m: (mean, series.spreads[m]) for m, mean in series.means(keys).items() if mean is not None}
+        mean, spread = series.forecast(keys)
+        if mean is not None:
+            made["believed"] = (mean, spread)
+        steps.append((count, made))
+        series.learn(keys, count)
+    return series, steps
+
+
+def backtest(folder, slot, season, most=2000):
+    """Mean scores by method over the last third, for the most called functions."""
+    names, matrix, first = counts(folder, slot)
+    if matrix.shape[1] < 3:
+        return None
+    calendar = fc.Calendar(slot, season, 7 * season)
+    sums, believed, scored = collections.defaultdict(lambda: [0.0, 0]), collections.Counter(), 0
+    for index in numpy.argsort(-matrix.sum(axis=1))[:most]:
+        series, steps = _replay(matrix[index], first, calendar)
+        believed[series.believed] += 1
+        for count, made in steps[2 * len(steps) // 3:]:
+            if {"seasonal", "recent", "both", "believed"} - set(made):
+                continue
+            scored += 1
+            for method, (mean, spread) in made.items():
+                sums[method][0] += fc.score(mean, spread, count)
+                sums[method][1] += 1
+    return {"scores": {m: s / n for m, (s, n) in sorted(sums.items())}, "believed": dict(believed), "slots": scored,
+            "functions": min(most, len(names))}
+
+
+def explain(folder, slot, season, function, chart=None):
+    names, matrix, first = counts(folder, slot)
+    if function not in names:
+        raise KeyError(function)
+    calendar = fc.Calendar(slot, season, 7 * season)
+    row = matrix[names.index(function)]
+    series, steps = _replay(row, first, calendar)
+    at = (first + len(row)) * slot
+    mean, spread = series.forecast(calendar.keys(at))
+    yield f"{function}: {row.sum()} calls in {len(row)} slots of {slot / SECOND:g} s"
+    for method, value in series.means(calendar.keys(at)).items():
+        score = series.scores[method]
+        yield (f"  {method:9s} expects {'nothing yet' if value is None else f'{value:.2f}'} in the next slot"
+               + (f", mean score {score:.3f}" if score is not None else "")
+               + (", believed" if method == series.believed else ""))
+    if mean is not None:
+        below = fc.probabilities(mean, spread, int(mean + 6 * (mean * spread) ** 0.5) + 2)
+        low, high = (next((k for k, p in enumerate(below) if p >= part), len(below)) for part in (0.1, 0.9))
+        yield (f"  next: {mean:.2f} calls, {low} to {high} in eight of ten; a call at all: "
+               f"{fc.at_least_one(mean, spread):.0%}" + ("; it is hot" if series.hot else ""))
+    if chart:
+        _draw(function, steps, slot, chart)
+        yield f"  drawn: {chart}"
+
+
+def _draw(function, steps, slot, path):
+    import matplotlib
+    matplotlib.use("Agg")
+    import matplotlib.pyplot as plt
+    steps = steps[-600:]
+    figure, axes = plt.subplots(figsize=(10, 3.6))
+    spots = range(len(steps))
+    axes.step(spots, [count for count, _ in steps], where="mid", color="#3a7d44", label="called")
+    means, lows, highs = [], [], []
+    for _, made in steps:
+        mean, spread = made.get("believed", (0.0, 2.0))
+        deviation = 1.28 * (mean * spread) ** 0.5
+        means.append(mean)
+        lows.append(max(0.0, mean - deviation))
+        highs.append(mean + deviation)
+    axes.fill_between(spots, lows, highs, color="#457b9d", alpha=0.25, label="eight of ten")
+    axes.plot(spots, means, color="#1d3557", linewidth=1, label="forecast")
+    axes.set_title(f"{function}, slots of {slot / SECOND:g} s")
+    axes.legend(fontsize=8)
+    figure.savefig(path, dpi=90, bbox_inches="tight")
+    plt.close(figure)
--- a/tests/test_forecast.py
+++ b/tests/test_forecast.py
@@ -134,6 +134,22 @@
         days = [sum(errors[i * 144:(i + 1) * 144]) / 144 for i in range(7)]
         self.assertLess(days[5], days[0])
 
+    def test_learning_in_slices_comes_to_the_same(self):
+        whole, sliced = self.learned(days=2), fc.Forecast(CALENDAR, lambda f: f[:2], sliced=True)
+        chance = random.Random(4)
+        for slot in range(2 * 144):
+            for number in range(5):
+                for _ in range(poisson(chance, busy(slot * SLOT) / (number + 1))):
+                    sliced.called(slot * SLOT + 1, f"ab{number}")
+            sliced.passes((slot + 1) * SLOT)
+            while sliced.work(2):
+                pass
+        for number in range(5):
+            self.assertEqual(whole.ahead(2 * DAY, f"ab{number}"), sliced.ahead(2 * DAY, f"ab{number}"))
+        for slot in range(288, 300):                     # nobody works: it stays bounded, and says what it gave up
+            sliced.called(slot * SLOT, "ab0")
+        self.assertEqual((len(sliced.jobs), sliced.broken > 0), (fc.JOBS, True))
+
     def test_thousands_of_functions_are_bounded(self):
         found = fc.Forecast(CALENDAR, lambda f: "", most=50)
         for slot in range(40):
