Emulated rosters that are asked or stale in part; full jitter at the broker; a trial reverted

The emulator's roster may have to be asked, with a pace that it serves and askers it turns away, or be silent to a part of the dispatchers. Sessions come back to the broker by full jitter. The stall watch has a test.

Reverted: a further early copy only with as many calls of this dispatcher's own.

--- a/petrelwood/decide/comeback.py
+++ b/petrelwood/decide/comeback.py
@@ -1,22 +1,23 @@
 """When to try again: one piece for links, the roster and whatever else repeats.
 
-Waits double from `first` to `most`, each drawn from its upper half, so that those that failed together do not
-come back together. A budget in `Budget` bounds repeats by firsts.
+Waits double from `first` to `most`, each drawn from its upper half, or with `full` from all of it, so that those that
+failed together do not come back together. A budget in `Budget` bounds repeats by firsts.
 """
 
 
 class Comeback:
     """The waits of one thing that is tried again. Times in ns."""
 
-    def __init__(self, first, most, chance):
-        self.first, self.most, self.chance = first, most, chance
+    def __init__(self, first, most, chance, full=False):
+        self.first, self.most, self.chance, self.full = first, most, chance, full
         self.failures, self.not_before = 0, 0
 
     def failed(self, now):
         """Notes a failure; the time before which nothing is tried again."""
         wait = min(self.first << min(self.failures, 16), self.most)
         self.failures += 1
-        self.not_before = now + wait // 2 + int(self.chance() * (wait // 2))
+        least = 0 if self.full else wait // 2
+        self.not_before = now + least + int(self.chance() * (wait - least))
         return self.not_before
 
     def succeeded(self):
--- a/petrelwood/decide/planner.py
+++ b/petrelwood/decide/planner.py
@@ -78,8 +78,7 @@
             continue
         each = worth(mean, spread, model, slot, keep, prices)
         for copy in range(min(need, 8)):
-            # A further copy needs as many calls of our own: a small part of them can't tell use from chance.
-            if each / (copy + 1) <= 0 or copy and mean / dispatchers < copy:
+            if each / (copy + 1) <= 0:
                 break
             if chance() * dispatchers < 1:
                 found.append((each / (copy + 1) / model.size, each / (copy + 1), name, model))
--- a/petrelwood/emulate/platform.py
+++ b/petrelwood/emulate/platform.py
@@ -83,6 +83,8 @@
             self.lives[name] = 0
         for hall in day.halls:
             self.by_hall[hall] = [n for n in day.dispatchers if self.halls[n] == hall] or list(day.dispatchers)
+        self.stale, self.roster_free = set(), 0          # who hears nothing; when it has served those who asked
+        self.counts = {"asked": 0, "turned away": 0}
         for name in day.dispatchers:
             self._start(name, list(self.entries.values()))
         self.time_course = [collections.Counter() for _ in range((day.length + day.settle) // SECOND + 2)]
@@ -149,12 +151,12 @@
         self.entries[entry.worker] = entry
         if entry.state == members.GONE:
             del self.entries[entry.worker]
-        for name in self.day.dispatchers:
+        for name in self.day.dispatchers if not self.day.ask_every else ():
             self.after(int(20 * MS * self.ways.uniform()), self._tell, name, self.lives[name], entry, self.number)
 
     def _tell(self, name, life, entry, number):
         core = self.cores.get(name)
-        if core is None or self.lives[name] != life:
+        if core is None or self.lives[name] != life or name in self.stale:
             return
         self.saw("told", who="roster", to=name, kind="change", entries=[(entry.worker, entry.state, entry.booted)])
         follows, now = core.membership.event(f"e-{number}"), self.clock.now()
@@ -166,6 +168,32 @@
         listed, leaving = core.membership.change(f"e-{number}", [entry], now, core.clock.wall())
         core.listed(listed, leaving, False)
 
+    def _asks(self, name, life):
+        """A dispatcher asks for the list. Askings are served one after the other; one that would wait too long fails."""
+        if self.lives[name] != life or name not in self.cores:
+            return
+        self.after(int(self.day.ask_every * (0.8 + 0.4 * self.ways.uniform())), self._asks, name, life)
+        now, lines = self.clock.now(), 20 + len(self.entries)
+        begins = max(now, self.roster_free)
+        takes = int(lines / self.day.roster_lines * 1e9) if self.day.roster_lines else 0
+        self.counts["asked"] += 1
+        if self.closed or name in self.stale or begins + takes - now > 2 * SECOND:
+            self.counts["turned away"] += 1
+            return
+        self.roster_free = begins + takes
+        self.clock.at(begins + takes + self.roster_late, self._refresh, name, life)
+
+    def _on_roster_stale(self, t, nodes):
+        names = self._drawn(t.what["part"], f"stale {t.at}")
+        self.stale.update(names)
+        self.after(t.span, self._hear_again, names)
+
+    def _hear_again(self, names):
+        for name in names:
+            self.stale.discard(name)
+            if not self.day.ask_every:
+                self._refresh(name, self.lives[name])
+
     def _list(self, name, entries):
         core = self.cores[name]
         self.saw("told", who="roster", to=name, kind="list", entries=[(e.worker, e.state, e.booted) for e in entries])
@@ -187,6 +215,8 @@
         if truth is not None:
             truth(self)
         self._list(name, entries)
+        if self.day.ask_every:
+            self.after(int(self.day.ask_every * self.ways.uniform()), self._asks, name, self.lives[name])
 
     def _kill(self, name, down):
         core = self.cores.pop(name, None)
--- a/petrelwood/emulate/script.py
+++ b/petrelwood/emulate/script.py
@@ -65,6 +65,7 @@
     "wrong-answers": ({"worker": doc.text, "for": doc.duration}, "a worker answers the wrong activation"),
     "leak": ({"worker": doc.text, "for": doc.duration, "size": doc.size},
              "a worker's memory is never released: so much is gone each second"),
+    "roster-stale": ({"part": doc.share, "for": doc.duration}, "that part of the dispatchers hears nothing of the roster"),
     "clock-step": ({"dispatcher": doc.text, "by": doc.duration}, "a dispatcher's wall clock jumps ahead"),
     "crash": ({"part": doc.share, "down": doc.duration}, "that part of the dispatchers is killed and started again"),
     "roll": ({"part": doc.share, "for": doc.duration, "down": doc.duration},
@@ -134,6 +135,8 @@
     troubles: tuple
     terms: object          # the document node whose children go into each gateway's file
     early: bool = True     # early loads, where the terms have them
+    ask_every: int = 0     # ns between askings of a roster that pushes nothing; 0: it pushes (emulator)
+    roster_lines: float = 0.0    # lines a second that it serves to all who ask; 0: as many as they ask for
 
     def kind(self, function):
         for kind in self.kinds:
@@ -263,7 +266,8 @@
     day = Day(str(path), node.arg(doc.text, "a name"), length, node.value("settle", doc.duration, 6 * SECOND),
               node.value("rate", doc.number), dispatchers, names, workers, build, store,
               node.value("roster-late", doc.duration, 0), stops_work, warm, kinds, clients,
-              tuple(sorted(troubles, key=lambda t: (t.at, t.kind))), terms)
+              tuple(sorted(troubles, key=lambda t: (t.at, t.kind))), terms, True,
+              node.value("ask-every", doc.duration, 0), float(node.value("roster-lines", doc.number, 0)))
     node.done(1)
     file.done()
     return day
--- a/petrelwood/fronts/mqtt.py
+++ b/petrelwood/fronts/mqtt.py
@@ -62,7 +62,7 @@
         self.terms, self.client = front.terms, f"{core.name}.{customer}"
         self.window = deliver.Window(self.terms.window_least, self.terms.window_most)
         self.deliveries = deliver.Deliveries(self.window, self)
-        self.comeback = Comeback(self.terms.comeback_first, self.terms.comeback_most, core.chance.random)
+        self.comeback = Comeback(self.terms.comeback_first, self.terms.comeback_most, core.chance.random, full=True)
         self.stream, self.up, self.task, self.number, self.stamp = None, False, None, 0, 0
         self.answers, self.unsent, self.last_id, self.quota = OrderedDict(), deque(), 0, 65535
         self.heard, self.aliases, self.draining, self.pinged, self.fresh = 0, {}, None, 0, True
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -216,6 +216,8 @@
             self.assertTrue(whole // 2 <= wait <= whole, (n, wait))
         waits.succeeded()
         self.assertTrue(waits.may(0))
+        full = [Comeback(1000, 1000, chance, full=True).failed(0) for _ in range(400)]
+        self.assertTrue(min(full) < 100 and max(full) > 900)
 
     def test_a_budget_bounds_repeats_by_firsts(self):
         budget = Budget(0.25, 3)
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -15,7 +15,7 @@
 from petrelwood.brain import Brain
 from petrelwood.links import rpc
 
-from rig import FILE, KEY, Case, IOStream, Worker, answer, later, never, says
+from rig import FILE, KEY, Case, IOStream, Quiet, Worker, answer, later, never, says
 
 
 class Webhooks(Case):
@@ -366,6 +366,25 @@
         self.assertEqual(len(w.runs), 1)
 
 
+class Stalls(Case):
+    async def test_a_loop_that_stands_still_is_seen_and_its_place_is_logged(self):
+        from petrelwood.dispatch.stall import StallWatch
+        log = Quiet()
+        watch = StallWatch(asyncio.get_running_loop(), 20_000_000, log)
+        watch.open()
+        await asyncio.sleep(0.1)
+
+        def stands_still():
+            ends = time.monotonic() + 0.6
+            while time.monotonic() < ends:
+                pass
+        stands_still()
+        await self.until(lambda: log.said("the loop stood still"))
+        watch.close()
+        said = log.said("the loop stood still")[0]
+        self.assertTrue(said["ms"] > 300 and "stands_still" in said["at"], said)
+
+
 class Process(Case):
     async def test_sigterm_answers_what_is_owed_and_exits_0(self):
         await self.begin(w := Worker("w1", later(0.6)))
