--- a/petrelwood/brain.py
+++ b/petrelwood/brain.py
@@ -26,6 +26,7 @@
 SLACK = 1.3              # a customer's share here: so much more than an equal part, as dispatchers differ
 TIGHT = 1.5              # loads within it count as equal, so dispatchers agree; beyond it a copy is added
 CROWDED = 1.8            # a worker is, when its answers take so many times the usual
+BEARABLE, TURN, MOST_TURNED = 0.15, 4, 0.9      # of slow answers; from there on so much more is turned away
 SLOTS = 12               # buckets in a ring
 MIX, MASK, LONG = 0x9E3779B1, 0xFFFFFFFF, 1 << 50        # spread the bits of a hash; long ago
 
@@ -134,6 +135,7 @@
         self.taken, self.loads = Ring(period), Ring(period)
         self.buckets = {c: [1, now, SLACK / 1e9 / terms.dispatchers * q] for c, q in terms.quotas.items()}
         self.fleet, self.hashes, self.warm, self.owing, self.out_now, self.spreading = [], [], 1, {}, 0, []
+        self.turned = 0.0                                # the part of what comes that is turned away at once
         self.cap, self.slow, self.pace, self.asked = Cap(), 0.0, 1.0, now - LONG
         self.salt = int(self.chance() * MASK)
         self.next_wake, self.spread_after, self.next_look, self.next_tidy = LONG << 12, now, now, now
@@ -173,6 +175,11 @@
         act = self.acts[act_id] = Act(act_id, fn, self.terms.types[type_name], due, now, work)
         act.beyond = self._beyond_share(customer, now)
         self._hold(act, now)
+        # Overload: a part of what finds no free lane is told at once to come back. What would wait here and
+        # then at a crowded worker comes late or in vain and makes the rest late, and no cap of many
+        # dispatchers can go under one send each. May hurt: work that a short jam would have let through.
+        if act.held and self.turned and self.chance() < self.turned:
+            self._give_up(act, now)
         if self.terms.reports_by_probe:
             known = (c.worker for c in fn.copies.values() if c.worker.usable)
             self._probe(sorted(known, key=lambda w: max(w.asked, w.read))[:1], now)
@@ -526,8 +533,9 @@
     def _slow(self, slow, send, now):
         """Most answers slow: it is not single workers. Fewer sends at once, and the rest waits here."""
         self.slow += (slow - self.slow) / 16
-        self.cap.answered(self.slow > 0.5, self.out_now, now, send.at,
-                          max(1.0, 2 * len(self.fleet) / self.dispatchers))       # two sends for each worker
+        least = max(1.0, 2 * len(self.fleet) / self.dispatchers)                  # two sends for each worker
+        self.cap.answered(self.slow > 0.5, self.out_now, now, send.at, least)
+        self.turned = min(MOST_TURNED, TURN * max(0.0, self.slow - BEARABLE))
 
     def _failed(self, now, send, code, note):
         """A fast error must not free its lane and draw the backlog: its copy stays shut, longer each time."""
