--- a/petrelwood/decide/early.py
+++ b/petrelwood/decide/early.py
@@ -57,7 +57,8 @@
         self.account.called(now, function, worker, warm)
 
     def missed(self, now, function, worker):
-        self.known[function].copies.pop(worker, None) if function in self.known else None
+        if function in self.known:
+            self.known[function].copies.pop(worker, None)
         self.account.pushed_out(now, function)
 
     def stands(self, now, function, worker, good):
--- a/petrelwood/emulate/broker.py
+++ b/petrelwood/emulate/broker.py
@@ -44,7 +44,7 @@
     # Connections.
     def connect(self, packet, send, close):
         """The session of a client that connects. `close(code)` ends the connection."""
-        now, session = self.clock.now(), self.sessions.get(packet.client)
+        session = self.sessions.get(packet.client)
         if session is not None and session.send is not None:
             session.close(mq.TAKEN_OVER)
             self._off(session)
@@ -65,7 +65,7 @@
             else:
                 self._deliver(session, id_, message, 1)
         self._flow(session)
-        return session if now is not None else None
+        return session
 
     def _off(self, session):
         session.send = None
--- a/petrelwood/emulate/platform.py
+++ b/petrelwood/emulate/platform.py
@@ -479,9 +479,7 @@
     def case(self):
         """What was seen, arranged for the five rules."""
         from petrelwood.audit import rules
-        works = {}
-        for kind in self.day.kinds:
-            works.setdefault(kind.type, kind.work)
-        return rules.Case(self.records, self.gateway.terms, self.gateway.workers.drain_grace, self.day.build, works)
+        return rules.Case(self.records, self.gateway.terms, self.gateway.workers.drain_grace, self.day.build,
+                          self.day.works())
 
 
--- a/petrelwood/emulate/script.py
+++ b/petrelwood/emulate/script.py
@@ -138,6 +138,13 @@
     ask_every: int = 0     # ns between askings of a roster that pushes nothing; 0: it pushes (emulator)
     roster_lines: float = 0.0    # lines a second that it serves to all who ask; 0: as many as they ask for
 
+    def works(self):
+        """{namespace type: mean work of its first kind of function}, by which cold budgets are judged."""
+        found = {}
+        for kind in self.kinds:
+            found.setdefault(kind.type, kind.work)
+        return found
+
     def kind(self, function):
         for kind in self.kinds:
             if function.startswith(kind.prefix):
--- a/petrelwood/fronts/webhook.py
+++ b/petrelwood/fronts/webhook.py
@@ -251,14 +251,15 @@
 
     def handle(self, exchange):
         """A whole request: who, what, and whether the signature holds; then the core."""
-        status, detail, ask, rule, function = self._read(exchange)
+        body = b"".join(exchange.body)
+        status, detail, ask, rule, function = self._read(exchange, body)
         if status:
             self._count(str(status))
             exchange.fail(status, detail)
             return
-        self.core.ask(ask, function, rule, b"".join(exchange.body), exchange)
+        self.core.ask(ask, function, rule, body, exchange)
 
-    def _read(self, x):
+    def _read(self, x, body):
         headers = x.headers
         parts = x.url.split(b"?", 1)[0].split(b"/")
         if len(parts) != 4 or parts[1] != b"hooks":
@@ -283,7 +284,7 @@
         if abs(wall - seconds * SECOND) > self.gateway.tolerance:
             return 400, "webhook-timestamp is too far from this clock", None, None, None
         text = id_.decode("ascii")
-        if verifier is None or not verifier.holds(signature.decode("latin-1"), text, seconds, b"".join(x.body)):
+        if verifier is None or not verifier.holds(signature.decode("latin-1"), text, seconds, body):
             return 401, "no signature holds", None, None, None
         rule = self.core.rule(function)
         if rule is None:
--- a/petrelwood/lab/day.py
+++ b/petrelwood/lab/day.py
@@ -265,10 +265,7 @@
     """A played day's folder as a case. Raises `document.BadFile` if it holds no such day."""
     folder = pathlib.Path(folder)
     gateway = settings.read(folder / f"{day.dispatchers[0]}.kdl")
-    works = {}
-    for kind in day.kinds:
-        works.setdefault(kind.type, kind.work)
     records = rules.load(folder / "records")
     start = next((r["start"] for r in records if r["t"] == "start"), 0)
     away = [(start + t.at, start + t.at + t.span) for t in day.troubles if t.kind in ("broker-lost", "broker-silent")]
-    return rules.Case(records, gateway.terms, gateway.workers.drain_grace, day.build, works, away)
+    return rules.Case(records, gateway.terms, gateway.workers.drain_grace, day.build, day.works(), away)
--- a/petrelwood/standins/broker.py
+++ b/petrelwood/standins/broker.py
@@ -1,6 +1,5 @@
 """A stand-in MQTT broker: the model of `emulate.broker` behind sockets, with misbehaviour by script."""
 import asyncio
-import json
 
 from tornado.iostream import StreamClosedError
 from tornado.netutil import bind_sockets
@@ -106,7 +105,7 @@
     server.add_sockets(sockets := bind_sockets(listen[1], listen[0]))
     hearing = asyncio.ensure_future(host.listen_to_operator(
         lambda said: host.play(day, said["start"], server.troubles())))
-    print(json.dumps({"ready": "%s:%d" % sockets[0].getsockname()[:2]}), flush=True)
+    host.ready(sockets[0].getsockname()[:2])
     await host.until_told()
     hearing.cancel()
     records.close()
