--- a/petrelwood/decide/duty.py
+++ b/petrelwood/decide/duty.py
@@ -10,23 +10,24 @@
 
 
 class Owed:
-    """One activation. `waiting` are the fronts' exchanges: each one gets the answer."""
+    """One activation. `waiting` are the fronts' exchanges: each one gets the answer. `lanes`, `load_time`, `work` (ns): as its
+    rule or its client tells them; `mark`: what a worker tells repeats by, where it is not the id."""
     __slots__ = ("id", "key", "customer", "type", "came", "due", "sends", "out", "waiting", "body", "fn", "lanes",
-                 "number")
+                 "load_time", "work", "mark", "number")
 
-    def __init__(self, id_, key, ask, due, fn, lanes, body, number):
+    def __init__(self, id_, key, ask, due, fn, lanes, body, number, load_time, work):
         self.id, self.key, self.due, self.number = id_, key, due, number
-        self.customer, self.type, self.came = ask.customer, ask.type, ask.came
-        self.fn, self.lanes, self.body = fn, lanes, body
+        self.customer, self.type, self.came, self.mark = ask.customer, ask.type, ask.came, ask.mark
+        self.fn, self.body, self.lanes, self.load_time, self.work = fn, body, lanes, load_time, work
         self.sends, self.out, self.waiting = 0, set(), []
 
-
     def __lt__(self, other):
         return self.number < other.number
 
 
 class Duty:
-    """Times in ns."""
+    """Times in ns. `ledger` may be None: nothing is known of earlier tries. `prefix` None: an activation goes under the id that it
+    came with, which no other that is open may have."""
 
     def __init__(self, intake, ledger, prefix=""):
         self.intake, self.ledger, self.prefix, self.acts, self.by_key = intake, ledger, prefix, {}, {}
@@ -34,13 +35,15 @@
         self.counts = {"taken": 0, led.COMPLETED: 0, led.REJECTED: 0, led.ABORTED: 0, led.LEFT: 0,
                        "overdue": 0, "twice": 0, "joined": 0, "defects": 0}
 
-    def take(self, now, key, ask, due, fn, lanes, body, waiter):
+    def take(self, now, key, ask, due, fn, lanes, body, waiter, load_time=0, work=0):
         """A new activation, from an `intake.Ask` whose verdict was TAKE."""
         self.last += 1
-        act = Owed(f"{self.prefix}{self.last}", key, ask, due, fn, lanes, body, self.last)
+        id_ = ask.id if self.prefix is None else f"{self.prefix}{self.last}"
+        act = Owed(id_, key, ask, due, fn, lanes, body, self.last, load_time, work)
         act.waiting.append((waiter, due))
         self.acts[act.id] = self.by_key[key] = act
-        self.ledger.entries[key].act = act.id
+        if self.ledger is not None:
+            self.ledger.entries[key].act = act.id
         heapq.heappush(self.ends, (due, act.number, act))
         self.intake.took(*key)
         self.counts["taken"] += 1
@@ -79,7 +82,7 @@
         if act is None:
             return None
         act.waiting = [pair for pair in act.waiting if pair[0] is not waiter]
-        if act.waiting or self.ledger.outlives_client(act.type):
+        if act.waiting or self.ledger is not None and self.ledger.outlives_client(act.type):
             return None
         return "end"
 
@@ -93,7 +96,8 @@
             del self.by_key[act.key]
         self.counts[outcome] += 1
         self.intake.ended(now, act.customer, act.type, now - act.came, outcome)
-        self.ledger.ended(act.key, outcome, body, act.sends > 0)
+        if self.ledger is not None:
+            self.ledger.ended(act.key, outcome, body, act.sends > 0)
         return act
 
     def next_due(self):
--- a/petrelwood/decide/intake.py
+++ b/petrelwood/decide/intake.py
@@ -28,6 +28,7 @@
     type: str              # namespace type
     came: int              # ns of our clock, when its first byte was read
     wait: int              # the client's patience, ns; 0: not told
+    mark: str = ""         # what workers tell repeats of it by, where it is not the id
 
 
 class Verdict(NamedTuple):
@@ -148,6 +149,12 @@
         self.ramp.look(now, self.held)
         return self.storms.look(now)
 
+    def figures(self):
+        """What is counted, for logs and tests."""
+        return {"held": self.held, "ledger": dict(self.ledger.counts), "ids": len(self.ledger.entries),
+                "storms": self.storms.figures(), "manners": dict(self.manners.counts),
+                "bound": int(self.ramp.limit), "cuts": self.ramp.cuts}
+
     def come_back(self, now, customer, id_, least=0, early=False):
         """When one that was turned away should come back: drawn over as long as what is held will take; longer each time for one
         that does not wait so long."""
--- a/petrelwood/dispatch/core.py
+++ b/petrelwood/dispatch/core.py
@@ -43,10 +43,8 @@
         self.gateway, self.log, self.name, self.clock, self.make_link = gateway, log, gateway.name, clock, link
         self.now, self.limits, self.terms, start = clock.now, gateway.limits, gateway.terms, clock.now()
         self.chance = chance
-        self.ledger = Ledger(self.limits.ledger, self.limits.results, gateway.tolerance, self.terms.types,
-                             gateway.remember, clock.wall())
-        self.intake = Intake(self.limits, gateway.timeouts, self.terms, self.ledger, chance.random, gateway.damps)
-        self.duty = Duty(self.intake, self.ledger, f"{self.name}-{clock.wall() // 1000:x}-")
+        self.ledger, self.intake, prefix = self._stages()
+        self.duty = Duty(self.intake, self.ledger, prefix)
         self.membership = Membership(self.terms.orders.keep, gateway.workers.connect_within, chance.random)
         self.links, self.flying, self.inbox, self.telling, self.touched = {}, {}, deque(), False, None
         self.due_timer, self.due_at, self.rules = None, 0, {}
@@ -64,6 +62,13 @@
         if gateway.early is not None and hasattr(self.brain, "wish"):
             self._begin_early(gateway.early)
 
+    def _stages(self):
+        """What an activation passes before the module: the ledger (or None), the intake, and what ids are made from (or None)."""
+        gateway, wall = self.gateway, self.clock.wall()
+        ledger = Ledger(self.limits.ledger, self.limits.results, gateway.tolerance, self.terms.types, gateway.remember, wall)
+        intake = Intake(self.limits, gateway.timeouts, self.terms, ledger, self.chance.random, gateway.damps)
+        return ledger, intake, f"{self.name}-{wall // 1000:x}-"
+
     # What an earlier life left, and what is kept of this one.
     def adopt(self, state, elsewhere=False):
         """Goes on from what earlier lives left. `state` as `store.state.StateLog`: `found`, `add`, `flush`, `stopped`, `durability`,
@@ -150,8 +155,7 @@
 
     def _begin(self, act):
         self.touched.add(act.id)
-        rule = self.rule(act.fn)
-        self.brain.activation(self.now(), act.id, act.fn, act.type, act.customer, act.due, rule.lanes, 0, rule.load_time)
+        self.brain.activation(self.now(), act.id, act.fn, act.type, act.customer, act.due, act.lanes, act.work, act.load_time)
 
     def _ended(self, act, outcome, body):
         if outcome != led.LEFT:
@@ -276,7 +280,7 @@
             self.ledger.ended(key, led.LEFT)
             exchange.answer(stage.REFUSE, retry_after=self.intake.come_back(now, *key), why="its id can't be kept now")
         elif verdict.what == stage.TAKE:
-            act = self.duty.take(now, key, ask, verdict.due, function, rule.lanes, body, exchange)
+            act = self.duty.take(now, key, ask, verdict.due, function, rule.lanes, body, exchange, rule.load_time, rule.work)
             exchange.act = act.id
             self.touched.add(act.id)
             self._arm()
@@ -415,7 +419,10 @@
                 return
         self.counts["sends"] += 1
         self.flying[act, n] = worker
-        link.run(act, n, owed.fn, f"{owed.key[0]}/{owed.key[1]}", owed.due - now, owed.lanes, owed.body)
+        self._hand(link, owed, n, owed.due - now)
+
+    def _hand(self, link, owed, n, left):
+        link.run(owed.id, n, owed.fn, f"{owed.key[0]}/{owed.key[1]}", left, owed.lanes, owed.body)
 
     def _warm_enough(self, worker, now):
         if self.returning is None or now >= self.returning.cold_from:
@@ -468,7 +475,4 @@
 
     def figures(self):
         """What is counted, for logs and tests."""
-        return {**self.duty.counts, **self.counts, "held": self.intake.held,
-                "ledger": dict(self.ledger.counts), "ids": len(self.ledger.entries),
-                "storms": self.intake.storms.figures(), "manners": dict(self.intake.manners.counts),
-                "bound": int(self.intake.ramp.limit), "cuts": self.intake.ramp.cuts}
+        return {**self.duty.counts, **self.counts, **self.intake.figures()}
--- a/petrelwood/drill.py
+++ b/petrelwood/drill.py
@@ -10,13 +10,12 @@
 
 from petrelwood import ports
 from petrelwood.brain import Brain
+from petrelwood.node.told import report, terms
 
 US = 1000   # nanoseconds in the wire's unit of time
 CODES = {"GOOD": ports.COMPLETED, "BAD": ports.ERROR, "FULL": ports.FULL, "LATE": ports.TIMED_OUT,
          "NOCONN": ports.NO_CONNECTION, "RST": ports.RESET, "CXL": ports.CANCELLED,
          "NOP": ports.NOT_SENT, "MISS": ports.MISSING}
-REPORT = {"concurrent": "running", "depth": "waiting", "load_share": "cores", "x0": "pinned", "x1": "loads"}
-EFFECTS = {"repeatable": ports.REPEATABLE, "by_key": ports.DEDUPLICATED, "once": ports.ONCE_ONLY}
 
 
 class Line:
@@ -50,31 +49,6 @@
         self.orders.append({"t": "streamChanges", "enable": True})
 
 
-def terms(o):
-    fam, g, p = o["familyInfo"], o["guarantees"], o["permissions"]
-    return ports.Terms(
-        zone=o.get("zone") or "", dispatchers=o["balancers"],
-        types={c["name"]: ports.NamespaceType(
-            c["slo"] * US, EFFECTS[c["effect"]], c.get("keyScope") or "all", (c.get("window") or 0) * US)
-            for c in o["classes"]},
-        quotas={t["name"]: t["quotaRps"] for t in o.get("tenants") or ()},
-        guarantees=ports.Guarantees(
-            (g.get("askWithin") or 0) * US, g["cold"] * US, g["startCapacity"],
-            g["fallMultiple"], g["fall"] * US),
-        orders=ports.LoadOrders(
-            bool(fam.get("mayOrder")), fam.get("onMiss") != "miss", fam["keep"] * US,
-            fam.get("freeLoads") or 0.0, fam.get("loadPart") or 0.0, (fam.get("loadPeriod") or 0) * US),
-        allowed=ports.Allowed(
-            p["maxAttempts"], bool(p.get("secondCopies")), bool(p.get("cancelling")), bool(p.get("probes")),
-            bool(p.get("retryAfter")), (p.get("maxRetryAfter") or 0) * US),
-        asks=o.get("membershipMode") == "ask",
-        reports_by_probe=(o.get("loadInfo") or {}).get("how") == "pull", tick=o["tick"] * US)
-
-
-def report(gauge):
-    return gauge and {REPORT[name]: value for name, value in gauge.items() if name in REPORT}
-
-
 def listed(e):
     return ports.Listed(e["runner"], e.get("rackZone") or "", e.get("cluster") or 0,
                         (e.get("bootTime") or 0) * US, e["stageState"] == "U")
--- /dev/null
+++ b/petrelwood/links/calls.py
@@ -0,0 +1,93 @@
+"""What a link to a worker has been asked and has not ended yet: the queue, the stages and how each call ends.
+
+Shared by the links of all protocols. What an end proves is decided in `decide.fate`. `core` hears of each end, through `soon`:
+`returned`, `held`, `probed`; never from within a method that it has called itself.
+"""
+from collections import deque
+
+from petrelwood.decide import fate
+
+
+class Call:
+    """One send, order or probe. `tag` names it among those that are out; `line` is the connection that has it, where there are
+    several."""
+    __slots__ = ("kind", "act", "n", "fn", "at", "frame", "stage", "tag", "line")
+
+    def __init__(self, kind, act, n, fn, at, frame, tag):
+        self.kind, self.act, self.n, self.fn, self.at = kind, act, n, fn, at
+        self.frame, self.stage, self.tag, self.line = frame, fate.WAITING, tag, None
+
+
+class Calls:
+    """The calls of one link. Subclasses move them: `_wait` in, `_hand` out, `_notice_end` for what a worker should give up."""
+
+    def __init__(self, worker, address, core):
+        self.worker, self.address, self.core = worker, address, core
+        self.waiting, self.waiting_bytes, self.out, self.runs = deque(), 0, {}, {}
+        self.counts = {"sent": 0, "answered": 0, "strays": 0, "lost": 0, "recalled": 0}
+
+    def cancel(self, act, n):
+        """Ends the wait for a send; the worker is told where it may have heard of it."""
+        self._stop(act, n, fate.of_cancel)
+
+    def late(self, act, n):
+        """The time of a send is up."""
+        self._stop(act, n, fate.of_time)
+
+    def _stop(self, act, n, proof):
+        call = self.runs.get((act, n))
+        if call is not None:
+            if call.stage == fate.HANDED:
+                self._notice_end(call)
+            self._end(call, proof(call.stage))
+
+    def recall(self):
+        """The worker drains or is gone: what has not left yet is taken back."""
+        for call in list(self.waiting):
+            code = fate.of_recall(call.stage)
+            if code is not None and call.kind != "probe":
+                self.counts["recalled"] += 1
+                self._end(call, code)
+
+    def owes(self):
+        return bool(self.waiting or self.out)
+
+    def _wait(self, call):
+        self.waiting.append(call)
+        self.waiting_bytes += len(call.frame)
+
+    def _hand(self, call):
+        """It leaves our queue for the socket; its bytes."""
+        frame, call.frame, call.stage = call.frame, None, fate.HANDED
+        self.out[call.tag] = call
+        self.waiting_bytes -= len(frame)
+        self.counts["sent"] += 1
+        return frame
+
+    def _overdue_calls(self, now, within):
+        """Orders and probes that are out for longer: nothing tells their end but us."""
+        return [c for c in self.out.values() if c.kind != "run" and now - c.at > within]
+
+    def _notice_end(self, call):
+        """Tells the worker that a send need not be finished."""
+
+    def _end(self, call, code, note=0, body=b"", gauge=None):
+        if call.stage == fate.WAITING:
+            try:
+                self.waiting.remove(call)
+                self.waiting_bytes -= len(call.frame)
+            except ValueError:
+                return
+        elif self.out.pop(call.tag, None) is None:
+            return
+        self._tell(call, code, note, body, gauge)
+
+    def _tell(self, call, code, note=0, body=b"", gauge=None):
+        call.stage = fate.ANSWERED
+        if call.kind == "run":
+            self.runs.pop((call.act, call.n), None)
+            self.core.soon(self.core.returned, call.act, call.n, self.worker, code, note, body, call.at, gauge)
+        elif call.kind == "hold":
+            self.core.soon(self.core.held, self.worker, call.fn, code, note)
+        else:
+            self.core.soon(self.core.probed, self.worker, code, gauge)
--- a/petrelwood/links/rpc.py
+++ b/petrelwood/links/rpc.py
@@ -4,12 +4,22 @@
 
 A peer that sends anything else, or a message over the bound, is not understood any more: `Garbage`.
 """
+from typing import NamedTuple
+
 import msgpack
 
 REQUEST, RESPONSE, NOTICE = 0, 1, 2
+FIRST = 4096               # bytes that a bounded reader's buffer begins with
 _pack = msgpack.Packer(use_bin_type=True, autoreset=True).pack
 
 
+class Parts(NamedTuple):
+    """Bytes of a body and of a text, members of an array or map: the most of each in one message."""
+    body: int
+    text: int
+    members: int
+
+
 class Garbage(Exception):
     """The peer does not speak the protocol."""
 
@@ -27,14 +37,22 @@
 
 
 class Reader:
-    """Bytes to messages."""
-
-    def __init__(self, most):
-        self.unpacker = msgpack.Unpacker(raw=False, max_buffer_size=most, strict_map_key=False)
+    """Bytes to messages. `most`: bytes of one message. `parts`: bounds on what a message may hold (`Parts`), so that one that is
+    too large is told from the lengths that it announces, before it is here."""
+
+    def __init__(self, most, parts=None):
+        self.fed = 0
+        if parts is None:
+            self.unpacker = msgpack.Unpacker(raw=False, max_buffer_size=most, strict_map_key=False)
+        else:                                            # its buffer begins small: there may be hundreds of such peers
+            self.unpacker = msgpack.Unpacker(
+                raw=False, max_buffer_size=most, read_size=FIRST, max_bin_len=parts.body, max_str_len=parts.text,
+                max_array_len=parts.members, max_map_len=parts.members, max_ext_len=0)
 
     def feed(self, data):
         """The messages that are whole now, each a checked list."""
         try:
+            self.fed += len(data)
             self.unpacker.feed(data)
             messages = list(self.unpacker)
         except Exception as fault:            # msgpack raises many kinds for malformed input, ValueError among them
@@ -44,6 +62,10 @@
                 raise Garbage("not a MessagePack-RPC message")
         return messages
 
+    def whole(self):
+        """Whether nothing of a further message is here."""
+        return self.unpacker.tell() == self.fed
+
 
 def _shape(m):
     if not isinstance(m, list) or len(m) < 3:
--- a/petrelwood/links/worker.py
+++ b/petrelwood/links/worker.py
@@ -11,34 +11,25 @@
 What is decided about a link is in `decide.linkstate`, what an end proves in `decide.fate`.
 """
 import socket
-from collections import deque
 
 from tornado.iostream import IOStream, SSLIOStream, StreamClosedError
 
 from petrelwood.decide import fate, linkstate
 from petrelwood.links import rpc
+from petrelwood.links.calls import Call, Calls
 
 BATCH = 65_536             # bytes handed to the socket at a time; the rest waits here and can be taken back
 GAUGES = ("running", "waiting", "cores", "pinned", "loads")
 
 
-class Call:
-    __slots__ = ("kind", "act", "n", "fn", "at", "frame", "stage", "msgid")
-
-    def __init__(self, kind, act, n, fn, at, frame, msgid):
-        self.kind, self.act, self.n, self.fn, self.at = kind, act, n, fn, at
-        self.frame, self.stage, self.msgid = frame, fate.WAITING, msgid
-
-
-class WorkerLink:
+class WorkerLink(Calls):
     """`core` hears of each end: `returned`, `held`, `probed`. Never from within one of our own methods."""
 
     def __init__(self, worker, address, terms, chance, core, log, tls=None):
-        self.worker, self.address, self.terms, self.core, self.log, self.tls = worker, address, terms, core, log, tls
+        super().__init__(worker, address, core)
+        self.terms, self.log, self.tls = terms, log, tls
         self.state = linkstate.LinkState(worker, terms, chance, core.reconnects)
-        self.stream, self.waiting, self.waiting_bytes, self.out, self.runs = None, deque(), 0, {}, {}
-        self.last, self.writing, self.soon = 0, False, False
-        self.counts = {"sent": 0, "answered": 0, "strays": 0, "lost": 0, "recalled": 0}
+        self.stream, self.last, self.writing, self.soon = None, 0, False, False
 
     # What the dispatcher asks.
     def run(self, act, n, fn, mark, left, lanes, body):
@@ -50,34 +41,6 @@
     def probe(self):
         self._call("probe", None, 0, None, [])
 
-    def cancel(self, act, n):
-        """Ends the wait for a send; the worker is told where it may have heard of it."""
-        call = self.runs.get((act, n))
-        if call is None:
-            return
-        if call.stage == fate.HANDED:
-            self._notice("cancel", [act, n])
-        self._end(call, fate.of_cancel(call.stage))
-
-    def late(self, act, n):
-        """The time of a send is up."""
-        call = self.runs.get((act, n))
-        if call is not None:
-            if call.stage == fate.HANDED:
-                self._notice("cancel", [act, n])
-            self._end(call, fate.of_time(call.stage))
-
-    def recall(self):
-        """The worker drains or is gone: what has not left yet is taken back."""
-        for call in list(self.waiting):
-            code = fate.of_recall(call.stage)
-            if code is not None and call.kind != "probe":
-                self.counts["recalled"] += 1
-                self._end(call, code)
-
-    def owes(self):
-        return bool(self.waiting or self.out)
-
     def _call(self, kind, act, n, fn, params):
         now = self.core.now()
         self.last = (self.last + 1) & 0xFFFFFFFF
@@ -90,8 +53,7 @@
         elif self.waiting_bytes + len(call.frame) > self.terms.queue:
             self._tell(call, fate.of_crowding())
         else:
-            self.waiting.append(call)
-            self.waiting_bytes += len(call.frame)
+            self._wait(call)
             self.core.active(self)
             if wish == "connect":
                 self._connect(now)
@@ -108,14 +70,8 @@
         while self.waiting and not self.writing and self.state.state == linkstate.UP:
             size, chunk = 0, []
             while self.waiting and size < BATCH:
-                call = self.waiting.popleft()
-                call.stage = fate.HANDED
-                self.out[call.msgid] = call
-                size += len(call.frame)
-                self.waiting_bytes -= len(call.frame)
-                chunk.append(call.frame)
-                call.frame = None
-                self.counts["sent"] += 1
+                chunk.append(self._hand(self.waiting.popleft()))
+                size += len(chunk[-1])
             self._write(b"".join(chunk))
 
     def _write(self, data):
@@ -132,6 +88,9 @@
         if not done.cancelled() and done.exception() is None:
             self._flush()
 
+    def _notice_end(self, call):
+        self._notice("cancel", [call.act, call.n])
+
     def _notice(self, method, params):
         if self.state.state == linkstate.UP and not self.stream.closed():
             try:
@@ -198,7 +157,7 @@
             self.give_up("nothing was heard in time")
         elif verdict == "ping":
             self._call("probe", None, 0, None, [])
-        for call in [c for c in self.out.values() if c.kind != "run" and now - c.at > self.terms.order_within]:
+        for call in self._overdue_calls(now, self.terms.order_within):
             self._end(call, fate.of_time(call.stage))
         return self.owes() or self.state.state in (linkstate.CONNECTING, linkstate.GREETING)
 
@@ -241,27 +200,6 @@
         else:
             self._end(call, "completed" if error is None else fate.of_error(error), gauge=_gauge(result))
 
-    def _end(self, call, code, note=0, body=b"", gauge=None):
-        if call.stage == fate.WAITING:
-            try:
-                self.waiting.remove(call)
-                self.waiting_bytes -= len(call.frame)
-            except ValueError:
-                return
-        elif self.out.pop(call.msgid, None) is None:
-            return
-        self._tell(call, code, note, body, gauge)
-
-    def _tell(self, call, code, note=0, body=b"", gauge=None):
-        call.stage = fate.ANSWERED
-        if call.kind == "run":
-            self.runs.pop((call.act, call.n), None)
-            self.core.soon(self.core.returned, call.act, call.n, self.worker, code, note, body, call.at, gauge)
-        elif call.kind == "hold":
-            self.core.soon(self.core.held, self.worker, call.fn, code, note)
-        else:
-            self.core.soon(self.core.probed, self.worker, code, gauge)
-
 
 def _gauge(raw):
     if not isinstance(raw, dict):
--- /dev/null
+++ b/petrelwood/node/__main__.py
@@ -0,0 +1,67 @@
+"""`python -m petrelwood.node`: one dispatcher as its platform starts it, until SIGTERM.
+
+Exit status 0 after SIGTERM, 2 with one line on standard error where it can't start.
+"""
+import signal
+
+EARLY = []                                               # signals that come before the loop runs
+for _name in (signal.SIGHUP, signal.SIGTERM):
+    signal.signal(_name, lambda number, frame: EARLY.append(number))
+
+import asyncio
+import gc
+import os
+import sys
+
+from petrelwood.node import told
+from petrelwood.node.log import Log
+from petrelwood.node.service import Node
+
+
+class Running:
+    def __init__(self, node, log, ends):
+        self.node, self.log, self.ends = node, log, ends
+
+    def heard(self, number):
+        if number == signal.SIGTERM:
+            self.ends.set()
+            return
+        try:
+            self.node.reload(told.read(os.environ))
+        except told.Bad as fault:
+            self.log.error("the new configuration is wrong; nothing changes", why=str(fault))
+
+
+async def _serve(gateway, log):
+    loop, ends = asyncio.get_running_loop(), asyncio.Event()
+    node = Node(gateway, log)
+    node.begin()
+    running = Running(node, log, ends)
+    for name in (signal.SIGHUP, signal.SIGTERM):
+        loop.add_signal_handler(name, running.heard, name)
+    for number in EARLY:
+        running.heard(number)
+    gc.collect()
+    gc.freeze()                                          # what stays for good is not looked through again and again
+    log.info("listening", host=gateway.listen[0], port=gateway.listen[1], workers=len(node.membership.members))
+    await ends.wait()
+    await node.close()
+
+
+def main():
+    log = Log(sys.stderr)
+    try:
+        gateway = told.read(os.environ)
+    except told.Bad as fault:
+        print(f"petrelwood: {fault}", file=sys.stderr)
+        return 2
+    try:
+        asyncio.run(_serve(gateway, log))
+    except OSError as fault:
+        print(f"petrelwood: can't listen on {gateway.listen[0]}:{gateway.listen[1]}: {fault.strerror}", file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/petrelwood/node/front.py
@@ -0,0 +1,287 @@
+"""Clients: MessagePack-RPC over TCP; the namespace type is the method, beside `cancel` and `health`.
+
+What is wrong with a request ends here, with an error; what can't be read ends its connection. Rightly asked ones go to the core, whose
+answer comes back through `Exchange.answer`, once. How much fits is decided in `decide.room`.
+"""
+import errno
+import math
+import socket
+from collections import OrderedDict
+from typing import NamedTuple
+
+from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
+
+from petrelwood.decide import intake as stage
+from petrelwood.decide import room as rm
+from petrelwood.decide.intake import Ask
+from petrelwood.links import rpc
+from petrelwood.node.told import MS
+
+READ = 16_384
+ACCEPTS = 32               # connections taken in one turn of the loop
+REJECTED, ABORTED, WRONG = "Throttled", "Broken", "Invalid"
+HEX = frozenset("0123456789abcdef")
+PARTS = rpc.Parts(rm.BODY, rm.TEXT, rm.MEMBERS)
+
+
+class Figures(NamedTuple):
+    """What a request tells of its function and its work, as `settings.gateway.FunctionRule` has it."""
+    lanes: int
+    load_time: int         # ns; 0: not told
+    work: int              # ns; 0: not told
+
+
+class Wrong(Exception):
+    """A request that can be read and not be taken."""
+
+
+def _number(text, least, most, what):
+    try:
+        value = float(text)
+    except (TypeError, ValueError):
+        raise Wrong(f"{what} is no number") from None
+    if not math.isfinite(value) or not least <= value <= most:
+        raise Wrong(f"{what} is out of range")
+    return value
+
+
+def _id(text, digits, what):
+    if not isinstance(text, str) or len(text) != digits or not HEX.issuperset(text):
+        raise Wrong(f"{what} must be {digits} hex digits")
+    return text
+
+
+def asked(type_, fields, body, came, terms, timeouts):
+    """(ask, function, figures) of a `call`'s parameters. Raises `Wrong`."""
+    if not isinstance(fields, dict) or not isinstance(body, bytes):
+        raise Wrong("a call has a map and a body")
+    for name, value in fields.items():
+        if not isinstance(name, str) or not isinstance(value, str):
+            raise Wrong("fields are strings")
+    customer = fields.get("org", "")
+    if terms.quotas and customer not in terms.quotas:
+        raise Wrong("no such tenant")
+    timeout = timeouts[type_]
+    mark = fields.get("dedupe", "")
+    if mark:
+        _id(mark, 32, "dedupe")
+    wait = _number(fields.get("ttl"), 1, 2 * timeout / MS, "ttl")
+    most = 1000 * timeout / MS
+    facts = {}
+    for part in filter(None, fields.get("facts", "").split(";")):
+        name, _, value = part.partition(":")
+        facts[name] = _number(value, 0, 1e9, name)
+    work = _number(fields["work"], 0, most, "work") if "work" in fields else 0.0
+    lanes = int(facts.get("lanes", 1))
+    if not 1 <= lanes <= 1024 or facts.get("load_ms", 0.0) > most:
+        raise Wrong("lanes or load_ms is out of range")
+    return (Ask(customer, _id(fields.get("call"), 16, "call"), 0, type_, came, int(wait * MS), mark),
+            _id(fields.get("row"), 16, "row"),
+            Figures(lanes, int(facts.get("load_ms", 0.0) * MS), int(work * MS)))
+
+
+class Exchange:
+    """One request and the room for its one answer."""
+    __slots__ = ("client", "msgid", "act")
+
+    def __init__(self, client, msgid):
+        self.client, self.msgid, self.act = client, msgid, None
+
+    def answer(self, what, body=b"", retry_after=0, why="", act=None):
+        """The final answer, from the core: 'completed', 'rejected', 'aborted' or a verdict of the intake."""
+        if self.client.open.pop(self.msgid, None) is not self:
+            return                                       # taken back, or its client is gone
+        if what == "completed":
+            self.client.write(rpc.response(self.msgid, None, [body, {}]))
+        elif what in ("rejected", stage.REFUSE):
+            self.client.refuse(self.msgid, retry_after)
+        else:
+            self.client.write(rpc.response(self.msgid, [ABORTED, {}], None))
+        self.client.rests()
+
+
+class Client:
+    """One connection. `open`: exchanges by message id."""
+    __slots__ = ("front", "stream", "open", "reader", "since", "asked", "part", "faults", "ending")
+
+    def __init__(self, front, stream, now):
+        self.front, self.stream, self.open, self.reader = front, stream, {}, None
+        self.since, self.asked, self.part, self.faults, self.ending = now, False, 0, 0, False
+
+    async def serve(self):
+        front = self.front
+        try:
+            while not self.ending:
+                data = await self.stream.read_bytes(READ, partial=True)
+                now = front.core.now()
+                if self.reader is None:
+                    self.reader = rpc.Reader(rm.FRAME + READ, PARTS)
+                messages = self.reader.feed(data)
+                whole = self.reader.whole()
+                self.part = 0 if whole else self.part if self.part and not messages else now
+                for message in messages:
+                    self._message(message, now)
+                    if self.ending:
+                        return                           # once what was written has gone out; see `Front.check`
+        except StreamClosedError:
+            pass
+        except rpc.Garbage as fault:
+            front.note("unreadable", str(fault))
+        except Exception as fault:
+            front.core.defect("front", fault)
+        self.close()
+
+    def close(self):
+        """Ends the connection; what it had open is taken back."""
+        self.ending = True
+        if self.front.clients.pop(self, None) is None:
+            return
+        self.front.idle.pop(self, None)
+        self.stream.close()
+        for exchange in list(self.open.values()):
+            if exchange.act is not None:
+                self.front.core.left(exchange.act, exchange)
+        self.open.clear()
+
+    def rests(self):
+        """It has no open request any more."""
+        if not self.open and not self.ending:
+            self.since = self.front.core.now()
+            self.front.idle[self] = True
+            self.front.idle.move_to_end(self)
+
+    def write(self, frame):
+        try:
+            self.stream.write(frame)
+        except (StreamClosedError, StreamBufferFullError):
+            self.front.core.loop.call_soon(self.close)
+
+    def refuse(self, msgid, retry_after):
+        self.write(rpc.response(msgid, [REJECTED, {"pushback": str(-(-retry_after // MS))} if retry_after else {}], None))
+
+    def wrong(self, msgid, why):
+        self.front.note("wrong", why)
+        self.faults += 1
+        self.write(rpc.response(msgid, [WRONG, {"why": why}], None))
+        if self.faults >= rm.FAULTS:
+            self.ending = True
+
+    def _message(self, message, now):
+        kind = message[0]
+        if kind == rpc.REQUEST:
+            _, msgid, method, params = message
+            if msgid in self.open:                       # whose answer the next one under it would be can't be told
+                raise rpc.Garbage("a number that is open")
+            if method in self.front.core.terms.types:
+                self._call(msgid, method, params, now)
+            elif method == "health":
+                self.asked = True
+                self.write(rpc.response(msgid, None, [self.front.core.serves(), {}]))
+                self.rests()
+            else:
+                self.wrong(msgid, "no such class")
+        elif kind == rpc.NOTICE and message[1] == "cancel":
+            for msgid in message[2][:rm.OPEN]:
+                exchange = self.open.pop(msgid, None) if isinstance(msgid, int) else None
+                if exchange is not None and exchange.act is not None:
+                    self.front.core.left(exchange.act, exchange)
+            self.rests()
+        else:
+            raise rpc.Garbage("neither a request nor a cancel")
+
+    def _call(self, msgid, type_, params, now):
+        core = self.front.core
+        try:
+            if len(params) != 2:
+                raise Wrong("a call has a map and a body")
+            ask, function, figures = asked(type_, *params, now, core.terms, core.gateway.timeouts)
+            if core.is_open(ask.id):
+                raise Wrong("an id that is open")
+        except Wrong as fault:
+            self.wrong(msgid, str(fault))
+            return
+        self.asked = True
+        if len(self.open) >= rm.OPEN:
+            self.front.counts["over its part"] += 1
+            self.refuse(msgid, core.intake.usual)
+            return
+        exchange = self.open[msgid] = Exchange(self, msgid)
+        self.front.idle.pop(self, None)
+        core.ask(ask, function, figures, params[1], exchange)
+
+
+class Front:
+    """The listener and its connections; `core` as `service.Node`."""
+
+    def __init__(self, core, room, log):
+        self.core, self.room, self.log, self.sock = core, room, log, None
+        self.clients, self.idle = {}, OrderedDict()      # all, and those without an open request, longest first
+        self.counts = {"connections": 0, "crowded out": 0, "unreadable": 0, "wrong": 0, "over its part": 0, "too slow": 0}
+
+    def note(self, what, why):
+        """Counts a bad client; the first few are told in the log, then one in many."""
+        self.counts[what] += 1
+        if self.counts[what] <= 8 or not self.counts[what] % 1024:
+            self.log.info("a bad client", what=what, why=why, so_far=self.counts[what])
+
+    def open(self, address):
+        """Raises OSError."""
+        self.sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.setblocking(False)
+        self.sock.bind(address)
+        self.sock.listen(1024)
+        self.core.loop.add_reader(self.sock, self._accept)
+
+    def stop(self):
+        """Takes no new connections."""
+        if self.sock is not None:
+            self.core.loop.remove_reader(self.sock)
+            self.sock.close()
+            self.sock = None
+
+    def _accept(self):
+        for _ in range(ACCEPTS):
+            try:
+                sock, _ = self.sock.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError as fault:
+                if fault.errno in (errno.EMFILE, errno.ENFILE) and self._make_room():
+                    continue
+                return
+            self.counts["connections"] += 1
+            if len(self.clients) >= self.room.clients and not self._make_room():
+                sock.close()
+                continue
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            client = Client(self, IOStream(sock, max_buffer_size=2 * READ + rm.FRAME, read_chunk_size=READ,
+                                           max_write_buffer_size=rm.UNREAD), self.core.now())
+            self.clients[client] = self.idle[client] = True
+            self.core.loop.create_task(client.serve())
+
+    def _make_room(self):
+        """Descriptors run short: the connection that has been idle longest goes, never one with an open request."""
+        if not self.idle:
+            return False
+        self.counts["crowded out"] += 1
+        next(iter(self.idle)).close()
+        return True
+
+    def check(self, now):
+        for client in list(self.clients):
+            if client.ending:
+                if not client.stream.writing():
+                    client.close()
+            elif client.part and now - client.part > rm.PART or not client.asked and now - client.since > rm.SILENT:
+                self.counts["too slow"] += 1
+                client.close()
+        for client in list(self.idle):
+            if now - client.since <= rm.IDLE:
+                break
+            client.close()
+
+    def quiet(self):
+        """Whether all that was written has gone out."""
+        return not any(client.stream.writing() for client in self.clients)
--- /dev/null
+++ b/petrelwood/node/roster.py
@@ -0,0 +1,149 @@
+"""The roster by DNS over UDP: the SRV records of one name are the whole list, the SOA's serial its number.
+
+What is believed of the list is decided in `decide.membership`, when to ask in `decide.asking`. An answer counts if its sender, its id
+and its question are those that were asked, and it is whole and good; an older list changes nothing.
+"""
+import socket
+
+import dns.exception
+import dns.flags
+import dns.message
+import dns.name
+import dns.opcode
+import dns.rcode
+import dns.rdataclass
+import dns.rdatatype
+
+from petrelwood.decide import membership as members
+from petrelwood.node.told import MS
+
+NAME = dns.name.from_text("_api._tcp.svc.local")
+MOST = 65_535              # bytes of a datagram
+STATES = {0: members.USABLE, 1: members.DRAINING}
+
+
+class Unusable(Exception):
+    """An answer that says nothing."""
+
+
+def question():
+    """The query's bytes after its id."""
+    query = dns.message.make_query(NAME, dns.rdatatype.SRV)
+    query.flags = 0
+    return query.to_wire()[2:]
+
+
+def answer(data):
+    """(serial, entries) of an answer's bytes. Raises `Unusable`."""
+    try:
+        message = dns.message.from_wire(data)
+    except (dns.exception.DNSException, ValueError, IndexError) as fault:
+        raise Unusable(f"can't be read: {fault!r}") from None
+    if not message.flags & dns.flags.QR or message.opcode() != dns.opcode.QUERY or message.flags & dns.flags.TC:
+        raise Unusable("not a whole answer")
+    if message.rcode() != dns.rcode.NOERROR:
+        raise Unusable(f"it says {dns.rcode.to_text(message.rcode())}")
+    asked = message.question
+    if len(asked) != 1 or asked[0].name != NAME or asked[0].rdtype != dns.rdatatype.SRV:
+        raise Unusable("it answers another question")
+    serials = [r[0].serial for r in message.authority if r.rdtype == dns.rdatatype.SOA and len(r)]
+    if len(serials) != 1:
+        raise Unusable("it has no serial")
+    hosts, texts, entries = {}, {}, []
+    for record in message.additional + message.answer:
+        if record.rdtype == dns.rdatatype.A:
+            hosts[record.name] = record[0].address
+        elif record.rdtype == dns.rdatatype.TXT:
+            texts[record.name] = dict(s.decode("utf-8", "replace").partition("=")[::2] for s in record[0].strings)
+    for record in message.answer:
+        if record.rdtype == dns.rdatatype.SRV and record.name == NAME:
+            for one in record:
+                entries.append(_entry(one, hosts, texts))
+    return serials[0], entries
+
+
+def _entry(one, hosts, texts):
+    labels, text = one.target.labels, texts.get(one.target)
+    if one.target not in hosts or text is None or len(labels) < 3 or one.priority not in STATES:
+        raise Unusable(f"it does not tell of {one.target}")
+    try:
+        return members.Entry(labels[0].decode(), (hosts[one.target], one.port), labels[1].decode(),
+                             int(text.get("cell") or 0), int(text.get("started") or 0) * MS, STATES[one.priority])
+    except ValueError as fault:
+        raise Unusable(f"it garbles {one.target}: {fault}") from None
+
+
+class DnsRoster:
+    """`core.listed(entries, leaving, whole)` hears of each list that is new."""
+
+    def __init__(self, address, membership, asking, core, log):
+        self.address, self.membership, self.asking, self.core, self.log = address, membership, asking, core, log
+        self.sock, self.question, self.last, self.counts = None, question(), None, {"asked": 0, "good": 0, "unusable": 0, "old": 0}
+
+    def open(self):
+        self.close()
+        self.sock = socket.socket(socket.AF_INET6 if ":" in self.address[0] else socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock.setblocking(False)
+        self.sock.connect(self.address)                  # the kernel drops what comes from anyone else
+        self.core.loop.add_reader(self.sock, self._read)
+
+    def close(self):
+        if self.sock is not None:
+            self.core.loop.remove_reader(self.sock)
+            self.sock.close()
+            self.sock = None
+
+    def moves(self, address):
+        """The roster is at another address from now on; its numbers go on."""
+        self.address = address
+        self.asking.anew(self.core.now())
+        self.open()
+
+    def check(self, now):
+        if self.sock is None or not self.asking.due(now):
+            return
+        self.counts["asked"] += 1
+        try:
+            self.sock.send(self.asking.asks(now).to_bytes(2, "big") + self.question)
+        except OSError:                                  # nobody there, or no room: it is asked again
+            pass
+
+    def _read(self):
+        for _ in range(8):
+            try:
+                data = self.sock.recv(MOST)
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError:                              # a refusal of what was sent before
+                continue
+            self.take(data)
+
+    def take(self, data):
+        """One datagram."""
+        now = self.core.now()
+        if len(data) < 12 or not self.asking.answered(now, int.from_bytes(data[:2], "big")):
+            self.counts["unusable"] += 1
+            return
+        if data[2:] == self.last:                        # nothing has changed: nothing is read
+            self._good(now)
+            return
+        try:
+            serial, entries = answer(data)
+        except Unusable as fault:
+            self.counts["unusable"] += 1
+            if self.counts["unusable"] < 8:
+                self.log.info("an answer of the roster is of no use", why=str(fault))
+            return
+        if serial < self.membership.number:
+            self.counts["old"] += 1
+            return
+        self.last = data[2:]
+        self._good(now)
+        if serial > self.membership.number:
+            self.core.listed(*self.membership.whole(f"dns-{serial}", entries, now, self.core.clock.wall()), True)
+
+    def _good(self, now):
+        self.counts["good"] += 1
+        self.asking.good(now)
+        if self.membership.alive(now):
+            self.log.info("roster heard again")
--- /dev/null
+++ b/petrelwood/node/service.py
@@ -0,0 +1,141 @@
+"""One dispatcher on the platform: the core on a loop, its front, its links, its roster, its end."""
+import asyncio
+from random import Random
+
+from petrelwood.brain import Brain
+from petrelwood.clocks import LoopClock
+from petrelwood.decide import ledger as led
+from petrelwood.decide import leaving
+from petrelwood.decide.asking import Asking
+from petrelwood.decide.room import Direct, Room
+from petrelwood.dispatch.core import Core
+from petrelwood.node import told
+from petrelwood.node.front import Figures, Front
+from petrelwood.node.roster import DnsRoster
+from petrelwood.node.worker import NodeLink
+
+CHECK = 0.05               # seconds between looks at links, clients and the roster
+TIDY = 20                  # looks between two at connections that rest
+UNKNOWN = Figures(1, 0, 0)
+
+
+class Node(Core):
+    """`gateway` is a `told.Told`."""
+
+    def __init__(self, gateway, log, brain=Brain):
+        self.loop, self.room = asyncio.get_running_loop(), Room(gateway.sockets, gateway.memory)
+        self.busy, self.checks, self.looks, self.tag, self.lines, self.losses, self.began = {}, None, 0, 0, 0, 0, False
+        super().__init__(gateway, LoopClock(), Random(gateway.seed), self._link, log, brain)
+        self.front = Front(self, self.room, log)
+        self.roster = DnsRoster(gateway.names, self.membership, Asking(self.chance.random), self, log)
+
+    def _stages(self):
+        usual = min(t.target_latency for t in self.terms.types.values()) // 4
+        return None, Direct(self.room, usual), None
+
+    def _link(self, worker, address, core):
+        return NodeLink(worker, address, self.gateway.workers, core, self.log)
+
+    def rule(self, function):
+        """What is known of a function comes with each request."""
+        return UNKNOWN
+
+    def _hand(self, link, owed, n, left):
+        link.run(owed, n, left)
+
+    def serves(self):
+        return self.began and not self.intake.closing
+
+    def is_open(self, act_id):
+        return act_id in self.duty.acts
+
+    # Descriptors of links, and their tags.
+    def opened(self):
+        self.lines += 1
+
+    def closed(self):
+        self.lines -= 1
+
+    def may_open(self):
+        """Whether a link may open another connection; one that rests elsewhere makes room."""
+        return self.lines < self.room.workers or any(link.spare() for link in self.links.values())
+
+    def next_tag(self):
+        self.tag += 1
+        return f"{self.name}-{self.tag}"
+
+    def note_loss(self, worker, why, out):
+        self.losses += 1
+        if self.losses <= 32 or not self.losses % 64:    # sparse, whatever the workers do
+            self.log.info("a connection to a worker is lost", worker=worker, why=why, out=out, losses=self.losses)
+
+    def active(self, link):
+        self.busy[link] = True
+
+    # Its life.
+    def begin(self):
+        """Listens and asks. Raises OSError where it can't."""
+        now, wall, known = self.now(), self.clock.wall(), {}
+        for whole, entries in self.gateway.known:
+            if whole:
+                known.clear()
+            known.update((e.worker, e) for e in entries)
+        listed = self.membership.whole(f"dns-{self.gateway.number}",
+                                       [e for e in known.values() if e.state != told.members.GONE], now, wall)
+        self.membership.alive(now)
+        self.listed(*listed, True)
+        self.front.open(self.gateway.listen)
+        self.roster.open()
+        self.began = True
+        self._check()
+
+    def _check(self):
+        self.checks = self.loop.call_later(CHECK, self._check)
+        now = self.now()
+        self.roster.check(now)
+        for link in list(self.busy):
+            if not link.check(now):
+                self.busy.pop(link, None)
+        self.looks += 1
+        self.front.check(now)
+        if not self.looks % TIDY:
+            for link in list(self.links.values()):
+                link.tidy(now, self.gateway.workers.idle // 2 or 1 << 62)
+            for worker in [w for w, l in self.links.items() if w not in self.membership.members and not l.owes()]:
+                self.links.pop(worker).give_up("it has left the list")
+        if self.membership.silent(now):
+            self.log.warning("the list of workers is lost")
+            self.soon(self._tell_brain, "list_lost")
+
+    def reload(self, gateway):
+        """SIGHUP: only the roster's address can have changed while it runs."""
+        self.log.info("new configuration", names=f"{gateway.names[0]}:{gateway.names[1]}")
+        self.gateway = self.gateway._replace(names=gateway.names)
+        self.roster.moves(gateway.names)
+
+    async def close(self):
+        """SIGTERM: takes what still comes, then nothing, answers all that it owes, and ends."""
+        ends = leaving.Leaving(self.now())
+        self.began = False
+        while not ends.over(self.now(), len(self.duty.acts), self.front.quiet()):
+            if ends.closed(self.now()) and not self.intake.closing:
+                self.intake.closing = True
+                self.front.stop()
+            if ends.out_of_time(self.now()):
+                for act_id in sorted(self.duty.acts):
+                    self.soon(self._cut, act_id)
+            await asyncio.sleep(CHECK / 5)
+        self.front.stop()
+        for client in list(self.front.clients):
+            client.close()
+        self.checks.cancel()
+        self.roster.close()
+        self.log.info("closed", **self.figures())
+
+    def _cut(self, act_id):
+        if act_id in self.duty.acts:
+            self._finish(act_id, led.ABORTED)
+            self.brain.left(self.now(), act_id)
+
+    def figures(self):
+        return {**super().figures(), "front": self.front.counts, "roster": self.roster.counts, "losses": self.losses}
--- /dev/null
+++ b/petrelwood/node/worker.py
@@ -0,0 +1,205 @@
+"""The link to one worker in JSON lines, over a few connections that are kept.
+
+Queue, stages and ends are those of `links.calls`; which connection carries a call is decided in `decide.pool`. A connection that has
+once carried what can't be read is closed: what was handed to it may have run.
+"""
+import socket
+
+from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
+
+from petrelwood import ports
+from petrelwood.decide import fate, pool, room
+from petrelwood.links.calls import Call, Calls
+from petrelwood.node import lines
+from petrelwood.node.told import MS
+
+READ = 16_384
+
+
+class Line:
+    """One connection: `open` are its calls by the id that they go under, `carried` the last ids that it has carried."""
+    __slots__ = ("stream", "up", "open", "carried", "since", "heard", "timer")
+
+    def __init__(self, stream, now):
+        self.stream, self.up, self.open, self.carried = stream, False, {}, {}
+        self.since, self.heard, self.timer = now, now, None
+
+
+class NodeLink(Calls):
+    """`terms` as `told.WorkerTerms`; `core` hears of each end through `soon`."""
+
+    def __init__(self, worker, address, terms, core, log):
+        super().__init__(worker, address, core)
+        self.terms, self.log, self.lines, self.connecting = terms, log, [], 0
+
+    # What the dispatcher asks.
+    def run(self, owed, n, left):
+        frame = lines.run(owed.id, owed.type, owed.fn, max(1, left // MS), owed.mark, owed.body)
+        call = Call("run", owed.id, n, owed.fn, self.core.now(), frame, (owed.id, n))
+        self.runs[owed.id, n] = call
+        self._call(call)
+
+    def hold(self, fn, lanes, copies):
+        tag = self.core.next_tag()
+        self._call(Call("hold", tag, copies, fn, self.core.now(), lines.hold(tag, fn, copies), tag))
+
+    def probe(self):
+        tag = self.core.next_tag()
+        self._call(Call("probe", tag, 0, None, self.core.now(), lines.probe(tag), tag))
+
+    def _call(self, call):
+        self._wait(call)
+        self.core.active(self)
+        self._pump()
+
+    # The way out. A call's `act` is the id that it goes under.
+    def _pump(self):
+        while self.waiting:
+            call = self.waiting[0]
+            line = pool.pick(self.lines, call.act, self.terms.streams, self.core.may_open())
+            if line is None:
+                break
+            self.waiting.popleft()
+            self._put(line, call)
+        while self.connecting < min(len(self.waiting), pool.CONNECTING) and self.core.may_open():
+            self._connect()
+        if self.waiting and not self.lines:              # no descriptor is left, and nothing that could carry it
+            self._end(self.waiting[0], fate.of_crowding())
+            self._pump()
+
+    def _put(self, line, call):
+        frame = self._hand(call)
+        call.line, line.open[call.act] = line, call
+        pool.remembers(line, call.act)
+        self.lines.remove(line)                          # the last used stands at the end
+        self.lines.append(line)
+        try:
+            line.stream.write(frame)
+        except (StreamClosedError, StreamBufferFullError):
+            self.core.loop.call_soon(self._lost, line, "closed under a call")
+
+    def _notice_end(self, call):
+        line = call.line
+        if call.kind == "run" and line is not None and not line.stream.closed():
+            try:
+                line.stream.write(lines.kill(call.act))
+            except (StreamClosedError, StreamBufferFullError):
+                pass
+
+    # The connections.
+    def _connect(self):
+        host, port = self.address
+        stream = IOStream(socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET),
+                          max_buffer_size=room.FRAME * 4, read_chunk_size=READ)
+        line = Line(stream, self.core.now())
+        self.lines.append(line)
+        self.connecting += 1
+        self.core.opened()
+        line.timer = self.core.loop.call_later(self.terms.connect_within / 1e9, self._lost, line, "not made in time")
+        self.core.loop.create_task(self._serve(line, (host, port)))
+
+    async def _serve(self, line, address):
+        why = "closed by the peer"
+        try:
+            await line.stream.connect(address)
+            if line.timer is None:                       # given up meanwhile
+                return
+            self._up(line)
+            reader = lines.Reader(room.FRAME)
+            while True:
+                data = await line.stream.read_bytes(READ, partial=True)
+                line.heard = self.core.now()
+                for answer in reader.feed(data):
+                    self._answer(line, answer)
+        except StreamClosedError as fault:
+            why = str(fault.real_error or why)
+        except (lines.Garbage, OSError) as fault:
+            why = str(fault)
+        except Exception as fault:
+            why = repr(fault)
+            self.core.defect("link", fault)
+        self._lost(line, why)
+
+    def _up(self, line):
+        line.timer.cancel()
+        line.timer, line.up = None, True
+        self.connecting -= 1
+        line.stream.set_nodelay(True)
+        self._pump()
+
+    def _lost(self, line, why):
+        if line not in self.lines:
+            return
+        self.lines.remove(line)
+        line.stream.close()
+        self.core.closed()
+        if not line.up:
+            line.timer.cancel()
+            line.timer = None
+            self.connecting -= 1
+            if self.waiting:                             # one call for one connection that was not made
+                self._end(self.waiting[0], fate.of_loss(fate.WAITING))
+        if line.open or not line.up:
+            self.counts["lost"] += 1
+            self.core.note_loss(self.worker, why, len(line.open))
+        for call in list(line.open.values()):
+            self._end(call, fate.of_loss(fate.HANDED))
+        line.open.clear()
+        self._pump()
+
+    def give_up(self, why):
+        for line in list(self.lines):
+            self._lost(line, why)
+
+    def check(self, now):
+        """Asked often while something is owed; whether it still has to be."""
+        for call in self._overdue_calls(now, self.terms.connect_within):
+            if call.kind == "probe" or now - call.at > self.terms.order_within:
+                self._end(call, fate.of_time(call.stage))
+                self._doubt(call)
+        return self.owes()
+
+    def late(self, act, n):
+        call = self.runs.get((act, n))
+        super().late(act, n)
+        if call is not None:
+            self._doubt(call)
+
+    def _doubt(self, call):
+        """Its connection has said nothing since the call went out: nothing more goes there."""
+        line = call.line
+        if line is not None and line.heard <= call.at and not line.open:
+            self._lost(line, "nothing was heard in time")
+
+    def tidy(self, now, idle):
+        """Lets connections go that have carried nothing for `idle` ns."""
+        for line in [l for l in self.lines if l.up and not l.open and now - l.heard > idle]:
+            self._lost(line, "idle")
+
+    def spare(self):
+        """Lets go the connection that has been idle longest; whether there was one."""
+        for line in self.lines:
+            if line.up and not line.open:
+                self._lost(line, "its descriptor is needed")
+                return True
+        return False
+
+    # The way back.
+    def _answer(self, line, answer):
+        call = line.open.get(answer.tag)
+        if call is None:                                 # its wait has ended, or nobody ever asked
+            self.counts["strays"] += 1
+            return
+        self.counts["answered"] += 1
+        note = answer.copies if call.kind == "hold" else answer.note
+        if answer.code == ports.COMPLETED:
+            note = note if call.kind == "hold" or note != ports.LOAD_FAILED else 0
+        self._end(call, answer.code, note, answer.body, answer.report)
+
+    def _end(self, call, code, note=0, body=b"", gauge=None):
+        line = call.line
+        if line is not None and line.open.get(call.act) is call:
+            del line.open[call.act]
+        super()._end(call, code, note, body, gauge)
+        if line is not None and self.waiting:
+            self._pump()
--- a/petrelwood/settings/gateway.py
+++ b/petrelwood/settings/gateway.py
@@ -25,6 +25,7 @@
     type: str             # its namespace type
     lanes: int
     load_time: int        # ns; 0: not known
+    work: int = 0         # ns of the usual work; 0: not known
 
 
 class Limits(NamedTuple):
