--- a/petrelwood/decide/duty.py
+++ b/petrelwood/decide/duty.py
@@ -94,6 +94,7 @@
             return None
         if self.by_key.get(act.key) is act:
             del self.by_key[act.key]
+        act.body = None                                  # the heap of due times still has it, for as long as its client would wait
         self.counts[outcome] += 1
         self.intake.ended(now, act.customer, act.type, now - act.came, outcome)
         if self.ledger is not None:
--- a/petrelwood/node/service.py
+++ b/petrelwood/node/service.py
@@ -16,6 +16,7 @@
 
 CHECK = 0.05               # seconds between looks at links, clients and the roster
 TIDY = 20                  # looks between two at connections that rest
+STANDING = 100             # looks between two log lines of what is believed
 UNKNOWN = Figures(1, 0, 0)
 
 
@@ -103,6 +104,8 @@
                 link.tidy(now, self.gateway.workers.idle // 2 or 1 << 62)
             for worker in [w for w, l in self.links.items() if w not in self.membership.members and not l.owes()]:
                 self.links.pop(worker).give_up("it has left the list")
+        if not self.looks % STANDING:
+            self.log.info("standing", **self.standing())
         if self.membership.silent(now):
             self.log.warning("the list of workers is lost")
             self.soon(self._tell_brain, "list_lost")
@@ -132,6 +135,17 @@
         self.roster.close()
         self.log.info("closed", **self.figures())
 
+    def standing(self):
+        """What is believed of load and health, by worker: sends out, connections, what the module makes of it."""
+        brain, counts = self.brain, self.duty.counts
+        return {"taken": counts["taken"], "completed": counts[led.COMPLETED], "rejected": counts[led.REJECTED],
+                "aborted": counts[led.ABORTED], "held": self.intake.held, "out": brain.out_now, "slow": round(brain.slow, 2),
+                "turned": round(brain.turned, 2), "cap": brain.cap.most and round(brain.cap.most, 1),
+                "functions": len(brain.functions), "clients": len(self.front.clients),
+                "workers": {w.id: [len(w.out), round(w.pace, 2), w.cap.most and round(w.cap.most, 1), int(w.silent),
+                                   len(self.links[w.id].lines) if w.id in self.links else 0,
+                                   sum(w.id in f.copies for f in brain.functions.values())] for w in brain.fleet}}
+
     def _cut(self, act_id):
         if act_id in self.duty.acts:
             self._finish(act_id, led.ABORTED)
