Activations and sends no longer name each other after the end: memory was left to the collector

Ruled out one by one: Python blocks and gc counts after a rest (flat), msgpack, orjson, IOStream and timers alone (flat), the rings of ids on connections. Under load gc showed Act and Send rising together, kept by the circle act.sends <-> send.act until the oldest generation is looked through.

--- a/petrelwood/brain.py
+++ b/petrelwood/brain.py
@@ -206,6 +206,7 @@
             act = self.acts.pop(act_id)
             act.fn.drop(act)
             self._drop_sends(act)
+            self._parted(act)
 
     def begun(self, now, act_id, n, worker_id):
         if act_id in self.acts:
@@ -216,6 +217,10 @@
             if send.open and self.terms.allowed.cancel:
                 self.out.cancel(act.id, send.n)
 
+    def _parted(self, act):          # act and sends name each other: left to the collector, thousands pile up
+        if not act.out:
+            act.sends, act.bound = (), None
+
     def _give_up(self, act, now):
         """The final answer, at once, unless a send is out: a rejection where no effect can follow."""
         fn, type_ = act.fn, act.type
@@ -230,6 +235,7 @@
         else:
             self.out.abort(act.id)
         self._drop_sends(act)
+        self._parted(act)
 
     def _may_send(self, act, now):
         """Whether the rules and what is allowed leave the activation another send anywhere."""
@@ -510,6 +516,8 @@
                 self._hold(act, now, front=True)
             else:
                 self._give_up(act, now)
+        elif act_id not in self.acts:
+            self._parted(act)
         self._flow(fn, now)
 
     def _completed(self, now, send, note, took):
--- a/petrelwood/decide/pool.py
+++ b/petrelwood/decide/pool.py
@@ -4,7 +4,7 @@
 use, and whatever else is open on it may have run. Only where the budget of descriptors is used up do sends share, the least loaded
 connection first.
 """
-KEPT = 64                  # ids that a connection has carried and remembers: an answer to one is not taken for another send of it
+KEPT = 8                   # ids that a connection has carried and remembers: an answer to one is not taken for another send of it
 CONNECTING = 4             # connections of one worker that may be coming up at a time
 
 
--- a/petrelwood/node/__main__.py
+++ b/petrelwood/node/__main__.py
@@ -42,6 +42,7 @@
     for number in EARLY:
         running.heard(number)
     gc.collect()
+    gc.set_threshold(1000, 5, 5)                         # little lives long: what dies in circles goes soon, and cheaply
     gc.freeze()                                          # what stays for good is not looked through again and again
     log.info("listening", host=gateway.listen[0], port=gateway.listen[1], workers=len(node.membership.members))
     await ends.wait()
--- a/petrelwood/node/front.py
+++ b/petrelwood/node/front.py
@@ -18,6 +18,7 @@
 from petrelwood.node.told import MS
 
 READ = 16_384
+READERS = 8                # kept for whoever sends next
 ACCEPTS = 32               # connections taken in one turn of the loop
 REJECTED, ABORTED, WRONG = "Throttled", "Broken", "Invalid"
 HEX = frozenset("0123456789abcdef")
@@ -115,10 +116,14 @@
                 data = await self.stream.read_bytes(READ, partial=True)
                 now = front.core.now()
                 if self.reader is None:
-                    self.reader = rpc.Reader(rm.FRAME + READ, PARTS)
+                    self.reader = front.readers.pop() if front.readers else rpc.Reader(rm.FRAME + READ, PARTS)
                 messages = self.reader.feed(data)
-                whole = self.reader.whole()
-                self.part = 0 if whole else self.part if self.part and not messages else now
+                if self.reader.whole():                  # a reader has some 40 KB: only who is in a message has one
+                    if len(front.readers) < READERS:
+                        front.readers.append(self.reader)
+                    self.reader, self.part = None, 0
+                elif messages or not self.part:
+                    self.part = now
                 for message in messages:
                     self._message(message, now)
                     if self.ending:
@@ -137,6 +142,7 @@
         if self.front.clients.pop(self, None) is None:
             return
         self.front.idle.pop(self, None)
+        self.reader = None
         self.stream.close()
         for exchange in list(self.open.values()):
             if exchange.act is not None:
@@ -215,6 +221,7 @@
 
     def __init__(self, core, room, log):
         self.core, self.room, self.log, self.sock = core, room, log, None
+        self.readers = []
         self.clients, self.idle = {}, OrderedDict()      # all, and those without an open request, longest first
         self.counts = {"connections": 0, "crowded out": 0, "unreadable": 0, "wrong": 0, "over its part": 0, "too slow": 0}
 
--- a/petrelwood/node/lines.py
+++ b/petrelwood/node/lines.py
@@ -71,7 +71,7 @@
         text = meta.get("l")
         return Answer(tag, ENDS[raw["type"]], NOTES.get(meta.get("n"), 0), int(meta.get("pods") or 0),
                       a2b_base64(data, strict_mode=True) if data else b"", _report(text) if text else None)
-    except (KeyError, TypeError, ValueError, AttributeError, Error) as fault:     # orjson's own is a ValueError
+    except (KeyError, TypeError, ValueError, AttributeError, RecursionError, Error) as fault:     # orjson's own is a ValueError
         raise Garbage(f"not an answer: {fault!r}") from None
 
 
--- a/petrelwood/node/service.py
+++ b/petrelwood/node/service.py
@@ -58,7 +58,11 @@
         self.lines -= 1
 
     def may_open(self):
-        """Whether a link may open another connection; one that rests elsewhere makes room."""
+        """Whether a link may open another connection."""
+        return self.lines < self.room.workers or any(link.rests() for link in self.links.values())
+
+    def makes_room(self):
+        """The same, and one that rests elsewhere makes room where it must."""
         return self.lines < self.room.workers or any(link.spare() for link in self.links.values())
 
     def next_tag(self):
--- a/petrelwood/node/worker.py
+++ b/petrelwood/node/worker.py
@@ -30,7 +30,7 @@
 
     def __init__(self, worker, address, terms, core, log):
         super().__init__(worker, address, core)
-        self.terms, self.log, self.lines, self.connecting = terms, log, [], 0
+        self.terms, self.log, self.lines, self.connecting, self.pumping = terms, log, [], 0, False
 
     # What the dispatcher asks.
     def run(self, owed, n, left):
@@ -54,18 +54,22 @@
 
     # The way out. A call's `act` is the id that it goes under.
     def _pump(self):
-        while self.waiting:
-            call = self.waiting[0]
-            line = pool.pick(self.lines, call.act, self.terms.streams, self.core.may_open())
-            if line is None:
-                break
-            self.waiting.popleft()
-            self._put(line, call)
-        while self.connecting < min(len(self.waiting), pool.CONNECTING) and self.core.may_open():
-            self._connect()
-        if self.waiting and not self.lines:              # no descriptor is left, and nothing that could carry it
-            self._end(self.waiting[0], fate.of_crowding())
-            self._pump()
+        if self.pumping:                                 # a connection that makes room, or is lost, comes back here
+            return
+        self.pumping = True
+        try:
+            while self.waiting:
+                line = pool.pick(self.lines, self.waiting[0].act, self.terms.streams, self.core.may_open())
+                if line is not None:
+                    self._put(line, self.waiting.popleft())
+                elif self.connecting < min(len(self.waiting), pool.CONNECTING) and self.core.makes_room():
+                    self._connect()
+                elif not self.lines:                     # no descriptor is left, and nothing that could carry it
+                    self._end(self.waiting[0], fate.of_crowding())
+                else:
+                    break
+        finally:
+            self.pumping = False
 
     def _put(self, line, call):
         frame = self._hand(call)
@@ -176,13 +180,16 @@
         for line in [l for l in self.lines if l.up and not l.open and now - l.heard > idle]:
             self._lost(line, "idle")
 
+    def rests(self):
+        """The connection that has been idle longest, or None."""
+        return next((line for line in self.lines if line.up and not line.open), None)
+
     def spare(self):
-        """Lets go the connection that has been idle longest; whether there was one."""
-        for line in self.lines:
-            if line.up and not line.open:
-                self._lost(line, "its descriptor is needed")
-                return True
-        return False
+        """Lets that one go; whether there was one."""
+        line = self.rests()
+        if line is not None:
+            self._lost(line, "its descriptor is needed")
+        return line is not None
 
     # The way back.
     def _answer(self, line, answer):
