--- a/petrelwood/links/rpc.py
+++ b/petrelwood/links/rpc.py
@@ -41,7 +41,7 @@
     too large is told from the lengths that it announces, before it is here."""
 
     def __init__(self, most, parts=None):
-        self.fed = 0
+        self.fed, self.ended = 0, 0
         if parts is None:
             self.unpacker = msgpack.Unpacker(raw=False, max_buffer_size=most, strict_map_key=False)
         else:                                            # its buffer begins small: there may be hundreds of such peers
@@ -54,7 +54,10 @@
         try:
             self.fed += len(data)
             self.unpacker.feed(data)
-            messages = list(self.unpacker)
+            messages = []
+            for message in self.unpacker:
+                messages.append(message)
+                self.ended = self.unpacker.tell()        # which also counts what it has read of a message that is not whole
         except Exception as fault:            # msgpack raises many kinds for malformed input, ValueError among them
             raise Garbage(f"not MessagePack: {fault!r}") from None
         for message in messages:
@@ -64,7 +67,7 @@
 
     def whole(self):
         """Whether nothing of a further message is here."""
-        return self.unpacker.tell() == self.fed
+        return self.ended == self.fed
 
 
 def _shape(m):
