--- a/petrelwood/brain.py
+++ b/petrelwood/brain.py
@@ -554,6 +554,9 @@
     def _failed(self, now, send, code, note):
         """A fast error must not free its lane and draw the backlog: its copy stays shut, longer each time."""
         fn, copy, worker = send.act.fn, send.copy, send.worker
+        # One connection of several may be reset, or cut for what came on it: who has just answered lives.
+        if code == ports.RESET and min(send.at, now - self.usual) < worker.read:
+            code = ports.ERROR
         if (code in (ports.MISSING, ports.RESET, ports.NO_CONNECTION) or note == ports.LOAD_FAILED
                 or code == ports.FULL and copy.loading):     # turned away: no load began
             copy.loading = 0
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -46,6 +46,19 @@
         d.end(self)
 
 
+    def test_a_reset_from_a_worker_that_has_just_answered_is_its_connections(self):
+        """Found on wide+reset+stale (sockets): each reset connection cost the belief in all copies of its worker."""
+        d = Desk("reset_alive", workers="a", self_loading=False, ration=(8, 1, 8000 * MS))
+        d.come("x1"); d.answer("x1", "a", ports.MISSING, took=5); d.at(300)
+        d.brain.stands(d.now, "a", 1, ports.COMPLETED, 1); d.at(310)
+        d.come("x2", lanes=4); d.at(400); d.answer("x2", "a")
+        d.come("x3", lanes=4); d.at(420); d.answer("x3", "a", ports.RESET, took=20)
+        d.say(f"known on {sorted(d.brain.functions[1].copies)}"); d.at(1500)
+        d.come("x4", lanes=4); d.at(2500); d.answer("x4", "a", ports.RESET, took=1000)
+        d.say(f"known on {sorted(d.brain.functions[1].copies)}")
+        d.end(self)
+
+
 class Rules(unittest.TestCase):
     def test_one_final_answer_and_nothing_after(self):
         d = Desk("one_answer", workers="a")
