--- a/petrelwood/node/service.py
+++ b/petrelwood/node/service.py
@@ -142,11 +142,14 @@
     def standing(self):
         """What is believed of load and health, by worker: sends out, connections, what the module makes of it."""
         brain, counts = self.brain, self.duty.counts
+        ends = {worker: link.ends for worker, link in self.links.items() if link.ends}
+        for link in self.links.values():
+            link.ends = {}
         return {"taken": counts["taken"], "completed": counts[led.COMPLETED], "rejected": counts[led.REJECTED],
                 "aborted": counts[led.ABORTED], "held": self.intake.held, "out": brain.out_now, "slow": round(brain.slow, 2),
                 "turned": round(brain.turned, 2), "cap": brain.cap.most and round(brain.cap.most, 1),
                 "functions": len(brain.functions), "clients": len(self.front.clients),
-                "workers": {w.id: [len(w.out), round(w.pace, 2), w.cap.most and round(w.cap.most, 1), int(w.silent),
+                "ends": ends, "workers": {w.id: [len(w.out), round(w.pace, 2), w.cap.most and round(w.cap.most, 1), int(w.silent),
                                    len(self.links[w.id].lines) if w.id in self.links else 0,
                                    sum(w.id in f.copies for f in brain.functions.values())] for w in brain.fleet}}
 
--- a/petrelwood/node/worker.py
+++ b/petrelwood/node/worker.py
@@ -30,6 +30,7 @@
 
     def __init__(self, worker, address, terms, core, log):
         super().__init__(worker, address, core)
+        self.ends = {}                                   # answers other than completed, by code, since they were last told
         self.terms, self.log, self.lines, self.connecting, self.pumping = terms, log, [], 0, False
 
     # What the dispatcher asks.
@@ -198,6 +199,8 @@
             self.counts["strays"] += 1
             return
         self.counts["answered"] += 1
+        if answer.code != ports.COMPLETED:
+            self.ends[answer.code] = self.ends.get(answer.code, 0) + 1
         note = answer.copies if call.kind == "hold" else answer.note
         if answer.code == ports.COMPLETED:
             note = note if call.kind == "hold" or note != ports.LOAD_FAILED else 0
