--- a/petrelwood/decide/pool.py
+++ b/petrelwood/decide/pool.py
@@ -20,11 +20,11 @@
     the last used at the end; `may_open`: whether another one may be opened."""
     best = None
     for line in reversed(lines):
-        if line.up and tag not in line.carried:
-            if not line.open:
-                return line
-            if best is None or len(line.open) < len(best.open):
-                best = line
-    if best is None or may_open or len(best.open) >= streams:
+        if not line.open and line.up and tag not in line.carried:
+            return line
+    if may_open:
         return None
-    return best
+    for line in reversed(lines):
+        if line.up and tag not in line.carried and (best is None or len(line.open) < len(best.open)):
+            best = line
+    return best if best is not None and len(best.open) < streams else None
--- a/petrelwood/node/front.py
+++ b/petrelwood/node/front.py
@@ -4,24 +4,27 @@
 answer comes back through `Exchange.answer`, once. How much fits is decided in `decide.room`.
 """
 import errno
+import functools
 import math
 import socket
 from collections import OrderedDict
 from typing import NamedTuple
 
-from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
+from tornado.iostream import StreamBufferFullError, StreamClosedError
 
 from petrelwood.decide import intake as stage
 from petrelwood.decide import room as rm
 from petrelwood.decide.intake import Ask
 from petrelwood.links import rpc
+from petrelwood.node.stream import Stream
 from petrelwood.node.told import MS
 
 READ = 16_384
 READERS = 8                # kept for whoever sends next
 ACCEPTS = 32               # connections taken in one turn of the loop
 REJECTED, ABORTED, WRONG = "Throttled", "Broken", "Invalid"
-HEX = frozenset("0123456789abcdef")
+HEX, TEXT = frozenset("0123456789abcdef"), frozenset((str,))
+FACTS = 512                # texts of further figures whose reading is kept
 PARTS = rpc.Parts(rm.BODY, rm.TEXT, rm.MEMBERS)
 
 
@@ -52,13 +55,25 @@
     return text
 
 
+@functools.lru_cache(maxsize=FACTS)
+def _facts(text, most):
+    """(lanes, load time in ns) of a request's further figures: the same text with each request for a function."""
+    facts = {}
+    for part in filter(None, text.split(";")):
+        name, _, value = part.partition(":")
+        facts[name] = _number(value, 0, 1e9, name)
+    lanes, load = int(facts.get("lanes", 1)), facts.get("load_ms", 0.0)
+    if not 1 <= lanes <= 1024 or load > most:
+        raise Wrong("lanes or load_ms is out of range")
+    return lanes, int(load * MS)
+
+
 def asked(type_, fields, body, came, terms, timeouts):
     """(ask, function, figures) of a `call`'s parameters. Raises `Wrong`."""
     if not isinstance(fields, dict) or not isinstance(body, bytes):
         raise Wrong("a call has a map and a body")
-    for name, value in fields.items():
-        if not isinstance(name, str) or not isinstance(value, str):
-            raise Wrong("fields are strings")
+    if not (TEXT.issuperset(map(type, fields)) and TEXT.issuperset(map(type, fields.values()))):
+        raise Wrong("fields are strings")
     customer = fields.get("org", "")
     if terms.quotas and customer not in terms.quotas:
         raise Wrong("no such tenant")
@@ -68,17 +83,10 @@
         _id(mark, 32, "dedupe")
     wait = _number(fields.get("ttl"), 1, 2 * timeout / MS, "ttl")
     most = 1000 * timeout / MS
-    facts = {}
-    for part in filter(None, fields.get("facts", "").split(";")):
-        name, _, value = part.partition(":")
-        facts[name] = _number(value, 0, 1e9, name)
     work = _number(fields["work"], 0, most, "work") if "work" in fields else 0.0
-    lanes = int(facts.get("lanes", 1))
-    if not 1 <= lanes <= 1024 or facts.get("load_ms", 0.0) > most:
-        raise Wrong("lanes or load_ms is out of range")
+    lanes, load_time = _facts(fields.get("facts", ""), most)
     return (Ask(customer, _id(fields.get("call"), 16, "call"), 0, type_, came, int(wait * MS), mark),
-            _id(fields.get("row"), 16, "row"),
-            Figures(lanes, int(facts.get("load_ms", 0.0) * MS), int(work * MS)))
+            _id(fields.get("row"), 16, "row"), Figures(lanes, load_time, int(work * MS)))
 
 
 class Exchange:
@@ -263,7 +271,7 @@
                 continue
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            client = Client(self, IOStream(sock, max_buffer_size=2 * READ + rm.FRAME, read_chunk_size=READ,
+            client = Client(self, Stream(sock, max_buffer_size=2 * READ + rm.FRAME, read_chunk_size=READ,
                                            max_write_buffer_size=rm.UNREAD), self.core.now())
             self.clients[client] = self.idle[client] = True
             self.core.loop.create_task(client.serve())
--- a/petrelwood/node/worker.py
+++ b/petrelwood/node/worker.py
@@ -5,12 +5,13 @@
 """
 import socket
 
-from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
+from tornado.iostream import StreamBufferFullError, StreamClosedError
 
 from petrelwood import ports
 from petrelwood.decide import fate, pool, room
 from petrelwood.links.calls import Call, Calls
 from petrelwood.node import lines
+from petrelwood.node.stream import Stream
 from petrelwood.node.told import MS
 
 READ = 16_384
@@ -94,8 +95,8 @@
     # The connections.
     def _connect(self):
         host, port = self.address
-        stream = IOStream(socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET),
-                          max_buffer_size=room.FRAME * 4, read_chunk_size=READ)
+        stream = Stream(socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET),
+                        max_buffer_size=room.FRAME * 4, read_chunk_size=READ)
         line = Line(stream, self.core.now())
         self.lines.append(line)
         self.connecting += 1
