--- a/petrelwood/brain.py
+++ b/petrelwood/brain.py
@@ -25,7 +25,6 @@
 EARLY = 0.5              # of the ration on orders, what early loads may use
 SLACK = 1.3              # a customer's share here: so much more than an equal part, as dispatchers differ
 TIGHT = 1.5              # loads within it count as equal, so dispatchers agree; beyond it a copy is added
-PATIENT = 0.47           # of its time that an activation is held unsent; answered by half, it can still go elsewhere
 CROWDED = 1.8            # a worker is, when its answers take so many times the usual
 BEARABLE, TURN, MOST_TURNED = 0.15, 4, 0.9      # of slow answers; from there on so much more is turned away
 SLOTS = 12               # buckets in a ring
@@ -271,7 +270,10 @@
         at = act.due - max(self._need(act) // 2, 2 * self.sweep)
         if act.bound and act.type.effect == ports.DEDUPLICATED:
             at = min(at, act.bound.at + act.type.window)
-        return at if act.out else min(at, act.born + int((act.due - act.born) * PATIENT) + 1)
+        return at if act.out else min(at, self._half(act) + 1)
+
+    def _half(self, act):            # held unsent until then: the answer is there by half, when others can serve it
+        return act.born + max(0, (act.due - act.born) // 2 - 2 * self.sweep)
 
     def _wake(self, now, wait):
         if self.next_wake > now + wait:                  # an overdue one stands: its ring may follow
@@ -314,7 +316,7 @@
 
     def _check(self, act, now):
         """Whether it may go on waiting; else it is given up."""
-        if self._may_send(act, now) and (act.out or now - act.born <= (act.due - act.born) * PATIENT):
+        if self._may_send(act, now) and (act.out or now <= self._half(act)):
             heappush(act.fn.ends, (max(now + 1, self._ends(act)), act))
             return True
         self._give_up(act, now)
