Links of workers that left the list are let go in one place; two unread fields go

Read over: Node._check wrote Core._listed's last loop again; both call Core.let_links_go now. Line.since and WorkerTerms.drain_grace of the node were set and never read.

--- a/petrelwood/brain.py
+++ b/petrelwood/brain.py
@@ -272,7 +272,7 @@
             at = min(at, act.bound.at + act.type.window)
         return at if act.out else min(at, self._half(act) + 1)
 
-    def _half(self, act):            # held unsent until then: the answer is there by half, when others can serve it
+    def _half(self, act):            # held unsent until then: its answer is there by half of its time
         return act.born + max(0, (act.due - act.born) // 2 - 2 * self.sweep)
 
     def _wake(self, now, wait):
--- a/petrelwood/dispatch/core.py
+++ b/petrelwood/dispatch/core.py
@@ -394,6 +394,10 @@
             if link is None and entry.usable:
                 self.links[entry.worker] = self.make_link(entry.worker, address, self)
         self.brain.listed(self.now(), entries, whole)
+        self.let_links_go()
+
+    def let_links_go(self):
+        """Those of workers that have left the list and that owe nothing any more."""
         for worker in [w for w, link in self.links.items() if w not in self.membership.members and not link.owes()]:
             self.links.pop(worker).give_up("it has left the list")
 
--- a/petrelwood/node/service.py
+++ b/petrelwood/node/service.py
@@ -106,8 +106,7 @@
         if not self.looks % TIDY:
             for link in list(self.links.values()):
                 link.tidy(now, self.gateway.workers.idle // 2 or 1 << 62)
-            for worker in [w for w, l in self.links.items() if w not in self.membership.members and not l.owes()]:
-                self.links.pop(worker).give_up("it has left the list")
+            self.let_links_go()
         if not self.looks % STANDING:
             self.log.info("standing", **self.standing())
         if self.membership.silent(now):
--- a/petrelwood/node/told.py
+++ b/petrelwood/node/told.py
@@ -53,7 +53,6 @@
     idle: int
     streams: int
     order_within: int
-    drain_grace: int
 
 
 class Told(NamedTuple):
@@ -103,7 +102,7 @@
         str(raw["seed"]), int(limits["sockets"]), int(limits["memory_mb"]) << 20,
         {c["name"]: c["deadline"] * US for c in settings["classes"]},
         WorkerTerms(connect, (allowed.get("connIdle") or 0) * US, max(1, int(allowed.get("multiplex") or 1)),
-                    (family.get("orderLimit") or 10_000_000) * US, settings["guarantees"]["drainGrace"] * US),
+                    (family.get("orderLimit") or 10_000_000) * US),
         terms(settings))
 
 
--- a/petrelwood/node/worker.py
+++ b/petrelwood/node/worker.py
@@ -19,11 +19,11 @@
 
 class Line:
     """One connection: `open` are its calls by the id that they go under, `carried` the last ids that it has carried."""
-    __slots__ = ("stream", "up", "open", "carried", "since", "heard", "timer")
+    __slots__ = ("stream", "up", "open", "carried", "heard", "timer")
 
     def __init__(self, stream, now):
         self.stream, self.up, self.open, self.carried = stream, False, {}, {}
-        self.since, self.heard, self.timer = now, now, None
+        self.heard, self.timer = now, None
 
 
 class NodeLink(Calls):
