--- a/petrelwood/brain.py
+++ b/petrelwood/brain.py
@@ -58,7 +58,7 @@
         self.id, self.hash, self.out = entry.worker, crc32(entry.worker.encode()), {}
         self.heard, self.cap, self.rest, self.silent, self.loading = now, Cap(), 0, False, 0
         self.report, self.out_then, self.read, self.asked = None, 0, now - LONG, now - LONG
-        self.pace, self.silences, self.slot, self.room = 1.0, 0, -1, 0
+        self.pace, self.silences, self.slot, self.room, self.packed = 1.0, 0, -1, 0, 0
         _, self.zone, self.cell, self.booted, self.usable = entry
 
 
@@ -273,7 +273,7 @@
         return at if act.out else min(at, self._half(act) + 1)
 
     def _half(self, act):            # held unsent until then: its answer is there by half of its time
-        return act.born + max(0, (act.due - act.born) // 2 - 2 * self.sweep)
+        return act.born + max(0, (act.due - act.born) // 2 - self.sweep)
 
     def _wake(self, now, wait):
         if self.next_wake > now + wait:                  # an overdue one stands: its ring may follow
@@ -290,16 +290,17 @@
         return act.beyond or now - act.born + self._need(act) > act.type.target_latency
 
     def _flow(self, fn, now, spare=False):
-        """Gives up what is out of time, sends to free lanes, then adds copies, or rejects at the limit."""
+        """Sends to free lanes, gives up what is out of time, then adds copies, or rejects at the limit."""
+        if fn.waits:
+            self._fill(fn, now, spare)
         while fn.ends and fn.ends[0][0] <= now:
             act = heappop(fn.ends)[1]
             if act.held and self.acts.get(act.id) is act:
                 self._check(act, now)
-        if fn.waits:
-            self._fill(fn, now, spare)
         limit = max(2, int(LIMIT * len(self.fleet)))
         while fn.waits and now >= fn.pause:
-            known = [c for c in fn.copies.values() if not c.worker.silent and now >= c.worker.rest]
+            known = [c for c in fn.copies.values()
+                     if not c.worker.silent and now >= c.worker.rest and not self._jammed(c.worker)]
             lanes = sum(fn.lanes if c.loading else c.busy for c in known)
             if fn.waits <= BACKLOG * lanes or fn.copies and now - fn.first().born < self.target * LAG:
                 break
@@ -307,19 +308,27 @@
                 while fn.waits > 2 * BACKLOG * len(known) * fn.lanes:
                     self._give_up(fn.last(), now)
                 break
-            if fn.copies and not self._may_spread(fn, now) or not self._add_copy(fn, fn.first(), now):
+            if known and not self._may_spread(fn, now) or not self._add_copy(fn, fn.first(), now):
                 break
         if fn.tight and fn.copies and not fn.waits and now >= fn.pause and self._may_spread(fn, now):
             fn.tight = not self._add_copy(fn, None, now)
         if not fn.waits:
             self.waiting.pop(fn.key, None)
 
+    def _jammed(self, worker):
+        """It bears one send of ours and that late, where the fleet does not: copies there are of no use."""
+        return (worker.cap.most or 2) <= 1 and worker.pace > CROWDED * max(1.0, self.pace)
+
     def _check(self, act, now):
-        """Whether it may go on waiting; else it is given up."""
-        if self._may_send(act, now) and (act.out or now <= self._half(act)):
+        """It waits on, takes a lane that all fresh work of its function has left free, or is given up."""
+        may = self._may_send(act, now)
+        if may and (act.out or now <= self._half(act)):
             heappush(act.fn.ends, (max(now + 1, self._ends(act)), act))
-            return True
-        self._give_up(act, now)
+        elif may and (copy := self._lane(act.fn, act, now)):
+            act.fn.drop(act)
+            self._send(act, copy, now)
+        else:
+            self._give_up(act, now)
 
     def _fill(self, fn, now, spare):
         """What is held goes to free lanes: resends first, fresh work, and with `spare` the lesser."""
@@ -408,8 +417,8 @@
 
     def _first_two(self, fn, act, now):
         return list(islice((
-            w for w in self._order_of(fn) if w.id not in fn.copies and w.loading < 2 and self._open(w, now)
-            and (act is None or self._fits(act, w) and w not in act.full)), 2))
+            w for w in self._order_of(fn) if w.id not in fn.copies and w.loading < 2 and now >= w.packed
+            and self._open(w, now) and (act is None or self._fits(act, w) and w not in act.full)), 2))
 
     def wish(self, now, key, lanes, load_time):
         """The planner's wish for one copy ahead of a call: the worker that it is ordered on, or None. Never
@@ -593,7 +602,10 @@
             copy.loading, copy.seen = 0, now
         elif copy and copy.loading:
             fn.copies.pop(worker_id).loading = 0
-            self._load_failed(fn, now)
+            if code == ports.FULL:                       # its own loads wait already; no store has failed
+                worker.packed, fn.pause = now + self.target // 2, now + int(self.target * LAG)
+            else:
+                self._load_failed(fn, now)
         self._flow(fn, now)
 
     def _load_failed(self, fn, now):
@@ -614,7 +626,11 @@
                 self._look(now)
             self._flow_all(now)
         finally:                                         # whatever fails, the sweeps go on
-            self._wake(now, self.sweep if self.waiting else max(self.sweep, self.next_look - now))
+            self._wake(now, self._rest(now) if self.waiting else max(self.sweep, self.next_look - now))
+
+    def _rest(self, now):            # until the next sweep, or what is to be given up before it
+        first = min((fn.ends[0][0] for fn in self.waiting.values() if fn.ends), default=now + self.sweep)
+        return min(self.sweep, max(first - now, self.terms.tick))
 
     def _look(self, now):
         """What is due now and then, and must cost little on a large fleet."""
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -165,6 +165,40 @@
         d.at(1300); d.come("x4", lanes=4); d.at(1800)
         d.end(self)
 
+    def test_copies_on_a_jammed_worker_do_not_keep_a_function_from_another(self):
+        """Found on churn (sockets): functions waited for their one copy on a throttled worker, and were given up there."""
+        d = Desk("jammed", workers="ab", self_loading=False, ration=(8, 1, 8000 * MS))
+        d.come("w1", fn=1); jams = d.lines[-1][-1]; fine = "ab".replace(jams, "")
+        d.answer("w1", jams)
+        for i in range(2, 8):                            # the other one answers as usual, with what it has
+            d.brain.stands(d.now, fine, 2, ports.COMPLETED, 1)
+            d.at(100 * i); d.come(f"w{i}", fn=2); d.answer(f"w{i}", fine)
+        d.brain.spread_after = d.now + 3000 * MS         # some load has failed: no function with a copy of use may spread
+        for i in range(8, 11):
+            d.at(200 * i); d.come(f"w{i}", fn=1); d.answer(f"w{i}", jams, ports.FULL)
+        d.at(2100); d.come("x1", "x2", fn=1); d.at(2500)
+        d.brain.stands(d.now, fine, 1, ports.COMPLETED, 1)
+        d.at(2600)
+        d.end(self)
+
+    def test_a_worker_whose_loads_wait_is_passed_over_and_nothing_else(self):
+        """Found on churn (sockets): orders answered full kept every function from loading anywhere for two target latencies."""
+        d = Desk("loads_wait", workers="abc", self_loading=False, ration=(20, 1, 8000 * MS))
+        for fn in (1, 2):
+            d.come(f"x{fn}", fn=fn); d.answer(f"x{fn}", d.lines[-1][-1], ports.MISSING)
+        packed = d.lines[-1][-1]
+        d.at(20); d.brain.stands(d.now, packed, 2, ports.FULL, 0); d.at(600)
+        d.say(f"{packed} was full; copies may be added: {d.now >= d.brain.spread_after}")
+        d.end(self)
+
+    def test_what_is_to_be_given_up_takes_a_lane_that_is_free(self):
+        """Found in a test of MQTT: given up with a lane free, since lesser work flows at sweeps alone."""
+        d = Desk("free_lane", workers="a")
+        d.come("w", lanes=2); d.at(50); d.answer("w", "a", took=50)
+        d.come("x1", "x2", "x3", lanes=2, patience=2190); d.at(1124)
+        d.answer("x1", "a", took=1074); d.at(1200)
+        d.end(self)
+
     def test_a_resend_that_finds_no_lane_does_not_block_the_rest(self):
         d = Desk("no_block", workers="a")
         d.come("x1", lanes=2); d.at(400); d.answer("x1", "a", note=2, took=400)
