--- a/petrelwood/brain.py
+++ b/petrelwood/brain.py
@@ -557,6 +557,8 @@
 
     def _slow(self, slow, send, now):
         """Most answers slow: it is not single workers. Fewer sends at once, and the rest waits here."""
+        if slow and self._jammed(send.worker):           # what it is known for tells nothing of the fleet
+            return
         self.slow += (slow - self.slow) / 16
         least = max(1.0, 2 * len(self.fleet) / self.dispatchers)                  # two sends for each worker
         self.cap.answered(self.slow > 0.5, self.out_now, now, send.at, least)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -181,6 +181,18 @@
         d.at(2600)
         d.end(self)
 
+    def test_late_answers_of_a_jammed_worker_turn_nothing_away_elsewhere(self):
+        """Found on churn (sockets): three throttled workers made the fleet look slow, and what came was turned away."""
+        d = Desk("jammed_slow", workers="ab", self_loading=False, ration=(8, 1, 8000 * MS))
+        for i in range(12):                              # one is full each time, the other answers as usual
+            for fn, name, code in ((1, "a", ports.FULL), (2, "b", ports.COMPLETED)):
+                d.brain.stands(d.now, name, fn, ports.COMPLETED, 1); d.come(f"{name}{i}", fn=fn, lanes=2, patience=2000)
+                if d.brain.workers[name].out:
+                    d.answer(*next(iter(d.brain.workers[name].out))[:1], name, code)
+            d.at(300 * i + 300); d.lines.clear()
+            d.say(f"turned away {d.brain.turned:.2f}; of a: pace {d.brain.workers['a'].pace:.1f}")
+        d.end(self)
+
     def test_a_worker_whose_loads_wait_is_passed_over_and_nothing_else(self):
         """Found on churn (sockets): orders answered full kept every function from loading anywhere for two target latencies."""
         d = Desk("loads_wait", workers="abc", self_loading=False, ration=(20, 1, 8000 * MS))
