--- a/petrelwood/brain.py
+++ b/petrelwood/brain.py
@@ -59,6 +59,7 @@
         self.heard, self.cap, self.rest, self.silent, self.loading = now, Cap(), 0, False, 0
         self.report, self.out_then, self.read, self.asked = None, 0, now - LONG, now - LONG
         self.pace, self.silences, self.slot, self.room, self.packed = 1.0, 0, -1, 0, 0
+        self.lost, self.latest = {}, 0                   # sends without hope; when the last answered one left
         _, self.zone, self.cell, self.booted, self.usable = entry
 
 
@@ -504,12 +505,14 @@
 
     def answer(self, now, act_id, n, worker_id, code, note, over, took, report):
         worker = self.workers.get(worker_id)
-        send = worker.out.pop((act_id, n), None) if worker else None
-        if send is None:
+        lost = worker.lost.pop((act_id, n), None) if worker else None
+        send = lost or worker and worker.out.pop((act_id, n), None)
+        if not send:
             return
         act, fn = send.act, send.act.fn
-        send.open, act.out, send.copy.busy = False, act.out - 1, send.copy.busy - 1
-        worker.loading, self.out_now = worker.loading - send.cold, self.out_now - 1
+        send.open, act.out = False, act.out - 1
+        if not lost:
+            self._released(send)
         if code in NEVER_RAN:
             send.ran = False
             act.bound = act.bound if any(s.ran for s in act.sends) else None     # even if disproved
@@ -518,7 +521,7 @@
             worker.heard, worker.silent = now, False
         if code == COMPLETED:
             self._completed(now, send, note, took)
-        elif code not in (ports.CANCELLED, ports.NOT_SENT):
+        elif code not in (ports.CANCELLED, ports.NOT_SENT) and not (lost and code == ports.TIMED_OUT):
             self._failed(now, send, code, note)
         if over:
             self.left(now, act_id)
@@ -531,8 +534,13 @@
             self._parted(act)
         self._flow(fn, now)
 
+    def _released(self, send):
+        send.copy.busy, self.out_now = send.copy.busy - 1, self.out_now - 1
+        send.worker.loading -= send.cold
+
     def _completed(self, now, send, note, took):
         fn, copy, worker = send.act.fn, send.copy, send.worker
+        worker.latest = max(worker.latest, send.at)
         self.done.add(now)
         if worker.usable:
             copy = fn.copies.setdefault(worker.id, copy)
@@ -661,10 +669,21 @@
         if now - max(worker.heard, first.at) > max(6 * (fn.service or self.usual) + load, self.target):
             worker.silent = True
             for send in list(worker.out.values()):
-                act = send.act
-                if (self.acts.get(act.id) is act and act.out == 1 and not act.held
-                        and act.type.effect != ports.ONCE_ONLY and self._may_send(act, now)):
-                    self._hold(act, now, front=True)
+                self._again(send.act, now)
+            return
+        for key, send in list(worker.out.items()):       # overtaken by far: the answer is lost, the lane not
+            if send.at + self.target > worker.latest:
+                break
+            load = 3 * send.cold * (send.act.fn.load_time or self.target)
+            if send.at + 6 * self._need(send.act) + load < worker.latest:
+                worker.lost[key] = worker.out.pop(key)
+                self._released(send)
+                self._again(send.act, now)
+
+    def _again(self, act, now):
+        if (self.acts.get(act.id) is act and act.out == 1 and not act.held
+                and act.type.effect != ports.ONCE_ONLY and self._may_send(act, now)):
+            self._hold(act, now, front=True)
 
     def _tidy(self, now):
         keep = self.terms.orders.keep
@@ -679,4 +698,4 @@
                         self._order(fn, copy.worker, now)
             if not fn.copies and not fn.waits and not fn.recent and now - fn.called > keep:
                 del self.functions[fn.key]
-        self.workers = {w.id: w for w in self.workers.values() if w.usable or w.out}
+        self.workers = {w.id: w for w in self.workers.values() if w.usable or w.out or w.lost}
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -156,6 +156,34 @@
         d.say(f"{out} sends among the last 14 lines")
         d.end(self)
 
+    def lost(self, kept, effect):
+        """x1 goes to a worker that answers all but that one; what follows for it, and for its lane."""
+        d = Desk(kept, workers="a", effect=effect, self_loading=False, ration=(8, 1, 8000 * MS))
+        for fn in (1, 2):
+            d.come(f"w{fn}", fn=fn); d.answer(f"w{fn}", "a")
+        d.come("x1", fn=1); d.brain.listed(d.now, [worker("b")], False)
+        for i in range(30):
+            d.at(50 * i + 50); d.come(f"y{i}", fn=2)
+            if (f"y{i}", 0) in d.brain.workers["a"].out:
+                d.answer(f"y{i}", "a", took=50)
+            d.lines = [line for line in d.lines if " y" not in line]
+            if i == 12:
+                d.come("x2", fn=1, patience=4000)
+            if i == 20:
+                d.brain.stands(d.now, "b", 1, ports.COMPLETED, 1)
+        before = d.brain.slow
+        d.at(2900); d.answer("x1", "a", ports.TIMED_OUT, took=2900)
+        d.say(f"{d.brain.workers['a'].lost} lost there; fleet slower for it: {d.brain.slow > before}; "
+              f"{d.brain.out_now} out")
+        d.end(self)
+
+    def test_a_send_overtaken_by_far_gives_its_lane_back_and_is_sent_again(self):
+        """Found on churn+long (sockets): answers were lost on their way for ten seconds, and each kept its lane to the end."""
+        self.lost("lost_answer", ports.REPEATABLE)
+
+    def test_a_once_only_one_gives_its_lane_back_and_is_not_sent_again(self):
+        self.lost("lost_once_only", ports.ONCE_ONLY)
+
     def test_time_outs_bring_no_rest(self):
         """Found on i327267 (simulated servers): overload made time-outs, and rests took workers away from it."""
         d = Desk("no_rest", workers="a")
