Bodies and texts that announce too much end at once, told from the length

Seen: msgpack checks the length of a body or a text only once it is there, so a client that announced 2 GB was held up to the bound of a message (48 KB). links/rpc.Lengths reads what a message that is not whole yet announces, as its bytes come; messages that come whole never meet it.

--- a/petrelwood/links/rpc.py
+++ b/petrelwood/links/rpc.py
@@ -36,12 +36,52 @@
     return _pack([NOTICE, method, params])
 
 
+# Bytes that follow a code of MessagePack, and how many of them tell the length of a text (str) or a body (bin).
+_FOLLOW = {0xca: 4, 0xcb: 8, 0xcc: 1, 0xcd: 2, 0xce: 4, 0xcf: 8, 0xd0: 1, 0xd1: 2, 0xd2: 4, 0xd3: 8,
+           0xdc: 2, 0xdd: 4, 0xde: 2, 0xdf: 4}
+_TELL = {0xc4: 1, 0xc5: 2, 0xc6: 4, 0xd9: 1, 0xda: 2, 0xdb: 4}
+_EXTENSIONS = frozenset((0xc7, 0xc8, 0xc9, 0xd4, 0xd5, 0xd6, 0xd7, 0xd8))
+
+
+class Lengths:
+    """Reads what a message that is not whole yet announces, as its bytes come: msgpack itself tells a text or a body that is too
+    long only once it is there."""
+
+    def __init__(self, parts):
+        self.parts, self.skip, self.rest = parts, 0, b""
+
+    def feed(self, data):
+        """Raises `Garbage` at a length over the bounds."""
+        data, at = self.rest + data, 0
+        while True:
+            step = min(self.skip, len(data) - at)
+            at, self.skip = at + step, self.skip - step
+            if at == len(data):
+                self.rest = b""
+                return
+            code, tell = data[at], _TELL.get(data[at], 0)
+            if at + 1 + tell > len(data):
+                self.rest = data[at:]
+                return
+            if code in _EXTENSIONS:
+                raise Garbage("an extension type")
+            if 0xa0 <= code <= 0xbf:
+                self.skip = code & 0x1f
+            elif tell:
+                self.skip = int.from_bytes(data[at + 1:at + 1 + tell], "big")
+                if self.skip > (self.parts.body if code < 0xc7 else self.parts.text):
+                    raise Garbage(f"it announces {self.skip} bytes")
+            else:
+                self.skip = _FOLLOW.get(code, 0)
+            at += 1 + tell
+
+
 class Reader:
     """Bytes to messages. `most`: bytes of one message. `parts`: bounds on what a message may hold (`Parts`), so that one that is
     too large is told from the lengths that it announces, before it is here."""
 
     def __init__(self, most, parts=None):
-        self.fed, self.ended = 0, 0
+        self.fed, self.ended, self.parts, self.lengths = 0, 0, parts, None
         if parts is None:
             self.unpacker = msgpack.Unpacker(raw=False, max_buffer_size=most, strict_map_key=False)
         else:                                            # its buffer begins small: there may be hundreds of such peers
@@ -60,6 +100,12 @@
                 self.ended = self.unpacker.tell()        # which also counts what it has read of a message that is not whole
         except Exception as fault:            # msgpack raises many kinds for malformed input, ValueError among them
             raise Garbage(f"not MessagePack: {fault!r}") from None
+        if messages:
+            self.lengths = None
+        if self.parts is not None and not self.whole():
+            if self.lengths is None:                     # another one has begun
+                self.lengths = Lengths(self.parts)
+            self.lengths.feed(data[-(self.fed - self.ended):])
         for message in messages:
             if not _shape(message):
                 raise Garbage("not a MessagePack-RPC message")
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -37,9 +37,9 @@
             self.assertTrue(reader.whole())
 
     def test_what_is_too_large_ends_before_much_of_it_is_held(self):
-        """Members of arrays and maps are told from the length; bodies and texts end at the bound of a message."""
+        """All is told from the length that is announced."""
         head = msgpack.packb([0, 1, "plain", []])[:-1] + b"\x92\x80"
-        for bad, most in ((b"\xc6\x7f\xff\xff\xff", 60_000), (b"\xdb\x00\x10\x00\x00", 60_000), (b"\xc9\x00\x10\x00\x00\x01", 60_000),
+        for bad, most in ((b"\xc6\x7f\xff\xff\xff", 0), (b"\xdb\x00\x10\x00\x00", 0), (b"\xc9\x00\x10\x00\x00\x01", 0),
                           (b"\xdd\xff\xff\xff\xff", 0), (b"\xdf\xff\xff\xff\xff", 0), (b"\xc7\x01\x01\x01", 0)):
             with self.subTest(bad.hex()):
                 reader, fed = rpc.Reader(50_000, PARTS), 0
@@ -50,6 +50,29 @@
                         reader.feed(b"\x00" * 10_000)
                 self.assertLessEqual(fed, most)
 
+    def test_a_length_over_the_bound_is_told_wherever_the_bytes_are_cut(self):
+        head = rpc.request(1, "plain", [{"call": "a", "ttl": "1000"}, 7])[:-1]
+        for bad in (b"\xc6\x03\x93\x87\x00", b"\xc5\x40\x01", b"\xda\x04\x01", b"\xdb\x00\x00\x04\x01"):
+            frame = head + bad
+            for cut in range(1, len(frame)):
+                reader = rpc.Reader(50_000, PARTS)
+                self.assertEqual(reader.feed(frame[:cut]), [])
+                with self.assertRaises(rpc.Garbage, msg=f"{bad.hex()} cut at {cut}"):
+                    reader.feed(frame[cut:])
+
+    def test_what_fits_is_read_the_same_wherever_it_is_cut(self):
+        chance = random.Random(5)
+        values = (None, True, -1, 127, -(1 << 40), 1 << 63, 0.5, "", "x" * 31, "x" * 32, "x" * 300, "x" * 1024, b"", b"y" * 255,
+                  b"y" * 16_384, [], list(range(64)), {}, {str(n): n for n in range(64)})
+        for _ in range(400):
+            message = [0, chance.getrandbits(32), "plain", [chance.choice(values) for _ in range(chance.randrange(3))]]
+            frame, reader, found, last = msgpack.packb(message), rpc.Reader(80_000, PARTS), [], 0
+            twice = frame + frame
+            for cut in sorted(chance.randrange(len(twice)) for _ in range(4)) + [len(twice)]:
+                found += reader.feed(twice[last:cut])
+                last = cut
+            self.assertEqual(found, [message, message])
+
     def test_mutated_requests_end_in_messages_or_garbage(self):
         chance = random.Random(11)
         frame = rpc.request(7, "plain", [ask(), b"body"])
