--- a/Makefile
+++ b/Makefile
@@ -5,9 +5,10 @@
 setup: .venv/ready
 
 .venv/ready: requirements.txt requirements-test.txt pyproject.toml
-	test -x $(PY) || python3 -m venv .venv
+	test -f .venv/built || python3 -m venv --clear .venv
 	$(PY) -m pip -q install --disable-pip-version-check -r requirements.txt -r requirements-test.txt
 	$(PY) -m pip -q install --disable-pip-version-check --no-deps -e .
+	cp requirements.txt .venv/built
 	touch .venv/ready
 
 demo: .venv/ready
