A setting of an unknown shape is named and ends the start; customers need no quota

Cause: told.py took values as they came. A probe of each setting with a wrong value: `slo = "400"` became a text of 3,000 characters, `membershipMode = "gossip"` was push, `onMiss = "forward"` was load, `how = "whisper"` was none, `keyScope = "planet"` was cell, `maxAttempts = 0` sent nothing ever; an unknown effect was told as "lacks 'perhaps'". Where one customer had no quota the settings could not be read, and front.py turned away every customer without one as unknown (`terms.quotas` stood for the list of names).

Change: `told.Part` takes each value by its name and tells the way to one that does not fit; what nobody asks for is passed over, null is absent. The names of customers are kept apart from their quotas. `ports` gains what the settings tell and nobody read: how the target latency stretches with work, the action timeout, what a probe costs and what work beyond a share is worth; all have defaults.

Tests: 21 wrong settings by name, one start with exit status 2 and one line, settings with parts left out.

--- a/petrelwood/node/front.py
+++ b/petrelwood/node/front.py
@@ -68,14 +68,14 @@
     return lanes, int(load * MS)
 
 
-def asked(type_, fields, body, came, terms, timeouts):
-    """(ask, function, figures) of a `call`'s parameters. Raises `Wrong`."""
+def asked(type_, fields, body, came, customers, timeouts):
+    """(ask, function, figures) of a `call`'s parameters; `customers`: their names, none where the platform has none. Raises `Wrong`."""
     if not isinstance(fields, dict) or not isinstance(body, bytes):
         raise Wrong("a call has a map and a body")
     if not (TEXT.issuperset(map(type, fields)) and TEXT.issuperset(map(type, fields.values()))):
         raise Wrong("fields are strings")
     customer = fields.get("org", "")
-    if terms.quotas and customer not in terms.quotas:
+    if customers and customer not in customers:
         raise Wrong("no such tenant")
     timeout = timeouts[type_]
     mark = fields.get("dedupe", "")
@@ -208,7 +208,7 @@
         try:
             if len(params) != 2:
                 raise Wrong("a call has a map and a body")
-            ask, function, figures = asked(type_, *params, now, core.terms, core.gateway.timeouts)
+            ask, function, figures = asked(type_, *params, now, core.gateway.customers, core.gateway.timeouts)
             if core.is_open(ask.id):
                 raise Wrong("an id that is open")
         except Wrong as fault:
--- a/petrelwood/node/told.py
+++ b/petrelwood/node/told.py
@@ -3,39 +3,93 @@
 The settings are those of the simulator's first message, in microseconds; `drill.py` takes its terms from here too.
 """
 import json
+import math
 from typing import NamedTuple
 
 from petrelwood import ports
 from petrelwood.decide import membership as members
 
 US, MS = 1_000, 1_000_000       # nanoseconds in the settings' and in the protocol's unit of time
+CONNECT, ORDER = 250 * MS, 10_000 * MS         # where the settings say nothing of them
 REPORT = {"concurrent": "running", "depth": "waiting", "load_share": "cores", "x0": "pinned", "x1": "loads",
           "inflight": "running", "queue": "waiting", "util": "cores"}
 EFFECTS = {"repeatable": ports.REPEATABLE, "by_key": ports.DEDUPLICATED, "once": ports.ONCE_ONLY}
+SCOPES = ("all", "zone", "cell")
 STATES = {"Ready": members.USABLE, "Terminating": members.DRAINING, "Gone": members.GONE}
 NAME, LISTEN, FILE = "PROXY_NAME", "PROXY_LISTEN", "PROXY_CONFIG"
 
 
-def terms(o):
-    """`ports.Terms` of the settings."""
-    fam, g, p = o["familyInfo"], o["guarantees"], o["permissions"]
+class Bad(Exception):
+    """What the dispatcher was told can't be used; the text names what."""
+
+
+class Part:
+    """One object of what is told. Each value is taken by its name; one of an unknown shape is named with the way there. Null is
+    absent, and what nobody asks for is passed over."""
+
+    def __init__(self, raw, way):
+        if not isinstance(raw, dict):
+            raise Bad(f"{way} must be an object")
+        self.raw, self.way = raw, way
+
+    def _take(self, name, fits, shape, default):
+        value = self.raw.get(name)
+        if value is None:
+            if default is None:
+                raise Bad(f"{self.way} lacks '{name}'")
+            return default
+        if not fits(value):
+            raise Bad(f"{self.way}.{name} must be {shape}, not {value!r:.40}")
+        return value
+
+    def number(self, name, default=None, least=0):
+        return self._take(name, lambda v: isinstance(v, (int, float)) and not isinstance(v, bool) and math.isfinite(v)
+                          and v >= least, f"a number of {least} at least", default)
+
+    def time(self, name, default=None, least=0):
+        """ns of a value in microseconds."""
+        return int(self.number(name, default, least) * US)
+
+    def flag(self, name):
+        return self._take(name, lambda v: isinstance(v, bool), "true or false", False)
+
+    def text(self, name, default=None):
+        return self._take(name, lambda v: isinstance(v, str), "a text", default)
+
+    def word(self, name, known, default=None):
+        return self._take(name, lambda v: isinstance(v, str) and v in known, "one of " + ", ".join(known), default)
+
+    def part(self, name, default=None):
+        return Part(self._take(name, lambda v: isinstance(v, dict), "an object", default), f"{self.way}.{name}")
+
+    def each(self, name, default=None):
+        rows = self._take(name, lambda v: isinstance(v, list), "a list", default)
+        return [Part(row, f"{self.way}.{name}[{n}]") for n, row in enumerate(rows)]
+
+
+def terms(raw):
+    """`ports.Terms` of the settings. Raises `Bad`."""
+    o = Part(raw, "settings")
+    fam, g, p, fees = o.part("familyInfo"), o.part("guarantees"), o.part("permissions"), o.part("fees", {})
+    types = {c.text("name"): ports.NamespaceType(
+        c.time("slo", least=1), EFFECTS[c.word("effect", EFFECTS)], c.word("keyScope", SCOPES, "all"), c.time("window", 0),
+        c.number("aimStretch", 0), c.time("deadline", 0)) for c in o.each("classes")}
+    if not types:
+        raise Bad("settings.classes must hold one at least")
+    asks = o.word("membershipMode", ("push", "ask"), "push") == "ask"
     return ports.Terms(
-        zone=o.get("zone") or "", dispatchers=o["balancers"],
-        types={c["name"]: ports.NamespaceType(
-            c["slo"] * US, EFFECTS[c["effect"]], c.get("keyScope") or "all", (c.get("window") or 0) * US)
-            for c in o["classes"]},
-        quotas={t["name"]: t["quotaRps"] for t in o.get("tenants") or ()},
-        guarantees=ports.Guarantees(
-            (g.get("askWithin") or 0) * US, g["cold"] * US, g["startCapacity"],
-            g["fallMultiple"], g["fall"] * US),
+        zone=o.text("zone", ""), dispatchers=int(o.number("balancers", least=1)), types=types,
+        quotas={t.text("name"): t.number("quotaRps") for t in o.each("tenants", []) if t.raw.get("quotaRps") is not None},
+        guarantees=ports.Guarantees(g.time("askWithin", None if asks else 0), g.time("cold"), g.number("startCapacity"),
+                                    g.number("fallMultiple"), g.time("fall")),
         orders=ports.LoadOrders(
-            bool(fam.get("mayOrder")), fam.get("onMiss") != "miss", fam["keep"] * US,
-            fam.get("freeLoads") or 0.0, fam.get("loadPart") or 0.0, (fam.get("loadPeriod") or 0) * US),
+            fam.flag("mayOrder"), fam.word("onMiss", ("load", "miss"), "load") == "load", fam.time("keep"),
+            fam.number("freeLoads", 0), fam.number("loadPart", 0), fam.time("loadPeriod", 0)),
         allowed=ports.Allowed(
-            p["maxAttempts"], bool(p.get("secondCopies")), bool(p.get("cancelling")), bool(p.get("probes")),
-            bool(p.get("retryAfter")), (p.get("maxRetryAfter") or 0) * US),
-        asks=o.get("membershipMode") == "ask",
-        reports_by_probe=(o.get("loadInfo") or {}).get("how") == "pull", tick=o["tick"] * US)
+            int(p.number("maxAttempts", least=1)), p.flag("secondCopies"), p.flag("cancelling"), p.flag("probes"),
+            p.flag("retryAfter"), p.time("maxRetryAfter", 0)),
+        asks=asks, reports_by_probe=o.part("loadInfo", {}).word("how", ("piggyback", "pull", "silent"), "silent") == "pull",
+        tick=o.time("tick", least=1), probe_fee=fees.number("probe", 0), beyond=o.number("overShareWorth", 0))
 
 
 def report(gauge):
@@ -43,10 +97,6 @@
     return gauge and {REPORT[name]: value for name, value in gauge.items() if name in REPORT}
 
 
-class Bad(Exception):
-    """What the dispatcher was told can't be used; the text names what."""
-
-
 class WorkerTerms(NamedTuple):
     """ns, but for `streams`: sends that one connection may carry at a time."""
     connect_within: int
@@ -66,6 +116,7 @@
     sockets: int             # descriptors
     memory: int              # bytes
     timeouts: dict           # namespace type -> action timeout, ns
+    customers: frozenset     # their names, also of those without a quota
     workers: WorkerTerms
     terms: ports.Terms
     damps: bool = False
@@ -93,17 +144,21 @@
 
 
 def decode(raw):
-    """A `Told` of the file's object. Raises KeyError, TypeError, ValueError, AttributeError where it does not fit."""
-    settings, limits = raw["settings"], raw["limits"]
-    allowed, family = settings["permissions"], settings["familyInfo"]
-    connect = (allowed.get("connectTimeout") or 250_000) * US
+    """A `Told` of the file's object. Raises `Bad`, and KeyError, TypeError, ValueError, AttributeError where lists of workers or
+    addresses do not fit."""
+    file = Part(raw, "the file")
+    settings, limits = file.part("settings"), file.part("limits")
+    settings.way = "settings"
+    allowed, family = settings.part("permissions"), settings.part("familyInfo")
+    timeouts = {c.text("name"): c.time("deadline", least=1) for c in settings.each("classes")}
     return Told(
-        raw["name"], address(raw["listen"]), address(raw["names"]), int(raw["known"]["offset"]), _known(raw["known"]),
-        str(raw["seed"]), int(limits["sockets"]), int(limits["memory_mb"]) << 20,
-        {c["name"]: c["deadline"] * US for c in settings["classes"]},
-        WorkerTerms(connect, (allowed.get("connIdle") or 0) * US, max(1, int(allowed.get("multiplex") or 1)),
-                    (family.get("orderLimit") or 10_000_000) * US),
-        terms(settings))
+        file.text("name"), address(file.text("listen")), address(file.text("names")), int(file.part("known").number("offset")),
+        _known(raw["known"]), str(raw["seed"]), int(limits.number("sockets", least=1)),
+        int(limits.number("memory_mb", least=1)) << 20, timeouts,
+        frozenset(t.text("name") for t in settings.each("tenants", [])),
+        WorkerTerms(allowed.time("connectTimeout", 0) or CONNECT, allowed.time("connIdle", 0),
+                    max(1, int(allowed.number("multiplex", 1))), family.time("orderLimit", 0) or ORDER),
+        terms(settings.raw))
 
 
 def read(environ):
@@ -117,6 +172,8 @@
             told = decode(json.load(file))
     except OSError as fault:
         raise Bad(f"can't read {path}: {fault.strerror}") from None
+    except Bad as fault:
+        raise Bad(f"{path}: {fault}") from None
     except KeyError as fault:
         raise Bad(f"{path} lacks {fault}") from None
     except (ValueError, TypeError, AttributeError, IndexError) as fault:
--- a/petrelwood/ports.py
+++ b/petrelwood/ports.py
@@ -21,6 +21,8 @@
     effect: str            # REPEATABLE, DEDUPLICATED or ONCE_ONLY
     scope: str             # DEDUPLICATED: "all", "zone" or "cell", the group that drops repeats
     window: int            # DEDUPLICATED: how long it remembers them
+    stretch: float = 0.0   # the target latency grows by so many times the activation's own work,
+    timeout: int = 0       # up to the action timeout; 0: not told
 
 
 class Guarantees(NamedTuple):
@@ -61,6 +63,8 @@
     asks: bool             # the list of workers must be asked for
     reports_by_probe: bool
     tick: int
+    probe_fee: float = 0.0     # utility that one probe an activation costs, as a part of all
+    beyond: float = 0.0        # utility of an activation beyond its customer's share, as a part of the usual
 
 
 class Listed(NamedTuple):
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,8 +1,10 @@
 """The dispatcher on the platform's protocol: codecs without I/O, then `python -m petrelwood.node` among scripted peers on real sockets."""
 import asyncio
+import copy
 import json
 import os
 import random
+import re
 import signal
 import subprocess
 import sys
@@ -77,7 +79,7 @@
         chance = random.Random(11)
         frame = rpc.request(7, "plain", [ask(), b"body"])
         ended = {"whole": 0, "garbage": 0, "wrong": 0, "taken": 0}
-        terms, timeouts = told.terms(SETTINGS), {"plain": 2000 * MS}
+        customers, timeouts = frozenset(("acme",)), {"plain": 2000 * MS}
         for _ in range(4000):
             bad = bytearray(frame)
             for _ in range(chance.randrange(1, 4)):
@@ -91,26 +93,27 @@
             for message in messages:
                 if message[0] == rpc.REQUEST and len(message[3]) == 2:
                     try:
-                        front.asked("plain", *message[3], 0, terms, timeouts)
+                        front.asked("plain", *message[3], 0, customers, timeouts)
                         ended["taken"] += 1
                     except front.Wrong:
                         ended["wrong"] += 1
         self.assertTrue(all(ended.values()), ended)
 
     def test_requests_that_can_be_read_and_not_be_taken(self):
-        terms, timeouts = told.terms(SETTINGS), {"plain": 2000 * MS}
+        customers, timeouts = frozenset(("acme",)), {"plain": 2000 * MS}
         good = ask()
-        taken, fn, figures = front.asked("plain", good, b"x", 5, terms, timeouts)
+        taken, fn, figures = front.asked("plain", good, b"x", 5, customers, timeouts)
         self.assertEqual((taken.id, taken.came, taken.wait, fn), (good["call"], 5, 2000 * MS, good["row"]))
         self.assertEqual(figures, (4, 20 * MS, 5 * MS))
         for changes in ({"ttl": "-1"}, {"ttl": "nan"}, {"ttl": "1e9"}, {"ttl": "soon"}, {"org": "nobody"}, {"call": "xyz"},
                         {"call": ""}, {"row": "f" * 15}, {"work": "inf"}, {"work": "-2"}, {"facts": "lanes:0"},
                         {"facts": "lanes:four"}, {"facts": "load_ms:-1"}, {"dedupe": "short"}, {"ttl": 1500}):
             with self.subTest(changes), self.assertRaises(front.Wrong):
-                front.asked("plain", {**good, **changes}, b"x", 5, terms, timeouts)
+                front.asked("plain", {**good, **changes}, b"x", 5, customers, timeouts)
+        self.assertEqual(front.asked("plain", {**good, "org": "any"}, b"x", 5, frozenset(), timeouts)[0].customer, "any")
         for fields, body in ((good, "text"), ([], b"x"), (None, b"x")):
             with self.assertRaises(front.Wrong):
-                front.asked("plain", fields, body, 5, terms, timeouts)
+                front.asked("plain", fields, body, 5, customers, timeouts)
 
     def test_lines_out_and_back(self):
         said = json.loads(lines.run("0" * 16, "plain", "a" * 16, 300, "k" * 32, b"\x00\xff"))
@@ -246,6 +249,61 @@
                 self.assertIn(what, said)
         site.folder.cleanup()
 
+    def test_a_setting_of_an_unknown_shape_is_named_and_the_start_ends(self):
+        site = Site([])
+        site.address, site.roster.port = ("127.0.0.1", 1), 1
+        path = site.write()
+        good, before = site.environ(path), path.read_text()
+        names = {k: good[k] for k in ("PROXY_NAME", "PROXY_LISTEN", "PROXY_CONFIG")}
+        raw = json.loads(before)
+        raw["settings"]["classes"][1]["effect"] = "perhaps"
+        path.write_text(json.dumps(raw))
+        code, said = self.start(**names)
+        self.assertEqual((code, said.count("\n")), (2, 1), said)
+        self.assertIn("settings.classes[1].effect must be one of repeatable, by_key, once", said)
+        site.folder.cleanup()
+
+    def test_each_setting_is_held_to_its_shape(self):
+        """Read without a look at its shape a text times 1000 is a long text, and an unknown word is one of the known."""
+        def decoded(change):
+            raw = copy.deepcopy(SETTINGS)
+            change(raw)
+            return told.terms(raw)
+        for change, named in (
+                (lambda o: o["classes"][0].update(slo="400"), "settings.classes[0].slo"),
+                (lambda o: o["classes"][0].update(slo=0), "settings.classes[0].slo"),
+                (lambda o: o["classes"][2].update(keyScope="planet"), "settings.classes[2].keyScope"),
+                (lambda o: o["classes"][0].update(aimStretch=[2]), "settings.classes[0].aimStretch"),
+                (lambda o: o.update(classes=[]), "settings.classes"),
+                (lambda o: o.update(classes={"plain": {}}), "settings.classes"),
+                (lambda o: o.update(classes=["plain"]), "settings.classes[0]"),
+                (lambda o: o.update(membershipMode="gossip"), "settings.membershipMode"),
+                (lambda o: o.update(membershipMode="ask"), "'askWithin'"),
+                (lambda o: o.update(balancers=0), "settings.balancers"),
+                (lambda o: o.update(balancers=True), "settings.balancers"),
+                (lambda o: o.pop("familyInfo"), "'familyInfo'"),
+                (lambda o: o["familyInfo"].update(onMiss="forward"), "settings.familyInfo.onMiss"),
+                (lambda o: o["familyInfo"].update(keep=float("inf")), "settings.familyInfo.keep"),
+                (lambda o: o["familyInfo"].update(mayOrder="yes"), "settings.familyInfo.mayOrder"),
+                (lambda o: o["guarantees"].update(fall=-1), "settings.guarantees.fall"),
+                (lambda o: o["guarantees"].pop("cold"), "'cold'"),
+                (lambda o: o["permissions"].update(maxAttempts=0), "settings.permissions.maxAttempts"),
+                (lambda o: o["tenants"][0].update(quotaRps="many"), "settings.tenants[0].quotaRps"),
+                (lambda o: o["loadInfo"].update(how="whisper"), "settings.loadInfo.how"),
+                (lambda o: o.update(fees=0.1), "settings.fees")):
+            with self.subTest(named), self.assertRaisesRegex(told.Bad, re.escape(named)):
+                decoded(change)
+
+    def test_what_nobody_asks_for_and_what_is_left_out_is_passed_over(self):
+        raw = copy.deepcopy(SETTINGS)
+        raw.update(colour={"deep": ["blue"]}, tenants=[{"name": "acme", "share": 1.0}], loadInfo=None)
+        raw["classes"][0].update(mood=7, window=None, keyScope=None)
+        for name in ("freeLoads", "loadPart", "loadPeriod", "orderLimit"):
+            raw["familyInfo"].pop(name)
+        made = told.terms(raw)
+        self.assertEqual((made.quotas, made.reports_by_probe, made.orders.period), ({}, False, 0))
+        self.assertEqual(made.types["plain"], ports.NamespaceType(400 * MS, ports.REPEATABLE, "all", 0, 0, 2000 * MS))
+
     def test_run_imports_only_what_it_uses(self):
         said = subprocess.run([sys.executable, "-c", "import sys, petrelwood.node.__main__; print(*sys.modules)"],
                               cwd=ROOT, capture_output=True, text=True, check=True).stdout.split()
