Nine things taken for granted that settings need not say now follow the settings

Each was held against the wire's whole range of settings with the module alone (tests/test_decisions.py, `Granted`); on the module as it was: - the list was asked for each eighth of a target latency at best: with one of 60 s and an interval of 1 s the first call came after 1.2 s, when the instance counts as told (rule 3), and no other within 5 s; - where no loads may be ordered a function kept its first copy alone, however long its backlog; - a load of 30 s was forgotten after the 8 s that idle copies stay, its activation sent there as a guess and three more loads ordered; now one waits for it, and one more is ordered when the waiting one has become late; - a load time that nothing tells stayed 0; it is learnt from the first order that is answered; - with three workers and one dispatcher the third never got a copy (half of three is one, at least two): four or half of the workers now, as the design's own starting limit; - with one send an activation that send went out as a guess, at sites where a miss uses it up; - a report without `running` read as no load at all, one of loads alone as idle; - a cold time or a fall of 0 divided by zero for a worker that starts ahead of our clock, a keep of 0 always; - work beyond a share that earns as much as any was lesser work; a target latency that stretches with work did not.

--- a/petrelwood/brain.py
+++ b/petrelwood/brain.py
@@ -18,10 +18,11 @@
 
 SPREAD = 4               # copies of one function for each worker's worth of it, so that no worker lives by it
 RECENT = 64              # activations over which a function's part of all is counted
-LIMIT = 0.5              # most copies of one function placed from here: part of the listed workers
+LIMIT, FEW = 0.5, 4      # most copies of one function placed from here: part of the workers, or so many
 BACKLOG = 1.0            # held activations for each lane before a copy is added
 AT_ONCE = 1 / 8          # further copies that load at a time, for each worker of our part of the fleet
 LAG = 1 / 6              # how long the first must have been held before that, part of the target latency
+PROBES = 0.01            # of all utility: what a probe an activation is worth, dearer ones are rarer
 EARLY = 0.5              # of the ration on orders, what early loads may use
 SLACK = 1.3              # a customer's share here: so much more than an equal part, as dispatchers differ
 TIGHT = 1.5              # loads within it count as equal, so dispatchers agree; beyond it a copy is added
@@ -113,6 +114,7 @@
         self.id, self.fn, self.type, self.due, self.born, self.work = id_, fn, type_, due, born, work
         self.sends, self.out, self.held, self.beyond = [], 0, False, False   # beyond its customer's share
         self.bound, self.full = None, ()                 # first send, unless none may have run; who was full
+        self.target = min(type_.target_latency + int(type_.stretch * work), type_.timeout or LONG)
 
     def __lt__(self, other):                             # any order will do for what is due at one time
         return False
@@ -129,12 +131,15 @@
         self.terms, self.out, self.chance = terms, outlet, Random(seed).random
         self.workers, self.functions, self.acts, self.recent, self.waiting = {}, {}, {}, deque(), {}
         self.dispatchers, self.target = terms.dispatchers, min(t.target_latency for t in terms.types.values())
-        self.sweep = max(terms.tick, self.target // 50)
+        # Where the list must be asked for, looks keep up with that too: a target latency may be far longer.
+        self.look = min(self.target, terms.guarantees.ask_within) if terms.asks else self.target
+        self.sweep = max(terms.tick, self.look // 50)
         self.usual, self.mean, self.mean_report = self.target // 4, 1.0, None
         self.told = self.took = self.target / 8          # mean hint of cost, mean time taken
         self.done, period = Ring(terms.guarantees.cold), terms.orders.period or 1
         self.taken, self.loads = Ring(period), Ring(period)
-        self.buckets = {c: [1, now, SLACK / 1e9 / terms.dispatchers * q] for c, q in terms.quotas.items()}
+        self.buckets = {} if terms.beyond >= 1 else {
+            c: [1, now, SLACK / 1e9 / terms.dispatchers * q] for c, q in terms.quotas.items()}
         self.fleet, self.hashes, self.warm, self.owing, self.out_now, self.spreading = [], [], 1, {}, 0, []
         self.turned = 0.0                                # the part of what comes that is turned away at once
         self.cap, self.slow, self.pace, self.asked = Cap(), 0.0, 1.0, now - LONG
@@ -160,7 +165,7 @@
         self._flow_all(now)
 
     def list_lost(self, now):
-        self.asked = now - self.terms.guarantees.ask_within // 2 + int(self.chance() * self.target)
+        self.asked = now - self.terms.guarantees.ask_within // 2 + int(self.chance() * self.look)
 
     def _forget(self, worker):
         for fn in self.functions.values():
@@ -187,8 +192,9 @@
 
     def _probe(self, workers, now):
         """Asks those not heard of lately, where that is allowed; whether any is still to answer."""
-        for worker in workers:
-            if now - max(worker.asked, worker.read) > self.target // 2 and self.terms.allowed.probe:
+        dear = self.terms.probe_fee > PROBES and self.chance() * self.terms.probe_fee > PROBES
+        for worker in () if dear or not self.terms.allowed.probe else workers:
+            if now - max(worker.asked, worker.read) > self.target // 2:
                 worker.asked = now
                 self.out.probe(worker.id)
         return any(w.read < w.asked > now - self.sweep for w in workers)
@@ -288,7 +294,7 @@
             self._flow(fn, now, True)
 
     def _lesser(self, act, now):     # late, or beyond a share: flows after all fresh work
-        return act.beyond or now - act.born + self._need(act) > act.type.target_latency
+        return act.beyond or now - act.born + self._need(act) > act.target
 
     def _flow(self, fn, now, spare=False):
         """Sends to free lanes, gives up what is out of time, then adds copies, or rejects at the limit."""
@@ -298,7 +304,7 @@
             act = heappop(fn.ends)[1]
             if act.held and self.acts.get(act.id) is act:
                 self._check(act, now)
-        limit = max(2, int(LIMIT * len(self.fleet)))
+        limit = max(FEW, int(LIMIT * len(self.fleet)))
         while fn.waits and now >= fn.pause:
             known = [c for c in fn.copies.values()
                      if not c.worker.silent and now >= c.worker.rest and not self._jammed(c.worker)]
@@ -384,7 +390,7 @@
 
     def _load(self, worker, now):
         """Activations in hand: by report and pace against the fleet's, less the older they are."""
-        fresh, pace = max(0, 1 - (now - worker.read) / self.terms.orders.keep), worker.pace / self.pace
+        fresh, pace = max(0, 1 - (now - worker.read) / (self.terms.orders.keep or 1)), worker.pace / self.pace
         if self.mean_report and worker.report is not None:
             pace *= worker.report / self.mean_report
         return self.mean * (1 + (pace - 1) * fresh) + len(worker.out) - worker.out_then * fresh
@@ -397,7 +403,9 @@
         """One more copy, on the less loaded of the first two in hash order that hold none. What others need
         too begins anywhere among so many, our zone first: or all, each with a little, take the same."""
         o = self.terms.orders
-        guess = not fn.copies and (o.loads_on_send or now - fn.missed > o.keep)
+        missed = now - fn.missed <= o.keep or self.terms.allowed.sends < 2      # a miss uses up a send
+        guess = not fn.copies and (o.loads_on_send or not missed)
+        guess = guess or act is not None and o.loads_on_send and not o.allowed   # nothing else brings one
         if not guess and not self._may_order(now) or guess and self.cap.full(self.out_now):
             fn.pause = now + int(self.target * LAG)
             return False
@@ -409,7 +417,7 @@
         worker = two[-1 if TIGHT * self._load(two[-1], now) < self._load(two[0], now) else 0]
         copy = Copy(worker, now)
         if fn.copies:
-            self.spreading.append((copy, now + 2 * self.target))
+            self.spreading.append((copy, now + 2 * max(self.target, fn.load_time)))
         fn.copies[worker.id], fn.grown, copy.loading = copy, now, max(1, now) * (o.loads_on_send or not guess)
         if guess:                                        # another dispatcher's copy may stand there
             fn.drop(act)
@@ -455,7 +463,7 @@
         """Our part of what a cold worker bears, in each `fall` since its start: as much as we make a warm one
         do, or our part of one core. A part under one send is drawn, so that all together keep the budget."""
         g, age = self.terms.guarantees, now - worker.booted
-        if not worker.booted or age >= g.cold:
+        if not worker.booted or max(0, age) >= g.cold or not g.fall:
             return 1
         slot = max(0, age) // g.fall
         if slot != worker.slot:
@@ -491,17 +499,20 @@
 
     def _read(self, worker, report, now):
         if report:
-            load = report.get("running", 0) + report.get("waiting", 0) + report.get("loads", 0)
-            worker.report = report.get("cores", 0) + (load if "running" in report else 0)
             worker.out_then, worker.read = len(worker.out), now
-            self.mean_report = self.mean_report or worker.report
-            self.mean_report += (worker.report - self.mean_report) / 16
+            if report.keys() & {"running", "waiting"}:   # what is not told is not none
+                worker.report = sum(report.get(k, 0) for k in ("running", "waiting", "loads", "cores"))
+            elif "cores" in report:
+                worker.report = report["cores"]
+            if worker.report is not None:
+                self.mean_report = self.mean_report or worker.report
+                self.mean_report += (worker.report - self.mean_report) / 16
 
     def _need(self, act):                                # its usual time, by its own hint where there is one
         return int(act.work * self.took / self.told) if act.work else (act.fn.service or self.usual)
 
     def _late(self, act):                                # an answer that took so long is slow
-        return max(CROWDED * self._need(act), act.type.target_latency // 3)
+        return max(CROWDED * self._need(act), act.target // 3)
 
     def answer(self, now, act_id, n, worker_id, code, note, over, took, report):
         worker = self.workers.get(worker_id)
@@ -609,6 +620,7 @@
         copy = fn.copies.get(worker_id)
         if copies and worker.usable:
             copy = fn.copies.setdefault(worker_id, Copy(worker, now))
+            fn.load_time = fn.load_time or copy.loading and now - copy.loading       # where nothing tells it
             copy.loading, copy.seen = 0, now
         elif copy and copy.loading:
             fn.copies.pop(worker_id).loading = 0
@@ -644,7 +656,7 @@
 
     def _look(self, now):
         """What is due now and then, and must cost little on a large fleet."""
-        g, self.next_look = self.terms.guarantees, now + self.target // 8
+        g, self.next_look = self.terms.guarantees, now + self.look // 8
         self.mean += (self.out_now * self.dispatchers / max(1, len(self.fleet)) - self.mean) / 16
         self.warm = sum(not w.booted or now - w.booted >= g.cold for w in self.fleet)
         for worker in list(self.owing.values()):
@@ -689,7 +701,8 @@
         keep = self.terms.orders.keep
         for fn in list(self.functions.values()):
             for copy in list(fn.copies.values()):
-                if not copy.busy and now - max(copy.seen, copy.loading) > keep:
+                load = 3 * fn.load_time if copy.loading else 0    # it may take longer than idle ones stay
+                if not copy.busy and now - max(copy.seen, copy.loading) > max(keep, load):
                     del fn.copies[copy.worker.id]
                 elif (not copy.busy and not copy.loading and now - copy.seen > keep * 3 // 4
                       and now - fn.called < keep < now - copy.renewed):
--- a/tests/desk.py
+++ b/tests/desk.py
@@ -9,15 +9,16 @@
 MS = 1_000_000
 
 
-def terms(effect=ports.REPEATABLE, self_loading=True, ration=(0, 0, 0), dispatchers=2, probes=False):
+def terms(effect=ports.REPEATABLE, self_loading=True, ration=(0, 0, 0), dispatchers=2, probes=False, orders=True, sends=3,
+          target=1000, stretch=0, ask=0, keep=8000, cold=8000, fall=1000, fee=0.0, quotas=(), beyond=0.0):
     return ports.Terms(
         zone="north", dispatchers=dispatchers,
-        types={"plain": ports.NamespaceType(1000 * MS, effect, "zone", 1500 * MS)},
-        quotas={},
-        guarantees=ports.Guarantees(0, 8000 * MS, 0.25, 2.0, 1000 * MS),
-        orders=ports.LoadOrders(True, self_loading, 8000 * MS, *ration),
-        allowed=ports.Allowed(3, True, True, probes, True, 500 * MS),
-        asks=False, reports_by_probe=probes, tick=2 * MS)
+        types={"plain": ports.NamespaceType(target * MS, effect, "zone", 1500 * MS, stretch, 3 * target * MS)},
+        quotas=dict(quotas),
+        guarantees=ports.Guarantees(ask * MS, cold * MS, 0.25, 2.0, fall * MS),
+        orders=ports.LoadOrders(orders, self_loading, keep * MS, *ration),
+        allowed=ports.Allowed(sends, True, True, probes, True, 500 * MS),
+        asks=bool(ask), reports_by_probe=probes, tick=2 * MS, probe_fee=fee, beyond=beyond)
 
 
 def worker(name, zone="north", booted=0, usable=True):
@@ -52,6 +53,9 @@
         self.asked.append(worker)
         self.say(f"probe {worker}")
 
+    def subscribe(self):
+        self.say("ask for the list")
+
     def wake(self, mark, wait):
         self.wakes.append((self.now + wait, mark))
 
@@ -64,9 +68,9 @@
             self.brain.ring(self.now, mark)
         self.now = ms * MS
 
-    def come(self, *acts, fn=1, lanes=1, patience=3000):
+    def come(self, *acts, fn=1, lanes=1, patience=3000, customer="", work=0, load=300):
         for act in acts:
-            self.brain.activation(self.now, act, fn, "plain", "", self.now + patience * MS, lanes, 0, 300 * MS)
+            self.brain.activation(self.now, act, fn, "plain", customer, self.now + patience * MS, lanes, work * MS, load * MS)
 
     def answer(self, act, worker, code=ports.COMPLETED, n=0, took=100, note=1):
         self.say(f"       {act}#{n} on {worker}: {code}")
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -59,6 +59,98 @@
         d.end(self)
 
 
+class Granted(unittest.TestCase):
+    """What was taken for granted and the settings need not say: the table in docs/design.md."""
+
+    def test_where_no_loads_may_be_ordered_a_send_begins_the_further_copy(self):
+        d = Desk("no_orders", workers="abcdef", orders=False)
+        d.come("x1", "x2", "x3"); d.at(700)
+        d.end(self)
+
+    def test_the_list_is_asked_for_in_time_where_the_target_latency_is_far_longer(self):
+        """Rule 3: who has not asked for so long counts as told; a look an eighth of a minute came too late for it."""
+        d = Desk("asks_in_time", workers="ab", ask=1000, target=60_000)
+        d.at(3000); d.brain.list_lost(d.now); d.at(5000)
+        d.end(self)
+
+    def test_a_load_of_minutes_is_neither_forgotten_nor_followed_by_others(self):
+        d = Desk("long_load", workers="abcdef", self_loading=False, target=2000)
+        d.come("x1", patience=90_000, load=30_000)
+        worker = d.lines[0][-1]
+        d.answer("x1", worker, ports.MISSING, took=5); d.at(29_000)
+        d.brain.stands(d.now, next(iter(d.brain.functions[1].copies), worker), 1, ports.COMPLETED, 1)
+        d.at(29_500)
+        d.end(self)
+
+    def test_a_load_time_that_nothing_tells_is_learnt(self):
+        d = Desk("load_learnt", workers="ab", self_loading=False)
+        d.come("x1", load=0); d.answer("x1", d.lines[0][-1], ports.MISSING, took=5); d.at(700)
+        d.brain.stands(d.now, next(iter(d.brain.functions[1].copies)), 1, ports.COMPLETED, 1)
+        d.say(f"a load takes {d.brain.functions[1].load_time // MS}")
+        d.end(self)
+
+    def test_a_fleet_of_three_is_used_whole(self):
+        d = Desk("three_workers", workers="abc", dispatchers=1)
+        d.come("x1", "x2", "x3", "x4", "x5", "x6", patience=8000); d.at(200)
+        for ms in (400, 600, 800, 1000):
+            d.at(ms)
+            for copy in list(d.brain.functions[1].copies.values()):
+                if copy.loading:
+                    d.brain.stands(d.now, copy.worker.id, 1, ports.COMPLETED, 1)
+        d.say(f"copies on {sorted(d.brain.functions[1].copies)}")
+        d.end(self)
+
+    def test_where_one_send_is_all_it_is_not_spent_on_a_guess(self):
+        d = Desk("one_send", workers="abc", self_loading=False, sends=1)
+        d.come("x1"); d.at(300)
+        d.brain.stands(d.now, next(iter(d.brain.functions[1].copies)), 1, ports.COMPLETED, 1)
+        d.end(self)
+
+    def test_an_activation_s_own_target_latency_grows_with_its_work(self):
+        d = Desk("stretch", workers="a", stretch=4)
+        d.come("x1"); d.answer("x1", "a", took=100)
+        d.come("short", "heavy", work=100); act = d.brain.acts["short"]
+        d.say(f"a target latency of {act.target // MS}, late after {d.brain._late(act) // MS}")
+        d.come("huge", work=900, patience=60_000); d.say(f"a target latency of {d.brain.acts['huge'].target // MS}")
+        d.end(self)
+
+    def test_a_report_that_lacks_a_field_does_not_tell_none(self):
+        d = Desk("reports", workers="abc")
+        brain = d.brain
+        for name, report in (("a", {"waiting": 6}), ("b", {"loads": 3}), ("c", {"cores": 0.5})):
+            brain.probed(d.now, name, ports.COMPLETED, report)
+            d.say(f"{name}: {brain.workers[name].report}")
+        d.end(self)
+
+    def test_dear_probes_are_sent_more_rarely(self):
+        counts = {}
+        for fee in (0.0, 0.01, 0.08):
+            d = Desk("", workers="abcdef", probes=True, fee=fee)
+            for i in range(200):
+                d.at(1000 * i); d.come(f"x{i}"); d.at(1000 * i + 100)
+                sent = [line for line in d.lines if line.split()[1:3] == ["send", f"x{i}"]]
+                d.answer(f"x{i}", sent[0][-1])
+            counts[fee] = len(d.asked)
+        self.assertEqual(counts[0.01], counts[0.0])
+        self.assertLess(counts[0.08], counts[0.0] / 4)
+        self.assertGreater(counts[0.08], 0)
+
+    def test_work_beyond_a_share_that_earns_as_much_is_no_lesser_work(self):
+        for beyond, lesser in ((0.1, True), (1.0, False)):
+            d = Desk("", workers="a", quotas=(("acme", 1.0),), beyond=beyond)
+            d.come(*(f"x{i}" for i in range(9)), customer="acme")
+            self.assertEqual(d.brain.acts["x8"].beyond, lesser)
+
+    def test_times_of_zero_divide_nothing(self):
+        """A worker that starts ahead of our clock, where no time is cold, none counts for the fall and idle copies go at once."""
+        for changes in ({"cold": 0}, {"fall": 0}, {"keep": 0}):
+            with self.subTest(changes):
+                d = Desk("", workers=[worker("a", booted=0 if "keep" in changes else 500)], **changes)
+                d.come("x1", "x2", "x3"); d.at(400)
+                sends = [line for line in d.lines if " send " in line]
+                self.assertTrue(sends)
+
+
 class Rules(unittest.TestCase):
     def test_one_final_answer_and_nothing_after(self):
         d = Desk("one_answer", workers="a")
