The time of a request that has ended no longer cuts short another under its id

Fault: `Duty.overdue` and `next_due` looked for the id among what is open, not for the activation itself.

Change: the one that is open must be the very one. Test in tests/test_decide.py, fails without.

--- a/petrelwood/decide/duty.py
+++ b/petrelwood/decide/duty.py
@@ -101,8 +101,11 @@
             self.ledger.ended(act.key, outcome, body, act.sends > 0)
         return act
 
+    def _open(self, act):            # not another one that goes under the id of one that has ended
+        return self.acts.get(act.id) is act
+
     def next_due(self):
-        while self.ends and self.ends[0][2].id not in self.acts:
+        while self.ends and not self._open(self.ends[0][2]):
             heapq.heappop(self.ends)
         return self.ends[0][0] if self.ends else None
 
@@ -111,7 +114,7 @@
         found = []
         while self.ends and self.ends[0][0] <= now:
             act = heapq.heappop(self.ends)[2]
-            if act.id not in self.acts:
+            if not self._open(act):
                 continue
             if now >= act.due:
                 found.append((act, [], True))
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -11,6 +11,7 @@
 from petrelwood.decide.duty import Duty
 from petrelwood.decide.intake import Ask, Intake
 from petrelwood.decide.ledger import Ledger
+from petrelwood.decide.room import Direct, Room
 from petrelwood.settings.gateway import Limits, WorkerTerms
 
 from kept import compare
@@ -167,6 +168,18 @@
         b.say(f"counted twice: {b.duty.counts['twice']}")
         b.compare(self)
 
+    def test_an_id_that_comes_again_has_its_own_time(self):
+        """Found on join+mass (sockets): the time of a request that had ended cut short another under its id."""
+        duty = Duty(Direct(Room(256, 64 << 20), S), None, None)
+        for came in (0, 1):
+            ask = Ask("x", "m1", 0, "again", came * S, 2 * S, "")
+            duty.take(came * S, ("x", "m1"), ask, (2 + came) * S, "f", 1, b"", None)
+            if not came:
+                duty.end(S // 2, "m1", led.COMPLETED)
+        self.assertEqual(duty.overdue(2 * S), [])
+        self.assertEqual(duty.next_due(), 3 * S)
+        self.assertEqual([whole for _, _, whole in duty.overdue(3 * S)], [True])
+
     def test_a_joined_retry_with_less_patience_is_answered_apart(self):
         b = Book("apart")
         b.ask("m1", "once", 10); b.now = S // 2; b.ask("m1", "once", 11, wait=1)
