The module read once more: what a load is given is computed in one place

No decision changes. `_watch` computed three load times of a send twice: now `_loads`. `_cold_room` took the age of a worker twice, `_read` built a set for each report, and the guess in `_add_copy` was put together in two steps under a name that said the opposite.

--- a/petrelwood/brain.py
+++ b/petrelwood/brain.py
@@ -42,7 +42,7 @@
             self.counts[stale % (SLOTS + 1)] = 0
         self.slot = max(self.slot, slot)
 
-    def add(self, now, by=1):                            # `now` may lie back: what the ring has let go stays so
+    def add(self, now, by=1):                            # `now` may lie back, but not behind what is let go
         self._turn(now)
         if now // self.width + SLOTS >= self.slot:
             self.counts[now // self.width % (SLOTS + 1)] += by
@@ -409,9 +409,9 @@
         """One more copy, on the less loaded of the first two in hash order that hold none. What others need
         too begins anywhere among so many, our zone first: or all, each with a little, take the same."""
         o = self.terms.orders
-        missed = now - fn.missed <= o.keep or self.terms.allowed.sends < 2      # a miss uses up a send
-        guess = not fn.copies and (o.loads_on_send or not missed)
-        guess = guess or act is not None and o.loads_on_send and not o.allowed   # nothing else brings one
+        may_miss = now - fn.missed > o.keep and self.terms.allowed.sends > 1     # a miss uses up a send
+        guess = (not fn.copies and (o.loads_on_send or may_miss)
+                 or act is not None and o.loads_on_send and not o.allowed)       # nothing else brings one
         if not guess and not self._may_order(now) or guess and self.cap.full(self.out_now):
             fn.pause = now + int(self.target * LAG)
             return False
@@ -468,10 +468,10 @@
     def _cold_room(self, worker, now):
         """Our part of what a cold worker bears, in each `fall` since its start: as much as we make a warm one
         do, or our part of one core. A part under one send is drawn, so that all together keep the budget."""
-        g, age = self.terms.guarantees, now - worker.booted
-        if not worker.booted or max(0, age) >= g.cold or not g.fall:
+        g, age = self.terms.guarantees, max(0, now - worker.booted)
+        if not worker.booted or age >= g.cold or not g.fall:
             return 1
-        slot = max(0, age) // g.fall
+        slot = age // g.fall
         if slot != worker.slot:
             part = g.cold_from + (1 - g.cold_from) * slot * g.fall / g.cold
             rate = max(self.done.least(now) / max(1, self.warm) / g.cold, 1 / self.usual / self.dispatchers)
@@ -481,7 +481,7 @@
     def _send(self, act, copy, now):
         worker, send = copy.worker, Send(act, copy, now)
         act.sends.append(send)
-        if not send.n:           # a right to loads only now: floods taken back or turned away give none (rule 5)
+        if not send.n:                                   # only now: floods turned away give no right to loads
             self.taken.add(act.born)
         act.out, act.bound = act.out + 1, act.bound or send
         copy.busy, copy.seen = copy.busy + 1, now
@@ -508,7 +508,7 @@
     def _read(self, worker, report, now):
         if report:
             worker.out_then, worker.read = len(worker.out), now
-            if report.keys() & {"running", "waiting"}:   # what is not told is not none
+            if "running" in report or "waiting" in report:               # what is not told is not none
                 worker.report = sum(report.get(k, 0) for k in ("running", "waiting", "loads", "cores"))
             elif "cores" in report:
                 worker.report = report["cores"]
@@ -686,8 +686,8 @@
                 worker.rest = now + (self.target << worker.silences)
             return
         first = next(iter(worker.out.values()))
-        fn, load = first.act.fn, 3 * first.cold * (first.act.fn.load_time or self.target)
-        if now - max(worker.heard, first.at) > max(6 * (fn.service or self.usual) + load, self.target):
+        usual = 6 * (first.act.fn.service or self.usual) + self._loads(first)
+        if now - max(worker.heard, first.at) > max(usual, self.target):
             worker.silent = True
             for send in list(worker.out.values()):
                 self._again(send.act, now)
@@ -695,12 +695,14 @@
         for key, send in list(worker.out.items()):       # overtaken by far: the answer is lost, the lane not
             if send.at + self.target > worker.latest:
                 break
-            load = 3 * send.cold * (send.act.fn.load_time or self.target)
-            if send.at + 6 * self._need(send.act) + load < worker.latest:
+            if send.at + 6 * self._need(send.act) + self._loads(send) < worker.latest:
                 worker.lost[key] = worker.out.pop(key)
                 self._released(send)
                 self._again(send.act, now)
 
+    def _loads(self, send):                              # what a send that began a load is given for it
+        return 3 * send.cold * (send.act.fn.load_time or self.target)
+
     def _again(self, act, now):
         if (self.acts.get(act.id) is act and act.out == 1 and not act.held
                 and act.type.effect != ports.ONCE_ONLY and self._may_send(act, now)):
