One place makes the socket of an address; the deploy test starts through the site

The choice of a family stood in seven places (three links of the node, two of the dispatcher's, MQTT, the stand-ins' caller): links/sockets.py. The test of `run` started a process beside `Site.start` and removed the checkout's byte code to see whether it comes back; it now starts through `Site.start` with a folder of its own for byte code, assertions as they were.

--- a/petrelwood/fronts/mqtt.py
+++ b/petrelwood/fronts/mqtt.py
@@ -5,7 +5,6 @@
 `decide.delivery`; topics in `decide.reply`; whether it runs, in the intake that all fronts share.
 """
 import asyncio
-import socket
 import time
 from collections import OrderedDict, deque
 
@@ -17,6 +16,7 @@
 from petrelwood.decide import patience, reply
 from petrelwood.decide.comeback import Comeback
 from petrelwood.links import packets as mq
+from petrelwood.links import sockets
 
 SECOND = 1_000_000_000
 READ = 65_536
@@ -104,12 +104,11 @@
     async def _follow(self):
         terms, within = self.terms, self.terms.connect_within / 1e9
         host, port = terms.broker
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
         if terms.tls is not None:
-            self.stream = SSLIOStream(socket.socket(family), ssl_options=terms.tls.client())
+            self.stream = SSLIOStream(sockets.fresh(host), ssl_options=terms.tls.client())
             await asyncio.wait_for(self.stream.connect(terms.broker, server_hostname=terms.tls.server_name(host)), within)
         else:
-            self.stream = IOStream(socket.socket(family))
+            self.stream = IOStream(sockets.fresh(host))
             await asyncio.wait_for(self.stream.connect(terms.broker), within)
         self.stream.set_nodelay(True)
         self.aliases, reader = {}, mq.Reader(terms.most)
--- a/petrelwood/links/roster.py
+++ b/petrelwood/links/roster.py
@@ -5,7 +5,6 @@
 of the list is decided in `decide.membership`; 'told' counts from the moment the bytes are here.
 """
 import asyncio
-import socket
 import time
 
 import httptools
@@ -13,6 +12,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from petrelwood.decide import membership as members
+from petrelwood.links import sockets
 from petrelwood.links.sse import Events
 
 READ = 65_536
@@ -53,8 +53,7 @@
 
     async def _follow(self):
         host, port = self.address
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        self.stream, self.events = IOStream(socket.socket(family)), Events()
+        self.stream, self.events = IOStream(sockets.fresh(host)), Events()
         parser, resume = httptools.HttpResponseParser(self), self.membership.resume
         await asyncio.wait_for(self.stream.connect(self.address), self.within)
         await self.stream.write((
--- a/petrelwood/links/worker.py
+++ b/petrelwood/links/worker.py
@@ -10,12 +10,10 @@
 
 What is decided about a link is in `decide.linkstate`, what an end proves in `decide.fate`.
 """
-import socket
-
 from tornado.iostream import IOStream, SSLIOStream, StreamClosedError
 
 from petrelwood.decide import fate, linkstate
-from petrelwood.links import rpc
+from petrelwood.links import rpc, sockets
 from petrelwood.links.calls import Call, Calls
 
 BATCH = 65_536             # bytes handed to the socket at a time; the rest waits here and can be taken back
@@ -103,10 +101,9 @@
         self.state.connecting(now)
         host, port = self.address
         self.writing = False
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
         most = self.terms.frame + BATCH
-        self.stream = (IOStream(socket.socket(family), max_buffer_size=most) if self.tls is None else
-                       SSLIOStream(socket.socket(family), ssl_options=self.tls.client(), max_buffer_size=most))
+        self.stream = (IOStream(sockets.fresh(host), max_buffer_size=most) if self.tls is None else
+                       SSLIOStream(sockets.fresh(host), ssl_options=self.tls.client(), max_buffer_size=most))
         self.core.loop.create_task(self._serve(self.stream, (host, port)))
 
     async def _serve(self, stream, address):
--- a/petrelwood/node/front.py
+++ b/petrelwood/node/front.py
@@ -15,7 +15,7 @@
 from petrelwood.decide import intake as stage
 from petrelwood.decide import room as rm
 from petrelwood.decide.intake import Ask
-from petrelwood.links import rpc
+from petrelwood.links import rpc, sockets
 from petrelwood.node.stream import Stream
 from petrelwood.node.told import MS
 
@@ -241,7 +241,7 @@
 
     def open(self, address):
         """Raises OSError."""
-        self.sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
+        self.sock = sockets.fresh(address[0])
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.sock.setblocking(False)
         self.sock.bind(address)
--- a/petrelwood/node/roster.py
+++ b/petrelwood/node/roster.py
@@ -15,6 +15,7 @@
 import dns.rdatatype
 
 from petrelwood.decide import membership as members
+from petrelwood.links import sockets
 from petrelwood.node.told import MS
 
 NAME = dns.name.from_text("_api._tcp.svc.local")
@@ -84,7 +85,7 @@
 
     def open(self):
         self.close()
-        self.sock = socket.socket(socket.AF_INET6 if ":" in self.address[0] else socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock = sockets.fresh(self.address[0], socket.SOCK_DGRAM)
         self.sock.setblocking(False)
         self.sock.connect(self.address)                  # the kernel drops what comes from anyone else
         self.core.loop.add_reader(self.sock, self._read)
--- a/petrelwood/node/worker.py
+++ b/petrelwood/node/worker.py
@@ -3,12 +3,11 @@
 Queue, stages and ends are those of `links.calls`; which connection carries a call is decided in `decide.pool`. A connection that has
 once carried what can't be read is closed: what was handed to it may have run.
 """
-import socket
-
 from tornado.iostream import StreamBufferFullError, StreamClosedError
 
 from petrelwood import ports
 from petrelwood.decide import fate, pool, room
+from petrelwood.links import sockets
 from petrelwood.links.calls import Call, Calls
 from petrelwood.node import lines
 from petrelwood.node.stream import Stream
@@ -95,8 +94,7 @@
     # The connections.
     def _connect(self):
         host, port = self.address
-        stream = Stream(socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET),
-                        max_buffer_size=room.FRAME * 4, read_chunk_size=READ)
+        stream = Stream(sockets.fresh(host), max_buffer_size=room.FRAME * 4, read_chunk_size=READ)
         line = Line(stream, self.core.now())
         self.lines.append(line)
         self.connecting += 1
--- a/petrelwood/standins/caller.py
+++ b/petrelwood/standins/caller.py
@@ -1,10 +1,11 @@
 """An HTTP/1.1 client on IOStream that keeps its connections, for the portal and for measurements."""
 import asyncio
-import socket
 
 import httptools
 from tornado.iostream import IOStream, StreamClosedError
 
+from petrelwood.links import sockets
+
 
 class Reply:
     """One response; also what httptools calls back."""
@@ -37,7 +38,7 @@
         self.address, self.idle, self.most_idle, self.source = address, [], most_idle, source
 
     async def connect(self):
-        made = socket.socket(socket.AF_INET6 if ":" in self.address[0] else socket.AF_INET)
+        made = sockets.fresh(self.address[0])
         if self.source:                                  # an address of this machine that it comes from
             made.bind((self.source, 0))
         stream = IOStream(made)
--- a/tests/node_site.py
+++ b/tests/node_site.py
@@ -235,9 +235,9 @@
     def environ(self, path):
         return {**os.environ, "PROXY_NAME": "n0", "PROXY_LISTEN": "%s:%d" % self.address, "PROXY_CONFIG": str(path)}
 
-    async def start(self):
+    async def start(self, command=(sys.executable, "-m", "petrelwood.node"), **environ):
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "petrelwood.node", cwd=ROOT, env=self.environ(self.write()), stderr=asyncio.subprocess.PIPE)
+            *command, cwd=ROOT, env={**self.environ(self.write()), **environ}, stderr=asyncio.subprocess.PIPE)
         self.reading = asyncio.ensure_future(self._logs(self.process.stderr))
         await self.until(lambda: any('"listening"' in line for line in self.log))
 
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -1,5 +1,4 @@
 """What the operators' platform builds and starts by `deploy/balancer.toml`: a build that was cut short, one process, nothing written."""
-import asyncio
 import os
 import pathlib
 import subprocess
@@ -65,17 +64,10 @@
         async with Site([Worker("s-1")]) as site:
             await site.stop()
             site.log.clear()
-            for folder in ROOT.glob("petrelwood/**/__pycache__"):
-                for path in folder.iterdir():
-                    path.unlink(missing_ok=True)         # with no byte code at hand it would be written anew
             before, temporary = stamps(), pathlib.Path(site.folder.name) / "tmp"
             temporary.mkdir()
-            environ = {k: v for k, v in site.environ(site.write()).items() if not k.startswith("PYTHON")}
-            site.process = await asyncio.create_subprocess_exec(
-                "/bin/sh", "-c", DEPLOY["run"], cwd=ROOT, env={**environ, "TMPDIR": str(temporary)},
-                stderr=asyncio.subprocess.PIPE)
-            site.reading = asyncio.ensure_future(site._logs(site.process.stderr))
-            await site.until(lambda: any('"listening"' in line for line in site.log))
+            await site.start(("/bin/sh", "-c", DEPLOY["run"]), TMPDIR=str(temporary), PYTHONDONTWRITEBYTECODE="",
+                             PYTHONPYCACHEPREFIX=str(temporary))    # no byte code is at hand there: it would be written anew
             client = await site.client()
             self.assertEqual((await client.call(body=b"x"))[0], "completed")
             at = pathlib.Path(f"/proc/{site.process.pid}")
