Load orders are held to the ration when they leave; only what exists gives a right to them

Left are the two places where belief and fact part:

`Brain.loads` counts an order when it is decided, the rule when it has arrived. What gave the right to it may have left the window by then, and orders of several instants arrive together. `Brain.taken` counted whatever was sent first.

Change: a link asks at the hand-over whether the order may leave (`Brain.leaves`), which counts it as of then, and says when it never will (`stays`); orders that wait are overdue like those that are out. An activation gives its right a sixth of a target latency after it was sent for a function that some worker has run or said it lacks, unless it was taken back or given up till then. An order that never left is no failed load.

Tests: tests/test_ration.py plays core, module and links on a clock that jumps, with late, lost and refused connections, floods, give-ups, replaced workers, steep falls, 16 kinds of settings; it counts orders at the worker and activations as they were sent.

--- a/petrelwood/brain.py
+++ b/petrelwood/brain.py
@@ -92,7 +92,7 @@
         self.key, self.lanes, self.held, self.copies, self.called = key, 1, deque(), {}, 0
         self.late, self.ends, self.waits, self.grown = deque(), [], 0, -LONG
         self.service, self.load_time, self.pause, self.recent, self.missed = 0, 0, 0, 0, -LONG
-        self.hash, self.tight = crc32(f"{key}".encode()), False
+        self.hash, self.tight, self.real = crc32(f"{key}".encode()), False, False   # real: a worker knows it
 
     def first(self):                                     # of what waits: the one that waits longest
         for queue in (self.late, self.held):
@@ -115,6 +115,7 @@
         self.id, self.fn, self.type, self.due, self.born, self.work = id_, fn, type_, due, born, work
         self.sends, self.out, self.held, self.beyond = [], 0, False, False   # beyond its customer's share
         self.bound, self.full = None, ()                 # first send, unless none may have run; who was full
+        self.right = None                                # to load orders: False is not yet, True counted
         self.target = min(type_.target_latency + int(type_.stretch * work), type_.timeout or LONG)
 
     def __lt__(self, other):                             # any order will do for what is due at one time
@@ -138,7 +139,7 @@
         self.usual, self.mean, self.mean_report = self.target // 4, 1.0, None
         self.told = self.took = self.target / 8          # mean hint of cost, mean time taken
         self.done, period = Ring(terms.guarantees.cold), terms.orders.period or 1
-        self.taken, self.loads = Ring(period), Ring(period)
+        self.taken, self.loads, self.ripe = Ring(period), Ring(period), deque()
         self.buckets = {} if terms.beyond >= 1 else {
             c: [1, now, SLACK / 1e9 / terms.dispatchers * q] for c, q in terms.quotas.items()}
         self.fleet, self.hashes, self.warm, self.owing, self.out_now, self.spreading = [], [], 1, {}, 0, []
@@ -209,9 +210,10 @@
 
     def left(self, now, act_id):
         """Its client took it back: it gives no right to loads any more."""
-        if act_id in self.acts:
-            if self.acts[act_id].sends:
-                self.taken.add(self.acts[act_id].born, -1)
+        act = self.acts.get(act_id)
+        if act:
+            self.taken.add(act.born, -1 if act.right else 0)
+            act.right = None
             self._over(act_id)
 
     def _over(self, act_id):
@@ -239,6 +241,7 @@
         fn.drop(act)
         if act.out or self.acts.pop(act.id, None) is None:
             return
+        act.right = act.right or None                    # too soon to count
         if (not act.bound or type_.effect == ports.REPEATABLE
                 or type_.effect == ports.DEDUPLICATED and type_.scope == "all"):
             wait = (fn.service or self.usual) * (fn.waits + 1) // max(1, len(fn.copies) * fn.lanes)
@@ -481,8 +484,7 @@
     def _send(self, act, copy, now):
         worker, send = copy.worker, Send(act, copy, now)
         act.sends.append(send)
-        if not send.n:                                   # only now: floods turned away give no right to loads
-            self.taken.add(act.born)
+        self._ripen(now, act)
         act.out, act.bound = act.out + 1, act.bound or send
         copy.busy, copy.seen = copy.busy + 1, now
         worker.out[act.id, send.n] = send
@@ -490,10 +492,31 @@
         self.owing[worker.id], self.out_now = worker, self.out_now + 1
         self.out.send(act.id, worker.id, 0)
 
+    def _ripen(self, now, act=None):     # what was sent for what exists, and stayed, gives its right
+        if act and act.fn.real and act.right is None and self.acts.get(act.id) is act:
+            act.right = False
+            self.ripe.append((now + min(int(self.target * LAG), self.terms.orders.period // SLOTS), act))
+        while self.ripe and self.ripe[0][0] <= now:
+            act = self.ripe.popleft()[1]
+            if act.right is False:
+                act.right = True
+                self.taken.add(act.born)
+
     def _may_order(self, now, part=1.0):
+        self._ripen(now)
         o, most = self.terms.orders, self.loads.most(now)
         return o.allowed and (not o.period or most + 1 <= part * (o.free + o.part * self.taken.least(now)))
 
+    def leaves(self, now, given):
+        """Whether the ration bears that an order given at `given` leaves only now. Asked at any time."""
+        self.loads.add(given, -1)
+        may = self._may_order(now)
+        self.loads.add(now if may else given)
+        return may
+
+    def stays(self, now, given):                         # it never left; asked as `leaves` is
+        self.loads.add(given, -1)
+
     def resumed(self, now, orders):
         """An earlier life ordered so many loads in the last period: they count as of now."""
         for _ in range(orders):
@@ -535,6 +558,8 @@
         if code in NEVER_RAN:
             send.ran = False
             act.bound = act.bound if any(s.ran for s in act.sends) else None     # even if disproved
+        fn.real = fn.real or code in (COMPLETED, ports.MISSING)
+        self._ripen(now, act)
         self._read(worker, report, now)
         if code not in (ports.TIMED_OUT, ports.CANCELLED, ports.NOT_SENT):
             worker.heard, worker.silent = now, False
@@ -633,7 +658,7 @@
             copy.loading, copy.seen = 0, now
         elif copy and copy.loading:
             fn.copies.pop(worker_id).loading = 0
-            if code == ports.FULL:                       # its own loads wait already; no store has failed
+            if code in (ports.FULL, ports.NOT_SENT):     # its own loads wait, or it never left us
                 worker.packed, fn.pause = now + self.target // 2, now + int(self.target * LAG)
             else:
                 self._load_failed(fn, now)
--- a/petrelwood/dispatch/core.py
+++ b/petrelwood/dispatch/core.py
@@ -453,6 +453,7 @@
         link, rule = self.links.get(worker), self.rule(fn)
         if link is None or self.retired or not self.membership.usable(worker):
             self.counts["refused_by_guard"] += 1
+            self.stays(self.now())
             self.soon(self.held, worker, fn, ports.NOT_SENT, 0)
             return
         if self.state is not None:                       # before it goes out: it counts against the next life's ration
@@ -461,6 +462,15 @@
         self.counts["orders"] += 1
         link.hold(fn, rule.lanes, copies)
 
+    def leaves(self, given):
+        """A link: an order that was given at `given` (ns) is about to leave. Whether it may."""
+        return not hasattr(self.brain, "leaves") or self.brain.leaves(self.now(), given)
+
+    def stays(self, given):
+        """A link: it never will."""
+        if hasattr(self.brain, "stays"):
+            self.brain.stays(self.now(), given)
+
     def probe(self, worker):
         self.counts["probes"] += 1
         if worker in self.links:
--- a/petrelwood/links/calls.py
+++ b/petrelwood/links/calls.py
@@ -64,9 +64,18 @@
         self.counts["sent"] += 1
         return frame
 
+    def _may_leave(self, call):
+        """Whether the first that waits may still be handed over; what may not is ended. An order that has waited is held against
+        the ration as it is now: it counts when it arrives, not when it was given."""
+        if call.kind != "hold" or self.core.leaves(call.at):
+            return True
+        self.counts["recalled"] += 1
+        self._end(call, fate.of_recall(call.stage))
+        return False
+
     def _overdue_calls(self, now, within):
-        """Orders and probes that are out for longer: nothing tells their end but us."""
-        return [c for c in self.out.values() if c.kind != "run" and now - c.at > within]
+        """Orders and probes that wait or are out for longer: nothing tells their end but us."""
+        return [c for c in (*self.out.values(), *self.waiting) if c.kind != "run" and now - c.at > within]
 
     def _notice_end(self, call):
         """Tells the worker that a send need not be finished."""
@@ -78,6 +87,8 @@
                 self.waiting_bytes -= len(call.frame)
             except ValueError:
                 return
+            if call.kind == "hold":
+                self.core.stays(call.at)
         elif self.out.pop(call.tag, None) is None:
             return
         self._tell(call, code, note, body, gauge)
--- a/petrelwood/links/worker.py
+++ b/petrelwood/links/worker.py
@@ -68,9 +68,11 @@
         while self.waiting and not self.writing and self.state.state == linkstate.UP:
             size, chunk = 0, []
             while self.waiting and size < BATCH:
-                chunk.append(self._hand(self.waiting.popleft()))
-                size += len(chunk[-1])
-            self._write(b"".join(chunk))
+                if self._may_leave(self.waiting[0]):
+                    chunk.append(self._hand(self.waiting.popleft()))
+                    size += len(chunk[-1])
+            if chunk:
+                self._write(b"".join(chunk))
 
     def _write(self, data):
         try:
--- a/petrelwood/node/worker.py
+++ b/petrelwood/node/worker.py
@@ -62,7 +62,8 @@
             while self.waiting:
                 line = pool.pick(self.lines, self.waiting[0].act, self.terms.streams, self.core.may_open())
                 if line is not None:
-                    self._put(line, self.waiting.popleft())
+                    if self._may_leave(self.waiting[0]):
+                        self._put(line, self.waiting.popleft())
                 elif self.connecting < min(len(self.waiting), pool.CONNECTING) and self.core.makes_room():
                     self._connect()
                 elif not self.lines:                     # no descriptor is left, and nothing that could carry it
--- /dev/null
+++ b/tests/ration.py
@@ -0,0 +1,249 @@
+"""A judge of rule 5, with books of its own: what arrives at workers, held against what clients had sent by then.
+
+A written run of the dispatcher's core, module and links on `virtual`: connections that come up late, never or are refused, answers that
+are lost, workers that are replaced, loads that fail, clients that give up, floods that are taken back or that ask for what nobody
+has, and a load of work that falls off steeply. An order counts when it has arrived whole, an activation when its last byte was
+sent; what a bad client sends counts for nothing.
+"""
+import bisect
+import contextlib
+import copy
+import random
+from unittest import mock
+
+import virtual
+from node_site import SETTINGS
+from petrelwood.decide.intake import Ask
+from petrelwood.node import service, told, worker
+from petrelwood.node.front import Figures
+
+MS = virtual.MS
+
+
+class Log:
+    def info(self, event, **fields):
+        pass
+
+    warning = info
+
+    def error(self, event, **fields):
+        raise AssertionError(f"{event}: {fields}")
+
+
+class Case:
+    """What a run is like. Times in ms, rates a second."""
+
+    def __init__(self, seed, **changes):
+        self.seed, self.period, self.free, self.part, self.connect, self.rate, self.falls, self.seconds = (
+            seed, 10_000, 4, 0.2, 250, 40, 0.1, 30)
+        self.late, self.latest, self.never, self.refused, self.floods, self.strange, self.gives_up, self.lag, self.target = (
+            0.3, 1000, 0.05, 0.02, 0.2, 0.1, 0.1, 2, 400)
+        self.functions, self.workers, self.replaced, self.streams = 60, 8, 3, 32
+        vars(self).update(changes)
+
+    def settings(self):
+        raw = copy.deepcopy(SETTINGS)
+        raw["familyInfo"].update(freeLoads=self.free, loadPart=self.part, loadPeriod=self.period * 1000, keep=4_000_000)
+        raw["permissions"].update(connectTimeout=self.connect * 1000, multiplex=self.streams)
+        for type_ in raw["classes"]:
+            type_["slo"], type_["deadline"] = self.target * 1000, 4 * self.target * 1000
+        return raw
+
+
+class Exchange:
+    """`sent`: when its last byte was sent, s; `bad`: whether its client means no good."""
+
+    def __init__(self, world, bad):
+        self.world, self.act, self.ended, self.sent, self.bad = world, None, None, world.clock.loop.time(), bad
+
+    def answer(self, what, body=b"", retry_after=0, why="", act=None):
+        if self.ended is not None:
+            raise AssertionError("a second final answer")
+        self.ended = what
+        if self.bad and what == "completed":             # it was an activation like any other
+            bisect.insort(self.world.asked, self.sent)
+        self.world.ends[what] = self.world.ends.get(what, 0) + 1
+
+
+class Worker:
+    def __init__(self, world, name, port):
+        self.world, self.name, self.port, self.copies, self.killed = world, name, port, set(), set()
+
+    def joins(self, stream):
+        c, chance = self.world.case, self.world.chance
+        drawn = chance.random()
+        if drawn < c.never:
+            return None
+        if drawn < c.never + c.refused:
+            return OSError("refused")
+        if drawn < c.never + c.refused + c.late:
+            return chance.uniform(0, c.latest) / 1000
+        return 0.001
+
+    def transit(self):
+        return 0.0005
+
+    def line(self, stream, said):
+        chance, kind, tag, meta = self.world.chance, said["type"], said["req"], said.get("meta") or {}
+        if kind == "KILL":
+            self.killed.add(tag)
+        elif kind == "TOP":
+            stream.says({"type": "PONG", "req": tag, "meta": {"l": "inflight:1;queue:0"}})
+        elif kind == "SPAWN":
+            self.world.ordered(self.name, meta["asset"])
+            good = meta["asset"] in self.world.real and chance.random() > 0.05
+            self.world.later(chance.uniform(0.05, 0.6), self.loaded, stream, tag, meta["asset"], good)
+        elif meta["asset"] not in self.world.real:
+            stream.says({"type": "FAULT", "req": tag, "meta": {}})
+        elif meta["asset"] not in self.copies:
+            stream.says({"type": "NONE", "req": tag, "meta": {}})
+        elif chance.random() > 0.02:                     # else its answer is lost
+            self.world.later(chance.expovariate(1 / 0.06), self.ran, stream, said)
+
+    def loaded(self, stream, tag, fn, good):
+        if good:
+            self.copies.add(fn)
+        stream.says({"type": "HIT" if good else "FAULT", "req": tag, "meta": {"pods": int(good)}})
+
+    def ran(self, stream, said):
+        if said["req"] not in self.killed:
+            stream.says({"type": "HIT", "req": said["req"], "meta": {"n": "warm"}, "data": said["data"]})
+
+
+class World:
+    def __init__(self, case):
+        self.case, self.chance, self.hosts, self.ends = case, random.Random(case.seed), {}, {}
+        self.asked, self.orders, self.number, self.serial, self.floods, self.made = [], [], 0, 0, 0, 0
+        self.real, self.worst = set(), None
+        self.names = [f"{n:016x}" for n in range(1, 1 + 3 * case.functions)]
+
+    async def run(self):
+        self.clock = virtual.Clock()
+        gateway = told.decode({
+            "name": "n0", "listen": "127.0.0.1:1", "names": "127.0.0.1:2", "known": {"offset": 0, "batch": []}, "seed": str(self.case.seed),
+            "limits": {"sockets": 512, "memory_mb": 64}, "settings": self.case.settings()})
+        self.node = service.Node(gateway, Log())
+        for _ in range(self.case.workers):
+            self.hire()
+        self.tell()
+        self.node._check()
+        end = self.case.seconds
+        for n in range(1, self.case.replaced + 1):
+            self.later(end * n / (self.case.replaced + 1), self.replace)
+        self.later(0.01, self.client)
+        if self.case.floods:
+            self.later(self.chance.expovariate(self.case.floods), self.flood)
+        done = self.clock.loop.create_future()
+        self.later(end, done.set_result, None)
+        await done
+        self.node.checks.cancel()
+        return self
+
+    def later(self, seconds, call, *args):
+        self.clock.loop.call_later(seconds, call, *args)
+
+    # The roster.
+    def hire(self):
+        self.made += 1
+        self.hosts[self.made] = Worker(self, f"w{self.made}", self.made)
+
+    def tell(self):
+        self.serial += 1
+        entries = [told.entry({"name": w.name, "address": f"h:{port}", "status": "Ready"}) for port, w in self.hosts.items()]
+        node = self.node
+        node.membership.alive(node.now())
+        node.listed(*node.membership.whole(f"dns-{self.serial}", entries, node.now(), node.clock.wall()), True)
+
+    def replace(self):
+        for port in list(self.hosts)[:self.case.workers * 6 // 10]:
+            del self.hosts[port]
+            self.hire()
+        self.tell()
+
+    def replace_all(self):
+        self.hosts.clear()
+        self.hire()
+        self.tell()
+
+    # Clients.
+    def rate(self):
+        """Heavy for a part of each period, then little: what gave the right to orders leaves the window at once."""
+        phase = self.clock.loop.time() % 13 / 13
+        return self.case.rate * (1 if phase < 0.25 else self.case.falls)
+
+    def client(self):
+        now, span = self.clock.loop.time(), int(1 + now_part(self.clock.loop.time(), self.case) * 2) * self.case.functions
+        strange = self.chance.random() < self.case.strange
+        fn = f"{self.chance.getrandbits(63) | 1 << 63:016x}" if strange else self.names[
+            int(span * self.chance.random() ** 2)]
+        if not strange:
+            self.real.add(fn)
+            self.asked.append(now)
+        exchange = self.ask_later(fn, strange, self.case.target * (1 if self.chance.random() < 0.2 else 3))
+        if self.chance.random() < self.case.gives_up:
+            self.later(self.chance.uniform(0, 0.3), self.leave, exchange)
+        self.later(self.chance.expovariate(self.rate()), self.client)
+
+    def ask_later(self, fn, bad, ttl, id_=None):
+        """Its last byte is sent now; the dispatcher reads it a little later."""
+        exchange = Exchange(self, bad)
+        self.number += 1
+        id_, lag = id_ or f"{self.number:016x}", self.case.lag / 1000
+        self.later(lag, self.read, exchange, id_, fn, ttl)
+        return exchange
+
+    def read(self, exchange, id_, fn, ttl):
+        if not self.node.is_open(id_):
+            self.node.ask(Ask("acme", id_, 0, "plain", self.clock.now(), ttl * MS, ""), fn, Figures(4, 200 * MS, 5 * MS), b"x", exchange)
+
+    def leave(self, exchange):
+        if exchange.ended is None and exchange.act is not None:
+            exchange.ended = "left"
+            self.node.left(exchange.act, exchange)
+
+    def flood(self):
+        """Hundreds at once, half of them under one id: for what nobody has, taken back at once, a little later or never, or for what
+        somebody has, taken back."""
+        self.floods += 1
+        size, fn = 200, f"{self.chance.getrandbits(63) | 1 << 63:016x}"
+        known = self.chance.random() < 0.3 and self.real
+        one, back = self.chance.random() < 0.5, self.chance.choice((0.0, 0.0, 0.02) if known else (0.0, 0.0, 0.02, None))
+        for n in range(size):
+            name = self.chance.choice(sorted(self.real)) if known else fn if one else f"{int(fn, 16) ^ n:016x}"
+            exchange = self.ask_later(name, True, 3 * self.case.target, f"{self.floods:08x}{0 if one else n:08x}")
+            if back is not None:
+                self.later(self.case.lag / 1000 + 0.0001 + back, self.leave, exchange)
+        self.later(self.chance.expovariate(self.case.floods), self.flood)
+
+    # The judge.
+    def ordered(self, worker_, fn):
+        now, c = self.clock.loop.time(), self.case
+        self.orders.append(now)
+        if not c.period:
+            return
+        since = now - c.period / 1000
+        orders = len(self.orders) - bisect.bisect_right(self.orders, since)
+        taken = bisect.bisect_right(self.asked, now) - bisect.bisect_right(self.asked, since)
+        over = orders - (c.free + c.part * taken)
+        if self.worst is None or over > self.worst[0]:
+            self.worst = (round(over, 3), orders, taken, round(now, 3))
+
+
+def now_part(now, case):
+    return min(1.0, now / case.seconds)
+
+
+def patches(world):
+    """What puts the dispatcher on the world's clock and among its workers."""
+    return (mock.patch.object(service, "LoopClock", virtual.Clock), mock.patch.object(worker.sockets, "fresh", lambda host: None),
+            mock.patch.object(worker, "Stream", lambda *_, **__: virtual.Stream(lambda address: world.hosts.get(address[1]))))
+
+
+def play(case):
+    """The `World` after the run; `worst`: (orders over the ration, orders, activations, s) where it was nearest or most broken."""
+    world = World(case)
+    with contextlib.ExitStack() as stack:
+        for patch in patches(world):
+            stack.enter_context(patch)
+        virtual.run(world.run())
+    return world
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -185,6 +185,67 @@
         d.say(f"{sum('order' in line for line in d.lines)} orders for {d.brain.taken.most(d.now)} activations")
         d.end(self)
 
+    def test_what_asks_for_functions_that_nobody_has_gives_no_right_to_loads(self):
+        """Each of these is sent at once, as another dispatcher's copy may stand there; a worker answers that it can't be used."""
+        d = Desk("strange", workers="abcdefghijklmnop", self_loading=False, ration=(2, 0.1, 10_000 * MS))
+        for i in range(60):
+            d.come(f"bad{i}", fn=1000 + i, patience=200)
+            sent = [line for line in d.lines if f" send bad{i} " in line]
+            if sent:
+                d.answer(f"bad{i}", sent[0][-1], ports.ERROR, took=2)
+        d.at(300)
+        d.say(f"{sum(' send bad' in line for line in d.lines)} of 60 were sent"); d.lines = d.lines[-1:]
+        for i in range(9):
+            d.at(300 * i + 300); d.come(f"x{i}", fn=i)
+            sent = [line for line in d.lines if f" send x{i} " in line]
+            if sent:
+                d.answer(f"x{i}", sent[0][-1], ports.MISSING, took=5)
+        d.at(3200)
+        d.say(f"{sum('order' in line for line in d.lines)} orders for {d.brain.taken.most(d.now)} activations")
+        d.end(self)
+
+    def test_who_is_taken_back_soon_gives_no_right_to_loads_though_a_worker_has_answered(self):
+        d = Desk("taken_back_soon", workers="abcdefghijklmnop", self_loading=False, ration=(2, 0.1, 10_000 * MS))
+        for i in range(30):
+            d.come(f"back{i}", fn=100 + i); d.come(f"stays{i}", fn=200 + i)
+            for act in (f"back{i}", f"stays{i}"):
+                sent = [line for line in d.lines if f" send {act} " in line]
+                if sent:
+                    d.answer(act, sent[0][-1], ports.MISSING, took=1)
+        d.at(20)
+        for i in range(30):
+            d.brain.left(d.now, f"back{i}")
+        d.say(f"{d.brain.taken.most(d.now)} activations count"); d.lines = d.lines[-1:]
+        d.at(200); d.come("last", fn=1)
+        d.lines = d.lines[:1]
+        d.say(f"{d.brain.taken.most(d.now)} activations count")
+        d.end(self)
+
+    def test_an_order_that_waited_is_counted_when_it_leaves(self):
+        d = Desk("leaves", workers="abcd", self_loading=False, ration=(0, 0.1, 1000 * MS))
+        d.brain.taken.add(0, 10)
+        d.say(f"may order: {d.brain._may_order(0)}"); d.brain.loads.add(0)
+        d.say(f"another: {d.brain._may_order(0)}")
+        d.at(500); d.say(f"it may leave: {d.brain.leaves(d.now, 0)}, another: {d.brain._may_order(d.now)}")
+        d.at(800); d.brain.taken.add(d.now, 10)
+        d.at(1400); d.say(f"another, with ten new ones: {d.brain._may_order(d.now)}")
+        d.at(1700); d.say(f"now that it has left the window: {d.brain._may_order(d.now)}"); d.brain.loads.add(d.now)
+        d.brain.stays(d.now, d.now); d.say(f"another, as that one never left: {d.brain._may_order(d.now)}"); d.brain.loads.add(d.now)
+        d.at(2600); d.say(f"it may leave with none taken: {d.brain.leaves(d.now, 1700 * MS)}")
+        d.end(self)
+
+    def test_an_order_that_never_left_is_no_failed_load(self):
+        """A failed load stops all further copies for two target latencies."""
+        d = Desk("not_left", workers="abcdefgh", self_loading=False, ration=(9, 1, 8000 * MS), target=400)
+        d.come("x1", patience=1500); d.answer("x1", d.lines[-1][-1], ports.MISSING, took=2)
+        for _ in range(3):
+            order = next((line for line in reversed(d.lines) if "order" in line), None)
+            if order is not None:
+                d.brain.stands(d.now, order[-1], 1, ports.NOT_SENT, 0)
+            d.at(d.now // MS + 100)
+        d.say(f"further copies may be ordered: {d.now >= d.brain.spread_after}")
+        d.end(self)
+
     def test_a_ring_takes_back_what_it_still_holds(self):
         ring = Ring(1200)
         ring.add(100); ring.add(900); ring.add(100, -1)
--- /dev/null
+++ b/tests/test_ration.py
@@ -0,0 +1,134 @@
+"""Rule 5, the ration of load orders, as the workers see it: see `ration` for the judge."""
+import contextlib
+import unittest
+from unittest import mock
+
+import ration
+import virtual
+from petrelwood import brain, ports
+from petrelwood.node import worker
+
+MS = virtual.MS
+CASES = {
+    "as the site that broke it has it": {},
+    "no ration": {"period": 0}, "nothing for activations": {"part": 0}, "nothing free": {"free": 0, "part": 0.5},
+    "many free": {"free": 50, "part": 0.01}, "a period under the time to connect": {"period": 500, "connect": 1500},
+    "a period near the target latency": {"period": 2000, "target": 1800}, "a long period": {"period": 40_000, "seconds": 50, "floods": 0.05},
+    "few connections": {"streams": 1, "never": 0.2}, "all connections late": {"late": 1.0, "workers": 100, "replaced": 20, "connect": 1500},
+    "late, and none made": {"late": 1.0, "connect": 50, "never": 0.2}, "half of it for what nobody has": {"strange": 0.5},
+    "floods": {"floods": 2.0, "seconds": 12}, "all give up": {"gives_up": 0.9}, "read late": {"lag": 150},
+    "hundreds of workers, replaced": {"workers": 300, "replaced": 5, "floods": 0.05, "rate": 80},
+}
+
+
+class Judged(unittest.TestCase):
+    def test_no_window_at_any_worker_has_more_orders_than_its_activations_bear(self):
+        for seed, (name, changes) in enumerate(CASES.items()):
+            with self.subTest(name):
+                world = ration.play(ration.Case(seed, **changes))
+                self.assertGreater(len(world.orders), 3)
+                self.assertGreater(world.ends["completed"], 0)
+                if world.case.period:
+                    self.assertLessEqual(world.worst[0], 1e-6, world.worst)
+                else:
+                    self.assertIsNone(world.worst)
+
+    def test_the_judge_sees_a_dispatcher_that_breaks_it(self):
+        def always(self, now, part=1.0):
+            return self.terms.orders.allowed
+
+        def at_once(self, now, act=None):                # what is sent gives a right, whatever it is
+            if act is not None and act.right is None:
+                act.right = True
+                self.taken.add(act.born)
+
+        for what, changes in (("_may_order", {"floods": 0}), ("_ripen", {"strange": 0.5}), ("_ripen", {"floods": 0.5})):
+            with self.subTest(what=what, **changes), mock.patch.object(brain.Brain, what, {"_may_order": always, "_ripen": at_once}[what]):
+                self.assertGreater(ration.play(ration.Case(1, **changes)).worst[0], 3)
+
+
+class Late(unittest.TestCase):
+    """Orders that have waited for their connection."""
+
+    def play(self, joins, script, **changes):
+        """Runs `script(world)` with one worker, whose connections come up after `joins` seconds."""
+        case = ration.Case(1, workers=1, floods=0, rate=1e-9, replaced=0, period=1000, free=0, part=0.1, connect=1500, seconds=6,
+                           late=0, never=0, refused=0, **changes)
+        world = ration.World(case)
+        world.client = lambda: script(world)
+        with contextlib.ExitStack() as stack:
+            for patch in ration.patches(world):
+                stack.enter_context(patch)
+            stack.enter_context(mock.patch.object(ration.Worker, "joins", lambda _, stream: joins))
+            virtual.run(world.run())
+        return world
+
+    @staticmethod
+    def give(world, orders):
+        """What the module may order of so many, now."""
+        module = world.node.brain
+        given = 0
+        for n in range(orders):
+            fn = module.functions.setdefault(f"{n:016x}", brain.Function(f"{n:016x}"))
+            given += bool(module._order(fn, module.fleet[0], world.node.now()))
+        return given
+
+    def test_an_order_whose_right_has_gone_while_it_waited_does_not_leave(self):
+        """Forty activations bear four orders; the connection is up when their window has passed."""
+        given = []
+
+        def script(world):
+            world.node.brain.taken.add(world.node.now(), 40)
+            world.later(0.5, lambda: given.append(self.give(world, 9)))
+            world.later(2.0, lambda: given.append(self.give(world, 9)))
+            world.later(2.0, world.node.brain.taken.add, world.node.now() + 2000 * MS, 20)
+            world.later(2.1, lambda: given.append(self.give(world, 9)))
+        world = self.play(0.9, script)
+        self.assertEqual(given, [4, 0, 2])
+        self.assertEqual(len(world.orders), 2)           # those of 2.1 s, on the connection that is up by then
+
+    def test_an_order_counts_from_when_it_left(self):
+        """Given at 0.1 s, gone at 0.6 s: at 1.3 s the window still has it."""
+        given = []
+
+        def script(world):
+            world.node.brain.taken.add(world.node.now(), 40)
+            world.later(0.1, lambda: given.append(self.give(world, 9)))
+            world.later(1.2, lambda: world.node.brain.taken.add(world.node.now(), 40))
+            world.later(1.3, lambda: given.append(self.give(world, 9)))
+            world.later(1.9, lambda: given.append(self.give(world, 9)))
+        world = self.play(0.5, script)
+        self.assertEqual(given, [4, 0, 4])
+        self.assertEqual(len(world.orders), 8)
+
+    def test_an_order_that_never_left_does_not_count(self):
+        """Its worker drains while it waits for a connection that is never made."""
+        given = []
+
+        def script(world):
+            world.node.brain.taken.add(world.node.now(), 40)
+            world.later(0.1, lambda: given.append(self.give(world, 9)))
+            world.later(0.2, world.replace_all)
+            world.later(0.3, lambda: given.append(self.give(world, 9)))
+        world = self.play(None, script)
+        self.assertEqual((given, world.orders), ([4, 4], []))
+
+    def test_an_order_waits_no_longer_than_for_its_answer(self):
+        """The only connection is taken by a send that is never answered, and no other may be opened."""
+        ends = []
+
+        def script(world):
+            node = world.node
+            node.room.workers = 1
+            node.brain.taken.add(node.now(), 200)
+            self.give(world, 1)
+            node.held = lambda worker_, fn, code, copies: ends.append((round(node.now() / 1e9), code))
+            world.later(0.3, lambda: self.give(world, 2))
+            world.later(0.4, lambda: self.give(world, 1))
+        with mock.patch.object(ration.Worker, "line", lambda *_: None), mock.patch.object(worker.NodeLink, "_doubt", lambda *_: None):
+            self.play(0.1, script, streams=2)
+        self.assertEqual(sorted(ends), [(2, ports.NOT_SENT), (2, ports.NOT_SENT), (2, ports.TIMED_OUT), (2, ports.TIMED_OUT)])
+
+
+if __name__ == "__main__":
+    unittest.main()
