Fleets of another size: a thousand workers at start, the longest DNS list, a release of hundreds

Gone through on the route of `run`: `known`, the roster's answers, lists of workers, links and their queues, the line `standing`, work per event.

Change: `standing` counts copies once for all workers, and tells of those only that have something of ours or are thought ill.

--- a/petrelwood/emulate/link.py
+++ b/petrelwood/emulate/link.py
@@ -131,7 +131,11 @@
         self.life = self.node.life
         self.node.links.append(self)
         while self.waiting:
-            self._hand(self.waiting.popleft())
+            call = self.waiting[0]
+            if call.kind == "hold" and not self.core.leaves(call.at):
+                self._end(call, fate.of_recall(call.stage))
+            else:
+                self._hand(self.waiting.popleft())
 
     def _hand(self, call):
         call.stage = fate.HANDED
@@ -227,6 +231,8 @@
     def _end(self, call, code, note=0, body=b"", gauge=None):
         if call.stage == fate.WAITING:
             self.waiting.remove(call)
+            if call.kind == "hold":
+                self.core.stays(call.at)
         elif self.out.pop(id(call), None) is None:
             return
         self._tell(call, code, note, body, gauge)
--- a/petrelwood/node/service.py
+++ b/petrelwood/node/service.py
@@ -139,8 +139,12 @@
         self.log.info("closed", **self.figures())
 
     def standing(self):
-        """What is believed of load and health, by worker: sends out, connections, what the module makes of it."""
-        brain, counts = self.brain, self.duty.counts
+        """What is believed of load and health, by worker: sends out, connections, what the module makes of it. Of hundreds of
+        workers only those that have something of ours, or are thought ill."""
+        brain, counts, copies = self.brain, self.duty.counts, {}
+        for fn in brain.functions.values():
+            for worker in fn.copies:
+                copies[worker] = copies.get(worker, 0) + 1
         ends = {worker: link.ends for worker, link in self.links.items() if link.ends}
         for link in self.links.values():
             link.ends = {}
@@ -148,9 +152,10 @@
                 "aborted": counts[led.ABORTED], "held": self.intake.held, "out": brain.out_now, "slow": round(brain.slow, 2),
                 "turned": round(brain.turned, 2), "cap": brain.cap.most and round(brain.cap.most, 1),
                 "functions": len(brain.functions), "clients": len(self.front.clients),
-                "ends": ends, "workers": {w.id: [len(w.out), round(w.pace, 2), w.cap.most and round(w.cap.most, 1), int(w.silent),
-                                   len(self.links[w.id].lines) if w.id in self.links else 0,
-                                   sum(w.id in f.copies for f in brain.functions.values())] for w in brain.fleet}}
+                "listed": len(brain.fleet), "ends": ends, "workers": {
+                    w.id: [len(w.out), round(w.pace, 2), w.cap.most and round(w.cap.most, 1), int(w.silent), lines, copies.get(w.id, 0)]
+                    for w in brain.fleet for lines in [len(self.links[w.id].lines) if w.id in self.links else 0]
+                    if lines or w.out or w.silent or w.cap.most or w.id in copies}}
 
     def _cut(self, act_id):
         if act_id in self.duty.acts:
--- a/tests/ration.py
+++ b/tests/ration.py
@@ -18,6 +18,7 @@
 from petrelwood.node.front import Figures
 
 MS = virtual.MS
+GRACE = 2.0                # s, as `node_site.SETTINGS` tells it
 
 
 class Log:
@@ -67,7 +68,7 @@
 
 class Worker:
     def __init__(self, world, name, port):
-        self.world, self.name, self.port, self.copies, self.killed = world, name, port, set(), set()
+        self.world, self.name, self.port, self.copies, self.killed, self.gone = world, name, port, set(), set(), None
 
     def joins(self, stream):
         c, chance = self.world.case, self.world.chance
@@ -85,6 +86,8 @@
 
     def line(self, stream, said):
         chance, kind, tag, meta = self.world.chance, said["type"], said["req"], said.get("meta") or {}
+        if kind in ("FN", "SPAWN") and self.gone is not None and self.world.clock.loop.time() > self.gone + GRACE:
+            self.world.after_grace.append((self.name, kind, tag))
         if kind == "KILL":
             self.killed.add(tag)
         elif kind == "TOP":
@@ -114,7 +117,7 @@
     def __init__(self, case):
         self.case, self.chance, self.hosts, self.ends = case, random.Random(case.seed), {}, {}
         self.asked, self.orders, self.number, self.serial, self.floods, self.made = [], [], 0, 0, 0, 0
-        self.real, self.worst = set(), None
+        self.real, self.worst, self.after_grace, self.at_second = set(), None, [], None
         self.names = [f"{n:016x}" for n in range(1, 1 + 3 * case.functions)]
 
     async def run(self):
@@ -130,6 +133,8 @@
         end = self.case.seconds
         for n in range(1, self.case.replaced + 1):
             self.later(end * n / (self.case.replaced + 1), self.replace)
+        if self.at_second is not None:
+            self.later(*self.at_second)
         self.later(0.01, self.client)
         if self.case.floods:
             self.later(self.chance.expovariate(self.case.floods), self.flood)
@@ -149,21 +154,29 @@
 
     def tell(self):
         self.serial += 1
-        entries = [told.entry({"name": w.name, "address": f"h:{port}", "status": "Ready"}) for port, w in self.hosts.items()]
+        entries = [told.entry({"name": w.name, "address": f"h:{port}", "status": "Ready"}) for port, w in self.hosts.items()
+                   if w.gone is None]
         node = self.node
         node.membership.alive(node.now())
         node.listed(*node.membership.whole(f"dns-{self.serial}", entries, node.now(), node.clock.wall()), True)
 
-    def replace(self):
-        for port in list(self.hosts)[:self.case.workers * 6 // 10]:
-            del self.hosts[port]
+    def replace(self, part=0.6):
+        """The oldest are told to be gone, and live on for a while; as many new ones are told with that."""
+        for port in [port for port, host in self.hosts.items() if host.gone is None][:int(self.case.workers * part)]:
+            self.hosts[port].gone = self.clock.loop.time()
             self.hire()
         self.tell()
 
+    def steps(self, steps, since, until):
+        """Six in ten are replaced, in so many steps between two times (s)."""
+        def step():
+            self.replace(0.6 / steps)
+            if self.clock.loop.time() < until:
+                self.later((until - since) / steps, step)
+        self.at_second = (since, step)
+
     def replace_all(self):
-        self.hosts.clear()
-        self.hire()
-        self.tell()
+        self.replace(1)
 
     # Clients.
     def rate(self):
@@ -241,7 +254,11 @@
 
 def play(case):
     """The `World` after the run; `worst`: (orders over the ration, orders, activations, s) where it was nearest or most broken."""
-    world = World(case)
+    return on(World(case))
+
+
+def on(world):
+    """Plays a world that was made before."""
     with contextlib.ExitStack() as stack:
         for patch in patches(world):
             stack.enter_context(patch)
