--- a/petrelwood/emulate/link.py
+++ b/petrelwood/emulate/link.py
@@ -231,8 +231,6 @@
     def _end(self, call, code, note=0, body=b"", gauge=None):
         if call.stage == fate.WAITING:
             self.waiting.remove(call)
-            if call.kind == "hold":
-                self.core.stays(call.at)
         elif self.out.pop(id(call), None) is None:
             return
         self._tell(call, code, note, body, gauge)
@@ -245,6 +243,8 @@
             self.runs.pop((call.act, call.n), None)
             core.soon(core.returned, call.act, call.n, self.worker, code, note, body, call.at, gauge)
         elif call.kind == "hold":
+            if call.stage == fate.WAITING:
+                core.stays(call.at)
             core.soon(core.held, self.worker, call.fn, code, note)
         else:
             core.soon(core.probed, self.worker, code, gauge)
--- a/petrelwood/links/calls.py
+++ b/petrelwood/links/calls.py
@@ -87,13 +87,13 @@
                 self.waiting_bytes -= len(call.frame)
             except ValueError:
                 return
-            if call.kind == "hold":
-                self.core.stays(call.at)
         elif self.out.pop(call.tag, None) is None:
             return
         self._tell(call, code, note, body, gauge)
 
     def _tell(self, call, code, note=0, body=b"", gauge=None):
+        if call.kind == "hold" and call.stage == fate.WAITING:
+            self.core.stays(call.at)
         call.stage = fate.ANSWERED
         if call.kind == "run":
             self.runs.pop((call.act, call.n), None)
--- a/tests/test_ration.py
+++ b/tests/test_ration.py
@@ -1,11 +1,14 @@
 """Rule 5, the ration of load orders, as the workers see it: see `ration` for the judge."""
 import contextlib
+import types
 import unittest
 from unittest import mock
 
 import ration
 import virtual
 from petrelwood import brain, ports
+from petrelwood.emulate import link as emulate_link
+from petrelwood.links import worker as links_worker
 from petrelwood.node import worker
 
 MS = virtual.MS
@@ -130,5 +133,78 @@
         self.assertEqual(sorted(ends), [(2, ports.NOT_SENT), (2, ports.NOT_SENT), (2, ports.TIMED_OUT), (2, ports.TIMED_OUT)])
 
 
+class Others(unittest.TestCase):
+    """The same at the links of the other fronts and of the emulator."""
+
+    class Core:
+        """What a link asks of the core, with a clock that is set; `asked` and `kept_back` are the times of the orders told."""
+        name, reconnects = "n0", None
+
+        def __init__(self, bears):
+            self.time, self.bears, self.asked, self.kept_back, self.ends = 0, bears, [], [], []
+            self.loop = types.SimpleNamespace(call_soon=lambda *_: None)
+
+        def now(self):
+            return self.time
+
+        def leaves(self, at):
+            self.asked.append(at)
+            return self.bears(at)
+
+        def stays(self, at):
+            self.kept_back.append(at)
+
+        def soon(self, call, *args):
+            call(*args)
+
+        def held(self, worker_, fn, code, copies):
+            self.ends.append((fn, code))
+
+        def active(self, link):
+            pass
+
+    TERMS = types.SimpleNamespace(connect_within=100, quiet=10**9, queue=1 << 20, frame=1 << 16, order_within=10**9)
+
+    def wait(self, link, core):
+        """Two orders, given at 0 and at 50, before the connection is up."""
+        link.hold("early", 1, 1)
+        core.time = 50
+        link.hold("late", 1, 1)
+        core.time = 90
+
+    def told(self, core):
+        self.assertEqual((core.asked, core.kept_back, core.ends), ([0, 50], [0], [("early", ports.NOT_SENT)]))
+
+    def test_the_link_of_the_webhook_dispatcher(self):
+        core, written = self.Core(lambda at: at > 0), []
+        link = links_worker.WorkerLink("w", ("h", 1), self.TERMS, lambda: 0.5, core, None)
+        link._connect = link.state.connecting
+        self.wait(link, core)
+        link.state.connected(90)
+        link.state.greeted(90, "w", 1)
+        link._write = written.append
+        link._flush()
+        self.told(core)
+        self.assertIn(b"late", written[0])
+        self.assertNotIn(b"early", written[0])
+
+    def test_the_emulators_link(self):
+        core, after = self.Core(lambda at: at > 0), []
+        platform = types.SimpleNamespace(after=lambda wait, call, *args: after.append(call), is_cut=lambda *_: False, way=lambda *_: 1)
+        node = types.SimpleNamespace(name="w", hall="a", machine=object(), silent=False, booted=1, life=1, links=[])
+        link = emulate_link.Link(platform, node, core, "a", self.TERMS, lambda: 0.5)
+        self.wait(link, core)
+        link._connected(link.attempt)
+        self.told(core)
+        self.assertEqual([call.fn for call in link.out.values()], ["late"])
+
+    def test_one_that_is_refused_at_once_never_left(self):
+        core = self.Core(lambda at: True)
+        link = links_worker.WorkerLink("w", ("h", 1), self.TERMS, lambda: 0.5, core, None)
+        link.state.wants = lambda now: "refuse"
+        link.hold("one", 1, 1)
+        self.assertEqual((core.kept_back, core.ends), ([0], [("one", ports.NO_CONNECTION)]))
+
+
 if __name__ == "__main__":
     unittest.main()
