--- a/tests/test_ration.py
+++ b/tests/test_ration.py
@@ -19,6 +19,7 @@
     "a period near the target latency": {"period": 2000, "target": 1800}, "a long period": {"period": 40_000, "seconds": 50, "floods": 0.05},
     "few connections": {"streams": 1, "never": 0.2}, "all connections late": {"late": 1.0, "workers": 100, "replaced": 20, "connect": 1500},
     "late, and none made": {"late": 1.0, "connect": 50, "never": 0.2}, "half of it for what nobody has": {"strange": 0.5},
+    "a fifth hang for longer than the period": {"hangs": 0.2, "workers": 40}, "a fifth hang for a while": {"hangs": 0.2, "hung": 3},
     "floods": {"floods": 2.0, "seconds": 12}, "all give up": {"gives_up": 0.9}, "read late": {"lag": 150},
     "hundreds of workers, replaced": {"workers": 300, "replaced": 5, "floods": 0.05, "rate": 80},
 }
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -105,6 +105,8 @@
 
     def says(self, answer):
         """The worker's line, on its way."""
+        if self.ended:
+            return
         self._later(self._hears, json.dumps(answer).encode() + b"\n")
 
     def _hears(self, data):
