The tests of the ration read once more: one way to play a world, one loop for nine misses

Two tests of decisions had the same nine calls that miss; `Late.play` set up the world's clock and streams a second time beside `ration.on`; `replace_all` was `replace(1)`. One piece each now, 15 lines fewer. Assertions and traces are as they were. test_decisions, test_ration and test_size pass.

--- a/tests/ration.py
+++ b/tests/ration.py
@@ -6,7 +6,6 @@
 sent; what a bad client sends counts for nothing.
 """
 import bisect
-import contextlib
 import copy
 import random
 from unittest import mock
@@ -189,9 +188,6 @@
             host.hung = now + self.case.hung
         self.later(self.case.hung + 1, self.hang)
 
-    def replace_all(self):
-        self.replace(1)
-
     # Clients.
     def rate(self):
         """Heavy for a part of each period, then little: what gave the right to orders leaves the window at once."""
@@ -260,12 +256,6 @@
     return min(1.0, now / case.seconds)
 
 
-def patches(world):
-    """What puts the dispatcher on the world's clock and among its workers."""
-    return (mock.patch.object(service, "LoopClock", virtual.Clock), mock.patch.object(worker.sockets, "fresh", lambda host: None),
-            mock.patch.object(worker, "Stream", lambda *_, **__: virtual.Stream(lambda address: world.hosts.get(address[1]))))
-
-
 def play(case):
     """The `World` after the run; `worst`: (orders over the ration, orders, activations, s) where it was nearest or most broken."""
     return on(World(case))
@@ -273,8 +263,7 @@
 
 def on(world):
     """Plays a world that was made before."""
-    with contextlib.ExitStack() as stack:
-        for patch in patches(world):
-            stack.enter_context(patch)
+    with mock.patch.object(service, "LoopClock", virtual.Clock), mock.patch.object(worker.sockets, "fresh", lambda host: None), \
+            mock.patch.object(worker, "Stream", lambda *_, **__: virtual.Stream(lambda address: world.hosts.get(address[1]))):
         virtual.run(world.run())
     return world
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -169,6 +169,15 @@
             d.come(f"y{i}"); d.at(i * 20)
         d.end(self)
 
+    @staticmethod
+    def nine_miss(d):
+        """Nine functions are called one after the other; each that is sent is missing, so that a load would be ordered."""
+        for i in range(9):
+            d.at(300 * i + 300); d.come(f"x{i}", fn=i)
+            sent = [line for line in d.lines if f" send x{i} " in line]
+            if sent:
+                d.answer(f"x{i}", sent[0][-1], ports.MISSING, took=5)
+
     def test_what_is_taken_back_gives_no_right_to_loads(self):
         """Found on join+mass (sockets): 200 calls that a bad client took back at once let 18 loads be ordered where 14 were due."""
         d = Desk("taken_back", workers="abcdefghijklmnop", self_loading=False, ration=(2, 0.1, 10_000 * MS))
@@ -177,11 +186,7 @@
             d.brain.left(d.now, f"flood{i}")
         d.at(200)
         d.say(f"30 were taken back, {sum('reject' in line for line in d.lines)} rejected"); d.lines = d.lines[-1:]
-        for i in range(9):
-            d.at(300 * i + 300); d.come(f"x{i}", fn=i)
-            sent = [line for line in d.lines if f" send x{i} " in line]
-            if sent:
-                d.answer(f"x{i}", sent[0][-1], ports.MISSING, took=5)
+        self.nine_miss(d)
         d.say(f"{sum('order' in line for line in d.lines)} orders for {d.brain.taken.most(d.now)} activations")
         d.end(self)
 
@@ -195,11 +200,7 @@
                 d.answer(f"bad{i}", sent[0][-1], ports.ERROR, took=2)
         d.at(300)
         d.say(f"{sum(' send bad' in line for line in d.lines)} of 60 were sent"); d.lines = d.lines[-1:]
-        for i in range(9):
-            d.at(300 * i + 300); d.come(f"x{i}", fn=i)
-            sent = [line for line in d.lines if f" send x{i} " in line]
-            if sent:
-                d.answer(f"x{i}", sent[0][-1], ports.MISSING, took=5)
+        self.nine_miss(d)
         d.at(3200)
         d.say(f"{sum('order' in line for line in d.lines)} orders for {d.brain.taken.most(d.now)} activations")
         d.end(self)
--- a/tests/test_ration.py
+++ b/tests/test_ration.py
@@ -1,5 +1,4 @@
 """Rule 5, the ration of load orders, as the workers see it: see `ration` for the judge."""
-import contextlib
 import types
 import unittest
 from unittest import mock
@@ -60,12 +59,8 @@
                            late=0, never=0, refused=0, **changes)
         world = ration.World(case)
         world.client = lambda: script(world)
-        with contextlib.ExitStack() as stack:
-            for patch in ration.patches(world):
-                stack.enter_context(patch)
-            stack.enter_context(mock.patch.object(ration.Worker, "joins", lambda _, stream: joins))
-            virtual.run(world.run())
-        return world
+        with mock.patch.object(ration.Worker, "joins", lambda _, stream: joins):
+            return ration.on(world)
 
     @staticmethod
     def give(world, orders):
@@ -112,7 +107,7 @@
         def script(world):
             world.node.brain.taken.add(world.node.now(), 40)
             world.later(0.1, lambda: given.append(self.give(world, 9)))
-            world.later(0.2, world.replace_all)
+            world.later(0.2, world.replace, 1)
             world.later(0.3, lambda: given.append(self.give(world, 9)))
         world = self.play(None, script)
         self.assertEqual((given, world.orders), ([4, 4], []))
