Rare moments: what clients leave never leaves us, the end loses nothing that has come, ids are one's own

Causes, each shown by a test of tests/test_crossings.py that fails on the text before: - A send that waited in a link for a connection needed leave to cancel (Brain._drop_sends) and went out after its client had left or its activation was answered. Core._withdraw takes it back at each end. - After the loop was held up, sends were decided before what had come meanwhile was read. Node.behind: nothing leaves for a worker until it is. - A connection was closed for rest, silence, half a request or room while its request lay unread. Client.unread. - A listener without descriptors was tried again at once, for ever. It rests until the next look. - An id whose earlier send was still out was taken again, and got the earlier answer. - A function's lanes as the last caller told them held for all its callers. Act.lanes. - A handed-over send of an ended activation had no end on a silent connection. Calls._expired. - The end was cut at 3.3 s whatever the longest action timeout, its listener closed over waiting connections, its clients over unread requests. - A configuration that was half written at SIGHUP was never read again.

--- a/petrelwood/brain.py
+++ b/petrelwood/brain.py
@@ -55,13 +55,12 @@
         return self.most(now) - self.counts[(self.slot + 1) % (SLOTS + 1)]
 
 
-class Worker:
+class Worker:                              # `lost`: sends without hope; `latest`: when its last answered left
     def __init__(self, entry, now):
-        self.id, self.hash, self.out = entry.worker, crc32(entry.worker.encode()), {}
+        self.id, self.hash, self.out, self.lost = entry.worker, crc32(entry.worker.encode()), {}, {}
         self.heard, self.cap, self.rest, self.silent, self.loading = now, Cap(), 0, False, 0
         self.report, self.out_then, self.read, self.asked = None, 0, now - LONG, now - LONG
-        self.pace, self.silences, self.slot, self.room, self.packed = 1.0, 0, -1, 0, 0
-        self.lost, self.latest = {}, 0                   # sends without hope; when the last answered one left
+        self.pace, self.silences, self.slot, self.room, self.packed, self.latest = 1.0, 0, -1, 0, 0, 0
         _, self.zone, self.cell, self.booted, self.usable = entry
 
 
@@ -111,11 +110,11 @@
 
 
 class Act:
-    def __init__(self, id_, fn, type_, due, born, work):
+    def __init__(self, id_, fn, type_, due, born, work, lanes):
         self.id, self.fn, self.type, self.due, self.born, self.work = id_, fn, type_, due, born, work
         self.sends, self.out, self.held, self.beyond = [], 0, False, False   # beyond its customer's share
         self.bound, self.full = None, ()                 # first send, unless none may have run; who was full
-        self.right = None                                # to load orders: False is not yet, True counted
+        self.right, self.lanes = None, lanes             # to load orders: False is not yet, True counted
         self.target = min(type_.target_latency + int(type_.stretch * work), type_.timeout or LONG)
 
     def __lt__(self, other):                             # any order will do for what is due at one time
@@ -179,7 +178,7 @@
         self.recent.append(fn)
         if len(self.recent) > RECENT:
             self.recent.popleft().recent -= 1
-        act = self.acts[act_id] = Act(act_id, fn, self.terms.types[type_name], due, now, work)
+        act = self.acts[act_id] = Act(act_id, fn, self.terms.types[type_name], due, now, work, lanes)
         act.beyond = self._beyond_share(customer, now)
         self._hold(act, now)
         # Overload: a part of what finds no free lane is told at once to come back. What would wait here and
@@ -210,12 +209,17 @@
 
     def left(self, now, act_id):
         """Its client took it back: it gives no right to loads any more."""
-        act = self.acts.get(act_id)
-        if act:
+        if act := self.acts.get(act_id):
             self.taken.add(act.born, -1 if act.right else 0)
             act.right = None
             self._over(act_id)
 
+    def cut(self, now, act_id):
+        """This dispatcher ends, and its time with it. The caller stops what is still out."""
+        if act := self.acts.get(act_id):
+            act.due = now
+            self._give_up(act, now)
+
     def _over(self, act_id):
         act = self.acts.pop(act_id)
         act.fn.drop(act)
@@ -388,7 +392,7 @@
             if not copy.busy and not copy.loading and now - copy.seen > self.terms.orders.keep:
                 del fn.copies[worker.id]
                 continue
-            if (copy.busy >= fn.lanes or now < copy.shut or not self._open(worker, now)
+            if (copy.busy >= act.lanes or now < copy.shut or not self._open(worker, now)
                     or copy.loading and not self.terms.orders.loads_on_send or not self._fits(act, worker)):
                 continue
             load = self._load(worker, now) + (worker.zone != self.terms.zone)
@@ -415,10 +419,8 @@
         may_miss = now - fn.missed > o.keep and self.terms.allowed.sends > 1     # a miss uses up a send
         guess = (not fn.copies and (o.loads_on_send or may_miss)
                  or act is not None and o.loads_on_send and not o.allowed)       # nothing else brings one
-        if not guess and not self._may_order(now) or guess and self.cap.full(self.out_now):
-            fn.pause = now + int(self.target * LAG)
-            return False
-        two = self._first_two(fn, act, now)
+        may = not self.cap.full(self.out_now) if guess else self._may_order(now)
+        two = self._first_two(fn, act, now) if may else ()
         if not two:
             fn.pause = now + int(self.target * LAG)
         if not two or self._probe(two, now):             # placed once they answer, or at the next sweep
@@ -519,8 +521,7 @@
 
     def resumed(self, now, orders):
         """An earlier life ordered so many loads in the last period: they count as of now."""
-        for _ in range(orders):
-            self.loads.add(now)
+        self.loads.add(now, orders)
 
     def _order(self, fn, worker, now):
         if worker.usable and self._may_order(now):
--- a/petrelwood/dispatch/core.py
+++ b/petrelwood/dispatch/core.py
@@ -34,7 +34,7 @@
 
 class Core:
     """One dispatcher. It is the module's `ports.Outlet`. `clock` as in `clocks`; `chance` a seeded `random.Random`;
-    `link(worker, address, core)` makes a link: `run`, `hold`, `probe`, `cancel`, `late`, `recall`, `owes`, `give_up`,
+    `link(worker, address, core)` makes a link: `run`, `hold`, `probe`, `cancel`, `late`, `withdraw`, `recall`, `owes`, `give_up`,
     which hear nothing but tells us `returned`, `held`, `probed` through `soon`."""
 
     slices = False             # whether forecasts are learnt a few functions at a time
@@ -297,15 +297,26 @@
 
     def _left(self, act_id, exchange):
         if self.duty.left(self.now(), act_id, exchange) == "end":
-            self._ended(self.duty.end(self.now(), act_id, led.LEFT), led.LEFT, None)
+            act = self.duty.end(self.now(), act_id, led.LEFT)
+            self._ended(act, led.LEFT, None)
+            self._withdraw(act)
             self.brain.left(self.now(), act_id)
 
+    def _withdraw(self, act):
+        """It has ended: a send of it that waits in a link for a connection never leaves. Against sends after the end, also where
+        nothing may be cancelled."""
+        for n in sorted(act.out):
+            link = self.links.get(self.flying.get((act.id, n)))
+            if link is not None:
+                link.withdraw(act.id, n)
+
     def _finish(self, act_id, outcome, body=None, retry_after=0, why=""):
         act = self.duty.end(self.now(), act_id, outcome, body)
         if act is None:
             self.log.error("a second final answer was held back", act=act_id, outcome=outcome)
             return
         self._ended(act, outcome, body)
+        self._withdraw(act)
         for exchange, _ in act.waiting:
             exchange.answer(outcome, body or b"", retry_after, why, act.id)
 
@@ -389,8 +400,8 @@
         for entry in entries:
             link, address = self.links.get(entry.worker), self.membership.address(entry.worker)
             if link is not None and address is not None and link.address != address:
+                link.address = address                   # first: what is lost makes room for new connections
                 link.give_up("the worker has moved")
-                link.address = address
             if link is None and entry.usable:
                 self.links[entry.worker] = self.make_link(entry.worker, address, self)
         self.brain.listed(self.now(), entries, whole)
@@ -445,9 +456,9 @@
         self._finish(act, led.ABORTED)
 
     def cancel(self, act, n):
-        worker = self.flying.get((act, n))
-        if worker is not None:
-            self.links[worker].cancel(act, n)
+        link = self.links.get(self.flying.get((act, n)))
+        if link is not None:
+            link.cancel(act, n)
 
     def hold(self, worker, fn, copies):
         link, rule = self.links.get(worker), self.rule(fn)
--- a/petrelwood/emulate/link.py
+++ b/petrelwood/emulate/link.py
@@ -86,6 +86,11 @@
             self._tell_worker(call)
             self._end(call, fate.of_time(call.stage))
 
+    def withdraw(self, act, n):
+        call = self.runs.get((act, n))
+        if call is not None and call.stage == fate.WAITING:
+            self._end(call, fate.of_recall(call.stage))
+
     def recall(self):
         for call in list(self.waiting):
             if call.kind != "probe":
--- a/petrelwood/links/calls.py
+++ b/petrelwood/links/calls.py
@@ -10,11 +10,11 @@
 
 class Call:
     """One send, order or probe. `tag` names it among those that are out; `line` is the connection that has it, where there are
-    several."""
-    __slots__ = ("kind", "act", "n", "fn", "at", "frame", "stage", "tag", "line")
+    several; `until` (ns) is when a send's time is up, whether its activation still lives or not."""
+    __slots__ = ("kind", "act", "n", "fn", "at", "frame", "stage", "tag", "line", "until")
 
-    def __init__(self, kind, act, n, fn, at, frame, tag):
-        self.kind, self.act, self.n, self.fn, self.at = kind, act, n, fn, at
+    def __init__(self, kind, act, n, fn, at, frame, tag, until=None):
+        self.kind, self.act, self.n, self.fn, self.at, self.until = kind, act, n, fn, at, until
         self.frame, self.stage, self.tag, self.line = frame, fate.WAITING, tag, None
 
 
@@ -41,6 +41,12 @@
                 self._notice_end(call)
             self._end(call, proof(call.stage))
 
+    def withdraw(self, act, n):
+        """Its activation has ended: what has not left yet never does. That needs nobody's leave, as a cancel does."""
+        call = self.runs.get((act, n))
+        if call is not None and call.stage == fate.WAITING:
+            self._end(call, fate.of_recall(call.stage))
+
     def recall(self):
         """The worker drains or is gone: what has not left yet is taken back."""
         for call in list(self.waiting):
@@ -77,6 +83,11 @@
         """Orders and probes that wait or are out for longer: nothing tells their end but us."""
         return [c for c in (*self.out.values(), *self.waiting) if c.kind != "run" and now - c.at > within]
 
+    def _expired(self, now):
+        """Sends whose time is up. Those of activations that have ended have no other end on a connection that says nothing: they
+        would keep their lane, their connection and their link."""
+        return [c for c in self.out.values() if c.until is not None and now > c.until]
+
     def _notice_end(self, call):
         """Tells the worker that a send need not be finished."""
 
--- a/petrelwood/links/worker.py
+++ b/petrelwood/links/worker.py
@@ -31,7 +31,7 @@
 
     # What the dispatcher asks.
     def run(self, act, n, fn, mark, left, lanes, body):
-        self._call("run", act, n, fn, [act, n, fn, mark, left, lanes, body])
+        self._call("run", act, n, fn, [act, n, fn, mark, left, lanes, body], self.core.now() + left)
 
     def hold(self, fn, lanes, copies):
         self._call("hold", None, copies, fn, [fn, lanes, copies])
@@ -39,10 +39,10 @@
     def probe(self):
         self._call("probe", None, 0, None, [])
 
-    def _call(self, kind, act, n, fn, params):
+    def _call(self, kind, act, n, fn, params, until=None):
         now = self.core.now()
         self.last = (self.last + 1) & 0xFFFFFFFF
-        call = Call(kind, act, n, fn, now, rpc.request(self.last, kind, params), self.last)
+        call = Call(kind, act, n, fn, now, rpc.request(self.last, kind, params), self.last, until)
         if kind == "run":
             self.runs[act, n] = call
         wish = self.state.wants(now)
@@ -158,6 +158,8 @@
             self._call("probe", None, 0, None, [])
         for call in self._overdue_calls(now, self.terms.order_within):
             self._end(call, fate.of_time(call.stage))
+        for call in self._expired(now):
+            self.late(call.act, call.n)
         return self.owes() or self.state.state in (linkstate.CONNECTING, linkstate.GREETING)
 
     # The way back.
--- a/petrelwood/node/__main__.py
+++ b/petrelwood/node/__main__.py
@@ -18,18 +18,31 @@
 from petrelwood.node.service import Node
 
 
+AGAIN, TRIES = 0.1, 30     # seconds until a file that can't be used is read again; so often, as the platform waits 4 s for it
+
+
 class Running:
     def __init__(self, node, log, ends):
-        self.node, self.log, self.ends = node, log, ends
+        self.node, self.log, self.ends, self.later = node, log, ends, None
 
     def heard(self, number):
         if number == signal.SIGTERM:
             self.ends.set()
             return
+        if self.later is not None:
+            self.later.cancel()
+        self._read(TRIES)
+
+    def _read(self, tries):
+        """The file may be half written when its signal comes: it is read again for a while."""
+        self.later = None
         try:
             self.node.reload(told.read(os.environ))
         except told.Bad as fault:
-            self.log.error("the new configuration is wrong; nothing changes", why=str(fault))
+            if tries == TRIES:
+                self.log.error("the new configuration is wrong; nothing changes", why=str(fault))
+            if tries:
+                self.later = self.node.loop.call_later(AGAIN, self._read, tries - 1)
 
 
 async def _serve(gateway, log):
@@ -47,6 +60,7 @@
     log.info("listening", host=gateway.listen[0], port=gateway.listen[1], workers=len(node.membership.members))
     await ends.wait()
     await node.close()
+    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP, signal.SIGTERM))     # it ends: by none that comes while the loop is closed
 
 
 def main():
--- a/petrelwood/node/front.py
+++ b/petrelwood/node/front.py
@@ -6,6 +6,7 @@
 import errno
 import functools
 import math
+import select
 import socket
 from collections import OrderedDict
 from typing import NamedTuple
@@ -28,6 +29,14 @@
 PARTS = rpc.Parts(rm.BODY, rm.TEXT, rm.MEMBERS)
 
 
+def pending(socks):
+    """Those of `socks` (their descriptors) of which the machine has something that nobody has read: bytes, an end, a connection."""
+    poll = select.poll()
+    for sock in socks:
+        poll.register(sock, select.POLLIN)
+    return [number for number, _ in poll.poll(0)]
+
+
 class Figures(NamedTuple):
     """What a request tells of its function and its work, as `settings.gateway.FunctionRule` has it."""
     lanes: int
@@ -96,10 +105,15 @@
     def __init__(self, client, msgid):
         self.client, self.msgid, self.act = client, msgid, None
 
+    def waits(self):
+        """Whether its client still wants the answer."""
+        return self.client.open.get(self.msgid) is self
+
     def answer(self, what, body=b"", retry_after=0, why="", act=None):
         """The final answer, from the core: 'completed', 'rejected', 'aborted' or a verdict of the intake."""
-        if self.client.open.pop(self.msgid, None) is not self:
-            return                                       # taken back, or its client is gone
+        if not self.waits():                             # taken back, its number used again perhaps; or its client is gone
+            return
+        del self.client.open[self.msgid]
         if what == "completed":
             self.client.write(rpc.response(self.msgid, None, [body, {}]))
         elif what in ("rejected", stage.REFUSE):
@@ -110,19 +124,21 @@
 
 
 class Client:
-    """One connection. `open`: exchanges by message id."""
-    __slots__ = ("front", "stream", "open", "reader", "since", "asked", "part", "faults", "ending")
+    """One connection. `open`: exchanges by message id; `coming`: what its next bytes resolve."""
+    __slots__ = ("front", "stream", "open", "reader", "coming", "since", "asked", "part", "faults", "ending")
 
     def __init__(self, front, stream, now):
-        self.front, self.stream, self.open, self.reader = front, stream, {}, None
+        self.front, self.stream, self.open, self.reader, self.coming = front, stream, {}, None, None
         self.since, self.asked, self.part, self.faults, self.ending = now, False, 0, 0, False
 
     async def serve(self):
         front = self.front
         try:
             while not self.ending:
-                data = await self.stream.read_bytes(READ, partial=True)
+                self.coming = self.stream.read_bytes(READ, partial=True)
+                data = await self.coming
                 now = front.core.now()
+                front.reads += 1
                 if self.reader is None:
                     self.reader = front.readers.pop() if front.readers else rpc.Reader(rm.FRAME + READ, PARTS)
                 messages = self.reader.feed(data)
@@ -135,7 +151,8 @@
                 for message in messages:
                     self._message(message, now)
                     if self.ending:
-                        return                           # once what was written has gone out; see `Front.check`
+                        self.since = now                 # once what was written has gone out; see `Front.check`
+                        return
         except StreamClosedError:
             pass
         except rpc.Garbage as fault:
@@ -144,6 +161,12 @@
             front.core.defect("front", fault)
         self.close()
 
+    def unread(self):
+        """Whether anything of it has come that it was not served for yet, here or in the machine's hands: whoever closes over that
+        loses a request, and the reset that follows overtakes what was written."""
+        return (self.coming is None or self.coming.done()
+                or not self.stream.closed() and bool(pending((self.stream.socket,))))
+
     def close(self):
         """Ends the connection; what it had open is taken back."""
         self.ending = True
@@ -195,7 +218,7 @@
             else:
                 self.wrong(msgid, "no such class")
         elif kind == rpc.NOTICE and message[1] == "cancel":
-            for msgid in message[2][:rm.OPEN]:
+            for msgid in message[2]:
                 exchange = self.open.pop(msgid, None) if isinstance(msgid, int) else None
                 if exchange is not None and exchange.act is not None:
                     self.front.core.left(exchange.act, exchange)
@@ -229,7 +252,7 @@
 
     def __init__(self, core, room, log):
         self.core, self.room, self.log, self.sock = core, room, log, None
-        self.readers = []
+        self.readers, self.reads, self.deaf = [], 0, False   # `deaf`: the listener rests until the next look
         self.clients, self.idle = {}, OrderedDict()      # all, and those without an open request, longest first
         self.counts = {"connections": 0, "crowded out": 0, "unreadable": 0, "wrong": 0, "over its part": 0, "too slow": 0}
 
@@ -249,11 +272,13 @@
         self.core.loop.add_reader(self.sock, self._accept)
 
     def stop(self):
-        """Takes no new connections."""
+        """Takes no new connections and ends all."""
         if self.sock is not None:
             self.core.loop.remove_reader(self.sock)
             self.sock.close()
             self.sock = None
+        for client in list(self.clients):
+            client.close()
 
     def _accept(self):
         for _ in range(ACCEPTS):
@@ -264,6 +289,8 @@
             except OSError as fault:
                 if fault.errno in (errno.EMFILE, errno.ENFILE) and self._make_room():
                     continue
+                self.deaf = True                         # it stays readable: the loop would come back here at once, and again
+                self.core.loop.remove_reader(self.sock)
                 return
             self.counts["connections"] += 1
             if len(self.clients) >= self.room.clients and not self._make_room():
@@ -278,25 +305,34 @@
 
     def _make_room(self):
         """Descriptors run short: the connection that has been idle longest goes, never one with an open request."""
-        if not self.idle:
+        client = next((c for c in self.idle if not c.unread()), None)
+        if client is None:
             return False
         self.counts["crowded out"] += 1
-        next(iter(self.idle)).close()
+        client.close()
         return True
 
     def check(self, now):
+        if self.deaf and self.sock is not None:
+            self.deaf = False
+            self.core.loop.add_reader(self.sock, self._accept)
         for client in list(self.clients):
-            if client.ending:
-                if not client.stream.writing():
+            if client.ending:                            # nothing of it is read any more
+                if not client.stream.writing() or now - client.since > rm.PART:
                     client.close()
-            elif client.part and now - client.part > rm.PART or not client.asked and now - client.since > rm.SILENT:
+            elif ((client.part and now - client.part > rm.PART or not client.asked and now - client.since > rm.SILENT)
+                  and not client.unread()):
                 self.counts["too slow"] += 1
                 client.close()
         for client in list(self.idle):
             if now - client.since <= rm.IDLE:
                 break
-            client.close()
+            if not client.unread():
+                client.close()
 
     def quiet(self):
-        """Whether all that was written has gone out."""
-        return not any(client.stream.writing() for client in self.clients)
+        """Whether all that was written has gone out, and all that has come was read: connections, requests, ends."""
+        if any(c.stream.writing() for c in self.clients) or any(c.coming is None or c.coming.done() for c in self.clients if not c.ending):
+            return False
+        return self.sock is None or not pending([self.sock, *(c.stream.socket for c in self.clients
+                                                              if not c.ending and not c.stream.closed())])
--- a/petrelwood/node/service.py
+++ b/petrelwood/node/service.py
@@ -4,6 +4,7 @@
 
 from petrelwood.brain import Brain
 from petrelwood.clocks import LoopClock
+from petrelwood.decide import intake as stage
 from petrelwood.decide import ledger as led
 from petrelwood.decide import leaving
 from petrelwood.decide.asking import Asking
@@ -15,6 +16,8 @@
 from petrelwood.node.worker import NodeLink
 
 CHECK = 0.05               # seconds between looks at links, clients and the roster
+BEHIND = 100_000_000       # ns without a look, after which the loop was held up: two looks
+QUIET, TURNS = 3, 64       # turns of the loop in which nothing of a client is read, after which all is; turns at most
 TIDY = 20                  # looks between two at connections that rest
 STANDING = 100             # looks between two log lines of what is believed
 UNKNOWN = Figures(1, 0, 0)
@@ -27,6 +30,7 @@
         self.loop, self.room = asyncio.get_running_loop(), Room(gateway.sockets, gateway.memory)
         self.busy, self.checks, self.looks, self.tag, self.lines, self.losses, self.began = {}, None, 0, 0, 0, 0, False
         super().__init__(gateway, LoopClock(), Random(gateway.seed), self._link, log, brain)
+        self.beat, self.turns, self.still, self.read = self.now(), 0, 0, 0
         self.front = Front(self, self.room, log)
         self.roster = DnsRoster(gateway.names, self.membership, Asking(self.chance.random), self, log)
 
@@ -48,7 +52,37 @@
         return self.began and not self.intake.closing
 
     def is_open(self, act_id):
-        return act_id in self.duty.acts
+        """Whether an activation has this id, or a send of one that had it is still out, whose answer would be taken for the new
+        one's: also another customer's, as workers know no more of it than the id."""
+        return act_id in self.duty.acts or any((act_id, n) in self.flying for n in range(self.terms.allowed.sends))
+
+    def _ask(self, ask, function, rule, body, exchange):
+        if not exchange.waits():                         # its client left between its reading and its turn
+            return
+        if self.is_open(ask.id):
+            exchange.answer(stage.ABORT, why="an id that is open")
+            return
+        super()._ask(ask, function, rule, body, exchange)
+
+    # After the loop was held up.
+    def behind(self):
+        """Whether what came while the loop was held up may still lie unread: a client's end or cancel, news of workers. Nothing
+        leaves for a worker until it is read; what it takes back is then still here."""
+        if not self.turns and self.now() - self.beat > BEHIND:
+            self.turns, self.still, self.read = TURNS, QUIET, self.front.reads
+            self.loop.call_soon(self._turn)
+        return self.turns > 0
+
+    def _turn(self):
+        self.turns -= 1
+        self.still = self.still - 1 if self.read == self.front.reads else QUIET
+        self.read = self.front.reads
+        if self.turns and self.still:
+            self.loop.call_soon(self._turn)
+            return
+        self.turns, self.beat = 0, self.now()
+        for link in list(self.busy):
+            link.pump()
 
     # Descriptors of links, and their tags.
     def opened(self):
@@ -97,6 +131,8 @@
     def _check(self):
         self.checks = self.loop.call_later(CHECK, self._check)
         now = self.now()
+        if not self.behind():
+            self.beat = now
         self.roster.check(now)
         for link in list(self.busy):
             if not link.check(now):
@@ -105,7 +141,7 @@
         self.front.check(now)
         if not self.looks % TIDY:
             for link in list(self.links.values()):
-                link.tidy(now, self.gateway.workers.idle // 2 or 1 << 62)
+                link.tidy(now)
             self.let_links_go()
         if not self.looks % STANDING:
             self.log.info("standing", **self.standing())
@@ -120,20 +156,17 @@
         self.roster.moves(gateway.names)
 
     async def close(self):
-        """SIGTERM: takes what still comes, then nothing, answers all that it owes, and ends."""
-        ends = leaving.Leaving(self.now())
+        """SIGTERM: takes what still comes, then turns it away, answers all that it owes, and ends. It listens to the last: a
+        connection that the machine has accepted may have a request in it, which a closed listener would lose."""
+        ends = leaving.Leaving(self.now(), max(self.gateway.timeouts.values()))
         self.began = False
         while not ends.over(self.now(), len(self.duty.acts), self.front.quiet()):
-            if ends.closed(self.now()) and not self.intake.closing:
-                self.intake.closing = True
-                self.front.stop()
+            self.intake.closing = ends.closed(self.now())
             if ends.out_of_time(self.now()):
                 for act_id in sorted(self.duty.acts):
                     self.soon(self._cut, act_id)
             await asyncio.sleep(CHECK / 5)
-        self.front.stop()
-        for client in list(self.front.clients):
-            client.close()
+        self.front.stop()                                # nothing comes between the look that found it quiet and this
         self.checks.cancel()
         self.roster.close()
         self.log.info("closed", **self.figures())
@@ -158,9 +191,10 @@
                     if lines or w.out or w.silent or w.cap.most or w.id in copies}}
 
     def _cut(self, act_id):
+        """Its time ends with the process: the module makes an answer of how its sends end, as it does when it is due."""
         if act_id in self.duty.acts:
-            self._finish(act_id, led.ABORTED)
-            self.brain.left(self.now(), act_id)
+            self.brain.cut(self.now(), act_id)
+            self._out_of_time(act_id)
 
     def figures(self):
         return {**super().figures(), "front": self.front.counts, "roster": self.roster.counts, "losses": self.losses}
--- a/petrelwood/node/told.py
+++ b/petrelwood/node/told.py
@@ -98,11 +98,12 @@
 
 
 class WorkerTerms(NamedTuple):
-    """ns, but for `streams`: sends that one connection may carry at a time."""
+    """ns, but for `streams`, sends that one connection may carry at a time, and `cancels`, whether a send may be taken back."""
     connect_within: int
     idle: int
     streams: int
     order_within: int
+    cancels: bool
 
 
 class Told(NamedTuple):
@@ -157,7 +158,8 @@
         int(limits.number("memory_mb", least=1)) << 20, timeouts,
         frozenset(t.text("name") for t in settings.each("tenants", [])),
         WorkerTerms(allowed.time("connectTimeout", 0) or CONNECT, allowed.time("connIdle", 0),
-                    max(1, int(allowed.number("multiplex", 1))), family.time("orderLimit", 0) or ORDER),
+                    max(1, int(allowed.number("multiplex", 1))), family.time("orderLimit", 0) or ORDER,
+                    allowed.flag("cancelling")),
         terms(settings.raw))
 
 
--- a/petrelwood/node/worker.py
+++ b/petrelwood/node/worker.py
@@ -36,7 +36,8 @@
     # What the dispatcher asks.
     def run(self, owed, n, left):
         frame = lines.run(owed.id, owed.type, owed.fn, max(1, left // MS), owed.mark, owed.body)
-        call = Call("run", owed.id, n, owed.fn, self.core.now(), frame, (owed.id, n))
+        now = self.core.now()
+        call = Call("run", owed.id, n, owed.fn, now, frame, (owed.id, n), now + left)
         self.runs[owed.id, n] = call
         self._call(call)
 
@@ -51,18 +52,27 @@
     def _call(self, call):
         self._wait(call)
         self.core.active(self)
-        self._pump()
+        self.pump()
+
+    def withdraw(self, act, n):
+        super().withdraw(act, n)
+        call = self.runs.get((act, n))
+        if call is not None and call.line.stream.writing() and len(call.line.open) == 1:
+            self._lost(call.line, "its activation ended before all of it had left")
 
     # The way out. A call's `act` is the id that it goes under.
-    def _pump(self):
-        if self.pumping:                                 # a connection that makes room, or is lost, comes back here
+    def pump(self):
+        """Hands over what waits, as far as connections are up for it."""
+        if self.pumping or self.core.behind():           # a connection that makes room, or is lost, comes back here
             return
         self.pumping = True
         try:
             while self.waiting:
                 line = pool.pick(self.lines, self.waiting[0].act, self.terms.streams, self.core.may_open())
                 if line is not None:
-                    if self._may_leave(self.waiting[0]):
+                    if self._rested(line, self.core.now()):
+                        self._lost(line, "idle")
+                    elif self._may_leave(self.waiting[0]):
                         self._put(line, self.waiting.popleft())
                 elif self.connecting < min(len(self.waiting), pool.CONNECTING) and self.core.makes_room():
                     self._connect()
@@ -86,7 +96,7 @@
 
     def _notice_end(self, call):
         line = call.line
-        if call.kind == "run" and line is not None and not line.stream.closed():
+        if call.kind == "run" and self.terms.cancels and line is not None and not line.stream.closed():
             try:
                 line.stream.write(lines.kill(call.act))
             except (StreamClosedError, StreamBufferFullError):
@@ -130,7 +140,7 @@
         line.timer, line.up = None, True
         self.connecting -= 1
         line.stream.set_nodelay(True)
-        self._pump()
+        self.pump()
 
     def _lost(self, line, why):
         if line not in self.lines:
@@ -150,7 +160,7 @@
         for call in list(line.open.values()):
             self._end(call, fate.of_loss(fate.HANDED))
         line.open.clear()
-        self._pump()
+        self.pump()
 
     def give_up(self, why):
         for line in list(self.lines):
@@ -158,6 +168,8 @@
 
     def check(self, now):
         """Asked often while something is owed; whether it still has to be."""
+        for call in self._expired(now):
+            self.late(call.act, call.n)
         for call in self._overdue_calls(now, self.terms.connect_within):
             if call.kind == "probe" or now - call.at > self.terms.order_within:
                 self._end(call, fate.of_time(call.stage))
@@ -176,11 +188,16 @@
         if line is not None and line.heard <= call.at and not line.open:
             self._lost(line, "nothing was heard in time")
 
-    def tidy(self, now, idle):
-        """Lets connections go that have carried nothing for `idle` ns."""
-        for line in [l for l in self.lines if l.up and not l.open and now - l.heard > idle]:
+    def tidy(self, now):
+        """Lets connections go that have rested too long."""
+        for line in [l for l in self.lines if self._rested(l, now)]:
             self._lost(line, "idle")
 
+    def _rested(self, line, now):
+        """Whether it has been idle for half of what the settings give it, and so is ours to close: against a send into one that its
+        worker closes at that moment, which then may have run."""
+        return line.up and not line.open and 0 < self.terms.idle < 2 * (now - line.heard)
+
     def rests(self):
         """The connection that has been idle longest, or None."""
         return next((line for line in self.lines if line.up and not line.open), None)
@@ -212,4 +229,4 @@
             del line.open[call.act]
         super()._end(call, code, note, body, gauge)
         if line is not None and self.waiting:
-            self._pump()
+            self.pump()
--- a/tests/ration.py
+++ b/tests/ration.py
@@ -57,6 +57,9 @@
     def __init__(self, world, bad):
         self.world, self.act, self.ended, self.sent, self.bad = world, None, None, world.clock.loop.time(), bad
 
+    def waits(self):
+        return self.ended is None
+
     def answer(self, what, body=b"", retry_after=0, why="", act=None):
         if self.ended is not None:
             raise AssertionError("a second final answer")
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,527 @@
+"""Rare moments on real sockets, each crossing made and not hoped for.
+
+The dispatcher runs in the test's own loop (`Inside`), its peers are plain sockets that the test reads and writes itself: what it does
+between two awaits has come when the loop goes on, in that order. `held_up` keeps the loop from going on, as a stopped process does.
+"""
+import asyncio
+import contextlib
+import copy
+import json
+import os
+import pathlib
+import resource
+import signal
+import socket
+import struct
+import sys
+import time
+import unittest
+from unittest import mock
+
+import msgpack
+
+from node_site import ROOT, SETTINGS, Roster, Site, Worker, ask, hit
+from petrelwood.decide import room as rm
+from petrelwood.node import told
+from petrelwood.node.service import Node
+
+SLOW = 30                  # s that anything may take on a busy machine before it is called lost
+
+
+def settings(**changes):
+    """SETTINGS with changes of its parts: {"permissions": {...}}; `classes`: changes of each."""
+    made = copy.deepcopy(SETTINGS)
+    for part, values in changes.items():
+        for one in made[part] if isinstance(made[part], list) else (made[part],):
+            one.update(values)
+    return made
+
+
+class Said:
+    """A log kept in lines."""
+
+    def __init__(self, lines):
+        self.lines = lines
+
+    def info(self, event, **fields):
+        self.lines.append(f"{event} {fields}")
+
+    warning = error = info
+
+
+class Inside(Site):
+    """A dispatcher among scripted peers, all in this loop."""
+
+    def __init__(self, workers, **changes):
+        super().__init__(workers, **settings(**changes))
+
+    async def start(self):
+        self.node = Node(told.read(self.environ(self.write())), Said(self.log))
+        self.node.begin()
+
+    async def until(self, what, within=SLOW):
+        end = time.monotonic() + within
+        while not what():
+            if time.monotonic() > end:
+                raise AssertionError(f"it did not come; the log: {self.log[-20:]}")
+            await asyncio.sleep(0.005)
+
+    async def turns(self, count=20):
+        """Lets the loop go on so many times: all that has come is read, and nothing waits for a clock."""
+        for _ in range(count):
+            await asyncio.sleep(0)
+
+    async def __aexit__(self, *_):
+        node = self.node
+        node.front.stop()
+        node.checks.cancel()
+        node.roster.close()
+        for link in node.links.values():
+            link.waiting.clear()
+            link.give_up("the test is over")
+        for worker in self.workers:
+            await worker.close()
+        self.roster.transport.close()
+        self.folder.cleanup()
+        await self.turns()
+
+
+def held_up(seconds=0.35):
+    """The loop stands still: longer than an activation may be sent on after its client has left."""
+    time.sleep(seconds)
+
+
+class Caller:
+    """A client on a plain socket."""
+
+    def __init__(self, address):
+        self.sock, self.last = socket.create_connection(address), 0
+        self.unpacker, self.answers, self.ended = msgpack.Unpacker(raw=False), {}, None
+
+    def call(self, fields, body=b"x", type_="plain", part=slice(None)):
+        """Writes a request, or a part of its bytes; its number."""
+        if part.start is None:
+            self.last += 1
+        self.sock.sendall(msgpack.packb([0, self.last, type_, [fields, body]])[part])
+        return self.last
+
+    def cancel(self, *numbers):
+        self.sock.sendall(msgpack.packb([2, "cancel", list(numbers)]))
+
+    def close(self, how="end"):
+        """'end': its connection ends; 'reset': it is reset; 'cancel': all is taken back on an open one."""
+        if how == "cancel":
+            self.cancel(*range(1, self.last + 1))
+            return
+        if how == "reset":
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.sock.close()
+
+    def read(self):
+        """Takes what is there; the answers so far: number -> (word or "completed", body or fields)."""
+        with contextlib.suppress(BlockingIOError):
+            while self.ended is None:
+                try:
+                    data = self.sock.recv(65536, socket.MSG_DONTWAIT)
+                except ConnectionError:
+                    self.ended = "reset"
+                    break
+                if not data:
+                    self.ended = "end"
+                    break
+                self.unpacker.feed(data)
+                for _, number, error, result in self.unpacker:
+                    if number in self.answers:
+                        raise AssertionError(f"a second answer to {number}")
+                    self.answers[number] = ("completed", result[0]) if error is None else (error[0], error[1])
+        return self.answers
+
+
+class Raw:
+    """A worker on plain sockets, which does nothing by itself. `narrow`: its listen queue is full until `opens`."""
+
+    def __init__(self, name, narrow=False):
+        self.name, self.sock, self.fillers, self.lines, self.ended = name, socket.socket(), [], [], 0
+        self.sock.bind(("127.0.0.1", 0))
+        self.port = self.sock.getsockname()[1]
+        self.sock.listen(0 if narrow else 64)
+        if narrow:                                       # the queue has room for one more than it was given
+            self.fillers = [socket.create_connection(self.sock.getsockname())]
+        self.sock.setblocking(False)
+        self.conns = []
+
+    async def open(self):
+        pass
+
+    async def close(self):
+        for sock in (self.sock, *self.fillers, *(conn for conn, _ in self.conns)):
+            sock.close()
+
+    def opens(self):
+        """Its queue has room from now on; those who tried before come when their machine tries again."""
+        self.sock.listen(64)
+
+    def read(self):
+        """Accepts and reads what is there: the commands so far."""
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                conn, sender = self.sock.accept()
+                if any(filler.getsockname() == sender for filler in self.fillers):
+                    conn.close()
+                    continue
+                conn.setblocking(False)
+                self.conns.append((conn, [b""]))
+        for number, (conn, rest) in enumerate(self.conns):
+            with contextlib.suppress(BlockingIOError, ConnectionError, OSError):
+                while data := conn.recv(65536):
+                    *whole, rest[0] = (rest[0] + data).split(b"\n")
+                    self.lines += [(number, json.loads(line)) for line in whole]
+        return self.lines
+
+    def runs(self):
+        """(connection, request) of each activation that has arrived whole."""
+        return [(number, said) for number, said in self.read() if said["type"] == "FN"]
+
+    def orders(self):
+        return [(number, said) for number, said in self.read() if said["type"] == "SPAWN"]
+
+    def write(self, number, data):
+        self.conns[number][0].sendall(data if isinstance(data, bytes) else json.dumps(data).encode() + b"\n")
+
+    def answer(self, run, **changes):
+        self.write(run[0], {**hit(run[1]), **changes})
+
+    def reset(self, number):
+        conn = self.conns[number][0]
+        conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        conn.close()
+
+
+NO_CANCEL = {"permissions": {"cancelling": False}}
+
+
+class ClientGone(unittest.IsolatedAsyncioTestCase):
+    """What a client has left is not sent on, wherever it waits; by rule 1 there is no send after an end."""
+
+    async def test_while_its_send_waits_for_a_connection(self):
+        """A send that never left needs nobody's leave to be taken back: the settings allow no cancel here."""
+        for how in ("end", "reset", "cancel"):
+            with self.subTest(how):
+                worker = Raw("s-1", narrow=True)
+                async with Inside([worker], permissions={"cancelling": False, "connectTimeout": 20_000_000}) as site:
+                    gone, stays = Caller(site.address), Caller(site.address)
+                    left, kept = ask(fn=1, ttl=3900), ask(fn=2, ttl=3900)
+                    gone.call(left)
+                    await site.until(lambda: site.node.links and site.node.links["s-1"].waiting)
+                    stays.call(kept)
+                    await site.until(lambda: len(site.node.links["s-1"].runs) == 2)
+                    gone.close(how)
+                    await site.until(lambda: site.node.duty.counts["left"] == 1)
+                    worker.opens()
+                    await site.until(worker.runs)
+                    await site.turns()
+                    self.assertEqual([said["req"] for _, said in worker.runs()], [kept["call"]])
+                    stays.close()
+
+    async def test_while_it_is_held(self):
+        for how in ("end", "reset", "cancel"):
+            with self.subTest(how):
+                worker = Raw("s-1")
+                async with Inside([worker], **NO_CANCEL) as site:
+                    first, gone, stays = (Caller(site.address) for _ in range(3))
+                    facts = "lanes:1;load_ms:20"
+                    first.call(ask(fn=1, facts=facts))
+                    await site.until(worker.runs)
+                    gone.call(ask(fn=1, facts=facts))
+                    await site.until(lambda: site.node.intake.held == 2)
+                    kept = ask(fn=1, facts=facts)
+                    stays.call(kept)
+                    await site.until(lambda: site.node.intake.held == 3)
+                    gone.close(how)
+                    await site.until(lambda: site.node.duty.counts["left"] == 1)
+                    worker.answer(worker.runs()[0])
+                    await site.until(lambda: len(worker.runs()) == 2)
+                    self.assertEqual(worker.runs()[1][1]["req"], kept["call"])
+                    first.close(), stays.close()
+
+    async def test_unread_while_the_loop_was_held_up(self):
+        """An answer frees the lane, and the end of who waits for it lies unread behind that answer."""
+        for how in ("end", "reset", "cancel"):
+            for code in ("HIT", "SHED"):
+                with self.subTest(how, code=code):
+                    worker = Raw("s-1")
+                    async with Inside([worker]) as site:
+                        first, gone, stays = (Caller(site.address) for _ in range(3))
+                        facts = "lanes:1;load_ms:20"
+                        first.call(ask(fn=1, facts=facts))
+                        await site.until(worker.runs)
+                        left = ask(fn=1, facts=facts)
+                        gone.call(left)
+                        await site.until(lambda: site.node.intake.held == 2)
+                        worker.answer(worker.runs()[0], type=code)
+                        gone.close(how)
+                        held_up()
+                        await site.until(lambda: site.node.duty.counts["left"] == 1)
+                        await site.turns()
+                        stays.call(ask(fn=1, facts=facts))
+                        await site.until(lambda: len(worker.runs()) > 1)
+                        self.assertNotIn(left["call"], [said["req"] for _, said in worker.runs()])
+                        first.close(), stays.close()
+
+    async def test_behind_other_requests_of_its_own(self):
+        """The cancel lies behind more than is read at once, and a worker's answer comes with it."""
+        worker = Raw("s-1")
+        async with Inside([worker]) as site:
+            first, gone = Caller(site.address), Caller(site.address)
+            facts = "lanes:1;load_ms:20"
+            first.call(ask(fn=1, facts=facts))
+            await site.until(worker.runs)
+            left = ask(fn=1, facts=facts)
+            gone.call(left)
+            await site.until(lambda: site.node.intake.held == 2)
+            worker.answer(worker.runs()[0])
+            for _ in range(20):
+                gone.call(ask(fn=1, facts=facts), body=b"y" * 12_000)
+            gone.close("cancel")
+            held_up()
+            await site.until(lambda: site.node.duty.counts["left"] == 21)
+            await site.turns()
+            self.assertEqual(len(worker.runs()), 1)
+            first.close(), gone.sock.close()
+
+    async def test_in_repeat(self):
+        """Its first send provably never ran; the client has gone when the second would go out."""
+        first, second = Raw("s-1"), Raw("s-2")
+        async with Inside([first, second]) as site:
+            client = Caller(site.address)
+            left = ask(fn=1)
+            client.call(left)
+            await site.until(lambda: first.runs() or second.runs())
+            worker = first if first.runs() else second
+            client.close()
+            await site.until(lambda: site.node.duty.counts["left"] == 1)
+            worker.answer(worker.runs()[0], type="SHED")
+            await site.until(lambda: not site.node.links[worker.name].owes())
+            await site.turns()
+            self.assertEqual(len(first.runs()) + len(second.runs()), 1)
+            client = Caller(site.address)
+            client.call(left := ask(fn=1))
+            await site.until(lambda: len(first.runs()) + len(second.runs()) == 2)
+            worker = next(w for w in (first, second) if any(said["req"] == left["call"] for _, said in w.runs()))
+            worker.answer(worker.runs()[-1], type="SHED")
+            client.close()
+            held_up()
+            await site.until(lambda: site.node.duty.counts["left"] == 2)
+            await site.turns()
+            self.assertEqual(len(first.runs()) + len(second.runs()), 2)
+
+    async def test_a_second_send_that_waits_when_the_first_is_answered(self):
+        """Rule 1: the final answer is out, and the other send has not left yet."""
+        slow, narrow = Raw("s-1"), Raw("s-2", narrow=True)
+        async with Inside([slow, narrow], permissions={"cancelling": False, "connectTimeout": 20_000_000}) as site:
+            node, client = site.node, Caller(site.address)
+            number = client.call(fields := ask(fn=1, ttl=3900))
+            await site.until(lambda: node.flying)
+            (act, n), worker = next(iter(node.flying.items()))
+            if worker == "s-2":                          # it went to the narrow one first: the other is its second
+                node.soon(node.send, act, "s-1", 0)
+            else:
+                node.soon(node.send, act, "s-2", 0)
+            await site.until(slow.runs)
+            self.assertTrue(node.links["s-2"].waiting)
+            slow.answer(slow.runs()[0])
+            await site.until(client.read)
+            self.assertEqual(client.answers[number], ("completed", b"x"))
+            client.call(ask(fn=2, ttl=3900))
+            client.call(ask(fn=3, ttl=3900))
+            narrow.opens()
+            await site.turns()
+            node.soon(node.hold, "s-2", f"{4:016x}", 1)
+            await site.until(narrow.orders)              # the way is open now
+            self.assertNotIn(fields["call"], [said["req"] for _, said in narrow.runs()])
+            client.close()
+
+
+class Clients(unittest.IsolatedAsyncioTestCase):
+    async def test_a_request_that_comes_as_its_connection_is_closed_for_rest(self):
+        """The look at idle connections and the request come in one turn of the loop."""
+        async with Inside([Worker("s-1")]) as site:
+            with mock.patch.object(rm, "IDLE", 200_000_000):
+                for _ in range(3):
+                    client = Caller(site.address)
+                    number = client.call(ask(fn=1))
+                    await site.until(client.read)
+                    held_up(0.25)
+                    second = client.call(ask(fn=1))
+                    await site.until(lambda: second in client.read() or client.ended)
+                    self.assertEqual((client.answers[number][0], client.answers.get(second, client.ended)),
+                                     ("completed", ("completed", b"x")))
+                    await site.until(lambda: client.read() and client.ended)     # at rest it ends all the same
+                    self.assertEqual(client.ended, "end")
+
+    async def test_a_first_request_that_comes_as_its_silence_ends(self):
+        async with Inside([Worker("s-1")]) as site:
+            with mock.patch.object(rm, "SILENT", 200_000_000), mock.patch.object(rm, "PART", 200_000_000):
+                for cut in (0, 40):                      # all of it comes then, or what it lacked
+                    client, fields = Caller(site.address), ask(fn=1)
+                    await site.until(lambda: site.node.front.clients)
+                    if cut:
+                        client.call(fields, part=slice(None, cut))
+                        await site.turns()
+                    else:
+                        client.last = 1
+                    held_up(0.25)
+                    client.call(fields, part=slice(cut, None))
+                    await site.until(lambda: client.read() or client.ended)
+                    self.assertEqual(client.answers.get(1, client.ended), ("completed", b"x"))
+                    client.close()
+                    await site.until(lambda: not site.node.front.clients)
+                silent = Caller(site.address)
+                await site.until(lambda: silent.read() or silent.ended)
+                self.assertEqual(silent.ended, "end")
+
+    async def test_room_is_not_made_of_a_connection_whose_request_has_come(self):
+        async with Inside([Worker("s-1")]) as site:
+            client = Caller(site.address)
+            client.call(ask(fn=1))
+            await site.until(client.read)
+            site.node.room.clients = 1
+            more = Caller(site.address)                  # the listener is told of first
+            second = client.call(ask(fn=1))
+            await site.until(lambda: second in client.read() or client.ended)
+            self.assertEqual(client.answers.get(second, client.ended), ("completed", b"x"))
+            await site.until(lambda: more.read() or more.ended)
+            more = Caller(site.address)                  # and at rest it makes room
+            number = more.call(ask(fn=1))
+            await site.until(lambda: more.read() or more.ended)
+            self.assertEqual(more.answers.get(number, more.ended), ("completed", b"x"))
+            more.close()
+
+    async def test_no_descriptor_is_left_and_nobody_rests(self):
+        """A listener stays readable then: a loop that comes back to it at once neither waits nor ends."""
+        worker = Raw("s-1")
+        async with Inside([worker]) as site:
+            busy = Caller(site.address)
+            number = busy.call(ask(fn=1))
+            await site.until(worker.runs)
+            calls, accept = [], site.node.front._accept
+            site.node.loop.remove_reader(site.node.front.sock)
+            site.node.loop.add_reader(site.node.front.sock, lambda: (calls.append(1), accept()))
+            late = Caller(site.address)
+            before = resource.getrlimit(resource.RLIMIT_NOFILE)
+            try:
+                resource.setrlimit(resource.RLIMIT_NOFILE, (max(map(int, os.listdir("/proc/self/fd"))), before[1]))
+                spare = []
+                with contextlib.suppress(OSError):
+                    while True:
+                        spare.append(os.dup(0))
+                await site.turns(200)
+                tried = len(calls)
+            finally:
+                resource.setrlimit(resource.RLIMIT_NOFILE, before)
+                for number_ in spare:
+                    os.close(number_)
+            self.assertEqual(tried, 1)
+            worker.answer(worker.runs()[0])
+            second = late.call(ask(fn=1))
+            await site.until(lambda: len(worker.runs()) == 2)
+            worker.answer(worker.runs()[1])
+            await site.until(lambda: late.read() and busy.read())
+            self.assertEqual((busy.answers[number][0], late.answers[second][0]), ("completed", "completed"))
+            busy.close(), late.close()
+
+    async def test_a_number_that_is_used_again_at_once(self):
+        worker = Raw("s-1")
+        async with Inside([worker]) as site:
+            client = Caller(site.address)
+            client.call(ask(fn=1), b"one")
+            await site.until(worker.runs)
+            client.cancel(1)                             # in the same bytes as what follows under its number
+            client.cancel(1)
+            client.last = 0
+            client.call(again := ask(fn=1), b"two")
+            await site.until(lambda: len(worker.runs()) == 2)
+            worker.answer(worker.runs()[0])              # it crossed the cancel
+            await site.turns()
+            self.assertEqual(client.read(), {})
+            worker.answer(next(run for run in worker.runs() if run[1]["req"] == again["call"]))
+            await site.until(client.read)
+            self.assertEqual(client.answers, {1: ("completed", b"two")})
+            client.cancel(2)                             # before its call: of no meaning
+            client.last = 1
+            client.call(ask(fn=1), b"three")
+            await site.until(lambda: len(worker.runs()) == 3)
+            worker.answer(worker.runs()[2])
+            await site.until(lambda: len(client.read()) == 2)
+            self.assertEqual(client.answers[2], ("completed", b"three"))
+            client.close()
+
+
+class TwoCustomers(unittest.IsolatedAsyncioTestCase):
+    TENANTS = [{"name": "acme", "quotaRps": 10_000.0, "share": 0.5}, {"name": "bolt", "quotaRps": 10_000.0, "share": 0.5}]
+
+    def inside(self, workers, **changes):
+        site = Inside(workers, **changes)
+        site.settings["tenants"] = self.TENANTS
+        return site
+
+    async def test_an_id_whose_send_is_still_out_is_not_another_customers(self):
+        """The answer to the one who has gone would be taken for the other's."""
+        worker = Raw("s-1")
+        async with self.inside([worker], **NO_CANCEL) as site:
+            one, two = Caller(site.address), Caller(site.address)
+            fields = ask(fn=1)
+            one.call(fields, b"of acme")
+            await site.until(worker.runs)
+            one.close()
+            await site.until(lambda: site.node.duty.counts["left"] == 1)
+            number = two.call({**fields, "org": "bolt"}, b"of bolt")
+            await site.turns()
+            worker.answer(worker.runs()[0])
+            await site.until(two.read)
+            self.assertNotEqual(two.answers[number][0], "completed")
+            await site.until(lambda: not site.node.flying)
+            number = two.call({**fields, "org": "bolt"}, b"of bolt")
+            await site.until(lambda: len(worker.runs()) == 2)
+            worker.answer(worker.runs()[1])
+            await site.until(lambda: number in two.read())
+            self.assertEqual(two.answers[number], ("completed", b"of bolt"))
+            two.close()
+
+    async def test_equal_functions_marks_and_messages(self):
+        """Two customers and two namespace types: each has its own lanes, time, body and answer."""
+        worker, mark = Raw("s-1"), "ab" * 16
+        async with self.inside([worker]) as site:
+            kinds = [("acme", "plain", 1, 1900, b"a"), ("bolt", "plain", 3, 1500, b"b"), ("acme", "marked", 3, 1700, b"c"),
+                     ("bolt", "single", 3, 1300, b"d")]
+            callers = [Caller(site.address) for _ in kinds]
+            sent = {}
+
+            def call(which):
+                org, type_, lanes, ttl, body = kinds[which]
+                fields = ask(fn=1, ttl=ttl, org=org, dedupe=mark, facts=f"lanes:{lanes};load_ms:20")
+                sent[fields["call"]] = which
+                callers[which].call(fields, body, type_)
+            call(1)
+            await site.until(worker.runs)
+            for which in (0, 2, 3):                      # the first may have one lane, and one is taken
+                call(which)
+                await site.until(lambda: site.node.intake.held == len(sent))
+            await site.until(lambda: len(worker.runs()) == 3)
+            await site.turns()
+            here = [sent[said["req"]] for _, said in worker.runs()]
+            self.assertEqual(here, [1, 2, 3])
+            for run in worker.runs():
+                org, type_, _, ttl, body = kinds[sent[run[1]["req"]]]
+                meta = run[1]["meta"]
+                self.assertEqual((meta["sort"], meta["op"], run[1]["data"]), (type_, mark, hit(run[1], body)["data"]))
+                self.assertLessEqual(meta["patience"], ttl)
+                self.assertGreater(meta["patience"], ttl - 1000)
+            for run in list(worker.runs()):
+                worker.answer(run)
+            await site.until(lambda: len(worker.runs()) == 4)
+            worker.answer(worker.runs()[3])
+            await site.until(lambda: all(caller.read() for caller in callers))
+            self.assertEqual([caller.answers for caller in callers], [{1: ("completed", kind[4])} for kind in kinds])
+            for caller in callers:
+                caller.close()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -202,9 +202,14 @@
         self.assertEqual((len(Line.carried), 99 in Line.carried, 0 in Line.carried), (pool.KEPT, True, False))
 
     def test_the_end(self):
-        ends = leaving.Leaving(0)
-        said = [f"{at:5d} ms, {owed} owed: closed {ends.closed(at * MS)}, cut {ends.out_of_time(at * MS)}, "
-                f"over {ends.over(at * MS, owed, True)}" for at, owed in ((100, 0), (600, 0), (700, 0), (700, 2), (3300, 2), (3600, 2))]
+        said = []
+        for longest, looks in ((6000, ((100, 0), (600, 0), (700, 0), (700, 2), (3300, 2), (3600, 2))),
+                               (3000, ((3299, 2), (3300, 2), (3499, 2), (3500, 2))),
+                               (1000, ((699, 0), (1449, 2), (1450, 2), (1574, 2), (1575, 2)))):
+            ends = leaving.Leaving(0, longest * MS)
+            said.append(f"longest action timeout {longest} ms: killed {700 + min(longest, 3000)} ms after it at the soonest")
+            said += [f"{at:5d} ms, {owed} owed: closed {ends.closed(at * MS)}, cut {ends.out_of_time(at * MS)}, "
+                     f"over {ends.over(at * MS, owed, True)}" for at, owed in looks]
         compare(self, "node_leaving", said)
 
     def test_room_is_a_part_of_each_limit(self):
