--- a/petrelwood/node/worker.py
+++ b/petrelwood/node/worker.py
@@ -70,8 +70,8 @@
             while self.waiting:
                 line = pool.pick(self.lines, self.waiting[0].act, self.terms.streams, self.core.may_open())
                 if line is not None:
-                    if self._rested(line, self.core.now()):
-                        self._lost(line, "idle")
+                    if line.stream.closed() or self._rested(line, self.core.now()):
+                        self._lost(line, "closed or idle")       # known before anything of the send has left
                     elif self._may_leave(self.waiting[0]):
                         self._put(line, self.waiting.popleft())
                 elif self.connecting < min(len(self.waiting), pool.CONNECTING) and self.core.makes_room():
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -525,3 +525,374 @@
             self.assertEqual([caller.answers for caller in callers], [{1: ("completed", kind[4])} for kind in kinds])
             for caller in callers:
                 caller.close()
+
+
+class Ends(unittest.IsolatedAsyncioTestCase):
+    """SIGTERM with activations in flight, judged by what clients and workers have seen."""
+
+    async def test_requests_that_came_before_the_last_look_get_their_answer(self):
+        """In the listen queue, on an open connection, larger than one reading: all lies unread when the time to take ends."""
+        for waits in ("in the listen queue", "on an open connection", "larger than one reading"):
+            with self.subTest(waits):
+                async with Inside([Worker("s-1")]) as site:
+                    client = Caller(site.address)
+                    number = client.call(ask(fn=1))
+                    await site.until(client.read)
+                    ending = asyncio.ensure_future(site.node.close())
+                    await site.turns(3)
+                    if waits == "in the listen queue":
+                        client = Caller(site.address)
+                    number = client.call(ask(fn=1), body=b"z" * (16_384 if waits == "larger than one reading" else 1))
+                    held_up(0.75)                        # what still comes is over when the loop goes on
+                    await asyncio.wait_for(ending, SLOW)
+                    await site.until(lambda: client.read() is not None and client.ended)
+                    self.assertIn(client.answers.get(number, (client.ended,))[0], ("completed", "Throttled"))
+
+    async def test_all_that_it_took_is_answered_before_it_is_killed(self):
+        """With action timeouts of a second the platform kills 1.7 s after SIGTERM. Judged by the client's clock."""
+        worker = Raw("s-1")
+        async with Inside([worker], classes={"deadline": 1_000_000}) as site:
+            client = Caller(site.address)
+            out = client.call(ask(fn=1, ttl=1900), type_="single")
+            await site.until(worker.runs)
+            number = client.call(ask(fn=1, ttl=1900), type_="plain")
+            began = time.monotonic()
+            ending = asyncio.ensure_future(site.node.close())
+            await site.until(lambda: len(client.read()) == 2)
+            took = time.monotonic() - began
+            self.assertEqual(client.answers[out][0], "Broken")       # once-only: it may have run
+            self.assertLess(took, 1.7)
+            await asyncio.wait_for(ending, SLOW)
+            self.assertIn(number, client.answers)
+
+    async def test_what_is_cut_and_never_left_is_rejected(self):
+        worker = Raw("s-1", narrow=True)
+        async with Inside([worker], permissions={"connectTimeout": 20_000_000}, classes={"deadline": 4_000_000}) as site:
+            client = Caller(site.address)
+            number = client.call(ask(fn=1, ttl=7900), type_="single")
+            await site.until(lambda: site.node.links and site.node.links["s-1"].waiting)
+            ending = asyncio.ensure_future(site.node.close())
+            await site.until(client.read)
+            self.assertEqual(client.answers[number][0], "Throttled")
+            worker.opens()
+            await asyncio.wait_for(ending, SLOW)
+            self.assertEqual(worker.runs(), [])
+            client.close()
+
+    async def test_an_answer_that_comes_while_it_ends_reaches_its_client(self):
+        worker = Raw("s-1")
+        async with Inside([worker]) as site:
+            client = Caller(site.address)
+            number = client.call(ask(fn=1), type_="single")
+            await site.until(worker.runs)
+            ending = asyncio.ensure_future(site.node.close())
+            await site.turns()
+            held_up(0.8)                                 # nothing more is taken
+            worker.answer(worker.runs()[0])
+            await asyncio.wait_for(ending, SLOW)
+            await site.until(lambda: client.read() is not None and client.ended)
+            self.assertEqual((client.answers, client.ended), ({number: ("completed", b"x")}, "end"))
+
+    async def test_health_tells_of_start_and_end(self):
+        async with Inside([Worker("s-1")]) as site:
+            client = Caller(site.address)
+
+            async def health():
+                client.last += 1
+                client.sock.sendall(msgpack.packb([0, client.last, "health", [{}]]))
+                await site.until(lambda: client.last in client.read())
+                return client.answers[client.last]
+            self.assertEqual(await health(), ("completed", True))
+            ending = asyncio.ensure_future(site.node.close())
+            await site.turns()
+            self.assertEqual(await health(), ("completed", False))
+            await asyncio.wait_for(ending, SLOW)
+
+    async def test_signals_at_every_moment_of_its_life(self):
+        """Before it is ready, twice, and until its process has ended: nothing ends it but its own end, with status 0."""
+        site = Site([Worker("s-1")])
+        await site.roster.open()
+        await site.workers[0].open()
+        site.roster.tell(site.workers[0])
+        with socket.socket() as free:
+            free.bind(("127.0.0.1", 0))
+            site.address = free.getsockname()
+        self.addCleanup(site.folder.cleanup)
+        path = site.write()
+        for before in (True, False):
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "petrelwood.node", cwd=ROOT, env=site.environ(path), stderr=asyncio.subprocess.PIPE)
+            lines = asyncio.ensure_future(process.stderr.read()) if before else None
+            status = pathlib.Path(f"/proc/{process.pid}/status")
+            if before:
+                await self.wait(lambda: self.catches(status, signal.SIGTERM) and self.catches(status, signal.SIGHUP))
+                process.send_signal(signal.SIGHUP)
+                process.terminate()
+            else:
+                while b'"listening"' not in await process.stderr.readline():
+                    pass
+                lines = asyncio.ensure_future(process.stderr.read())
+                process.terminate()
+                process.terminate()
+            while process.returncode is None:
+                with contextlib.suppress(ProcessLookupError):
+                    os.kill(process.pid, signal.SIGHUP)
+                await asyncio.sleep(0.001)
+            self.assertEqual(process.returncode, 0)
+            self.assertIn(b'"closed"', await lines)
+        await site.workers[0].close()
+        site.roster.transport.close()
+
+    @staticmethod
+    def catches(status, number):
+        caught = next(line for line in status.read_text().splitlines() if line.startswith("SigCgt"))
+        return int(caught.split()[1], 16) >> (number - 1) & 1
+
+    @staticmethod
+    async def wait(what):
+        end = time.monotonic() + SLOW
+        while not what():
+            if time.monotonic() > end:
+                raise AssertionError("it did not come")
+            await asyncio.sleep(0.001)
+
+
+class Links(unittest.IsolatedAsyncioTestCase):
+    async def test_a_send_that_nobody_ends_gives_its_connection_and_its_link_back(self):
+        """Its activation has ended and may not be cancelled; its connection stays open and says nothing."""
+        silent, loud = Raw("s-1"), Worker("s-2")
+        async with Inside([silent], **NO_CANCEL) as site:
+            client = Caller(site.address)
+            client.call(ask(fn=1, ttl=300))
+            await site.until(silent.runs)
+            client.close()
+            await site.until(lambda: site.node.duty.counts["left"] == 1)
+            link = site.node.links["s-1"]
+            self.assertTrue(link.owes())
+            await loud.open()
+            site.workers.append(loud)
+            site.roster.tell(loud)
+            site.roster.tell(silent, "Gone")
+            await site.until(lambda: "s-1" not in site.node.links)
+            self.assertFalse(link.owes() or link.lines or site.node.flying)
+            self.assertEqual([said["type"] for _, said in silent.read() if said["type"] == "KILL"], [])     # not allowed
+            client = Caller(site.address)
+            number = client.call(ask(fn=1))
+            await site.until(client.read)
+            self.assertEqual(client.answers[number][0], "completed")
+            client.close()
+
+    async def test_what_waits_when_its_worker_moves_goes_to_the_new_address(self):
+        old, new = Raw("s-1", narrow=True), Worker("s-1")
+        async with Inside([old], permissions={"connectTimeout": 20_000_000}) as site:
+            client = Caller(site.address)
+            numbers = [client.call(ask(fn=fn, ttl=3900)) for fn in range(8)]     # more than connect at a time
+            await site.until(lambda: site.node.links and len(site.node.links["s-1"].waiting) >= 8)
+            await new.open()
+            site.workers.append(new)
+            site.roster.entries.clear()
+            site.roster.tell(new)
+            await site.until(lambda: len(client.read()) == 8)
+            self.assertEqual({client.answers[number][0] for number in numbers}, {"completed"})
+            old.opens()
+            probe = socket.create_connection(("127.0.0.1", old.port))    # comes after all that was tried before
+            await site.until(lambda: old.read() is not None and any(
+                conn.getpeername() == probe.getsockname() for conn, _ in old.conns))
+            self.assertEqual(len(old.conns), 1)
+            probe.close(), client.close()
+
+    async def test_a_worker_that_drains_while_a_send_waits_for_its_connection(self):
+        old, new = Raw("s-1", narrow=True), Worker("s-2")
+        async with Inside([old], permissions={"connectTimeout": 20_000_000}) as site:
+            client = Caller(site.address)
+            number = client.call(ask(fn=1, ttl=3900))
+            await site.until(lambda: site.node.links and site.node.links["s-1"].waiting)
+            await new.open()
+            site.workers.append(new)
+            site.roster.tell(new)
+            site.roster.tell(old, "Terminating")
+            await site.until(client.read)
+            old.opens()
+            probe = socket.create_connection(("127.0.0.1", old.port))
+            await site.until(lambda: old.read() is not None and any(
+                conn.getpeername() == probe.getsockname() for conn, _ in old.conns))
+            await site.turns()
+            self.assertEqual((client.answers[number][0], old.runs(), old.orders()), ("completed", [], []))
+            probe.close(), client.close()
+
+    async def test_a_drain_that_lay_unread_while_the_loop_was_held_up(self):
+        """Rule 3: the list that tells it and an answer that frees a lane come while the loop stands still."""
+        worker = Raw("s-1")
+        async with Inside([worker], guarantees={"drainGrace": 200_000}) as site:
+            client, facts = Caller(site.address), "lanes:1;load_ms:20"
+            client.call(ask(fn=1, facts=facts))
+            await site.until(worker.runs)
+            client.call(ask(fn=1, facts=facts))
+            await site.until(lambda: site.node.intake.held == 2)
+            told_ = []
+            site.roster.spoil = lambda wire: told_.append(wire)      # it has the question now, and answers when it is told to
+            await site.until(lambda: told_)
+            site.roster.tell(worker, "Terminating")
+            await site.until(lambda: len(told_) > 2)
+            worker.answer(worker.runs()[0])
+            site.roster.transport.sendto(told_[-1], site.node.roster.sock.getsockname())
+            held_up()
+            await site.until(lambda: not site.node.membership.usable("s-1"))
+            await site.turns()
+            self.assertEqual(len(worker.runs()), 1)
+            client.close()
+
+    async def test_an_answer_and_the_end_of_its_connection_come_together(self):
+        for ends, what in (("reset", "whole"), ("end", "whole"), ("end", "half"), ("reset", "half"), ("end", "twice")):
+            with self.subTest(f"{what}, {ends}"):
+                worker = Raw("s-1")
+                async with Inside([worker]) as site:
+                    client = Caller(site.address)
+                    number = client.call(ask(fn=1), type_="single")
+                    await site.until(worker.runs)
+                    line, run = json.dumps(hit(worker.runs()[0][1])).encode() + b"\n", worker.runs()[0]
+                    worker.write(run[0], {"whole": line, "half": line[:-9], "twice": line + line}[what])
+                    if ends == "reset":
+                        worker.reset(run[0])
+                    else:
+                        worker.conns[run[0]][0].close()
+                    held_up(0.02)
+                    await site.until(client.read)
+                    # A reset may overtake what was written before it: then it may have run.
+                    good = {"whole": {("completed", b"x")} if ends == "end" else {("completed", b"x"), ("Broken", None)},
+                            "twice": {("completed", b"x")}, "half": {("Broken", None)}}[what]
+                    word, body = client.answers[number]
+                    self.assertIn((word, body if word == "completed" else None), good)
+                    self.assertEqual(len(worker.runs()), 1)
+                    client.close()
+
+    async def test_a_second_answer_after_its_connection_carries_another(self):
+        worker = Raw("s-1")
+        async with Inside([worker]) as site:
+            client = Caller(site.address)
+            first = client.call(ask(fn=1), b"one")
+            await site.until(worker.runs)
+            worker.answer(worker.runs()[0])
+            await site.until(client.read)
+            second = client.call(ask(fn=1), b"two")
+            await site.until(lambda: len(worker.runs()) == 2)
+            self.assertEqual(worker.runs()[0][0], worker.runs()[1][0])
+            worker.answer(worker.runs()[0])
+            await site.turns()
+            worker.answer(worker.runs()[1])
+            await site.until(lambda: len(client.read()) == 2)
+            self.assertEqual(client.answers, {first: ("completed", b"one"), second: ("completed", b"two")})
+            client.close()
+
+    async def test_a_connection_that_its_worker_may_close_for_rest_carries_nothing(self):
+        """The settings give it 400 ms; it is ours for half of that."""
+        worker = Raw("s-1")
+        async with Inside([worker], permissions={"connIdle": 400_000}) as site:
+            client = Caller(site.address)
+            client.call(ask(fn=1), type_="single")
+            await site.until(worker.runs)
+            worker.answer(worker.runs()[0])
+            await site.until(client.read)
+            await site.turns()
+            held_up(0.45)
+            number = client.call(ask(fn=1), type_="single")
+            for conn, _ in worker.conns:
+                conn.close()                             # its end is still unread when the next one is sent
+            await site.until(lambda: len(worker.runs()) == 2)
+            worker.answer(worker.runs()[1])
+            await site.until(lambda: number in client.read())
+            self.assertEqual(client.answers[number], ("completed", b"x"))
+            client.close()
+
+
+    async def test_a_connection_that_ends_as_a_send_is_given_to_it(self):
+        """No byte of the send has left: it is known that it never ran, and it goes on elsewhere."""
+        for ends in ("end", "reset"):
+            with self.subTest(ends):
+                worker = Raw("s-1")
+                async with Inside([worker]) as site:
+                    client = Caller(site.address)
+                    client.call(ask(fn=1), type_="single")
+                    await site.until(worker.runs)
+                    worker.answer(worker.runs()[0])
+                    await site.until(client.read)
+                    await site.turns()                   # no event is left over: what comes first is told of first
+                    number = client.call(ask(fn=1), type_="single")
+                    for line in range(len(worker.conns)):
+                        if ends == "reset":
+                            worker.reset(line)
+                        else:
+                            worker.conns[line][0].close()
+                    held_up(0.02)
+                    await site.until(lambda: len(worker.runs()) == 2 or client.read().get(number))
+                    self.assertEqual(client.read().get(number), None)
+                    worker.answer(worker.runs()[1])
+                    await site.until(lambda: number in client.read())
+                    self.assertEqual(client.answers[number], ("completed", b"x"))
+                    client.close()
+
+
+class Lists(unittest.IsolatedAsyncioTestCase):
+    async def test_answers_that_come_late_are_still_taken(self):
+        """Each comes two seconds after its question: more questions are open by then than were once remembered."""
+        old, new = Worker("s-1"), Worker("s-2")
+        async with Inside([old]) as site:
+            await new.open()
+            site.workers.append(new)
+            roster = site.roster
+
+            def late(wire):
+                asyncio.get_running_loop().call_later(2, roster.transport.sendto, wire, site.node.roster.sock.getsockname())
+            roster.spoil = late
+            asked = roster.asked
+            await site.until(lambda: roster.asked > asked)
+            roster.tell(new)
+            roster.tell(old, "Terminating")
+            await site.until(lambda: site.node.membership.usable("s-2") and not site.node.membership.usable("s-1"), 12)
+
+    async def test_a_silence_under_which_workers_change(self):
+        """The first answer after it is an old one, then the new one comes: what has gone gets nothing from then on."""
+        old, new = Worker("s-1"), Worker("s-2")
+        async with Inside([old]) as site:
+            await new.open()
+            site.workers.append(new)
+            client, kept = Caller(site.address), []
+            site.roster.spoil = lambda wire: kept.append(wire)
+            await site.until(lambda: len(kept) > 2)
+            site.roster.tell(new)
+            site.roster.tell(old, "Gone")
+            number = client.call(ask(fn=1))
+            await site.until(lambda: number in client.read())
+            self.assertEqual(client.answers[number][0], "completed")     # by what it knows
+            kept.clear()
+            await site.until(lambda: kept)
+            newest = kept[-1]
+            site.roster.spoil = None
+            serial, site.roster.serial = site.roster.serial, 1
+            entries, site.roster.entries = site.roster.entries, {}
+            before = site.node.roster.counts["old"]
+            await site.until(lambda: site.node.roster.counts["old"] > before)
+            self.assertTrue(site.node.membership.usable("s-1"))
+            site.roster.serial, site.roster.entries = serial, entries
+            await site.until(lambda: site.node.membership.usable("s-2"))
+            self.assertFalse(site.node.membership.usable("s-1"))
+            ran, number = len(old.runs), client.call(ask(fn=1))
+            await site.until(lambda: number in client.read())
+            self.assertEqual((client.answers[number][0], len(old.runs)), ("completed", ran))
+            self.assertTrue(newest)
+            client.close()
+
+    async def test_a_configuration_that_is_half_written_when_its_signal_comes(self):
+        async with Site([Worker("s-1")]) as site:
+            second = Roster()
+            await second.open()
+            second.serial, second.entries = site.roster.serial + 1, dict(site.roster.entries)
+            whole = site.write(names=f"127.0.0.1:{second.port}").read_text()
+            path = site.write()
+            path.write_text(whole[:len(whole) // 2])
+            site.process.send_signal(signal.SIGHUP)
+            await site.until(lambda: any("nothing changes" in line for line in site.log))
+            path.write_text(whole)                       # no second signal comes
+            await site.until(lambda: second.asked)
+            second.transport.close()
+            self.assertEqual(await site.stop(), 0)
