Held up: no worker is blamed for it; a client's answers outlast its rest and its slow reading

Front.check closed a connection as idle while its answers had not gone out (at_rest), and 16 bodies of unread answers ended one that may have 32 requests open (room.UNREAD). Node._ring: after the loop was held up the module looks at time once it knows what has come in it; the old text probed another worker for an answer that lay unread.

--- a/petrelwood/decide/room.py
+++ b/petrelwood/decide/room.py
@@ -17,7 +17,7 @@
 SILENT = SECOND * 3 // 2   # for a connection that has not sent a whole request yet, from its start
 PART = SECOND * 3 // 2     # for a request that has begun to come
 IDLE = 5 * SECOND          # for one that has; usual clients close theirs sooner
-UNREAD = 16 * BODY         # bytes of answers that a client may leave unread
+UNREAD = OPEN * (BODY + TEXT)     # bytes of answers that a client may leave unread: all that it may be owed at a time
 
 
 class Room:
--- a/petrelwood/node/front.py
+++ b/petrelwood/node/front.py
@@ -167,6 +167,10 @@
         return (self.coming is None or self.coming.done()
                 or not self.stream.closed() and bool(pending((self.stream.socket,))))
 
+    def at_rest(self):
+        """Whether it may be closed for having nothing open: its answers have gone out, and nothing has come."""
+        return not self.stream.writing() and not self.unread()
+
     def close(self):
         """Ends the connection; what it had open is taken back."""
         self.ending = True
@@ -305,7 +309,7 @@
 
     def _make_room(self):
         """Descriptors run short: the connection that has been idle longest goes, never one with an open request."""
-        client = next((c for c in self.idle if not c.unread()), None)
+        client = next((c for c in self.idle if c.at_rest()), None)
         if client is None:
             return False
         self.counts["crowded out"] += 1
@@ -327,7 +331,7 @@
         for client in list(self.idle):
             if now - client.since <= rm.IDLE:
                 break
-            if not client.unread():
+            if client.at_rest():
                 client.close()
 
     def quiet(self):
--- a/petrelwood/node/service.py
+++ b/petrelwood/node/service.py
@@ -30,7 +30,7 @@
         self.loop, self.room = asyncio.get_running_loop(), Room(gateway.sockets, gateway.memory)
         self.busy, self.checks, self.looks, self.tag, self.lines, self.losses, self.began = {}, None, 0, 0, 0, 0, False
         super().__init__(gateway, LoopClock(), Random(gateway.seed), self._link, log, brain)
-        self.beat, self.turns, self.still, self.read = self.now(), 0, 0, 0
+        self.beat, self.turns, self.still, self.read, self.rings = self.now(), 0, 0, 0, []
         self.front = Front(self, self.room, log)
         self.roster = DnsRoster(gateway.names, self.membership, Asking(self.chance.random), self, log)
 
@@ -81,9 +81,19 @@
             self.loop.call_soon(self._turn)
             return
         self.turns, self.beat = 0, self.now()
+        rings, self.rings = self.rings, []
+        for mark in rings:
+            self.soon(self._ring, mark)
         for link in list(self.busy):
             link.pump()
 
+    def _ring(self, mark):
+        """What the module makes of time that has passed, it makes once it knows what has come in that time."""
+        if self.behind():
+            self.rings.append(mark)
+        else:
+            super()._ring(mark)
+
     # Descriptors of links, and their tags.
     def opened(self):
         self.lines += 1
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -457,6 +457,38 @@
             client.close()
 
 
+    async def test_a_client_that_reads_nothing_until_all_its_answers_are_there(self):
+        """As many requests as it may have open, of the largest size, from one that is stopped for a moment."""
+        async with Inside([Worker("s-1")]) as site:
+            client = Caller(site.address)
+            client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            await site.until(lambda: site.node.front.clients)
+            next(iter(site.node.front.clients)).stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            other = Caller(site.address)
+            first = other.call(ask(fn=1))
+            await site.until(other.read)
+            client.sock.setblocking(False)
+            bodies = [bytes([65 + n]) * rm.BODY for n in range(rm.OPEN)]
+            for body in bodies:
+                client.last += 1
+                data = msgpack.packb([0, client.last, "plain", [ask(fn=1), body]])
+                while data:                              # its bytes go out as they are read
+                    with contextlib.suppress(BlockingIOError):
+                        data = data[client.sock.send(data):]
+                    await asyncio.sleep(0)
+            await site.until(lambda: site.node.duty.counts["completed"] == len(bodies) + 1)
+            looks = site.node.looks
+            with mock.patch.object(rm, "IDLE", 1):       # nothing of it is open, and its answers have not gone out
+                await site.until(lambda: site.node.looks > looks + 2)
+            client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)
+            for there in site.node.front.clients:
+                there.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1 << 20)
+            await site.until(lambda: len(client.read()) == len(bodies) or client.ended)
+            self.assertEqual([client.answers.get(n + 1) for n in range(len(bodies))], [("completed", body) for body in bodies])
+            self.assertEqual(other.answers[first][0], "completed")
+            client.sock.close(), other.close()
+
+
 class TwoCustomers(unittest.IsolatedAsyncioTestCase):
     TENANTS = [{"name": "acme", "quotaRps": 10_000.0, "share": 0.5}, {"name": "bolt", "quotaRps": 10_000.0, "share": 0.5}]
 
@@ -742,6 +774,24 @@
             self.assertEqual(len(worker.runs()), 1)
             client.close()
 
+    async def test_a_loop_that_was_held_up_blames_no_worker(self):
+        """Its answer came in time and lies unread when time is looked at: neither silent nor sent again, and nothing loaded elsewhere."""
+        workers = [Raw("s-1"), Raw("s-2")]
+        async with Inside(workers) as site:
+            client = Caller(site.address)
+            number = client.call(ask(fn=1))
+            await site.until(lambda: workers[0].runs() or workers[1].runs())
+            worker, other = workers if workers[0].runs() else workers[::-1]
+            asked = len(other.read())
+            worker.answer(worker.runs()[0])
+            held_up(1.2)
+            await site.until(client.read)
+            looks = site.node.looks
+            await site.until(lambda: site.node.looks > looks + 4)
+            self.assertEqual((client.answers[number][0], len(worker.runs()), other.read()[asked:], worker.orders()),
+                             ("completed", 1, [], []))
+            client.close()
+
     async def test_an_answer_and_the_end_of_its_connection_come_together(self):
         for ends, what in (("reset", "whole"), ("end", "whole"), ("end", "half"), ("reset", "half"), ("end", "twice")):
             with self.subTest(f"{what}, {ends}"):
@@ -896,3 +946,38 @@
             await site.until(lambda: second.asked)
             second.transport.close()
             self.assertEqual(await site.stop(), 0)
+
+
+class NewVersions(unittest.IsolatedAsyncioTestCase):
+    async def test_all_copies_of_most_functions_go_void_at_once_on_a_quiet_day(self):
+        """No list tells of it and nothing is amiss: each activation in hand misses, and is completed after one load."""
+        workers = [Worker(f"s-{n}") for n in range(4)]
+        async with Inside(workers) as site:
+            clients, functions, sent = [Caller(site.address) for _ in range(4)], range(1, 13), {}
+
+            def ask_all(round_):
+                for fn in functions:
+                    client = clients[fn % 4]
+                    fields = ask(fn=fn)
+                    sent[fields["call"]] = (client, client.call(fields, b"%d of %d" % (round_, fn)), b"%d of %d" % (round_, fn))
+
+            async def answered():
+                await site.until(lambda: all(number in client.read() for client, number, _ in sent.values()))
+            for round_ in range(3):
+                ask_all(round_)
+                await answered()
+            for worker in workers:                       # all that they hold of eight of the twelve
+                worker.copies -= {f"{fn:016x}" for fn in functions[:8]}
+            orders, runs = sum(len(w.orders) for w in workers), sum(len(w.runs) for w in workers)
+            ask_all(3)
+            await answered()
+            ask_all(4)
+            await answered()
+            for client, number, body in sent.values():
+                self.assertEqual(client.answers[number], ("completed", body))
+            self.assertEqual(sum(len(w.runs) for w in workers) - runs, 2 * len(functions))
+            loads = sum(len(w.orders) for w in workers) - orders
+            self.assertGreaterEqual(loads, 8)            # one each, and few more
+            self.assertLessEqual(loads, 12)
+            for client in clients:
+                client.close()
