--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -619,7 +619,10 @@
             await site.until(worker.runs)
             ending = asyncio.ensure_future(site.node.close())
             await site.turns()
-            held_up(0.8)                                 # nothing more is taken
+            held_up(0.8)
+            await site.until(lambda: site.node.intake.closing or ending.done())      # nothing more is taken
+            await asyncio.sleep(0.05)
+            self.assertFalse(ending.done())
             worker.answer(worker.runs()[0])
             await asyncio.wait_for(ending, SLOW)
             await site.until(lambda: client.read() is not None and client.ended)
@@ -737,7 +740,7 @@
         old, new = Raw("s-1", narrow=True), Worker("s-2")
         async with Inside([old], permissions={"connectTimeout": 20_000_000}) as site:
             client = Caller(site.address)
-            number = client.call(ask(fn=1, ttl=3900))
+            number = client.call(ask(fn=1, ttl=3900), type_="single")
             await site.until(lambda: site.node.links and site.node.links["s-1"].waiting)
             await new.open()
             site.workers.append(new)
