No descriptor left: an activation that was never sent is no defect, and a roster is asked again

NodeLink._connect raised out of the module's own call where sockets.fresh found no descriptor: a defect, and an abort of once-only work that never left. DnsRoster.moves raised out of the signal's handler with its socket closed, and check never asked again.

--- a/petrelwood/node/roster.py
+++ b/petrelwood/node/roster.py
@@ -100,16 +100,28 @@
         """The roster is at another address from now on; its numbers go on."""
         self.address = address
         self.asking.anew(self.core.now())
-        self.open()
+        self._reopen()
+
+    def _reopen(self):
+        """Against a list that is never asked for again, as no descriptor was left at SIGHUP or its address can't be reached now."""
+        try:
+            self.open()
+        except OSError as fault:
+            self.close()
+            self.log.warning("the roster can't be asked", address=f"{self.address[0]}:{self.address[1]}", why=str(fault))
 
     def check(self, now):
-        if self.sock is None or not self.asking.due(now):
+        if not self.asking.due(now):
             return
+        if self.sock is None:
+            self._reopen()
         self.counts["asked"] += 1
-        try:
-            self.sock.send(self.asking.asks(now).to_bytes(2, "big") + self.question)
-        except OSError:                                  # nobody there, or no room: it is asked again
-            pass
+        asked = self.asking.asks(now).to_bytes(2, "big") + self.question
+        if self.sock is not None:
+            try:
+                self.sock.send(asked)
+            except OSError:                              # nobody there, or no room: it is asked again
+                pass
 
     def _read(self):
         for _ in range(8):
--- a/petrelwood/node/worker.py
+++ b/petrelwood/node/worker.py
@@ -105,7 +105,12 @@
     # The connections.
     def _connect(self):
         host, port = self.address
-        stream = Stream(sockets.fresh(host), max_buffer_size=room.FRAME * 4, read_chunk_size=READ)
+        try:
+            sock = sockets.fresh(host)
+        except OSError:                                  # no descriptor after all: nothing was sent
+            self._end(self.waiting[0], fate.of_crowding())
+            return
+        stream = Stream(sock, max_buffer_size=room.FRAME * 4, read_chunk_size=READ)
         line = Line(stream, self.core.now())
         self.lines.append(line)
         self.connecting += 1
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -91,6 +91,22 @@
     time.sleep(seconds)
 
 
+@contextlib.contextmanager
+def no_descriptors():
+    """This process, and so the dispatcher in it, has used up its descriptors."""
+    before, spare = resource.getrlimit(resource.RLIMIT_NOFILE), []
+    try:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (max(map(int, os.listdir("/proc/self/fd"))), before[1]))
+        with contextlib.suppress(OSError):
+            while True:
+                spare.append(os.dup(0))
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, before)
+        for number in spare:
+            os.close(number)
+
+
 class Caller:
     """A client on a plain socket."""
 
@@ -408,19 +424,9 @@
             site.node.loop.remove_reader(site.node.front.sock)
             site.node.loop.add_reader(site.node.front.sock, lambda: (calls.append(1), accept()))
             late = Caller(site.address)
-            before = resource.getrlimit(resource.RLIMIT_NOFILE)
-            try:
-                resource.setrlimit(resource.RLIMIT_NOFILE, (max(map(int, os.listdir("/proc/self/fd"))), before[1]))
-                spare = []
-                with contextlib.suppress(OSError):
-                    while True:
-                        spare.append(os.dup(0))
+            with no_descriptors():
                 await site.turns(200)
                 tried = len(calls)
-            finally:
-                resource.setrlimit(resource.RLIMIT_NOFILE, before)
-                for number_ in spare:
-                    os.close(number_)
             self.assertEqual(tried, 1)
             worker.answer(worker.runs()[0])
             second = late.call(ask(fn=1))
@@ -885,7 +891,35 @@
                     client.close()
 
 
+    async def test_no_descriptor_is_left_for_a_connection(self):
+        """Its activation was never sent: no defect, and no abort of what must not run twice."""
+        worker = Raw("s-1")
+        async with Inside([worker]) as site:
+            client = Caller(site.address)
+            await site.until(lambda: site.node.front.clients)
+            with no_descriptors():
+                number = client.call(ask(fn=1, ttl=600), type_="single")
+                await site.until(client.read)
+            self.assertEqual((client.answers[number][0], site.node.duty.counts["defects"]), ("Throttled", 0))
+            client.close()
+
+
 class Lists(unittest.IsolatedAsyncioTestCase):
+    async def test_no_descriptor_is_left_when_the_roster_moves(self):
+        async with Inside([Worker("s-1")]) as site:
+            second = Roster()
+            await second.open()
+            second.serial, second.entries = site.roster.serial, dict(site.roster.entries)
+            with no_descriptors():
+                site.node.roster.close()                 # its descriptor is taken by another at once
+                with contextlib.suppress(OSError):
+                    taken = os.dup(0)
+                site.node.reload(site.node.gateway._replace(names=("127.0.0.1", second.port)))
+                self.assertIsNone(site.node.roster.sock)
+            os.close(taken)
+            await site.until(lambda: second.asked)
+            second.transport.close()
+
     async def test_answers_that_come_late_are_still_taken(self):
         """Each comes two seconds after its question: more questions are open by then than were once remembered."""
         old, new = Worker("s-1"), Worker("s-2")
