--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -22,7 +22,10 @@
 
 from node_site import ROOT, SETTINGS, Roster, Site, Worker, ask, hit
 from petrelwood.decide import room as rm
+from petrelwood.dispatch import core
+from petrelwood.links import sockets
 from petrelwood.node import told
+from petrelwood.node import worker as link
 from petrelwood.node.service import Node
 
 SLOW = 30                  # s that anything may take on a busy machine before it is called lost
@@ -331,6 +334,51 @@
             await site.turns()
             self.assertEqual(len(first.runs()) + len(second.runs()), 2)
 
+    async def test_between_its_reading_and_its_turn(self):
+        """So much happens in one turn of the loop that the call waits for the next, and its client leaves in between."""
+        for how in ("end", "reset", "cancel"):
+            with self.subTest(how):
+                worker = Raw("s-1")
+                async with Inside([worker]) as site:
+                    gone, stays = Caller(site.address), Caller(site.address)
+                    with mock.patch.object(core, "MOST_IN_A_TURN", 0):
+                        gone.call(ask(fn=1))
+                        await site.until(lambda: site.node.inbox)
+                        gone.close(how)
+                        await site.until(lambda: not any(c.open for c in site.node.front.clients))
+                    kept = ask(fn=1)
+                    stays.call(kept)
+                    await site.until(worker.runs)
+                    await site.turns()
+                    self.assertEqual([said["req"] for _, said in worker.runs()], [kept["call"]])
+                    stays.close()
+
+    async def test_while_the_rest_of_its_send_waits_for_a_worker_that_does_not_read(self):
+        """Half of it is in the worker's hands; the other half never follows."""
+        worker, fresh = Raw("s-1"), sockets.fresh
+        worker.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+
+        def narrow(host, kind=socket.SOCK_STREAM):
+            sock = fresh(host, kind)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            return sock
+        with mock.patch.object(link.sockets, "fresh", narrow):
+            async with Inside([worker], **NO_CANCEL) as site:
+                gone = Caller(site.address)
+                gone.call(ask(fn=1), b"z" * rm.BODY)
+                await site.until(lambda: any(line.open and line.stream.writing() for line in site.node.links["s-1"].lines
+                                             if site.node.flying) if site.node.links else False)
+                gone.close()
+                await site.until(lambda: site.node.duty.counts["left"] == 1)
+                await site.turns()
+                held_up(0.02)
+                stays = Caller(site.address)
+                stays.call(kept := ask(fn=1))
+                await site.until(worker.runs)
+                await site.turns()
+                self.assertEqual([said["req"] for _, said in worker.runs()], [kept["call"]])
+                stays.close()
+
     async def test_a_second_send_that_waits_when_the_first_is_answered(self):
         """Rule 1: the final answer is out, and the other send has not left yet."""
         slow, narrow = Raw("s-1"), Raw("s-2", narrow=True)
@@ -495,6 +543,25 @@
             client.sock.close(), other.close()
 
 
+    async def test_who_is_being_ended_and_reads_nothing_is_ended(self):
+        """Its wrongs are answered and none of the answers is read: its descriptor comes back all the same."""
+        async with Inside([Worker("s-1")]) as site:
+            bad = Caller(site.address)
+            bad.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            await site.until(lambda: site.node.front.clients)
+            there = next(iter(site.node.front.clients))
+            there.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            for _ in range(4):
+                bad.call(ask(fn=1), b"z" * rm.BODY)
+                await site.until(lambda: not there.open and there.asked)
+            for _ in range(rm.FAULTS):
+                bad.call(ask(fn=1), type_="nothing")
+            await site.until(lambda: there.ending)
+            self.assertTrue(there.stream.writing())
+            await site.until(lambda: not site.node.front.clients)
+            bad.sock.close()
+
+
 class TwoCustomers(unittest.IsolatedAsyncioTestCase):
     TENANTS = [{"name": "acme", "quotaRps": 10_000.0, "share": 0.5}, {"name": "bolt", "quotaRps": 10_000.0, "share": 0.5}]
 
@@ -969,6 +1036,17 @@
             self.assertTrue(newest)
             client.close()
 
+    async def test_a_list_under_a_serial_that_stands_still(self):
+        """The serial is the number of the last event: where it is the same nothing has happened, whatever the list says."""
+        workers = [Worker("s-1"), Worker("s-2")]
+        async with Inside(workers) as site:
+            good, entries = site.node.roster.counts["good"], site.roster.entries
+            site.roster.entries = {"s-2": entries["s-2"]}
+            await site.until(lambda: site.node.roster.counts["good"] > good + 1)
+            self.assertTrue(site.node.membership.usable("s-1"))
+            site.roster.serial += 1
+            await site.until(lambda: not site.node.membership.usable("s-1"))
+
     async def test_a_configuration_that_is_half_written_when_its_signal_comes(self):
         async with Site([Worker("s-1")]) as site:
             second = Roster()
