--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -510,7 +510,6 @@
             self.assertEqual(client.answers[2], ("completed", b"three"))
             client.close()
 
-
     async def test_a_client_that_reads_nothing_until_all_its_answers_are_there(self):
         """As many requests as it may have open, of the largest size, from one that is stopped for a moment."""
         async with Inside([Worker("s-1")]) as site:
@@ -542,7 +541,6 @@
             self.assertEqual(other.answers[first][0], "completed")
             client.sock.close(), other.close()
 
-
     async def test_who_is_being_ended_and_reads_nothing_is_ended(self):
         """Its wrongs are answered and none of the answers is read: its descriptor comes back all the same."""
         async with Inside([Worker("s-1")]) as site:
@@ -930,7 +928,6 @@
             self.assertEqual(client.answers[number], ("completed", b"x"))
             client.close()
 
-
     async def test_a_connection_that_ends_as_a_send_is_given_to_it(self):
         """No byte of the send has left: it is known that it never ran, and it goes on elsewhere."""
         for ends in ("end", "reset"):
@@ -957,7 +954,6 @@
                     self.assertEqual(client.answers[number], ("completed", b"x"))
                     client.close()
 
-
     async def test_no_descriptor_is_left_for_a_connection(self):
         """Its activation was never sent: no defect, and no abort of what must not run twice."""
         worker = Raw("s-1")
