--- a/petrelwood/node/roster.py
+++ b/petrelwood/node/roster.py
@@ -82,6 +82,7 @@
     def __init__(self, address, membership, asking, core, log):
         self.address, self.membership, self.asking, self.core, self.log = address, membership, asking, core, log
         self.sock, self.question, self.last, self.counts = None, question(), None, {"asked": 0, "good": 0, "unusable": 0, "old": 0}
+        self.failed = False                              # it was to be opened anew, and could not be
 
     def open(self):
         self.close()
@@ -104,16 +105,18 @@
 
     def _reopen(self):
         """Against a list that is never asked for again, as no descriptor was left at SIGHUP or its address can't be reached now."""
+        self.failed = False
         try:
             self.open()
         except OSError as fault:
             self.close()
+            self.failed = True
             self.log.warning("the roster can't be asked", address=f"{self.address[0]}:{self.address[1]}", why=str(fault))
 
     def check(self, now):
-        if not self.asking.due(now):
+        if self.sock is None and not self.failed or not self.asking.due(now):
             return
-        if self.sock is None:
+        if self.failed:
             self._reopen()
         self.counts["asked"] += 1
         asked = self.asking.asks(now).to_bytes(2, "big") + self.question
