--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -74,6 +74,13 @@
         for _ in range(count):
             await asyncio.sleep(0)
 
+    async def second(self, client, number, worker):
+        """Lets the worker answer the second activation that reaches it; what its client then has."""
+        await self.until(lambda: len(worker.runs()) == 2)
+        worker.answer(worker.runs()[1])
+        await self.until(lambda: number in client.read())
+        return client.answers[number]
+
     async def __aexit__(self, *_):
         node = self.node
         node.front.stop()
@@ -585,10 +592,7 @@
             self.assertNotEqual(two.answers[number][0], "completed")
             await site.until(lambda: not site.node.flying)
             number = two.call({**fields, "org": "bolt"}, b"of bolt")
-            await site.until(lambda: len(worker.runs()) == 2)
-            worker.answer(worker.runs()[1])
-            await site.until(lambda: number in two.read())
-            self.assertEqual(two.answers[number], ("completed", b"of bolt"))
+            self.assertEqual(await site.second(two, number, worker), ("completed", b"of bolt"))
             two.close()
 
     async def test_equal_functions_marks_and_messages(self):
@@ -922,10 +926,7 @@
             number = client.call(ask(fn=1), type_="single")
             for conn, _ in worker.conns:
                 conn.close()                             # its end is still unread when the next one is sent
-            await site.until(lambda: len(worker.runs()) == 2)
-            worker.answer(worker.runs()[1])
-            await site.until(lambda: number in client.read())
-            self.assertEqual(client.answers[number], ("completed", b"x"))
+            self.assertEqual(await site.second(client, number, worker), ("completed", b"x"))
             client.close()
 
     async def test_a_connection_that_ends_as_a_send_is_given_to_it(self):
