--- a/benchmarks/bgp.py
+++ b/benchmarks/bgp.py
@@ -21,7 +21,7 @@
 from tornado.tcpserver import TCPServer
 
 from petrelwood.bgp.beats import Sender
-from petrelwood.decide.serving import Facts
+from petrelwood.decide.routing.serving import Facts
 from petrelwood.standins.router import Router
 from petrelwood.wire import bgp
 
--- a/benchmarks/state.py
+++ b/benchmarks/state.py
@@ -12,8 +12,8 @@
 import time
 
 from petrelwood import ports
-from petrelwood.decide import recovery
-from petrelwood.decide.ledger import Ledger
+from petrelwood.decide.delivery import recovery
+from petrelwood.decide.delivery.ledger import Ledger
 from petrelwood.store import state
 
 WALL, S = 1_764_547_200 * 10**9, 10**9
--- a/petrelwood/bgp/beats.py
+++ b/petrelwood/bgp/beats.py
@@ -6,7 +6,7 @@
 
 import msgpack
 
-from petrelwood.decide.serving import Facts
+from petrelwood.decide.routing.serving import Facts
 from petrelwood.links.local import Bound
 
 EVERY = 0.05               # seconds between beats
--- a/petrelwood/bgp/speaker.py
+++ b/petrelwood/bgp/speaker.py
@@ -12,7 +12,9 @@
 from tornado.tcpserver import TCPServer
 
 from petrelwood.bgp.beats import Receiver
-from petrelwood.decide import announce, neighbor, serving
+from petrelwood.decide.routing import announce
+from petrelwood.decide.routing import neighbor
+from petrelwood.decide.routing import serving
 from petrelwood.wire import bgp
 
 SECOND = 1_000_000_000
--- a/petrelwood/cli/bgp.py
+++ b/petrelwood/cli/bgp.py
@@ -48,7 +48,7 @@
     @click.option("--level", type=click.Choice(["full", "less"]), default="full", show_default=True)
     def routes(file, level):
         """What FILE's speaker announces at a level, as attributes."""
-        from petrelwood.decide import announce
+        from petrelwood.decide.routing import announce
         from petrelwood.settings import speaker
         from petrelwood.wire import bgp as wire
         described = speaker.read(file)
--- a/petrelwood/cli/configs.py
+++ b/petrelwood/cli/configs.py
@@ -100,15 +100,15 @@
     @click.option("--seeds", type=click.IntRange(1, 64), default=5, show_default=True, help="with --day: paired runs")
     def diff(old, new, as_json, name, seeds):
         """What behaves otherwise under NEW than under OLD, when it acts, and what is risky under load."""
-        from petrelwood.decide import change
-        found = change.changes(_described(old), _described(new))
+        from petrelwood.decide.cluster import settings_change
+        found = settings_change.changes(_described(old), _described(new))
         for one in found:
             if as_json:
                 click.echo(json.dumps(one._asdict()))
             else:
                 click.echo(f"- {one.what} ({one.when})" + (f"; risky: {one.risk}" if one.risk else ""))
         if not as_json:
-            click.echo(f"{len(found)} changes; the version as a whole acts {change.plan(found)}" if found else "nothing behaves otherwise")
+            click.echo(f"{len(found)} changes; the version as a whole acts {settings_change.plan(found)}" if found else "nothing behaves otherwise")
         if name:
             _estimated(old, new, name, seeds, as_json)
 
--- a/petrelwood/cli/kept.py
+++ b/petrelwood/cli/kept.py
@@ -47,7 +47,8 @@
     @click.option("--json", "as_json", is_flag=True)
     def show(folder, id_, customer, only_open, rows, as_json):
         """What a start would make of it: the last ids and how they ended."""
-        from petrelwood.decide import ledger, recovery
+        from petrelwood.decide.delivery import ledger
+        from petrelwood.decide.delivery import recovery
         from petrelwood.store import state as store
         try:
             records, _ = store.read(folder)
--- a/petrelwood/cli/main.py
+++ b/petrelwood/cli/main.py
@@ -99,7 +99,7 @@
 @click.option("--rolled", default="", hidden=True, help="how far the roll-out of versions is, from the process before")
 def upgrade(file, log, level, rolled):
     """Takes over from the dispatcher that runs with FILE's `control` socket, and goes on in its place."""
-    from petrelwood.decide.rollout import Rollout
+    from petrelwood.decide.cluster.rollout import Rollout
     from petrelwood.settings import gateway
     described = gateway.read(file)
     if not described.control:
--- a/petrelwood/decide/linkstate.py
+++ b/petrelwood/decide/cluster/link_state.py
@@ -6,7 +6,7 @@
 silent was never up, so what waited for it provably never ran. A greeting with another id is a wrong peer; one with
 another start time than before is a new life of the worker, which knows nothing of calls made to the old one.
 """
-from petrelwood.decide.comeback import Comeback
+from petrelwood.decide.overload.backoff import Comeback
 
 DOWN, CONNECTING, GREETING, UP = "down", "connecting", "greeting", "up"
 PINGS = 3                  # a link that owes something is asked so often before it is given up
--- a/petrelwood/decide/membership.py
+++ b/petrelwood/decide/cluster/membership.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from petrelwood import ports
-from petrelwood.decide.comeback import Comeback
+from petrelwood.decide.overload.backoff import Comeback
 
 USABLE, DRAINING, GONE = "usable", "draining", "gone"
 
--- a/petrelwood/decide/duty.py
+++ b/petrelwood/decide/delivery/pending.py
@@ -6,7 +6,7 @@
 """
 import heapq
 
-from petrelwood.decide import ledger as led
+from petrelwood.decide.delivery import ledger as led
 
 
 class Owed:
--- a/petrelwood/decide/recovery.py
+++ b/petrelwood/decide/delivery/recovery.py
@@ -11,7 +11,7 @@
 from typing import NamedTuple
 
 from petrelwood import ports
-from petrelwood.decide import ledger as led
+from petrelwood.decide.delivery import ledger as led
 
 SECOND = 1_000_000_000
 TAKE, END, ORDER, LIFE, CLOSE = "take", "end", "order", "life", "close"      # the kinds of `store.state`
--- a/petrelwood/decide/account.py
+++ b/petrelwood/decide/forecasting/account.py
@@ -6,7 +6,7 @@
 """
 from collections import Counter
 
-from petrelwood.decide.comeback import Comeback
+from petrelwood.decide.overload.backoff import Comeback
 
 IN_TIME, LATE, NEVER, PUSHED, FAILED, STOPPED = "in time", "late", "never used", "pushed another out", "failed", "stopped"
 ENDS = (IN_TIME, LATE, NEVER, PUSHED, FAILED, STOPPED)
--- a/petrelwood/decide/planner.py
+++ b/petrelwood/decide/forecasting/planner.py
@@ -14,7 +14,7 @@
 """
 from typing import NamedTuple
 
-from petrelwood.decide import forecast as fc
+from petrelwood.decide.forecasting import forecast as fc
 
 
 class Room(NamedTuple):
--- a/petrelwood/decide/early.py
+++ b/petrelwood/decide/forecasting/prefetch.py
@@ -4,9 +4,9 @@
 activations always go first: the module refuses a wish while anything waits, and what it refuses is not asked again.
 Without forecasts, or with stale or absurd ones, nothing is wished and the dispatcher goes on as if there were none.
 """
-from petrelwood.decide import planner
-from petrelwood.decide.account import Account
-from petrelwood.decide.forecast import Forecast
+from petrelwood.decide.forecasting import planner
+from petrelwood.decide.forecasting.account import Account
+from petrelwood.decide.forecasting.forecast import Forecast
 
 ABSURD = 50.0              # a forecast so many times the busiest slot ever seen is not believed
 STORE_LEARNS = 0.1
--- a/petrelwood/decide/admission.py
+++ b/petrelwood/decide/overload/admission.py
@@ -7,7 +7,7 @@
 """
 from collections import OrderedDict
 
-from petrelwood.decide.comeback import Comeback
+from petrelwood.decide.overload.backoff import Comeback
 
 SECOND = 1_000_000_000
 TAKE, PACE, CROWDED, UNFAIR, BAD = "take", "too fast", "crowded", "over its part", "bad signatures"
--- a/petrelwood/decide/intake.py
+++ b/petrelwood/decide/overload/intake.py
@@ -7,12 +7,12 @@
 """
 from typing import NamedTuple
 
-from petrelwood.decide import ledger as led
-from petrelwood.decide import manners as mn
-from petrelwood.decide import patience
-from petrelwood.decide.pace import Pace
-from petrelwood.decide.ramp import Ramp
-from petrelwood.decide.storm import Storms
+from petrelwood.decide.delivery import ledger as led
+from petrelwood.decide.overload import retry_budget
+from petrelwood.decide.overload import deadlines
+from petrelwood.decide.overload.throughput import Pace
+from petrelwood.decide.overload.concurrency_limit import Ramp
+from petrelwood.decide.overload.storm import Storms
 
 TAKE, JOIN, GIVE, REFUSE, CONFLICT, ABORT, SPENT = "take", "join", "give", "refuse", "conflict", "abort", "spent"
 CROWDED, OVER_PART, LEDGER_FULL, NO_TIME, CLOSING = "crowded", "over its part", "ledger full", "no time", "closing"
@@ -55,21 +55,21 @@
         self.usual = min(timeouts.values()) // 4       # how long an activation stays, by a running mean
         few = max(4, limits.held // 1024)
         self.pace, self.ramp = Pace(few), Ramp(limits.held, few, min(timeouts.values()) // 2)
-        self.manners, self.storms = mn.Manners(max(64, limits.ledger // 16)), Storms()
+        self.manners, self.storms = retry_budget.Manners(max(64, limits.ledger // 16)), Storms()
 
     def ask(self, now, wall, ask):
-        due, gone = patience.due(ask.came, ask.wait, self.timeouts[ask.type])
+        due, gone = deadlines.due(ask.came, ask.wait, self.timeouts[ask.type])
         known = self.ledger.entries.get((ask.customer, ask.id))
         joins = known is not None and (known.state != led.REJECTED or ask.stamp <= known.stamp)
-        how = mn.FIRST if joins or not self.damps else self.manners.comes(now, ask.customer, ask.id)
+        how = retry_budget.FIRST if joins or not self.damps else self.manners.comes(now, ask.customer, ask.id)
         if self.damps:
-            self.storms.asked(now, joins or how != mn.FIRST)
+            self.storms.asked(now, joins or how != retry_budget.FIRST)
         if not joins:                                   # a retry of what is known costs no room
             why = self._room(ask.customer) or (
-                NO_TIME if patience.hopeless(now, due, self.timeouts[ask.type]) else None) or (
+                NO_TIME if deadlines.hopeless(now, due, self.timeouts[ask.type]) else None) or (
                 self.damps and self._more_than_can_be(now, ask, due, how))
             if why:
-                return Verdict(REFUSE, why, retry_after=self.come_back(now, ask.customer, ask.id, early=how == mn.EARLY))
+                return Verdict(REFUSE, why, retry_after=self.come_back(now, ask.customer, ask.id, early=how == retry_budget.EARLY))
         verdict, entry = self.ledger.ask(now, wall, (ask.customer, ask.id), ask.stamp, ask.type)
         if verdict == led.RUN:
             if joins:
@@ -106,10 +106,10 @@
             return TOO_MANY
         if not quiet and self.pace.too_late(now, self.held, due):
             return TOO_MANY
-        if how == mn.EARLY and self.ramp.holds_back and (
+        if how == retry_budget.EARLY and self.ramp.holds_back and (
                 self.manners.since(now, ask.customer, ask.id) > self.terms.types[ask.type].target_latency):
             return TOO_EARLY                            # it can only be late by now; others can still be in time
-        if how == mn.EARLY and (self.storms.on("repeats") or self.ramp.holds_back) and not self.manners.may(ask.customer):
+        if how == retry_budget.EARLY and (self.storms.on("repeats") or self.ramp.holds_back) and not self.manners.may(ask.customer):
             return TOO_EARLY
         return None
 
--- a/petrelwood/decide/room.py
+++ b/petrelwood/decide/overload/resource_limits.py
@@ -3,7 +3,7 @@
     descriptors:  a few for ourselves, a part for connections to workers, the rest for clients
     memory:       a part for bodies of activations that are held; beyond that they are turned away at once
 """
-from petrelwood.decide.intake import CLOSING, CROWDED, REFUSE, TAKE, Verdict
+from petrelwood.decide.overload.intake import CLOSING, CROWDED, REFUSE, TAKE, Verdict
 
 OWN = 24                   # descriptors: standard streams, the loop, listeners, the roster, spares
 WORKERS = 0.4              # of the rest, for connections to workers
--- a/petrelwood/decide/manners.py
+++ b/petrelwood/decide/overload/retry_budget.py
@@ -7,7 +7,7 @@
 """
 from collections import OrderedDict
 
-from petrelwood.decide.comeback import Budget
+from petrelwood.decide.overload.backoff import Budget
 
 FIRST, LISTENED, EARLY = "first", "listened", "early"
 PART, KEPT = 0.1, 10.0     # repeats for each first of a customer, and how many may be saved
--- a/petrelwood/decide/storm.py
+++ b/petrelwood/decide/overload/storm.py
@@ -12,7 +12,7 @@
 """
 from collections import Counter
 
-from petrelwood.decide.ring import Ring
+from petrelwood.decide.overload.sliding_window import Ring
 
 SECOND = 1_000_000_000
 MARKS = {"repeats": (0.3, 0.1), "surge": (3.0, 1.5), "synchrony": (8.0, 3.0), "reconnects": (0.7, 0.3), "cold": (0.6, 0.3)}
--- a/petrelwood/decide/pace.py
+++ b/petrelwood/decide/overload/throughput.py
@@ -3,7 +3,7 @@
 By Little's law what is held, over the pace at which answers leave, is the time that one more will stay. It is believed only where
 enough is held for it to mean a queue and not a lull.
 """
-from petrelwood.decide.ring import Ring
+from petrelwood.decide.overload.sliding_window import Ring
 
 SECOND = 1_000_000_000
 WINDOW, BUCKETS = SECOND // 4, 17         # four seconds and the one that fills
--- /dev/null
+++ b/petrelwood/decide/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Service addresses announced by BGP: neighbours, the routing table, whether a dispatcher can serve."""
--- a/petrelwood/decide/announce.py
+++ b/petrelwood/decide/routing/announce.py
@@ -5,7 +5,7 @@
 """
 from typing import NamedTuple
 
-from petrelwood.decide.serving import LESS, NONE
+from petrelwood.decide.routing.serving import LESS, NONE
 from petrelwood.wire import bgp
 
 
--- a/petrelwood/decide/neighbor.py
+++ b/petrelwood/decide/routing/neighbor.py
@@ -10,7 +10,7 @@
 """
 import struct
 
-from petrelwood.decide.comeback import Comeback
+from petrelwood.decide.overload.backoff import Comeback
 from petrelwood.wire import bgp
 
 SECOND = 1_000_000_000
--- a/petrelwood/dispatch/core.py
+++ b/petrelwood/dispatch/core.py
@@ -11,18 +11,18 @@
 
 from petrelwood import ports
 from petrelwood.brain import Brain
-from petrelwood.decide import intake as stage
-from petrelwood.decide import ledger as led
-from petrelwood.decide import recovery
-from petrelwood.decide.comeback import Budget
-from petrelwood.decide.duty import Duty
-from petrelwood.decide.early import EarlyLoads
-from petrelwood.decide.forecast import Calendar
-from petrelwood.decide.intake import Intake
-from petrelwood.decide.ledger import Ledger
-from petrelwood.decide.membership import Membership
-from petrelwood.decide.planner import Prices
-from petrelwood.decide.ring import Ring
+from petrelwood.decide.overload import intake as stage
+from petrelwood.decide.delivery import ledger as led
+from petrelwood.decide.delivery import recovery
+from petrelwood.decide.overload.backoff import Budget
+from petrelwood.decide.delivery.pending import Duty
+from petrelwood.decide.forecasting.prefetch import EarlyLoads
+from petrelwood.decide.forecasting.forecast import Calendar
+from petrelwood.decide.overload.intake import Intake
+from petrelwood.decide.delivery.ledger import Ledger
+from petrelwood.decide.cluster.membership import Membership
+from petrelwood.decide.forecasting.planner import Prices
+from petrelwood.decide.overload.sliding_window import Ring
 
 MOST_IN_A_TURN = 10_000    # what follows from what, before the clock is let go on
 KEPT_BODY = 4096           # bytes of an answer that is kept for a retry after a restart
@@ -87,7 +87,7 @@
             self.log.info("state found", ids=known, orders=self.returning.orders, in_order=found.in_order,
                           whole=bool(found.began), clock_back=found.clock_back)
 
-    # A hand-over: see `decide.handover`.
+    # A hand-over: see `decide.cluster.handover`.
     def well(self):
         """(share of the last ten seconds' answers that completed something, of how many)"""
         good, bad = self.goods.sum(self.now()), self.bads.sum(self.now())
@@ -181,7 +181,7 @@
         self.clock.at(self.now() + self.gateway.early.slot, self._early_turn)
 
     def _look(self):
-        """Storms are looked at; what they change is decided in `decide.intake` and at the fronts."""
+        """Storms are looked at; what they change is decided in `decide.overload.intake` and at the fronts."""
         for name, on, value in self.intake.look(self.now()):
             (self.log.warning if on else self.log.info)(
                 "a storm begins" if on else "a storm is over", symptom=name, value=round(value, 2), held=self.intake.held)
--- a/petrelwood/dispatch/handover.py
+++ b/petrelwood/dispatch/handover.py
@@ -1,6 +1,6 @@
 """Hand-over over a Unix socket: listeners by descriptor, state by its log, outcomes of what the old one still finishes.
 
-Messages are msgpack lists behind a 4-byte length; descriptors ride on `offer`. What is decided is in `decide.handover`.
+Messages are msgpack lists behind a 4-byte length; descriptors ride on `offer`. What is decided is in `decide.cluster.handover`.
 
     new -> old   ["hello", facts]                        old -> new   ["no", why] or ["offer", watch] with descriptors
     new -> old   ["ready"]                               old -> new   ["go", completed share, of how many]
@@ -15,7 +15,7 @@
 
 import msgpack
 
-from petrelwood.decide import handover as decide
+from petrelwood.decide.cluster import handover
 from petrelwood.links.local import Bound
 from petrelwood.store import state as store
 
@@ -101,7 +101,7 @@
     def __init__(self, path, core, webhooks, log, gives, takes_back, over):
         self.path, self.core, self.webhooks, self.log = pathlib.Path(path), core, webhooks, log
         self.gives, self.takes_back, self.over = gives, takes_back, over
-        self.machine, self.channel, self.tasks = decide.Giver(), None, set()
+        self.machine, self.channel, self.tasks = handover.Giver(), None, set()
 
     def open(self):
         """Takes the path over: one that follows binds it anew, so the newest is always found there."""
@@ -130,11 +130,11 @@
         while True:
             await asyncio.sleep(CHECK)
             self._do(self.machine.check(self.core.now()))
-            if self.machine.state == decide.WATCHING and not self.machine.drained and not self.core.duty.acts and all(
+            if self.machine.state == handover.WATCHING and not self.machine.drained and not self.core.duty.acts and all(
                     front.quiet() for front in self.core.fronts):
                 self.machine.is_drained(self.core.now())
                 await self._tell("drained")
-                self._do("end" if self.machine.state == decide.OVER else None)
+                self._do("end" if self.machine.state == handover.OVER else None)
 
     async def _tell(self, *message):
         try:
@@ -147,7 +147,7 @@
         now = self.core.now
         try:
             kind, facts = (await asyncio.wait_for(channel.receive(), 5))[:2]
-            why = "it did not greet" if kind != "hello" or not isinstance(facts, dict) else decide.refuses(
+            why = "it did not greet" if kind != "hello" or not isinstance(facts, dict) else handover.refuses(
                 facts, self.core.name, store.FORMAT, self.machine.busy())
             if why:
                 self.log.warning("an upgrade was turned away", why=why)
@@ -157,7 +157,7 @@
             self.channel = channel
             self.machine.asked(now())
             self.log.info("an upgrade begins", by=facts.get("pid"))
-            await channel.send("offer", decide.WATCH, fds=self.webhooks.descriptors())
+            await channel.send("offer", handover.WATCH, fds=self.webhooks.descriptors())
             while True:
                 message = await channel.receive()
                 if message[0] == "ready":
@@ -230,7 +230,7 @@
             sock.close()
             raise Lost(f"nobody serves at {self.path}: {fault.strerror}") from None
         self.channel = Channel(sock, self.loop)
-        await self.channel.send("hello", {"name": self.name, "pid": os.getpid(), "protocol": decide.FORMAT,
+        await self.channel.send("hello", {"name": self.name, "pid": os.getpid(), "protocol": handover.FORMAT,
                                           "reads": (store.OLDEST, store.FORMAT)})
         try:
             kind, fact = (await asyncio.wait_for(self.channel.receive(), 10))[:2]
@@ -238,7 +238,7 @@
             raise Lost("the old process does not answer") from None
         if kind != "offer":
             raise Lost(f"the old process says no: {fact}")
-        self.machine = decide.Taker(now, fact)
+        self.machine = handover.Taker(now, fact)
         self.listeners, self.channel.fds = [socket.socket(fileno=fd) for fd in self.channel.fds], []
         if not self.listeners:
             raise Lost("the old process passed no listener")
@@ -248,7 +248,7 @@
         self.machine.can_serve(now())
         await self.channel.send("ready")
         try:
-            message = await asyncio.wait_for(self.channel.receive(), decide.READY_WITHIN / 1e9)
+            message = await asyncio.wait_for(self.channel.receive(), handover.READY_WITHIN / 1e9)
         except asyncio.TimeoutError:
             raise Lost("the old process did not give way in time") from None
         if message[0] != "go" or self.machine.go(now(), (message[1], message[2])) != "accept":
@@ -265,9 +265,9 @@
                 if core.now() - self.looked > STILL:     # this process stood still: what came meanwhile is heard first
                     await asyncio.sleep(4 * CHECK)
                 self.looked, beat = core.now(), beat + 1
-                if not beat % BEAT and self.machine.state == decide.OWNING:
+                if not beat % BEAT and self.machine.state == handover.OWNING:
                     await self.channel.send("alive")
-                if self.machine.state == decide.FAILED:
+                if self.machine.state == handover.FAILED:
                     return
                 verdict = self.machine.check(core.now())
                 if verdict == "proven":
@@ -282,18 +282,18 @@
         except Lost:
             self.machine.lost(core.now())
         finally:
-            await asyncio.wait([hears], timeout=None if self.machine.state == decide.PROVEN else 0)
+            await asyncio.wait([hears], timeout=None if self.machine.state == handover.PROVEN else 0)
 
     def _unsure(self, now):
         """Whether this process may have been given up without knowing: it stood still, or the old one serves again."""
-        return self.machine.state == decide.FAILED or self.machine.state == decide.OWNING and now - self.looked > STILL
+        return self.machine.state == handover.FAILED or self.machine.state == handover.OWNING and now - self.looked > STILL
 
     async def _hear(self, core, log):
         try:
             while True:
                 message = await self.channel.receive()
                 if message[0] == "taken":
-                    self.machine.state, self.machine.why = decide.FAILED, "the old process serves again"
+                    self.machine.state, self.machine.why = handover.FAILED, "the old process serves again"
                     log.error("the upgrade was taken back")
                     self.fails()
                     return
--- a/petrelwood/dispatch/health.py
+++ b/petrelwood/dispatch/health.py
@@ -5,8 +5,8 @@
 import asyncio
 
 from petrelwood.bgp.beats import EVERY, Sender
-from petrelwood.decide.ring import Ring
-from petrelwood.decide.serving import Facts
+from petrelwood.decide.overload.sliding_window import Ring
+from petrelwood.decide.routing.serving import Facts
 
 SECOND = 1_000_000_000
 LATELY = SECOND // 2, 5    # buckets in which a stall is remembered
--- a/petrelwood/dispatch/serve.py
+++ b/petrelwood/dispatch/serve.py
@@ -6,8 +6,8 @@
 import sys
 
 from petrelwood.brain import Brain
-from petrelwood.decide import change
-from petrelwood.decide.rollout import Rollout
+from petrelwood.decide.cluster import settings_change
+from petrelwood.decide.cluster.rollout import Rollout
 from petrelwood.dispatch import handover
 from petrelwood.dispatch.dispatcher import Dispatcher
 from petrelwood.dispatch.health import Health
@@ -87,13 +87,13 @@
     def _take(self, new, rolls=False):
         """Takes new settings if all of them can act at once; whether it did, or there was nothing to do. `BY_UPGRADE` where a roll-out
         asks for it and it can be done by one."""
-        found = change.changes(self.gateway, new)
-        when = change.plan(found)
-        if when == change.BY_UPGRADE and rolls and self.spawns is not None and self.giver is not None:
+        found = settings_change.changes(self.gateway, new)
+        when = settings_change.plan(found)
+        if when == settings_change.BY_UPGRADE and rolls and self.spawns is not None and self.giver is not None:
             self.log.info("a version is taken by an upgrade", changes=[one.what for one in found])
-            return change.BY_UPGRADE
+            return settings_change.BY_UPGRADE
         told = [f"{one.what}{'; risky: ' + one.risk if one.risk else ''}" for one in found]
-        if when == change.AT_ONCE:
+        if when == settings_change.AT_ONCE:
             self.gateway, self.version = new, self.version + 1
             self.core.apply(new)
             self.front.apply(new)
@@ -102,7 +102,7 @@
             self.log.info("the settings say what they said")
         else:
             self.log.warning(f"the new settings can act {when} only; nothing changes",
-                             changes=[one.what for one in found if one.when != change.AT_ONCE])
+                             changes=[one.what for one in found if one.when != settings_change.AT_ONCE])
             return False
         return True
 
@@ -134,7 +134,7 @@
             except BadFile as fault:
                 self.log.error("the version is wrong", why=str(fault))
                 taken, why = False, f"it is wrong: {fault}"
-            while taken == change.BY_UPGRADE:                        # where it succeeds, this process ends
+            while taken == settings_change.BY_UPGRADE:                        # where it succeeds, this process ends
                 taken = await self._upgraded()
                 if what == "back":                       # what is bad is left in any case
                     await asyncio.sleep(AGAIN)
--- a/petrelwood/emulate/foresight.py
+++ b/petrelwood/emulate/foresight.py
@@ -4,7 +4,7 @@
 """
 import collections
 
-from petrelwood.decide.early import Known
+from petrelwood.decide.forecasting.prefetch import Known
 
 CERTAIN = 1.0              # the spread of a forecast that can't be wrong beyond chance
 
--- a/petrelwood/emulate/link.py
+++ b/petrelwood/emulate/link.py
@@ -1,11 +1,12 @@
 """Links and workers of the emulator: the model of a worker at the end of a network with distances and cuts.
 
-A link keeps to the same rules as the one on sockets: `decide.linkstate` tells when to connect, `decide.fate` what an
+A link keeps to the same rules as the one on sockets: `decide.cluster.link_state` tells when to connect, `decide.delivery.send_outcome` what an
 end proves. A call is handed over once the connection has greeted; it arrives one way's time later.
 """
 from collections import deque
 
-from petrelwood.decide import fate, linkstate
+from petrelwood.decide.delivery import send_outcome
+from petrelwood.decide.cluster import link_state
 
 HOP = 100_000              # ns that a connection takes beyond the way: the handshakes
 
@@ -44,7 +45,7 @@
 
     def __init__(self, kind, act, n, fn, at, args):
         self.kind, self.act, self.n, self.fn, self.at, self.args = kind, act, n, fn, at, args
-        self.stage, self.job, self.over = fate.WAITING, None, False
+        self.stage, self.job, self.over = send_outcome.WAITING, None, False
 
 
 class Link:
@@ -54,7 +55,7 @@
 
     def __init__(self, platform, node, core, hall, terms, chance):
         self.platform, self.node, self.core, self.hall, self.terms = platform, node, core, hall, terms
-        self.state = linkstate.LinkState(node.name, terms, chance, core.reconnects)
+        self.state = link_state.LinkState(node.name, terms, chance, core.reconnects)
         self.worker, self.address = node.name, (node.name, 0)
         self.waiting, self.out, self.runs, self.life, self.dead, self.attempt = deque(), {}, {}, 0, False, 0
         self.counts = {}
@@ -78,23 +79,23 @@
         call = self.runs.get((act, n))
         if call is not None:
             self._tell_worker(call)
-            self._end(call, fate.of_cancel(call.stage))
+            self._end(call, send_outcome.of_cancel(call.stage))
 
     def late(self, act, n):
         call = self.runs.get((act, n))
         if call is not None:
             self._tell_worker(call)
-            self._end(call, fate.of_time(call.stage))
+            self._end(call, send_outcome.of_time(call.stage))
 
     def withdraw(self, act, n):
         call = self.runs.get((act, n))
-        if call is not None and call.stage == fate.WAITING:
-            self._end(call, fate.of_recall(call.stage))
+        if call is not None and call.stage == send_outcome.WAITING:
+            self._end(call, send_outcome.of_recall(call.stage))
 
     def recall(self):
         for call in list(self.waiting):
             if call.kind != "probe":
-                self._end(call, fate.of_recall(call.stage))
+                self._end(call, send_outcome.of_recall(call.stage))
 
     def owes(self):
         return bool(self.waiting or self.out)
@@ -106,9 +107,9 @@
         now = self.core.now()
         wish = self.state.wants(now)
         if wish == "refuse":
-            self._tell(call, fate.of_loss(fate.WAITING))
+            self._tell(call, send_outcome.of_loss(send_outcome.WAITING))
             return
-        if self.state.state == linkstate.UP:
+        if self.state.state == link_state.UP:
             self._hand(call)
             return
         self.waiting.append(call)
@@ -120,11 +121,11 @@
                 self.platform.after(3 * self.way() + HOP, self._connected, self.attempt)
 
     def _too_long(self, attempt):
-        if attempt == self.attempt and self.state.state in (linkstate.CONNECTING, linkstate.GREETING):
+        if attempt == self.attempt and self.state.state in (link_state.CONNECTING, link_state.GREETING):
             self._lost()
 
     def _connected(self, attempt):
-        if self.dead or attempt != self.attempt or self.state.state != linkstate.CONNECTING:
+        if self.dead or attempt != self.attempt or self.state.state != link_state.CONNECTING:
             return
         if self.node.machine is None:
             self._lost()
@@ -138,12 +139,12 @@
         while self.waiting:
             call = self.waiting[0]
             if call.kind == "hold" and not self.core.leaves(call.at):
-                self._end(call, fate.of_recall(call.stage))
+                self._end(call, send_outcome.of_recall(call.stage))
             else:
                 self._hand(self.waiting.popleft())
 
     def _hand(self, call):
-        call.stage = fate.HANDED
+        call.stage = send_outcome.HANDED
         self.out[id(call)] = call
         if not self.platform.is_cut(self.core.name, self.node.hall):
             self.platform.after(self.way(), self._arrives, call, self.life)
@@ -192,10 +193,10 @@
         if self.dead or life != self.life or call.over:
             return
         self.state.hears(self.core.now())
-        self._end(call, "completed" if word in ("ok", "completed") else fate.of_error(word), note, body, gauge)
+        self._end(call, "completed" if word in ("ok", "completed") else send_outcome.of_error(word), note, body, gauge)
 
     def _tell_worker(self, call):
-        if call.stage == fate.HANDED and not self.platform.is_cut(self.core.name, self.node.hall):
+        if call.stage == send_outcome.HANDED and not self.platform.is_cut(self.core.name, self.node.hall):
             self.platform.after(self.way(), self._cancels, call)
 
     def _cancels(self, call):
@@ -214,7 +215,7 @@
                 machine.cancel(call.job, self.platform.day.stops_work)
 
     def _lost(self):
-        if self.dead or self.state.state == linkstate.DOWN:
+        if self.dead or self.state.state == link_state.DOWN:
             return
         self.state.lost(self.core.now())
         self.life = -1
@@ -223,7 +224,7 @@
             if self.node.machine is not None:
                 self.leave(self.node.machine)
         for call in list(self.out.values()) + list(self.waiting):
-            self._end(call, fate.of_loss(call.stage))
+            self._end(call, send_outcome.of_loss(call.stage))
 
     def die(self):
         """Its dispatcher was killed."""
@@ -234,7 +235,7 @@
                 self.leave(self.node.machine)
 
     def _end(self, call, code, note=0, body=b"", gauge=None):
-        if call.stage == fate.WAITING:
+        if call.stage == send_outcome.WAITING:
             self.waiting.remove(call)
         elif self.out.pop(id(call), None) is None:
             return
@@ -248,7 +249,7 @@
             self.runs.pop((call.act, call.n), None)
             core.soon(core.returned, call.act, call.n, self.worker, code, note, body, call.at, gauge)
         elif call.kind == "hold":
-            if call.stage == fate.WAITING:
+            if call.stage == send_outcome.WAITING:
                 core.stays(call.at)
             core.soon(core.held, self.worker, call.fn, code, note)
         else:
--- a/petrelwood/emulate/platform.py
+++ b/petrelwood/emulate/platform.py
@@ -8,7 +8,7 @@
 
 from petrelwood.brain import Brain
 from petrelwood.clocks import VirtualClock
-from petrelwood.decide import membership as members
+from petrelwood.decide.cluster import membership
 from petrelwood.dispatch.core import Core
 from petrelwood.emulate import script
 from petrelwood.emulate.disk import Disk
@@ -79,7 +79,7 @@
             self.nodes[name].machine.stand(map(self.model, standing[name]))
             self.saw("worker", who="operator", worker=name, zone=hall, cell=cell)
         self.roster_late, self.number, self.closed, self.news = day.roster_late, 0, False, []
-        self.entries = {name: self._entry(name, members.USABLE) for name in self.nodes}
+        self.entries = {name: self._entry(name, membership.USABLE) for name in self.nodes}
         self.disks = {}                                  # what each dispatcher has kept, over its lives
         self.cores, self.lives, self.halls, self.known = {}, {}, {}, {}
         self.open_tries, self.by_hall, self.dead = collections.defaultdict(dict), {}, {}
@@ -132,18 +132,18 @@
 
     def _entry(self, name, state):
         node = self.nodes[name]
-        return members.Entry(name, (name, 1), node.hall, node.cell, node.booted, state)
+        return membership.Entry(name, (name, 1), node.hall, node.cell, node.booted, state)
 
     def _restart(self, name, down):
         self.nodes[name].stop()
-        self._news(name, members.GONE)
+        self._news(name, membership.GONE)
         self.after(down, self._back, name)
 
     def _back(self, name):
         node = self.nodes[name]
         node.start(self.clock.wall())
         self.saw("up", who=name, booted=node.booted)
-        self._news(name, members.USABLE)
+        self._news(name, membership.USABLE)
 
     # The roster.
     def _news(self, name, state):
@@ -155,7 +155,7 @@
             return
         self.number += 1
         self.entries[entry.worker] = entry
-        if entry.state == members.GONE:
+        if entry.state == membership.GONE:
             del self.entries[entry.worker]
         for name in self.day.dispatchers if not self.day.ask_every else ():
             self.after(int(20 * MS * self.ways.uniform()), self._tell, name, self.lives[name], entry, self.number)
@@ -339,8 +339,8 @@
 
     def _on_drain(self, t, nodes):
         for node in nodes:
-            self._news(node.name, members.DRAINING)
-            self.after(t.span, self._news, node.name, members.USABLE)
+            self._news(node.name, membership.DRAINING)
+            self.after(t.span, self._news, node.name, membership.USABLE)
 
     def _each(self, t, nodes, begin, end):
         """Begins and ends it at each of the nodes, in their present life only."""
--- a/petrelwood/emulate/result.py
+++ b/petrelwood/emulate/result.py
@@ -1,7 +1,7 @@
 """What a day in the emulator comes to, as a flat row of figures and a check that nothing was lost in between."""
 import collections
 
-from petrelwood.decide import account
+from petrelwood.decide.forecasting import account
 
 SECOND = 1_000_000_000
 LATE, OVER = 0.3, 0.1      # utility of an answer after its target latency, and of what lies beyond a share
--- a/petrelwood/emulate/traffic.py
+++ b/petrelwood/emulate/traffic.py
@@ -2,11 +2,11 @@
 import bisect
 import zlib
 
-from petrelwood.decide import intake as stage
+from petrelwood.decide.overload import intake
 
 SECOND = 1_000_000_000
-FINAL = {"completed": 200, stage.GIVE: 200, "rejected": 503, stage.REFUSE: 503, "aborted": 504, stage.ABORT: 504,
-         stage.CONFLICT: 409, stage.SPENT: 409}
+FINAL = {"completed": 200, intake.GIVE: 200, "rejected": 503, intake.REFUSE: 503, "aborted": 504, intake.ABORT: 504,
+         intake.CONFLICT: 409, intake.SPENT: 409}
 
 
 class Popularity:
@@ -182,7 +182,7 @@
     def ask_of(self, made):
         """The intake's view of a try."""
         wish = made.wish
-        return stage.Ask(wish.client.name, wish.id, made.stamp * SECOND, wish.kind.type, self.platform.clock.now(),
+        return intake.Ask(wish.client.name, wish.id, made.stamp * SECOND, wish.kind.type, self.platform.clock.now(),
                          wish.patience)
 
     def answered(self, made, status, retry_after, act):
--- a/petrelwood/fronts/mqtt.py
+++ b/petrelwood/fronts/mqtt.py
@@ -2,7 +2,7 @@
 
 One session for each customer, so that the broker tells them apart and each has a window of its own; dispatchers share the
 work by a shared subscription. What is acknowledged when, and what a lost connection means, is decided in
-`decide.delivery`; topics in `decide.reply`; whether it runs, in the intake that all fronts share.
+`decide.delivery.mqtt_acknowledgement`; topics in `decide.delivery.mqtt_topics`; whether it runs, in the intake that all fronts share.
 """
 import asyncio
 import time
@@ -11,18 +11,19 @@
 import orjson
 from tornado.iostream import IOStream, SSLIOStream, StreamClosedError
 
-from petrelwood.decide import delivery as deliver
-from petrelwood.decide import intake as stage
-from petrelwood.decide import patience, reply
-from petrelwood.decide.comeback import Comeback
+from petrelwood.decide.delivery import mqtt_acknowledgement
+from petrelwood.decide.overload import intake
+from petrelwood.decide.overload import deadlines
+from petrelwood.decide.delivery import mqtt_topics
+from petrelwood.decide.overload.backoff import Comeback
 from petrelwood.links import packets as mq
 from petrelwood.links import sockets
 
 SECOND = 1_000_000_000
 READ = 65_536
 IDS = 256                  # packet identifiers of ours: few, so that a new life can release them all at its start
-STATUS = {"completed": "completed", stage.GIVE: "completed", "rejected": "rejected", stage.REFUSE: "rejected",
-          "aborted": "aborted", stage.ABORT: "aborted", stage.CONFLICT: "rejected", stage.SPENT: "aborted"}
+STATUS = {"completed": "completed", intake.GIVE: "completed", "rejected": "rejected", intake.REFUSE: "rejected",
+          "aborted": "aborted", intake.ABORT: "aborted", intake.CONFLICT: "rejected", intake.SPENT: "aborted"}
 ENDED = "the session was lost before its message was begun; it may run elsewhere"
 
 
@@ -60,8 +61,8 @@
     def __init__(self, front, customer):
         self.front, self.customer, core = front, customer, front.core
         self.terms, self.client = front.terms, f"{core.name}.{customer}"
-        self.window = deliver.Window(self.terms.window_least, self.terms.window_most)
-        self.deliveries = deliver.Deliveries(self.window, self)
+        self.window = mqtt_acknowledgement.Window(self.terms.window_least, self.terms.window_most)
+        self.deliveries = mqtt_acknowledgement.Deliveries(self.window, self)
         self.comeback = Comeback(self.terms.comeback_first, self.terms.comeback_most, core.chance.random, full=True)
         self.stream, self.up, self.task, self.number, self.stamp = None, False, None, 0, 0
         self.answers, self.unsent, self.last_id, self.quota = OrderedDict(), deque(), 0, 65535
@@ -125,7 +126,7 @@
         self.front.log.info("broker", customer=self.customer, present=bool(first.present))
         if not first.present:
             self._write(mq.Packet(mq.SUBSCRIBE, self._id(), props={}, filters=[
-                (reply.filter_of(terms.group, self.customer), 2)]))
+                (mqtt_topics.filter_of(terms.group, self.customer), 2)]))
         if self.fresh and not first.present:
             self.fresh = False                           # the broker remembers nothing of an earlier life
         elif self.fresh:                                 # what an earlier life has begun to send is let go
@@ -212,11 +213,11 @@
         now, core = self.front.core.now(), self.front.core
         self.counts["messages"] += 1
         self.counts["again"] += packet.dup
-        response, asked = packet.props.get("response_topic"), reply.asked(topic, self.customer)
+        response, asked = packet.props.get("response_topic"), mqtt_topics.asked(topic, self.customer)
         rule = core.rule(asked.function) if not asked.why else None
         why = asked.why or ("there is no such function" if rule is None else
                             "the function is of another namespace type" if rule.type != asked.type else "")
-        code = mq.NOT_AUTHORIZED if response is not None and not reply.may_answer(response, self.customer) else 0
+        code = mq.NOT_AUTHORIZED if response is not None and not mqtt_topics.may_answer(response, self.customer) else 0
         if why or code:
             self._refuse(packet, response if not code else None, code or mq.BAD_TOPIC, why)
             return
@@ -224,12 +225,12 @@
         if "message_expiry" in packet.props and not wait:
             wait = 1                                     # it has expired on its way
         self.number, self.stamp = self.number + 1, max(self.stamp + 1, time.time_ns())
-        id_ = reply.identity(response, packet.props.get("correlation_data"), self.client, self.number)
-        ask = stage.Ask(self.customer, id_, self.stamp, type_, now, wait)
+        id_ = mqtt_topics.identity(response, packet.props.get("correlation_data"), self.client, self.number)
+        ask = intake.Ask(self.customer, id_, self.stamp, type_, now, wait)
         terms = core.terms.types[type_]
         message = Message(self, response, packet.props.get("correlation_data"), ask, asked.function, rule,
                           packet.payload, terms.target_latency)
-        due, _ = patience.due(now, wait, core.gateway.timeouts[type_])
+        due, _ = deadlines.due(now, wait, core.gateway.timeouts[type_])
         self.deliveries.published(now, packet.id, packet.qos, bool(packet.dup), terms.effect, due,
                                   hash((topic, response, packet.props.get("correlation_data"), packet.payload)), message)
 
@@ -260,7 +261,7 @@
     def turn_away(self, delivery):
         message = delivery.what
         message.delivery = delivery
-        message.answer_is = (orjson.dumps({"status": "rejected", "detail": stage.NO_TIME}), [("status", "rejected")])
+        message.answer_is = (orjson.dumps({"status": "rejected", "detail": intake.NO_TIME}), [("status", "rejected")])
         self.give(delivery, bool(delivery.qos))
 
     def owes_abort(self, delivery):
@@ -351,7 +352,7 @@
         if self.up:
             self.draining = self.front.core.loop.create_future()
             self._write(mq.Packet(mq.UNSUBSCRIBE, self._id(), props={}, filters=[
-                reply.filter_of(self.terms.group, self.customer)]))
+                mqtt_topics.filter_of(self.terms.group, self.customer)]))
             try:
                 await asyncio.wait_for(self.draining, self.terms.connect_within / 1e9)
             except asyncio.TimeoutError:
--- a/petrelwood/fronts/webhook.py
+++ b/petrelwood/fronts/webhook.py
@@ -15,15 +15,15 @@
 from tornado.netutil import bind_sockets
 from tornado.tcpserver import TCPServer
 
-from petrelwood.decide import admission as adm
-from petrelwood.decide import intake as stage
+from petrelwood.decide.overload import admission as adm
+from petrelwood.decide.overload import intake
 from petrelwood.fronts import problem
 from petrelwood.fronts.signing import Verifier
 
 SECOND = 1_000_000_000
 READ = 65_536
 TAKEN_TYPES = (b"application/json", b"application/octet-stream", b"text/plain")
-STATUS = {stage.GIVE: 200, stage.CONFLICT: 409, stage.ABORT: 504, stage.SPENT: 409}
+STATUS = {intake.GIVE: 200, intake.CONFLICT: 409, intake.ABORT: 504, intake.SPENT: 409}
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 BUSY = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nRetry-After: %d\r\nConnection: close\r\n\r\n"
 
@@ -38,10 +38,10 @@
 
     def answer(self, what, body=b"", retry_after=0, why="", act=None):
         """The final answer, from the core: 'completed', 'rejected', 'aborted' or a verdict of the intake."""
-        if what in ("completed", stage.GIVE):
+        if what in ("completed", intake.GIVE):
             self.respond(200, body, b"application/json", act=act)
-        elif what in ("rejected", stage.REFUSE):
-            status = 429 if why == stage.OVER_PART else 503
+        elif what in ("rejected", intake.REFUSE):
+            status = 429 if why == intake.OVER_PART else 503
             self.fail(status, why or "turned away; trying again does no harm", act, retry_after)
         elif what == "aborted":
             self.fail(504, why or "no answer in time, or none that proves anything", act)
@@ -420,7 +420,7 @@
         wait = patience_of(headers.get(b"prefer", b""))
         if wait is None:
             return 400, "Prefer: wait=N takes whole seconds, 1 or more", None, None, None
-        return 0, "", stage.Ask(customer, text, seconds * SECOND, rule.type, x.came, wait * SECOND), rule, function
+        return 0, "", intake.Ask(customer, text, seconds * SECOND, rule.type, x.came, wait * SECOND), rule, function
 
 
 def patience_of(header):
--- a/petrelwood/lab/past.py
+++ b/petrelwood/lab/past.py
@@ -3,8 +3,8 @@
 
 import numpy
 
-from petrelwood.decide import account as ends_of
-from petrelwood.decide import forecast as fc
+from petrelwood.decide.forecasting import account as ends_of
+from petrelwood.decide.forecasting import forecast
 from petrelwood.store import ends, history
 
 SECOND = 10**9
@@ -26,7 +26,7 @@
 
 def _replay(row, first, calendar):
     """Each slot's forecasts by method and the believed one, before it is learnt: [(count, {method: (mean, spread)})]"""
-    series, steps = fc.Series(), []
+    series, steps = forecast.Series(), []
     for number, count in enumerate(row.tolist()):
         keys = calendar.keys((first + number) * calendar.slot)
         made = {m: (mean, series.spreads[m]) for m, mean in series.means(keys).items() if mean is not None}
@@ -43,7 +43,7 @@
     names, matrix, first = counts(folder, slot)
     if matrix.shape[1] < 3:
         return None
-    calendar = fc.Calendar(slot, season, 7 * season)
+    calendar = forecast.Calendar(slot, season, 7 * season)
     sums, believed, scored = collections.defaultdict(lambda: [0.0, 0]), collections.Counter(), 0
     for index in numpy.argsort(-matrix.sum(axis=1))[:most]:
         series, steps = _replay(matrix[index], first, calendar)
@@ -53,7 +53,7 @@
                 continue
             scored += 1
             for method, (mean, spread) in made.items():
-                sums[method][0] += fc.score(mean, spread, count)
+                sums[method][0] += forecast.score(mean, spread, count)
                 sums[method][1] += 1
     return {"scores": {m: s / n for m, (s, n) in sorted(sums.items())}, "believed": dict(believed), "slots": scored,
             "functions": min(most, len(names))}
@@ -63,7 +63,7 @@
     names, matrix, first = counts(folder, slot)
     if function not in names:
         raise KeyError(function)
-    calendar = fc.Calendar(slot, season, 7 * season)
+    calendar = forecast.Calendar(slot, season, 7 * season)
     row = matrix[names.index(function)]
     series, steps = _replay(row, first, calendar)
     at = (first + len(row)) * slot
@@ -75,10 +75,10 @@
                + (f", mean score {score:.3f}" if score is not None else "")
                + (", believed" if method == series.believed else ""))
     if mean is not None:
-        below = fc.probabilities(mean, spread, int(mean + 6 * (mean * spread) ** 0.5) + 2)
+        below = forecast.probabilities(mean, spread, int(mean + 6 * (mean * spread) ** 0.5) + 2)
         low, high = (next((k for k, p in enumerate(below) if p >= part), len(below)) for part in (0.1, 0.9))
         yield (f"  next: {mean:.2f} calls, {low} to {high} in eight of ten; a call at all: "
-               f"{fc.at_least_one(mean, spread):.0%}" + ("; it is hot" if series.hot else ""))
+               f"{forecast.at_least_one(mean, spread):.0%}" + ("; it is hot" if series.hot else ""))
     if chart:
         _draw(function, steps, slot, chart)
         yield f"  drawn: {chart}"
--- a/petrelwood/lab/walk.py
+++ b/petrelwood/lab/walk.py
@@ -3,7 +3,7 @@
 Breadth first over all interleavings of: the client asks, asks again signed anew, plays an old request back; the dispatcher's log gets
 its records, the disk has them, an activation goes out; it arrives, runs, or is lost; its answer arrives or is lost; it times out or is
 rejected unsent; the process is killed, or the machine falls, and a new life reads what is left. What is asked and what comes back
-is decided by the serving code: `decide.ledger`, `decide.recovery`. Two orders that come to the same state are one.
+is decided by the serving code: `decide.delivery.ledger`, `decide.delivery.recovery`. Two orders that come to the same state are one.
 
 What must hold in each state: what is once-only has run at most once; what is deduplicated ran as often as workers that drop repeats
 allow; each try has one answer in a life; nothing is told to be completed that did not run.
@@ -13,8 +13,8 @@
 from typing import NamedTuple
 
 from petrelwood import ports
-from petrelwood.decide import ledger as led
-from petrelwood.decide import recovery
+from petrelwood.decide.delivery import ledger
+from petrelwood.decide.delivery import recovery
 
 SECOND = 1_000_000_000
 TOLERANCE = 300 * SECOND
@@ -100,7 +100,7 @@
         self.life, self.alive = self.life + 1, True
         types, wall = {"t": KINDS[self.effect]}, self.now
         # A new life's ledger begins now; a stamp is a whole second, so that what was signed before stays before.
-        self.ledger = led.Ledger(10, 1000, TOLERANCE, types, {"t": 2 * TOLERANCE}, 0 if self.life == 1 else wall)
+        self.ledger = ledger.Ledger(10, 1000, TOLERANCE, types, {"t": 2 * TOLERANCE}, 0 if self.life == 1 else wall)
         records = [] if self.flaw == "forgets" else [*self.disk, *self.system]
         if records and self.flaw != "no log":
             found = recovery.replay(records, wall, str(self.boot), self.durability == "machine")
@@ -121,14 +121,14 @@
         stamp = (1000 + 10 * number) * SECOND
         self.now = max(self.now, stamp)
         verdict, entry = self.ledger.ask(self.now, self.now, KEY, stamp, "t")
-        if verdict == led.RUN:
+        if verdict == ledger.RUN:
             if self.taken is not None:
                 self.broken = "taken twice at a time"
             self.tries += 1
             self.taken, self.taken_stamp, self.sent, entry.act = self.tries, stamp, False, "a"
             if recovery.kept_first(self.effect):
                 self.note(recovery.TAKE, self.now, *KEY, stamp, "t")
-        elif verdict == led.AGAIN and not self.runs:
+        elif verdict == ledger.AGAIN and not self.runs:
             self.broken = "told to be completed, and never ran"
 
     def log(self):
@@ -151,13 +151,13 @@
     def ran(self, mark):
         self.net = self._without(("ran", mark))
         if (self.life, self.taken) == tuple(map(int, mark.split("."))):
-            self._ends(led.COMPLETED, True, b"done")
+            self._ends(ledger.COMPLETED, True, b"done")
 
     def time_out(self):
-        self._ends(led.ABORTED, True)
+        self._ends(ledger.ABORTED, True)
 
     def reject(self):
-        self._ends(led.REJECTED, False)
+        self._ends(ledger.REJECTED, False)
 
     def _ends(self, outcome, sent, body=None):
         if (self.life, self.taken) in self.answered:
--- a/petrelwood/links/calls.py
+++ b/petrelwood/links/calls.py
@@ -1,11 +1,11 @@
 """What a link to a worker has been asked and has not ended yet: the queue, the stages and how each call ends.
 
-Shared by the links of all protocols. What an end proves is decided in `decide.fate`. `core` hears of each end, through `soon`:
+Shared by the links of all protocols. What an end proves is decided in `decide.delivery.send_outcome`. `core` hears of each end, through `soon`:
 `returned`, `held`, `probed`; never from within a method that it has called itself.
 """
 from collections import deque
 
-from petrelwood.decide import fate
+from petrelwood.decide.delivery import send_outcome
 
 
 class Call:
@@ -15,7 +15,7 @@
 
     def __init__(self, kind, act, n, fn, at, frame, tag, until=None):
         self.kind, self.act, self.n, self.fn, self.at, self.until = kind, act, n, fn, at, until
-        self.frame, self.stage, self.tag, self.line = frame, fate.WAITING, tag, None
+        self.frame, self.stage, self.tag, self.line = frame, send_outcome.WAITING, tag, None
 
 
 class Calls:
@@ -28,29 +28,29 @@
 
     def cancel(self, act, n):
         """Ends the wait for a send; the worker is told where it may have heard of it."""
-        self._stop(act, n, fate.of_cancel)
+        self._stop(act, n, send_outcome.of_cancel)
 
     def late(self, act, n):
         """The time of a send is up."""
-        self._stop(act, n, fate.of_time)
+        self._stop(act, n, send_outcome.of_time)
 
     def _stop(self, act, n, proof):
         call = self.runs.get((act, n))
         if call is not None:
-            if call.stage == fate.HANDED:
+            if call.stage == send_outcome.HANDED:
                 self._notice_end(call)
             self._end(call, proof(call.stage))
 
     def withdraw(self, act, n):
         """Its activation has ended: what has not left yet never does. That needs nobody's leave, as a cancel does."""
         call = self.runs.get((act, n))
-        if call is not None and call.stage == fate.WAITING:
-            self._end(call, fate.of_recall(call.stage))
+        if call is not None and call.stage == send_outcome.WAITING:
+            self._end(call, send_outcome.of_recall(call.stage))
 
     def recall(self):
         """The worker drains or is gone: what has not left yet is taken back."""
         for call in list(self.waiting):
-            code = fate.of_recall(call.stage)
+            code = send_outcome.of_recall(call.stage)
             if code is not None and call.kind != "probe":
                 self.counts["recalled"] += 1
                 self._end(call, code)
@@ -64,7 +64,7 @@
 
     def _hand(self, call):
         """It leaves our queue for the socket; its bytes."""
-        frame, call.frame, call.stage = call.frame, None, fate.HANDED
+        frame, call.frame, call.stage = call.frame, None, send_outcome.HANDED
         self.out[call.tag] = call
         self.waiting_bytes -= len(frame)
         self.counts["sent"] += 1
@@ -76,7 +76,7 @@
         if call.kind != "hold" or self.core.leaves(call.at):
             return True
         self.counts["recalled"] += 1
-        self._end(call, fate.of_recall(call.stage))
+        self._end(call, send_outcome.of_recall(call.stage))
         return False
 
     def _overdue_calls(self, now, within):
@@ -92,7 +92,7 @@
         """Tells the worker that a send need not be finished."""
 
     def _end(self, call, code, note=0, body=b"", gauge=None):
-        if call.stage == fate.WAITING:
+        if call.stage == send_outcome.WAITING:
             try:
                 self.waiting.remove(call)
                 self.waiting_bytes -= len(call.frame)
@@ -103,9 +103,9 @@
         self._tell(call, code, note, body, gauge)
 
     def _tell(self, call, code, note=0, body=b"", gauge=None):
-        if call.kind == "hold" and call.stage == fate.WAITING:
+        if call.kind == "hold" and call.stage == send_outcome.WAITING:
             self.core.stays(call.at)
-        call.stage = fate.ANSWERED
+        call.stage = send_outcome.ANSWERED
         if call.kind == "run":
             self.runs.pop((call.act, call.n), None)
             self.core.soon(self.core.returned, call.act, call.n, self.worker, code, note, body, call.at, gauge)
--- a/petrelwood/links/roster.py
+++ b/petrelwood/links/roster.py
@@ -2,7 +2,7 @@
 
 `GET /workers` answers with an endless stream: `list` with all entries, `change` with some, each with an id
 `EPOCH-NUMBER` that grows by one; comments keep it alive. `Last-Event-ID` resumes after a break. What is believed
-of the list is decided in `decide.membership`; 'told' counts from the moment the bytes are here.
+of the list is decided in `decide.cluster.membership`; 'told' counts from the moment the bytes are here.
 """
 import asyncio
 import time
@@ -11,7 +11,7 @@
 import orjson
 from tornado.iostream import IOStream, StreamClosedError
 
-from petrelwood.decide import membership as members
+from petrelwood.decide.cluster import membership as members
 from petrelwood.links import sockets
 from petrelwood.links.sse import Events
 
--- a/petrelwood/links/worker.py
+++ b/petrelwood/links/worker.py
@@ -8,11 +8,12 @@
     probe [] -> gauge
     hello [worker, its start time]  (its first notification; ours is hello [dispatcher])
 
-What is decided about a link is in `decide.linkstate`, what an end proves in `decide.fate`.
+What is decided about a link is in `decide.cluster.link_state`, what an end proves in `decide.delivery.send_outcome`.
 """
 from tornado.iostream import IOStream, SSLIOStream, StreamClosedError
 
-from petrelwood.decide import fate, linkstate
+from petrelwood.decide.delivery import send_outcome
+from petrelwood.decide.cluster import link_state
 from petrelwood.links import rpc, sockets
 from petrelwood.links.calls import Call, Calls
 
@@ -26,7 +27,7 @@
     def __init__(self, worker, address, terms, chance, core, log, tls=None):
         super().__init__(worker, address, core)
         self.terms, self.log, self.tls = terms, log, tls
-        self.state = linkstate.LinkState(worker, terms, chance, core.reconnects)
+        self.state = link_state.LinkState(worker, terms, chance, core.reconnects)
         self.stream, self.last, self.writing, self.soon = None, 0, False, False
 
     # What the dispatcher asks.
@@ -47,9 +48,9 @@
             self.runs[act, n] = call
         wish = self.state.wants(now)
         if wish == "refuse":
-            self._tell(call, fate.of_loss(fate.WAITING))
+            self._tell(call, send_outcome.of_loss(send_outcome.WAITING))
         elif self.waiting_bytes + len(call.frame) > self.terms.queue:
-            self._tell(call, fate.of_crowding())
+            self._tell(call, send_outcome.of_crowding())
         else:
             self._wait(call)
             self.core.active(self)
@@ -59,13 +60,13 @@
 
     # The way out.
     def _flush_soon(self):
-        if not self.soon and not self.writing and self.state.state == linkstate.UP:
+        if not self.soon and not self.writing and self.state.state == link_state.UP:
             self.soon = True
             self.core.loop.call_soon(self._flush)
 
     def _flush(self):
         self.soon = False
-        while self.waiting and not self.writing and self.state.state == linkstate.UP:
+        while self.waiting and not self.writing and self.state.state == link_state.UP:
             size, chunk = 0, []
             while self.waiting and size < BATCH:
                 if self._may_leave(self.waiting[0]):
@@ -92,7 +93,7 @@
         self._notice("cancel", [call.act, call.n])
 
     def _notice(self, method, params):
-        if self.state.state == linkstate.UP and not self.stream.closed():
+        if self.state.state == link_state.UP and not self.stream.closed():
             try:
                 self.stream.write(rpc.notice(method, params)).add_done_callback(lambda done: done.exception())
             except StreamClosedError:
@@ -135,15 +136,15 @@
 
     def _lost(self, stream, why):
         stream.close()
-        if self.stream is not stream or self.state.state == linkstate.DOWN:
+        if self.stream is not stream or self.state.state == link_state.DOWN:
             return
-        was_up = self.state.state == linkstate.UP
+        was_up = self.state.state == link_state.UP
         self.state.lost(self.core.now())
         self.counts["lost"] += 1
         self.log.info("link lost", worker=self.worker, why=why, was_up=was_up, out=len(self.out),
                       waiting=len(self.waiting))
         for call in list(self.out.values()) + list(self.waiting):
-            self._end(call, fate.of_loss(call.stage))
+            self._end(call, send_outcome.of_loss(call.stage))
 
     def give_up(self, why):
         if self.stream is not None:
@@ -157,22 +158,22 @@
         elif verdict == "ping":
             self._call("probe", None, 0, None, [])
         for call in self._overdue_calls(now, self.terms.order_within):
-            self._end(call, fate.of_time(call.stage))
+            self._end(call, send_outcome.of_time(call.stage))
         for call in self._expired(now):
             self.late(call.act, call.n)
-        return self.owes() or self.state.state in (linkstate.CONNECTING, linkstate.GREETING)
+        return self.owes() or self.state.state in (link_state.CONNECTING, link_state.GREETING)
 
     # The way back.
     def _message(self, message):
         if message[0] == rpc.RESPONSE:
             self._response(message[1], message[2], message[3])
-        elif message[0] == rpc.NOTICE and message[1] == "hello" and self.state.state == linkstate.GREETING:
+        elif message[0] == rpc.NOTICE and message[1] == "hello" and self.state.state == link_state.GREETING:
             if len(message[2]) != 2 or not isinstance(message[2][1], int):
                 raise rpc.Garbage("a malformed greeting")
             if not self.state.greeted(self.core.now(), *message[2]):
                 raise rpc.Garbage(f"the peer is {message[2][0]!r}")
             self._flush()
-        elif self.state.state != linkstate.UP:
+        elif self.state.state != link_state.UP:
             raise rpc.Garbage("it did not greet first")
 
     def _response(self, msgid, error, result):
@@ -193,13 +194,13 @@
             note = parts[2] if isinstance(parts[2], int) else 0
             if not isinstance(body, bytes):
                 raise rpc.Garbage("an answer's body must be bytes")
-            self._end(call, fate.of_error(head) if error is not None else "completed", note, body, gauge)
+            self._end(call, send_outcome.of_error(head) if error is not None else "completed", note, body, gauge)
         elif call.kind == "hold":
             good = isinstance(result, list) and len(result) == 2 and isinstance(result[1], int)
-            self._end(call, ("completed" if result[0] == "ok" else fate.of_error(result[0])) if good else
-                      fate.of_error(error), result[1] if good else 0)
+            self._end(call, ("completed" if result[0] == "ok" else send_outcome.of_error(result[0])) if good else
+                      send_outcome.of_error(error), result[1] if good else 0)
         else:
-            self._end(call, "completed" if error is None else fate.of_error(error), gauge=_gauge(result))
+            self._end(call, "completed" if error is None else send_outcome.of_error(error), gauge=_gauge(result))
 
 
 def _gauge(raw):
--- a/petrelwood/node/front.py
+++ b/petrelwood/node/front.py
@@ -1,7 +1,7 @@
 """Clients: MessagePack-RPC over TCP; the namespace type is the method, beside `cancel` and `health`.
 
 What is wrong with a request ends here, with an error; what can't be read ends its connection. Rightly asked ones go to the core, whose
-answer comes back through `Exchange.answer`, once. How much fits is decided in `decide.room`.
+answer comes back through `Exchange.answer`, once. How much fits is decided in `decide.overload.resource_limits`.
 """
 import errno
 import functools
@@ -13,9 +13,9 @@
 
 from tornado.iostream import StreamBufferFullError, StreamClosedError
 
-from petrelwood.decide import intake as stage
-from petrelwood.decide import room as rm
-from petrelwood.decide.intake import Ask
+from petrelwood.decide.overload import intake
+from petrelwood.decide.overload import resource_limits
+from petrelwood.decide.overload.intake import Ask
 from petrelwood.links import rpc, sockets
 from petrelwood.node.stream import Stream
 from petrelwood.node.told import MS
@@ -26,7 +26,7 @@
 REJECTED, ABORTED, WRONG = "Throttled", "Broken", "Invalid"
 HEX, TEXT = frozenset("0123456789abcdef"), frozenset((str,))
 FACTS = 512                # texts of further figures whose reading is kept
-PARTS = rpc.Parts(rm.BODY, rm.TEXT, rm.MEMBERS)
+PARTS = rpc.Parts(resource_limits.BODY, resource_limits.TEXT, resource_limits.MEMBERS)
 
 
 def pending(socks):
@@ -116,7 +116,7 @@
         del self.client.open[self.msgid]
         if what == "completed":
             self.client.write(rpc.response(self.msgid, None, [body, {}]))
-        elif what in ("rejected", stage.REFUSE):
+        elif what in ("rejected", intake.REFUSE):
             self.client.refuse(self.msgid, retry_after)
         else:
             self.client.write(rpc.response(self.msgid, [ABORTED, {}], None))
@@ -140,7 +140,7 @@
                 now = front.core.now()
                 front.reads += 1
                 if self.reader is None:
-                    self.reader = front.readers.pop() if front.readers else rpc.Reader(rm.FRAME + READ, PARTS)
+                    self.reader = front.readers.pop() if front.readers else rpc.Reader(resource_limits.FRAME + READ, PARTS)
                 messages = self.reader.feed(data)
                 if self.reader.whole():                  # a reader has some 40 KB: only who is in a message has one
                     if len(front.readers) < READERS:
@@ -204,7 +204,7 @@
         self.front.note("wrong", why)
         self.faults += 1
         self.write(rpc.response(msgid, [WRONG, {"why": why}], None))
-        if self.faults >= rm.FAULTS:
+        if self.faults >= resource_limits.FAULTS:
             self.ending = True
 
     def _message(self, message, now):
@@ -242,7 +242,7 @@
             self.wrong(msgid, str(fault))
             return
         self.asked = True
-        if len(self.open) >= rm.OPEN:
+        if len(self.open) >= resource_limits.OPEN:
             self.front.counts["over its part"] += 1
             self.refuse(msgid, core.intake.usual)
             return
@@ -302,8 +302,8 @@
                 continue
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            client = Client(self, Stream(sock, max_buffer_size=2 * READ + rm.FRAME, read_chunk_size=READ,
-                                           max_write_buffer_size=rm.UNREAD), self.core.now())
+            client = Client(self, Stream(sock, max_buffer_size=2 * READ + resource_limits.FRAME, read_chunk_size=READ,
+                                           max_write_buffer_size=resource_limits.UNREAD), self.core.now())
             self.clients[client] = self.idle[client] = True
             self.core.loop.create_task(client.serve())
 
@@ -322,14 +322,14 @@
             self.core.loop.add_reader(self.sock, self._accept)
         for client in list(self.clients):
             if client.ending:                            # nothing of it is read any more
-                if not client.stream.writing() or now - client.since > rm.PART:
+                if not client.stream.writing() or now - client.since > resource_limits.PART:
                     client.close()
-            elif ((client.part and now - client.part > rm.PART or not client.asked and now - client.since > rm.SILENT)
+            elif ((client.part and now - client.part > resource_limits.PART or not client.asked and now - client.since > resource_limits.SILENT)
                   and not client.unread()):
                 self.counts["too slow"] += 1
                 client.close()
         for client in list(self.idle):
-            if now - client.since <= rm.IDLE:
+            if now - client.since <= resource_limits.IDLE:
                 break
             if client.at_rest():
                 client.close()
--- a/petrelwood/node/roster.py
+++ b/petrelwood/node/roster.py
@@ -1,6 +1,6 @@
 """The roster by DNS over UDP: the SRV records of one name are the whole list, the SOA's serial its number.
 
-What is believed of the list is decided in `decide.membership`, when to ask in `decide.asking`. An answer counts if its sender, its id
+What is believed of the list is decided in `decide.cluster.membership`, when to ask in `decide.cluster.polling`. An answer counts if its sender, its id
 and its question are those that were asked, and it is whole and good; an older list changes nothing.
 """
 import socket
@@ -14,7 +14,7 @@
 import dns.rdataclass
 import dns.rdatatype
 
-from petrelwood.decide import membership as members
+from petrelwood.decide.cluster import membership as members
 from petrelwood.links import sockets
 from petrelwood.node.told import MS
 
--- a/petrelwood/node/service.py
+++ b/petrelwood/node/service.py
@@ -4,11 +4,11 @@
 
 from petrelwood.brain import Brain
 from petrelwood.clocks import LoopClock
-from petrelwood.decide import intake as stage
-from petrelwood.decide import ledger as led
-from petrelwood.decide import leaving
-from petrelwood.decide.asking import Asking
-from petrelwood.decide.room import Direct, Room
+from petrelwood.decide.overload import intake
+from petrelwood.decide.delivery import ledger
+from petrelwood.decide.cluster import shutdown
+from petrelwood.decide.cluster.polling import Asking
+from petrelwood.decide.overload.resource_limits import Direct, Room
 from petrelwood.dispatch.core import Core
 from petrelwood.node import told
 from petrelwood.node.front import Figures, Front
@@ -60,7 +60,7 @@
         if not exchange.waits():                         # its client left between its reading and its turn
             return
         if self.is_open(ask.id):
-            exchange.answer(stage.ABORT, why="an id that is open")
+            exchange.answer(intake.ABORT, why="an id that is open")
             return
         super()._ask(ask, function, rule, body, exchange)
 
@@ -130,7 +130,7 @@
                 known.clear()
             known.update((e.worker, e) for e in entries)
         listed = self.membership.whole(f"dns-{self.gateway.number}",
-                                       [e for e in known.values() if e.state != told.members.GONE], now, wall)
+                                       [e for e in known.values() if e.state != told.membership.GONE], now, wall)
         self.membership.alive(now)
         self.listed(*listed, True)
         self.front.open(self.gateway.listen)
@@ -168,7 +168,7 @@
     async def close(self):
         """SIGTERM: takes what still comes, then turns it away, answers all that it owes, and ends. It listens to the last: a
         connection that the machine has accepted may have a request in it, which a closed listener would lose."""
-        ends = leaving.Leaving(self.now(), max(self.gateway.timeouts.values()))
+        ends = shutdown.Leaving(self.now(), max(self.gateway.timeouts.values()))
         self.began = False
         while not ends.over(self.now(), len(self.duty.acts), self.front.quiet()):
             self.intake.closing = ends.closed(self.now())
@@ -191,8 +191,8 @@
         ends = {worker: link.ends for worker, link in self.links.items() if link.ends}
         for link in self.links.values():
             link.ends = {}
-        return {"taken": counts["taken"], "completed": counts[led.COMPLETED], "rejected": counts[led.REJECTED],
-                "aborted": counts[led.ABORTED], "held": self.intake.held, "out": brain.out_now, "slow": round(brain.slow, 2),
+        return {"taken": counts["taken"], "completed": counts[ledger.COMPLETED], "rejected": counts[ledger.REJECTED],
+                "aborted": counts[ledger.ABORTED], "held": self.intake.held, "out": brain.out_now, "slow": round(brain.slow, 2),
                 "turned": round(brain.turned, 2), "cap": brain.cap.most and round(brain.cap.most, 1),
                 "functions": len(brain.functions), "clients": len(self.front.clients),
                 "listed": len(brain.fleet), "ends": ends, "workers": {
--- a/petrelwood/node/told.py
+++ b/petrelwood/node/told.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from petrelwood import ports
-from petrelwood.decide import membership as members
+from petrelwood.decide.cluster import membership
 
 US, MS = 1_000, 1_000_000       # nanoseconds in the settings' and in the protocol's unit of time
 CONNECT, ORDER = 250 * MS, 10_000 * MS         # where the settings say nothing of them
@@ -15,7 +15,7 @@
           "inflight": "running", "queue": "waiting", "util": "cores"}
 EFFECTS = {"repeatable": ports.REPEATABLE, "by_key": ports.DEDUPLICATED, "once": ports.ONCE_ONLY}
 SCOPES = ("all", "zone", "cell")
-STATES = {"Ready": members.USABLE, "Terminating": members.DRAINING, "Gone": members.GONE}
+STATES = {"Ready": membership.USABLE, "Terminating": membership.DRAINING, "Gone": membership.GONE}
 NAME, LISTEN, FILE = "PROXY_NAME", "PROXY_LISTEN", "PROXY_CONFIG"
 
 
@@ -132,7 +132,7 @@
 
 def entry(raw):
     """A `membership.Entry` of an endpoint."""
-    return members.Entry(raw["name"], address(raw["address"]), raw.get("zone") or "", int(raw.get("group") or 0),
+    return membership.Entry(raw["name"], address(raw["address"]), raw.get("zone") or "", int(raw.get("group") or 0),
                          int(raw.get("since_ms") or 0) * MS, STATES[raw["status"]])
 
 
--- a/petrelwood/node/worker.py
+++ b/petrelwood/node/worker.py
@@ -1,12 +1,14 @@
 """The link to one worker in JSON lines, over a few connections that are kept.
 
-Queue, stages and ends are those of `links.calls`; which connection carries a call is decided in `decide.pool`. A connection that has
+Queue, stages and ends are those of `links.calls`; which connection carries a call is decided in `decide.cluster.connection_pool`. A connection that has
 once carried what can't be read is closed: what was handed to it may have run.
 """
 from tornado.iostream import StreamBufferFullError, StreamClosedError
 
 from petrelwood import ports
-from petrelwood.decide import fate, pool, room
+from petrelwood.decide.delivery import send_outcome
+from petrelwood.decide.cluster import connection_pool
+from petrelwood.decide.overload import resource_limits
 from petrelwood.links import sockets
 from petrelwood.links.calls import Call, Calls
 from petrelwood.node import lines
@@ -68,16 +70,16 @@
         self.pumping = True
         try:
             while self.waiting:
-                line = pool.pick(self.lines, self.waiting[0].act, self.terms.streams, self.core.may_open())
+                line = connection_pool.pick(self.lines, self.waiting[0].act, self.terms.streams, self.core.may_open())
                 if line is not None:
                     if line.stream.closed() or self._rested(line, self.core.now()):
                         self._lost(line, "closed or idle")       # known before anything of the send has left
                     elif self._may_leave(self.waiting[0]):
                         self._put(line, self.waiting.popleft())
-                elif self.connecting < min(len(self.waiting), pool.CONNECTING) and self.core.makes_room():
+                elif self.connecting < min(len(self.waiting), connection_pool.CONNECTING) and self.core.makes_room():
                     self._connect()
                 elif not self.lines:                     # no descriptor is left, and nothing that could carry it
-                    self._end(self.waiting[0], fate.of_crowding())
+                    self._end(self.waiting[0], send_outcome.of_crowding())
                 else:
                     break
         finally:
@@ -86,7 +88,7 @@
     def _put(self, line, call):
         frame = self._hand(call)
         call.line, line.open[call.act] = line, call
-        pool.remembers(line, call.act)
+        connection_pool.remembers(line, call.act)
         self.lines.remove(line)                          # the last used stands at the end
         self.lines.append(line)
         try:
@@ -108,9 +110,9 @@
         try:
             sock = sockets.fresh(host)
         except OSError:                                  # no descriptor after all: nothing was sent
-            self._end(self.waiting[0], fate.of_crowding())
+            self._end(self.waiting[0], send_outcome.of_crowding())
             return
-        stream = Stream(sock, max_buffer_size=room.FRAME * 4, read_chunk_size=READ)
+        stream = Stream(sock, max_buffer_size=resource_limits.FRAME * 4, read_chunk_size=READ)
         line = Line(stream, self.core.now())
         self.lines.append(line)
         self.connecting += 1
@@ -125,7 +127,7 @@
             if line.timer is None:                       # given up meanwhile
                 return
             self._up(line)
-            reader = lines.Reader(room.FRAME)
+            reader = lines.Reader(resource_limits.FRAME)
             while True:
                 data = await line.stream.read_bytes(READ, partial=True)
                 line.heard = self.core.now()
@@ -158,12 +160,12 @@
             line.timer = None
             self.connecting -= 1
             if self.waiting:                             # one call for one connection that was not made
-                self._end(self.waiting[0], fate.of_loss(fate.WAITING))
+                self._end(self.waiting[0], send_outcome.of_loss(send_outcome.WAITING))
         if line.open or not line.up:
             self.counts["lost"] += 1
             self.core.note_loss(self.worker, why, len(line.open))
         for call in list(line.open.values()):
-            self._end(call, fate.of_loss(fate.HANDED))
+            self._end(call, send_outcome.of_loss(send_outcome.HANDED))
         line.open.clear()
         self.pump()
 
@@ -177,7 +179,7 @@
             self.late(call.act, call.n)
         for call in self._overdue_calls(now, self.terms.connect_within):
             if call.kind == "probe" or now - call.at > self.terms.order_within:
-                self._end(call, fate.of_time(call.stage))
+                self._end(call, send_outcome.of_time(call.stage))
                 self._doubt(call)
         return self.owes()
 
--- a/petrelwood/settings/speaker.py
+++ b/petrelwood/settings/speaker.py
@@ -3,8 +3,8 @@
 import pathlib
 from typing import NamedTuple
 
-from petrelwood.decide.announce import Service
-from petrelwood.decide.serving import Bounds
+from petrelwood.decide.routing.announce import Service
+from petrelwood.decide.routing.serving import Bounds
 from petrelwood.settings import document as doc
 from petrelwood.wire import bgp
 
--- a/petrelwood/standins/router.py
+++ b/petrelwood/standins/router.py
@@ -14,8 +14,8 @@
 from tornado.netutil import bind_sockets
 from tornado.tcpserver import TCPServer
 
-from petrelwood.decide import neighbor
-from petrelwood.decide.table import Table
+from petrelwood.decide.routing import neighbor
+from petrelwood.decide.routing.routing_table import Table
 from petrelwood.wire import bgp
 
 FAMILIES = ((bgp.IPV4, bgp.UNICAST), (bgp.IPV6, bgp.UNICAST))
--- a/petrelwood/store/state.py
+++ b/petrelwood/store/state.py
@@ -12,13 +12,13 @@
       ["close", wall]                                the process ended in order, owing nothing
 
 Durability says when a record counts as kept: "process" once the system has it (it survives a kill of the process), "machine"
-once the disk has it. A failing disk stops the log, and its owner decides what it may still do (`decide.recovery`).
+once the disk has it. A failing disk stops the log, and its owner decides what it may still do (`decide.delivery.recovery`).
 """
 import pathlib
 
 import msgpack
 
-from petrelwood.decide.recovery import CLOSE, END, LIFE, ORDER, TAKE
+from petrelwood.decide.delivery.recovery import CLOSE, END, LIFE, ORDER, TAKE
 from petrelwood.store import tail
 
 FORMAT, OLDEST = 1, 1
--- a/petrelwood/store/versions.py
+++ b/petrelwood/store/versions.py
@@ -9,7 +9,7 @@
 import json
 import pathlib
 
-from petrelwood.decide.rollout import Announced
+from petrelwood.decide.cluster.rollout import Announced
 from petrelwood.store.snapshot import put
 
 
--- a/tests/broken.py
+++ b/tests/broken.py
@@ -4,8 +4,8 @@
 from petrelwood import ports
 from petrelwood.brain import Brain, Copy
 from petrelwood.cli.logs import open_log
-from petrelwood.decide import fate
-from petrelwood.decide.membership import Membership
+from petrelwood.decide.delivery import send_outcome
+from petrelwood.decide.cluster.membership import Membership
 from petrelwood.dispatch import serve
 from petrelwood.dispatch.dispatcher import Dispatcher
 from petrelwood.settings import gateway
@@ -59,7 +59,7 @@
     if name == "chases":
         return Chases
     if name == "repeats":
-        fate.of_loss = lambda stage: ports.NO_CONNECTION  # claims of all that was lost that it never ran
+        send_outcome.of_loss = lambda stage: ports.NO_CONNECTION  # claims of all that was lost that it never ran
     elif name == "ignores drains":
         Membership.usable = lambda self, worker: True
         take = Membership._take
--- a/tests/test_bgp.py
+++ b/tests/test_bgp.py
@@ -6,8 +6,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from petrelwood.decide import announce, neighbor, serving
-from petrelwood.decide.table import Table
+from petrelwood.decide.routing import announce
+from petrelwood.decide.routing import neighbor
+from petrelwood.decide.routing import serving
+from petrelwood.decide.routing.routing_table import Table
 from petrelwood.wire import bgp
 
 from kept import compare
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -9,7 +9,7 @@
 import time
 import unittest
 
-from petrelwood.decide import change
+from petrelwood.decide.cluster import settings_change
 from petrelwood.settings import document, gateway, layout, sense
 
 from kept import compare
@@ -201,10 +201,10 @@
                 ('"127.0.0.1:7070"', '"127.0.0.1:7071"'), ("workers {", 'state { folder "s" }\nworkers {'), ("workers {", "damp-storms #false\nworkers {"),
                 ("sends 3", 'sends 3\n    queue "1MB"'), ("sends 3", 'sends 3 // a comment')):
             new = gateway.read("g", GOOD.replace(was, becomes, 1))
-            found = change.changes(old, new)
+            found = settings_change.changes(old, new)
             lines.append(f"{was} -> {becomes}".replace("\n", "; ").replace(KEY, "KEY"))
             lines += [f"    {c.what} ({c.when})" + (f"; risky: {c.risk}" if c.risk else "") for c in found] or ["    nothing"]
-            lines.append(f"    the whole: {change.plan(found)}")
+            lines.append(f"    the whole: {settings_change.plan(found)}")
         compare(self, "config_changes", lines)
 
     def test_the_commands(self):
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -21,7 +21,7 @@
 import msgpack
 
 from node_site import ROOT, SETTINGS, Roster, Site, Worker, ask, hit
-from petrelwood.decide import room as rm
+from petrelwood.decide.overload import resource_limits
 from petrelwood.dispatch import core
 from petrelwood.links import sockets
 from petrelwood.node import told
@@ -372,7 +372,7 @@
         with mock.patch.object(link.sockets, "fresh", narrow):
             async with Inside([worker], **NO_CANCEL) as site:
                 gone = Caller(site.address)
-                gone.call(ask(fn=1), b"z" * rm.BODY)
+                gone.call(ask(fn=1), b"z" * resource_limits.BODY)
                 await site.until(lambda: any(line.open and line.stream.writing() for line in site.node.links["s-1"].lines
                                              if site.node.flying) if site.node.links else False)
                 gone.close()
@@ -417,7 +417,7 @@
     async def test_a_request_that_comes_as_its_connection_is_closed_for_rest(self):
         """The look at idle connections and the request come in one turn of the loop."""
         async with Inside([Worker("s-1")]) as site:
-            with mock.patch.object(rm, "IDLE", 200_000_000):
+            with mock.patch.object(resource_limits, "IDLE", 200_000_000):
                 for _ in range(3):
                     client = Caller(site.address)
                     number = client.call(ask(fn=1))
@@ -432,7 +432,7 @@
 
     async def test_a_first_request_that_comes_as_its_silence_ends(self):
         async with Inside([Worker("s-1")]) as site:
-            with mock.patch.object(rm, "SILENT", 200_000_000), mock.patch.object(rm, "PART", 200_000_000):
+            with mock.patch.object(resource_limits, "SILENT", 200_000_000), mock.patch.object(resource_limits, "PART", 200_000_000):
                 for cut in (0, 40):                      # all of it comes then, or what it lacked
                     client, fields = Caller(site.address), ask(fn=1)
                     await site.until(lambda: site.node.front.clients)
@@ -528,7 +528,7 @@
             first = other.call(ask(fn=1))
             await site.until(other.read)
             client.sock.setblocking(False)
-            bodies = [bytes([65 + n]) * rm.BODY for n in range(rm.OPEN)]
+            bodies = [bytes([65 + n]) * resource_limits.BODY for n in range(resource_limits.OPEN)]
             for body in bodies:
                 client.last += 1
                 data = msgpack.packb([0, client.last, "plain", [ask(fn=1), body]])
@@ -538,7 +538,7 @@
                     await asyncio.sleep(0)
             await site.until(lambda: site.node.duty.counts["completed"] == len(bodies) + 1)
             looks = site.node.looks
-            with mock.patch.object(rm, "IDLE", 1):       # nothing of it is open, and its answers have not gone out
+            with mock.patch.object(resource_limits, "IDLE", 1):       # nothing of it is open, and its answers have not gone out
                 await site.until(lambda: site.node.looks > looks + 2)
             client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)
             for there in site.node.front.clients:
@@ -557,9 +557,9 @@
             there = next(iter(site.node.front.clients))
             there.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
             for _ in range(4):
-                bad.call(ask(fn=1), b"z" * rm.BODY)
+                bad.call(ask(fn=1), b"z" * resource_limits.BODY)
                 await site.until(lambda: not there.open and there.asked)
-            for _ in range(rm.FAULTS):
+            for _ in range(resource_limits.FAULTS):
                 bad.call(ask(fn=1), type_="nothing")
             await site.until(lambda: there.ending)
             self.assertTrue(there.stream.writing())
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -3,15 +3,17 @@
 import unittest
 
 from petrelwood import ports
-from petrelwood.decide import fate, linkstate, patience
-from petrelwood.decide import intake as stage
-from petrelwood.decide import ledger as led
-from petrelwood.decide import membership as members
-from petrelwood.decide.comeback import Budget, Comeback
-from petrelwood.decide.duty import Duty
-from petrelwood.decide.intake import Ask, Intake
-from petrelwood.decide.ledger import Ledger
-from petrelwood.decide.room import Direct, Room
+from petrelwood.decide.delivery import send_outcome
+from petrelwood.decide.cluster import link_state
+from petrelwood.decide.overload import deadlines
+from petrelwood.decide.overload import intake
+from petrelwood.decide.delivery import ledger
+from petrelwood.decide.cluster import membership
+from petrelwood.decide.overload.backoff import Budget, Comeback
+from petrelwood.decide.delivery.pending import Duty
+from petrelwood.decide.overload.intake import Ask, Intake
+from petrelwood.decide.delivery.ledger import Ledger
+from petrelwood.decide.overload.resource_limits import Direct, Room
 from petrelwood.settings.gateway import Limits, WorkerTerms
 
 from kept import compare
@@ -49,11 +51,11 @@
         ask = Ask(customer, id_, WALL + stamp * S, type_, self.now, wait * S)
         verdict = self.intake.ask(self.now, WALL + self.now, ask)
         key, more = (customer, id_), f" due {verdict.due / S:.2f}" if verdict.due else ""
-        if verdict.what == stage.TAKE:
+        if verdict.what == intake.TAKE:
             act = self.duty.take(self.now, key, ask, verdict.due, "f", 1, b"", f"{id_}@{stamp}")
             for _ in range(sends):
                 self.duty.sent(act.id)
-        elif verdict.what == stage.JOIN:
+        elif verdict.what == intake.JOIN:
             self.duty.join(self.now, key, verdict.due, f"{id_}@{stamp}")
         elif verdict.retry_after:
             more = f" back after {verdict.retry_after / S:.2f}"
@@ -72,17 +74,17 @@
     def test_retries_of_each_kind_after_each_end(self):
         b = Book("retries", held=100)
         for type_ in TYPES:
-            for outcome in (led.COMPLETED, led.REJECTED, led.ABORTED, led.LEFT):
+            for outcome in (ledger.COMPLETED, ledger.REJECTED, ledger.ABORTED, ledger.LEFT):
                 id_ = f"{type_}-{outcome}"
                 b.ask(id_, type_, 10)
-                b.end(id_, outcome, b"=result" if outcome == led.COMPLETED else None)
+                b.end(id_, outcome, b"=result" if outcome == ledger.COMPLETED else None)
                 b.ask(id_, type_, 11)
         b.compare(self)
 
     def test_a_replay_is_never_an_activation(self):
         b = Book("replays")
         b.ask("m1", "once", 10); b.ask("m1", "once", 10); b.ask("m1", "once", 9)
-        b.end("m1", led.REJECTED)
+        b.end("m1", ledger.REJECTED)
         b.ask("m1", "once", 10); b.now = 200 * S; b.ask("m1", "once", 10); b.ask("m1", "once", 200)
         b.say("signed before this life began:"); b.ask("m2", "again", -1)
         b.compare(self)
@@ -90,21 +92,21 @@
     def test_a_retry_joins_the_try_that_runs(self):
         b = Book("joins")
         b.ask("m1", "once", 10); b.now = S; b.ask("m1", "once", 11); b.now = 2 * S
-        b.end("m1", led.COMPLETED, b"=result")
+        b.end("m1", ledger.COMPLETED, b"=result")
         b.compare(self)
 
     def test_deduplicated_for_all_repeats_only_inside_its_window(self):
         b = Book("window")
-        b.ask("m1", "all", 10); b.now = S; b.end("m1", led.ABORTED)
-        b.ask("m1", "all", 11); b.now = int(1.9 * S); b.end("m1", led.REJECTED)
+        b.ask("m1", "all", 10); b.now = S; b.end("m1", ledger.ABORTED)
+        b.ask("m1", "all", 11); b.now = int(1.9 * S); b.end("m1", ledger.REJECTED)
         b.now = int(2.1 * S); b.ask("m1", "all", 12)
         b.say("turned away before any send, it is as new:")
-        b.ask("m2", "all", 13, sends=0); b.end("m2", led.REJECTED); b.now = 9 * S; b.ask("m2", "all", 14)
+        b.ask("m2", "all", 13, sends=0); b.end("m2", ledger.REJECTED); b.now = 9 * S; b.ask("m2", "all", 14)
         b.compare(self)
 
     def test_a_full_ledger_refuses_and_forgets_only_what_it_may(self):
         b = Book("ledger_full", most=2)
-        b.ask("m1", "again", 0); b.end("m1", led.COMPLETED, b"=1"); b.ask("m2", "again", 0)
+        b.ask("m1", "again", 0); b.end("m1", ledger.COMPLETED, b"=1"); b.ask("m2", "again", 0)
         b.ask("m3", "again", 0); b.now = 599 * S; b.ask("m3", "again", 599); b.now = 601 * S; b.ask("m3", "again", 601)
         b.say(f"m2 still runs, {len(b.ledger.entries)} ids are known")
         b.compare(self)
@@ -112,7 +114,7 @@
     def test_bodies_have_a_bound_of_their_own(self):
         b = Book("bodies", bytes_=10)
         for id_ in ("m1", "m2"):
-            b.ask(id_, "again", 10); b.end(id_, led.COMPLETED, b"=eight..")
+            b.ask(id_, "again", 10); b.end(id_, ledger.COMPLETED, b"=eight..")
         b.ask("m1", "again", 11); b.ask("m2", "again", 11)
         b.compare(self)
 
@@ -125,10 +127,10 @@
             id_ = f"m{chance.randrange(400)}"
             known = id_ in seen and b.now - seen[id_] < 590 * S
             verdict = b.intake.ask(b.now, WALL + b.now, Ask("x", id_, WALL + stamp * S, "once", b.now, 0))
-            if verdict.what == stage.TAKE:
+            if verdict.what == intake.TAKE:
                 self.assertFalse(known, f"step {step}: {id_} ran twice inside its time")
                 seen[id_] = b.now
-                b.ledger.ended(("x", id_), led.ABORTED, sent=True)
+                b.ledger.ended(("x", id_), ledger.ABORTED, sent=True)
             self.assertLessEqual(len(b.ledger.entries), 50)
 
 
@@ -139,16 +141,16 @@
             b.ask(f"x{i}", "again", 10)
         b.ask("y0", "again", 10, customer="y"); b.ask("y1", "again", 10, customer="y")
         b.ask("x0", "again", 11)
-        b.say("a retry joins without room"); b.end("x1", led.COMPLETED, b"=r"); b.ask("x9", "again", 12)
+        b.say("a retry joins without room"); b.end("x1", ledger.COMPLETED, b"=r"); b.ask("x9", "again", 12)
         b.intake.closing = True
         b.ask("y2", "again", 12, customer="y"); b.ask("x1", "again", 13)
         b.compare(self)
 
     def test_patience_never_lengthens_the_action_timeout(self):
-        self.assertEqual(patience.due(0, 9 * S, 4 * S), patience.due(0, 0, 4 * S))
-        due, gone = patience.due(S, 2 * S, 4 * S)
+        self.assertEqual(deadlines.due(0, 9 * S, 4 * S), deadlines.due(0, 0, 4 * S))
+        due, gone = deadlines.due(S, 2 * S, 4 * S)
         self.assertTrue(S < due < gone == 3 * S)
-        self.assertTrue(patience.hopeless(due, due, 4 * S))
+        self.assertTrue(deadlines.hopeless(due, due, 4 * S))
 
 
 class DutyCases(unittest.TestCase):
@@ -156,8 +158,8 @@
         b = Book("duty")
         b.ask("m1", "again", 10)
         act = b.duty.by_key["x", "m1"]
-        b.end("m1", led.COMPLETED, b"=1")
-        b.say(f"again: {b.duty.end(b.now, act.id, led.ABORTED)}, sent after it: {b.duty.sent(act.id)}")
+        b.end("m1", ledger.COMPLETED, b"=1")
+        b.say(f"again: {b.duty.end(b.now, act.id, ledger.ABORTED)}, sent after it: {b.duty.sent(act.id)}")
         b.ask("m2", "again", 10); b.ask("m3", "once", 10)
         for id_ in ("m2", "m3"):
             act = b.duty.by_key["x", id_]
@@ -175,7 +177,7 @@
             ask = Ask("x", "m1", 0, "again", came * S, 2 * S, "")
             duty.take(came * S, ("x", "m1"), ask, (2 + came) * S, "f", 1, b"", None)
             if not came:
-                duty.end(S // 2, "m1", led.COMPLETED)
+                duty.end(S // 2, "m1", ledger.COMPLETED)
         self.assertEqual(duty.overdue(2 * S), [])
         self.assertEqual(duty.next_due(), 3 * S)
         self.assertEqual([whole for _, _, whole in duty.overdue(3 * S)], [True])
@@ -193,7 +195,7 @@
     TERMS = WorkerTerms(250 * MS, 1000, 1000, 8 * S, 250 * MS, 10 * S)
 
     def test_a_connection_counts_once_the_worker_has_greeted(self):
-        lines, link = [], linkstate.LinkState("w1", self.TERMS, half)
+        lines, link = [], link_state.LinkState("w1", self.TERMS, half)
 
         def say(what):
             lines.append(f"{what}: {link.state}, lives {link.lives}")
@@ -210,13 +212,13 @@
 
     def test_what_an_end_proves(self):
         lines = []
-        for name, of in (("loss", fate.of_loss), ("time", fate.of_time), ("cancel", fate.of_cancel),
-                         ("recall", fate.of_recall)):
-            for stage_, word in ((fate.WAITING, "in our queue"), (fate.HANDED, "handed over")):
+        for name, of in (("loss", send_outcome.of_loss), ("time", send_outcome.of_time), ("cancel", send_outcome.of_cancel),
+                         ("recall", send_outcome.of_recall)):
+            for stage_, word in ((send_outcome.WAITING, "in our queue"), (send_outcome.HANDED, "handed over")):
                 code = of(stage_)
                 lines.append(f"{name}, {word}: {code}, never ran {code in ports.NEVER_RAN}")
         for word in ("full", "missing", "draining", "error", "cancelled", "late", "nonsense"):
-            code = fate.of_error(word)
+            code = send_outcome.of_error(word)
             lines.append(f"the worker says {word}: {code}, never ran {code in ports.NEVER_RAN}")
         compare(self, "fate", lines)
 
@@ -241,12 +243,12 @@
 
 
 def entry(worker, state="usable", booted=0):
-    return members.entry({"worker": worker, "address": "127.0.0.1:1", "zone": "n", "state": state, "booted": booted})
+    return membership.entry({"worker": worker, "address": "127.0.0.1:1", "zone": "n", "state": state, "booted": booted})
 
 
 class MembershipCases(unittest.TestCase):
     def test_lists_changes_gaps_and_lives(self):
-        m, lines = members.Membership(5 * S, 100 * MS, half), []
+        m, lines = membership.Membership(5 * S, 100 * MS, half), []
 
         def say(what, pair=((), ())):
             listed = [f"{e.worker} {'up' if e.usable else 'down'} since {e.booted / S:g}" for e in pair[0]]
@@ -273,4 +275,4 @@
                     {"worker": "a", "address": "h:1", "state": "asleep"}, {"worker": 3, "address": "h:1", "state": "gone"},
                     {"worker": "a", "address": 7, "state": "gone"}):
             with self.assertRaises(ValueError):
-                members.entry(raw)
+                membership.entry(raw)
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -4,8 +4,8 @@
 from collections import Counter, deque
 
 from petrelwood import ports
-from petrelwood.decide import delivery as deliver
-from petrelwood.decide import reply
+from petrelwood.decide.delivery import mqtt_acknowledgement
+from petrelwood.decide.delivery import mqtt_topics
 from petrelwood.emulate.broker import Broker
 from petrelwood.clocks import VirtualClock
 from petrelwood.links import packets as mq
@@ -21,7 +21,7 @@
 
     def __init__(self, kept, most=4):
         self.now, self.lines, self.kept, self.begun = 0, [], kept, []
-        self.deliveries = deliver.Deliveries(deliver.Window(1, most), self)
+        self.deliveries = mqtt_acknowledgement.Deliveries(mqtt_acknowledgement.Window(1, most), self)
 
     def say(self, text):
         self.lines.append(f"{self.now / S:5.1f}  {text}")
@@ -135,8 +135,8 @@
         self.begin_anew()
 
     def begin_anew(self):
-        self.deliveries, self.running, self.answers = deliver.Deliveries(
-            deliver.Window(2, 6), self), [], {}
+        self.deliveries, self.running, self.answers = mqtt_acknowledgement.Deliveries(
+            mqtt_acknowledgement.Window(2, 6), self), [], {}
         self.fresh, self.unsent = True, []
 
     def connect(self, clean=False):
@@ -328,11 +328,11 @@
     def test_where_answers_may_go(self):
         for topic, good in (("reply/x/1", 1), ("reply/x/a/b", 1), ("reply/x/", 0), ("reply/y/1", 0), ("reply/x/+", 0),
                             ("reply/x/#", 0), ("act/x/t/f", 0), ("reply/x", 0)):
-            self.assertEqual(reply.may_answer(topic, "x"), bool(good), topic)
+            self.assertEqual(mqtt_topics.may_answer(topic, "x"), bool(good), topic)
 
     def test_what_a_topic_asks(self):
-        self.assertEqual(reply.asked("act/x/t/f", "x"), reply.Asked("x", "t", "f"))
+        self.assertEqual(mqtt_topics.asked("act/x/t/f", "x"), mqtt_topics.Asked("x", "t", "f"))
         for topic in ("act/y/t/f", "act/x/t", "act/x//f", "act/x/t/f/g", "reply/x/t/f"):
-            self.assertTrue(reply.asked(topic, "x").why, topic)
-        self.assertEqual(reply.identity("r", b"1", "s", 4), reply.identity("r", b"1", "other", 9))
-        self.assertNotEqual(reply.identity("r", None, "s", 4), reply.identity("r", None, "s", 5))
+            self.assertTrue(mqtt_topics.asked(topic, "x").why, topic)
+        self.assertEqual(mqtt_topics.identity("r", b"1", "s", 4), mqtt_topics.identity("r", b"1", "other", 9))
+        self.assertNotEqual(mqtt_topics.identity("r", None, "s", 4), mqtt_topics.identity("r", None, "s", 5))
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -13,7 +13,7 @@
 from petrelwood.audit import rules
 from petrelwood.brain import Brain
 from petrelwood.clocks import VirtualClock
-from petrelwood.decide import ledger as led
+from petrelwood.decide.delivery import ledger
 from petrelwood.emulate import policies, result, script
 from petrelwood.emulate.machine import Build, Machine, Model
 from petrelwood.emulate.platform import Platform
@@ -183,7 +183,7 @@
         self.assertGreater(result.row(broken)["overdue"], 0)
 
     def test_an_effect_that_happens_twice_is_caught_by_the_same_audit(self):
-        may, led.Ledger._may_repeat = led.Ledger._may_repeat, lambda self, entry, now: True
+        may, ledger.Ledger._may_repeat = ledger.Ledger._may_repeat, lambda self, entry, now: True
 
         class Careless(Brain):
             def answer(self, now, act_id, n, worker_id, code, *rest):
@@ -191,7 +191,7 @@
         try:
             platform = Platform(script.read(script.find("bad")), 1, Careless).run()
         finally:
-            led.Ledger._may_repeat = may
+            ledger.Ledger._may_repeat = may
         self.assertTrue({f.rule: f for f in rules.judge(platform.case())}[2].broken)
 
 
--- a/tests/test_forecast.py
+++ b/tests/test_forecast.py
@@ -4,16 +4,16 @@
 import random
 import unittest
 
-from petrelwood.decide import account as ac
-from petrelwood.decide import forecast as fc
-from petrelwood.decide import planner
-from petrelwood.decide.early import EarlyLoads
+from petrelwood.decide.forecasting import account as ac
+from petrelwood.decide.forecasting import forecast
+from petrelwood.decide.forecasting import planner
+from petrelwood.decide.forecasting.prefetch import EarlyLoads
 
 from kept import compare
 
 S = 10**9
 SLOT, DAY = 600 * S, 86_400 * S
-CALENDAR = fc.Calendar(SLOT, DAY, 7 * DAY)
+CALENDAR = forecast.Calendar(SLOT, DAY, 7 * DAY)
 
 
 def poisson(chance, mean):
@@ -34,30 +34,30 @@
         """Over counts that are drawn from a distribution no other forecast scores better than that distribution."""
         chance = random.Random(2)
         counts = [poisson(chance, 6.0) for _ in range(4000)]
-        found = {mean: sum(fc.score(mean, 1.0001, c) for c in counts) for mean in (3.0, 5.0, 6.0, 7.0, 10.0)}
+        found = {mean: sum(forecast.score(mean, 1.0001, c) for c in counts) for mean in (3.0, 5.0, 6.0, 7.0, 10.0)}
         self.assertEqual(min(found, key=found.get), 6.0)
-        spread = {s: sum(fc.score(6.0, s, c) for c in counts) for s in (1.0001, 2.0, 5.0)}
+        spread = {s: sum(forecast.score(6.0, s, c) for c in counts) for s in (1.0001, 2.0, 5.0)}
         self.assertEqual(min(spread, key=spread.get), 1.0001)
 
     def test_the_normals_form_meets_the_sum(self):
-        self.assertLess(abs(fc.score(390, 2.0, 380) / fc.score(410, 2.0, 400) - 1), 0.05)
+        self.assertLess(abs(forecast.score(390, 2.0, 380) / forecast.score(410, 2.0, 400) - 1), 0.05)
 
     def test_probabilities_sum_up(self):
-        self.assertLess(abs(fc.probabilities(5.0, 3.0, 200)[-1] - 1), 1e-9)
-        self.assertLess(abs(fc.at_least_one(0.5, 1.0001) - (1 - math.exp(-0.5))), 1e-3)
+        self.assertLess(abs(forecast.probabilities(5.0, 3.0, 200)[-1] - 1), 1e-9)
+        self.assertLess(abs(forecast.at_least_one(0.5, 1.0001) - (1 - math.exp(-0.5))), 1e-3)
 
 
 class BackTest(unittest.TestCase):
     def play(self, pace, days, chance):
         """(scores of the believed, of the plain method) over the last third, and the series."""
-        series, mine, plain = fc.Series(), [], []
+        series, mine, plain = forecast.Series(), [], []
         for slot in range(days * 144):
             at = slot * SLOT
             keys, count = CALENDAR.keys(at), poisson(chance, pace(at))
             if slot > days * 96:
                 mean, spread, _ = series.forecast(keys)
-                mine.append(fc.score(mean, spread, count))
-                plain.append(fc.score(series.means(keys)["seasonal"], series.spreads["seasonal"], count))
+                mine.append(forecast.score(mean, spread, count))
+                plain.append(forecast.score(series.means(keys)["seasonal"], series.spreads["seasonal"], count))
             series.learn(keys, count)
         return sum(mine) / len(mine), sum(plain) / len(plain), series
 
@@ -80,7 +80,7 @@
 
 class Whole(unittest.TestCase):
     def learned(self, days=8, functions=5, **more):
-        chance, found = random.Random(4), fc.Forecast(more.get("calendar", CALENDAR), lambda f: f[:2])
+        chance, found = random.Random(4), forecast.Forecast(more.get("calendar", CALENDAR), lambda f: f[:2])
         for slot in range(days * 144):
             for number in range(functions):
                 for _ in range(poisson(chance, busy(slot * SLOT) / (number + 1))):
@@ -106,7 +106,7 @@
 
     def test_a_known_date_counts_and_one_that_does_not_come_is_forgotten(self):
         noon = 8 * DAY + 13 * 3600 * S
-        calendar = fc.Calendar(SLOT, DAY, 7 * DAY, [(noon, noon + SLOT, 5.0, "ab")])
+        calendar = forecast.Calendar(SLOT, DAY, 7 * DAY, [(noon, noon + SLOT, 5.0, "ab")])
         found, plain = self.learned(calendar=calendar), self.learned()
         self.assertAlmostEqual(found.ahead(noon, "ab0")[0] / plain.ahead(noon, "ab0")[0], 5.0)
         self.assertEqual(found.ahead(noon + SLOT, "ab0")[0], plain.ahead(noon + SLOT, "ab0")[0])
@@ -124,7 +124,7 @@
 
     def test_daylight_saving_costs_two_edges_and_no_more(self):
         """The wall clock of the calls shifts by an hour: within two days the forecast has followed."""
-        chance, series, errors = random.Random(6), fc.Series(), []
+        chance, series, errors = random.Random(6), forecast.Series(), []
         for slot in range(21 * 144):
             at = slot * SLOT
             keys, mean = CALENDAR.keys(at), busy(at + (3600 * S if slot >= 14 * 144 else 0))
@@ -135,7 +135,7 @@
         self.assertLess(days[5], days[0])
 
     def test_learning_in_slices_comes_to_the_same(self):
-        whole, sliced = self.learned(days=2), fc.Forecast(CALENDAR, lambda f: f[:2], sliced=True)
+        whole, sliced = self.learned(days=2), forecast.Forecast(CALENDAR, lambda f: f[:2], sliced=True)
         chance = random.Random(4)
         for slot in range(2 * 144):
             for number in range(5):
@@ -148,10 +148,10 @@
             self.assertEqual(whole.ahead(2 * DAY, f"ab{number}"), sliced.ahead(2 * DAY, f"ab{number}"))
         for slot in range(288, 300):                     # nobody works: it stays bounded, and says what it gave up
             sliced.called(slot * SLOT, "ab0")
-        self.assertEqual((len(sliced.jobs), sliced.broken > 0), (fc.JOBS, True))
+        self.assertEqual((len(sliced.jobs), sliced.broken > 0), (forecast.JOBS, True))
 
     def test_thousands_of_functions_are_bounded(self):
-        found = fc.Forecast(CALENDAR, lambda f: "", most=50)
+        found = forecast.Forecast(CALENDAR, lambda f: "", most=50)
         for slot in range(40):
             for number in range(200):
                 found.called(slot * SLOT, f"f{slot}-{number}")
@@ -254,7 +254,7 @@
 
 class Early(unittest.TestCase):
     def made(self, wish, dispatchers=1):
-        return EarlyLoads(fc.Calendar(10 * S, 3600 * S, 0), PRICES, 60 * S, dispatchers, random.Random(1).random, wish, "n")
+        return EarlyLoads(forecast.Calendar(10 * S, 3600 * S, 0), PRICES, 60 * S, dispatchers, random.Random(1).random, wish, "n")
 
     def play(self, early, slots, functions=("a", "b")):
         for slot in range(slots):
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -13,7 +13,7 @@
 
 import orjson
 
-from petrelwood.decide import handover as decide
+from petrelwood.decide.cluster import handover
 from petrelwood.dispatch.handover import Channel
 from petrelwood.standins.caller import Broken, Caller
 from petrelwood.store import versions
@@ -42,7 +42,7 @@
             "a second upgrade after a failed one": "asked lost asked ready owns proven drained"}
         lines = []
         for name, steps in stories.items():
-            giver, now, said = decide.Giver(), 0, []
+            giver, now, said = handover.Giver(), 0, []
             for step in steps.split():
                 if step.startswith("+"):
                     now += int(step[1:]) * S
@@ -58,7 +58,7 @@
             lines.append(f"{name}: {', '.join(said)}; {giver.state}{', ' + giver.why if giver.why else ''}")
         for name, good, bad, before, end in (("as good as before", 90, 10, (0.95, 200), 6), ("worse", 60, 40, (0.95, 200), 1),
                                              ("too few to tell", 0, 10, (0.95, 200), 6), ("as bad as before", 10, 90, (0.2, 200), 6)):
-            taker = decide.Taker(0)
+            taker = handover.Taker(0)
             said = [taker.can_serve(0), taker.go(S, before)]
             for _ in range(good):
                 taker.ended(True)
@@ -66,18 +66,18 @@
                 taker.ended(False)
             said.append(taker.check(S + end * S))
             lines.append(f"new one, {name}: {', '.join(map(str, said))}; {taker.state}{', ' + taker.why if taker.why else ''}")
-        taker = decide.Taker(0)
+        taker = handover.Taker(0)
         lines.append(f"new one, no word to go: {taker.can_serve(0)}, {taker.check(20 * S)}, {taker.why}")
-        taker = decide.Taker(0)
+        taker = handover.Taker(0)
         lines.append(f"new one, the old one dies first: {taker.lost(S)}, {taker.why}")
         compare(self, "handover", lines)
 
     def test_who_may_take_over(self):
         good = {"name": "d", "reads": (1, 2), "protocol": 1}
-        self.assertIsNone(decide.refuses(good, "d", 1, False))
+        self.assertIsNone(handover.refuses(good, "d", 1, False))
         for more, busy, words in (({"name": "e"}, False, "for gateway 'e'"), ({"reads": (2, 3)}, False, "reads state of format 2 to 3"),
                                   ({"protocol": 7}, False, "speaks hand-over 7"), ({}, True, "under way")):
-            self.assertIn(words, decide.refuses({**good, **more}, "d", 1, busy))
+            self.assertIn(words, handover.refuses({**good, **more}, "d", 1, busy))
 
 
 class Channels(unittest.IsolatedAsyncioTestCase):
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -16,9 +16,11 @@
 from kept import compare
 from node_site import ROOT, SETTINGS, Client, Roster, Site, Worker, answer, ask, hit
 from petrelwood import ports
-from petrelwood.decide import leaving, membership, pool
-from petrelwood.decide.asking import AGAIN, EVERY, Asking
-from petrelwood.decide.room import Direct, Room
+from petrelwood.decide.cluster import shutdown
+from petrelwood.decide.cluster import membership
+from petrelwood.decide.cluster import connection_pool
+from petrelwood.decide.cluster.polling import AGAIN, EVERY, Asking
+from petrelwood.decide.overload.resource_limits import Direct, Room
 from petrelwood.links import rpc
 from petrelwood.node import lines, roster, told
 from petrelwood.node import front
@@ -190,7 +192,7 @@
                            ("all full", ([Line("a", True, "pqrs")], "x", 4, False)),
                            ("coming up", ([Line("a", False, "")], "x", 4, False)),
                            ("it has carried this id", ([Line("a", True, "", "x"), Line("b", True, "p")], "x", 4, False))):
-            line = pool.pick(*args)
+            line = connection_pool.pick(*args)
             said.append(f"{what}: {line.name if line else '-'}")
         compare(self, "node_pool", said)
 
@@ -198,15 +200,15 @@
         class Line:
             carried = {}
         for number in range(100):
-            pool.remembers(Line, number)
-        self.assertEqual((len(Line.carried), 99 in Line.carried, 0 in Line.carried), (pool.KEPT, True, False))
+            connection_pool.remembers(Line, number)
+        self.assertEqual((len(Line.carried), 99 in Line.carried, 0 in Line.carried), (connection_pool.KEPT, True, False))
 
     def test_the_end(self):
         said = []
         for longest, looks in ((6000, ((100, 0), (600, 0), (700, 0), (700, 2), (3300, 2), (3600, 2))),
                                (3000, ((3299, 2), (3300, 2), (3499, 2), (3500, 2))),
                                (1000, ((699, 0), (1449, 2), (1450, 2), (1574, 2), (1575, 2)))):
-            ends = leaving.Leaving(0, longest * MS)
+            ends = shutdown.Leaving(0, longest * MS)
             said.append(f"longest action timeout {longest} ms: killed {700 + min(longest, 3000)} ms after it at the soonest")
             said += [f"{at:5d} ms, {owed} owed: closed {ends.closed(at * MS)}, cut {ends.out_of_time(at * MS)}, "
                      f"over {ends.over(at * MS, owed, True)}" for at, owed in looks]
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -2,7 +2,7 @@
 import random
 import unittest
 
-from petrelwood.decide.rollout import DWELL, STAGES, Announced, Rollout, turn
+from petrelwood.decide.cluster.rollout import DWELL, STAGES, Announced, Rollout, turn
 
 from kept import compare
 
--- a/tests/test_speaker.py
+++ b/tests/test_speaker.py
@@ -10,8 +10,8 @@
 
 from petrelwood.bgp.beats import Sender
 from petrelwood.bgp.speaker import Speaker
-from petrelwood.decide import neighbor
-from petrelwood.decide.serving import Facts
+from petrelwood.decide.routing import neighbor
+from petrelwood.decide.routing.serving import Facts
 from petrelwood.settings import document, speaker
 from petrelwood.standins.router import Router
 from petrelwood.wire import bgp
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -9,8 +9,8 @@
 
 from petrelwood import ports
 from petrelwood.audit import rules
-from petrelwood.decide import ledger as led
-from petrelwood.decide import recovery
+from petrelwood.decide.delivery import ledger as led
+from petrelwood.decide.delivery import recovery
 from petrelwood.emulate import script
 from petrelwood.emulate.platform import Platform
 from petrelwood.store import state, tail
--- a/tests/test_storms.py
+++ b/tests/test_storms.py
@@ -2,14 +2,14 @@
 import random
 import unittest
 
-from petrelwood.decide import admission as adm
-from petrelwood.decide import manners as mn
-from petrelwood.decide.comeback import Budget
-from petrelwood.decide.linkstate import LinkState
-from petrelwood.decide.pace import Pace
-from petrelwood.decide.ramp import Ramp
-from petrelwood.decide.ring import Ring
-from petrelwood.decide.storm import Storms, dispersion
+from petrelwood.decide.overload import admission
+from petrelwood.decide.overload import retry_budget
+from petrelwood.decide.overload.backoff import Budget
+from petrelwood.decide.cluster.link_state import LinkState
+from petrelwood.decide.overload.throughput import Pace
+from petrelwood.decide.overload.concurrency_limit import Ramp
+from petrelwood.decide.overload.sliding_window import Ring
+from petrelwood.decide.overload.storm import Storms, dispersion
 
 from kept import compare
 
@@ -74,12 +74,12 @@
 
 class Hints(unittest.TestCase):
     def test_who_listens_gets_in_and_who_does_not_wears_out_only_his_own(self):
-        manners, lines = mn.Manners(1000), []
+        manners, lines = retry_budget.Manners(1000), []
         manners.hint(0, "calm", "c1", S, half, 60 * S, False)
         for at in range(12):                              # he retries each 100 ms, whatever he is told
             how = manners.comes(at * S // 10, "loud", "l1")
-            may = how != mn.EARLY or manners.may("loud")
-            wait = manners.hint(at * S // 10, "loud", "l1", S, half, 60 * S, how == mn.EARLY)
+            may = how != retry_budget.EARLY or manners.may("loud")
+            wait = manners.hint(at * S // 10, "loud", "l1", S, half, 60 * S, how == retry_budget.EARLY)
             lines.append(f"{at / 10:4.1f}  loud {how} {'goes on' if may else 'is over his budget'}, told {wait / S:.0f} s")
         lines.append(f" 1.0  calm {manners.comes(S, 'calm', 'c1')}; deaf {manners.deaf('calm'):.2f} against "
                      f"{manners.deaf('loud'):.2f}")
@@ -88,14 +88,14 @@
         compare(self, "storm_manners", lines)
 
     def test_what_is_remembered_is_bounded(self):
-        manners = mn.Manners(50)
+        manners = retry_budget.Manners(50)
         for i in range(500):
             manners.comes(i, f"c{i}", "x")
             manners.hint(i, f"c{i}", "x", S, half, 60 * S, False)
         self.assertEqual((len(manners.told), len(manners.customers)), (50, 50))
 
     def test_those_refused_together_part(self):
-        chance, manners = random.Random(3).random, mn.Manners(10_000)
+        chance, manners = random.Random(3).random, retry_budget.Manners(10_000)
         times = sorted(manners.hint(0, "x", str(i), 4 * S, chance, 60 * S, False) for i in range(2000))
         self.assertLess(max(sum(t // S == second for t in times) for second in range(8)), 0.3 * len(times))
 
@@ -198,33 +198,33 @@
 
 class Doors(unittest.TestCase):
     def door(self, connections=80, handshakes=0, bytes_=10_000):
-        return adm.Admission(connections, handshakes, bytes_, half, most=100)
+        return admission.Admission(connections, handshakes, bytes_, half, most=100)
 
     def test_a_crowd_of_one_address_does_not_keep_others_out(self):
         door, crowd = self.door(), 0
         for at in range(400):
-            crowd += door.connects(at * S // 4, "10.0.0.1") == adm.TAKE
+            crowd += door.connects(at * S // 4, "10.0.0.1") == admission.TAKE
         others = [door.connects(100 * S, f"10.0.1.{i}") for i in range(5)]
-        self.assertEqual((crowd, others), (70, [adm.TAKE] * 5))
-        self.assertEqual(door.connects(101 * S, "10.0.0.1"), adm.UNFAIR)
+        self.assertEqual((crowd, others), (70, [admission.TAKE] * 5))
+        self.assertEqual(door.connects(101 * S, "10.0.0.1"), admission.UNFAIR)
         for _ in range(70):
             door.closed("10.0.0.1")
-        self.assertEqual((door.open, door.connects(200 * S, "10.0.0.1")), (5, adm.TAKE))
+        self.assertEqual((door.open, door.connects(200 * S, "10.0.0.1")), (5, admission.TAKE))
 
     def test_the_pace_of_an_address_and_a_storm(self):
         door = self.door()
-        self.assertEqual([door.connects(0, "a") for _ in range(22)].count(adm.TAKE), 20)
-        self.assertEqual(door.connects(0, "b"), adm.TAKE)
-        self.assertEqual([door.connects(S, "a") for _ in range(12)].count(adm.TAKE), 10)
+        self.assertEqual([door.connects(0, "a") for _ in range(22)].count(admission.TAKE), 20)
+        self.assertEqual(door.connects(0, "b"), admission.TAKE)
+        self.assertEqual([door.connects(S, "a") for _ in range(12)].count(admission.TAKE), 10)
         door.storm = True
-        self.assertEqual([door.connects(2 * S, "a") for _ in range(12)].count(adm.TAKE), 2)
+        self.assertEqual([door.connects(2 * S, "a") for _ in range(12)].count(admission.TAKE), 2)
         self.assertGreater(door.wait("a", 2 * S), 1)
 
     def test_wrong_signatures_in_a_row_are_refused_unread_for_longer_each_time(self):
         door, bans = self.door(), []
         for _ in range(3):
             at = max(bans[-1][1] if bans else 0, 0)
-            for _ in range(adm.BAD_IN_A_ROW):
+            for _ in range(admission.BAD_IN_A_ROW):
                 self.assertTrue(door.may_check(at, "a"))
                 door.checked(at, "a", False)
             self.assertFalse(door.may_check(at, "a"))
@@ -233,7 +233,7 @@
         self.assertEqual([round(b / a, 2) for a, b in zip(lengths, lengths[1:])], [2.0, 2.0])
         self.assertTrue(door.may_check(bans[-1][1], "a") and door.may_check(0, "b"))
         door.checked(bans[-1][1], "a", True)
-        for _ in range(adm.BAD_IN_A_ROW - 1):
+        for _ in range(admission.BAD_IN_A_ROW - 1):
             door.checked(bans[-1][1], "a", False)
         self.assertTrue(door.may_check(bans[-1][1], "a"))
 
@@ -243,11 +243,11 @@
         self.assertTrue(door.reads(0, "b", 1000))
         door.read("a", 8000)
         self.assertTrue(door.reads(0, "a", 1000))
-        self.assertEqual([door.connects(0, "a") for _ in range(12)].count(adm.TAKE), 9)
-        self.assertEqual(door.connects(0, "b"), adm.TAKE)
-        self.assertEqual(door.connects(0, "c"), adm.CROWDED)
+        self.assertEqual([door.connects(0, "a") for _ in range(12)].count(admission.TAKE), 9)
+        self.assertEqual(door.connects(0, "b"), admission.TAKE)
+        self.assertEqual(door.connects(0, "c"), admission.CROWDED)
         door.shaken("a")
-        self.assertEqual(door.connects(0, "c"), adm.TAKE)
+        self.assertEqual(door.connects(0, "c"), admission.TAKE)
 
     def test_addresses_are_bounded_and_what_is_counted_comes_back_to_nothing(self):
         chance, door, held = random.Random(7), self.door(connections=300, handshakes=50), []
@@ -259,7 +259,7 @@
                 if shaking:
                     door.shaken(gone)
                 door.closed(gone)
-            elif door.connects(at, address) == adm.TAKE:
+            elif door.connects(at, address) == admission.TAKE:
                 size = chance.randrange(50)
                 held.append((address, size if door.reads(at, address, size) else 0, True))
         for gone, size, _ in held:
