--- a/benchmarks/bgp.py
+++ b/benchmarks/bgp.py
@@ -1,11 +1,16 @@
 """How fast a service address is taken back, as a router sees it.
 
-    .venv/bin/python benchmarks/bgp.py drain [--runs 200] [--busy N]     from the beat that says 'I drain' to the withdrawal
-    .venv/bin/python benchmarks/bgp.py process [--runs 20] [--busy N]    from SIGTERM, and from SIGSTOP, of a dispatcher process
-    .venv/bin/python benchmarks/bgp.py hang [--runs 5]                   from SIGSTOP of the speaker itself, by hold time
-
-`--busy`: so many processes that do nothing but count, beside it. The speaker is a process of its own; the router is a stand-in in this one.
+    .venv/bin/python benchmarks/bgp.py drain [--runs 200] [--busy N]     from the beat that says 'I drain' to
+    the withdrawal
+    .venv/bin/python benchmarks/bgp.py process [--runs 20] [--busy N]    from SIGTERM, and from SIGSTOP, of a
+    dispatcher process
+    .venv/bin/python benchmarks/bgp.py hang [--runs 5]                   from SIGSTOP of the speaker itself,
+    by hold time
+
+`--busy`: so many processes that do nothing but count, beside it. The speaker is a process of its own; the
+router is a stand-in in this one.
 """
+
 import argparse
 import asyncio
 import base64
@@ -48,7 +53,11 @@
     async def handle_stream(self, stream, address):
         await stream.read_until(b"\r\n\r\n")
         entry = '[{"worker":"w1","address":"127.0.0.1:9","zone":"n","cell":1,"state":"usable","booted":0}]'
-        await stream.write((f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: e-1\nevent: list\ndata: {entry}\n\n").encode())
+        await stream.write(
+            (
+                f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: e-1\nevent: list\ndata: {entry}\n\n"
+            ).encode()
+        )
         while not stream.closed():
             stream.write(b": here\n\n").add_done_callback(lambda done: done.exception())
             await asyncio.sleep(0.5)
@@ -56,8 +65,10 @@
 
 def told(name, times):
     times = sorted(t * 1000 for t in times)
-    print(f"{name}: {len(times)} runs, median {statistics.median(times):.1f} ms, p99 {times[min(len(times) - 1, int(len(times) * 0.99))]:.1f}, "
-          f"most {times[-1]:.1f}")
+    print(
+        f"{name}: {len(times)} runs, median {statistics.median(times):.1f} ms, p99 {times[min(len(times) - 1, int(len(times) * 0.99))]:.1f}, "
+        f"most {times[-1]:.1f}"
+    )
 
 
 class Setup:
@@ -69,9 +80,16 @@
         host, port = self.router.open()
         (self.folder / "s.kdl").write_text(
             f'speaker "s" {{ asn 65001; id "10.0.0.1"; health "beats"; hold "{self.hold}s"; bounds settle="20ms" silent="{self.silent}"\n'
-            f'peer "r" address="{host}:{port}" asn=65000\nserve "192.0.2.1/32" next-hop="127.0.2.1"\n}}\n')
-        self.speaker = await asyncio.create_subprocess_exec(*CLI, "bgp", "speak", str(self.folder / "s.kdl"), stdout=asyncio.subprocess.PIPE,
-                                                            stderr=asyncio.subprocess.DEVNULL)
+            f'peer "r" address="{host}:{port}" asn=65000\nserve "192.0.2.1/32" next-hop="127.0.2.1"\n}}\n'
+        )
+        self.speaker = await asyncio.create_subprocess_exec(
+            *CLI,
+            "bgp",
+            "speak",
+            str(self.folder / "s.kdl"),
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.DEVNULL,
+        )
         await self.speaker.stdout.readline()
 
     def there(self):
@@ -102,6 +120,7 @@
         while True:
             sender.send(facts[0])
             await asyncio.sleep(0.05)
+
     task, times = asyncio.ensure_future(beat()), []
     for _ in range(args.runs):
         facts[0] = FINE
@@ -126,7 +145,9 @@
     times = {signal.SIGTERM: [], signal.SIGSTOP: []}
     for number in range(2 * args.runs):
         how = (signal.SIGTERM, signal.SIGSTOP)[number % 2]
-        child = await asyncio.create_subprocess_exec(*CLI, "serve", str(path), stdout=asyncio.subprocess.DEVNULL, stderr=asyncio.subprocess.DEVNULL)
+        child = await asyncio.create_subprocess_exec(
+            *CLI, "serve", str(path), stdout=asyncio.subprocess.DEVNULL, stderr=asyncio.subprocess.DEVNULL
+        )
         await setup.seen(True)
         await asyncio.sleep(0.1)
         begun = time.monotonic()
--- a/benchmarks/dispatcher.py
+++ b/benchmarks/dispatcher.py
@@ -7,9 +7,11 @@
 held        memory of one dispatcher process with 10,000 activations held
 fleet       CPU an activation at 10, 100 and 500 workers
 
-All servers are stand-ins on loopback. Workers answer after a fixed time without any model, so that the dispatcher is
+All servers are stand-ins on loopback. Workers answer after a fixed time without any model, so that the
+dispatcher is
 what is measured. Medians over the runs.
 """
+
 import argparse
 import asyncio
 import base64
@@ -57,7 +59,9 @@
                         continue
                     msgid, method, params = rest
                     if method == "run":
-                        reply = rpc.response(msgid, None, [params[0], params[1], 1, b'{"ok":1}', {"running": 1}])
+                        reply = rpc.response(
+                            msgid, None, [params[0], params[1], 1, b'{"ok":1}', {"running": 1}]
+                        )
                     elif method == "hold":
                         reply = rpc.response(msgid, None, ["ok", params[2]])
                     else:
@@ -69,7 +73,6 @@
         except StreamClosedError:
             pass
 
-
     @staticmethod
     def write(stream, reply):
         if not stream.closed():
@@ -81,8 +84,10 @@
 
     async def handle_stream(self, stream, address):
         await stream.read_until(b"\r\n\r\n")
-        await stream.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
-                           + sse.event("list", orjson.dumps(self.entries).decode(), "e-0"))
+        await stream.write(
+            b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+            + sse.event("list", orjson.dumps(self.entries).decode(), "e-0")
+        )
         while not stream.closed():
             await asyncio.sleep(1)
             stream.write(b": alive\n\n").add_done_callback(lambda done: done.exception())
@@ -90,17 +95,27 @@
 
 def backend(pipe, workers, took):
     """A process with all workers and the roster."""
+
     async def serve():
         entries = []
         for i in range(workers):
             sockets = bind_sockets(0, "127.0.0.1")
             Plain(f"w{i}", took).add_sockets(sockets)
-            entries.append({"worker": f"w{i}", "address": "127.0.0.1:%d" % sockets[0].getsockname()[1], "zone": "n",
-                            "cell": 0, "booted": 0, "state": "usable"})
+            entries.append(
+                {
+                    "worker": f"w{i}",
+                    "address": "127.0.0.1:%d" % sockets[0].getsockname()[1],
+                    "zone": "n",
+                    "cell": 0,
+                    "booted": 0,
+                    "state": "usable",
+                }
+            )
         Roster.entries, sockets = entries, bind_sockets(0, "127.0.0.1")
         Roster().add_sockets(sockets)
         pipe.send((sockets[0].getsockname()[1], entries[0]["address"]))
         await asyncio.sleep(3600)
+
     asyncio.run(serve())
 
 
@@ -130,15 +145,22 @@
         self.child = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL)
         host, _, port = json.loads(self.child.stdout.readline())["ready"].rpartition(":")
         self.address, self.number = (host, int(port)), 0
-        self.stamp = int(time.time()) + 2                # none of it is signed before the dispatcher began
+        self.stamp = int(time.time()) + 2  # none of it is signed before the dispatcher began
 
     def message(self, function=None):
         self.number += 1
         id_, body = f"m{os.getpid()}-{self.number}", b'{"a":1}'
         function = function or f"f{self.number % self.functions}"
-        return request(f"/hooks/x/{function}", {
-            "Content-Type": "application/json", "webhook-id": id_, "webhook-timestamp": self.stamp,
-            "webhook-signature": sign("v1", SECRET, id_, self.stamp, body)}, body)
+        return request(
+            f"/hooks/x/{function}",
+            {
+                "Content-Type": "application/json",
+                "webhook-id": id_,
+                "webhook-timestamp": self.stamp,
+                "webhook-signature": sign("v1", SECRET, id_, self.stamp, body),
+            },
+            body,
+        )
 
     def cpu(self):
         with open(f"/proc/{self.child.pid}/stat", encoding="ascii") as file:
@@ -181,6 +203,7 @@
         reply = await caller.call(setup.message(), 30)
         took.append(time.perf_counter() - due)
         statuses[reply.status] = statuses.get(reply.status, 0) + 1
+
     begun = time.perf_counter()
     for i in range(int(rate * seconds)):
         due = begun + i / rate
@@ -206,6 +229,7 @@
             done[0] += reply.status == 200
             bad[0] += reply.status != 200
         caller.close()
+
     await asyncio.gather(*(one() for _ in range(callers)))
     return done[0], bad[0]
 
@@ -221,8 +245,9 @@
     pipes = []
     for _ in range(processes):
         here, there = multiprocessing.Pipe()
-        multiprocessing.Process(target=loader, args=(setup.address, setup.stamp, setup.functions, callers, seconds,
-                                                     there)).start()
+        multiprocessing.Process(
+            target=loader, args=(setup.address, setup.stamp, setup.functions, callers, seconds, there)
+        ).start()
         pipes.append(here)
     ends = [pipe.recv() for pipe in pipes]
     return sum(e[0] for e in ends), sum(e[1] for e in ends)
@@ -237,15 +262,17 @@
     rates, cpus = [], []
     for _ in range(o.runs):
         setup = Setup(20, 0.02)
-        full_load(setup, 1.5)                            # copies are placed
+        full_load(setup, 1.5)  # copies are placed
         cpu = setup.cpu()
         done, bad = full_load(setup, o.seconds)
         cpus.append((setup.cpu() - cpu) / max(1, done + bad) * 1e6)
         rates.append(done / o.seconds)
         print(f"  {rates[-1]:.0f} activations a second, {cpus[-1]:.0f} us of CPU each, {bad} not completed")
         setup.close()
-    print(f"throughput, 20 workers: median {statistics.median(rates):.0f} a second, "
-          f"{statistics.median(cpus):.0f} us of CPU an activation")
+    print(
+        f"throughput, 20 workers: median {statistics.median(rates):.0f} a second, "
+        f"{statistics.median(cpus):.0f} us of CPU an activation"
+    )
     return statistics.median(rates)
 
 
@@ -254,15 +281,20 @@
     added = {0.5: [], 0.99: []}
     for _ in range(o.runs):
         setup = Setup(20, 0.02)
-        asyncio.run(open_load(setup, rate, 2))           # copies are placed
+        asyncio.run(open_load(setup, rate, 2))  # copies are placed
         plain = asyncio.run(direct(setup.worker, 200))
         took, statuses = asyncio.run(open_load(setup, rate, o.seconds))
         for part in added:
             added[part].append(quantile(took, part) - quantile(plain, part))
-        print(f"  at {rate:.0f} a second: p50 {quantile(took, .5) / MS:.2f} ms, p99 {quantile(took, .99) / MS:.2f} ms; "
-              f"direct p50 {quantile(plain, .5) / MS:.2f} ms, p99 {quantile(plain, .99) / MS:.2f} ms; {statuses}")
+        print(
+            f"  at {rate:.0f} a second: p50 {quantile(took, 0.5) / MS:.2f} ms, p99 {quantile(took, 0.99) / MS:.2f} ms; "
+            f"direct p50 {quantile(plain, 0.5) / MS:.2f} ms, p99 {quantile(plain, 0.99) / MS:.2f} ms; {statuses}"
+        )
         setup.close()
-    print("added: " + ", ".join(f"p{100 * part:g} {statistics.median(v) / MS:.2f} ms" for part, v in added.items()))
+    print(
+        "added: "
+        + ", ".join(f"p{100 * part:g} {statistics.median(v) / MS:.2f} ms" for part, v in added.items())
+    )
 
 
 def held(o):
@@ -289,12 +321,15 @@
             for stream in streams:
                 stream.close()
             return (full - empty) / 9200
+
         each = asyncio.run(hold())
         grown.append(each)
         print(f"  {each / 1000:.1f} KB for each activation held")
         setup.close()
-    print(f"held: median {statistics.median(grown) / 1000:.1f} KB each, "
-          f"{statistics.median(grown) * 10_000 / 1e6:.0f} MB for 10,000")
+    print(
+        f"held: median {statistics.median(grown) / 1000:.1f} KB each, "
+        f"{statistics.median(grown) * 10_000 / 1e6:.0f} MB for 10,000"
+    )
 
 
 def fleet(o):
@@ -306,14 +341,19 @@
             cpu = setup.cpu()
             took, statuses = asyncio.run(open_load(setup, 400, o.seconds))
             cpus.append((setup.cpu() - cpu) / len(took) * 1e6)
-            print(f"  {workers} workers: {cpus[-1]:.0f} us each, p99 {quantile(took, .99) / MS:.1f} ms, {statuses}")
+            print(
+                f"  {workers} workers: {cpus[-1]:.0f} us each, p99 {quantile(took, 0.99) / MS:.1f} ms, {statuses}"
+            )
             setup.close()
-        print(f"fleet of {workers}: median {statistics.median(cpus):.0f} us of CPU an activation at 400 a second")
+        print(
+            f"fleet of {workers}: median {statistics.median(cpus):.0f} us of CPU an activation at 400 a second"
+        )
 
 
 def stages(o):
     """CPU by package, by a profile: shares, since profiling itself costs."""
     import pstats
+
     with tempfile.TemporaryDirectory() as folder:
         setup = Setup(20, 0.02, profile=f"{folder}/p")
         full_load(setup, 1.5)
@@ -323,15 +363,37 @@
         for (file, _, name), (_, _, own, _, _) in pstats.Stats(f"{folder}/p").stats.items():
             if "poll" in name or "epoll" in name:
                 continue
-            where = next((w for w in ("brain", "decide", "fronts", "links", "dispatch", "tornado", "asyncio", "cryptography",
-                                      "hmac", "logging") if w in file), "built-in")
+            where = next(
+                (
+                    w
+                    for w in (
+                        "brain",
+                        "decide",
+                        "fronts",
+                        "links",
+                        "dispatch",
+                        "tornado",
+                        "asyncio",
+                        "cryptography",
+                        "hmac",
+                        "logging",
+                    )
+                    if w in file
+                ),
+                "built-in",
+            )
             parts[where] = parts.get(where, 0.0) + own
             total += own
-        print("CPU by stage: " + ", ".join(f"{k} {v / total:.0%}" for k, v in sorted(parts.items(), key=lambda p: -p[1])))
+        print(
+            "CPU by stage: "
+            + ", ".join(f"{k} {v / total:.0%}" for k, v in sorted(parts.items(), key=lambda p: -p[1]))
+        )
 
 
 def main():
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     parser.add_argument("what", choices=("latency", "throughput", "held", "fleet", "stages"))
     parser.add_argument("--runs", type=int, default=3)
     parser.add_argument("--seconds", type=float, default=5)
--- a/benchmarks/handover.py
+++ b/benchmarks/handover.py
@@ -1,10 +1,13 @@
-"""What upgrades and kills of a played day cost: latency while they go on, the longest gap of accepting, their number.
+"""What upgrades and kills of a played day cost: latency while they go on, the longest gap of accepting, their
+number.
 
     .venv/bin/petrelwood day upgrades --folder runs/upgrades
     .venv/bin/python benchmarks/handover.py runs/upgrades
 
-All from the stand-ins' records: `ask` and `answer` of the portal, the operator's `upgraded`, `old ended` and `killed`.
+All from the stand-ins' records: `ask` and `answer` of the portal, the operator's `upgraded`, `old ended` and
+`killed`.
 """
+
 import pathlib
 import statistics
 import sys
@@ -12,7 +15,7 @@
 from petrelwood.audit import rules
 
 SECOND = 1_000_000_000
-NEAR = SECOND              # of an upgrade's moment
+NEAR = SECOND  # of an upgrade's moment
 
 
 def percentile(values, part):
@@ -23,16 +26,32 @@
 def main():
     records = rules.load(pathlib.Path(sys.argv[1]) / "records")
     begun, ended, killed = ([r for r in records if r["t"] == t] for t in ("upgraded", "old ended", "killed"))
-    print(f"upgrades {len(begun)}, of them proven {sum(r['code'] == 0 for r in ended)}, "
-          f"tried in vain {sum(r['t'] == 'not upgraded' for r in records)}; kills {len(killed)}")
+    print(
+        f"upgrades {len(begun)}, of them proven {sum(r['code'] == 0 for r in ended)}, "
+        f"tried in vain {sum(r['t'] == 'not upgraded' for r in records)}; kills {len(killed)}"
+    )
     if begun:
-        print("from its start to its first accept: median %.2f s, most %.2f s" % (
-            statistics.median((r["at"] - r["begun"]) / 1e9 for r in begun), max((r["at"] - r["begun"]) / 1e9 for r in begun)))
-    asks = {(r["key"], r["stamp"], r["to"], r["try"]): r for r in records if r["t"] == "ask" and r.get("who") == "portal"}
+        print(
+            "from its start to its first accept: median %.2f s, most %.2f s"
+            % (
+                statistics.median((r["at"] - r["begun"]) / 1e9 for r in begun),
+                max((r["at"] - r["begun"]) / 1e9 for r in begun),
+            )
+        )
+    asks = {
+        (r["key"], r["stamp"], r["to"], r["try"]): r
+        for r in records
+        if r["t"] == "ask" and r.get("who") == "portal"
+    }
     upgraded = {r["name"] for r in begun}
     near, far, answered = [], [], {}
     for record in records:
-        if record["t"] != "answer" or record.get("who") != "portal" or record["to"] not in upgraded or record["status"] != 200:
+        if (
+            record["t"] != "answer"
+            or record.get("who") != "portal"
+            or record["to"] not in upgraded
+            or record["status"] != 200
+        ):
             continue
         ask = asks.get((record["key"], record["stamp"], record["to"], record["try"]))
         if ask is None:
@@ -41,14 +60,21 @@
         (near if is_near else far).append(record["took"])
         answered.setdefault(record["to"], []).append(ask["at"])
     for name, values in (("within 1 s of an upgrade", near), ("else", far)):
-        print(f"webhooks {name}: {len(values)} completed, p50 {percentile(values, 0.5):.1f} ms, p99 {percentile(values, 0.99):.1f} ms")
+        print(
+            f"webhooks {name}: {len(values)} completed, p50 {percentile(values, 0.5):.1f} ms, p99 {percentile(values, 0.99):.1f} ms"
+        )
     for name, times in answered.items():
         times.sort()
         moments = [r["at"] for r in begun if r["name"] == name]
-        gaps = [max((b - a for a, b in zip(times, times[1:]) if a < m + NEAR and b > m - NEAR), default=0) / 1e6 for m in moments]
+        gaps = [
+            max((b - a for a, b in zip(times, times[1:]) if a < m + NEAR and b > m - NEAR), default=0) / 1e6
+            for m in moments
+        ]
         usual = sorted(b - a for a, b in zip(times, times[1:]))
-        print(f"{name}: longest time between two asks that were completed, around an upgrade: median {statistics.median(gaps):.0f} ms, "
-              f"most {max(gaps):.0f} ms; anywhere p99 {percentile(usual, 0.99):.0f} ms")
+        print(
+            f"{name}: longest time between two asks that were completed, around an upgrade: median {statistics.median(gaps):.0f} ms, "
+            f"most {max(gaps):.0f} ms; anywhere p99 {percentile(usual, 0.99):.0f} ms"
+        )
 
 
 if __name__ == "__main__":
--- a/benchmarks/module_pace.py
+++ b/benchmarks/module_pace.py
@@ -2,10 +2,12 @@
 
     .venv/bin/python benchmarks/module_pace.py [--workers 100] [--rate 900] [--seconds 50] [--seed 1]
 
-One instance; simulated answers of 20 ms + an exponential 200 ms, workers without limit, a load of 300 ms, functions
+One instance; simulated answers of 20 ms + an exponential 200 ms, workers without limit, a load of 300 ms,
+functions
 with Pareto popularity of shape 1.1, one lane a copy. Prints CPU an activation and how activations ended; with
 `--top` also the rejections of the hottest function, whose copies the design limits.
 """
+
 import argparse
 import collections
 import heapq
@@ -30,16 +32,30 @@
             total += weight
             sums.append(total)
         self.sums, self.rate = sums, rate
-        self.stands, self.sends, self.fns, self.ends, self.of = {}, {}, {}, collections.Counter(), collections.Counter()
+        self.stands, self.sends, self.fns, self.ends, self.of = (
+            {},
+            {},
+            {},
+            collections.Counter(),
+            collections.Counter(),
+        )
         self.cpu, self.handled = 0, 0
         self.terms = ports.Terms(
-            "", dispatchers, {"plain": ports.NamespaceType(1000 * MS, ports.REPEATABLE, "all", 0)}, {},
+            "",
+            dispatchers,
+            {"plain": ports.NamespaceType(1000 * MS, ports.REPEATABLE, "all", 0)},
+            {},
             ports.Guarantees(0, 15_000 * MS, 0.2, 2.0, 3000 * MS),
             ports.LoadOrders(True, True, 8000 * MS, 0.0, 0.0, 0),
-            ports.Allowed(4, True, True, False, True, 2000 * MS), False, False, 2 * MS)
+            ports.Allowed(4, True, True, False, True, 2000 * MS),
+            False,
+            False,
+            2 * MS,
+        )
         self.brain = Brain(0, self.terms, seed, self)
-        self.brain.listed(0, [ports.Listed(f"10.0.{i // 250}.{i % 250}:1", "", 0, 0, True) for i in range(workers)],
-                          True)
+        self.brain.listed(
+            0, [ports.Listed(f"10.0.{i // 250}.{i % 250}:1", "", 0, 0, True) for i in range(workers)], True
+        )
 
     def at(self, when, *what):
         self.n += 1
@@ -52,7 +68,9 @@
         cold = (worker, self.fns[act]) not in self.stands
         self.stands[worker, self.fns[act]] = stood
         took += max(0, stood - self.now)
-        self.at(self.now + took, "answer", act, n, worker, took, ports.BEGAN_LOAD if cold else ports.FOUND_WARM)
+        self.at(
+            self.now + took, "answer", act, n, worker, took, ports.BEGAN_LOAD if cold else ports.FOUND_WARM
+        )
 
     def hold(self, worker, fn, copies):
         self.stands.setdefault((worker, fn), self.now + self.load)
@@ -107,18 +125,27 @@
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
-    for name, value in (("workers", 100), ("rate", 900), ("seconds", 50), ("functions", 2000), ("seed", 1),
-                        ("dispatchers", 1)):
+    for name, value in (
+        ("workers", 100),
+        ("rate", 900),
+        ("seconds", 50),
+        ("functions", 2000),
+        ("seed", 1),
+        ("dispatchers", 1),
+    ):
         parser.add_argument(f"--{name}", type=int, default=value)
     parser.add_argument("--top", action="store_true")
     o = parser.parse_args()
     fleet = Fleet(o.workers, o.functions, o.rate, o.seed, o.dispatchers)
     number = fleet.run(o.seconds)
-    print(f"{o.workers} workers, {o.rate} a second, {number} activations: {fleet.cpu / number / 1000:.0f} us of CPU "
-          f"each; " + ", ".join(f"{k} {v / number:.1%}" for k, v in sorted(fleet.ends.items())))
+    print(
+        f"{o.workers} workers, {o.rate} a second, {number} activations: {fleet.cpu / number / 1000:.0f} us of CPU "
+        f"each; " + ", ".join(f"{k} {v / number:.1%}" for k, v in sorted(fleet.ends.items()))
+    )
     if o.top:
-        print("rejections of the hottest functions:", fleet.of.most_common(5), "of all",
-              sum(fleet.of.values()))
+        print(
+            "rejections of the hottest functions:", fleet.of.most_common(5), "of all", sum(fleet.of.values())
+        )
 
 
 if __name__ == "__main__":
--- a/benchmarks/mqtt.py
+++ b/benchmarks/mqtt.py
@@ -2,13 +2,16 @@
 
     .venv/bin/python benchmarks/mqtt.py pace|sessions|killed [--runs 3] [--seconds 4] [--rate 300]
 
-pace      at one pace: p50 and p99 by webhook and by QoS 0, 1, 2, and the dispatcher's CPU an activation; then how many
+pace      at one pace: p50 and p99 by webhook and by QoS 0, 1, 2, and the dispatcher's CPU an activation; then
+how many
           a second each bears when asked as fast as the answers come
 sessions  memory of a dispatcher process for each customer's session, at 100, 1,000 and 5,000
 killed    how long until the messages of a killed dispatcher are answered by another
 
-All servers are stand-ins on loopback; the stand-in broker is a Python process and bears its part of each figure.
+All servers are stand-ins on loopback; the stand-in broker is a Python process and bears its part of each
+figure.
 """
+
 import argparse
 import asyncio
 import json
@@ -34,6 +37,7 @@
         server.add_sockets(sockets)
         pipe.send(sockets[0].getsockname()[1])
         await asyncio.sleep(3600)
+
     asyncio.run(serve())
 
 
@@ -49,17 +53,25 @@
         self.child.terminate()
         self.child.wait()
         path = pathlib.Path(self.folder.name) / "g.kdl"
-        self.text = path.read_text() + "".join(
-            f'customer "c{i}" {{ key "{base.KEY}" }}\n' for i in range(customers - 1)) + (
-            'mqtt { broker "127.0.0.1:%d"; user "gateway"; window least=64 most=1000; session "5s" }\n' % self.broker[1])
+        self.text = (
+            path.read_text()
+            + "".join(f'customer "c{i}" {{ key "{base.KEY}" }}\n' for i in range(customers - 1))
+            + (
+                'mqtt { broker "127.0.0.1:%d"; user "gateway"; window least=64 most=1000; session "5s" }\n'
+                % self.broker[1]
+            )
+        )
         self.child, self.address = self.start("bench")
         self.stamp = int(time.time()) + 2
 
     def start(self, name):
         path = pathlib.Path(self.folder.name) / f"{name}.kdl"
         path.write_text(self.text.replace('gateway "bench"', f'gateway "{name}"'))
-        child = subprocess.Popen([sys.executable, "-m", "petrelwood.cli", "serve", str(path), "--level", "warning"],
-                                 stdout=subprocess.PIPE, stderr=subprocess.DEVNULL)
+        child = subprocess.Popen(
+            [sys.executable, "-m", "petrelwood.cli", "serve", str(path), "--level", "warning"],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL,
+        )
         host, _, port = json.loads(child.stdout.readline())["ready"].rpartition(":")
         return child, (host, int(port))
 
@@ -94,7 +106,9 @@
         self.number += 1
         correlation = f"{qos}-{self.number}".encode()
         self.asked[correlation] = due or time.perf_counter()
-        self.devices[self.number % len(self.devices)].ask("t", f"f{self.number % 200}", b'{"a":1}', correlation, qos, 9)
+        self.devices[self.number % len(self.devices)].ask(
+            "t", f"f{self.number % 200}", b'{"a":1}', correlation, qos, 9
+        )
 
     async def paced(self, qos, rate, seconds):
         self.took, begun = [], time.perf_counter()
@@ -128,23 +142,34 @@
         await load.paced(1, o.rate, 2)
         for name in ("webhook", "QoS 0", "QoS 1", "QoS 2"):
             cpu = setup.cpu()
-            took = ((await base.open_load(setup, o.rate, o.seconds))[0] if name == "webhook" else
-                    await load.paced(int(name[-1]), o.rate, o.seconds))
+            took = (
+                (await base.open_load(setup, o.rate, o.seconds))[0]
+                if name == "webhook"
+                else await load.paced(int(name[-1]), o.rate, o.seconds)
+            )
             each = (setup.cpu() - cpu) / max(1, len(took)) * 1e6
-            most = ((await base.closed_load(setup, 192, o.seconds))[0] / o.seconds if name == "webhook" else
-                    await load.as_fast(int(name[-1]), o.seconds))
+            most = (
+                (await base.closed_load(setup, 192, o.seconds))[0] / o.seconds
+                if name == "webhook"
+                else await load.as_fast(int(name[-1]), o.seconds)
+            )
             if not took:
                 raise SystemExit(f"{name}: no answer came")
-            rows.setdefault(name, []).append((base.quantile(took, .5) * 1000, base.quantile(took, .99) * 1000, each, most))
+            rows.setdefault(name, []).append(
+                (base.quantile(took, 0.5) * 1000, base.quantile(took, 0.99) * 1000, each, most)
+            )
         load.close()
+
     for _ in range(o.runs):
         setup = Setup()
         asyncio.run(run(setup))
         setup.close()
     for name, found in rows.items():
         p50, p99, cpu, most = (statistics.median(column) for column in zip(*found))
-        print(f"{name}: at {o.rate} a second p50 {p50:.1f} ms, p99 {p99:.1f} ms, {cpu:.0f} us of the dispatcher's CPU each; "
-              f"at most {most:.0f} a second from one process of callers")
+        print(
+            f"{name}: at {o.rate} a second p50 {p50:.1f} ms, p99 {p99:.1f} ms, {cpu:.0f} us of the dispatcher's CPU each; "
+            f"at most {most:.0f} a second from one process of callers"
+        )
 
 
 def sessions(o):
@@ -153,8 +178,14 @@
         setup = Setup(customers=customers)
         time.sleep(3 + customers / 500)
         sizes[customers] = setup.memory()
-        print(f"{customers} sessions: {sizes[customers] / 1e6:.0f} MB" + (
-            f", {(sizes[customers] - sizes[1]) / (customers - 1) / 1000:.0f} KB each" if customers > 1 else ""))
+        print(
+            f"{customers} sessions: {sizes[customers] / 1e6:.0f} MB"
+            + (
+                f", {(sizes[customers] - sizes[1]) / (customers - 1) / 1000:.0f} KB each"
+                if customers > 1
+                else ""
+            )
+        )
         setup.close()
 
 
@@ -175,18 +206,23 @@
         took, left = time.perf_counter() - begun, len(load.asked)
         load.close()
         return before, took, left
+
     found = []
     for _ in range(o.runs):
         setup = Setup(took=0.2)
         before, took, left = asyncio.run(run(setup))
         setup.close()
         found.append(took)
-        print(f"  {before} in hand of both when one was killed: all answered after {took:.2f} s, {left} never")
+        print(
+            f"  {before} in hand of both when one was killed: all answered after {took:.2f} s, {left} never"
+        )
     print(f"killed: median {statistics.median(found):.2f} s; an answer takes 0.2 s of work")
 
 
 def main():
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     parser.add_argument("what", choices=("pace", "sessions", "killed"))
     parser.add_argument("--runs", type=int, default=3)
     parser.add_argument("--seconds", type=float, default=4)
--- a/benchmarks/parallel.py
+++ b/benchmarks/parallel.py
@@ -1,10 +1,13 @@
-"""How much eight runs at once bring over one, beside a loop that needs no memory: what this machine can give at all.
+"""How much eight runs at once bring over one, beside a loop that needs no memory: what this machine can give
+at all.
 
     python benchmarks/parallel.py [--runs 8] [--rounds 3]
 
-Each round measures one alone and all at once, first of a plain loop, then of a day in the emulator, so that both meet the
+Each round measures one alone and all at once, first of a plain loop, then of a day in the emulator, so that
+both meet the
 same machine. Prints the ratio of each round and the medians.
 """
+
 import argparse
 import multiprocessing
 import pathlib
@@ -46,13 +49,18 @@
     ratios = {loop: [], emulated: []}
     for number in range(asked.rounds):
         for work, seen in ratios.items():
-            alone = took(work, [1])                      # the same seed as each of those together
+            alone = took(work, [1])  # the same seed as each of those together
             together = took(work, [1] * asked.runs)
             seen.append(asked.runs * alone / together)
-            print(f"round {number + 1} {work.__name__:9s} one {alone:6.2f} s, {asked.runs} at once {together:6.2f} s: "
-                  f"{seen[-1]:.2f} times one", flush=True)
+            print(
+                f"round {number + 1} {work.__name__:9s} one {alone:6.2f} s, {asked.runs} at once {together:6.2f} s: "
+                f"{seen[-1]:.2f} times one",
+                flush=True,
+            )
     plain, days = (statistics.median(seen) for seen in ratios.values())
-    print(f"median: loop {plain:.2f}, emulator {days:.2f} times one; {days / plain:.2f} of what the loop gets")
+    print(
+        f"median: loop {plain:.2f}, emulator {days:.2f} times one; {days / plain:.2f} of what the loop gets"
+    )
 
 
 if __name__ == "__main__":
--- a/benchmarks/refusal.py
+++ b/benchmarks/refusal.py
@@ -1,10 +1,13 @@
-"""What a refusal costs against a full answer, by where it is made: processor time of the dispatcher for each request.
+"""What a refusal costs against a full answer, by where it is made: processor time of the dispatcher for each
+request.
 
     python benchmarks/refusal.py [--count 2000]
 
-Everything runs in one process, so the caller's own cost is in all of them alike; a request that is answered 404 at the path is the
+Everything runs in one process, so the caller's own cost is in all of them alike; a request that is answered
+404 at the path is the
 floor that the others are seen over.
 """
+
 import argparse
 import asyncio
 import pathlib
@@ -13,7 +16,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).parents[1] / "tests"))
 
-import rig                                               # noqa: E402
+import rig  # noqa: E402
 
 
 class Run(rig.Case):
@@ -31,12 +34,18 @@
             for message in messages:
                 statuses.add((await self.caller.call(message, 10)).status)
             found[word] = ((time.process_time() - begun) / count * 1e6, statuses)
+
         await timed("404 at the path", lambda: self.message(path="/nowhere"))
         await timed("completed", self.message)
-        await timed("401, signature checked", lambda: self.message(webhook_signature="v1,AAAA"),
-                    lambda: setattr(self.front.admission, "checked", lambda *a: None))
+        await timed(
+            "401, signature checked",
+            lambda: self.message(webhook_signature="v1,AAAA"),
+            lambda: setattr(self.front.admission, "checked", lambda *a: None),
+        )
         await timed("503 at the intake", self.message, lambda: setattr(self.core.intake, "closing", True))
-        await timed("429 unread", self.message, lambda: setattr(self.front.admission, "may_check", lambda *a: False))
+        await timed(
+            "429 unread", self.message, lambda: setattr(self.front.admission, "may_check", lambda *a: False)
+        )
         await self.asyncTearDown()
         return found
 
--- a/benchmarks/state.py
+++ b/benchmarks/state.py
@@ -1,7 +1,9 @@
-"""What keeping state costs: the log's pace, a start by size of log, and the whole dispatcher with it and without.
+"""What keeping state costs: the log's pace, a start by size of log, and the whole dispatcher with it and
+without.
 
     python benchmarks/state.py pace|start|whole
 """
+
 import argparse
 import asyncio
 import gc
@@ -22,8 +24,12 @@
 
 def pace():
     """Records a second: one write each, eight to a write, one fsync each."""
-    for word, group, sync, count in (("a write each", 1, False, 50_000), ("a write for eight", 8, False, 50_000),
-                                     ("an fsync each", 1, True, 300), ("an fsync for 32", 32, True, 9600)):
+    for word, group, sync, count in (
+        ("a write each", 1, False, 50_000),
+        ("a write for eight", 8, False, 50_000),
+        ("an fsync each", 1, True, 300),
+        ("an fsync for 32", 32, True, 9600),
+    ):
         with tempfile.TemporaryDirectory() as folder:
             log, begun = state.StateLog(folder, WALL, "b", 600 * S), time.perf_counter()
             for i in range(count):
@@ -49,7 +55,7 @@
                     log.flush()
             log.close(WALL + count)
             size = sum(p.stat().st_size for p in pathlib.Path(folder).iterdir())
-            gc.disable()                                 # as `Dispatcher.open_state` does
+            gc.disable()  # as `Dispatcher.open_state` does
             begun = time.perf_counter()
             records, _ = state.read(folder)
             found = recovery.replay(records, WALL + S, "b", False)
@@ -67,6 +73,7 @@
     class Run(rig.Case):
         def runTest(self):
             """Never run as a test."""
+
     case, plain = Run(), rig.FILE
     rig.FILE = plain + more.replace("{", "{{").replace("}", "}}")
     try:
@@ -79,6 +86,7 @@
         while messages:
             reply = await case.caller.call(messages.pop(), 10)
             assert reply.status == 200, reply.status
+
     begun = time.perf_counter()
     await asyncio.gather(*(caller() for _ in range(32)))
     out.append(count / (time.perf_counter() - begun))
@@ -95,8 +103,10 @@
                 asyncio.run(_whole(more, 3000, rates.setdefault(word, [])))
     for word, seen in rates.items():
         ratios = [a / b for a, b in zip(seen, rates["none"])]
-        print(f"{word:8s} {statistics.median(seen):7.0f} a second, {statistics.median(ratios):.2f} of none "
-              f"({', '.join(f'{r:.2f}' for r in ratios)})")
+        print(
+            f"{word:8s} {statistics.median(seen):7.0f} a second, {statistics.median(ratios):.2f} of none "
+            f"({', '.join(f'{r:.2f}' for r in ratios)})"
+        )
 
 
 def main():
--- a/petrelwood/audit/rules.py
+++ b/petrelwood/audit/rules.py
@@ -1,9 +1,12 @@
 """The five rules, judged from what the stand-ins saw. No dispatcher's own word is read.
 
-Records (one JSON line each): the portal's `ask`, `answer`, `left`, `broken`, `replayed`; a worker's `up`, `run`
-(a send arrived), `ran` (how it ended there), `hold`, `counts`; the roster's `told`; the operator's `killed`. Times are
+Records (one JSON line each): the portal's `ask`, `answer`, `left`, `broken`, `replayed`; a worker's `up`,
+`run`
+(a send arrived), `ran` (how it ended there), `hold`, `counts`; the roster's `told`; the operator's `killed`.
+Times are
 one monotonic clock in ns. `SLACK` is what a busy machine may take between two processes.
 """
+
 import bisect
 import collections
 import pathlib
@@ -13,10 +16,15 @@
 from petrelwood import ports
 
 SLACK = 500_000_000
-NEVER = ("full", "missing", "draining")      # words of a worker that prove that nothing ran
+NEVER = ("full", "missing", "draining")  # words of a worker that prove that nothing ran
 FINAL = (200, 429, 503, 504)
-NAMES = {1: "one final answer in time, no send after it", 2: "no effect twice", 3: "drains are kept",
-         4: "no cold worker pushed over", 5: "load orders in their ration"}
+NAMES = {
+    1: "one final answer in time, no send after it",
+    2: "no effect twice",
+    3: "drains are kept",
+    4: "no cold worker pushed over",
+    5: "load orders in their ration",
+}
 
 
 class Finding:
@@ -37,16 +45,17 @@
             try:
                 records.append(orjson.loads(line))
             except orjson.JSONDecodeError:
-                continue                                 # the last line of a process that was killed
+                continue  # the last line of a process that was killed
     return sorted(records, key=lambda r: r["at"])
 
 
 class Case:
-    """The records of a run, arranged for the rules. `terms`: ports.Terms; `works`: namespace type -> mean ns."""
+    """The records of a run, arranged for the rules. `terms`: ports.Terms; `works`: namespace type -> mean
+    ns."""
 
     def __init__(self, records, terms, drain_grace, build, works, away=()):
         self.terms, self.grace, self.build, self.works = terms, drain_grace, build, works
-        self.records, self.away = records, away          # when the broker was to be away: (begin, end)
+        self.records, self.away = records, away  # when the broker was to be away: (begin, end)
         self.by = collections.defaultdict(list)
         for record in records:
             self.by[record["t"]].append(record)
@@ -95,13 +104,17 @@
             if record["status"] not in FINAL and record["status"] != 409:
                 found.breaks(f"{key[0]}: answered {record['status']}")
             if took > ask["patience"] + SLACK // 5:
-                found.breaks(f"{key[0]}: answered {took / 1e9:.2f} s after the request, patience was "
-                             f"{ask['patience'] / 1e9:.2f} s")
+                found.breaks(
+                    f"{key[0]}: answered {took / 1e9:.2f} s after the request, patience was "
+                    f"{ask['patience'] / 1e9:.2f} s"
+                )
             if record["act"]:
                 statuses[record["act"]].add(record["status"])
                 answered[record["act"]] = min(record["at"], answered.get(record["act"], record["at"]))
         elif kind == "left" and not ask["leaves"]:
-            found.breaks(f"{key[0]}: no answer in {took / 1e9:.2f} s, patience was {ask['patience'] / 1e9:.2f} s")
+            found.breaks(
+                f"{key[0]}: no answer in {took / 1e9:.2f} s, patience was {ask['patience'] / 1e9:.2f} s"
+            )
         elif kind == "broken" and record["sent"] and not case.killed(ask["to"], ask["at"], record["at"]):
             found.breaks(f"{key[0]}: the connection broke, and {ask['to']} had not been killed")
     for act, several in statuses.items():
@@ -121,10 +134,15 @@
 
 
 def _one_answer_by_mqtt(case, found):
-    """Each message that a dispatcher took has one answer in time. None is owed where the dispatcher that had it was
-    killed, or where the broker was away when its time was up; never two. Two are two that dispatchers have published:
-    one of QoS 1 the broker may deliver to a device again, marked DUP, when the device's own connection breaks."""
-    given = collections.Counter(r["correlation"] for r in case.by["published"] if r["topic"].startswith("reply/"))
+    """Each message that a dispatcher took has one answer in time. None is owed where the dispatcher that had
+    it was
+    killed, or where the broker was away when its time was up; never two. Two are two that dispatchers have
+    published:
+    one of QoS 1 the broker may deliver to a device again, marked DUP, when the device's own connection
+    breaks."""
+    given = collections.Counter(
+        r["correlation"] for r in case.by["published"] if r["topic"].startswith("reply/")
+    )
     answers, numbers, holders = collections.defaultdict(list), {}, collections.defaultdict(list)
     for answer in case.by["manswer"]:
         answers[answer["key"]].append(answer)
@@ -139,16 +157,21 @@
         got, had = answers[ask["key"]], holders[ask["key"]]
         ends = ask["at"] + ask["patience"]
         if given[ask["key"]] > 1:
-            found.breaks(f"message {bytes.fromhex(ask['key']).decode()}: {given[ask['key']]} answers, "
-                         f"{[a['status'] for a in got]}")
+            found.breaks(
+                f"message {bytes.fromhex(ask['key']).decode()}: {given[ask['key']]} answers, "
+                f"{[a['status'] for a in got]}"
+            )
         away = any(begin - SLACK <= ends and ask["at"] <= end + 4 * SLACK for begin, end in case.away)
         if not got and had and not away:
             if not any(case.killed(h["client"].split(".")[0], h["at"], ends) for h in had):
-                found.breaks(f"message {bytes.fromhex(ask['key']).decode()}: no answer, and {had[-1]['client']} "
-                             "had it")
+                found.breaks(
+                    f"message {bytes.fromhex(ask['key']).decode()}: no answer, and {had[-1]['client']} had it"
+                )
         elif got and got[0]["at"] > ends + SLACK // 5 and not away:
-            found.breaks(f"message {bytes.fromhex(ask['key']).decode()}: answered "
-                         f"{(got[0]['at'] - ends) / 1e9:.2f} s after its time")
+            found.breaks(
+                f"message {bytes.fromhex(ask['key']).decode()}: answered "
+                f"{(got[0]['at'] - ends) / 1e9:.2f} s after its time"
+            )
 
 
 def no_effect_twice(case):
@@ -162,11 +185,17 @@
         for run in runs:
             if first is not None:
                 if type_.effect == ports.ONCE_ONLY:
-                    found.breaks(f"{mark}: sent to {first['who']} where it may have run, then to {run['who']}")
+                    found.breaks(
+                        f"{mark}: sent to {first['who']} where it may have run, then to {run['who']}"
+                    )
                 elif type_.scope != "all" and _group(case, type_, run) != _group(case, type_, first):
-                    found.breaks(f"{mark}: may have run on {first['who']}, then sent to {run['who']}, another group")
+                    found.breaks(
+                        f"{mark}: may have run on {first['who']}, then sent to {run['who']}, another group"
+                    )
                 elif run["at"] - first["at"] > type_.window + SLACK:
-                    found.breaks(f"{mark}: sent again {(run['at'] - first['at']) / 1e9:.2f} s after the first")
+                    found.breaks(
+                        f"{mark}: sent again {(run['at'] - first['at']) / 1e9:.2f} s after the first"
+                    )
             if first is None and case.may_have_run(run):
                 first = run
     for answer in case.by["answer"]:
@@ -174,7 +203,9 @@
             continue
         for run in case.sends[answer["act"]]:
             type_ = case.terms.types[run["type"]]
-            bound = type_.effect == ports.ONCE_ONLY or type_.effect == ports.DEDUPLICATED and type_.scope != "all"
+            bound = (
+                type_.effect == ports.ONCE_ONLY or type_.effect == ports.DEDUPLICATED and type_.scope != "all"
+            )
             if bound and case.may_have_run(run) and run["at"] < answer["at"]:
                 found.breaks(f"{answer['key']}: rejected, though it may have run on {run['who']}")
     return found
@@ -186,7 +217,7 @@
 
 def drains(case):
     found = Finding(3)
-    state, told = {}, collections.defaultdict(list)      # (dispatcher, worker) -> [(at, usable)]
+    state, told = {}, collections.defaultdict(list)  # (dispatcher, worker) -> [(at, usable)]
     for record in case.by["told"]:
         to, named = record["to"], set()
         for worker, is_, _ in record["entries"]:
@@ -206,8 +237,10 @@
         while at >= 0 and not news[at][1]:
             since, at = news[at][0], at - 1
         if since is not None and record["at"] > since + case.grace + SLACK:
-            found.breaks(f"{record['by']} sent to {record['who']} {(record['at'] - since) / 1e9:.2f} s after it was "
-                         "told that it drains or is gone")
+            found.breaks(
+                f"{record['by']} sent to {record['who']} {(record['at'] - since) / 1e9:.2f} s after it was "
+                "told that it drains or is gone"
+            )
     return found
 
 
@@ -235,8 +268,10 @@
             part = guard.cold_from + (1 - guard.cold_from) * (run["at"] - up["at"]) / guard.cold
             most = guard.fall_multiple * build.cores * build.speed * part * guard.fall * 1.25
             if works > most and sum(w for _, w, known in window if known) * 3 >= 2 * works:
-                found.breaks(f"{up['who']} was sent {works / 1e9:.2f} s of work in {guard.fall / 1e9:.1f} s, "
-                             f"{(run['at'] - up['at']) / 1e9:.2f} s after its start; it bears {most / 1e9:.2f}")
+                found.breaks(
+                    f"{up['who']} was sent {works / 1e9:.2f} s of work in {guard.fall / 1e9:.1f} s, "
+                    f"{(run['at'] - up['at']) / 1e9:.2f} s after its start; it bears {most / 1e9:.2f}"
+                )
                 window.clear()
                 works = 0
     for counts in case.by["counts"]:
@@ -253,7 +288,7 @@
     asks, holds = collections.defaultdict(list), collections.defaultdict(list)
     for ask in case.by["ask"]:
         asks[ask["to"]].append(ask["at"])
-    for taken in case.by["delivered"]:                   # messages to dispatchers are asks too
+    for taken in case.by["delivered"]:  # messages to dispatchers are asks too
         name = taken["client"].split(".")[0]
         asks[name].append(taken["at"])
     for times in asks.values():
@@ -265,12 +300,16 @@
         for i, at in enumerate(times):
             found.looked += 1
             if any(at - orders.period < kill <= at for kill in case.kills[name]):
-                continue                                 # two lives in one window, each with a ration of its own
+                # two lives in one window, each with a ration of its own
+                continue
             ordered = i + 1 - bisect.bisect_right(times, at - orders.period + SLACK // 10)
-            taken = (bisect.bisect_right(asks[name], at)
-                     - bisect.bisect_right(asks[name], at - orders.period - SLACK // 2))
+            taken = bisect.bisect_right(asks[name], at) - bisect.bisect_right(
+                asks[name], at - orders.period - SLACK // 2
+            )
             if ordered > orders.free + orders.part * taken:
-                found.breaks(f"{name}: {ordered} orders in {orders.period / 1e9:.0f} s with {taken} activations")
+                found.breaks(
+                    f"{name}: {ordered} orders in {orders.period / 1e9:.0f} s with {taken} activations"
+                )
     return found
 
 
@@ -283,7 +322,14 @@
     """How tries ended, by namespace type: {type: {what: count}}; sends an activation among them."""
     types = {(r["key"], r["stamp"]): r["type"] for r in case.by["ask"]}
     table = collections.defaultdict(collections.Counter)
-    names = {200: "completed", 503: "rejected", 429: "rejected", 504: "aborted", 401: "unsigned", 409: "conflict"}
+    names = {
+        200: "completed",
+        503: "rejected",
+        429: "rejected",
+        504: "aborted",
+        401: "unsigned",
+        409: "conflict",
+    }
     for answer in case.by["answer"]:
         table[types[answer["key"], answer["stamp"]]][names.get(answer["status"], str(answer["status"]))] += 1
     asked = {r["key"]: r["type"] for r in case.by["mask"]}
--- a/petrelwood/bgp/beats.py
+++ b/petrelwood/bgp/beats.py
@@ -1,7 +1,9 @@
 """Beats: what a dispatcher says of itself to the speaker beside it, over a datagram socket on this machine.
 
-They are sent from the dispatcher's own loop, so that one that hangs falls silent; a speaker that is away costs it nothing.
+They are sent from the dispatcher's own loop, so that one that hangs falls silent; a speaker that is away
+costs it nothing.
 """
+
 import socket
 
 import msgpack
@@ -9,7 +11,7 @@
 from petrelwood.decide.routing.serving import Facts
 from petrelwood.links.local import Bound
 
-EVERY = 0.05               # seconds between beats
+EVERY = 0.05  # seconds between beats
 
 
 class Sender:
@@ -25,7 +27,7 @@
                 self.sock.setblocking(False)
                 self.sock.connect(self.path)
             self.sock.send(msgpack.packb([1, *facts]))
-        except OSError:                                  # away, or slow: the next one says the same or more
+        except OSError:  # away, or slow: the next one says the same or more
             self.lost += 1
             self.close()
 
@@ -54,7 +56,11 @@
                 return
             try:
                 version, *facts = msgpack.unpackb(data)
-                if version != 1 or len(facts) != len(Facts._fields) or not all(isinstance(f, (int, bool)) for f in facts):
+                if (
+                    version != 1
+                    or len(facts) != len(Facts._fields)
+                    or not all(isinstance(f, (int, bool)) for f in facts)
+                ):
                     raise ValueError
             except (ValueError, TypeError, msgpack.UnpackException):
                 self.wrong += 1
--- a/petrelwood/bgp/run.py
+++ b/petrelwood/bgp/run.py
@@ -1,4 +1,5 @@
 """Runs one speaker until SIGTERM: takes its announcements back, says goodbye, exits 0."""
+
 import asyncio
 import json
 import signal
@@ -27,7 +28,8 @@
 
 
 def run(described, log, status=""):
-    """Blocks until the end; 0, or 1 where it can't listen. `status`: a file that has its figures, renewed each second."""
+    """Blocks until the end; 0, or 1 where it can't listen. `status`: a file that has its figures, renewed
+    each second."""
     try:
         asyncio.run(_run(described, log, status))
     except OSError as fault:
--- a/petrelwood/bgp/speaker.py
+++ b/petrelwood/bgp/speaker.py
@@ -1,7 +1,10 @@
-"""The speaker on Tornado's sockets: one `Neighbor` a peer, what the dispatcher beside it says, and what goes out because of it.
+"""The speaker on Tornado's sockets: one `Neighbor` a peer, what the dispatcher beside it says, and what goes
+out because of it.
 
-Its loop does nothing else, so that KEEPALIVEs leave in time however busy the dispatcher is. It never touches a kernel's routes.
+Its loop does nothing else, so that KEEPALIVEs leave in time however busy the dispatcher is. It never touches
+a kernel's routes.
 """
+
 import asyncio
 import random
 import socket
@@ -18,8 +21,8 @@
 from petrelwood.wire import bgp
 
 SECOND = 1_000_000_000
-WAITING = 1 << 20          # octets that may wait for one peer to read
-CONNECT = 5                # seconds
+WAITING = 1 << 20  # octets that may wait for one peer to read
+CONNECT = 5  # seconds
 IP_MINTTL, IPV6_MINHOPCOUNT = 21, 73
 
 
@@ -34,7 +37,7 @@
         else:
             sock.setsockopt(socket.IPPROTO_IP, socket.IP_TTL, 255)
             sock.setsockopt(socket.IPPROTO_IP, IP_MINTTL, 255)
-    except OSError:                                      # not every system has it
+    except OSError:  # not every system has it
         pass
 
 
@@ -45,10 +48,24 @@
         self.speaker, self.terms, self.streams, self.task, self.unread = speaker, terms, {}, None, {}
         described = speaker.described
         families = sorted({(s.prefix[0], bgp.UNICAST) for s in described.services})
-        self.neighbor = neighbor.Neighbor(neighbor.Terms(
-            described.asn, terms.asn, described.id, described.hold, families, terms.role, terms.passive, terms.most), self,
-            speaker.chance.random)
-        self.outbox, self.inbox = announce.Outbox(described.asn), announce.Inbox(described.services, terms.most)
+        self.neighbor = neighbor.Neighbor(
+            neighbor.Terms(
+                described.asn,
+                terms.asn,
+                described.id,
+                described.hold,
+                families,
+                terms.role,
+                terms.passive,
+                terms.most,
+            ),
+            self,
+            speaker.chance.random,
+        )
+        self.outbox, self.inbox = (
+            announce.Outbox(described.asn),
+            announce.Inbox(described.services, terms.most),
+        )
         self.most, self.four = bgp.MOST, True
 
     # What the neighbour asks for.
@@ -94,7 +111,7 @@
         stream = self.streams.get(key)
         if stream is None or stream.closed():
             return
-        if self.unread.get(key, 0) > WAITING:            # what it has not read is not waited for
+        if self.unread.get(key, 0) > WAITING:  # what it has not read is not waited for
             self.speaker.log.warning("a peer does not read", peer=self.terms.name)
             stream.close()
             return
@@ -110,7 +127,7 @@
         stream = self.streams.pop(key, None)
         self.unread.pop(key, None)
         if stream is not None and not stream.closed():
-            if stream.writing():                         # its last word goes out, if the peer reads
+            if stream.writing():  # its last word goes out, if the peer reads
                 self.speaker.loop.call_later(0.2, stream.close)
             else:
                 stream.close()
@@ -123,9 +140,12 @@
         self.outbox.reset([f for f in found.families if f in ours])
         self.speaker.log.info("peer up", peer=self.terms.name, asn=found.asn, hold=held.hold, four=found.four)
         self.tell()
-        for afi in self.outbox.families:                 # RFC 4724: all is told, whether or not it asked for restarts
-            self.write(held.key, bgp.END_OF_RIB if afi == bgp.IPV4 else bgp.message(
-                bgp.UPDATE, b"\0\0\0\6\x80\x0f\x03\0\2\1"))
+        # RFC 4724: all is told, whether or not it asked for restarts
+        for afi in self.outbox.families:
+            self.write(
+                held.key,
+                bgp.END_OF_RIB if afi == bgp.IPV4 else bgp.message(bgp.UPDATE, b"\0\0\0\6\x80\x0f\x03\0\2\1"),
+            )
 
     def down(self, why):
         self.inbox.reset()
@@ -191,9 +211,12 @@
         self.look()
 
     def look(self):
-        """Judges anew; peers hear at once what has changed, and before anything else what takes traffic away."""
+        """Judges anew; peers hear at once what has changed, and before anything else what takes traffic
+        away."""
         before = self.serving.level
-        changed = self.serving.look(self.now(), announce.others_for_all(self.described.services, [p.inbox for p in self.peers]))
+        changed = self.serving.look(
+            self.now(), announce.others_for_all(self.described.services, [p.inbox for p in self.peers])
+        )
         if self.serving.level != before:
             for peer in self.peers:
                 peer.tell()
@@ -205,7 +228,11 @@
         """Sets the one timer to what is due first."""
         if self.timer is not None:
             self.timer.cancel()
-        due = [t for t in (self.serving.due(self.now()), *(p.neighbor.due() for p in self.peers)) if t is not None]
+        due = [
+            t
+            for t in (self.serving.due(self.now()), *(p.neighbor.due() for p in self.peers))
+            if t is not None
+        ]
         wait = max(0.0, (min(due) - self.now()) / 1e9) if due else 1.0
         self.timer = self.loop.call_later(min(wait, 1.0), self._due)
 
@@ -216,9 +243,22 @@
         self.look()
 
     def figures(self):
-        return {"level": self.serving.level, "why": self.serving.why, "flaps": self.serving.flaps, "beats_wrong": self.beats.wrong,
-                "peers": {p.terms.name: {"state": p.neighbor.state, "why": p.neighbor.why, "routes": p.inbox.count,
-                                         "told": len(p.outbox.told), **p.neighbor.counts} for p in self.peers}}
+        return {
+            "level": self.serving.level,
+            "why": self.serving.why,
+            "flaps": self.serving.flaps,
+            "beats_wrong": self.beats.wrong,
+            "peers": {
+                p.terms.name: {
+                    "state": p.neighbor.state,
+                    "why": p.neighbor.why,
+                    "routes": p.inbox.count,
+                    "told": len(p.outbox.told),
+                    **p.neighbor.counts,
+                }
+                for p in self.peers
+            },
+        }
 
     async def close(self, text="the speaker ends"):
         """Takes everything back, says why, and goes."""
@@ -229,7 +269,7 @@
         if self.server is not None:
             self.server.stop()
         self.beats.close()
-        await asyncio.sleep(0.05)                        # the last words go out
+        await asyncio.sleep(0.05)  # the last words go out
         for peer in self.peers:
             if peer.task is not None:
                 peer.task.cancel()
--- a/petrelwood/cli/bgp.py
+++ b/petrelwood/cli/bgp.py
@@ -1,4 +1,5 @@
 """Commands around service addresses: the speaker, what it sees, its messages; the stand-in router."""
+
 import asyncio
 import json
 import pathlib
@@ -16,14 +17,22 @@
 
     @command(bgp, "speak")
     @file
-    @click.option("--status", type=click.Path(dir_okay=False), default="", help="a file for its figures, renewed each second")
+    @click.option(
+        "--status",
+        type=click.Path(dir_okay=False),
+        default="",
+        help="a file for its figures, renewed each second",
+    )
     @click.option("--log", type=click.Choice(["json", "text"]), default="json", show_default=True)
-    @click.option("--level", default="info", show_default=True, type=click.Choice(["debug", "info", "warning", "error"]))
+    @click.option(
+        "--level", default="info", show_default=True, type=click.Choice(["debug", "info", "warning", "error"])
+    )
     def speak(file, status, log, level):
         """Announces the addresses in FILE (KDL) while the dispatcher beside it can serve, until SIGTERM."""
         from petrelwood.bgp import run
         from petrelwood.cli.logs import open_log
         from petrelwood.settings import speaker
+
         described = speaker.read(file)
         sys.exit(run.run(described, open_log(log, level, speaker=described.name), status))
 
@@ -38,10 +47,16 @@
     def peers(status):
         """Sessions of a speaker, from its STATUS file."""
         found = figures(status)
-        click.echo(f"level {found['level']}" + (f": {found['why']}" if found["why"] else "") + f"; gone {found['flaps']} times")
+        click.echo(
+            f"level {found['level']}"
+            + (f": {found['why']}" if found["why"] else "")
+            + f"; gone {found['flaps']} times"
+        )
         for name, one in found["peers"].items():
-            click.echo(f"{name:16s} {one['state']:13s} told {one['told']}, routes {one['routes']}, up {one['up']}, down {one['down']}, "
-                       f"notes {one['notes']}" + (f"; {one['why']}" if one["why"] else ""))
+            click.echo(
+                f"{name:16s} {one['state']:13s} told {one['told']}, routes {one['routes']}, up {one['up']}, down {one['down']}, "
+                f"notes {one['notes']}" + (f"; {one['why']}" if one["why"] else "")
+            )
 
     @command(bgp, "routes")
     @file
@@ -51,6 +66,7 @@
         from petrelwood.decide.routing import announce
         from petrelwood.settings import speaker
         from petrelwood.wire import bgp as wire
+
         described = speaker.read(file)
         for service in described.services:
             _show(wire, service.prefix, announce.attributes(service, level, described.asn))
@@ -61,6 +77,7 @@
     def decode(data, two):
         """Messages in DATA (bytes, or hex) in words; exit 1 where one is wrong."""
         from petrelwood.wire import bgp as wire
+
         raw = data.read()
         try:
             raw = bytes.fromhex(raw.decode("ascii"))
@@ -91,10 +108,20 @@
 
     def _show(wire, prefix, attrs):
         import ipaddress
-        path = " ".join(("{%s}" % ",".join(map(str, asns))) if kind == wire.SET else " ".join(map(str, asns)) for kind, asns in attrs.path)
-        click.echo(f"  {wire.shown(prefix)} next hop {ipaddress.ip_address(attrs.next_hop)}, path {path or 'empty'}"
-                   + (f", MED {attrs.med}" if attrs.med is not None else "")
-                   + (f", communities {' '.join(f'{c >> 16}:{c & 0xFFFF}' for c in attrs.communities)}" if attrs.communities else ""))
+
+        path = " ".join(
+            ("{%s}" % ",".join(map(str, asns))) if kind == wire.SET else " ".join(map(str, asns))
+            for kind, asns in attrs.path
+        )
+        click.echo(
+            f"  {wire.shown(prefix)} next hop {ipaddress.ip_address(attrs.next_hop)}, path {path or 'empty'}"
+            + (f", MED {attrs.med}" if attrs.med is not None else "")
+            + (
+                f", communities {' '.join(f'{c >> 16}:{c & 0xFFFF}' for c in attrs.communities)}"
+                if attrs.communities
+                else ""
+            )
+        )
 
     @command(cli, "router")
     @click.option("--listen", type=address, default="127.0.0.1:0", show_default=True)
@@ -102,8 +129,15 @@
     @click.option("--id", "id_", type=click.IntRange(1, (1 << 32) - 1), default=1, show_default=True)
     @click.option("--hold", type=int, default=9, show_default=True, help="seconds")
     @click.option("--watch", type=address, help="tell who connects there what each prefix goes to")
-    @click.option("--records", type=click.Path(file_okay=False), default="", help="where to write what it saw, in place of printing it")
+    @click.option(
+        "--records",
+        type=click.Path(file_okay=False),
+        default="",
+        help="where to write what it saw, in place of printing it",
+    )
     def router(listen, asn, id_, hold, watch, records):
-        """A stand-in router: takes BGP sessions, prints what it sees; orders come on standard input, a JSON object a line."""
+        """A stand-in router: takes BGP sessions, prints what it sees; orders come on standard input, a JSON
+        object a line."""
         from petrelwood.standins import router as standin
+
         asyncio.run(standin.serve(listen, asn, id_, hold, watch, records))
--- a/petrelwood/cli/emulated.py
+++ b/petrelwood/cli/emulated.py
@@ -1,4 +1,5 @@
 """Commands on the emulator: one day, its difference from the sockets, experiments."""
+
 import asyncio
 import json
 import pathlib
@@ -11,6 +12,7 @@
 
 def tables(console, row, title):
     from rich.table import Table
+
     table = Table(title=title)
     for heading in ("figure", "value"):
         table.add_column(heading, justify="left" if heading == "figure" else "right")
@@ -26,16 +28,25 @@
     @command(cli, "emulate")
     @click.argument("script")
     @click.option("--seed", type=int, default=1, show_default=True)
-    @click.option("--policy", type=click.Choice(list(policies.named())), default="petrelwood", show_default=True,
-                  help="baselines are for comparison only")
+    @click.option(
+        "--policy",
+        type=click.Choice(list(policies.named())),
+        default="petrelwood",
+        show_default=True,
+        help="baselines are for comparison only",
+    )
     @click.option("--json", "result", type=click.Path(dir_okay=False))
-    @click.option("--account", type=click.Path(file_okay=False), help="a folder for the ends of early loads, as "
-                  "`forecast account` reads them")
+    @click.option(
+        "--account",
+        type=click.Path(file_okay=False),
+        help="a folder for the ends of early loads, as `forecast account` reads them",
+    )
     def emulate(script, seed, policy, result, account):
         """Plays SCRIPT in virtual time and judges it: exit 0 only if every rule held and all adds up."""
         from petrelwood.cli import show
         from petrelwood.emulate import result as results
         from petrelwood.emulate.platform import Platform
+
         day, begun = find(script), time.monotonic()
         platform = Platform(day, seed, policies.named()[policy])
         if account:
@@ -43,6 +54,7 @@
         platform.run()
         took, row, wrong = time.monotonic() - begun, results.row(platform), results.conserved(platform)
         from rich.console import Console
+
         console = Console(highlight=False, width=None if sys.stdout.isatty() else 118)
         tables(console, row, f"day '{day.name}' in the emulator, seed {seed}, {policy} (simulated servers)")
         console.print(f"{platform.events} events in {took:.1f} s")
@@ -62,6 +74,7 @@
 
         from petrelwood.lab import day as lab
         from petrelwood.lab import difference
+
         day = find(script)
         with tempfile.TemporaryDirectory(prefix="petrelwood-") as folder:
             run = lab.Run(day, seed, folder)
@@ -77,7 +90,9 @@
             table.add_row(name, f"{real:.3f}", f"{emulated:.3f}", f"{emulated - real:+.3f}")
         Console(highlight=False, width=None if sys.stdout.isatty() else 118).print(table)
         if result:
-            pathlib.Path(result).write_text(json.dumps({"day": day.name, "seed": seed, "figures": found}, indent=1))
+            pathlib.Path(result).write_text(
+                json.dumps({"day": day.name, "seed": seed, "figures": found}, indent=1)
+            )
 
     @cli.group("experiment")
     def experiment():
@@ -90,9 +105,9 @@
     def run(file, out, jobs):
         """Runs the experiment in FILE, or what is left of it."""
         from petrelwood.lab import experiment as lab
+
         described = lab.read(file)
-        done, failed = lab.run(described, pathlib.Path(out), jobs,
-                               lambda text: click.echo(text, err=True))
+        done, failed = lab.run(described, pathlib.Path(out), jobs, lambda text: click.echo(text, err=True))
         click.echo(f"{done} runs stand in {out}, {failed} of them failed")
         sys.exit(1 if failed else 0)
 
@@ -101,8 +116,10 @@
     @click.option("--figure", default="service", show_default=True)
     @click.option("--by", "factor", help="compare the levels of this factor instead of the policies")
     def table(out, figure, factor):
-        """Paired differences from the first policy, or level, with bootstrap intervals and Holm's correction."""
+        """Paired differences from the first policy, or level, with bootstrap intervals and Holm's
+        correction."""
         from petrelwood.lab import experiment as lab
+
         try:
             for line in lab.table_lines(pathlib.Path(out), figure, factor):
                 click.echo(line)
@@ -111,32 +128,41 @@
 
     @command(experiment, "report")
     @click.argument("out", type=click.Path(exists=True, file_okay=False))
-    @click.option("--to", type=click.Path(dir_okay=False), required=True, help="one HTML file that needs no network")
+    @click.option(
+        "--to", type=click.Path(dir_okay=False), required=True, help="one HTML file that needs no network"
+    )
     @click.option("--figure", "figures", multiple=True, default=("service", "worst 5 s", "p99 ms", "fetched"))
     @click.option("--by", "factor", help="compare the levels of this factor instead of the policies")
     def report(out, to, figures, factor):
         """Tables and charts in one file."""
         from petrelwood.lab import report as lab
+
         lab.write(pathlib.Path(out), pathlib.Path(to), figures, factor)
         click.echo(f"written: {to}")
 
     @command(experiment, "chart")
     @click.argument("out", type=click.Path(exists=True, file_okay=False))
-    @click.option("--kind", type=click.Choice(["bars", "times", "stages", "course", "heat", "curves"]), default="bars",
-                  show_default=True)
+    @click.option(
+        "--kind",
+        type=click.Choice(["bars", "times", "stages", "course", "heat", "curves"]),
+        default="bars",
+        show_default=True,
+    )
     @click.option("--to", type=click.Path(dir_okay=False), required=True, help="a PNG, SVG or PDF file")
     @click.option("--figure", default="service", show_default=True, help="for bars and curves")
     @click.option("--policy", help="for course and heat")
     @click.option("--seed", type=int, help="for course and heat")
     @click.option("--factor", help="for curves")
     def chart(out, kind, to, figure, policy, seed, factor):
-        """One chart: a figure by day and policy, times, where the time went, a day's course, heat by worker, curves."""
+        """One chart: a figure by day and policy, times, where the time went, a day's course, heat by worker,
+        curves."""
         from petrelwood.lab import report as lab
+
         try:
             lab.chart(pathlib.Path(out), to, kind, figure, policy, seed, factor)
         except KeyError as fault:
             raise click.ClickException(f"there is no figure {fault}") from None
-        except ValueError as fault:                      # a kind of file that can't be drawn
+        except ValueError as fault:  # a kind of file that can't be drawn
             raise click.ClickException(str(fault)) from None
         click.echo(f"written: {to}")
 
@@ -146,7 +172,9 @@
     @click.option("--seed", type=int, default=1, show_default=True)
     @click.option("--keep", type=click.Path(file_okay=False), required=True, help="where found scripts go")
     def search(file, runs, seed, keep):
-        """Draws troubles for the day in FILE, looks for the worst and for broken rules, and shrinks what it finds."""
+        """Draws troubles for the day in FILE, looks for the worst and for broken rules, and shrinks what it
+        finds."""
         from petrelwood.lab import search as lab
+
         for line in lab.search(file, runs, seed, pathlib.Path(keep), lambda text: click.echo(text, err=True)):
             click.echo(line)
--- a/petrelwood/cli/kept.py
+++ b/petrelwood/cli/kept.py
@@ -1,4 +1,5 @@
 """Commands on the state that a dispatcher keeps."""
+
 import collections
 import datetime
 import json
@@ -9,7 +10,9 @@
 
 
 def _shown(at):
-    return datetime.datetime.fromtimestamp(at / 1e9, datetime.timezone.utc).strftime("%Y-%m-%d %H:%M:%S.%f")[:-3]
+    return datetime.datetime.fromtimestamp(at / 1e9, datetime.timezone.utc).strftime("%Y-%m-%d %H:%M:%S.%f")[
+        :-3
+    ]
 
 
 def add(cli, command):
@@ -21,6 +24,7 @@
 
     def read(path):
         from petrelwood.store import state as store
+
         try:
             return store.scan(path)
         except store.Refused as fault:
@@ -31,12 +35,16 @@
     def ls(folder):
         """The segments: epoch, time, records by kind, bytes."""
         from petrelwood.store import state as store
+
         for epoch, number, path in store.segments(folder):
             records, whole, why = read(path)
             kinds = collections.Counter(record[0] for record in records)
             begun = _shown(records[0][1]) if records else "-"
-            click.echo(f"epoch {epoch:<4d} {number:<4d} {begun}  {path.stat().st_size:>10} bytes  "
-                       + ", ".join(f"{kinds[k]} {k}" for k in store.SIZES if kinds[k]) + (f"; {why}" if why else ""))
+            click.echo(
+                f"epoch {epoch:<4d} {number:<4d} {begun}  {path.stat().st_size:>10} bytes  "
+                + ", ".join(f"{kinds[k]} {k}" for k in store.SIZES if kinds[k])
+                + (f"; {why}" if why else "")
+            )
 
     @command(state, "show")
     @folder
@@ -50,30 +58,49 @@
         from petrelwood.decide.delivery import ledger
         from petrelwood.decide.delivery import recovery
         from petrelwood.store import state as store
+
         try:
             records, _ = store.read(folder)
         except store.Refused as fault:
             raise click.ClickException(str(fault)) from None
         found = recovery.replay(records, max((r[1] for r in records), default=0), "", True)
-        some = [k for k in found.ids.values() if (id_ is None or k.key[1] == id_) and customer in (None, k.key[0])
-                and (not only_open or k.outcome == ledger.RUNNING)]
+        some = [
+            k
+            for k in found.ids.values()
+            if (id_ is None or k.key[1] == id_)
+            and customer in (None, k.key[0])
+            and (not only_open or k.outcome == ledger.RUNNING)
+        ]
         some.sort(key=lambda k: k.last)
         for known in some[-rows:]:
             word = "may have run, no outcome kept" if known.outcome == ledger.RUNNING else known.outcome
             if as_json:
-                click.echo(json.dumps({"customer": known.key[0], "id": known.key[1], "type": known.type, "at": known.last,
-                                       "outcome": known.outcome, "sent": known.sent}))
+                click.echo(
+                    json.dumps(
+                        {
+                            "customer": known.key[0],
+                            "id": known.key[1],
+                            "type": known.type,
+                            "at": known.last,
+                            "outcome": known.outcome,
+                            "sent": known.sent,
+                        }
+                    )
+                )
             else:
                 click.echo(f"{_shown(known.last)}  {known.key[0]}/{known.key[1]}  {known.type}  {word}")
         if not as_json:
-            click.echo(f"{len(some)} ids, {len(found.orders)} load orders; the last life "
-                       + ("ended in order" if found.in_order else "was cut short"))
+            click.echo(
+                f"{len(some)} ids, {len(found.orders)} load orders; the last life "
+                + ("ended in order" if found.in_order else "was cut short")
+            )
 
     @command(state, "verify")
     @folder
     def verify(folder):
         """Reads everything: exit 0 if all is whole, else 1 and what is not."""
         from petrelwood.store import state as store
+
         wrong = []
         for _, _, path in store.segments(folder):
             try:
@@ -85,14 +112,20 @@
                 wrong.append(f"{path}: {why}, {path.stat().st_size - whole} bytes after it")
         for line in wrong:
             click.echo(line)
-        click.echo("all is whole" if not wrong else f"{len(wrong)} segments are not whole; a start drops what follows, or see `repair`")
+        click.echo(
+            "all is whole"
+            if not wrong
+            else f"{len(wrong)} segments are not whole; a start drops what follows, or see `repair`"
+        )
         sys.exit(1 if wrong else 0)
 
     @command(state, "repair")
     @folder
     def repair(folder):
-        """Cuts segments where they end being whole, and puts aside what can't be read. No dispatcher may be running on it."""
+        """Cuts segments where they end being whole, and puts aside what can't be read. No dispatcher may be
+        running on it."""
         from petrelwood.store import state as store
+
         for path, size in store.repair(folder):
             click.echo(f"{path}: {size} bytes " + ("put aside" if path.suffix == ".unreadable" else "cut"))
         click.echo("done")
@@ -103,6 +136,7 @@
     def compact(folder, keep):
         """Removes segments of which nothing is remembered any more. No dispatcher may be running on it."""
         from petrelwood.store import state as store
+
         there = store.segments(folder)
         lasts = {path: max((r[1] for r in read(path)[0]), default=0) for _, _, path in there}
         newest, removed = max(lasts.values(), default=0), 0
@@ -113,17 +147,31 @@
         click.echo(f"{removed} of {len(there)} segments removed")
 
     @command(state, "search")
-    @click.option("--asks", type=click.IntRange(1, 4), default=2, show_default=True, help="times that the client signs")
-    @click.option("--kills", type=click.IntRange(0, 3), default=1, show_default=True, help="of the process, or falls of the machine")
-    @click.option("--most", type=click.IntRange(1), default=400_000, show_default=True, help="states of each world")
+    @click.option(
+        "--asks", type=click.IntRange(1, 4), default=2, show_default=True, help="times that the client signs"
+    )
+    @click.option(
+        "--kills",
+        type=click.IntRange(0, 3),
+        default=1,
+        show_default=True,
+        help="of the process, or falls of the machine",
+    )
+    @click.option(
+        "--most", type=click.IntRange(1), default=400_000, show_default=True, help="states of each world"
+    )
     def search(asks, kills, most):
-        """Goes through every order of events in a small world of client, dispatcher, log, network and worker; exit 1 if a rule breaks."""
+        """Goes through every order of events in a small world of client, dispatcher, log, network and worker;
+        exit 1 if a rule breaks."""
         from petrelwood.lab import walk
+
         failed = False
         for effect in walk.KINDS:
             for durability in ("process", "machine"):
                 seen, found, whole = walk.search(effect, durability, asks, kills, most=most)
                 failed = failed or found is not None
-                click.echo(f"{effect:13s} {durability:8s} {seen:>8d} states{'' if whole else ', not all'}: "
-                           + (f"{found.what}: {' -> '.join(found.steps)}" if found else "all holds"))
+                click.echo(
+                    f"{effect:13s} {durability:8s} {seen:>8d} states{'' if whole else ', not all'}: "
+                    + (f"{found.what}: {' -> '.join(found.steps)}" if found else "all holds")
+                )
         sys.exit(1 if failed else 0)
--- a/petrelwood/cli/main.py
+++ b/petrelwood/cli/main.py
@@ -1,4 +1,5 @@
 """`petrelwood`: one command with sub-commands. Exit 2 with one clear line where what was given is wrong."""
+
 import asyncio
 import base64
 import json
@@ -61,13 +62,21 @@
 
 def _dispatcher(name):
     """A command that runs a dispatcher: its file, and where its log goes."""
+
     def made(function):
-        for option in (click.option("--level", default="info", show_default=True,
-                                    type=click.Choice(["debug", "info", "warning", "error"])),
-                       click.option("--log", type=click.Choice(["json", "text"]), default="json", show_default=True),
-                       click.argument("file", type=click.Path(dir_okay=False))):
+        for option in (
+            click.option(
+                "--level",
+                default="info",
+                show_default=True,
+                type=click.Choice(["debug", "info", "warning", "error"]),
+            ),
+            click.option("--log", type=click.Choice(["json", "text"]), default="json", show_default=True),
+            click.argument("file", type=click.Path(dir_okay=False)),
+        ):
             function = option(function)
         return command(cli, name)(function)
+
     return made
 
 
@@ -80,27 +89,53 @@
         return gateway.read(file, text)
 
     def spawns(words):
-        return [sys.executable, "-m", "petrelwood.cli", "upgrade", file, "--log", log, "--level", level, "--rolled", words]
+        return [
+            sys.executable,
+            "-m",
+            "petrelwood.cli",
+            "upgrade",
+            file,
+            "--log",
+            log,
+            "--level",
+            level,
+            "--rolled",
+            words,
+        ]
+
     own = described
     if handed and handed[0]:
         described = server.versioned(again, own, own.versions, handed[0])
-    sys.exit(server.run(described, open_log(log, level, dispatcher=described.name), follows=follows, again=again, spawns=spawns,
-                        own=own, handed=handed))
+    sys.exit(
+        server.run(
+            described,
+            open_log(log, level, dispatcher=described.name),
+            follows=follows,
+            again=again,
+            spawns=spawns,
+            own=own,
+            handed=handed,
+        )
+    )
 
 
 @_dispatcher("serve")
 def serve(file, log, level):
     """Runs one dispatcher with the settings in FILE (KDL) until SIGTERM."""
     from petrelwood.settings import gateway
+
     _run(gateway.read(file), file, log, level, False)
 
 
 @_dispatcher("upgrade")
-@click.option("--rolled", default="", hidden=True, help="how far the roll-out of versions is, from the process before")
+@click.option(
+    "--rolled", default="", hidden=True, help="how far the roll-out of versions is, from the process before"
+)
 def upgrade(file, log, level, rolled):
     """Takes over from the dispatcher that runs with FILE's `control` socket, and goes on in its place."""
     from petrelwood.decide.cluster.rollout import Rollout
     from petrelwood.settings import gateway
+
     described = gateway.read(file)
     if not described.control:
         raise click.ClickException(f"{file}: an upgrade needs a 'control' socket")
@@ -109,22 +144,28 @@
         if handed:
             Rollout.resumed(described.name, handed)
     except ValueError:
-        raise click.BadParameter("it is not what a process before has handed over", param_hint="--rolled") from None
+        raise click.BadParameter(
+            "it is not what a process before has handed over", param_hint="--rolled"
+        ) from None
     _run(described, file, log, level, True, handed)
 
 
 def _standin(function):
-    for option in (click.option("--seed", type=int, default=1, show_default=True),
-                   click.option("--records", type=click.Path(file_okay=False), default="",
-                                help="where to write what it saw"),
-                   click.option("--listen", type=Address(), default="127.0.0.1:0", show_default=True),
-                   click.argument("day")):
+    for option in (
+        click.option("--seed", type=int, default=1, show_default=True),
+        click.option(
+            "--records", type=click.Path(file_okay=False), default="", help="where to write what it saw"
+        ),
+        click.option("--listen", type=Address(), default="127.0.0.1:0", show_default=True),
+        click.argument("day"),
+    ):
         function = option(function)
     return function
 
 
 def _day(name):
     from petrelwood.emulate import script
+
     return script.read(script.find(name))
 
 
@@ -142,6 +183,7 @@
 def worker(day, listen, records, seed, name, store, booted):
     """A stand-in worker as DAY describes it. The day's first second comes on standard input."""
     from petrelwood.standins import worker as standin
+
     asyncio.run(standin.serve(_day(day), name, listen, store, _folder(records), booted, seed))
 
 
@@ -150,6 +192,7 @@
 def store(day, listen, records, seed):
     """A stand-in store of models."""
     from petrelwood.standins import store as standin
+
     asyncio.run(standin.serve(_day(day), listen, _folder(records)))
 
 
@@ -158,14 +201,21 @@
 def roster(day, listen, records, seed):
     """A stand-in roster; news of workers comes on standard input, a JSON object a line."""
     from petrelwood.standins import roster as standin
+
     asyncio.run(standin.serve(_day(day), listen, _folder(records)))
 
 
 def _clients(function):
-    for option in (click.option("--records", type=click.Path(file_okay=False), default=""),
-                   click.option("--plan", type=click.Path(exists=True, dir_okay=False), required=True,
-                                help="JSON: start, seed, addresses, customers' keys"),
-                   click.argument("day")):
+    for option in (
+        click.option("--records", type=click.Path(file_okay=False), default=""),
+        click.option(
+            "--plan",
+            type=click.Path(exists=True, dir_okay=False),
+            required=True,
+            help="JSON: start, seed, addresses, customers' keys",
+        ),
+        click.argument("day"),
+    ):
         function = option(function)
     return function
 
@@ -175,6 +225,7 @@
 def broker(day, listen, records, seed):
     """A stand-in MQTT 5 broker. A customer's password is its name; the gateways' user is 'gateway'."""
     from petrelwood.standins import broker as standin
+
     described = _day(day)
     users = {c.name: c.name.encode() for c in described.clients}
     asyncio.run(standin.serve(described, listen, _folder(records), {**users, "gateway": b"gateway"}))
@@ -185,10 +236,20 @@
 def devices(day, plan, records):
     """Stand-in devices: publish the MQTT traffic of DAY."""
     from petrelwood.standins import devices as standin
+
     told = json.loads(pathlib.Path(plan).read_text())
     described = _day(day)
-    asyncio.run(standin.serve(described, tuple(told["broker"]), *_kinds_of(described), _folder(records), told["start"],
-                              told["seed"], tell=lambda c: print(json.dumps(c), flush=True)))
+    asyncio.run(
+        standin.serve(
+            described,
+            tuple(told["broker"]),
+            *_kinds_of(described),
+            _folder(records),
+            told["start"],
+            told["seed"],
+            tell=lambda c: print(json.dumps(c), flush=True),
+        )
+    )
 
 
 @command(cli, "publish")
@@ -201,11 +262,16 @@
 @click.option("--qos", type=click.IntRange(0, 2), default=2, show_default=True)
 @click.option("--wait", type=click.IntRange(1), default=5, show_default=True, help="patience, seconds")
 def publish(body, address, customer, password, type_, function, qos, wait):
-    """Publishes BODY as an activation, prints its answer: exit 0 completed, 1 rejected or aborted, 3 none in time."""
+    """Publishes BODY as an activation, prints its answer: exit 0 completed, 1 rejected or aborted, 3 none in
+    time."""
     from petrelwood.standins import devices as standin
+
     try:
-        status, payload = asyncio.run(standin.publish_one(
-            address, customer, (password or customer).encode(), type_, function, body.read(), qos, wait))
+        status, payload = asyncio.run(
+            standin.publish_one(
+                address, customer, (password or customer).encode(), type_, function, body.read(), qos, wait
+            )
+        )
     except (OSError, ValueError) as fault:
         raise click.ClickException(str(fault)) from None
     click.echo(f"{status}: {payload.decode('utf-8', 'replace')}" if status else f"no answer in {wait} s")
@@ -215,6 +281,7 @@
 def _kinds_of(described):
     """(action timeouts in seconds, which namespace types are repeatable)"""
     from petrelwood.settings import gateway
+
     timeouts, repeatable = {}, set()
     for node in described.terms.every("namespace-type"):
         name, type_, timeout, _ = gateway._type(node)
@@ -229,12 +296,24 @@
 def portal(day, plan, records):
     """A stand-in portal: signs and sends the webhooks of DAY."""
     from petrelwood.standins import portal as standin
+
     told, described = json.loads(pathlib.Path(plan).read_text()), _day(day)
     timeouts, repeatable = _kinds_of(described)
     keys = {c: [(s, bytes.fromhex(k)) for s, k in pairs] for c, pairs in told["keys"].items()}
-    asyncio.run(standin.serve(
-        described, {n: tuple(a) for n, a in told["dispatchers"].items()}, keys, timeouts, repeatable,
-        _folder(records), told["start"], told["seed"], tell=lambda c: print(json.dumps(c), flush=True), steer=told.get("steer")))
+    asyncio.run(
+        standin.serve(
+            described,
+            {n: tuple(a) for n, a in told["dispatchers"].items()},
+            keys,
+            timeouts,
+            repeatable,
+            _folder(records),
+            told["start"],
+            told["seed"],
+            tell=lambda c: print(json.dumps(c), flush=True),
+            steer=told.get("steer"),
+        )
+    )
 
 
 def _signing_key(text):
@@ -243,7 +322,9 @@
     try:
         return schemes[prefix], base64.b64decode(rest, validate=True)
     except (KeyError, ValueError):
-        raise click.BadParameter("a key is whsec_..., whsk_... (private) or whpk_... (public), in base64") from None
+        raise click.BadParameter(
+            "a key is whsec_..., whsk_... (private) or whpk_... (public), in base64"
+        ) from None
 
 
 @command(cli, "sign")
@@ -254,12 +335,15 @@
 def sign(body, key, id_, timestamp):
     """Signs BODY ('-' for standard input) and prints the three headers."""
     from petrelwood.fronts import signing
+
     scheme, raw = _signing_key(key)
     if key.startswith("whpk_"):
         raise click.BadParameter("a public key can't sign; whsk_ is the private one")
     id_, timestamp = id_ or f"msg_{secrets.token_hex(12)}", timestamp or int(time.time())
-    click.echo(f"webhook-id: {id_}\nwebhook-timestamp: {timestamp}\n"
-               f"webhook-signature: {signing.sign(scheme, raw, id_, timestamp, body.read())}")
+    click.echo(
+        f"webhook-id: {id_}\nwebhook-timestamp: {timestamp}\n"
+        f"webhook-signature: {signing.sign(scheme, raw, id_, timestamp, body.read())}"
+    )
 
 
 @command(cli, "verify")
@@ -271,6 +355,7 @@
 def verify(body, key, id_, timestamp, signature):
     """Whether a signature of BODY holds under one of the keys: exit 0 or 1."""
     from petrelwood.fronts import signing
+
     held = signing.Verifier([_signing_key(k) for k in key]).holds(signature, id_, timestamp, body.read())
     click.echo("it holds" if held else "no signature holds")
     sys.exit(0 if held else 1)
@@ -282,11 +367,17 @@
 @click.option("--json", "result", type=click.Path(dir_okay=False), help="also write the result here")
 @click.option("--folder", type=click.Path(file_okay=False), help="keep logs and records here")
 @click.option("--quiet", is_flag=True, help="no live progress")
-@click.option("--watch", type=click.Path(dir_okay=False), help="look at all processes' memory and descriptors, to this CSV file")
+@click.option(
+    "--watch",
+    type=click.Path(dir_okay=False),
+    help="look at all processes' memory and descriptors, to this CSV file",
+)
 def day(name, seed, result, folder, quiet, watch):
-    """Plays a day with real processes on loopback and judges it: exit 0 only if every rule held, and, with --watch, no dispatcher grows."""
+    """Plays a day with real processes on loopback and judges it: exit 0 only if every rule held, and, with
+    --watch, no dispatcher grows."""
     from petrelwood.cli import show
     from petrelwood.lab import day as lab
+
     described = _day(name)
     with tempfile.TemporaryDirectory(prefix="petrelwood-") as own:
         where = pathlib.Path(folder or own)
@@ -305,6 +396,7 @@
 
 async def _watched(run, path):
     from petrelwood.lab import soak
+
     looks = asyncio.ensure_future(soak.watch(run, path))
     try:
         return await run.play()
@@ -320,6 +412,7 @@
     """Judges a played day again, from the records that `petrelwood day --folder FOLDER` kept."""
     from petrelwood.cli import show
     from petrelwood.lab import day as lab
+
     described = _day(name)
     sys.exit(show.verdict(lab.case_of(folder, described), described, None, result))
 
@@ -329,6 +422,7 @@
 def completion(shell):
     """Prints the completion of all commands for a SHELL: source it."""
     from click.shell_completion import get_completion_class
+
     click.echo(get_completion_class(shell)(cli, {}, "petrelwood", "_PETRELWOOD_COMPLETE").source())
 
 
@@ -336,6 +430,7 @@
     """What needs heavier libraries only when it is used."""
     from petrelwood.cli import bgp, emulated, kept, past
     from petrelwood.cli import configs
+
     emulated.add(cli, _day, command)
     past.add(cli, command)
     kept.add(cli, command)
--- a/petrelwood/clocks.py
+++ b/petrelwood/clocks.py
@@ -1,10 +1,12 @@
-"""Clocks: `now()` in ns, `wall()` in ns of the epoch, `at(when, call, *args)` with a handle that can be cancelled."""
+"""Clocks: `now()` in ns, `wall()` in ns of the epoch, `at(when, call, *args)` with a handle that can be
+cancelled."""
+
 import asyncio
 import heapq
 import time
 
 
-WALL = 1_700_000_000 * 10**9     # where virtual time begins on the wall
+WALL = 1_700_000_000 * 10**9  # where virtual time begins on the wall
 
 
 class LoopClock:
@@ -31,7 +33,8 @@
 
 
 class VirtualClock:
-    """Time that passes as fast as it can. What is due at one time happens in the order in which it was asked."""
+    """Time that passes as fast as it can. What is due at one time happens in the order in which it was
+    asked."""
 
     def __init__(self, start=0):
         self.time, self.heap, self.asked = start, [], 0
--- a/petrelwood/decide/cluster/connection_pool.py
+++ b/petrelwood/decide/cluster/connection_pool.py
@@ -1,11 +1,15 @@
 """Which of a worker's connections carries a send, and when another one is opened.
 
-One send to a connection as long as there is room for connections: where an answer comes spoilt its connection is of no further
-use, and whatever else is open on it may have run. Only where the budget of descriptors is used up do sends share, the least loaded
+One send to a connection as long as there is room for connections: where an answer comes spoilt its connection
+is of no further
+use, and whatever else is open on it may have run. Only where the budget of descriptors is used up do sends
+share, the least loaded
 connection first.
 """
-KEPT = 8                   # ids that a connection has carried and remembers: an answer to one is not taken for another send of it
-CONNECTING = 4             # connections of one worker that may be coming up at a time
+
+# ids that a connection has carried and remembers: an answer to one is not taken for another send of it
+KEPT = 8
+CONNECTING = 4  # connections of one worker that may be coming up at a time
 
 
 def remembers(line, tag):
@@ -16,7 +20,8 @@
 
 
 def pick(lines, tag, streams, may_open):
-    """The connection for a send, or None where it should wait for one that is free or comes up. `lines`: those of its worker,
+    """The connection for a send, or None where it should wait for one that is free or comes up. `lines`:
+    those of its worker,
     the last used at the end; `may_open`: whether another one may be opened."""
     best = None
     for line in reversed(lines):
--- a/petrelwood/decide/cluster/handover.py
+++ b/petrelwood/decide/cluster/handover.py
@@ -3,20 +3,26 @@
     the one that serves:  serving -> offering -> handing -> watching -> over
     the one that follows: checking -> waiting -> owning -> proven
 
-Every activation belongs to the process that took it, and only that one sends or answers for it. There is one moment at which new
-ones change hands: when the old one has stopped accepting, flushed its state, and says go. Before that, whatever happens, the old
-one goes on as if nothing had been asked. After it the old one keeps the listeners, without accepting, until the new one has
+Every activation belongs to the process that took it, and only that one sends or answers for it. There is one
+moment at which new
+ones change hands: when the old one has stopped accepting, flushed its state, and says go. Before that,
+whatever happens, the old
+one goes on as if nothing had been asked. After it the old one keeps the listeners, without accepting, until
+the new one has
 proven itself; if that dies, says back, or is silent too long, the old one accepts again.
 Times in ns of each process's own clock.
 """
+
 SECOND = 1_000_000_000
 SERVING, OFFERING, HANDING, WATCHING, OVER = "serving", "offering", "handing", "watching", "over"
 CHECKING, WAITING, OWNING, PROVEN, FAILED = "checking", "waiting", "owning", "proven", "failed"
-READY_WITHIN = 15 * SECOND # from the offer to the new one's word that it can serve
-OWNS_WITHIN = 2 * SECOND   # from go to its word that it accepts
-SILENT = 2 * SECOND        # a new one that says nothing for so long counts as failed, until it has proven itself
+READY_WITHIN = 15 * SECOND  # from the offer to the new one's word that it can serve
+OWNS_WITHIN = 2 * SECOND  # from go to its word that it accepts
+# a new one that says nothing for so long counts as failed, until it has proven itself
+SILENT = 2 * SECOND
 WATCH = 5 * SECOND
-FEW, WORSE = 20, 0.2       # answers that say something; how much smaller the completed share may be than before
+# answers that say something; how much smaller the completed share may be than before
+FEW, WORSE = 20, 0.2
 FORMAT = 1
 
 
@@ -84,13 +90,19 @@
     def lost(self, now, why):
         """The new one is gone, or gives back."""
         if self.state == WATCHING and self.proven:
-            return None                                  # it has proven itself: what becomes of it now is not ours
+            # it has proven itself: what becomes of it now is not ours
+            return None
         return self._back(why)
 
     def check(self, now):
         if self.state in (OFFERING, HANDING, WATCHING) and not self.proven and now >= self.until:
-            return self._back({OFFERING: "it was not ready in time", HANDING: "it did not accept in time",
-                               WATCHING: "it went silent before it had proven itself"}[self.state])
+            return self._back(
+                {
+                    OFFERING: "it was not ready in time",
+                    HANDING: "it did not accept in time",
+                    WATCHING: "it went silent before it had proven itself",
+                }[self.state]
+            )
         return None
 
     def _back(self, why):
@@ -99,7 +111,8 @@
 
 
 class Taker:
-    """The new one. `before`: the completed share of answers that the old one had, with how many it was told from."""
+    """The new one. `before`: the completed share of answers that the old one had, with how many it was told
+    from."""
 
     def __init__(self, now, watch=WATCH):
         self.state, self.watch, self.until, self.why = CHECKING, watch, now + READY_WITHIN, ""
@@ -132,7 +145,10 @@
         if self.state != OWNING:
             return None
         if self._worse():
-            self.state, self.why = FAILED, f"only {self.good} of {self.good + self.bad} completed, {self.before[0]:.0%} before"
+            self.state, self.why = (
+                FAILED,
+                f"only {self.good} of {self.good + self.bad} completed, {self.before[0]:.0%} before",
+            )
             return "back"
         if now >= self.until:
             self.state = PROVEN
--- a/petrelwood/decide/cluster/link_state.py
+++ b/petrelwood/decide/cluster/link_state.py
@@ -3,17 +3,20 @@
     down -> connecting -> greeting -> up -> down
 
 A connection counts only once the worker has greeted with its id and start time: a peer that accepts and stays
-silent was never up, so what waited for it provably never ran. A greeting with another id is a wrong peer; one with
+silent was never up, so what waited for it provably never ran. A greeting with another id is a wrong peer; one
+with
 another start time than before is a new life of the worker, which knows nothing of calls made to the old one.
 """
+
 from petrelwood.decide.overload.backoff import Comeback
 
 DOWN, CONNECTING, GREETING, UP = "down", "connecting", "greeting", "up"
-PINGS = 3                  # a link that owes something is asked so often before it is given up
+PINGS = 3  # a link that owes something is asked so often before it is given up
 
 
 class LinkState:
-    """Times in ns. `terms` is a `WorkerTerms`; `budget` a `comeback.Budget` that all links share for connecting again."""
+    """Times in ns. `terms` is a `WorkerTerms`; `budget` a `comeback.Budget` that all links share for
+    connecting again."""
 
     def __init__(self, worker, terms, chance, budget=None):
         self.worker, self.terms, self.state, self.budget = worker, terms, DOWN, budget
@@ -25,8 +28,10 @@
         if self.state != DOWN:
             return "wait"
         if not self.comeback.may(now) or (
-                self.comeback.failures and self.budget is not None and not self.budget.spend(now)):
-            return "refuse"                              # it failed before, and so do many others: not all at once
+            self.comeback.failures and self.budget is not None and not self.budget.spend(now)
+        ):
+            # it failed before, and so do many others: not all at once
+            return "refuse"
         return "connect"
 
     def connecting(self, now):
@@ -52,7 +57,8 @@
         self.heard, self.asked = now, 0
 
     def lost(self, now):
-        """Notes the loss; a connection that was up costs one short wait, each failure to connect a longer one."""
+        """Notes the loss; a connection that was up costs one short wait, each failure to connect a longer
+        one."""
         self.state = DOWN
         return self.comeback.failed(now)
 
--- a/petrelwood/decide/cluster/membership.py
+++ b/petrelwood/decide/cluster/membership.py
@@ -1,9 +1,12 @@
 """What this dispatcher has been told of workers: the list, its gaps, and each worker's lives.
 
-The roster sends a whole list or changes, each with an id that grows. A change that does not follow the one before
-means that something was missed: the list is then asked for anew. A worker's start is told as wall-clock time and
+The roster sends a whole list or changes, each with an id that grows. A change that does not follow the one
+before
+means that something was missed: the list is then asked for anew. A worker's start is told as wall-clock time
+and
 turned into this dispatcher's own clock once a life, so that a stepped clock makes no new life of it.
 """
+
 from typing import NamedTuple
 
 from petrelwood import ports
@@ -14,21 +17,23 @@
 
 class Entry(NamedTuple):
     """One worker as the roster tells it."""
+
     worker: str
-    address: tuple         # (host, port)
+    address: tuple  # (host, port)
     zone: str
     cell: int
-    booted: int            # wall-clock ns of its start; 0: long ago
+    booted: int  # wall-clock ns of its start; 0: long ago
     state: str
 
 
 class Member:
     def __init__(self, entry, booted):
-        self.entry, self.booted, self.told = entry, booted, 0     # told: when it was first said to be leaving
+        self.entry, self.booted, self.told = entry, booted, 0  # told: when it was first said to be leaving
 
 
 class Membership:
-    """`told` hands the module's own shape on: (entries, whole). Times in ns of our clock unless said otherwise."""
+    """`told` hands the module's own shape on: (entries, whole). Times in ns of our clock unless said
+    otherwise."""
 
     def __init__(self, lost_after, first_wait, chance):
         self.members, self.epoch, self.number = {}, None, 0
@@ -100,7 +105,9 @@
                 member.told = now
                 leaving.append(entry.worker)
             member.entry = entry
-            listed.append(ports.Listed(entry.worker, entry.zone, entry.cell, member.booted, entry.state == USABLE))
+            listed.append(
+                ports.Listed(entry.worker, entry.zone, entry.cell, member.booted, entry.state == USABLE)
+            )
             if entry.state == GONE:
                 del self.members[entry.worker]
         return listed, leaving
@@ -120,8 +127,14 @@
         raise ValueError("an entry must be an object")
     try:
         host, _, port = raw["address"].rpartition(":")
-        made = Entry(raw["worker"], (host, int(port)), raw.get("zone") or "", int(raw.get("cell") or 0),
-                     int(raw.get("booted") or 0), raw["state"])
+        made = Entry(
+            raw["worker"],
+            (host, int(port)),
+            raw.get("zone") or "",
+            int(raw.get("cell") or 0),
+            int(raw.get("booted") or 0),
+            raw["state"],
+        )
     except (KeyError, ValueError, TypeError, AttributeError) as fault:
         raise ValueError(f"an entry lacks or garbles {fault}") from None
     if not isinstance(made.worker, str) or not made.worker or not isinstance(made.zone, str) or not host:
--- a/petrelwood/decide/cluster/polling.py
+++ b/petrelwood/decide/cluster/polling.py
@@ -1,9 +1,12 @@
 """When to ask the roster: often while it answers, soon again after a loss. Times in ns."""
+
 MS = 1_000_000
-EVERY = 250 * MS           # between two questions; the roster may tell 1.5 s after the event, and waits for no one
-AGAIN = 80 * MS            # after a question that has no answer yet
-LATE = 4_500 * MS          # what the roster would have told counts as told then, however late its answers come
-OPEN = LATE // AGAIN       # questions whose answers are still taken: those of that time
+# between two questions; the roster may tell 1.5 s after the event, and waits for no one
+EVERY = 250 * MS
+AGAIN = 80 * MS  # after a question that has no answer yet
+# what the roster would have told counts as told then, however late its answers come
+LATE = 4_500 * MS
+OPEN = LATE // AGAIN  # questions whose answers are still taken: those of that time
 
 
 class Asking:
--- a/petrelwood/decide/cluster/rollout.py
+++ b/petrelwood/decide/cluster/rollout.py
@@ -1,38 +1,49 @@
-"""A staged roll-out of a version over many dispatchers that do not talk: who takes it when, and when each goes back.
-
-A version is announced to all (how is not ours: a folder that all read, a push): its number, when it began, and whether anyone has called
-it off. Each dispatcher has a place in the order, drawn by a hash of its name and the version, so that no one is always first; stage
-by stage a larger part takes it. One that took it compares its answers with those before; where a smaller part completes it goes back
-by itself and says so, after which those whose turn has not come do not take it, and those that have it go back too. Of two
-versions at once the newer number counts for everyone, whatever came first; one that missed some goes to the newest at its turn.
+"""A staged roll-out of a version over many dispatchers that do not talk: who takes it when, and when each
+goes back.
+
+A version is announced to all (how is not ours: a folder that all read, a push): its number, when it began,
+and whether anyone has called
+it off. Each dispatcher has a place in the order, drawn by a hash of its name and the version, so that no one
+is always first; stage
+by stage a larger part takes it. One that took it compares its answers with those before; where a smaller part
+completes it goes back
+by itself and says so, after which those whose turn has not come do not take it, and those that have it go
+back too. Of two
+versions at once the newer number counts for everyone, whatever came first; one that missed some goes to the
+newest at its turn.
 Times are wall-clock ns, since all have to mean the same by them; a version from the future waits.
 """
+
 import hashlib
 import math
 from typing import NamedTuple
 
 SECOND = 1_000_000_000
-STAGES = (0.02, 0.1, 0.3, 1.0)            # parts of all dispatchers that have it by the end of each stage
+STAGES = (0.02, 0.1, 0.3, 1.0)  # parts of all dispatchers that have it by the end of each stage
 DWELL = 30 * SECOND
-FEW, WORSE = 30, 0.1       # answers under the new version that say something; how much smaller a part may be completed
-SURE = 3.5                 # deviations that chance may make, as it is looked at again and again
-WATCHED = 2                # stages over which one that took it watches itself
+# answers under the new version that say something; how much smaller a part may be completed
+FEW, WORSE = 30, 0.1
+SURE = 3.5  # deviations that chance may make, as it is looked at again and again
+WATCHED = 2  # stages over which one that took it watches itself
 
 
 class Announced(NamedTuple):
     number: int
-    begun: int             # wall-clock ns
-    off: bool              # somebody has called it off
+    begun: int  # wall-clock ns
+    off: bool  # somebody has called it off
 
 
 def turn(name, version, stages=STAGES, dwell=DWELL):
     """How long after its beginning a dispatcher takes a version, ns."""
-    place = int.from_bytes(hashlib.blake2b(f"{name}/{version}".encode(), digest_size=4).digest(), "big") / 2 ** 32
+    place = (
+        int.from_bytes(hashlib.blake2b(f"{name}/{version}".encode(), digest_size=4).digest(), "big") / 2**32
+    )
     return next(number for number, part in enumerate(stages) if place < part or part == stages[-1]) * dwell
 
 
 class Rollout:
-    """One dispatcher's part. `version`: what it runs. Ask `look`; it says 'take' N, 'back' N or None, and `calls_off` names the
+    """One dispatcher's part. `version`: what it runs. Ask `look`; it says 'take' N, 'back' N or None, and
+    `calls_off` names the
     version that this dispatcher has found bad."""
 
     def __init__(self, name, version, stages=STAGES, dwell=DWELL):
@@ -46,7 +57,8 @@
 
     @classmethod
     def resumed(cls, name, handed, stages=STAGES, dwell=DWELL):
-        """The same dispatcher's part in a process that an upgrade has begun: it watches from here on what it took over with.
+        """The same dispatcher's part in a process that an upgrade has begun: it watches from here on what it
+        took over with.
         Raises `ValueError` for what `handed` can't have said."""
         try:
             version, before, (share, seen), took_at, refused = handed
@@ -59,7 +71,8 @@
         return made
 
     def could_not(self):
-        """What it said to do could not be done: the version that it was to take is refused here; one to go back from stays, and is
+        """What it said to do could not be done: the version that it was to take is refused here; one to go
+        back from stays, and is
         called off all the same. Returns the version that it is of now."""
         if self.before is not None:
             self.refused.add(self.version)
@@ -73,7 +86,7 @@
         else:
             self.bad += 1
         if self.took_at is None and self.good + self.bad >= 2000:
-            self.good, self.bad = self.good // 2, self.bad // 2      # what is usual follows slowly
+            self.good, self.bad = self.good // 2, self.bad // 2  # what is usual follows slowly
 
     def _share(self):
         seen = self.good + self.bad
@@ -93,16 +106,19 @@
                 self.calls_off = self.version
                 return self._back()
             if wall - self.took_at >= WATCHED * self.dwell:
-                self.before, self.took_at = None, None   # it stays; what it sees from now on is what is usual
-        newer = [a for a in announced if a.number > self.version and not a.off and a.number not in self.refused]
+                self.before, self.took_at = None, None  # it stays; what it sees from now on is what is usual
+        newer = [
+            a for a in announced if a.number > self.version and not a.off and a.number not in self.refused
+        ]
         if not newer:
             return None
         newest = max(newer)
         if any(a.number > newest.number and not a.off for a in announced):
-            return None                                  # a newer one that was refused here still counts for the others
+            # a newer one that was refused here still counts for the others
+            return None
         if wall < newest.begun + turn(self.name, newest.number, self.stages, self.dwell):
             return None
-        if self.before is None:                          # else it goes on from the one before that
+        if self.before is None:  # else it goes on from the one before that
             self.before, self.base = self.version, self._share()
         self.version, self.took_at, self.good, self.bad = newest.number, wall, 0, 0
         return "take", self.version
--- a/petrelwood/decide/cluster/shutdown.py
+++ b/petrelwood/decide/cluster/shutdown.py
@@ -1,8 +1,12 @@
-"""The end of a dispatcher that was told to stop: how long it still takes what comes, and when it cuts what is left. Times in ns."""
+"""The end of a dispatcher that was told to stop: how long it still takes what comes, and when it cuts what is
+left. Times in ns."""
+
 MS = 1_000_000
-STILL = 700 * MS           # connections and requests still come so long, as the platform says;
-LONGEST = 3_000 * MS       # and it kills no sooner than that and the longest action timeout, taken as this where it is longer
-MARGIN, PART = 400 * MS, 4     # left for the last answers before it: so much, or that part of the timeout where it is less
+STILL = 700 * MS  # connections and requests still come so long, as the platform says;
+# and it kills no sooner than that and the longest action timeout, taken as this where it is longer
+LONGEST = 3_000 * MS
+# left for the last answers before it: so much, or that part of the timeout where it is less
+MARGIN, PART = 400 * MS, 4
 
 
 class Leaving:
--- a/petrelwood/decide/delivery/ledger.py
+++ b/petrelwood/decide/delivery/ledger.py
@@ -1,26 +1,34 @@
 """The ledger of ids: first try, retry or replay, and what a retry is told.
 
-An id is a customer's own. Its newest timestamp is kept: an older or equal one is a replay and never an activation,
-a newer one is a retry. A retry while the first try runs joins it; a known completed answer is given again; after a
-rejection it may run; after an abort, or a client that left, it runs again only where its namespace type allows that:
+An id is a customer's own. Its newest timestamp is kept: an older or equal one is a replay and never an
+activation,
+a newer one is a retry. A retry while the first try runs joins it; a known completed answer is given again;
+after a
+rejection it may run; after an abort, or a client that left, it runs again only where its namespace type
+allows that:
 repeatable always, deduplicated where every worker drops repeats and the window is open, once-only never.
 
-An id is remembered as long as any timestamp that it came with would still be taken, and as long as its namespace
-type says. A full ledger refuses new ids; it never forgets one early. Bodies of answers have a bound of their own:
+An id is remembered as long as any timestamp that it came with would still be taken, and as long as its
+namespace
+type says. A full ledger refuses new ids; it never forgets one early. Bodies of answers have a bound of their
+own:
 the oldest are dropped first, and then only the fact is known.
 
-A ledger that began empty can't tell a replay of what an earlier life answered. It takes only what was signed since
+A ledger that began empty can't tell a replay of what an earlier life answered. It takes only what was signed
+since
 it began: a client that is told to come back signs anew.
 """
+
 from collections import OrderedDict, deque
 
 from petrelwood import ports
 
 RUN, JOIN, AGAIN, REPLAY, UNKNOWN, SPENT, FULL = "run", "join", "again", "replay", "unknown", "spent", "full"
-BEFORE = "before"          # signed before this ledger began: it may be a replay of what an earlier life answered
+# signed before this ledger began: it may be a replay of what an earlier life answered
+BEFORE = "before"
 SECOND = 1_000_000_000
 RUNNING, LEFT = "running", "left"
-ELSEWHERE = "elsewhere"    # an earlier process still finishes it: nothing may be done with it here
+ELSEWHERE = "elsewhere"  # an earlier process still finishes it: nothing may be done with it here
 COMPLETED, REJECTED, ABORTED = "completed", "rejected", "aborted"
 
 
@@ -30,19 +38,28 @@
     def __init__(self, stamp, type_, now, until):
         self.stamp, self.state, self.body, self.type = stamp, RUNNING, None, type_
         self.first, self.until, self.act, self.tries = now, until, None, 1
-        self.sent = False                        # whether an earlier try may have run
-        self.again_until = 0                     # a try that repeats it must have its answer by then; 0: no bound
+        self.sent = False  # whether an earlier try may have run
+        # a try that repeats it must have its answer by then; 0: no bound
+        self.again_until = 0
 
 
 class Ledger:
     """Times in ns: `now` is our own clock, `stamp` the sender's wall clock, `wall` ours."""
 
     def __init__(self, most, bytes_, tolerance, types, remember, began=0):
-        self.most, self.bytes, self.tolerance, self.types, self.remember = most, bytes_, tolerance, types, remember
-        self.began = began // SECOND * SECOND    # wall clock; timestamps are whole seconds
+        self.most, self.bytes, self.tolerance, self.types, self.remember = (
+            most,
+            bytes_,
+            tolerance,
+            types,
+            remember,
+        )
+        self.began = began // SECOND * SECOND  # wall clock; timestamps are whole seconds
         self.entries, self.kept, self.held = {}, OrderedDict(), 0
-        self.ends = deque()                      # (until, key), in the order of coming: pruned from the front
-        self.counts = {name: 0 for name in (RUN, JOIN, AGAIN, REPLAY, UNKNOWN, SPENT, FULL, BEFORE, ELSEWHERE)}
+        self.ends = deque()  # (until, key), in the order of coming: pruned from the front
+        self.counts = {
+            name: 0 for name in (RUN, JOIN, AGAIN, REPLAY, UNKNOWN, SPENT, FULL, BEFORE, ELSEWHERE)
+        }
 
     def restore(self, key, stamp, type_name, state, first, until, sent, body=None):
         """An id that an earlier life knew; `first` and `until` on this life's clock."""
@@ -113,7 +130,7 @@
             return JOIN, entry
         if entry.state == COMPLETED:
             return (SPENT if entry.body is None else AGAIN), entry
-        if not entry.sent:                       # nothing ran yet: as if it came for the first time
+        if not entry.sent:  # nothing ran yet: as if it came for the first time
             entry.first = now
         elif not self._may_repeat(entry, now):
             return UNKNOWN, entry
--- a/petrelwood/decide/delivery/mqtt_acknowledgement.py
+++ b/petrelwood/decide/delivery/mqtt_acknowledgement.py
@@ -1,21 +1,32 @@
 """When a message is acknowledged, when its activation begins, and what a lost session means. Free of I/O.
 
-An acknowledgement tells the broker that it will never have to deliver the message again. What that must prove depends
+An acknowledgement tells the broker that it will never have to deliver the message again. What that must prove
+depends
 on what may happen if two dispatchers get the same message:
 
-- **Repeatable**: acknowledged last, together with the answer. If this dispatcher dies before that, the broker delivers the
+- **Repeatable**: acknowledged last, together with the answer. If this dispatcher dies before that, the broker
+delivers the
   message again, here or elsewhere, and it runs again; nobody's answer is lost.
-- **Once-only and deduplicated**: acknowledged first, and begun only once that is *proved*: the broker can't deliver it
-  again. For QoS 2 the broker's PUBREL proves it. For QoS 1 it is a PINGREQ written after the PUBACK: the broker reads in
-  order, so its PINGRESP says that it has read the PUBACK. As every dispatcher keeps to this, a message that comes again
-  was never begun anywhere. If this dispatcher dies after the proof, the activation is lost with it, and runs never twice.
-  Where the connection breaks before the proof, QoS 2 is settled by what the broker sends next. For QoS 1 the standard
-  lets the broker hand the message to another dispatcher or not: one that does not come again is never begun here and an
-  abort is owed, though another may answer it too. Whoever wants exactly one answer publishes these with QoS 2.
+- **Once-only and deduplicated**: acknowledged first, and begun only once that is *proved*: the broker can't
+deliver it
+  again. For QoS 2 the broker's PUBREL proves it. For QoS 1 it is a PINGREQ written after the PUBACK: the
+  broker reads in
+  order, so its PINGRESP says that it has read the PUBACK. As every dispatcher keeps to this, a message that
+  comes again
+  was never begun anywhere. If this dispatcher dies after the proof, the activation is lost with it, and runs
+  never twice.
+  Where the connection breaks before the proof, QoS 2 is settled by what the broker sends next. For QoS 1 the
+  standard
+  lets the broker hand the message to another dispatcher or not: one that does not come again is never begun
+  here and an
+  abort is owed, though another may answer it too. Whoever wants exactly one answer publishes these with QoS
+  2.
 - **QoS 0** is never delivered again: it begins at once.
 
-Deliveries beyond the window (`Window`) wait unacknowledged and not begun: the broker holds what is behind them.
+Deliveries beyond the window (`Window`) wait unacknowledged and not begun: the broker holds what is behind
+them.
 """
+
 from collections import OrderedDict, deque
 
 from petrelwood import ports
@@ -33,17 +44,20 @@
 
 class Delivery:
     """One message of a broker's. `id` is its packet identifier, None once the broker knows it no more."""
+
     __slots__ = ("id", "qos", "plan", "state", "due", "mark", "what", "doubted", "given")
 
     def __init__(self, id_, qos, plan_, due, mark, what):
         self.id, self.qos, self.plan, self.state, self.due, self.what = id_, qos, plan_, HELD, due, what
-        self.mark = mark                                 # tells its message from another under the same number
-        self.given = 0                                   # the connection on which its answer left
-        self.doubted = False                             # whether the broker may have given it to another
+        # tells its message from another under the same number
+        self.mark = mark
+        self.given = 0  # the connection on which its answer left
+        self.doubted = False  # whether the broker may have given it to another
 
 
 class Window:
-    """How many activations of one session may be under way: it grows by one for each window of answers in time, and
+    """How many activations of one session may be under way: it grows by one for each window of answers in
+    time, and
     is cut by a fifth, once for each usual answer's time, when one is late or turned away."""
 
     def __init__(self, least, most):
@@ -60,39 +74,44 @@
 
 
 class Deliveries:
-    """The messages of one session. `out` acts on what is decided, in the same turn: `ack(id, qos)`, `comp(id)`,
-    `ping()`, `begin(delivery)`, `turn_away(delivery)` (rejected, it never ran), `owes_abort(delivery)`, `give(delivery)`
+    """The messages of one session. `out` acts on what is decided, in the same turn: `ack(id, qos)`,
+    `comp(id)`,
+    `ping()`, `begin(delivery)`, `turn_away(delivery)` (rejected, it never ran), `owes_abort(delivery)`,
+    `give(delivery)`
     (the answer that was kept for it) and `moved(delivery)` (another has it: no answer from here)."""
 
     def __init__(self, window, out):
         self.window, self.out = window, out
-        self.known, self.under_way = OrderedDict(), set()    # by packet identifier; begun and not yet answered
+        # by packet identifier; begun and not yet answered
+        self.known, self.under_way = OrderedDict(), set()
         self.held, self.unproved, self.in_ping, self.pings = deque(), [], [], 0
         self.closing, self.resumed, self.connected, self.connection = False, False, True, 0
 
     # From the broker.
     def published(self, now, id_, qos, dup, effect, due, mark, what):
-        """A message has come; `what` is the caller's own, `mark` the same for the same message. Returns its delivery,
+        """A message has come; `what` is the caller's own, `mark` the same for the same message. Returns its
+        delivery,
         or None where it is known."""
         old = self.known.get(id_) if qos else None
-        if old is not None and old.mark != mark:         # the broker gives its number to another message
+        if old is not None and old.mark != mark:  # the broker gives its number to another message
             self._forgotten(now, old)
         elif old is not None:
             if qos == 2 and old.plan == FIRST and old.state == PROVING:
-                self.out.ack(id_, 2)                     # our PUBREC was lost: it was not begun
+                self.out.ack(id_, 2)  # our PUBREC was lost: it was not begun
                 return None
             if dup and old.state == HELD:
                 return None
             if dup and qos == 1 and old.plan == FIRST and old.state == PROVING:
                 old.doubted = False
-                self._unprove(old)                       # our PUBACK was lost: it was not begun
+                self._unprove(old)  # our PUBACK was lost: it was not begun
                 self._acknowledge(old)
                 return None
             if dup and old.plan == LAST:
                 old.doubted = False
                 if old.state == READY or old.state == DONE and old.given != self.connection:
-                    self._give(old)                      # what left on an earlier connection was lost with it
-                return None                              # or it still runs here: the answer will acknowledge it
+                    self._give(old)  # what left on an earlier connection was lost with it
+                # or it still runs here: the answer will acknowledge it
+                return None
             if dup and old.state == DONE:
                 if old.given != self.connection:
                     self._turn_away(old)
@@ -149,9 +168,14 @@
 
     def _give(self, delivery):
         """The answer, and with it the acknowledgement where that is still owed."""
-        owed, delivery.state, delivery.given = delivery.plan == LAST and delivery.id is not None, DONE, self.connection
+        owed, delivery.state, delivery.given = (
+            delivery.plan == LAST and delivery.id is not None,
+            DONE,
+            self.connection,
+        )
         if owed and delivery.qos == 1 and not self.resumed:
-            self._drop(delivery)                         # after a break it may still be on its way to us again
+            # after a break it may still be on its way to us again
+            self._drop(delivery)
         self.out.give(delivery, owed)
 
     def sweep(self, now):
@@ -170,27 +194,34 @@
 
     def idle(self):
         """Whether nothing is under way or waits for proof."""
-        return not self.under_way and not self.held and not any(d.state == PROVING for d in self.known.values())
+        return (
+            not self.under_way and not self.held and not any(d.state == PROVING for d in self.known.values())
+        )
 
     # The connection.
     def lost(self):
         """The connection is lost; what runs goes on, what waits for its turn may come again."""
         self.in_ping, self.unproved, self.pings, self.connected = [], [], 0, False
         for delivery in list(self.held):
-            if delivery.qos == 1:                        # the broker delivers it again, here or elsewhere
+            if delivery.qos == 1:  # the broker delivers it again, here or elsewhere
                 self._drop(delivery)
                 self.held.remove(delivery)
 
     def resume(self, now, present):
-        """Connected again. Where the broker has kept the session it first delivers again what is still ours and not
-        acknowledged; a PINGREQ after that tells when it is through. What did not come again may be with another
-        dispatcher: what runs here ends without an answer, and for what waited for proof an abort is owed. The same
+        """Connected again. Where the broker has kept the session it first delivers again what is still ours
+        and not
+        acknowledged; a PINGREQ after that tells when it is through. What did not come again may be with
+        another
+        dispatcher: what runs here ends without an answer, and for what waited for proof an abort is owed. The
+        same
         holds for all where the broker has not kept the session."""
         self.resumed, self.connected, self.connection = False, True, self.connection + 1
         proving = [d for d in self.known.values() if d.state == PROVING]
         if present:
             for delivery in self.known.values():
-                delivery.doubted = delivery.plan == LAST and delivery.qos == 1 and delivery.state in (RUNNING, READY)
+                delivery.doubted = (
+                    delivery.plan == LAST and delivery.qos == 1 and delivery.state in (RUNNING, READY)
+                )
                 delivery.doubted = delivery.doubted or delivery.qos == 1 and delivery.state == PROVING
             self.unproved, self.in_ping, self.resumed, self.pings = [], [], True, 1
             self.out.ping()
@@ -257,7 +288,7 @@
         self._drop(old)
         if old.state == PROVING:
             self._unprove(old)
-            self._begin(old)                             # done with it: that is proof
+            self._begin(old)  # done with it: that is proof
         elif old.state == HELD:
             self.held.remove(old)
         old.id = None
--- a/petrelwood/decide/delivery/mqtt_topics.py
+++ b/petrelwood/decide/delivery/mqtt_topics.py
@@ -1,9 +1,12 @@
 """What an MQTT message asks: which customer, function and patience, and where its answer may go.
 
-Topics are `act/CUSTOMER/TYPE/FUNCTION`; the broker lets a customer's session publish under its own name only. An
-answer may go under `reply/CUSTOMER/` only, to a topic without wildcards: nobody's message makes this dispatcher publish
+Topics are `act/CUSTOMER/TYPE/FUNCTION`; the broker lets a customer's session publish under its own name only.
+An
+answer may go under `reply/CUSTOMER/` only, to a topic without wildcards: nobody's message makes this
+dispatcher publish
 where its sender may not.
 """
+
 from typing import NamedTuple
 
 ACT, REPLY = "act", "reply"
@@ -11,6 +14,7 @@
 
 class Asked(NamedTuple):
     """What a topic and its properties say; `why` where it can't be an activation."""
+
     customer: str
     type: str
     function: str
@@ -30,12 +34,16 @@
 
 def may_answer(topic, customer):
     """Whether an answer may be published there."""
-    return topic.startswith(f"{REPLY}/{customer}/") and len(topic) > len(f"{REPLY}/{customer}/") and not (
-        set(topic) & set("+#\0"))
+    return (
+        topic.startswith(f"{REPLY}/{customer}/")
+        and len(topic) > len(f"{REPLY}/{customer}/")
+        and not (set(topic) & set("+#\0"))
+    )
 
 
 def identity(response_topic, correlation, session, number):
-    """The id of a message in the ledger: the same for a client that asks again with the same Correlation Data. A
+    """The id of a message in the ledger: the same for a client that asks again with the same Correlation
+    Data. A
     message without any has none, and each is an activation of its own."""
     if correlation is None:
         return f"mqtt:{session}:{number}"
--- a/petrelwood/decide/delivery/pending.py
+++ b/petrelwood/decide/delivery/pending.py
@@ -4,16 +4,35 @@
 dispatcher tells it what happened; it says what follows. What it closes can't be closed again, whoever asks: a
 second answer for the same activation is counted as a fault and goes nowhere.
 """
+
 import heapq
 
 from petrelwood.decide.delivery import ledger as led
 
 
 class Owed:
-    """One activation. `waiting` are the fronts' exchanges: each one gets the answer. `lanes`, `load_time`, `work` (ns): as its
+    """One activation. `waiting` are the fronts' exchanges: each one gets the answer. `lanes`, `load_time`,
+    `work` (ns): as its
     rule or its client tells them; `mark`: what a worker tells repeats by, where it is not the id."""
-    __slots__ = ("id", "key", "customer", "type", "came", "due", "sends", "out", "waiting", "body", "fn", "lanes",
-                 "load_time", "work", "mark", "number")
+
+    __slots__ = (
+        "id",
+        "key",
+        "customer",
+        "type",
+        "came",
+        "due",
+        "sends",
+        "out",
+        "waiting",
+        "body",
+        "fn",
+        "lanes",
+        "load_time",
+        "work",
+        "mark",
+        "number",
+    )
 
     def __init__(self, id_, key, ask, due, fn, lanes, body, number, load_time, work):
         self.id, self.key, self.due, self.number = id_, key, due, number
@@ -26,14 +45,24 @@
 
 
 class Duty:
-    """Times in ns. `ledger` may be None: nothing is known of earlier tries. `prefix` None: an activation goes under the id that it
+    """Times in ns. `ledger` may be None: nothing is known of earlier tries. `prefix` None: an activation goes
+    under the id that it
     came with, which no other that is open may have."""
 
     def __init__(self, intake, ledger, prefix=""):
         self.intake, self.ledger, self.prefix, self.acts, self.by_key = intake, ledger, prefix, {}, {}
         self.ends, self.last = [], 0
-        self.counts = {"taken": 0, led.COMPLETED: 0, led.REJECTED: 0, led.ABORTED: 0, led.LEFT: 0,
-                       "overdue": 0, "twice": 0, "joined": 0, "defects": 0}
+        self.counts = {
+            "taken": 0,
+            led.COMPLETED: 0,
+            led.REJECTED: 0,
+            led.ABORTED: 0,
+            led.LEFT: 0,
+            "overdue": 0,
+            "twice": 0,
+            "joined": 0,
+            "defects": 0,
+        }
 
     def take(self, now, key, ask, due, fn, lanes, body, waiter, load_time=0, work=0):
         """A new activation, from an `intake.Ask` whose verdict was TAKE."""
@@ -60,7 +89,8 @@
         return True
 
     def sent(self, act_id):
-        """The number of the send that goes out now; None where the activation has ended: nothing may follow."""
+        """The number of the send that goes out now; None where the activation has ended: nothing may
+        follow."""
         act = self.acts.get(act_id)
         if act is None:
             return None
@@ -94,14 +124,15 @@
             return None
         if self.by_key.get(act.key) is act:
             del self.by_key[act.key]
-        act.body = None                                  # the heap of due times still has it, for as long as its client would wait
+        # the heap of due times still has it, for as long as its client would wait
+        act.body = None
         self.counts[outcome] += 1
         self.intake.ended(now, act.customer, act.type, now - act.came, outcome)
         if self.ledger is not None:
             self.ledger.ended(act.key, outcome, body, act.sends > 0)
         return act
 
-    def _open(self, act):            # not another one that goes under the id of one that has ended
+    def _open(self, act):  # not another one that goes under the id of one that has ended
         return self.acts.get(act.id) is act
 
     def next_due(self):
@@ -110,7 +141,8 @@
         return self.ends[0][0] if self.ends else None
 
     def overdue(self, now):
-        """What is out of time: (activation, waiters to be answered apart, whether the activation itself is)."""
+        """What is out of time: (activation, waiters to be answered apart, whether the activation itself
+        is)."""
         found = []
         while self.ends and self.ends[0][0] <= now:
             act = heapq.heappop(self.ends)[2]
--- a/petrelwood/decide/delivery/recovery.py
+++ b/petrelwood/decide/delivery/recovery.py
@@ -1,12 +1,17 @@
-"""What a dispatcher that comes back may do with what it finds, and what must be kept before an effect goes out.
+"""What a dispatcher that comes back may do with what it finds, and what must be kept before an effect goes
+out.
 
-Derived rule by rule (`docs/state.md`): before the first send of an activation that must not run twice its id must be kept; nothing
-else has to be. An id without an outcome may have run. Orders of the last window count against the ration of this life. What a cold
+Derived rule by rule (`docs/state.md`): before the first send of an activation that must not run twice its id
+must be kept; nothing
+else has to be. An id without an outcome may have run. Orders of the last window count against the ration of
+this life. What a cold
 worker was sent in the window that the restart fell into is not known, so it gets nothing for one window.
 
-Wall clocks are doubted: a clock that went back, or records from ahead of it, close every window of deduplication and keep ids for
+Wall clocks are doubted: a clock that went back, or records from ahead of it, close every window of
+deduplication and keep ids for
 their whole time from now on.
 """
+
 import operator
 from typing import NamedTuple
 
@@ -14,13 +19,15 @@
 from petrelwood.decide.delivery import ledger as led
 
 SECOND = 1_000_000_000
-TAKE, END, ORDER, LIFE, CLOSE = "take", "end", "order", "life", "close"      # the kinds of `store.state`
-NEVER = -(1 << 60)         # so long ago that no window is open any more
-BACK = SECOND              # a wall clock this much behind the last record has gone back
+TAKE, END, ORDER, LIFE, CLOSE = "take", "end", "order", "life", "close"  # the kinds of `store.state`
+NEVER = -(1 << 60)  # so long ago that no window is open any more
+BACK = SECOND  # a wall clock this much behind the last record has gone back
 
 
 class Known:
-    """One id that an earlier life had. Times are wall-clock ns; `outcome` of `ledger`, or RUNNING: none was kept."""
+    """One id that an earlier life had. Times are wall-clock ns; `outcome` of `ledger`, or RUNNING: none was
+    kept."""
+
     __slots__ = ("key", "stamp", "type", "first", "last", "outcome", "sent", "body")
 
     def __init__(self, key, stamp, type_, first, last, sent):
@@ -30,17 +37,19 @@
 
 class Found(NamedTuple):
     """What the records come to."""
-    ids: dict              # key -> Known
-    orders: list           # wall-clock ns, the newest last
-    began: int             # from when on nothing can be missing; 0: this life's own start
-    last: int              # the newest record's time
-    in_order: bool         # the last life ended owing nothing
+
+    ids: dict  # key -> Known
+    orders: list  # wall-clock ns, the newest last
+    began: int  # from when on nothing can be missing; 0: this life's own start
+    last: int  # the newest record's time
+    in_order: bool  # the last life ended owing nothing
     clock_back: bool
     same_machine_start: bool
 
 
 def replay(records, wall, boot, durable):
-    """`records` as `store.state` has them, `boot` the machine's present start, `durable` whether each was on the disk before its
+    """`records` as `store.state` has them, `boot` the machine's present start, `durable` whether each was on
+    the disk before its
     effect went out."""
     ids, orders, began, last, closed, boots = {}, [], None, 0, True, set()
     epoch, running = None, set()
@@ -49,7 +58,8 @@
         last, closed = max(last, at), kind == CLOSE
         if kind == LIFE:
             boots.add(record[2])
-            if record[3] != epoch:                       # another life: what the one before left open stays open
+            # another life: what the one before left open stays open
+            if record[3] != epoch:
                 epoch = record[3]
                 for key in running:
                     ids[key].outcome, ids[key].sent = led.ABORTED, True
@@ -59,7 +69,9 @@
             _, _, customer, id_, stamp, type_ = record
             key = (customer, id_)
             old = ids.get(key)
-            ids[key] = Known(key, stamp, type_, old.first if old and old.sent else at, at, old.sent if old else False)
+            ids[key] = Known(
+                key, stamp, type_, old.first if old and old.sent else at, at, old.sent if old else False
+            )
             running.add(key)
         elif kind == END:
             _, _, customer, id_, outcome, sent, body = record
@@ -77,7 +89,8 @@
 
 
 def fill(ledger, found, now, wall, types, remember, tolerance, elsewhere=False):
-    """Puts what was found into a ledger; how many ids it holds then. What had no outcome counts as sent: nobody can tell; or, with
+    """Puts what was found into a ledger; how many ids it holds then. What had no outcome counts as sent:
+    nobody can tell; or, with
     `elsewhere`, another process still finishes it. What runs here stays as it is."""
     rows = []
     for key, known in found.ids.items():
@@ -89,7 +102,7 @@
         if until > now and (here is None or here.state != led.RUNNING):
             rows.append((until, key, known))
     rows.sort(key=operator.itemgetter(0, 1))
-    for until, key, known in rows[-ledger.most:]:
+    for until, key, known in rows[-ledger.most :]:
         running = known.outcome == led.RUNNING
         first = NEVER if found.clock_back else now - (wall - known.first)
         state = (led.ELSEWHERE if elsewhere else led.ABORTED) if running else known.outcome
@@ -105,17 +118,23 @@
     def __init__(self, found, now, wall, guarantees, orders):
         self.orders = sum(1 for at in found.orders if found.clock_back or wall - at < max(1, orders.period))
         after_another = bool(found.last)
-        self.cold_from = now + guarantees.fall if after_another and not (
-            found.last and wall - found.last > guarantees.fall and not found.clock_back) else now
+        self.cold_from = (
+            now + guarantees.fall
+            if after_another
+            and not (found.last and wall - found.last > guarantees.fall and not found.clock_back)
+            else now
+        )
         self.begins_low = after_another and not found.in_order
 
     def may_send(self, now, cold):
-        """Whether a worker that is still cold may be sent anything: the window of its budget that we fell into is over."""
+        """Whether a worker that is still cold may be sent anything: the window of its budget that we fell
+        into is over."""
         return not cold or now >= self.cold_from
 
 
 def may_take(effect, keeps):
-    """Whether an activation may be taken while the log keeps records, or has failed: then only what may run twice."""
+    """Whether an activation may be taken while the log keeps records, or has failed: then only what may run
+    twice."""
     return keeps or effect == ports.REPEATABLE
 
 
--- a/petrelwood/decide/forecasting/account.py
+++ b/petrelwood/decide/forecasting/account.py
@@ -1,21 +1,34 @@
-"""The account of early loads: how each one ended, what it cost and what it saved, and when to hold back by itself.
-
-An early load ends in one of: used in time, used late (called while it was still loading), never used, pushed another out, failed,
-stopped by a rule. The balance of a function, a hall and the whole is in seconds of cold wait, with what has been spent priced
-in; it forgets slowly. Where it turns negative early loads are held back, and tried again after a wait that doubles.
+"""The account of early loads: how each one ended, what it cost and what it saved, and when to hold back by
+itself.
+
+An early load ends in one of: used in time, used late (called while it was still loading), never used, pushed
+another out, failed,
+stopped by a rule. The balance of a function, a hall and the whole is in seconds of cold wait, with what has
+been spent priced
+in; it forgets slowly. Where it turns negative early loads are held back, and tried again after a wait that
+doubles.
 """
+
 from collections import Counter
 
 from petrelwood.decide.overload.backoff import Comeback
 
-IN_TIME, LATE, NEVER, PUSHED, FAILED, STOPPED = "in time", "late", "never used", "pushed another out", "failed", "stopped"
+IN_TIME, LATE, NEVER, PUSHED, FAILED, STOPPED = (
+    "in time",
+    "late",
+    "never used",
+    "pushed another out",
+    "failed",
+    "stopped",
+)
 ENDS = (IN_TIME, LATE, NEVER, PUSHED, FAILED, STOPPED)
-FORGETS = 0.02             # of a balance, with each end
-TRUST = 2.0                # seconds of wait a balance may fall before it counts as negative
+FORGETS = 0.02  # of a balance, with each end
+TRUST = 2.0  # seconds of wait a balance may fall before it counts as negative
 
 
 class Early:
     """One early load that is under way or stands unused."""
+
     __slots__ = ("function", "hall", "worker", "asked", "stood", "until", "size", "load", "pushed")
 
     def __init__(self, function, hall, worker, asked, until, size, load):
@@ -26,7 +39,12 @@
 class Balance:
     def __init__(self, first_wait, chance):
         self.seconds, self.ends = 0.0, Counter()
-        self.comeback, self.held, self.spent_memory, self.saved = Comeback(first_wait, 64 * first_wait, chance), False, 0.0, 0.0
+        self.comeback, self.held, self.spent_memory, self.saved = (
+            Comeback(first_wait, 64 * first_wait, chance),
+            False,
+            0.0,
+            0.0,
+        )
 
     def book(self, now, end, seconds, memory):
         self.ends[end] += 1
@@ -48,7 +66,8 @@
 
 
 class Account:
-    """Times in ns; `prices` as `planner.Prices`. `told(now, early, end, seconds, gigabyte-seconds)` hears of each end."""
+    """Times in ns; `prices` as `planner.Prices`. `told(now, early, end, seconds, gigabyte-seconds)` hears of
+    each end."""
 
     def __init__(self, prices, first_wait, chance, most=10_000):
         self.prices, self.first_wait, self.chance, self.most = prices, first_wait, chance, most
@@ -79,13 +98,14 @@
             early.stood, early.pushed = now, pushed
 
     def called(self, now, function, worker, warm):
-        """A call of the function began there: what it found. The end of the early load that it used, or None."""
+        """A call of the function began there: what it found. The end of the early load that it used, or
+        None."""
         early = self.open.get((function, worker))
         if early is None:
             return None
         if early.stood is not None and warm:
             return self._end(now, early, IN_TIME, early.load / 1e9)
-        if early.stood is None:                          # still loading: it waited less than without
+        if early.stood is None:  # still loading: it waited less than without
             return self._end(now, early, LATE, min(early.load, now - early.asked) / 1e9)
         return None
 
--- a/petrelwood/decide/forecasting/forecast.py
+++ b/petrelwood/decide/forecasting/forecast.py
@@ -1,24 +1,30 @@
-"""How often each function will be called: from time of day, known dates, recent pace, and what its like are called.
-
-Counts in slots of a stated width. Three methods are weighed for each function by back-test on its own past, by the ranked
-probability score of the whole distribution; the plain one (the same slot of earlier seasons) stays unless another has
-been better by a tenth for long enough. A forecast is a mean and a spread, read as a negative binomial: counts are more
-spread than Poisson's. What has no history borrows from its kind; what is suddenly hot is seen from its last slots.
+"""How often each function will be called: from time of day, known dates, recent pace, and what its like are
+called.
+
+Counts in slots of a stated width. Three methods are weighed for each function by back-test on its own past,
+by the ranked
+probability score of the whole distribution; the plain one (the same slot of earlier seasons) stays unless
+another has
+been better by a tenth for long enough. A forecast is a mean and a spread, read as a negative binomial: counts
+are more
+spread than Poisson's. What has no history borrows from its kind; what is suddenly hot is seen from its last
+slots.
 """
+
 import math
 from collections import deque
 
-BETTER = 0.9               # a method must score so much lower than the plain one to take its place
-TRIALS = 144               # slots scored before any may
-MEMORY = 0.05              # how fast spreads forget
-SCORES = 0.005             # how fast scores do: a method must have been better for long
-HOT = 4.0                  # a slot so many spreads over its forecast makes the function hot
-COOL = 3                   # slots without it that end that
-PRIOR = 0.5                # calls that what is borrowed counts for: half a one, as where nothing is known
-RECENT = 5.0               # slots that the recent pace looks back on
-JOBS = 3                   # ended slots that may wait to be learnt
-MOST_SEASONS = 14          # of each slot that are kept
-WEEKS = 4                  # of a slot of the week before it says more than that of the day
+BETTER = 0.9  # a method must score so much lower than the plain one to take its place
+TRIALS = 144  # slots scored before any may
+MEMORY = 0.05  # how fast spreads forget
+SCORES = 0.005  # how fast scores do: a method must have been better for long
+HOT = 4.0  # a slot so many spreads over its forecast makes the function hot
+COOL = 3  # slots without it that end that
+PRIOR = 0.5  # calls that what is borrowed counts for: half a one, as where nothing is known
+RECENT = 5.0  # slots that the recent pace looks back on
+JOBS = 3  # ended slots that may wait to be learnt
+MOST_SEASONS = 14  # of each slot that are kept
+WEEKS = 4  # of a slot of the week before it says more than that of the day
 
 
 def negative_binomial(mean, spread):
@@ -46,13 +52,14 @@
     if mean <= 0:
         return 0.0
     r, p = negative_binomial(mean, spread)
-    return 1 - p ** r
+    return 1 - p**r
 
 
 def score(mean, spread, count):
-    """The ranked probability score of a forecast when `count` came: less is better, 0 is certain and right."""
+    """The ranked probability score of a forecast when `count` came: less is better, 0 is certain and
+    right."""
     most = max(math.ceil(count), int(mean + 4 * math.sqrt(max(mean * spread, 1)))) + 1
-    if most > 400:                                       # for large counts the normal's closed form
+    if most > 400:  # for large counts the normal's closed form
         deviation = math.sqrt(max(mean * spread, 1e-9))
         z = (count - mean) / deviation
         density, below = math.exp(-z * z / 2) / math.sqrt(2 * math.pi), 0.5 * (1 + math.erf(z / math.sqrt(2)))
@@ -61,7 +68,8 @@
 
 
 class Calendar:
-    """Seasons and known dates. `day` and `week` in ns; `events`: [(begin, end, factor, prefix)] on the wall clock."""
+    """Seasons and known dates. `day` and `week` in ns; `events`: [(begin, end, factor, prefix)] on the wall
+    clock."""
 
     def __init__(self, slot, day, week, events=()):
         self.slot, self.day, self.week, self.events = slot, day, week, sorted(events)
@@ -116,7 +124,9 @@
 
 
 class Series:
-    """One function: what it was called, three methods' forecasts for the next slot, and which one is believed."""
+    """One function: what it was called, three methods' forecasts for the next slot, and which one is
+    believed."""
+
     METHODS = ("seasonal", "recent", "both")
 
     def __init__(self):
@@ -128,7 +138,11 @@
         """Each method's mean for a slot; None where it has nothing to say."""
         season, pace = self.seasonal.mean(keys), self.recent.mean()
         ratio = self.ratio.mean()
-        both = None if season is None or pace is None else season * min(4.0, max(0.25, 1.0 if ratio is None else ratio))
+        both = (
+            None
+            if season is None or pace is None
+            else season * min(4.0, max(0.25, 1.0 if ratio is None else ratio))
+        )
         return {"seasonal": season, "recent": pace, "both": both}
 
     def learn(self, keys, count):
@@ -142,7 +156,9 @@
             old = self.scores[method]
             self.scores[method] = found if old is None else old + SCORES * (found - old)
             off = (count - mean) ** 2 / max(mean, 0.25)
-            self.spreads[method] = max(1.05, self.spreads[method] + MEMORY * (min(off, 400) - self.spreads[method]))
+            self.spreads[method] = max(
+                1.05, self.spreads[method] + MEMORY * (min(off, 400) - self.spreads[method])
+            )
         self.trials += season is not None
         self._choose()
         mean, spread = self._mean(means)
@@ -158,22 +174,35 @@
 
     def dump(self):
         """What it has learnt, as plain lists; `Series.restored` makes it again."""
-        return [[[name, key, list(held)] for (name, key), held in self.seasonal.slots.items()], self.recent.level, self.ratio.level,
-                [self.scores[m] for m in self.METHODS], [self.spreads[m] for m in self.METHODS], self.trials, self.believed,
-                self.hot, self.seen, self.last]
+        return [
+            [[name, key, list(held)] for (name, key), held in self.seasonal.slots.items()],
+            self.recent.level,
+            self.ratio.level,
+            [self.scores[m] for m in self.METHODS],
+            [self.spreads[m] for m in self.METHODS],
+            self.trials,
+            self.believed,
+            self.hot,
+            self.seen,
+            self.last,
+        ]
 
     @classmethod
     def restored(cls, state):
         """Raises `ValueError`, `TypeError` or `KeyError` where the state makes no sense."""
         made = cls()
-        slots, recent, ratio, scores, spreads, made.trials, made.believed, made.hot, made.seen, made.last = state
+        slots, recent, ratio, scores, spreads, made.trials, made.believed, made.hot, made.seen, made.last = (
+            state
+        )
         for name, key, held in slots:
             made.seasonal.slots[name, key] = deque(map(float, held), maxlen=MOST_SEASONS)
         for smoothed, level in ((made.recent, recent), (made.ratio, ratio)):
             smoothed.level = None if level is None else float(level)
         made.scores = {m: None if s is None else float(s) for m, s in zip(cls.METHODS, scores, strict=True)}
         made.spreads = {m: max(1.05, float(s)) for m, s in zip(cls.METHODS, spreads, strict=True)}
-        if made.believed not in cls.METHODS or not all(map(math.isfinite, (made.trials, made.hot, made.seen))):
+        if made.believed not in cls.METHODS or not all(
+            map(math.isfinite, (made.trials, made.hot, made.seen))
+        ):
             raise ValueError("a series makes no sense")
         return made
 
@@ -198,21 +227,27 @@
         """(mean, spread, slots that were looked at for it)"""
         means = self.means(keys)
         mean, spread = self._mean(means)
-        slots = len(self.seasonal.held(keys)) if means["seasonal"] is not None and self.believed != "recent" else min(RECENT, self.seen)
+        slots = (
+            len(self.seasonal.held(keys))
+            if means["seasonal"] is not None and self.believed != "recent"
+            else min(RECENT, self.seen)
+        )
         if self.hot and self.last is not None and self.last > (mean or 0.0):
-            mean, slots = float(self.last), 1.0          # suddenly hot: its last slot says more than its past
+            mean, slots = float(self.last), 1.0  # suddenly hot: its last slot says more than its past
         return mean, spread, slots
 
 
 class Forecast:
-    """All functions of one dispatcher. `kin(function)` names what it is like, for those without history; `calendar` a
+    """All functions of one dispatcher. `kin(function)` names what it is like, for those without history;
+    `calendar` a
     `Calendar`. Times are wall-clock ns; a clock that steps back, or a gap, ends the slot that was open."""
 
     def __init__(self, calendar, kin, most=20_000, sliced=False):
         self.calendar, self.kin, self.most, self.sliced = calendar, kin, most, sliced
-        self.jobs = deque()                              # ended slots that are not learnt yet: (keys, counts, names left)
+        # ended slots that are not learnt yet: (keys, counts, names left)
+        self.jobs = deque()
         self.series, self.kinds, self.counts, self.slot = {}, {}, {}, None
-        self.broken = 0                                  # slots that were thrown away
+        self.broken = 0  # slots that were thrown away
 
     def called(self, at, function):
         """A function was called; how many slots have ended since the last call."""
@@ -229,11 +264,12 @@
             return 0
         gap = slot - self.slot
         if gap < 0 or gap > 2 * self.calendar.day // self.calendar.slot:
-            self.counts, self.slot = {}, slot            # the clock stepped, or nobody was here: nothing is learnt of it
+            # the clock stepped, or nobody was here: nothing is learnt of it
+            self.counts, self.slot = {}, slot
             self.broken += 1
             return 0
         self._end_slot()
-        for missing in range(1, min(gap, 8)):            # slots in which nothing was called at all
+        for missing in range(1, min(gap, 8)):  # slots in which nothing was called at all
             self.slot += 1
             self._end_slot()
         self.slot = slot
@@ -252,7 +288,7 @@
             group[1] += 1
         for kind, (count, members) in totals.items():
             self.kinds.setdefault(kind, Series()).learn(keys, count / members)
-        if len(self.jobs) >= JOBS:                       # so far behind that the oldest slot is given up
+        if len(self.jobs) >= JOBS:  # so far behind that the oldest slot is given up
             self.jobs.popleft()
             self.broken += 1
         self.jobs.append((keys, counts, list(self.series)))
@@ -260,7 +296,8 @@
             self.work(len(self.series))
 
     def work(self, count):
-        """Learns the next so many functions of the slots that have ended; whether more are left. A caller that must not
+        """Learns the next so many functions of the slots that have ended; whether more are left. A caller
+        that must not
         stand still (`sliced`) does this a few at a time."""
         while self.jobs and count > 0:
             keys, counts, names = self.jobs[0]
@@ -275,15 +312,20 @@
 
     def _forget(self):
         if len(self.series) >= self.most:
-            for function in [f for f, s in self.series.items() if not s.recent.level or s.recent.level < 1e-3]:
+            for function in [
+                f for f, s in self.series.items() if not s.recent.level or s.recent.level < 1e-3
+            ]:
                 del self.series[function]
 
     def ahead(self, at, function, slots=1, times=1):
-        """(mean, spread) of calls in the next `slots` slots from `at` on, of `times` as many as this dispatcher sees; (0, 2) of
+        """(mean, spread) of calls in the next `slots` slots from `at` on, of `times` as many as this
+        dispatcher sees; (0, 2) of
         what nothing is known of.
 
-        What was seen is weighed against what its kind does, as a Poisson count against a gamma prior: a call or two of one's own,
-        times hundreds of dispatchers, must not pass for a busy function. The spread holds how little was seen."""
+        What was seen is weighed against what its kind does, as a Poisson count against a gamma prior: a call
+        or two of one's own,
+        times hundreds of dispatchers, must not pass for a busy function. The spread holds how little was
+        seen."""
         series, kind = self.series.get(function), self.kinds.get(self.kin(function))
         total, worst, least = 0.0, 1.05, math.inf
         for ahead in range(slots):
@@ -301,7 +343,8 @@
         return total * times, max(worst, 1 + total * times / least)
 
     def dump(self):
-        """Yields its state in parts, the head first, then a function at a time: a caller takes a few in each turn."""
+        """Yields its state in parts, the head first, then a function at a time: a caller takes a few in each
+        turn."""
         yield [self.calendar.slot, self.calendar.day, self.calendar.week, self.slot]
         for table, prefix in ((self.kinds, "kind"), (self.series, "function")):
             for name in list(table):
@@ -309,8 +352,10 @@
                     yield [prefix, name, table[name].dump()]
 
     def restore(self, parts):
-        """Takes a state that `dump` gave; how many functions it holds, 0 where its slots are of another width or it makes no
-        sense: then all is learnt anew. The slots that passed meanwhile are learnt as a gap when the next call comes."""
+        """Takes a state that `dump` gave; how many functions it holds, 0 where its slots are of another width
+        or it makes no
+        sense: then all is learnt anew. The slots that passed meanwhile are learnt as a gap when the next call
+        comes."""
         try:
             head, *rest = parts
             if head[:3] != [self.calendar.slot, self.calendar.day, self.calendar.week]:
@@ -320,7 +365,7 @@
                 found[prefix][name] = Series.restored(state)
         except (ValueError, TypeError, KeyError, IndexError):
             return 0
-        self.kinds, self.series = found["kind"], dict(list(found["function"].items())[:self.most])
+        self.kinds, self.series = found["kind"], dict(list(found["function"].items())[: self.most])
         return len(self.series)
 
     def stale(self, at, slots=4):
--- a/petrelwood/decide/forecasting/prefetch.py
+++ b/petrelwood/decide/forecasting/prefetch.py
@@ -1,19 +1,25 @@
-"""Early loads of one dispatcher: forecast, plan, wish, account, in the order in which things happen. Free of I/O.
+"""Early loads of one dispatcher: forecast, plan, wish, account, in the order in which things happen. Free of
+I/O.
 
-The core tells it of calls, ends and answered orders; each slot it makes a plan and hands wishes to the module one by one. Real
-activations always go first: the module refuses a wish while anything waits, and what it refuses is not asked again.
-Without forecasts, or with stale or absurd ones, nothing is wished and the dispatcher goes on as if there were none.
+The core tells it of calls, ends and answered orders; each slot it makes a plan and hands wishes to the module
+one by one. Real
+activations always go first: the module refuses a wish while anything waits, and what it refuses is not asked
+again.
+Without forecasts, or with stale or absurd ones, nothing is wished and the dispatcher goes on as if there were
+none.
 """
+
 from petrelwood.decide.forecasting import planner
 from petrelwood.decide.forecasting.account import Account
 from petrelwood.decide.forecasting.forecast import Forecast
 
-ABSURD = 50.0              # a forecast so many times the busiest slot ever seen is not believed
+ABSURD = 50.0  # a forecast so many times the busiest slot ever seen is not believed
 STORE_LEARNS = 0.1
 
 
 class Known:
     """What this dispatcher has learnt of a function's model."""
+
     __slots__ = ("lanes", "load", "work", "size", "copies", "type")
 
     def __init__(self, lanes, load, type_):
@@ -21,11 +27,19 @@
 
 
 class EarlyLoads:
-    """`wish(function, lanes, load_time)` is the module's, and returns the worker or None. `share`: this dispatcher's
+    """`wish(function, lanes, load_time)` is the module's, and returns the worker or None. `share`: this
+    dispatcher's
     part of all calls, 1 / dispatchers where nothing better is known."""
 
-    def __init__(self, calendar, prices, keep, dispatchers, chance, wish, hall, size=0, memory=0, most=64, sliced=False):
-        self.forecast, self.keep, self.dispatchers, self.chance = Forecast(calendar, self._kin, sliced=sliced), keep, dispatchers, chance
+    def __init__(
+        self, calendar, prices, keep, dispatchers, chance, wish, hall, size=0, memory=0, most=64, sliced=False
+    ):
+        self.forecast, self.keep, self.dispatchers, self.chance = (
+            Forecast(calendar, self._kin, sliced=sliced),
+            keep,
+            dispatchers,
+            chance,
+        )
         self.account, self.prices = Account(prices, 2 * calendar.slot, chance), prices
         self.wish, self.hall, self.size, self.memory, self.most = wish, hall, size, memory, most
         self.known, self.store, self.busiest, self.now_counts = {}, 1.0, 1.0, 0
@@ -70,7 +84,8 @@
 
     # Each slot.
     def turn(self, now, wall, orders):
-        """Plans for the next slot; how many wishes became orders. `orders`: of the ration, what may be used."""
+        """Plans for the next slot; how many wishes became orders. `orders`: of the ration, what may be
+        used."""
         self.forecast.passes(wall)
         self.account.sweep(now)
         if self.forecast.stale(wall) or not self.account.whole.may(now):
@@ -80,11 +95,22 @@
             for worker in [w for w, seen in known.copies.items() if now - seen > self.keep]:
                 del known.copies[worker]
             if known.load and self.account.may(now, function, self.hall):
-                models[function] = planner.Model(self.size or 1, known.load, known.work or known.load // 4,
-                                                 len(known.copies))
+                models[function] = planner.Model(
+                    self.size or 1, known.load, known.work or known.load // 4, len(known.copies)
+                )
         room = planner.Room(self.memory or 1 << 60, orders, max(0.0, 2 * self.store - 1))
-        wishes = planner.plan(now, models, lambda name: self.expected(wall, name), room, slot, self.keep, self.prices,
-                              self.dispatchers, self.chance, most=self.most)
+        wishes = planner.plan(
+            now,
+            models,
+            lambda name: self.expected(wall, name),
+            room,
+            slot,
+            self.keep,
+            self.prices,
+            self.dispatchers,
+            self.chance,
+            most=self.most,
+        )
         self.plans += 1
         ordered = 0
         for one in wishes:
@@ -101,7 +127,9 @@
 
     def _expected(self, wall, function):
         """Calls of all dispatchers in the next slot: ours times their number, as each sees an equal part."""
-        mean, spread = self.forecast.ahead(wall + self.forecast.calendar.slot, function, times=self.dispatchers)
+        mean, spread = self.forecast.ahead(
+            wall + self.forecast.calendar.slot, function, times=self.dispatchers
+        )
         if mean > ABSURD * self.busiest * self.dispatchers:
             return 0.0, 2.0
         return mean, spread
--- a/petrelwood/decide/overload/admission.py
+++ b/petrelwood/decide/overload/admission.py
@@ -1,22 +1,27 @@
 """Who may open a connection, shake hands, be read and have a signature checked, before any of it costs much.
 
-All by address: what a request says of its customer is not believed before its signature holds, or anyone could wear out another's
-part. An address has a pace of its own for connections, and a part of each bound once half of the bound is taken; so one crowd
-can't keep the others out, and a lone caller may use all. An address whose signatures fail goes through `Comeback`: it is
-refused unread for a while that doubles. What is known of addresses is bounded; the one heard of longest ago is forgotten.
+All by address: what a request says of its customer is not believed before its signature holds, or anyone
+could wear out another's
+part. An address has a pace of its own for connections, and a part of each bound once half of the bound is
+taken; so one crowd
+can't keep the others out, and a lone caller may use all. An address whose signatures fail goes through
+`Comeback`: it is
+refused unread for a while that doubles. What is known of addresses is bounded; the one heard of longest ago
+is forgotten.
 """
+
 from collections import OrderedDict
 
 from petrelwood.decide.overload.backoff import Comeback
 
 SECOND = 1_000_000_000
 TAKE, PACE, CROWDED, UNFAIR, BAD = "take", "too fast", "crowded", "over its part", "bad signatures"
-BURST, LEAST = 1 / 4, 16   # of the bound on connections that one address may open at once, and at least
-REFILL = 1 / 8             # of it, each second
-STORM = 1 / 4              # of the pace, while connections come in a storm
-HALF = 0.5                 # of a bound in use, from which it is shared out
-LONE = 7 / 8               # of a bound, for an address that is alone
-BAD_IN_A_ROW = 16          # signatures of an address that fail before it is refused unread
+BURST, LEAST = 1 / 4, 16  # of the bound on connections that one address may open at once, and at least
+REFILL = 1 / 8  # of it, each second
+STORM = 1 / 4  # of the pace, while connections come in a storm
+HALF = 0.5  # of a bound in use, from which it is shared out
+LONE = 7 / 8  # of a bound, for an address that is alone
+BAD_IN_A_ROW = 16  # signatures of an address that fail before it is refused unread
 FIRST, LONGEST = SECOND // 2, 32 * SECOND
 
 
@@ -29,10 +34,17 @@
 
 
 class Admission:
-    """`connections`, `handshakes` and `bytes_`: bounds over all addresses; `chance` draws in [0, 1). Times in ns."""
+    """`connections`, `handshakes` and `bytes_`: bounds over all addresses; `chance` draws in [0, 1). Times in
+    ns."""
 
     def __init__(self, connections, handshakes, bytes_, chance, most=4096):
-        self.connections, self.handshakes, self.bytes, self.chance, self.most = connections, handshakes, bytes_, chance, most
+        self.connections, self.handshakes, self.bytes, self.chance, self.most = (
+            connections,
+            handshakes,
+            bytes_,
+            chance,
+            most,
+        )
         self.addresses, self.open, self.shaking, self.held, self.storm = OrderedDict(), 0, 0, 0, False
         self.burst = max(connections * BURST, min(connections, LEAST))
         self.counts = {name: 0 for name in (TAKE, PACE, CROWDED, UNFAIR, BAD)}
@@ -54,7 +66,8 @@
         return max(1, sum(1 for one in self.addresses.values() if getattr(one, what)))
 
     def _over_part(self, one, mine, used, bound, what):
-        """Whether an address has its part of a bound that is half used. A lone one may take all but an eighth, which is kept
+        """Whether an address has its part of a bound that is half used. A lone one may take all but an
+        eighth, which is kept
         for whoever comes next."""
         if used <= bound * HALF:
             return False
@@ -63,15 +76,21 @@
 
     def connects(self, now, address):
         """A connection was accepted: `TAKE`, or why it is closed again."""
-        one, pace = self._address(now, address), max(1.0, self.connections * REFILL) * (STORM if self.storm else 1.0)
+        one, pace = (
+            self._address(now, address),
+            max(1.0, self.connections * REFILL) * (STORM if self.storm else 1.0),
+        )
         one.tokens = min(self.burst, one.tokens + (now - one.seen) / SECOND * pace)
         one.seen = now
         if self.open >= self.connections or self.handshakes and self.shaking >= self.handshakes:
             verdict = CROWDED
         elif not one.comeback.may(now):
             verdict = BAD
-        elif self._over_part(one, one.open, self.open, self.connections, "open") or self.handshakes and self._over_part(
-                one, one.shaking, self.shaking, self.handshakes, "shaking"):
+        elif (
+            self._over_part(one, one.open, self.open, self.connections, "open")
+            or self.handshakes
+            and self._over_part(one, one.shaking, self.shaking, self.handshakes, "shaking")
+        ):
             verdict = UNFAIR
         elif one.tokens < 1:
             verdict = PACE
@@ -99,7 +118,9 @@
     def reads(self, now, address, bytes_):
         """Bytes of a request that is not whole yet came in: whether they may be held."""
         one = self._address(now, address)
-        if self.held + bytes_ > self.bytes or self._over_part(one, one.bytes + bytes_, self.held, self.bytes, "bytes"):
+        if self.held + bytes_ > self.bytes or self._over_part(
+            one, one.bytes + bytes_, self.held, self.bytes, "bytes"
+        ):
             self.counts[CROWDED] += 1
             return False
         one.bytes, self.held = one.bytes + bytes_, self.held + bytes_
@@ -131,7 +152,8 @@
             one.comeback.failed(now)
 
     def wait(self, address, now):
-        """Seconds after which a refused connection may be tried again, for `Retry-After`; drawn, so that a crowd parts."""
+        """Seconds after which a refused connection may be tried again, for `Retry-After`; drawn, so that a
+        crowd parts."""
         one = self.addresses.get(address)
         ban = max(0, one.comeback.not_before - now) if one is not None else 0
         return 1 + int(ban / SECOND + self.chance() * (4 if self.storm else 2))
--- a/petrelwood/decide/overload/backoff.py
+++ b/petrelwood/decide/overload/backoff.py
@@ -1,6 +1,7 @@
 """When to try again: one piece for links, the roster and whatever else repeats.
 
-Waits double from `first` to `most`, each drawn from its upper half, or with `full` from all of it, so that those that
+Waits double from `first` to `most`, each drawn from its upper half, or with `full` from all of it, so that
+those that
 failed together do not come back together. A budget in `Budget` bounds repeats by firsts.
 """
 
@@ -28,7 +29,8 @@
 
 
 class Budget:
-    """So many repeats for so many firsts: each first earns a part of a repeat, up to a few kept. With `every` (ns) time earns
+    """So many repeats for so many firsts: each first earns a part of a repeat, up to a few kept. With `every`
+    (ns) time earns
     one too, so that what has had no firsts for long is tried all the same."""
 
     def __init__(self, part, kept, every=0):
@@ -41,7 +43,7 @@
         """Whether a repeat may go out; it is then paid for."""
         if self.every and now > self.since:
             self.left, self.since = min(self.kept, self.left + (now - self.since) / self.every), now
-        if self.left < 1 - 1e-9:                         # tenths do not sum to one exactly
+        if self.left < 1 - 1e-9:  # tenths do not sum to one exactly
             self.refused += 1
             return False
         self.left -= 1
--- a/petrelwood/decide/overload/intake.py
+++ b/petrelwood/decide/overload/intake.py
@@ -2,9 +2,11 @@
 
     customer's room -> retry or replay -> patience -> what can be served -> manners -> the module
 
-Every front asks here, so that a case has one decision whichever way it came. A verdict says what the front should
+Every front asks here, so that a case has one decision whichever way it came. A verdict says what the front
+should
 answer; TAKE and JOIN mean that the answer comes later, through `Duty`.
 """
+
 from typing import NamedTuple
 
 from petrelwood.decide.delivery import ledger as led
@@ -14,45 +16,68 @@
 from petrelwood.decide.overload.concurrency_limit import Ramp
 from petrelwood.decide.overload.storm import Storms
 
-TAKE, JOIN, GIVE, REFUSE, CONFLICT, ABORT, SPENT = "take", "join", "give", "refuse", "conflict", "abort", "spent"
-CROWDED, OVER_PART, LEDGER_FULL, NO_TIME, CLOSING = "crowded", "over its part", "ledger full", "no time", "closing"
+TAKE, JOIN, GIVE, REFUSE, CONFLICT, ABORT, SPENT = (
+    "take",
+    "join",
+    "give",
+    "refuse",
+    "conflict",
+    "abort",
+    "spent",
+)
+CROWDED, OVER_PART, LEDGER_FULL, NO_TIME, CLOSING = (
+    "crowded",
+    "over its part",
+    "ledger full",
+    "no time",
+    "closing",
+)
 TOO_MANY, TOO_EARLY = "more than can be answered in time", "asked again before the time that it was told"
 BEFORE = "signed before this dispatcher began; sign it anew"
 
 
 class Ask(NamedTuple):
     """What a front has found out about a request whose signature holds."""
+
     customer: str
     id: str
-    stamp: int             # the sender's wall clock, ns
-    type: str              # namespace type
-    came: int              # ns of our clock, when its first byte was read
-    wait: int              # the client's patience, ns; 0: not told
-    mark: str = ""         # what workers tell repeats of it by, where it is not the id
+    stamp: int  # the sender's wall clock, ns
+    type: str  # namespace type
+    came: int  # ns of our clock, when its first byte was read
+    wait: int  # the client's patience, ns; 0: not told
+    mark: str = ""  # what workers tell repeats of it by, where it is not the id
 
 
 class Verdict(NamedTuple):
     what: str
     why: str = ""
     body: bytes = b""
-    retry_after: int = 0   # ns
-    due: int = 0           # TAKE, JOIN: when the answer must be decided
-    gone: int = 0          # TAKE, JOIN: when the client gives up
+    retry_after: int = 0  # ns
+    due: int = 0  # TAKE, JOIN: when the answer must be decided
+    gone: int = 0  # TAKE, JOIN: when the client gives up
 
 
 def wall_after(ledger, ask):
-    """How far a request's timestamp lies before the ledger's beginning, ns: its sender's clock may be behind."""
+    """How far a request's timestamp lies before the ledger's beginning, ns: its sender's clock may be
+    behind."""
     return ledger.began - ask.stamp
 
 
 class Intake:
-    """Times in ns. `damps`: whether storms are damped here: hints that grow, a budget for early repeats, a bound that follows
+    """Times in ns. `damps`: whether storms are damped here: hints that grow, a budget for early repeats, a
+    bound that follows
     what can be answered in time; else a full house alone turns away."""
 
     def __init__(self, limits, timeouts, terms, ledger, chance, damps=True):
-        self.limits, self.timeouts, self.terms, self.ledger, self.chance = limits, timeouts, terms, ledger, chance
+        self.limits, self.timeouts, self.terms, self.ledger, self.chance = (
+            limits,
+            timeouts,
+            terms,
+            ledger,
+            chance,
+        )
         self.held, self.by_customer, self.closing, self.damps = 0, {}, False, damps
-        self.usual = min(timeouts.values()) // 4       # how long an activation stays, by a running mean
+        self.usual = min(timeouts.values()) // 4  # how long an activation stays, by a running mean
         few = max(4, limits.held // 1024)
         self.pace, self.ramp = Pace(few), Ramp(limits.held, few, min(timeouts.values()) // 2)
         self.manners, self.storms = retry_budget.Manners(max(64, limits.ledger // 16)), Storms()
@@ -64,20 +89,26 @@
         how = retry_budget.FIRST if joins or not self.damps else self.manners.comes(now, ask.customer, ask.id)
         if self.damps:
             self.storms.asked(now, joins or how != retry_budget.FIRST)
-        if not joins:                                   # a retry of what is known costs no room
-            why = self._room(ask.customer) or (
-                NO_TIME if deadlines.hopeless(now, due, self.timeouts[ask.type]) else None) or (
-                self.damps and self._more_than_can_be(now, ask, due, how))
+        if not joins:  # a retry of what is known costs no room
+            why = (
+                self._room(ask.customer)
+                or (NO_TIME if deadlines.hopeless(now, due, self.timeouts[ask.type]) else None)
+                or (self.damps and self._more_than_can_be(now, ask, due, how))
+            )
             if why:
-                return Verdict(REFUSE, why, retry_after=self.come_back(now, ask.customer, ask.id, early=how == retry_budget.EARLY))
+                return Verdict(
+                    REFUSE,
+                    why,
+                    retry_after=self.come_back(now, ask.customer, ask.id, early=how == retry_budget.EARLY),
+                )
         verdict, entry = self.ledger.ask(now, wall, (ask.customer, ask.id), ask.stamp, ask.type)
         if verdict == led.RUN:
             if joins:
                 why = self._room(ask.customer)
-                if why:                                 # it may run, but there is no room: it stays as it was
+                if why:  # it may run, but there is no room: it stays as it was
                     self.ledger.ended((ask.customer, ask.id), led.LEFT)
                     return Verdict(REFUSE, why, retry_after=self.come_back(now, ask.customer, ask.id))
-            if entry.again_until:                       # workers drop repeats no longer than that
+            if entry.again_until:  # workers drop repeats no longer than that
                 due = min(due, entry.again_until)
             return Verdict(TAKE, due=due, gone=gone)
         if verdict == led.JOIN:
@@ -85,8 +116,11 @@
         if verdict == led.AGAIN:
             return Verdict(GIVE, body=entry.body)
         if verdict == led.ELSEWHERE:
-            return Verdict(REFUSE, "the process before this one still finishes it",
-                           retry_after=self.come_back(now, ask.customer, ask.id))
+            return Verdict(
+                REFUSE,
+                "the process before this one still finishes it",
+                retry_after=self.come_back(now, ask.customer, ask.id),
+            )
         if verdict == led.REPLAY:
             return Verdict(CONFLICT, "this id was already sent with this time or a later one")
         if verdict == led.SPENT:
@@ -94,22 +128,39 @@
         if verdict == led.UNKNOWN:
             return Verdict(ABORT, "an earlier try may have run and must not run again")
         if verdict == led.BEFORE:
-            return Verdict(REFUSE, BEFORE, retry_after=self.come_back(
-                now, ask.customer, ask.id, min(wall_after(self.ledger, ask), self.terms.allowed.max_retry_after)))
+            return Verdict(
+                REFUSE,
+                BEFORE,
+                retry_after=self.come_back(
+                    now,
+                    ask.customer,
+                    ask.id,
+                    min(wall_after(self.ledger, ask), self.terms.allowed.max_retry_after),
+                ),
+            )
         return Verdict(REFUSE, LEDGER_FULL, retry_after=self.come_back(now, ask.customer, ask.id))
 
     def _more_than_can_be(self, now, ask, due, how):
-        """Why one more would do harm, or None. A customer with less than half of an equal part still has room over the bound:
+        """Why one more would do harm, or None. A customer with less than half of an equal part still has room
+        over the bound:
         one that storms does not shut out those that are quiet."""
         quiet = self.by_customer.get(ask.customer, 0) * 2 * max(1, len(self.by_customer)) < self.ramp.limit
         if not self.ramp.room(self.held) and not (quiet and len(self.by_customer) > 1):
             return TOO_MANY
         if not quiet and self.pace.too_late(now, self.held, due):
             return TOO_MANY
-        if how == retry_budget.EARLY and self.ramp.holds_back and (
-                self.manners.since(now, ask.customer, ask.id) > self.terms.types[ask.type].target_latency):
-            return TOO_EARLY                            # it can only be late by now; others can still be in time
-        if how == retry_budget.EARLY and (self.storms.on("repeats") or self.ramp.holds_back) and not self.manners.may(ask.customer):
+        if (
+            how == retry_budget.EARLY
+            and self.ramp.holds_back
+            and (self.manners.since(now, ask.customer, ask.id) > self.terms.types[ask.type].target_latency)
+        ):
+            # it can only be late by now; others can still be in time
+            return TOO_EARLY
+        if (
+            how == retry_budget.EARLY
+            and (self.storms.on("repeats") or self.ramp.holds_back)
+            and not self.manners.may(ask.customer)
+        ):
             return TOO_EARLY
         return None
 
@@ -119,7 +170,8 @@
         if self.held >= self.limits.held:
             return CROWDED
         if len(self.terms.quotas) + len(self.by_customer) > 1 and (
-                self.by_customer.get(customer, 0) >= self.limits.held * self.limits.per_customer):
+            self.by_customer.get(customer, 0) >= self.limits.held * self.limits.per_customer
+        ):
             return OVER_PART
         return None
 
@@ -151,16 +203,27 @@
 
     def figures(self):
         """What is counted, for logs and tests."""
-        return {"held": self.held, "ledger": dict(self.ledger.counts), "ids": len(self.ledger.entries),
-                "storms": self.storms.figures(), "manners": dict(self.manners.counts),
-                "bound": int(self.ramp.limit), "cuts": self.ramp.cuts}
+        return {
+            "held": self.held,
+            "ledger": dict(self.ledger.counts),
+            "ids": len(self.ledger.entries),
+            "storms": self.storms.figures(),
+            "manners": dict(self.manners.counts),
+            "bound": int(self.ramp.limit),
+            "cuts": self.ramp.cuts,
+        }
 
     def come_back(self, now, customer, id_, least=0, early=False):
-        """When one that was turned away should come back: drawn over as long as what is held will take; longer each time for one
+        """When one that was turned away should come back: drawn over as long as what is held will take;
+        longer each time for one
         that does not wait so long."""
         most, fullness = self.terms.allowed.max_retry_after, self.held / max(1, self.limits.held)
         wait = self.pace.come_back(now, self.held, self.ramp.limit) if self.damps else None
-        wait = max(least, self.usual) * (1 + min(3.0, 4 * fullness)) if wait is None else max(least, self.usual, wait)
+        wait = (
+            max(least, self.usual) * (1 + min(3.0, 4 * fullness))
+            if wait is None
+            else max(least, self.usual, wait)
+        )
         if not self.damps:
             return min(int(wait * (0.5 + self.chance())), most)
         return min(most, max(least, self.manners.hint(now, customer, id_, wait, self.chance, most, early)))
--- a/petrelwood/decide/overload/retry_budget.py
+++ b/petrelwood/decide/overload/retry_budget.py
@@ -1,19 +1,24 @@
 """Who comes back when: hints that grow for those who do not listen, and a budget for those who do not wait.
 
-What was turned away is remembered by its id, with the time it was told to stay away. It may come back at that time or later:
-then it has listened, and is treated as a first. Before that it is early. Early ones live on a budget: a part of a repeat for each
-first of the same customer, so that a customer who retries at once can only wear out his own. The hint doubles each time
-an id comes early, and is drawn over its whole width, so that those refused together do not come back together.
+What was turned away is remembered by its id, with the time it was told to stay away. It may come back at that
+time or later:
+then it has listened, and is treated as a first. Before that it is early. Early ones live on a budget: a part
+of a repeat for each
+first of the same customer, so that a customer who retries at once can only wear out his own. The hint doubles
+each time
+an id comes early, and is drawn over its whole width, so that those refused together do not come back
+together.
 """
+
 from collections import OrderedDict
 
 from petrelwood.decide.overload.backoff import Budget
 
 FIRST, LISTENED, EARLY = "first", "listened", "early"
-PART, KEPT = 0.1, 10.0     # repeats for each first of a customer, and how many may be saved
-DOUBLES = 5                # times at most that a hint is doubled
-SLACK = 20_000_000         # ns that a client's clock may be ahead of the hint
-DEAF = 1 / 32              # how fast a customer's share of early comers follows
+PART, KEPT = 0.1, 10.0  # repeats for each first of a customer, and how many may be saved
+DOUBLES = 5  # times at most that a hint is doubled
+SLACK = 20_000_000  # ns that a client's clock may be ahead of the hint
+DEAF = 1 / 32  # how fast a customer's share of early comers follows
 
 
 class Customer:
@@ -61,7 +66,8 @@
         return False
 
     def hint(self, now, customer, key, wait, chance, most, early):
-        """When this id should come back, ns from now, after `wait` at the least for one that listens; remembered."""
+        """When this id should come back, ns from now, after `wait` at the least for one that listens;
+        remembered."""
         told = self.told.pop((customer, key), None)
         times = min(DOUBLES, told[1] + 1 if early else told[1]) if told else 0
         first = told[2] if told else now
--- a/petrelwood/decide/overload/storm.py
+++ b/petrelwood/decide/overload/storm.py
@@ -2,26 +2,36 @@
 
     repeats     the share of asks that come again (same id, same customer)
     surge       asks in a second against the usual second
-    synchrony   how bunched asks are: the variance of counts in small buckets over their mean, 1 for independent callers
+    synchrony   how bunched asks are: the variance of counts in small buckets over their mean, 1 for
+    independent callers
     reconnects  connections opened against asks that came on them
     cold        the share of ended sends that had to wait for a load
 
-Each symptom goes on when it has been over its upper mark at two looks in a row and off when it has stayed under its lower mark
-for a while that grows each time it comes back soon: it does not flap. What follows from a storm is decided where it matters
+Each symptom goes on when it has been over its upper mark at two looks in a row and off when it has stayed
+under its lower mark
+for a while that grows each time it comes back soon: it does not flap. What follows from a storm is decided
+where it matters
 (`manners`, `admission`, `ramp`, early loads); here is only what there is.
 """
+
 from collections import Counter
 
 from petrelwood.decide.overload.sliding_window import Ring
 
 SECOND = 1_000_000_000
-MARKS = {"repeats": (0.3, 0.1), "surge": (3.0, 1.5), "synchrony": (8.0, 3.0), "reconnects": (0.7, 0.3), "cold": (0.6, 0.3)}
-FEW = 20                   # asks in a window under which nothing is told from shares
+MARKS = {
+    "repeats": (0.3, 0.1),
+    "surge": (3.0, 1.5),
+    "synchrony": (8.0, 3.0),
+    "reconnects": (0.7, 0.3),
+    "cold": (0.6, 0.3),
+}
+FEW = 20  # asks in a window under which nothing is told from shares
 LOOKS = 2
-CALM = 2 * SECOND          # under the lower mark so long, and a symptom is over
-LONGEST = 16               # times CALM
-USUAL = 1 / 60             # how fast the usual second follows, each second
-FINE, FINES = 50_000_000, 41              # buckets that synchrony is told from, over two seconds
+CALM = 2 * SECOND  # under the lower mark so long, and a symptom is over
+LONGEST = 16  # times CALM
+USUAL = 1 / 60  # how fast the usual second follows, each second
+FINE, FINES = 50_000_000, 41  # buckets that synchrony is told from, over two seconds
 
 
 class Symptom:
@@ -38,7 +48,7 @@
             self.over = self.over + 1 if value >= self.upper else 0
             if self.over < LOOKS:
                 return False
-            again = now - self.ended < 4 * self.calm     # back so soon: what ended it was no end
+            again = now - self.ended < 4 * self.calm  # back so soon: what ended it was no end
             self.calm = min(LONGEST * CALM, 2 * self.calm) if again else CALM
             self.on, self.since, self.under_since, self.over = True, now, None, 0
             return True
@@ -60,7 +70,13 @@
         self.symptoms = {name: Symptom(*marks) for name, marks in MARKS.items()}
         self.asks, self.repeats = Ring(SECOND // 4, 9), Ring(SECOND // 4, 9)
         self.connects, self.sends, self.colds = (Ring(SECOND // 4, 9) for _ in range(3))
-        self.fine, self.usual, self.second, self.count, self.seen = Ring(FINE, FINES), None, None, 0, Counter()
+        self.fine, self.usual, self.second, self.count, self.seen = (
+            Ring(FINE, FINES),
+            None,
+            None,
+            0,
+            Counter(),
+        )
 
     # What happens.
     def asked(self, now, repeat):
@@ -77,7 +93,8 @@
         self.count += 1
 
     def _second_ends(self, passed):
-        """The usual second is learnt from seconds without a storm, and slowly: a storm must not become usual."""
+        """The usual second is learnt from seconds without a storm, and slowly: a storm must not become
+        usual."""
         count, self.count = self.count, 0
         if self.usual is None:
             self.usual = float(count)
@@ -115,14 +132,19 @@
         enough, window = asks >= FEW, len(self.asks.buckets) * self.asks.width / SECOND
         usual = max(self.usual or 0.0, FEW / window)
         sends = self.sends.sum(now)
-        return {"repeats": self.repeats.sum(now) / asks if enough else 0.0,
-                "surge": asks / window / usual if enough and self.usual is not None else 0.0,
-                "synchrony": dispersion(self.fine.whole(now)) if enough else 0.0,
-                "reconnects": self.connects.sum(now) / max(asks, FEW),
-                "cold": self.colds.sum(now) / sends if sends >= FEW else 0.0}
+        return {
+            "repeats": self.repeats.sum(now) / asks if enough else 0.0,
+            "surge": asks / window / usual if enough and self.usual is not None else 0.0,
+            "synchrony": dispersion(self.fine.whole(now)) if enough else 0.0,
+            "reconnects": self.connects.sum(now) / max(asks, FEW),
+            "cold": self.colds.sum(now) / sends if sends >= FEW else 0.0,
+        }
 
     def figures(self):
-        return {name: {"on": s.on, "value": round(s.value, 3), "seen": self.seen[name]} for name, s in self.symptoms.items()}
+        return {
+            name: {"on": s.on, "value": round(s.value, 3), "seen": self.seen[name]}
+            for name, s in self.symptoms.items()
+        }
 
 
 def dispersion(counts):
--- a/petrelwood/decide/routing/announce.py
+++ b/petrelwood/decide/routing/announce.py
@@ -1,8 +1,12 @@
-"""What is announced to each peer: from how a dispatcher serves and each peer's policy to attributes; what changes goes out.
+"""What is announced to each peer: from how a dispatcher serves and each peer's policy to attributes; what
+changes goes out.
 
-An address that serves less carries a higher MED, our own AS number more often, and the graceful-shutdown community of RFC 8326, so that
-routers that follow any of them prefer another; a router that follows none still has it while there is nothing else.
+An address that serves less carries a higher MED, our own AS number more often, and the graceful-shutdown
+community of RFC 8326, so that
+routers that follow any of them prefer another; a router that follows none still has it while there is nothing
+else.
 """
+
 from typing import NamedTuple
 
 from petrelwood.decide.routing.serving import LESS, NONE
@@ -11,10 +15,11 @@
 
 class Service(NamedTuple):
     """An address that is announced. `prefix` as in `wire.bgp`; `next_hop`: packed."""
+
     prefix: tuple
     next_hop: bytes
     communities: tuple
-    med: object            # or None
+    med: object  # or None
     less_med: int
     less_prepend: int
 
@@ -24,8 +29,13 @@
     if level == NONE:
         return None
     less = level == LESS
-    return bgp.Attrs(0, ((bgp.SEQUENCE, (asn,) * (1 + (service.less_prepend if less else 0))),), service.next_hop,
-                     service.less_med if less else service.med, service.communities + ((bgp.GRACEFUL_SHUTDOWN,) if less else ()))
+    return bgp.Attrs(
+        0,
+        ((bgp.SEQUENCE, (asn,) * (1 + (service.less_prepend if less else 0))),),
+        service.next_hop,
+        service.less_med if less else service.med,
+        service.communities + ((bgp.GRACEFUL_SHUTDOWN,) if less else ()),
+    )
 
 
 def is_less(attrs):
@@ -48,7 +58,8 @@
         self.told = {prefix: attrs for prefix, attrs in self.told.items() if prefix[0] != afi}
 
     def changes(self, services, level):
-        """([(attributes, [prefixes])], [prefixes taken back]) to bring the peer up to date; they count as told."""
+        """([(attributes, [prefixes])], [prefixes taken back]) to bring the peer up to date; they count as
+        told."""
         wanted = {}
         for service in services:
             attrs = attributes(service, level, self.asn)
@@ -64,7 +75,8 @@
 
 
 class Inbox:
-    """Routes heard from one peer, for our own addresses only: the rest is counted and let go, so that a full table costs nothing.
+    """Routes heard from one peer, for our own addresses only: the rest is counted and let go, so that a full
+    table costs nothing.
     `ours`: (prefix, our next hop)."""
 
     def __init__(self, services, most):
