--- a/petrelwood/decide/routing/neighbor.py
+++ b/petrelwood/decide/routing/neighbor.py
@@ -1,13 +1,17 @@
-"""The state machine of one BGP neighbour (RFC 4271, section 8), free of I/O: two connections may stand for a while, one is kept.
+"""The state machine of one BGP neighbour (RFC 4271, section 8), free of I/O: two connections may stand for a
+while, one is kept.
 
     idle -> connect -> (open sent -> open confirm) of each connection -> established
 
-Who drives it tells it what happens and, at `due()` or later, calls `check`. It does through `out`: `connect()`, `write(key, bytes)`,
+Who drives it tells it what happens and, at `due()` or later, calls `check`. It does through `out`:
+`connect()`, `write(key, bytes)`,
 `close(key)`, `up(open)`, `down(why)`, `heard(update)`, `refresh(afi)`. `key` names a
 connection: OURS, which we opened, or THEIRS. Times in ns of our own clock.
 
-What oscillates waits longer each time before it is tried again (a `Comeback`), and forgets that once a session has held.
+What oscillates waits longer each time before it is tried again (a `Comeback`), and forgets that once a
+session has held.
 """
+
 import struct
 
 from petrelwood.decide.overload.backoff import Comeback
@@ -15,16 +19,35 @@
 
 SECOND = 1_000_000_000
 OURS, THEIRS = "ours", "theirs"
-IDLE, CONNECT, OPEN_SENT, OPEN_CONFIRM, ESTABLISHED = "idle", "connect", "open sent", "open confirm", "established"
-OPENS_WITHIN = 240         # s that an OPEN may take
-LASTS = 3                  # hold times after which a session counts as good
+IDLE, CONNECT, OPEN_SENT, OPEN_CONFIRM, ESTABLISHED = (
+    "idle",
+    "connect",
+    "open sent",
+    "open confirm",
+    "established",
+)
+OPENS_WITHIN = 240  # s that an OPEN may take
+LASTS = 3  # hold times after which a session counts as good
 
 
 class Terms:
-    """`asn`, `peer_asn` (0: any), `id` (a number), `hold` in s, `families`, `role` or None, `passive`: never connects itself;
+    """`asn`, `peer_asn` (0: any), `id` (a number), `hold` in s, `families`, `role` or None, `passive`: never
+    connects itself;
     `most`: routes that are taken from the peer; `first`, `longest`: ns between tries to connect."""
 
-    def __init__(self, asn, peer_asn, id_, hold, families, role=None, passive=False, most=10_000, first=SECOND, longest=60 * SECOND):
+    def __init__(
+        self,
+        asn,
+        peer_asn,
+        id_,
+        hold,
+        families,
+        role=None,
+        passive=False,
+        most=10_000,
+        first=SECOND,
+        longest=60 * SECOND,
+    ):
         self.asn, self.peer_asn, self.id, self.hold, self.families = asn, peer_asn, id_, hold, families
         self.role, self.passive, self.most, self.first, self.longest = role, passive, most, first, longest
 
@@ -32,7 +55,13 @@
 class Connection:
     def __init__(self, key, now):
         self.key, self.state, self.reader, self.open = key, OPEN_SENT, bgp.Reader(), None
-        self.four, self.hold, self.hold_until, self.keep_at, self.begun = False, 0, now + OPENS_WITHIN * SECOND, 0, now
+        self.four, self.hold, self.hold_until, self.keep_at, self.begun = (
+            False,
+            0,
+            now + OPENS_WITHIN * SECOND,
+            0,
+            now,
+        )
 
 
 class Neighbor:
@@ -64,7 +93,11 @@
         """Ends every connection with a CEASE; nothing is tried again until `start`."""
         self.running, self.connecting = False, False
         for connection in list(self.connections.values()):
-            self._end(now, connection, bgp.Wrong(bgp.CEASE, sub, text or "stopped here", bgp.shutdown_text(text) if text else b""))
+            self._end(
+                now,
+                connection,
+                bgp.Wrong(bgp.CEASE, sub, text or "stopped here", bgp.shutdown_text(text) if text else b""),
+            )
 
     def connected(self, now, key):
         """A connection stands, by us or by the peer. False where it may not: it is to be closed."""
@@ -100,20 +133,34 @@
                     return
         except bgp.Wrong as fault:
             self._end(now, connection, fault)
-        except struct.error:                             # shorter than its kind has to be, in a way no rule names
+        # shorter than its kind has to be, in a way no rule names
+        except struct.error:
             self._end(now, connection, bgp.Wrong(bgp.HEADER_ERROR, 2, "a message that is cut short"))
 
     def check(self, now):
         for connection in list(self.connections.values()):
             if connection.hold_until and now >= connection.hold_until:
-                self._end(now, connection, bgp.Wrong(bgp.HOLD_EXPIRED, 0, "nothing was heard for the hold time"))
+                self._end(
+                    now, connection, bgp.Wrong(bgp.HOLD_EXPIRED, 0, "nothing was heard for the hold time")
+                )
             elif connection.keep_at and now >= connection.keep_at:
                 self.out.write(connection.key, bgp.KEEPALIVE_MESSAGE)
                 self._keeps(now, connection)
         held = self.established
-        if held is not None and self.comeback.failures and held.hold and now - held.begun > LASTS * held.hold * SECOND:
+        if (
+            held is not None
+            and self.comeback.failures
+            and held.hold
+            and now - held.begun > LASTS * held.hold * SECOND
+        ):
             self.comeback.succeeded()
-        if self.running and not self.connections and not self.connecting and not self.terms.passive and now >= self.retry_at:
+        if (
+            self.running
+            and not self.connections
+            and not self.connecting
+            and not self.terms.passive
+            and now >= self.retry_at
+        ):
             self.connecting = True
             self.out.connect()
 
@@ -179,13 +226,20 @@
         self._keeps(now, connection)
 
     def _loses(self, now, connection, found):
-        """Of two connections the one stays that was opened by the higher identifier (RFC 4271, 6.8; RFC 6286 where they are equal)."""
-        other = next((c for c in self.connections.values() if c is not connection and c.state != OPEN_SENT), None)
+        """Of two connections the one stays that was opened by the higher identifier (RFC 4271, 6.8; RFC 6286
+        where they are equal)."""
+        other = next(
+            (c for c in self.connections.values() if c is not connection and c.state != OPEN_SENT), None
+        )
         if other is None:
             return False
         self.counts["collisions"] += 1
         mine = (self.terms.id, self.terms.asn) > (found.id, found.asn)
-        stays = other if other.state == ESTABLISHED else next(c for c in (connection, other) if c.key == (OURS if mine else THEIRS))
+        stays = (
+            other
+            if other.state == ESTABLISHED
+            else next(c for c in (connection, other) if c.key == (OURS if mine else THEIRS))
+        )
         goes = connection if stays is other else other
         self._end(now, goes, bgp.Wrong(bgp.CEASE, bgp.COLLISION, "another connection is kept"), quiet=True)
         return goes is connection
@@ -194,14 +248,19 @@
         connection.state, connection.begun, self.routes = ESTABLISHED, now, 0
         connection.hold_until = now + connection.hold * SECOND if connection.hold else 0
         for other in [c for c in self.connections.values() if c is not connection]:
-            self._end(now, other, bgp.Wrong(bgp.CEASE, bgp.COLLISION, "another connection is kept"), quiet=True)
+            self._end(
+                now, other, bgp.Wrong(bgp.CEASE, bgp.COLLISION, "another connection is kept"), quiet=True
+            )
         self.counts["up"] += 1
         self.why = ""
         self.out.up(connection.open)
 
     def _keeps(self, now, connection):
-        """KEEPALIVEs go at a third of the hold time, drawn down by up to a quarter so that those of many do not fall together."""
-        connection.keep_at = now + int(connection.hold * SECOND / 3 * (1 - 0.25 * self.chance())) if connection.hold else 0
+        """KEEPALIVEs go at a third of the hold time, drawn down by up to a quarter so that those of many do
+        not fall together."""
+        connection.keep_at = (
+            now + int(connection.hold * SECOND / 3 * (1 - 0.25 * self.chance())) if connection.hold else 0
+        )
 
     # Ends.
     def _end(self, now, connection, fault, quiet=False):
--- a/petrelwood/decide/routing/routing_table.py
+++ b/petrelwood/decide/routing/routing_table.py
@@ -1,9 +1,13 @@
-"""A routing table: paths by prefix and neighbour, the best of them, and those that are equally good (RFC 4271, 9.1, in parts).
+"""A routing table: paths by prefix and neighbour, the best of them, and those that are equally good (RFC
+4271, 9.1, in parts).
 
-Shorter AS path, lower origin, lower MED among paths of the same neighbouring AS, then the lower identifier; paths that differ in the last
-only share the traffic. The graceful-shutdown community makes a path the last choice (RFC 8326). Flows are spread by hash, or
+Shorter AS path, lower origin, lower MED among paths of the same neighbouring AS, then the lower identifier;
+paths that differ in the last
+only share the traffic. The graceful-shutdown community makes a path the last choice (RFC 8326). Flows are
+spread by hash, or
 resiliently: a bucket keeps its path until that path goes.
 """
+
 import hashlib
 
 from petrelwood.wire import bgp
@@ -26,7 +30,8 @@
         self.paths, self.most, self.count, self.buckets = {}, most, 0, {}
 
     def heard(self, peer, update):
-        """Takes an update in: the prefixes whose best paths have changed. Raises `ValueError` over the bound."""
+        """Takes an update in: the prefixes whose best paths have changed. Raises `ValueError` over the
+        bound."""
         changed = []
         for prefix in update.withdrawn:
             changed += [prefix] if self._take(prefix, peer, None) else []
@@ -36,7 +41,11 @@
 
     def gone(self, peer):
         """A session ended: its paths are gone."""
-        return [prefix for prefix in [p for p, paths in self.paths.items() if peer in paths] if self._take(prefix, peer, None)]
+        return [
+            prefix
+            for prefix in [p for p, paths in self.paths.items() if peer in paths]
+            if self._take(prefix, peer, None)
+        ]
 
     def _take(self, prefix, peer, attrs):
         before = self.best(prefix)
@@ -60,9 +69,11 @@
         least = min(map(_rank, paths.values()))
         left = {peer: attrs for peer, attrs in paths.items() if _rank(attrs) == least}
         meds = {}
-        for attrs in left.values():                      # no MED counts as the lowest
+        for attrs in left.values():  # no MED counts as the lowest
             meds[_first_as(attrs)] = min(meds.get(_first_as(attrs), 1 << 32), attrs.med or 0)
-        return sorted((peer, attrs) for peer, attrs in left.items() if (attrs.med or 0) == meds[_first_as(attrs)])
+        return sorted(
+            (peer, attrs) for peer, attrs in left.items() if (attrs.med or 0) == meds[_first_as(attrs)]
+        )
 
     def pick(self, prefix, flow, resilient=False):
         """The peer that a flow (any text) goes to, or None."""
--- a/petrelwood/decide/routing/serving.py
+++ b/petrelwood/decide/routing/serving.py
@@ -4,41 +4,48 @@
     LESS    announced, but any other announcement is preferred
     NONE    not announced
 
-What is wrong is either its own (it drains or hands over, stands still, says nothing, knows no fresh list, can't keep what must be kept)
-or may be everyone's (no usable worker, answers that do not come in time). For its own causes it goes at once. For those that may be
-everyone's it goes to LESS, and to NONE only while it sees another announcement of the address that is not LESS: if all are ill all stay
-at LESS, and the last one can't go, without a word between them. Who went by this comes back to LESS at once when no such other is
+What is wrong is either its own (it drains or hands over, stands still, says nothing, knows no fresh list,
+can't keep what must be kept)
+or may be everyone's (no usable worker, answers that do not come in time). For its own causes it goes at once.
+For those that may be
+everyone's it goes to LESS, and to NONE only while it sees another announcement of the address that is not
+LESS: if all are ill all stay
+at LESS, and the last one can't go, without a word between them. Who went by this comes back to LESS at once
+when no such other is
 seen any more.
 
-It comes back late: after it was well for `settle`, doubled by each time that it went lately; that is forgotten by half each minute. A drain
+It comes back late: after it was well for `settle`, doubled by each time that it went lately; that is
+forgotten by half each minute. A drain
 is meant, and does not count. Times in ns.
 """
+
 from typing import NamedTuple
 
 FULL, LESS, NONE = "full", "less", "none"
 SECOND = 1_000_000_000
-FEW = 20                   # answers that say something
-POOR, WELL = 0.5, 0.8      # of them in time: under the one it is ill, over the other well again
-HALF = 60 * SECOND         # after which half of the fault for going is forgotten
-DOUBLES = 6                # times at most that `settle` is doubled
+FEW = 20  # answers that say something
+POOR, WELL = 0.5, 0.8  # of them in time: under the one it is ill, over the other well again
+HALF = 60 * SECOND  # after which half of the fault for going is forgotten
+DOUBLES = 6  # times at most that `settle` is doubled
 
 
 class Facts(NamedTuple):
     """What a dispatcher says of itself, at each beat."""
-    closing: bool          # it drains, or hands over
-    listed: int            # ns since its list of workers was known to be fresh
-    usable: int            # workers that may be used
-    good: int              # answers lately that completed
-    bad: int               # and those that did not
-    stalled: int           # ns that its loop stood still at the longest, lately
-    keeps: bool            # whether what must be kept is kept
+
+    closing: bool  # it drains, or hands over
+    listed: int  # ns since its list of workers was known to be fresh
+    usable: int  # workers that may be used
+    good: int  # answers lately that completed
+    bad: int  # and those that did not
+    stalled: int  # ns that its loop stood still at the longest, lately
+    keeps: bool  # whether what must be kept is kept
 
 
 class Bounds(NamedTuple):
-    silent: int            # ns without a beat after which it is taken to hang
-    fresh: int             # ns that a list may be old
-    stall: int             # ns that its loop may stand still
-    settle: int            # ns that it must be well before it is announced
+    silent: int  # ns without a beat after which it is taken to hang
+    fresh: int  # ns that a list may be old
+    stall: int  # ns that its loop may stand still
+    settle: int  # ns that it must be well before it is announced
 
 
 def wrong(facts, bounds, was_poor=False):
@@ -63,7 +70,13 @@
     """One dispatcher's, as its speaker judges it."""
 
     def __init__(self, bounds, now):
-        self.bounds, self.level, self.why, self.facts, self.heard = bounds, NONE, "nothing was heard of it yet", None, now
+        self.bounds, self.level, self.why, self.facts, self.heard = (
+            bounds,
+            NONE,
+            "nothing was heard of it yet",
+            None,
+            now,
+        )
         self.well_since, self.fault, self.fault_at, self.poor, self.flaps = None, 0.0, now, False, 0
 
     def beat(self, now, facts):
@@ -92,7 +105,8 @@
         return FULL, "", False
 
     def look(self, now, others):
-        """Asked at each beat and a few times a second. `others`: whether another announcement that is not LESS is seen. Whether
+        """Asked at each beat and a few times a second. `others`: whether another announcement that is not
+        LESS is seen. Whether
         level or cause has changed."""
         level, why, shared = self._verdict(now, others)
         before = self.level, self.why
--- a/petrelwood/dispatch/core.py
+++ b/petrelwood/dispatch/core.py
@@ -1,11 +1,14 @@
-"""What a dispatcher does between its fronts and its links: it tells the module what happens and carries out what it
+"""What a dispatcher does between its fronts and its links: it tells the module what happens and carries out
+what it
 decides. Free of I/O: the clock and the links are handed in, so that the emulator drives this very code.
 
     front -> signature -> intake (room, retry or replay, patience) -> duty -> module -> link -> worker
 
-and back. What happens while the module is being told of something is told after that, in order: the module is never
+and back. What happens while the module is being told of something is told after that, in order: the module is
+never
 entered twice. A defect ends the activations it touched with an abort, never the others.
 """
+
 import traceback
 from collections import deque
 
@@ -24,23 +27,31 @@
 from petrelwood.decide.forecasting.planner import Prices
 from petrelwood.decide.overload.sliding_window import Ring
 
-MOST_IN_A_TURN = 10_000    # what follows from what, before the clock is let go on
-KEPT_BODY = 4096           # bytes of an answer that is kept for a retry after a restart
-WELL = 1_000_000_000       # ns of a bucket of answers that tell how well it does
-LOOK = 500_000_000         # ns between looks at storms
-REPEATS = 0.5              # repeated sends for each first one
-RECONNECTS = 32.0          # connections tried again at once, over all links
+MOST_IN_A_TURN = 10_000  # what follows from what, before the clock is let go on
+KEPT_BODY = 4096  # bytes of an answer that is kept for a retry after a restart
+WELL = 1_000_000_000  # ns of a bucket of answers that tell how well it does
+LOOK = 500_000_000  # ns between looks at storms
+REPEATS = 0.5  # repeated sends for each first one
+RECONNECTS = 32.0  # connections tried again at once, over all links
 
 
 class Core:
-    """One dispatcher. It is the module's `ports.Outlet`. `clock` as in `clocks`; `chance` a seeded `random.Random`;
-    `link(worker, address, core)` makes a link: `run`, `hold`, `probe`, `cancel`, `late`, `withdraw`, `recall`, `owes`, `give_up`,
+    """One dispatcher. It is the module's `ports.Outlet`. `clock` as in `clocks`; `chance` a seeded
+    `random.Random`;
+    `link(worker, address, core)` makes a link: `run`, `hold`, `probe`, `cancel`, `late`, `withdraw`,
+    `recall`, `owes`, `give_up`,
     which hear nothing but tells us `returned`, `held`, `probed` through `soon`."""
 
-    slices = False             # whether forecasts are learnt a few functions at a time
+    slices = False  # whether forecasts are learnt a few functions at a time
 
     def __init__(self, gateway, clock, chance, link, log, brain=Brain, state=None):
-        self.gateway, self.log, self.name, self.clock, self.make_link = gateway, log, gateway.name, clock, link
+        self.gateway, self.log, self.name, self.clock, self.make_link = (
+            gateway,
+            log,
+            gateway.name,
+            clock,
+            link,
+        )
         self.now, self.limits, self.terms, start = clock.now, gateway.limits, gateway.terms, clock.now()
         self.chance = chance
         self.ledger, self.intake, prefix = self._stages()
@@ -53,30 +64,55 @@
         self.clock.at(start + LOOK, self._look)
         self.counts = {"sends": 0, "orders": 0, "probes": 0, "refused_by_guard": 0, "over_budget": 0}
         self.brain = brain(start, self.terms, gateway.seed, self)
-        self.state, self.returning, self.unkept, self.retired, self.hears_end, self.tells_end = None, None, {}, False, None, None
-        self.unsure = None                               # `unsure(now)`: whether another process may own what comes
+        self.state, self.returning, self.unkept, self.retired, self.hears_end, self.tells_end = (
+            None,
+            None,
+            {},
+            False,
+            None,
+            None,
+        )
+        # `unsure(now)`: whether another process may own what comes
+        self.unsure = None
         self.goods, self.bads = Ring(WELL, 11), Ring(WELL, 11)
         if state is not None:
             self.adopt(state)
-        self.early, self.note = None, None               # `note(...)` of `store.history`, where one is kept
+        self.early, self.note = None, None  # `note(...)` of `store.history`, where one is kept
         if gateway.early is not None and hasattr(self.brain, "wish"):
             self._begin_early(gateway.early)
 
     def _stages(self):
-        """What an activation passes before the module: the ledger (or None), the intake, and what ids are made from (or None)."""
+        """What an activation passes before the module: the ledger (or None), the intake, and what ids are
+        made from (or None)."""
         gateway, wall = self.gateway, self.clock.wall()
-        ledger = Ledger(self.limits.ledger, self.limits.results, gateway.tolerance, self.terms.types, gateway.remember, wall)
+        ledger = Ledger(
+            self.limits.ledger,
+            self.limits.results,
+            gateway.tolerance,
+            self.terms.types,
+            gateway.remember,
+            wall,
+        )
         intake = Intake(self.limits, gateway.timeouts, self.terms, ledger, self.chance.random, gateway.damps)
         return ledger, intake, f"{self.name}-{wall // 1000:x}-"
 
     # What an earlier life left, and what is kept of this one.
     def adopt(self, state, elsewhere=False):
-        """Goes on from what earlier lives left. `state` as `store.state.StateLog`: `found`, `add`, `flush`, `stopped`, `durability`,
+        """Goes on from what earlier lives left. `state` as `store.state.StateLog`: `found`, `add`, `flush`,
+        `stopped`, `durability`,
         `boot`. `elsewhere`: the life before still finishes what it took."""
         now, wall, self.state = self.now(), self.clock.wall(), state
         found = recovery.replay(self.state.found, wall, self.state.boot, self.state.durability == "machine")
-        known = recovery.fill(self.ledger, found, now, wall, self.terms.types, self.gateway.remember, self.gateway.tolerance,
-                              elsewhere)
+        known = recovery.fill(
+            self.ledger,
+            found,
+            now,
+            wall,
+            self.terms.types,
+            self.gateway.remember,
+            self.gateway.tolerance,
+            elsewhere,
+        )
         self.returning = recovery.Return(found, now, wall, self.terms.guarantees, self.terms.orders)
         if self.returning.orders and hasattr(self.brain, "resumed"):
             self.brain.resumed(now, self.returning.orders)
@@ -84,8 +120,14 @@
             self.intake.ramp.begin(now)
         self.state.found = []
         if found.last:
-            self.log.info("state found", ids=known, orders=self.returning.orders, in_order=found.in_order,
-                          whole=bool(found.began), clock_back=found.clock_back)
+            self.log.info(
+                "state found",
+                ids=known,
+                orders=self.returning.orders,
+                in_order=found.in_order,
+                whole=bool(found.began),
+                clock_back=found.clock_back,
+            )
 
     # A hand-over: see `decide.cluster.handover`.
     def well(self):
@@ -100,7 +142,8 @@
         return counts[led.COMPLETED], counts[led.ABORTED] + counts[led.REJECTED]
 
     def give_way(self, hears_end):
-        """From now on nothing new is taken or loaded here; `hears_end(customer, id, outcome, sent, body)` is told how what is on
+        """From now on nothing new is taken or loaded here; `hears_end(customer, id, outcome, sent, body)` is
+        told how what is on
         hand ends."""
         self.intake.closing, self.retired, self.hears_end = True, True, hears_end
         if self.state is not None:
@@ -125,9 +168,12 @@
         self._finish(act.id, led.REJECTED, retry_after=self.intake.come_back(self.now(), *act.key))
 
     def _keep(self, act):
-        """Notes a new activation; whether it may be told to the module at once. What must not run twice waits until its id is
+        """Notes a new activation; whether it may be told to the module at once. What must not run twice waits
+        until its id is
         kept, and is turned away where it can't be."""
-        self.state.add(recovery.TAKE, self.clock.wall(), *act.key, self.ledger.entries[act.key].stamp, act.type)
+        self.state.add(
+            recovery.TAKE, self.clock.wall(), *act.key, self.ledger.entries[act.key].stamp, act.type
+        )
         if not recovery.kept_first(self.terms.types[act.type].effect):
             return True
         if self.state.durability == "machine":
@@ -155,7 +201,9 @@
 
     def _begin(self, act):
         self.touched.add(act.id)
-        self.brain.activation(self.now(), act.id, act.fn, act.type, act.customer, act.due, act.lanes, act.work, act.load_time)
+        self.brain.activation(
+            self.now(), act.id, act.fn, act.type, act.customer, act.due, act.lanes, act.work, act.load_time
+        )
 
     def _ended(self, act, outcome, body):
         if outcome != led.LEFT:
@@ -171,9 +219,18 @@
     def _begin_early(self, terms):
         calendar = Calendar(terms.slot, terms.season, terms.week, terms.events)
         orders = self.terms.orders
-        self.early = EarlyLoads(calendar, Prices(terms.fetch, terms.memory_price), orders.keep, self.terms.dispatchers,
-                                self.chance.random, lambda *wish: self.brain.wish(self.now(), *wish), self.terms.zone,
-                                terms.size, terms.memory, sliced=self.slices)
+        self.early = EarlyLoads(
+            calendar,
+            Prices(terms.fetch, terms.memory_price),
+            orders.keep,
+            self.terms.dispatchers,
+            self.chance.random,
+            lambda *wish: self.brain.wish(self.now(), *wish),
+            self.terms.zone,
+            terms.size,
+            terms.memory,
+            sliced=self.slices,
+        )
         self.clock.at(self.now() + terms.slot, self._early_turn)
 
     def _early_turn(self):
@@ -184,7 +241,11 @@
         """Storms are looked at; what they change is decided in `decide.overload.intake` and at the fronts."""
         for name, on, value in self.intake.look(self.now()):
             (self.log.warning if on else self.log.info)(
-                "a storm begins" if on else "a storm is over", symptom=name, value=round(value, 2), held=self.intake.held)
+                "a storm begins" if on else "a storm is over",
+                symptom=name,
+                value=round(value, 2),
+                held=self.intake.held,
+            )
             self.storm_changed(name, on)
         if self.state is not None:
             self.state.tend(self.clock.wall())
@@ -195,14 +256,20 @@
 
     def _plan(self):
         if self.intake.storms.on("cold") or self.intake.ramp.holds_back:
-            return                                       # guesses wait until what is asked for can be served
+            return  # guesses wait until what is asked for can be served
         orders = self.terms.orders
         self.early.turn(self.now(), self.clock.wall(), 1e9 if not orders.period else orders.free)
 
     def apply(self, gateway):
-        """A new version of the settings, of which all can act at once: customers' keys, functions, limits. What is on hand keeps
+        """A new version of the settings, of which all can act at once: customers' keys, functions, limits.
+        What is on hand keeps
         its times, and its customer until it has its answer."""
-        self.gateway, self.rules, self.limits, self.intake.limits = gateway, {}, gateway.limits, gateway.limits
+        self.gateway, self.rules, self.limits, self.intake.limits = (
+            gateway,
+            {},
+            gateway.limits,
+            gateway.limits,
+        )
         self.intake.ramp.bound(gateway.limits.held)
 
     def rule(self, function):
@@ -248,8 +315,9 @@
         touched = (self.touched or set()) | {a for a in args if isinstance(a, str) and a in self.duty.acts}
         at = traceback.extract_tb(fault.__traceback__)[-1]
         self.duty.counts["defects"] += 1
-        self.log.error("defect", where=where, at=f"{at.filename}:{at.lineno}", fault=repr(fault),
-                       aborted=len(touched))
+        self.log.error(
+            "defect", where=where, at=f"{at.filename}:{at.lineno}", fault=repr(fault), aborted=len(touched)
+        )
         for act_id in sorted(touched):
             if act_id in self.duty.acts:
                 self._finish(act_id, led.ABORTED, why="a defect in the dispatcher")
@@ -275,12 +343,19 @@
                 self._arm()
                 return
             exchange.answer(stage.ABORT, why="an earlier try may have run and must not run again")
-        elif verdict.what == stage.TAKE and self.state is not None and not recovery.may_take(
-                self.terms.types[ask.type].effect, self.state.stopped is None):
+        elif (
+            verdict.what == stage.TAKE
+            and self.state is not None
+            and not recovery.may_take(self.terms.types[ask.type].effect, self.state.stopped is None)
+        ):
             self.ledger.ended(key, led.LEFT)
-            exchange.answer(stage.REFUSE, retry_after=self.intake.come_back(now, *key), why="its id can't be kept now")
+            exchange.answer(
+                stage.REFUSE, retry_after=self.intake.come_back(now, *key), why="its id can't be kept now"
+            )
         elif verdict.what == stage.TAKE:
-            act = self.duty.take(now, key, ask, verdict.due, function, rule.lanes, body, exchange, rule.load_time, rule.work)
+            act = self.duty.take(
+                now, key, ask, verdict.due, function, rule.lanes, body, exchange, rule.load_time, rule.work
+            )
             exchange.act = act.id
             self.touched.add(act.id)
             self._arm()
@@ -303,7 +378,8 @@
             self.brain.left(self.now(), act_id)
 
     def _withdraw(self, act):
-        """It has ended: a send of it that waits in a link for a connection never leaves. Against sends after the end, also where
+        """It has ended: a send of it that waits in a link for a connection never leaves. Against sends after
+        the end, also where
         nothing may be cancelled."""
         for n in sorted(act.out):
             link = self.links.get(self.flying.get((act.id, n)))
@@ -340,7 +416,8 @@
         self._arm()
 
     def _out_of_time(self, act_id):
-        """Its sends time out, of which the module makes an answer; if it does not, there is one all the same."""
+        """Its sends time out, of which the module makes an answer; if it does not, there is one all the
+        same."""
         act = self.duty.acts.get(act_id)
         if act is None:
             return
@@ -379,8 +456,16 @@
             elif code == ports.MISSING:
                 self.early.missed(now, owed.fn, worker)
         if self.note is not None and code == ports.COMPLETED:
-            self.note(self.clock.wall(), owed.fn, owed.customer, self.terms.zone, note & 3, now - took - owed.came, took,
-                      0 if warm else took)
+            self.note(
+                self.clock.wall(),
+                owed.fn,
+                owed.customer,
+                self.terms.zone,
+                note & 3,
+                now - took - owed.came,
+                took,
+                0 if warm else took,
+            )
 
     def held(self, worker, fn, code, copies):
         if self.early is not None:
@@ -400,7 +485,7 @@
         for entry in entries:
             link, address = self.links.get(entry.worker), self.membership.address(entry.worker)
             if link is not None and address is not None and link.address != address:
-                link.address = address                   # first: what is lost makes room for new connections
+                link.address = address  # first: what is lost makes room for new connections
                 link.give_up("the worker has moved")
             if link is None and entry.usable:
                 self.links[entry.worker] = self.make_link(entry.worker, address, self)
@@ -409,7 +494,9 @@
 
     def let_links_go(self):
         """Those of workers that have left the list and that owe nothing any more."""
-        for worker in [w for w, link in self.links.items() if w not in self.membership.members and not link.owes()]:
+        for worker in [
+            w for w, link in self.links.items() if w not in self.membership.members and not link.owes()
+        ]:
             self.links.pop(worker).give_up("it has left the list")
 
     # The module's outlet.
@@ -428,7 +515,8 @@
         if self.repeats is not None:
             if not n:
                 self.repeats.first()
-            elif not self.repeats.spend():               # more are sent again than first: what fails is not helped by more
+            # more are sent again than first: what fails is not helped by more
+            elif not self.repeats.spend():
                 self.counts["over_budget"] += 1
                 self.soon(self.returned, act, n, worker, ports.NOT_SENT, 0, b"", now, None)
                 return
@@ -443,12 +531,18 @@
         if self.returning is None or now >= self.returning.cold_from:
             return True
         booted = self.membership.members[worker].entry.booted
-        return self.returning.may_send(now, bool(booted) and self.clock.wall() - booted < self.terms.guarantees.cold)
+        return self.returning.may_send(
+            now, bool(booted) and self.clock.wall() - booted < self.terms.guarantees.cold
+        )
 
     def reject(self, act, retry_after):
         self.touched.add(act)
         owed = self.duty.acts.get(act)
-        wait = self.intake.come_back(self.now(), *owed.key, retry_after) if retry_after and owed is not None else 0
+        wait = (
+            self.intake.come_back(self.now(), *owed.key, retry_after)
+            if retry_after and owed is not None
+            else 0
+        )
         self._finish(act, led.REJECTED, retry_after=wait)
 
     def abort(self, act):
@@ -467,7 +561,8 @@
             self.stays(self.now())
             self.soon(self.held, worker, fn, ports.NOT_SENT, 0)
             return
-        if self.state is not None:                       # before it goes out: it counts against the next life's ration
+        # before it goes out: it counts against the next life's ration
+        if self.state is not None:
             self.state.add(recovery.ORDER, self.clock.wall(), worker, fn, copies)
             self.state.flush()
         self.counts["orders"] += 1
--- a/petrelwood/dispatch/dispatcher.py
+++ b/petrelwood/dispatch/dispatcher.py
@@ -1,4 +1,6 @@
-"""The running dispatcher: the core on a loop, with its links to workers and the roster, its fronts, its end."""
+"""The running dispatcher: the core on a loop, with its links to workers and the roster, its fronts, its
+end."""
+
 import asyncio
 import gc
 import pathlib
@@ -14,10 +16,10 @@
 from petrelwood.store.history import History
 from petrelwood.store.state import StateLog
 
-CHECK = 0.05               # seconds between looks at links and lines that are not at rest
-LEARNT = 20                # functions whose forecasts are learnt at each look: about a twentieth of a core
-RENEW = 5_000_000_000      # ns between looks at certificates
-KEPT = 20                  # slots between two times that forecasts are put on the disk
+CHECK = 0.05  # seconds between looks at links and lines that are not at rest
+LEARNT = 20  # functions whose forecasts are learnt at each look: about a twentieth of a core
+RENEW = 5_000_000_000  # ns between looks at certificates
+KEPT = 20  # slots between two times that forecasts are put on the disk
 FORECAST, VERSION = "forecast", 1
 
 
@@ -31,6 +33,7 @@
 
 class Dispatcher(Core):
     """One dispatcher on the running loop."""
+
     slices = True
 
     def __init__(self, gateway, log, brain=Brain, follows=False):
@@ -40,12 +43,16 @@
         self.syncing, self.told_lost = False, False
         if not follows:
             self.open_state()
-        self.roster = RosterLink(gateway.roster, self.membership, 4 * gateway.workers.connect_within, self, log)
+        self.roster = RosterLink(
+            gateway.roster, self.membership, 4 * gateway.workers.connect_within, self, log
+        )
         self.history, self.ends, self.dumping, self.dumped, self.dump_at = None, None, None, [], 0
         if not follows:
             self.open_history()
         self.listed_once, self.renew_at = asyncio.Event(), self.now() + RENEW
-        self.identities = [tls for tls in (gateway.tls, gateway.worker_tls, gateway.mqtt and gateway.mqtt.tls) if tls]
+        self.identities = [
+            tls for tls in (gateway.tls, gateway.worker_tls, gateway.mqtt and gateway.mqtt.tls) if tls
+        ]
 
     # State on the disk, where a record counts only once it is there.
     def sync_soon(self):
@@ -54,7 +61,9 @@
             return
         self.syncing, acts = True, list(self.unkept)
         self.state.flush()
-        self.loop.run_in_executor(None, self.state.sync).add_done_callback(lambda done: self._synced(acts, done))
+        self.loop.run_in_executor(None, self.state.sync).add_done_callback(
+            lambda done: self._synced(acts, done)
+        )
 
     def _synced(self, acts, done):
         self.syncing = False
@@ -67,9 +76,12 @@
         terms, longest = self.gateway.state, max(self.gateway.remember.values()) + 2 * self.gateway.tolerance
         if terms is None:
             return
-        gc.disable()                                     # hundreds of thousands of records are made, and all of them stay
+        # hundreds of thousands of records are made, and all of them stay
+        gc.disable()
         try:
-            self.adopt(StateLog(terms.folder, self.clock.wall(), boot(), longest, terms.durability), elsewhere)
+            self.adopt(
+                StateLog(terms.folder, self.clock.wall(), boot(), longest, terms.durability), elsewhere
+            )
         finally:
             gc.enable()
 
@@ -84,7 +96,10 @@
 
     # Forecasts that survive, and the account that people read.
     def _begin_keeping(self):
-        self.ends, self.forecast_file = Ends(self.gateway.history.folder), self.history.folder / "forecast.snap"
+        self.ends, self.forecast_file = (
+            Ends(self.gateway.history.folder),
+            self.history.folder / "forecast.snap",
+        )
         self.early.account.told = self._early_ended
         self.dump_at = self.now() + KEPT * self.gateway.early.slot
         try:
@@ -97,8 +112,17 @@
 
     def _early_ended(self, now, early, end, seconds, memory):
         off = self.clock.wall() - now
-        self.ends.note(early.asked + off, early.stood and early.stood + off, now + off, early.function, early.hall,
-                       early.worker, end, round(seconds, 6), round(memory, 6))
+        self.ends.note(
+            early.asked + off,
+            early.stood and early.stood + off,
+            now + off,
+            early.function,
+            early.hall,
+            early.worker,
+            end,
+            round(seconds, 6),
+            round(memory, 6),
+        )
 
     def _keep_forecasts(self, now):
         """A few functions in each look, then the file in a thread."""
@@ -122,8 +146,9 @@
             self.log.warning("forecasts are not kept", why=f"{self.forecast_file}: {fault}")
 
     def _link(self, worker, address, core):
-        return WorkerLink(worker, address, self.gateway.workers, self.chance.random, core, self.log,
-                          self.gateway.worker_tls)
+        return WorkerLink(
+            worker, address, self.gateway.workers, self.chance.random, core, self.log, self.gateway.worker_tls
+        )
 
     async def sleep_until(self, when):
         await asyncio.sleep(max(0, when - self.now()) / 1e9)
@@ -137,7 +162,9 @@
         now = self.now()
         if self.state is not None and self.state.stopped and not self.told_lost:
             self.told_lost = True
-            self.log.error("state can't be kept: what must not run twice is turned away", why=self.state.stopped)
+            self.log.error(
+                "state can't be kept: what must not run twice is turned away", why=self.state.stopped
+            )
         for link in list(self.busy):
             if not link.check(now):
                 self.busy.pop(link, None)
--- a/petrelwood/dispatch/handover.py
+++ b/petrelwood/dispatch/handover.py
@@ -1,12 +1,17 @@
-"""Hand-over over a Unix socket: listeners by descriptor, state by its log, outcomes of what the old one still finishes.
+"""Hand-over over a Unix socket: listeners by descriptor, state by its log, outcomes of what the old one still
+finishes.
 
-Messages are msgpack lists behind a 4-byte length; descriptors ride on `offer`. What is decided is in `decide.cluster.handover`.
+Messages are msgpack lists behind a 4-byte length; descriptors ride on `offer`. What is decided is in
+`decide.cluster.handover`.
 
-    new -> old   ["hello", facts]                        old -> new   ["no", why] or ["offer", watch] with descriptors
+    new -> old   ["hello", facts]                        old -> new   ["no", why] or ["offer", watch] with
+    descriptors
     new -> old   ["ready"]                               old -> new   ["go", completed share, of how many]
     new -> old   ["owns"], ["alive"] now and then, later ["proven"] or ["back", why]
-    old -> new   ["end", customer, id, outcome, sent, body], ... ["drained"], or ["taken"]: the old one serves again
+    old -> new   ["end", customer, id, outcome, sent, body], ... ["drained"], or ["taken"]: the old one serves
+    again
 """
+
 import asyncio
 import os
 import pathlib
@@ -21,8 +26,9 @@
 
 SIZE = struct.Struct("<I")
 MOST = 1 << 20
-CHECK, BEAT = 0.05, 5      # seconds between looks, and looks between two signs of life
-STILL = 1_000_000_000      # ns without a look at the old one, after which this process asks itself whether it still owns
+CHECK, BEAT = 0.05, 5  # seconds between looks, and looks between two signs of life
+# ns without a look at the old one, after which this process asks itself whether it still owns
+STILL = 1_000_000_000
 
 
 class Lost(Exception):
@@ -35,12 +41,14 @@
     def __init__(self, sock, loop):
         sock.setblocking(False)
         self.sock, self.loop, self.data, self.fds, self.closed = sock, loop, bytearray(), [], False
-        self.sending = asyncio.Lock()                    # many tell at a time: one message after the other, in their order
+        # many tell at a time: one message after the other, in their order
+        self.sending = asyncio.Lock()
 
     async def send(self, *message, fds=()):
         data = SIZE.pack(len(body := msgpack.packb(message, use_bin_type=True))) + body
         try:
-            if fds:                                      # descriptors ride on the first bytes; a message fits the socket
+            # descriptors ride on the first bytes; a message fits the socket
+            if fds:
                 socket.send_fds(self.sock, [data], list(fds))
             else:
                 async with self.sending:
@@ -55,8 +63,8 @@
                 if size > MOST:
                     raise Lost("a message's length can't be")
                 if len(self.data) >= SIZE.size + size:
-                    body = bytes(self.data[SIZE.size:SIZE.size + size])
-                    del self.data[:SIZE.size + size]
+                    body = bytes(self.data[SIZE.size : SIZE.size + size])
+                    del self.data[: SIZE.size + size]
                     try:
                         message = msgpack.unpackb(body, raw=False)
                     except ValueError:
@@ -95,7 +103,8 @@
 
 
 class Giver:
-    """In the process that serves: waits on the control socket for one that follows. `core`: a `Dispatcher`; `gives` and
+    """In the process that serves: waits on the control socket for one that follows. `core`: a `Dispatcher`;
+    `gives` and
     `takes_back` are called beside the webhooks' own, `over` when this process may end."""
 
     def __init__(self, path, core, webhooks, log, gives, takes_back, over):
@@ -130,8 +139,12 @@
         while True:
             await asyncio.sleep(CHECK)
             self._do(self.machine.check(self.core.now()))
-            if self.machine.state == handover.WATCHING and not self.machine.drained and not self.core.duty.acts and all(
-                    front.quiet() for front in self.core.fronts):
+            if (
+                self.machine.state == handover.WATCHING
+                and not self.machine.drained
+                and not self.core.duty.acts
+                and all(front.quiet() for front in self.core.fronts)
+            ):
                 self.machine.is_drained(self.core.now())
                 await self._tell("drained")
                 self._do("end" if self.machine.state == handover.OVER else None)
@@ -147,8 +160,11 @@
         now = self.core.now
         try:
             kind, facts = (await asyncio.wait_for(channel.receive(), 5))[:2]
-            why = "it did not greet" if kind != "hello" or not isinstance(facts, dict) else handover.refuses(
-                facts, self.core.name, store.FORMAT, self.machine.busy())
+            why = (
+                "it did not greet"
+                if kind != "hello" or not isinstance(facts, dict)
+                else handover.refuses(facts, self.core.name, store.FORMAT, self.machine.busy())
+            )
             if why:
                 self.log.warning("an upgrade was turned away", why=why)
                 await channel.send("no", why)
@@ -206,7 +222,8 @@
             self.core.take_back()
             self.webhooks.resume()
             self.takes_back()
-            if self.channel is not None:                 # one that only stood still must hear that it is over for it
+            # one that only stood still must hear that it is over for it
+            if self.channel is not None:
                 channel, self.channel = self.channel, None
                 self._task(self._dismiss(channel))
         elif what == "end":
@@ -230,8 +247,15 @@
             sock.close()
             raise Lost(f"nobody serves at {self.path}: {fault.strerror}") from None
         self.channel = Channel(sock, self.loop)
-        await self.channel.send("hello", {"name": self.name, "pid": os.getpid(), "protocol": handover.FORMAT,
-                                          "reads": (store.OLDEST, store.FORMAT)})
+        await self.channel.send(
+            "hello",
+            {
+                "name": self.name,
+                "pid": os.getpid(),
+                "protocol": handover.FORMAT,
+                "reads": (store.OLDEST, store.FORMAT),
+            },
+        )
         try:
             kind, fact = (await asyncio.wait_for(self.channel.receive(), 10))[:2]
         except asyncio.TimeoutError:
@@ -255,14 +279,16 @@
             raise Lost("the old process did not give way")
 
     async def follow(self, core, log, fails):
-        """Hears how what the old one finishes ends, and tells when this one has proven itself; `fails()` where it has not."""
+        """Hears how what the old one finishes ends, and tells when this one has proven itself; `fails()`
+        where it has not."""
         await self.channel.send("owns")
         self.fails, core.unsure, beat = fails, self._unsure, 0
         hears, self.looked = self.loop.create_task(self._hear(core, log)), core.now()
         try:
             while True:
                 await asyncio.sleep(CHECK)
-                if core.now() - self.looked > STILL:     # this process stood still: what came meanwhile is heard first
+                # this process stood still: what came meanwhile is heard first
+                if core.now() - self.looked > STILL:
                     await asyncio.sleep(4 * CHECK)
                 self.looked, beat = core.now(), beat + 1
                 if not beat % BEAT and self.machine.state == handover.OWNING:
@@ -285,8 +311,13 @@
             await asyncio.wait([hears], timeout=None if self.machine.state == handover.PROVEN else 0)
 
     def _unsure(self, now):
-        """Whether this process may have been given up without knowing: it stood still, or the old one serves again."""
-        return self.machine.state == handover.FAILED or self.machine.state == handover.OWNING and now - self.looked > STILL
+        """Whether this process may have been given up without knowing: it stood still, or the old one serves
+        again."""
+        return (
+            self.machine.state == handover.FAILED
+            or self.machine.state == handover.OWNING
+            and now - self.looked > STILL
+        )
 
     async def _hear(self, core, log):
         try:
--- a/petrelwood/dispatch/health.py
+++ b/petrelwood/dispatch/health.py
@@ -1,7 +1,9 @@
-"""What this dispatcher says of itself to the speaker beside it, from its own loop: one that hangs falls silent.
+"""What this dispatcher says of itself to the speaker beside it, from its own loop: one that hangs falls
+silent.
 
 While another process owns what is new (`retired`), it says nothing: the one that owns does.
 """
+
 import asyncio
 
 from petrelwood.bgp.beats import EVERY, Sender
@@ -9,27 +11,41 @@
 from petrelwood.decide.routing.serving import Facts
 
 SECOND = 1_000_000_000
-LATELY = SECOND // 2, 5    # buckets in which a stall is remembered
+LATELY = SECOND // 2, 5  # buckets in which a stall is remembered
 
 
 class Health:
     def __init__(self, path, core):
-        self.sender, self.core, self.task, self.last, self.stalls = Sender(path), core, None, core.now(), Ring(*LATELY)
+        self.sender, self.core, self.task, self.last, self.stalls = (
+            Sender(path),
+            core,
+            None,
+            core.now(),
+            Ring(*LATELY),
+        )
 
     def open(self):
         self.task = self.core.loop.create_task(self._beat())
 
     def facts(self):
         core, now = self.core, self.core.now()
-        # What it stood still for counts for two seconds: the sum over the ring is at least the longest of them.
+        # What it stood still for counts for two seconds: the sum over the ring is at least the longest of
+        # them.
         stalled = max(0, now - self.last - int(EVERY * SECOND))
         if stalled > EVERY * SECOND:
             self.stalls.add(now, stalled)
         self.last = now
         listed = now - core.membership.heard if core.membership.lost else 0
         usable = sum(1 for worker in core.membership.members if core.membership.usable(worker))
-        return Facts(core.intake.closing, listed, usable, core.goods.sum(now), core.bads.sum(now),
-                     self.stalls.sum(now), core.state is None or core.state.stopped is None)
+        return Facts(
+            core.intake.closing,
+            listed,
+            usable,
+            core.goods.sum(now),
+            core.bads.sum(now),
+            self.stalls.sum(now),
+            core.state is None or core.state.stopped is None,
+        )
 
     async def _beat(self):
         while True:
--- a/petrelwood/dispatch/serve.py
+++ b/petrelwood/dispatch/serve.py
@@ -1,4 +1,6 @@
-"""Runs one dispatcher until SIGTERM: takes nothing new, answers all it owes, exits 0. Or follows one that runs, without a gap."""
+"""Runs one dispatcher until SIGTERM: takes nothing new, answers all it owes, exits 0. Or follows one that
+runs, without a gap."""
+
 import asyncio
 import json
 import signal
@@ -18,7 +20,7 @@
 from petrelwood.store import state, versions
 
 
-AGAIN = 5                  # seconds between two tries to go back by an upgrade
+AGAIN = 5  # seconds between two tries to go back by an upgrade
 
 
 def versioned(again, own, folder, number):
@@ -30,13 +32,23 @@
     """One process's life. `follows`: it takes over from the process at the gateway's control socket."""
 
     def __init__(self, gateway, log, brain, follows, again=None, spawns=None, own=None, handed=None):
-        self.again, self.version = again, 1              # `again(text=None)` reads the settings anew
-        self.spawns, self.own = spawns, own or gateway   # `spawns(handed)`: the command that follows this; what its own file says
+        self.again, self.version = again, 1  # `again(text=None)` reads the settings anew
+        # `spawns(handed)`: the command that follows this; what its own file says
+        self.spawns, self.own = spawns, own or gateway
         self.rollout = Rollout.resumed(gateway.name, handed) if handed else Rollout(gateway.name, 0)
         self.gateway, self.log, self.follows, self.failed = gateway, log, follows, None
         self.core = Dispatcher(gateway, log, brain, follows)
-        self.front, self.triggers, self.giver, self.taker, self.tasks = Webhooks(gateway, self.core, log), None, None, None, []
-        self.ends, self.health = asyncio.Event(), Health(gateway.health, self.core) if gateway.health else None
+        self.front, self.triggers, self.giver, self.taker, self.tasks = (
+            Webhooks(gateway, self.core, log),
+            None,
+            None,
+            None,
+            [],
+        )
+        self.ends, self.health = (
+            asyncio.Event(),
+            Health(gateway.health, self.core) if gateway.health else None,
+        )
 
     async def run(self):
         core, log = self.core, self.log
@@ -44,7 +56,9 @@
         for name in (signal.SIGTERM, signal.SIGINT):
             core.loop.add_signal_handler(name, self.ends.set)
         if self.again is not None:
-            core.loop.add_signal_handler(signal.SIGHUP, lambda: self.tasks.append(core.loop.create_task(self._reload())))
+            core.loop.add_signal_handler(
+                signal.SIGHUP, lambda: self.tasks.append(core.loop.create_task(self._reload()))
+            )
         try:
             if self.follows:
                 self.taker = handover.Taker(self.gateway.control, core.loop, self.gateway.name)
@@ -52,7 +66,7 @@
             watch.open()
             core.open()
             await self._listed_or_ended()
-            if not self.ends.is_set():                   # without a list nothing can be served
+            if not self.ends.is_set():  # without a list nothing can be served
                 await self._begin()
                 await self.ends.wait()
         except (handover.Lost, state.Refused) as fault:
@@ -60,7 +74,7 @@
             if self.taker is not None and self.taker.channel is not None:
                 self.taker.channel.close()
         core.intake.closing = True
-        if self.health is not None:                      # before anything else: traffic has to go elsewhere
+        if self.health is not None:  # before anything else: traffic has to go elsewhere
             self.health.beat()
         log.info("closing", owed=len(core.duty.acts), why=self.failed)
         if self.giver is not None:
@@ -85,11 +99,17 @@
         self._take(new)
 
     def _take(self, new, rolls=False):
-        """Takes new settings if all of them can act at once; whether it did, or there was nothing to do. `BY_UPGRADE` where a roll-out
+        """Takes new settings if all of them can act at once; whether it did, or there was nothing to do.
+        `BY_UPGRADE` where a roll-out
         asks for it and it can be done by one."""
         found = settings_change.changes(self.gateway, new)
         when = settings_change.plan(found)
-        if when == settings_change.BY_UPGRADE and rolls and self.spawns is not None and self.giver is not None:
+        if (
+            when == settings_change.BY_UPGRADE
+            and rolls
+            and self.spawns is not None
+            and self.giver is not None
+        ):
             self.log.info("a version is taken by an upgrade", changes=[one.what for one in found])
             return settings_change.BY_UPGRADE
         told = [f"{one.what}{'; risky: ' + one.risk if one.risk else ''}" for one in found]
@@ -101,13 +121,16 @@
         elif when is None:
             self.log.info("the settings say what they said")
         else:
-            self.log.warning(f"the new settings can act {when} only; nothing changes",
-                             changes=[one.what for one in found if one.when != settings_change.AT_ONCE])
+            self.log.warning(
+                f"the new settings can act {when} only; nothing changes",
+                changes=[one.what for one in found if one.when != settings_change.AT_ONCE],
+            )
             return False
         return True
 
     async def _roll(self, folder):
-        """Versions that are announced in a folder: taken at this dispatcher's turn, and left again where they do worse."""
+        """Versions that are announced in a folder: taken at this dispatcher's turn, and left again where they
+        do worse."""
         loop, own, rollout = self.core.loop, self.own, self.rollout
         while True:
             await asyncio.sleep(1)
@@ -119,43 +142,61 @@
                 rollout.ended(False)
             self.rolled = (good, bad)
             if self.giver is not None and self.giver.machine.busy():
-                continue                                 # a hand-over is under way: the process that follows goes on with this
+                # a hand-over is under way: the process that follows goes on with this
+                continue
             verdict = rollout.look(self.core.clock.wall(), told)
             if verdict is None:
                 continue
             what, number = verdict
-            self.log.info("a version is taken" if what == "take" else "a version is left", now=number, calls_off=rollout.calls_off)
+            self.log.info(
+                "a version is taken" if what == "take" else "a version is left",
+                now=number,
+                calls_off=rollout.calls_off,
+            )
             bad_one, why = rollout.calls_off, "it did worse"
-            if bad_one is not None:                      # at once: the others must not wait for what is done here
-                await loop.run_in_executor(None, versions.call_off, folder, bad_one, f"{self.gateway.name}: {why}")
+            # at once: the others must not wait for what is done here
+            if bad_one is not None:
+                await loop.run_in_executor(
+                    None, versions.call_off, folder, bad_one, f"{self.gateway.name}: {why}"
+                )
             try:
-                new = own if not number else await loop.run_in_executor(None, versioned, self.again, own, folder, number)
+                new = (
+                    own
+                    if not number
+                    else await loop.run_in_executor(None, versioned, self.again, own, folder, number)
+                )
                 taken, why = self._take(new, True), "it can not act without a restart, or its upgrade failed"
             except BadFile as fault:
                 self.log.error("the version is wrong", why=str(fault))
                 taken, why = False, f"it is wrong: {fault}"
-            while taken == settings_change.BY_UPGRADE:                        # where it succeeds, this process ends
+            # where it succeeds, this process ends
+            while taken == settings_change.BY_UPGRADE:
                 taken = await self._upgraded()
-                if what == "back":                       # what is bad is left in any case
+                if what == "back":  # what is bad is left in any case
                     await asyncio.sleep(AGAIN)
                     taken = self._take(new, True)
             if not taken and what == "take":
                 rollout.could_not()
-                await loop.run_in_executor(None, versions.call_off, folder, number, f"{self.gateway.name}: {why}")
+                await loop.run_in_executor(
+                    None, versions.call_off, folder, number, f"{self.gateway.name}: {why}"
+                )
 
     async def _upgraded(self):
-        """Begins a process that takes over with the version that the roll-out has come to, and waits. False if this process serves on;
-        where it does not, this never returns. The other lives on when this one ends, so no asyncio transport may own it."""
+        """Begins a process that takes over with the version that the roll-out has come to, and waits. False
+        if this process serves on;
+        where it does not, this never returns. The other lives on when this one ends, so no asyncio transport
+        may own it."""
         command = self.spawns(json.dumps(self.rollout.handed()))
         try:
-            child = await self.core.loop.run_in_executor(None, lambda: subprocess.Popen(
-                command, stdin=subprocess.DEVNULL, stdout=subprocess.DEVNULL))
+            child = await self.core.loop.run_in_executor(
+                None, lambda: subprocess.Popen(command, stdin=subprocess.DEVNULL, stdout=subprocess.DEVNULL)
+            )
         except OSError as fault:
             self.log.error("the upgrade to a version can't be started", why=str(fault))
             return False
         while (code := child.poll()) is None:
             await asyncio.sleep(0.1)
-        while self.giver.machine.busy():                 # it is gone, and its end is still being seen to
+        while self.giver.machine.busy():  # it is gone, and its end is still being seen to
             await asyncio.sleep(0.05)
         self.log.error("the upgrade to a version failed", code=code)
         return False
@@ -184,18 +225,26 @@
         print(json.dumps({"ready": f"{host}:{port}"}), flush=True)
 
     def _open_rest(self):
-        """What only one process at a time may have: sessions at the broker, the history, the control socket."""
+        """What only one process at a time may have: sessions at the broker, the history, the control
+        socket."""
         self.open_triggers()
         if self.gateway.versions and self.again is not None:
             self.rolled = (0, 0) if self.follows else self.core.answered
             self.tasks.append(self.core.loop.create_task(self._roll(self.gateway.versions)))
         if self.gateway.control:
-            self.giver = handover.Giver(self.gateway.control, self.core, self.front, self.log, gives=self.close_triggers,
-                                        takes_back=self.open_triggers, over=self.ends.set)
+            self.giver = handover.Giver(
+                self.gateway.control,
+                self.core,
+                self.front,
+                self.log,
+                gives=self.close_triggers,
+                takes_back=self.open_triggers,
+                over=self.ends.set,
+            )
             self.giver.open()
 
     def open_triggers(self):
-        if self.triggers is not None:                    # those that had given way
+        if self.triggers is not None:  # those that had given way
             self.triggers.close_idle()
             self.core.fronts.remove(self.triggers)
         if self.gateway.mqtt is not None:
@@ -234,7 +283,8 @@
 
 
 def run(gateway, log, brain=Brain, follows=False, again=None, spawns=None, own=None, handed=None):
-    """Blocks until the end; `again()` reads the settings anew, at SIGHUP; `spawns`, `own`, `handed`: as `Serving` has them; 0, or 1 where the listener or the state can't be opened, or the hand-over failed."""
+    """Blocks until the end; `again()` reads the settings anew, at SIGHUP; `spawns`, `own`, `handed`: as
+    `Serving` has them; 0, or 1 where the listener or the state can't be opened, or the hand-over failed."""
     try:
         failed = asyncio.run(_serve(gateway, log, brain, follows, again, spawns, own, handed))
     except state.Refused as fault:
--- a/petrelwood/dispatch/stall.py
+++ b/petrelwood/dispatch/stall.py
@@ -1,11 +1,13 @@
 """Sees when the loop stands still for longer than a tick, and tells what it was doing."""
+
 import sys
 import threading
 import time
 
 
 class StallWatch:
-    """The loop beats; a thread looks. One line a stall, with where the loop's thread stood when it was noticed."""
+    """The loop beats; a thread looks. One line a stall, with where the loop's thread stood when it was
+    noticed."""
 
     def __init__(self, loop, tick, log, most_lines=100):
         self.loop, self.beat, self.log, self.left = loop, max(tick, 20_000_000) / 1e9, log, most_lines
@@ -31,8 +33,10 @@
             if time.monotonic() - self.last > 4 * self.beat and self.seen is None:
                 frame, places = sys._current_frames().get(self.ident), []
                 while frame is not None and len(places) < 6:
-                    places.append(f"{frame.f_code.co_filename.rsplit('/', 1)[-1]}:{frame.f_lineno} "
-                                  f"{frame.f_code.co_name}")
+                    places.append(
+                        f"{frame.f_code.co_filename.rsplit('/', 1)[-1]}:{frame.f_lineno} "
+                        f"{frame.f_code.co_name}"
+                    )
                     frame = frame.f_back
                 self.stalled += 1
                 self.seen = " < ".join(places)
--- a/petrelwood/drill.py
+++ b/petrelwood/drill.py
@@ -3,6 +3,7 @@
 It hosts any number of instances of the module, which share nothing, and translates names, units and
 codes only: each event becomes one call on its instance, each call on its `Line` one wire message.
 """
+
 import sys
 import traceback
 
@@ -12,10 +13,18 @@
 from petrelwood.brain import Brain
 from petrelwood.node.told import report, terms
 
-US = 1000   # nanoseconds in the wire's unit of time
-CODES = {"GOOD": ports.COMPLETED, "BAD": ports.ERROR, "FULL": ports.FULL, "LATE": ports.TIMED_OUT,
-         "NOCONN": ports.NO_CONNECTION, "RST": ports.RESET, "CXL": ports.CANCELLED,
-         "NOP": ports.NOT_SENT, "MISS": ports.MISSING}
+US = 1000  # nanoseconds in the wire's unit of time
+CODES = {
+    "GOOD": ports.COMPLETED,
+    "BAD": ports.ERROR,
+    "FULL": ports.FULL,
+    "LATE": ports.TIMED_OUT,
+    "NOCONN": ports.NO_CONNECTION,
+    "RST": ports.RESET,
+    "CXL": ports.CANCELLED,
+    "NOP": ports.NOT_SENT,
+    "MISS": ports.MISSING,
+}
 
 
 class Line:
@@ -50,8 +59,13 @@
 
 
 def listed(e):
-    return ports.Listed(e["runner"], e.get("rackZone") or "", e.get("cluster") or 0,
-                        (e.get("bootTime") or 0) * US, e["stageState"] == "U")
+    return ports.Listed(
+        e["runner"],
+        e.get("rackZone") or "",
+        e.get("cluster") or 0,
+        (e.get("bootTime") or 0) * US,
+        e["stageState"] == "U",
+    )
 
 
 class Host:
@@ -94,13 +108,30 @@
         if brain is None:
             raise ValueError(f"event {kind!r} for dispatcher {who!r}, which was not started")
         if kind == "workItem":
-            brain.activation(now, e["corr"], e["callee"], e["priority"], e.get("org") or "", e["due"] * US,
-                             int(e.get("width") or 1), (e.get("work") or 0) * US,
-                             int((e.get("loadTimeMs") or 0) * 1000 * US))
+            brain.activation(
+                now,
+                e["corr"],
+                e["callee"],
+                e["priority"],
+                e.get("org") or "",
+                e["due"] * US,
+                int(e.get("width") or 1),
+                (e.get("work") or 0) * US,
+                int((e.get("loadTimeMs") or 0) * 1000 * US),
+            )
         elif kind == "completed":
             note = e.get("detail") or 0
-            brain.answer(now, e["corr"], e["n"], e["runner"], CODES[e["stateCode"]], note & 7,
-                         bool(e.get("over")), e["took"] * US, report(e.get("gauge")))
+            brain.answer(
+                now,
+                e["corr"],
+                e["n"],
+                e["runner"],
+                CODES[e["stateCode"]],
+                note & 7,
+                bool(e.get("over")),
+                e["took"] * US,
+                report(e.get("gauge")),
+            )
         elif kind == "ring":
             brain.ring(now, e["mark"])
         elif kind == "stands":
@@ -121,8 +152,9 @@
             brain.begun(now, e["corr"], e["n"], e["runner"])
 
 
-KNOWN = frozenset(("workItem", "completed", "ring", "stands", "echo", "directoryUpdate", "left", "streaming",
-                   "fromPeer"))
+KNOWN = frozenset(
+    ("workItem", "completed", "ring", "stands", "echo", "directoryUpdate", "left", "streaming", "fromPeer")
+)
 
 
 def main():
@@ -135,7 +167,7 @@
             reply = host.batch(frame)
         except orjson.JSONDecodeError as fault:
             return f"petrelwood: line {number} is not JSON: {fault}"
-        except Exception as fault:      # reported with its place, never swallowed; the process ends
+        except Exception as fault:  # reported with its place, never swallowed; the process ends
             at = traceback.extract_tb(fault.__traceback__)[-1]
             if at.filename.endswith("brain.py"):
                 return f"petrelwood: line {number}: fault in the module at brain.py:{at.lineno}: {fault!r}"
--- a/petrelwood/emulate/broker.py
+++ b/petrelwood/emulate/broker.py
@@ -1,22 +1,33 @@
-"""A model of an MQTT 5 broker, free of sockets: sessions, shared subscriptions, quality of service, redelivery.
+"""A model of an MQTT 5 broker, free of sockets: sessions, shared subscriptions, quality of service,
+redelivery.
 
-It keeps to the standard as far as the platform needs it: sessions with expiry, QoS 0, 1 and 2 both ways, redelivery with
-DUP, Receive Maximum, message expiry, shared subscriptions whose QoS 1 messages go to another member when one is lost
+It keeps to the standard as far as the platform needs it: sessions with expiry, QoS 0, 1 and 2 both ways,
+redelivery with
+DUP, Receive Maximum, message expiry, shared subscriptions whose QoS 1 messages go to another member when one
+is lost
 (those of QoS 2 stay with their session), wills, takeover. Retained messages are not kept.
 """
+
 from collections import OrderedDict, deque
 
 from petrelwood.links import packets as mq
 
 SECOND = 1_000_000_000
-QUEUED = 10_000            # messages that wait for one session
+QUEUED = 10_000  # messages that wait for one session
 
 
 class Message:
     __slots__ = ("topic", "payload", "qos", "props", "ends", "number")
 
     def __init__(self, topic, payload, qos, props, ends, number):
-        self.topic, self.payload, self.qos, self.props, self.ends, self.number = topic, payload, qos, props, ends, number
+        self.topic, self.payload, self.qos, self.props, self.ends, self.number = (
+            topic,
+            payload,
+            qos,
+            props,
+            ends,
+            number,
+        )
 
 
 class Session:
@@ -35,7 +46,8 @@
 
 
 class Broker:
-    """`clock` as in `emulate.clock`; `may(user, topic, publishes)` tells who may use which topic; `saw(what, **facts)`
+    """`clock` as in `emulate.clock`; `may(user, topic, publishes)` tells who may use which topic; `saw(what,
+    **facts)`
     is told what passes."""
 
     def __init__(self, clock, may, saw=lambda what, **facts: None, chance=None):
@@ -91,7 +103,8 @@
             self.end(session)
 
     def end(self, session):
-        """The session is over: what waited for it goes to the others of its groups, but for QoS 2 in flight."""
+        """The session is over: what waited for it goes to the others of its groups, but for QoS 2 in
+        flight."""
         self.sessions.pop(session.client, None)
         self.saw("ended", client=session.client)
         for message in session.queue:
@@ -132,7 +145,7 @@
         if not self.may(session.user, packet.topic, True):
             code = mq.NOT_AUTHORIZED
         elif packet.qos == 2 and packet.id in session.received:
-            code = session.received[packet.id]           # it came again: it was routed once
+            code = session.received[packet.id]  # it came again: it was routed once
         else:
             code = mq.SUCCESS if self.route(packet, session) else mq.NO_SUBSCRIBERS
         if packet.qos == 2:
@@ -180,12 +193,26 @@
         props = {k: v for k, v in packet.props.items() if k not in ("topic_alias", "message_expiry")}
         expiry = packet.props.get("message_expiry")
         self.number += 1
-        message = Message(packet.topic, packet.payload, packet.qos, props,
-                          None if expiry is None else self.clock.now() + expiry * SECOND, self.number)
-        self.saw("published", client=session.client, message=message.number, topic=packet.topic, qos=packet.qos,
-                 correlation=(props.get("correlation_data") or b"").hex(), response=props.get("response_topic"),
-                 expiry=expiry, status=dict(props.get("user", ())).get("status"),
-                 act=dict(props.get("user", ())).get("activation"))
+        message = Message(
+            packet.topic,
+            packet.payload,
+            packet.qos,
+            props,
+            None if expiry is None else self.clock.now() + expiry * SECOND,
+            self.number,
+        )
+        self.saw(
+            "published",
+            client=session.client,
+            message=message.number,
+            topic=packet.topic,
+            qos=packet.qos,
+            correlation=(props.get("correlation_data") or b"").hex(),
+            response=props.get("response_topic"),
+            expiry=expiry,
+            status=dict(props.get("user", ())).get("status"),
+            act=dict(props.get("user", ())).get("activation"),
+        )
         taken, groups = False, set()
         for other in list(self.sessions.values()):
             for name, qos in other.filters.items():
@@ -212,9 +239,14 @@
             return False
         turn = self.turns[name] = self.turns.get(name, 0) + 1
         best = min(range(len(live)), key=lambda i: (len(live[i].queue), (i - turn) % len(live)))
-        made = Message(message.topic, message.payload, min(message.qos, live[best].filters[name]),
-                       {**message.props, "_shared": name, "_again": dup or message.props.get("_again", False)},
-                       message.ends, message.number)
+        made = Message(
+            message.topic,
+            message.payload,
+            min(message.qos, live[best].filters[name]),
+            {**message.props, "_shared": name, "_again": dup or message.props.get("_again", False)},
+            message.ends,
+            message.number,
+        )
         self._queue(live[best], made, made.qos)
         return True
 
@@ -233,7 +265,9 @@
 
     def _queue(self, session, message, qos):
         if message.qos != qos:
-            message = Message(message.topic, message.payload, qos, message.props, message.ends, message.number)
+            message = Message(
+                message.topic, message.payload, qos, message.props, message.ends, message.number
+            )
         if len(session.queue) < QUEUED and (qos or session.send is not None):
             session.queue.append(message)
             self._flow(session)
@@ -260,8 +294,18 @@
         if message.ends is not None:
             props["message_expiry"] = max(0, -(-(message.ends - self.clock.now()) // SECOND))
         self.saw("delivered", client=session.client, message=message.number, dup=dup, qos=message.qos)
-        session.send(mq.Packet(mq.PUBLISH, id_, topic=message.topic, payload=message.payload, qos=message.qos, dup=dup,
-                               retain=0, props=props))
+        session.send(
+            mq.Packet(
+                mq.PUBLISH,
+                id_,
+                topic=message.topic,
+                payload=message.payload,
+                qos=message.qos,
+                dup=dup,
+                retain=0,
+                props=props,
+            )
+        )
 
 
 def _split(name):
--- a/petrelwood/emulate/disk.py
+++ b/petrelwood/emulate/disk.py
@@ -1,8 +1,10 @@
-"""What a dispatcher of the emulator has kept: the records of `store.state`, in memory, over its kills and starts."""
+"""What a dispatcher of the emulator has kept: the records of `store.state`, in memory, over its kills and
+starts."""
 
 
 class Disk:
     """One life's view of the records."""
+
     stopped, durability, boot = None, "process", "emulated"
 
     def __init__(self, records, wall):
--- a/petrelwood/emulate/foresight.py
+++ b/petrelwood/emulate/foresight.py
@@ -1,12 +1,15 @@
-"""The future of a day, for comparison only: early loads that know each call of the next slot, which nobody can.
+"""The future of a day, for comparison only: early loads that know each call of the next slot, which nobody
+can.
 
-Arrivals are drawn apart from all answers, so a day played without early loads has the same calls as one with them.
+Arrivals are drawn apart from all answers, so a day played without early loads has the same calls as one with
+them.
 """
+
 import collections
 
 from petrelwood.decide.forecasting.prefetch import Known
 
-CERTAIN = 1.0              # the spread of a forecast that can't be wrong beyond chance
+CERTAIN = 1.0  # the spread of a forecast that can't be wrong beyond chance
 
 
 class Foresight:
@@ -14,7 +17,11 @@
 
     def __init__(self, day, seed, policy, make):
         first = make(day._replace(early=False), seed, policy, keep=False).run()
-        self.slot, self.calls, self.types = first.gateway_early.slot, collections.defaultdict(collections.Counter), {}
+        self.slot, self.calls, self.types = (
+            first.gateway_early.slot,
+            collections.defaultdict(collections.Counter),
+            {},
+        )
         origin = first.clock.wall() - first.clock.now()
         for wish in first.clients.wishes:
             self.calls[wish.fn][(origin + wish.begun) // self.slot] += 1
--- a/petrelwood/emulate/link.py
+++ b/petrelwood/emulate/link.py
@@ -1,14 +1,16 @@
 """Links and workers of the emulator: the model of a worker at the end of a network with distances and cuts.
 
-A link keeps to the same rules as the one on sockets: `decide.cluster.link_state` tells when to connect, `decide.delivery.send_outcome` what an
+A link keeps to the same rules as the one on sockets: `decide.cluster.link_state` tells when to connect,
+`decide.delivery.send_outcome` what an
 end proves. A call is handed over once the connection has greeted; it arrives one way's time later.
 """
+
 from collections import deque
 
 from petrelwood.decide.delivery import send_outcome
 from petrelwood.decide.cluster import link_state
 
-HOP = 100_000              # ns that a connection takes beyond the way: the handshakes
+HOP = 100_000  # ns that a connection takes beyond the way: the handshakes
 
 
 class Node:
@@ -16,7 +18,14 @@
 
     def __init__(self, platform, name, hall, cell):
         self.platform, self.name, self.hall, self.cell = platform, name, hall, cell
-        self.machine, self.booted, self.life, self.silent, self.muted, self.lying = None, 0, 0, False, False, False
+        self.machine, self.booted, self.life, self.silent, self.muted, self.lying = (
+            None,
+            0,
+            0,
+            False,
+            False,
+            False,
+        )
         self.wrong, self.links, self.drop = False, [], set()
 
     def start(self, booted):
@@ -50,8 +59,24 @@
 
 class Link:
     """From one dispatcher to one worker; what `dispatch.core.Core` asks of a link."""
-    __slots__ = ("platform", "node", "core", "hall", "terms", "state", "waiting", "out", "runs", "life", "dead", "attempt",
-                 "address", "worker", "counts")
+
+    __slots__ = (
+        "platform",
+        "node",
+        "core",
+        "hall",
+        "terms",
+        "state",
+        "waiting",
+        "out",
+        "runs",
+        "life",
+        "dead",
+        "attempt",
+        "address",
+        "worker",
+        "counts",
+    )
 
     def __init__(self, platform, node, core, hall, terms, chance):
         self.platform, self.node, self.core, self.hall, self.terms = platform, node, core, hall, terms
@@ -131,7 +156,7 @@
             self._lost()
             return
         if self.node.silent:
-            return                                       # accepted, and nothing more: it never greets
+            return  # accepted, and nothing more: it never greets
         self.state.connected(self.core.now())
         self.state.greeted(self.core.now(), self.node.name, self.node.booted)
         self.life = self.node.life
@@ -158,22 +183,41 @@
             self._back(call, "completed", 0, b"")
         elif call.kind == "hold":
             self.platform.saw("hold", who=node.name, by=self.core.name, fn=call.fn, count=call.n)
-            node.machine.hold(self.platform.model(call.fn), call.n,
-                              lambda word, copies: self._back(call, word, copies, b""))
+            node.machine.hold(
+                self.platform.model(call.fn), call.n, lambda word, copies: self._back(call, word, copies, b"")
+            )
         else:
             self._runs(call)
 
     def _runs(self, call):
         node, (mark, left, body) = self.node, call.args
         kind = self.platform.kind(call.fn)
-        self.platform.saw("run", who=node.name, by=self.core.name, act=call.act, n=call.n, fn=call.fn, mark=mark,
-                          type=kind.type)
+        self.platform.saw(
+            "run",
+            who=node.name,
+            by=self.core.name,
+            act=call.act,
+            n=call.n,
+            fn=call.fn,
+            mark=mark,
+            type=kind.type,
+        )
 
         def done(word, note):
             job, call.job = call.job, None
-            self.platform.saw("ran", who=node.name, by=self.core.name, act=call.act, n=call.n, word=word, mark=mark,
-                              muted=node.muted, waited=job.begun - job.came if job else 0)
+            self.platform.saw(
+                "ran",
+                who=node.name,
+                by=self.core.name,
+                act=call.act,
+                n=call.n,
+                word=word,
+                mark=mark,
+                muted=node.muted,
+                waited=job.begun - job.came if job else 0,
+            )
             self._back(call, word, note, b"ok")
+
         job = node.machine.run(self.platform.model(call.fn), body, self.platform.clock.now() + left, done)
         if job is not None and job.where != "over":
             call.job = job
@@ -181,7 +225,8 @@
     def _back(self, call, word, note, body):
         if self.node.muted or self.node.machine is None:
             return
-        if self.node.wrong and call.kind == "run":       # it answers another activation: that ends the connection
+        # it answers another activation: that ends the connection
+        if self.node.wrong and call.kind == "run":
             self.platform.after(self.way(), self._lost)
             return
         if call.kind == "run" and word == "ok" and note in (2, 3):
@@ -193,7 +238,13 @@
         if self.dead or life != self.life or call.over:
             return
         self.state.hears(self.core.now())
-        self._end(call, "completed" if word in ("ok", "completed") else send_outcome.of_error(word), note, body, gauge)
+        self._end(
+            call,
+            "completed" if word in ("ok", "completed") else send_outcome.of_error(word),
+            note,
+            body,
+            gauge,
+        )
 
     def _tell_worker(self, call):
         if call.stage == send_outcome.HANDED and not self.platform.is_cut(self.core.name, self.node.hall):
--- a/petrelwood/emulate/machine.py
+++ b/petrelwood/emulate/machine.py
@@ -1,37 +1,43 @@
-"""A model of a worker: cores, lanes, copies that lapse, memory, loads, a queue, cold starts, and bad behaviour.
+"""A model of a worker: cores, lanes, copies that lapse, memory, loads, a queue, cold starts, and bad
+behaviour.
 
-Activations at work share the cores; more than the cores bear make it less efficient. A worker that has just started
-does part of its work, rising evenly, and falls over when it is sent too much for too long. Times in ns, sizes in
+Activations at work share the cores; more than the cores bear make it less efficient. A worker that has just
+started
+does part of its work, rising evenly, and falls over when it is sent too much for too long. Times in ns, sizes
+in
 bytes, work in ns of one core at speed 1.
 """
+
 from collections import OrderedDict, deque
 from typing import NamedTuple
 
 
 class Build(NamedTuple):
     """What a worker is made of."""
+
     cores: int
     speed: float
     memory: int
-    loads: int             # at a time; twice as many wait
-    queue: int             # activations that wait for a lane or a load
-    keep: int              # an idle copy lapses after that
+    loads: int  # at a time; twice as many wait
+    queue: int  # activations that wait for a lane or a load
+    keep: int  # an idle copy lapses after that
     cold: int
     cold_from: float
-    fall_multiple: float   # 0: it never falls over
+    fall_multiple: float  # 0: it never falls over
     fall: int
-    thrash: float          # for each activation at work beyond the cores
-    eager: bool            # starts another copy by itself when all lanes are taken
+    thrash: float  # for each activation at work beyond the cores
+    eager: bool  # starts another copy by itself when all lanes are taken
     loads_on_send: bool
-    start_share: float     # of a load's time, spent on the start; the rest is the fetch
+    start_share: float  # of a load's time, spent on the start; the rest is the fetch
 
 
 class Model(NamedTuple):
     """One function's model."""
+
     name: str
     lanes: int
     size: int
-    load_time: int         # the usual time of a load
+    load_time: int  # the usual time of a load
 
 
 class Job:
@@ -77,7 +83,12 @@
         if not n or self.clock.now() < self.paused_until or self.hung:
             return 0.0
         over = max(0, n - self.build.cores)
-        return min(1.0, self.build.cores / n) * self.capacity() / self.build.cores / (1 + self.build.thrash * over)
+        return (
+            min(1.0, self.build.cores / n)
+            * self.capacity()
+            / self.build.cores
+            / (1 + self.build.thrash * over)
+        )
 
     def _move(self):
         now = self.clock.now()
@@ -118,7 +129,7 @@
         self._arrived(work, now)
         job = Job(model, work, due, done, now)
         if self.fallen:
-            return None                                  # it answers nothing any more
+            return None  # it answers nothing any more
         copy = self._free(model)
         if copy is not None:
             self._begin(job, copy)
@@ -193,7 +204,7 @@
                 return
             job = waits.popleft()
             self.waiting -= 1
-            if self.clock.now() >= job.due:              # what is out of time is not begun
+            if self.clock.now() >= job.due:  # what is out of time is not begun
                 job.where = "over"
                 job.done("late", 0)
                 continue
@@ -284,8 +295,12 @@
                 self.images.move_to_end(model.name)
                 self.clock.at(self.clock.now() + start, self._loaded, model, release, True)
             else:
-                self.fetch(model.size, lambda ok, m=model, r=release, s=start: self.clock.at(
-                    self.clock.now() + (s if ok else 0), self._loaded, m, r, ok))
+                self.fetch(
+                    model.size,
+                    lambda ok, m=model, r=release, s=start: self.clock.at(
+                        self.clock.now() + (s if ok else 0), self._loaded, m, r, ok
+                    ),
+                )
 
     def _loaded(self, model, release, ok):
         self.loading[model.name] -= 1
@@ -340,7 +355,8 @@
             self._unload(copy)
 
     def release(self, names):
-        """These functions are released anew: their copies and images are void, those at work when they are done."""
+        """These functions are released anew: their copies and images are void, those at work when they are
+        done."""
         for name in names:
             self.releases[name] = self.releases.get(name, 0) + 1
             self.images.pop(name, None)
@@ -369,6 +385,10 @@
         """The load report: the fields that the module reads."""
         busy = sum(c.model.size for copies in self.copies.values() for c in copies if c.busy)
         loading = self.used - sum(c.model.size for copies in self.copies.values() for c in copies)
-        return {"running": len(self.at_work), "waiting": self.waiting,
-                "cores": min(1.0, len(self.at_work) / self.build.cores),
-                "pinned": (busy + loading) / self.build.memory, "loads": sum(self.loading.values())}
+        return {
+            "running": len(self.at_work),
+            "waiting": self.waiting,
+            "cores": min(1.0, len(self.at_work) / self.build.cores),
+            "pinned": (busy + loading) / self.build.memory,
+            "loads": sum(self.loading.values()),
+        }
--- a/petrelwood/emulate/platform.py
+++ b/petrelwood/emulate/platform.py
@@ -1,8 +1,11 @@
-"""The whole platform in virtual time: workers, store, roster, halls, dispatchers, clients, and what goes wrong.
+"""The whole platform in virtual time: workers, store, roster, halls, dispatchers, clients, and what goes
+wrong.
 
-It drives the code that serves: `dispatch.core.Core` with the module and all of `decide`. Deterministic from a seed. What
+It drives the code that serves: `dispatch.core.Core` with the module and all of `decide`. Deterministic from a
+seed. What
 passes is recorded as the stand-ins record it, so that the same audit judges both.
 """
+
 import collections
 from random import Random
 
@@ -55,20 +58,25 @@
 
 
 class Platform:
-    """One day. `policy` makes the module (`Brain`, or a baseline of `emulate.policies`); `keep` keeps all records."""
+    """One day. `policy` makes the module (`Brain`, or a baseline of `emulate.policies`); `keep` keeps all
+    records."""
 
     def __init__(self, day, seed, policy=Brain, keep=True, across=600_000, within=200_000, future=None):
         self.day, self.seed, self.clock, self.policy, self.keep = day, seed, VirtualClock(), policy, keep
         self.records, self.events, self.across, self.within, self.client_way = [], 0, across, within, 400_000
-        self.gateway = settings.read("day", script.gateway_text(
-            day, "d", 1, "127.0.0.1:1", "127.0.0.1:1", {c.name: [KEY] for c in day.clients}, seed))
+        self.gateway = settings.read(
+            "day",
+            script.gateway_text(
+                day, "d", 1, "127.0.0.1:1", "127.0.0.1:1", {c.name: [KEY] for c in day.clients}, seed
+            ),
+        )
         self.gateway_early, self.future, self.ends = self.gateway.early, future, None
         if not day.early:
             self.gateway = self.gateway._replace(early=None)
         self.gateway = self.gateway._replace(damps=day.damps and self.gateway.damps)
         self.types, self.timeouts = self.gateway.terms.types, self.gateway.timeouts
         self.repeatable = {n: t.effect == "repeatable" for n, t in self.types.items()}
-        self.colds = 0                                   # activations that waited for a load
+        self.colds = 0  # activations that waited for a load
         self.models, self.cuts, self.log = {}, set(), Silent()
         self.store = Store(self.clock, **day.store)
         self.ways, self.loads = self.stream("ways"), self.stream("loads")
@@ -80,16 +88,19 @@
             self.saw("worker", who="operator", worker=name, zone=hall, cell=cell)
         self.roster_late, self.number, self.closed, self.news = day.roster_late, 0, False, []
         self.entries = {name: self._entry(name, membership.USABLE) for name in self.nodes}
-        self.disks = {}                                  # what each dispatcher has kept, over its lives
+        self.disks = {}  # what each dispatcher has kept, over its lives
         self.cores, self.lives, self.halls, self.known = {}, {}, {}, {}
         self.open_tries, self.by_hall, self.dead = collections.defaultdict(dict), {}, {}
         for number, name in enumerate(day.dispatchers):
             self.halls[name] = day.halls[number % len(day.halls)]
             self.lives[name] = 0
         for hall in day.halls:
-            self.by_hall[hall] = [n for n in day.dispatchers if self.halls[n] == hall] or list(day.dispatchers)
-        self.withdrawn = set()                           # dispatchers that the front layer sends nothing
-        self.stale, self.roster_free = set(), 0          # who hears nothing; when it has served those who asked
+            self.by_hall[hall] = [n for n in day.dispatchers if self.halls[n] == hall] or list(
+                day.dispatchers
+            )
+        self.withdrawn = set()  # dispatchers that the front layer sends nothing
+        # who hears nothing; when it has served those who asked
+        self.stale, self.roster_free = set(), 0
         self.counts = {"asked": 0, "turned away": 0}
         for name in day.dispatchers:
             self._start(name, list(self.entries.values()))
@@ -119,7 +130,13 @@
 
     # Workers.
     def make_machine(self, booted):
-        return Machine(self.clock, self.day.build, self.store.fetch, self.loads.uniform, self.clock.now() if booted else 0)
+        return Machine(
+            self.clock,
+            self.day.build,
+            self.store.fetch,
+            self.loads.uniform,
+            self.clock.now() if booted else 0,
+        )
 
     def kind(self, fn):
         return self.day.kind(fn)
@@ -151,14 +168,16 @@
 
     def _told(self, entry):
         if self.closed:
-            self.news.append(entry)                      # told in their order when it is back
+            self.news.append(entry)  # told in their order when it is back
             return
         self.number += 1
         self.entries[entry.worker] = entry
         if entry.state == membership.GONE:
             del self.entries[entry.worker]
         for name in self.day.dispatchers if not self.day.ask_every else ():
-            self.after(int(20 * MS * self.ways.uniform()), self._tell, name, self.lives[name], entry, self.number)
+            self.after(
+                int(20 * MS * self.ways.uniform()), self._tell, name, self.lives[name], entry, self.number
+            )
 
     def _tell(self, name, life, entry, number):
         core = self.cores.get(name)
@@ -167,15 +186,19 @@
         follows, now = core.membership.event(f"e-{number}"), self.clock.now()
         if follows == "old":
             return
-        if follows == "gap":                             # news overtook each other: the whole list is asked for
+        # news overtook each other: the whole list is asked for
+        if follows == "gap":
             self._list(name, list(self.entries.values()))
             return
-        self.saw("told", who="roster", to=name, kind="change", entries=[(entry.worker, entry.state, entry.booted)])
+        self.saw(
+            "told", who="roster", to=name, kind="change", entries=[(entry.worker, entry.state, entry.booted)]
+        )
         listed, leaving = core.membership.change(f"e-{number}", [entry], now, core.clock.wall())
         core.listed(listed, leaving, False)
 
     def _asks(self, name, life):
-        """A dispatcher asks for the list. Askings are served one after the other; one that would wait too long fails."""
+        """A dispatcher asks for the list. Askings are served one after the other; one that would wait too
+        long fails."""
         if self.lives[name] != life or name not in self.cores:
             return
         self.after(int(self.day.ask_every * (0.8 + 0.4 * self.ways.uniform())), self._asks, name, life)
@@ -206,8 +229,16 @@
 
     def _list(self, name, entries):
         core = self.cores[name]
-        self.saw("told", who="roster", to=name, kind="list", entries=[(e.worker, e.state, e.booted) for e in entries])
-        listed, leaving = core.membership.whole(f"e-{self.number}", entries, self.clock.now(), core.clock.wall())
+        self.saw(
+            "told",
+            who="roster",
+            to=name,
+            kind="list",
+            entries=[(e.worker, e.state, e.booted) for e in entries],
+        )
+        listed, leaving = core.membership.whole(
+            f"e-{self.number}", entries, self.clock.now(), core.clock.wall()
+        )
         core.listed(listed, leaving, True)
         self.known[name] = entries
 
@@ -215,11 +246,15 @@
     def _start(self, name, entries):
         number = self.day.dispatchers.index(name) + 1
         described = self.gateway._replace(
-            name=name, seed=self.seed * 1000 + number, terms=self.gateway.terms._replace(zone=self.halls[name]))
+            name=name,
+            seed=self.seed * 1000 + number,
+            terms=self.gateway.terms._replace(zone=self.halls[name]),
+        )
         clock, chance = LifeClock(self.clock), Random(described.seed)
 
         def link(worker, address, core):
             return Link(self, self.nodes[worker], core, self.halls[name], described.workers, chance.random)
+
         disk = Disk(self.disks.setdefault(name, []), clock.wall()) if self.day.state else None
         self.cores[name] = Core(described, clock, chance, link, self.log, self.policy, disk)
         if self.ends is not None:
@@ -242,7 +277,8 @@
     def _account_of(self, core):
         if core.early is not None:
             core.early.account.told = lambda now, early, end, seconds, memory: self.ends.note(
-                early.asked, early.stood, now, early.function, early.hall, early.worker, end, seconds, memory)
+                early.asked, early.stood, now, early.function, early.hall, early.worker, end, seconds, memory
+            )
 
     def _kill(self, name, down):
         core = self.cores.pop(name, None)
@@ -271,8 +307,10 @@
     def dispatcher_for(self, hall, manners):
         """A front layer spreads clients over the dispatchers of their hall; it notices a dead one late."""
         names = self.by_hall[hall]
-        if self.withdrawn:                               # its hall's first, else any that is announced
-            names = [n for n in names if n not in self.withdrawn] or [n for n in self.day.dispatchers if n not in self.withdrawn]
+        if self.withdrawn:  # its hall's first, else any that is announced
+            names = [n for n in names if n not in self.withdrawn] or [
+                n for n in self.day.dispatchers if n not in self.withdrawn
+            ]
             if not names:
                 return None
         for _ in range(4):
@@ -301,8 +339,13 @@
         second = min(wish.begun // SECOND, len(self.time_course) - 1)
         counts = self.time_course[second]
         target = self.types[wish.kind.type].target_latency
-        counts["in time" if wish.ended == "completed" and wish.took <= target else
-               "late" if wish.ended == "completed" else wish.ended] += 1
+        counts[
+            "in time"
+            if wish.ended == "completed" and wish.took <= target
+            else "late"
+            if wish.ended == "completed"
+            else wish.ended
+        ] += 1
 
     # What goes wrong.
     def _trouble(self, trouble):
@@ -326,8 +369,11 @@
                 node.machine.release(names)
 
     def _on_roster_late(self, t, nodes):
-        self._span(t, lambda: setattr(self, "roster_late", self.roster_late + t.what["by"]),
-                   lambda: setattr(self, "roster_late", self.roster_late - t.what["by"]))
+        self._span(
+            t,
+            lambda: setattr(self, "roster_late", self.roster_late + t.what["by"]),
+            lambda: setattr(self, "roster_late", self.roster_late - t.what["by"]),
+        )
 
     def _on_roster_lost(self, t, nodes):
         self._span(t, lambda: setattr(self, "closed", True), self._roster_back)
@@ -348,12 +394,15 @@
             if node.machine is None:
                 continue
             begin(node)
-            self.after(t.span, lambda node=node, life=node.life: node.life == life and node.machine and end(node))
+            self.after(
+                t.span, lambda node=node, life=node.life: node.life == life and node.machine and end(node)
+            )
 
     def _on_hang(self, t, nodes):
         def hang(node, on):
             node.muted = on
             node.machine.hang(on)
+
         self._each(t, nodes, lambda n: hang(n, True), lambda n: hang(n, False))
 
     def _on_slow(self, t, nodes):
@@ -384,10 +433,11 @@
         def begin(node):
             node.silent = True
             node.break_all()
+
         self._each(t, nodes, begin, lambda n: setattr(n, "silent", False))
 
     def _on_garbage(self, t, nodes):
-        self._on_reset(t, nodes)                         # what is no message ends the connection
+        self._on_reset(t, nodes)  # what is no message ends the connection
 
     def _on_lying(self, t, nodes):
         self._each(t, nodes, lambda n: setattr(n, "lying", True), lambda n: setattr(n, "lying", False))
@@ -453,7 +503,7 @@
     def _drawn(self, part, purpose):
         stream = self.stream(purpose)
         names = sorted(self.day.dispatchers, key=lambda n: stream.uniform())
-        return names[:max(1, round(part * len(names)))]
+        return names[: max(1, round(part * len(names)))]
 
     def _on_crash(self, t, nodes):
         for name in self._drawn(t.what["part"], f"crash {t.at}"):
@@ -470,28 +520,43 @@
         self._span(t, lambda: self.clients.hot.append(hot), lambda: self.clients.hot.remove(hot))
 
     def _on_scan(self, t, nodes):
-        self._span(t, lambda: setattr(self.clients, "scanning", t.what["part"]),
-                   lambda: setattr(self.clients, "scanning", 0.0))
+        self._span(
+            t,
+            lambda: setattr(self.clients, "scanning", t.what["part"]),
+            lambda: setattr(self.clients, "scanning", 0.0),
+        )
 
     def _on_heavy(self, t, nodes):
-        self._span(t, lambda: setattr(self.clients, "heavy", (t.what["part"], t.what["times"])),
-                   lambda: setattr(self.clients, "heavy", (0.0, 1.0)))
+        self._span(
+            t,
+            lambda: setattr(self.clients, "heavy", (t.what["part"], t.what["times"])),
+            lambda: setattr(self.clients, "heavy", (0.0, 1.0)),
+        )
 
     def _on_hurry(self, t, nodes):
-        self._span(t, lambda: setattr(self.clients, "hurry", (t.what["part"], t.what["patience"])),
-                   lambda: setattr(self.clients, "hurry", (0.0, 1.0)))
+        self._span(
+            t,
+            lambda: setattr(self.clients, "hurry", (t.what["part"], t.what["patience"])),
+            lambda: setattr(self.clients, "hurry", (0.0, 1.0)),
+        )
 
     def _on_shift(self, t, nodes):
         self.clients.shifted = (t.what["part"], self.day.halls[0])
 
     def _on_overuse(self, t, nodes):
         name = t.what["customer"]
-        self._span(t, lambda: self.clients.more.__setitem__(name, t.what["times"]),
-                   lambda: self.clients.more.pop(name, None))
+        self._span(
+            t,
+            lambda: self.clients.more.__setitem__(name, t.what["times"]),
+            lambda: self.clients.more.pop(name, None),
+        )
 
     def _on_burst(self, t, nodes):
-        self._span(t, lambda: self.clients.more.__setitem__("", t.what["times"]),
-                   lambda: self.clients.more.pop("", None))
+        self._span(
+            t,
+            lambda: self.clients.more.__setitem__("", t.what["times"]),
+            lambda: self.clients.more.pop("", None),
+        )
 
     def _nothing(self, t, nodes):
         """What only fronts on sockets can meet."""
@@ -505,7 +570,9 @@
         course = self.time_course[second]
         course["loads"] = sum(n.machine.counts["loads"] for n in self.nodes.values() if n.machine)
         course["fetched"] = self.store.counts["fetched"]
-        course["copies"] = sum(sum(map(len, n.machine.copies.values())) for n in self.nodes.values() if n.machine)
+        course["copies"] = sum(
+            sum(map(len, n.machine.copies.values())) for n in self.nodes.values() if n.machine
+        )
         course["at work"] = sum(len(n.machine.at_work) for n in self.nodes.values() if n.machine)
         self.after(SECOND, self._look)
 
@@ -523,7 +590,11 @@
     def case(self):
         """What was seen, arranged for the five rules."""
         from petrelwood.audit import rules
-        return rules.Case(self.records, self.gateway.terms, self.gateway.workers.drain_grace, self.day.build,
-                          self.day.works())
-
 
+        return rules.Case(
+            self.records,
+            self.gateway.terms,
+            self.gateway.workers.drain_grace,
+            self.day.build,
+            self.day.works(),
+        )
--- a/petrelwood/emulate/policies.py
+++ b/petrelwood/emulate/policies.py
@@ -1,9 +1,12 @@
 """Baselines in place of the module, for comparison only: none of them is a way that the program decides.
 
-They keep the rules by the same means (no send to whom is leaving, no second send where it may have run) and place each
-activation at once on some worker, which loads what it lacks. `Oracle` sees the true state of all workers, which nobody
+They keep the rules by the same means (no send to whom is leaving, no second send where it may have run) and
+place each
+activation at once on some worker, which loads what it lacks. `Oracle` sees the true state of all workers,
+which nobody
 can; it is held to be an upper bound, though greedy.
 """
+
 from random import Random
 from zlib import crc32
 
@@ -113,7 +116,8 @@
 
 
 class Oracle(Plain):
-    """Sees the machines: a worker with a free lane of a standing copy, else the one where it would be done first."""
+    """Sees the machines: a worker with a free lane of a standing copy, else the one where it would be done
+    first."""
 
     def see(self, platform):
         self.platform = platform
@@ -137,5 +141,12 @@
 def named():
     """All policies by name, the module first."""
     from petrelwood.brain import Brain
-    return {"petrelwood": Brain, "random-of-two": RandomOfTwo, "least-outstanding": LeastOutstanding,
-            "round-robin": RoundRobin, "bounded-hash": BoundedHash, "oracle": Oracle}
+
+    return {
+        "petrelwood": Brain,
+        "random-of-two": RandomOfTwo,
+        "least-outstanding": LeastOutstanding,
+        "round-robin": RoundRobin,
+        "bounded-hash": BoundedHash,
+        "oracle": Oracle,
+    }
--- a/petrelwood/emulate/result.py
+++ b/petrelwood/emulate/result.py
@@ -1,10 +1,12 @@
-"""What a day in the emulator comes to, as a flat row of figures and a check that nothing was lost in between."""
+"""What a day in the emulator comes to, as a flat row of figures and a check that nothing was lost in
+between."""
+
 import collections
 
 from petrelwood.decide.forecasting import account
 
 SECOND = 1_000_000_000
-LATE, OVER = 0.3, 0.1      # utility of an answer after its target latency, and of what lies beyond a share
+LATE, OVER = 0.3, 0.1  # utility of an answer after its target latency, and of what lies beyond a share
 
 
 def worth(platform, wish):
@@ -17,7 +19,8 @@
 
 
 def recovery(platform):
-    """Seconds from the end of the last trouble until the service of three seconds in a row is at nine tenths of what it was
+    """Seconds from the end of the last trouble until the service of three seconds in a row is at nine tenths
+    of what it was
     before the first; as long as the day goes on, where it never is. 0 without troubles."""
     troubles = [t for t in platform.day.troubles if t.at >= 3 * SECOND]
     if not troubles:
@@ -33,6 +36,7 @@
     def mean(seconds):
         got, asked = (sum(shares[s][i] for s in seconds) for i in (0, 1))
         return got / asked if asked else 1.0
+
     before = mean(range(1, first))
     for second in range(int(end), last - 2):
         if mean(range(second, second + 3)) >= 0.9 * before:
@@ -44,7 +48,11 @@
     """The figures of a day that has been played."""
     wishes, ends = platform.clients.wishes, collections.Counter()
     got = asked = 0.0
-    windows, customers, took = collections.defaultdict(lambda: [0.0, 0.0]), collections.defaultdict(lambda: [0.0, 0.0]), []
+    windows, customers, took = (
+        collections.defaultdict(lambda: [0.0, 0.0]),
+        collections.defaultdict(lambda: [0.0, 0.0]),
+        [],
+    )
     for wish in wishes:
         ends[wish.ended] += 1
         mine, all_ = worth(platform, wish)
@@ -65,15 +73,26 @@
         "service": got / asked if asked else 0.0,
         "worst 5 s": min(share, default=0.0),
         "worst customer": min((a / b for a, b in customers.values() if b > 0), default=0.0),
-        "wishes": len(wishes), "tries": sum(w.tries for w in wishes),
-        "completed": ends["completed"], "rejected": ends["rejected"], "aborted": ends["aborted"], "left": ends["left"],
-        "broken": ends["broken"] + ends["conflict"], "open": ends[None],
-        "sends": counts["sends"], "orders": counts["orders"], "probes": counts["probes"],
-        "overdue": counts["duty overdue"], "twice": counts["duty twice"], "defects": platform.log.counts["defect"],
-        "fetched": platform.store.counts["fetched"], "fetches refused": platform.store.counts["refused"],
+        "wishes": len(wishes),
+        "tries": sum(w.tries for w in wishes),
+        "completed": ends["completed"],
+        "rejected": ends["rejected"],
+        "aborted": ends["aborted"],
+        "left": ends["left"],
+        "broken": ends["broken"] + ends["conflict"],
+        "open": ends[None],
+        "sends": counts["sends"],
+        "orders": counts["orders"],
+        "probes": counts["probes"],
+        "overdue": counts["duty overdue"],
+        "twice": counts["duty twice"],
+        "defects": platform.log.counts["defect"],
+        "fetched": platform.store.counts["fetched"],
+        "fetches refused": platform.store.counts["refused"],
         "loads": sum(n.machine.counts["loads"] for n in platform.nodes.values() if n.machine),
         "fallen": sum(n.machine.fallen for n in platform.nodes.values() if n.machine),
-        "events": platform.events}
+        "events": platform.events,
+    }
     early = [c.early for c in cores if c.early is not None]
     figures["early loads"] = sum(e.made for e in early)
     figures["early refused"] = sum(e.refused for e in early)
@@ -88,7 +107,9 @@
     figures["service of listeners"] = got / asked if asked else figures["service"]
     figures["recovers s"] = recovery(platform)
     figures["cuts"] = sum(c.intake.ramp.cuts for c in cores)
-    figures["over budget"] = sum(c.intake.manners.counts["over budget"] for c in cores) + counts["over_budget"]
+    figures["over budget"] = (
+        sum(c.intake.manners.counts["over budget"] for c in cores) + counts["over_budget"]
+    )
     for part in (50, 90, 99):
         figures[f"p{part} ms"] = took[min(len(took) - 1, len(took) * part // 100)] / 1e6 if took else 0.0
     return figures
@@ -104,7 +125,8 @@
         copies = [c for held in machine.copies.values() for c in held]
         stale = {id(j.copy): j.copy for j in machine.at_work.values() if j.copy.stale}
         size = sum(c.model.size for c in copies) + sum(
-            platform.model(name).size * n for name, n in machine.loading.items())
+            platform.model(name).size * n for name, n in machine.loading.items()
+        )
         if size > machine.build.memory or machine.used < size and not stale:
             wrong.append(f"{node.name}: {machine.used} bytes used, copies and loads take {size}")
         busy = sum(c.busy for c in copies) + sum(c.busy for c in stale.values() if c not in copies)
@@ -113,7 +135,9 @@
         if any(c.busy > c.model.lanes or c.busy < 0 for c in copies):
             wrong.append(f"{node.name}: a copy has more activations than lanes")
         if machine.waiting != sum(map(len, machine.queue.values())):
-            wrong.append(f"{node.name}: {machine.waiting} said to wait, {sum(map(len, machine.queue.values()))} do")
+            wrong.append(
+                f"{node.name}: {machine.waiting} said to wait, {sum(map(len, machine.queue.values()))} do"
+            )
         if any(j.left > j.work + 1 for j in machine.at_work.values()):
             wrong.append(f"{node.name}: work grew")
     for name, core in platform.cores.items():
--- a/petrelwood/emulate/script.py
+++ b/petrelwood/emulate/script.py
@@ -6,6 +6,7 @@
 
 `TROUBLES` names every kind, what it takes and what it does.
 """
+
 import hashlib
 import math
 import pathlib
@@ -19,16 +20,28 @@
 
 # kind -> (properties it takes besides at=, what it does)
 TROUBLES = {
-    "release": ({"part": doc.share}, "so many of the functions are released anew: their copies and images are void"),
+    "release": (
+        {"part": doc.share},
+        "so many of the functions are released anew: their copies and images are void",
+    ),
     "roster-late": ({"for": doc.duration, "by": doc.duration}, "the roster runs so much later"),
     "roster-lost": ({"for": doc.duration}, "the roster closes its streams and takes none"),
-    "drain": ({"worker": doc.text, "for": doc.duration}, "a worker is announced as draining, then as usable again"),
+    "drain": (
+        {"worker": doc.text, "for": doc.duration},
+        "a worker is announced as draining, then as usable again",
+    ),
     "hang": ({"worker": doc.text, "for": doc.duration}, "a worker takes calls and answers nothing"),
-    "slow": ({"worker": doc.text, "for": doc.duration, "times": doc.number}, "a worker is so many times slower"),
+    "slow": (
+        {"worker": doc.text, "for": doc.duration, "times": doc.number},
+        "a worker is so many times slower",
+    ),
     "pause": ({"worker": doc.text, "for": doc.duration}, "a worker stands still"),
     "reset": ({"worker": doc.text}, "a worker resets its connections in the middle of answers"),
     "restart": ({"worker": doc.text, "down": doc.duration}, "a worker is killed and comes back cold"),
-    "silent-accept": ({"worker": doc.text, "for": doc.duration}, "a worker accepts connections and says nothing"),
+    "silent-accept": (
+        {"worker": doc.text, "for": doc.duration},
+        "a worker accepts connections and says nothing",
+    ),
     "garbage": ({"worker": doc.text}, "a worker sends what is no message, once, on each connection"),
     "broker-drop": ({}, "the broker throws out all clients at once"),
     "broker-lost": ({"for": doc.duration}, "the broker is away; its sessions are kept"),
@@ -38,69 +51,110 @@
     "replays": ({"for": doc.duration, "part": doc.share}, "old requests are sent again word for word"),
     "forgeries": ({"for": doc.duration, "part": doc.share}, "requests come with a wrong signature"),
     "slow-senders": ({"for": doc.duration, "count": doc.count}, "connections that send a byte now and then"),
-    "overuse": ({"customer": doc.text, "for": doc.duration, "times": doc.number}, "a customer asks so many times more"),
+    "overuse": (
+        {"customer": doc.text, "for": doc.duration, "times": doc.number},
+        "a customer asks so many times more",
+    ),
     "burst": ({"for": doc.duration, "times": doc.number}, "all traffic is so many times more"),
-    "kill": ({"dispatcher": doc.text, "down": doc.duration}, "a dispatcher is killed outright and started again"),
-    "stop": ({"dispatcher": doc.text, "down": doc.duration}, "a dispatcher is told to end, and started again"),
+    "kill": (
+        {"dispatcher": doc.text, "down": doc.duration},
+        "a dispatcher is killed outright and started again",
+    ),
+    "stop": (
+        {"dispatcher": doc.text, "down": doc.duration},
+        "a dispatcher is told to end, and started again",
+    ),
     "router-reset": ({}, "the router drops all its sessions without a word (where there is one)"),
-    "upgrade": ({"dispatcher": doc.text}, "another process takes over from a dispatcher (in the emulator nothing is seen of it)"),
+    "upgrade": (
+        {"dispatcher": doc.text},
+        "another process takes over from a dispatcher (in the emulator nothing is seen of it)",
+    ),
 }
 
 
 # Those that need the true state of the platform or the clients, so far played in the emulator alone.
 EMULATED = {
-    "hot": ({"for": doc.duration, "part": doc.share, "functions": doc.count},
-            "functions not seen before draw that part of all traffic"),
-    "scan": ({"for": doc.duration, "part": doc.share}, "that part of the calls is for functions wanted only once"),
-    "heavy": ({"for": doc.duration, "part": doc.share, "times": doc.number},
-              "that part of the activations costs so many times the usual work"),
-    "hurry": ({"for": doc.duration, "part": doc.share, "patience": doc.share},
-              "that part of the clients waits only that share of the target latency"),
+    "hot": (
+        {"for": doc.duration, "part": doc.share, "functions": doc.count},
+        "functions not seen before draw that part of all traffic",
+    ),
+    "scan": (
+        {"for": doc.duration, "part": doc.share},
+        "that part of the calls is for functions wanted only once",
+    ),
+    "heavy": (
+        {"for": doc.duration, "part": doc.share, "times": doc.number},
+        "that part of the activations costs so many times the usual work",
+    ),
+    "hurry": (
+        {"for": doc.duration, "part": doc.share, "patience": doc.share},
+        "that part of the clients waits only that share of the target latency",
+    ),
     "shift": ({"part": doc.share}, "that part of the traffic moves to one hall, for good"),
-    "ageing": ({"part": doc.share, "for": doc.duration, "times": doc.number, "down": doc.duration},
-               "workers grow slower and slower, die once and come back cold"),
-    "pauses": ({"part": doc.share, "for": doc.duration, "length": doc.duration, "every": doc.duration},
-               "workers stand still again and again"),
-    "cut": ({"dispatcher": doc.text, "hall": doc.text, "for": doc.duration},
-            "nothing passes from that dispatcher to that hall; the other way all does"),
+    "ageing": (
+        {"part": doc.share, "for": doc.duration, "times": doc.number, "down": doc.duration},
+        "workers grow slower and slower, die once and come back cold",
+    ),
+    "pauses": (
+        {"part": doc.share, "for": doc.duration, "length": doc.duration, "every": doc.duration},
+        "workers stand still again and again",
+    ),
+    "cut": (
+        {"dispatcher": doc.text, "hall": doc.text, "for": doc.duration},
+        "nothing passes from that dispatcher to that hall; the other way all does",
+    ),
     "lying": ({"worker": doc.text, "for": doc.duration}, "a worker's load reports say that it is idle"),
     "wrong-answers": ({"worker": doc.text, "for": doc.duration}, "a worker answers the wrong activation"),
-    "leak": ({"worker": doc.text, "for": doc.duration, "size": doc.size},
-             "a worker's memory is never released: so much is gone each second"),
-    "roster-stale": ({"part": doc.share, "for": doc.duration}, "that part of the dispatchers hears nothing of the roster"),
+    "leak": (
+        {"worker": doc.text, "for": doc.duration, "size": doc.size},
+        "a worker's memory is never released: so much is gone each second",
+    ),
+    "roster-stale": (
+        {"part": doc.share, "for": doc.duration},
+        "that part of the dispatchers hears nothing of the roster",
+    ),
     "clock-step": ({"dispatcher": doc.text, "by": doc.duration}, "a dispatcher's wall clock jumps ahead"),
-    "withdrawn": ({"part": doc.share, "for": doc.duration},
-                  "the front layer sends that part of the dispatchers nothing; what they have they finish"),
-    "crash": ({"part": doc.share, "down": doc.duration}, "that part of the dispatchers is killed and started again"),
-    "roll": ({"part": doc.share, "for": doc.duration, "down": doc.duration},
-             "that part of the dispatchers is restarted, one after another"),
+    "withdrawn": (
+        {"part": doc.share, "for": doc.duration},
+        "the front layer sends that part of the dispatchers nothing; what they have they finish",
+    ),
+    "crash": (
+        {"part": doc.share, "down": doc.duration},
+        "that part of the dispatchers is killed and started again",
+    ),
+    "roll": (
+        {"part": doc.share, "for": doc.duration, "down": doc.duration},
+        "that part of the dispatchers is restarted, one after another",
+    ),
 }
-WORKERS = ("drain", "hang", "slow", "pause", "reset", "restart", "silent-accept")      # take part= in place of worker=
+# take part= in place of worker=
+WORKERS = ("drain", "hang", "slow", "pause", "reset", "restart", "silent-accept")
 
 
 class Trouble(NamedTuple):
     kind: str
     at: int
-    span: int              # ns; 0: it has none
-    what: dict             # its other properties
+    span: int  # ns; 0: it has none
+    what: dict  # its other properties
 
 
 class Kind(NamedTuple):
     """A family of functions in the traffic."""
+
     prefix: str
     type: str
     count: int
-    part: float            # of all activations
+    part: float  # of all activations
     zipf: float
-    work: int              # ns of one core, the mean
+    work: int  # ns of one core, the mean
     lanes: int
     size: int
     load_time: int
-    customers: tuple       # those that call it; all if empty
-    turning: float         # the part of the functions that gives way to others
-    spell: int             # each so long, ns; 0: never
-    timed: float           # the part of the activations that comes from timers
-    season: int            # each function has its time in a season so long, ns; 0: called at any time
+    customers: tuple  # those that call it; all if empty
+    turning: float  # the part of the functions that gives way to others
+    spell: int  # each so long, ns; 0: never
+    timed: float  # the part of the activations that comes from timers
+    season: int  # each function has its time in a season so long, ns; 0: called at any time
 
     def model(self, name):
         """The model of one function: sizes differ, the same for everyone who asks."""
@@ -110,14 +164,14 @@
 
 class Client(NamedTuple):
     name: str
-    part: float            # of all activations
-    share: float           # activations a second that it is entitled to; 0: no share is kept
-    patience: int          # s, as Prefer: wait tells it; 0: not told
+    part: float  # of all activations
+    share: float  # activations a second that it is entitled to; 0: no share is kept
+    patience: int  # s, as Prefer: wait tells it; 0: not told
     retries: int
-    honours: float         # the part of Retry-After hints that it follows
-    impatient: float       # the part that hangs up early
-    by: str                # "webhook" or "mqtt"
-    devices: int           # sessions at the broker
+    honours: float  # the part of Retry-After hints that it follows
+    impatient: float  # the part that hangs up early
+    by: str  # "webhook" or "mqtt"
+    devices: int  # sessions at the broker
     insists: bool = False  # it tries again even what may have run, with the same id (emulator)
 
 
@@ -125,26 +179,27 @@
     file: str
     name: str
     length: int
-    settle: int            # after the last arrival
+    settle: int  # after the last arrival
     rate: float
-    dispatchers: tuple     # names
+    dispatchers: tuple  # names
     halls: tuple
-    workers: tuple         # (name, hall, cell)
+    workers: tuple  # (name, hall, cell)
     build: Build
     store: dict
     roster_late: int
-    stops_work: bool       # a cancel stops running work
-    warm: bool             # workers hold what they were asked for lately when the day begins
+    stops_work: bool  # a cancel stops running work
+    warm: bool  # workers hold what they were asked for lately when the day begins
     kinds: tuple
     clients: tuple
     troubles: tuple
-    terms: object          # the document node whose children go into each gateway's file
-    early: bool = True     # early loads, where the terms have them
-    ask_every: int = 0     # ns between askings of a roster that pushes nothing; 0: it pushes (emulator)
-    roster_lines: float = 0.0    # lines a second that it serves to all who ask; 0: as many as they ask for
-    damps: bool = True     # whether dispatchers damp storms
-    service: str = ""      # the address that dispatchers announce to a router, which steers the portal's traffic; "": there is none
-    state: bool = True     # whether what they keep survives a kill
+    terms: object  # the document node whose children go into each gateway's file
+    early: bool = True  # early loads, where the terms have them
+    ask_every: int = 0  # ns between askings of a roster that pushes nothing; 0: it pushes (emulator)
+    roster_lines: float = 0.0  # lines a second that it serves to all who ask; 0: as many as they ask for
+    damps: bool = True  # whether dispatchers damp storms
+    # the address that dispatchers announce to a router, which steers the portal's traffic; "": there is none
+    service: str = ""
+    state: bool = True  # whether what they keep survives a kill
 
     @property
     def upgrades(self):
@@ -171,11 +226,14 @@
             return [trouble.what["worker"]]
         if "part" not in trouble.what or trouble.kind not in WORKERS + ("ageing", "pauses"):
             return names
-        mark = sorted((hashlib.sha256(f"{seed}/{trouble.kind}/{trouble.at}/{n}".encode()).hexdigest(), n) for n in names)
-        return [n for _, n in mark[:max(1, round(trouble.what["part"] * len(names)))]]
+        mark = sorted(
+            (hashlib.sha256(f"{seed}/{trouble.kind}/{trouble.at}/{n}".encode()).hexdigest(), n) for n in names
+        )
+        return [n for _, n in mark[: max(1, round(trouble.what["part"] * len(names)))]]
 
     def standing(self, seed):
-        """{worker: [function]}: what stands loaded when the day begins, as if the traffic had gone on for long: copies
+        """{worker: [function]}: what stands loaded when the day begins, as if the traffic had gone on for
+        long: copies
         for what each function has at work on average, where it is called at all within a keep-alive."""
         names, found = [w[0] for w in self.workers], {w[0]: [] for w in self.workers}
         for kind in self.kinds if self.warm else ():
@@ -184,7 +242,9 @@
                 calls = self.rate * kind.part * weight / sum(weights)
                 if calls * self.build.keep / 1e9 < 1:
                     continue
-                for copy in range(min(len(names), max(1, math.ceil(1.5 * calls * kind.work / 1e9 / kind.lanes)))):
+                for copy in range(
+                    min(len(names), max(1, math.ceil(1.5 * calls * kind.work / 1e9 / kind.lanes)))
+                ):
                     mark = int(hashlib.sha256(f"{seed}/{kind.prefix}{i}/{copy}".encode()).hexdigest()[:8], 16)
                     found[names[mark % len(names)]].append(f"{kind.prefix}{i}")
         return found
@@ -193,7 +253,7 @@
         """The functions that a release of that part renews: the same everywhere."""
         names = [f"{k.prefix}{i}" for k in self.kinds for i in range(k.count)]
         mark = [(hashlib.sha256(f"{seed}/{n}".encode()).hexdigest(), n) for n in names]
-        return [n for _, n in sorted(mark)[:round(part * len(names))]]
+        return [n for _, n in sorted(mark)[: round(part * len(names))]]
 
 
 def find(name):
@@ -231,33 +291,52 @@
 
 
 def _kind(node):
-    made = Kind(node.arg(doc.text, "a prefix"), node.prop("type", doc.text), node.prop("count", doc.count),
-                node.prop("part", doc.share), node.prop("zipf", doc.number, 1.1), node.prop("work", doc.duration),
-                node.prop("lanes", doc.count, 1), node.prop("size", doc.size), node.prop("load-time", doc.duration),
-                tuple(c.arg(doc.text, "a customer") for c in node.every("customer")),
-                node.prop("turning", doc.share, 0.0), node.prop("spell", doc.duration, 0),
-                node.prop("timed", doc.share, 0.0), node.prop("season", doc.duration, 0))
+    made = Kind(
+        node.arg(doc.text, "a prefix"),
+        node.prop("type", doc.text),
+        node.prop("count", doc.count),
+        node.prop("part", doc.share),
+        node.prop("zipf", doc.number, 1.1),
+        node.prop("work", doc.duration),
+        node.prop("lanes", doc.count, 1),
+        node.prop("size", doc.size),
+        node.prop("load-time", doc.duration),
+        tuple(c.arg(doc.text, "a customer") for c in node.every("customer")),
+        node.prop("turning", doc.share, 0.0),
+        node.prop("spell", doc.duration, 0),
+        node.prop("timed", doc.share, 0.0),
+        node.prop("season", doc.duration, 0),
+    )
     node.done(1)
     return made
 
 
 def _client(node):
-    made = Client(node.arg(doc.text, "a name"), node.prop("part", doc.share), node.prop("share", doc.number, 0),
-                  node.prop("patience", doc.count, 0), node.prop("retries", doc.count, 1),
-                  node.prop("honours", doc.share, 1.0),
-                  node.prop("impatient", doc.share, 0.0), node.prop("by", doc.one_of("webhook", "mqtt"), "webhook"),
-                  node.prop("devices", doc.count, 4), node.prop("insists", doc.yes, False))
+    made = Client(
+        node.arg(doc.text, "a name"),
+        node.prop("part", doc.share),
+        node.prop("share", doc.number, 0),
+        node.prop("patience", doc.count, 0),
+        node.prop("retries", doc.count, 1),
+        node.prop("honours", doc.share, 1.0),
+        node.prop("impatient", doc.share, 0.0),
+        node.prop("by", doc.one_of("webhook", "mqtt"), "webhook"),
+        node.prop("devices", doc.count, 4),
+        node.prop("insists", doc.yes, False),
+    )
     node.done(1)
     return made
 
 
 def read(path, text=None, problems=None):
-    """The day that a file, or a text in its place, describes. Raises `document.BadFile`, or collects what is wrong in `problems`."""
+    """The day that a file, or a text in its place, describes. Raises `document.BadFile`, or collects what is
+    wrong in `problems`."""
     return described(doc.File(path, text, problems))
 
 
 def described(file):
-    """The day that a `document.File` describes; what is wrong is raised or collected as the file was opened to do."""
+    """The day that a `document.File` describes; what is wrong is raised or collected as the file was opened
+    to do."""
     node, fleet, terms = file.child("day"), file.child("fleet"), file.child("terms")
     length, count = node.value("length", doc.duration), node.value("dispatchers", doc.count)
     dispatchers = tuple(f"d{i + 1}" for i in range(count))
@@ -267,37 +346,71 @@
         halls.wrong("'halls' needs a name")
         names = ("",)
     many, cell = fleet.value("workers", doc.count), fleet.value("cell", doc.count, 4) or 1
-    workers = tuple((f"w{i + 1}", names[i % len(names)], 1 + i % len(names) * 1000 + i // len(names) // cell)
-                    for i in range(many))
+    workers = tuple(
+        (f"w{i + 1}", names[i % len(names)], 1 + i % len(names) * 1000 + i // len(names) // cell)
+        for i in range(many)
+    )
     bound = terms.child("workers")
     cold, fall = bound.child("cold"), bound.child("fall")
-    build = Build(fleet.value("cores", doc.count), fleet.value("speed", doc.number, 1.0),
-                  fleet.value("memory", doc.size), fleet.value("loads", doc.count, 4),
-                  fleet.value("queue", doc.count, 60), bound.value("keep", doc.duration),
-                  cold.arg(doc.duration, "a time"), cold.prop("from", doc.share),
-                  fall.prop("multiple", doc.number), fall.arg(doc.duration, "a time"),
-                  fleet.value("thrash", doc.number, 0.02), fleet.value("eager", doc.yes, False),
-                  bound.value("on-miss", doc.text) == "load", fleet.value("start-share", doc.share, 0.5))
+    build = Build(
+        fleet.value("cores", doc.count),
+        fleet.value("speed", doc.number, 1.0),
+        fleet.value("memory", doc.size),
+        fleet.value("loads", doc.count, 4),
+        fleet.value("queue", doc.count, 60),
+        bound.value("keep", doc.duration),
+        cold.arg(doc.duration, "a time"),
+        cold.prop("from", doc.share),
+        fall.prop("multiple", doc.number),
+        fall.arg(doc.duration, "a time"),
+        fleet.value("thrash", doc.number, 0.02),
+        fleet.value("eager", doc.yes, False),
+        bound.value("on-miss", doc.text) == "load",
+        fleet.value("start-share", doc.share, 0.5),
+    )
     stops_work = fleet.value("cancel-stops-work", doc.yes, False)
     warm = fleet.value("warm", doc.yes, True)
     fleet.done()
     shelf = file.child("store")
-    store = {"pace": shelf.value("pace", doc.size), "takes": shelf.value("takes", doc.count, 8),
-             "thrash": shelf.value("thrash", doc.number, 0.05)}
+    store = {
+        "pace": shelf.value("pace", doc.size),
+        "takes": shelf.value("takes", doc.count, 8),
+        "thrash": shelf.value("thrash", doc.number, 0.05),
+    }
     shelf.done()
     kinds = tuple(_kind(n) for n in file.every("functions"))
     clients = tuple(_client(n) for n in file.every("client"))
     if not (kinds and clients or file.partial):
         file.wrong("a day needs 'functions' and a 'client'")
     customers = {c.name for c in clients}
-    known = set() if fleet.tainted else {w[0] for w in workers}                 # what follows from another problem is not told
-    troubles = [one for n in file.every("trouble") for one in _trouble(n, length, known, set(dispatchers), customers)]
-    day = Day(file.file, node.arg(doc.text, "a name"), length, node.value("settle", doc.duration, 6 * SECOND),
-              node.value("rate", doc.number), dispatchers, names, workers, build, store,
-              node.value("roster-late", doc.duration, 0), stops_work, warm, kinds, clients,
-              tuple(sorted(troubles, key=lambda t: (t.at, t.kind))), terms, True,
-              node.value("ask-every", doc.duration, 0), float(node.value("roster-lines", doc.number, 0)),
-              service=node.value("service", doc.text, ""))
+    # what follows from another problem is not told
+    known = set() if fleet.tainted else {w[0] for w in workers}
+    troubles = [
+        one for n in file.every("trouble") for one in _trouble(n, length, known, set(dispatchers), customers)
+    ]
+    day = Day(
+        file.file,
+        node.arg(doc.text, "a name"),
+        length,
+        node.value("settle", doc.duration, 6 * SECOND),
+        node.value("rate", doc.number),
+        dispatchers,
+        names,
+        workers,
+        build,
+        store,
+        node.value("roster-late", doc.duration, 0),
+        stops_work,
+        warm,
+        kinds,
+        clients,
+        tuple(sorted(troubles, key=lambda t: (t.at, t.kind))),
+        terms,
+        True,
+        node.value("ask-every", doc.duration, 0),
+        float(node.value("roster-lines", doc.number, 0)),
+        service=node.value("service", doc.text, ""),
+    )
     node.done(1)
     file.done()
     return day
@@ -305,13 +418,28 @@
 
 def gateway_text(day, name, number, listen, roster, keys, seed, broker=""):
     """The file of one dispatcher of a day. `keys`: customer -> keys as the file has them."""
-    rows = [f'gateway "{name}" {{', f'    listen "{listen}"', f'    roster "{roster}"',
-            f'    zone "{day.halls[(number - 1) % len(day.halls)]}"', f"    seed {seed * 1000 + number}",
-            f"    dispatchers {len(day.dispatchers)}", "}"]
+    rows = [
+        f'gateway "{name}" {{',
+        f'    listen "{listen}"',
+        f'    roster "{roster}"',
+        f'    zone "{day.halls[(number - 1) % len(day.halls)]}"',
+        f"    seed {seed * 1000 + number}",
+        f"    dispatchers {len(day.dispatchers)}",
+        "}",
+    ]
     for client in day.clients:
         rows += [f'customer "{client.name}"' + (f" share={client.share}" if client.share else "") + " {"]
         rows += [f'    key "{key}"' for key in keys[client.name]] + ["}"]
     if broker:
-        rows += ["mqtt {", f'    broker "{broker}"', '    user "gateway"', '    password "gateway"', '    keep-alive "2s"',
-                 '    session "6s"', '    come-back "50ms"', '    come-back-most "1s"', "}"]
+        rows += [
+            "mqtt {",
+            f'    broker "{broker}"',
+            '    user "gateway"',
+            '    password "gateway"',
+            '    keep-alive "2s"',
+            '    session "6s"',
+            '    come-back "50ms"',
+            '    come-back-most "1s"',
+            "}",
+        ]
     return "\n".join(rows) + "\n" + doc.render(day.terms.children)
--- a/petrelwood/emulate/store.py
+++ b/petrelwood/emulate/store.py
@@ -2,8 +2,10 @@
 
 
 class Store:
-    """Fetches share its pace; beyond `takes` in hand each further one makes it less efficient by `thrash`, beyond
-    twice that it turns fetches away. Pushed to `fall` times its pace for `fall_for`, it stops for `down`. Sizes in
+    """Fetches share its pace; beyond `takes` in hand each further one makes it less efficient by `thrash`,
+    beyond
+    twice that it turns fetches away. Pushed to `fall` times its pace for `fall_for`, it stops for `down`.
+    Sizes in
     bytes, pace in bytes a second, times in ns."""
 
     def __init__(self, clock, pace, takes=8, thrash=0.05, fall=0.0, fall_for=0, down=0):
@@ -21,7 +23,8 @@
         self._next()
 
     def fetch(self, size, done):
-        """`done(True)` once the bytes are there, `done(False)` at once if turned away. The handle of a fetch."""
+        """`done(True)` once the bytes are there, `done(False)` at once if turned away. The handle of a
+        fetch."""
         self._move()
         self._pushed(size)
         if self.clock.now() < self.stopped_until or len(self.fetches) >= 2 * self.takes:
--- a/petrelwood/emulate/streams.py
+++ b/petrelwood/emulate/streams.py
@@ -1,7 +1,9 @@
-"""Random streams of the emulator: one for each purpose, so that a change of policy does not change the traffic.
+"""Random streams of the emulator: one for each purpose, so that a change of policy does not change the
+traffic.
 
 numpy's PCG64, seeded by the day's seed and the purpose; draws come from blocks, which are cheap one by one.
 """
+
 import zlib
 
 import numpy
@@ -20,7 +22,7 @@
             self.uniforms = self.random_state.random(BLOCK).tolist()
         return self.uniforms.pop()
 
-    random = uniform                                     # as `random.Random` has it
+    random = uniform  # as `random.Random` has it
 
     def exponential(self, mean):
         if not self.exponentials:
--- a/petrelwood/emulate/traffic.py
+++ b/petrelwood/emulate/traffic.py
@@ -1,16 +1,27 @@
-"""The clients of the emulator: arrivals drawn ahead of all answers, patience, retries, hints that some follow."""
+"""The clients of the emulator: arrivals drawn ahead of all answers, patience, retries, hints that some
+follow."""
+
 import bisect
 import zlib
 
 from petrelwood.decide.overload import intake
 
 SECOND = 1_000_000_000
-FINAL = {"completed": 200, intake.GIVE: 200, "rejected": 503, intake.REFUSE: 503, "aborted": 504, intake.ABORT: 504,
-         intake.CONFLICT: 409, intake.SPENT: 409}
+FINAL = {
+    "completed": 200,
+    intake.GIVE: 200,
+    "rejected": 503,
+    intake.REFUSE: 503,
+    "aborted": 504,
+    intake.ABORT: 504,
+    intake.CONFLICT: 409,
+    intake.SPENT: 409,
+}
 
 
 class Popularity:
-    """Which function of a kind is called: a Zipf law over ranks, whose functions give way to others now and then."""
+    """Which function of a kind is called: a Zipf law over ranks, whose functions give way to others now and
+    then."""
 
     def __init__(self, kind, stream):
         self.kind, self.stream, total, self.cuts = kind, stream, 0.0, []
@@ -21,14 +32,16 @@
 
     def draw(self, stream, now):
         for _ in range(24 if self.kind.season else 1):
-            name = self.names[min(bisect.bisect(self.cuts, stream.uniform() * self.total), len(self.names) - 1)]
+            name = self.names[
+                min(bisect.bisect(self.cuts, stream.uniform() * self.total), len(self.names) - 1)
+            ]
             if not self.kind.season or stream.uniform() < self._active(name, now):
                 break
         return name
 
     def _active(self, name, now):
         """How much a function is called at this time of the season: one hump, a fifth of it wide."""
-        phase = zlib.crc32(name.encode()) / 2 ** 32
+        phase = zlib.crc32(name.encode()) / 2**32
         off = (now / self.kind.season - phase + 0.5) % 1 - 0.5
         return max(0.005, 1 - (off / 0.1) ** 2)
 
@@ -41,10 +54,18 @@
 
 class Try:
     """One try of an activation: what the core sees as an exchange."""
+
     __slots__ = ("act", "clients", "wish", "number", "to", "stamp", "begun", "over", "timer", "leaves")
 
     def __init__(self, clients, wish, number, to, stamp, begun):
-        self.clients, self.wish, self.number, self.to, self.stamp, self.begun = clients, wish, number, to, stamp, begun
+        self.clients, self.wish, self.number, self.to, self.stamp, self.begun = (
+            clients,
+            wish,
+            number,
+            to,
+            stamp,
+            begun,
+        )
         self.act, self.over, self.timer, self.leaves = None, False, None, False
 
     def answer(self, what, body=b"", retry_after=0, why="", act=None):
@@ -54,8 +75,23 @@
 
 class Wish:
     """What a client wants, over all its tries. `value`: its utility, `work` in ns."""
-    __slots__ = ("id", "client", "kind", "fn", "work", "begun", "patience", "hall", "tries", "ended", "value", "took", "sends",
-                 "over_share")
+
+    __slots__ = (
+        "id",
+        "client",
+        "kind",
+        "fn",
+        "work",
+        "begun",
+        "patience",
+        "hall",
+        "tries",
+        "ended",
+        "value",
+        "took",
+        "sends",
+        "over_share",
+    )
 
 
 class Clients:
@@ -118,7 +154,7 @@
         for part, names in self.hot:
             if pick < part:
                 fn = names[int(pick / part * len(names)) % len(names)]
-                kind = self.platform.kind(fn)            # a hot function has a type of its own
+                kind = self.platform.kind(fn)  # a hot function has a type of its own
                 break
             pick = (pick - part) / (1 - part)
         if self.scanning and pick < self.scanning:
@@ -140,7 +176,13 @@
         if self.shifted[0] and self.picks.uniform() < self.shifted[0]:
             hall = self.shifted[1]
         wish.id, wish.client, wish.kind, wish.fn, wish.work = f"m{self.last}", client, kind, fn, int(work)
-        wish.begun, wish.patience, wish.hall, wish.tries, wish.ended = platform.clock.now(), patience, hall, 0, None
+        wish.begun, wish.patience, wish.hall, wish.tries, wish.ended = (
+            platform.clock.now(),
+            patience,
+            hall,
+            0,
+            None,
+        )
         wish.value, wish.took, wish.sends = wish.work, 0, 0
         wish.over_share = self._over_share(client)
         self.wishes.append(wish)
@@ -160,7 +202,8 @@
         platform, now = self.platform, self.platform.clock.now()
         to = to if to not in platform.withdrawn else None
         to = to or platform.dispatcher_for(wish.hall, self.manners)
-        if to is None:                                   # no route: its connection comes to nothing, and it tries again
+        # no route: its connection comes to nothing, and it tries again
+        if to is None:
             wish.tries += 1
             self._again(wish, None, "broken", 0)
             return
@@ -169,10 +212,21 @@
         made = Try(self, wish, number, to, stamp, now)
         made.leaves = bool(wish.client.impatient) and self.manners.uniform() < wish.client.impatient
         key = f"{wish.client.name}/{wish.id}"
-        platform.saw("ask", who="portal", key=key, stamp=stamp, to=to, **{"try": number}, type=wish.kind.type, fn=wish.fn,
-                     patience=wish.patience, wrong=False, leaves=made.leaves)
+        platform.saw(
+            "ask",
+            who="portal",
+            key=key,
+            stamp=stamp,
+            to=to,
+            **{"try": number},
+            type=wish.kind.type,
+            fn=wish.fn,
+            patience=wish.patience,
+            wrong=False,
+            leaves=made.leaves,
+        )
         core = platform.cores.get(to)
-        if core is None:                                 # nobody there: not a byte went out
+        if core is None:  # nobody there: not a byte went out
             platform.after(2 * platform.client_way, self._broken, made, False)
             return
         platform.after(platform.client_way, platform.ask, to, platform.lives[to], made)
@@ -182,8 +236,14 @@
     def ask_of(self, made):
         """The intake's view of a try."""
         wish = made.wish
-        return intake.Ask(wish.client.name, wish.id, made.stamp * SECOND, wish.kind.type, self.platform.clock.now(),
-                         wish.patience)
+        return intake.Ask(
+            wish.client.name,
+            wish.id,
+            made.stamp * SECOND,
+            wish.kind.type,
+            self.platform.clock.now(),
+            wish.patience,
+        )
 
     def answered(self, made, status, retry_after, act):
         if made.over:
@@ -191,9 +251,17 @@
         made.over = True
         made.timer.cancel()
         wish = made.wish
-        self.platform.saw("answer", who="portal", key=f"{wish.client.name}/{wish.id}", stamp=made.stamp, to=made.to,
-                          **{"try": made.number}, status=status, act=act or "",
-                          took=self.platform.clock.now() - made.begun)
+        self.platform.saw(
+            "answer",
+            who="portal",
+            key=f"{wish.client.name}/{wish.id}",
+            stamp=made.stamp,
+            to=made.to,
+            **{"try": made.number},
+            status=status,
+            act=act or "",
+            took=self.platform.clock.now() - made.begun,
+        )
         if status == 200:
             self._ends(wish, "completed")
         elif status == 503:
@@ -206,8 +274,15 @@
             return
         made.over = True
         wish = made.wish
-        self.platform.saw("left", who="portal", key=f"{wish.client.name}/{wish.id}", stamp=made.stamp, to=made.to,
-                          **{"try": made.number}, early=made.leaves)
+        self.platform.saw(
+            "left",
+            who="portal",
+            key=f"{wish.client.name}/{wish.id}",
+            stamp=made.stamp,
+            to=made.to,
+            **{"try": made.number},
+            early=made.leaves,
+        )
         self.platform.after(self.platform.client_way, self.platform.left, made)
         self._ends(wish, "left")
 
@@ -222,8 +297,15 @@
         if made.timer is not None:
             made.timer.cancel()
         wish = made.wish
-        self.platform.saw("broken", who="portal", key=f"{wish.client.name}/{wish.id}", stamp=made.stamp, to=made.to,
-                          **{"try": made.number}, sent=sent)
+        self.platform.saw(
+            "broken",
+            who="portal",
+            key=f"{wish.client.name}/{wish.id}",
+            stamp=made.stamp,
+            to=made.to,
+            **{"try": made.number},
+            sent=sent,
+        )
         if sent and not self.platform.repeatable[wish.kind.type] and not wish.client.insists:
             self._ends(wish, "broken")
         else:
--- a/petrelwood/fronts/mqtt.py
+++ b/petrelwood/fronts/mqtt.py
@@ -1,9 +1,12 @@
 """The MQTT front: activations from a broker, answers by request/response, on the same core as the webhooks.
 
-One session for each customer, so that the broker tells them apart and each has a window of its own; dispatchers share the
+One session for each customer, so that the broker tells them apart and each has a window of its own;
+dispatchers share the
 work by a shared subscription. What is acknowledged when, and what a lost connection means, is decided in
-`decide.delivery.mqtt_acknowledgement`; topics in `decide.delivery.mqtt_topics`; whether it runs, in the intake that all fronts share.
+`decide.delivery.mqtt_acknowledgement`; topics in `decide.delivery.mqtt_topics`; whether it runs, in the
+intake that all fronts share.
 """
+
 import asyncio
 import time
 from collections import OrderedDict, deque
@@ -21,16 +24,38 @@
 
 SECOND = 1_000_000_000
 READ = 65_536
-IDS = 256                  # packet identifiers of ours: few, so that a new life can release them all at its start
-STATUS = {"completed": "completed", intake.GIVE: "completed", "rejected": "rejected", intake.REFUSE: "rejected",
-          "aborted": "aborted", intake.ABORT: "aborted", intake.CONFLICT: "rejected", intake.SPENT: "aborted"}
+# packet identifiers of ours: few, so that a new life can release them all at its start
+IDS = 256
+STATUS = {
+    "completed": "completed",
+    intake.GIVE: "completed",
+    "rejected": "rejected",
+    intake.REFUSE: "rejected",
+    "aborted": "aborted",
+    intake.ABORT: "aborted",
+    intake.CONFLICT: "rejected",
+    intake.SPENT: "aborted",
+}
 ENDED = "the session was lost before its message was begun; it may run elsewhere"
 
 
 class Message:
     """What a PUBLISH asks, and the room for its one answer. The core sees it as an exchange."""
-    __slots__ = ("session", "response", "correlation", "ask", "function", "rule", "body", "came", "act", "delivery",
-                 "answer_is", "target")
+
+    __slots__ = (
+        "session",
+        "response",
+        "correlation",
+        "ask",
+        "function",
+        "rule",
+        "body",
+        "came",
+        "act",
+        "delivery",
+        "answer_is",
+        "target",
+    )
 
     def __init__(self, session, response, correlation, ask, function, rule, body, target):
         self.session, self.response, self.correlation, self.ask = session, response, correlation, ask
@@ -52,7 +77,9 @@
         self.answer_is = (body, props)
         now = self.session.front.core.now()
         took = now - self.ask.came
-        self.session.deliveries.answered(now, self.delivery, status == "completed" and took <= self.target, took)
+        self.session.deliveries.answered(
+            now, self.delivery, status == "completed" and took <= self.target, took
+        )
 
 
 class Session:
@@ -63,11 +90,21 @@
         self.terms, self.client = front.terms, f"{core.name}.{customer}"
         self.window = mqtt_acknowledgement.Window(self.terms.window_least, self.terms.window_most)
         self.deliveries = mqtt_acknowledgement.Deliveries(self.window, self)
-        self.comeback = Comeback(self.terms.comeback_first, self.terms.comeback_most, core.chance.random, full=True)
+        self.comeback = Comeback(
+            self.terms.comeback_first, self.terms.comeback_most, core.chance.random, full=True
+        )
         self.stream, self.up, self.task, self.number, self.stamp = None, False, None, 0, 0
         self.answers, self.unsent, self.last_id, self.quota = OrderedDict(), deque(), 0, 65535
         self.heard, self.aliases, self.draining, self.pinged, self.fresh = 0, {}, None, 0, True
-        self.counts = {"messages": 0, "again": 0, "refused": 0, "answers": 0, "lost": 0, "moved": 0, "aborts_owed": 0}
+        self.counts = {
+            "messages": 0,
+            "again": 0,
+            "refused": 0,
+            "answers": 0,
+            "lost": 0,
+            "moved": 0,
+            "aborts_owed": 0,
+        }
 
     # The connection.
     async def keep(self):
@@ -88,7 +125,9 @@
             self._lost()
             now = self.front.core.now()
             until = self.comeback.failed(now)
-            self.front.log.info("broker lost", customer=self.customer, why=why, again_in_ms=(until - now) // 1_000_000)
+            self.front.log.info(
+                "broker lost", customer=self.customer, why=why, again_in_ms=(until - now) // 1_000_000
+            )
             await self.front.core.sleep_until(until)
 
     def _lost(self):
@@ -107,16 +146,29 @@
         host, port = terms.broker
         if terms.tls is not None:
             self.stream = SSLIOStream(sockets.fresh(host), ssl_options=terms.tls.client())
-            await asyncio.wait_for(self.stream.connect(terms.broker, server_hostname=terms.tls.server_name(host)), within)
+            await asyncio.wait_for(
+                self.stream.connect(terms.broker, server_hostname=terms.tls.server_name(host)), within
+            )
         else:
             self.stream = IOStream(sockets.fresh(host))
             await asyncio.wait_for(self.stream.connect(terms.broker), within)
         self.stream.set_nodelay(True)
         self.aliases, reader = {}, mq.Reader(terms.most)
-        self._write(mq.Packet(
-            mq.CONNECT, client=self.client, clean=0, keep_alive=terms.keep_alive // SECOND, user=terms.user,
-            password=terms.password, props={"session_expiry": terms.session // SECOND,
-                                            "receive_maximum": terms.window_most, "maximum_packet": terms.most}))
+        self._write(
+            mq.Packet(
+                mq.CONNECT,
+                client=self.client,
+                clean=0,
+                keep_alive=terms.keep_alive // SECOND,
+                user=terms.user,
+                password=terms.password,
+                props={
+                    "session_expiry": terms.session // SECOND,
+                    "receive_maximum": terms.window_most,
+                    "maximum_packet": terms.most,
+                },
+            )
+        )
         first = await asyncio.wait_for(self._first(reader), within)  # a broker that accepts and is silent
         if first.type != mq.CONNACK or first.code:
             raise ValueError(f"the broker answered {first!r}")
@@ -125,11 +177,17 @@
         self.comeback.succeeded()
         self.front.log.info("broker", customer=self.customer, present=bool(first.present))
         if not first.present:
-            self._write(mq.Packet(mq.SUBSCRIBE, self._id(), props={}, filters=[
-                (mqtt_topics.filter_of(terms.group, self.customer), 2)]))
+            self._write(
+                mq.Packet(
+                    mq.SUBSCRIBE,
+                    self._id(),
+                    props={},
+                    filters=[(mqtt_topics.filter_of(terms.group, self.customer), 2)],
+                )
+            )
         if self.fresh and not first.present:
-            self.fresh = False                           # the broker remembers nothing of an earlier life
-        elif self.fresh:                                 # what an earlier life has begun to send is let go
+            self.fresh = False  # the broker remembers nothing of an earlier life
+        elif self.fresh:  # what an earlier life has begun to send is let go
             self._write(*(mq.Packet(mq.PUBREL, id_) for id_ in range(1, IDS + 1)))
         self.front.core.soon(self.deliveries.resume, self.front.core.now(), bool(first.present))
         self._resend(bool(first.present))
@@ -146,7 +204,8 @@
 
     def _write(self, *packets):
         if self.stream is None or self.stream.closed():
-            return                                       # what this means is decided when it is connected again
+            # what this means is decided when it is connected again
+            return
         data = b"".join(map(mq.write, packets))
         self.stream.write(data).add_done_callback(lambda done: done.exception())
 
@@ -167,7 +226,7 @@
             self.stream.close()
         elif now - self.heard > self.terms.keep_alive // 2 and now - self.pinged > self.terms.keep_alive // 4:
             self.pinged = now
-            self.deliveries.pings += 1                   # its PINGRESP proves nothing more than the others
+            self.deliveries.pings += 1  # its PINGRESP proves nothing more than the others
             self._write(mq.Packet(mq.PINGREQ))
 
     # What the broker sends.
@@ -180,8 +239,13 @@
         elif packet.type == mq.PINGRESP:
             self.front.core.soon(self._ponged, now)
         elif packet.type in (mq.PUBACK, mq.PUBCOMP):
-            answer = self.answers.get(packet.id, self)   # None: released; a late one of an earlier use means nothing
-            if answer is None if packet.type == mq.PUBCOMP else answer and answer is not self and answer.qos == 1:
+            # None: released; a late one of an earlier use means nothing
+            answer = self.answers.get(packet.id, self)
+            if (
+                answer is None
+                if packet.type == mq.PUBCOMP
+                else answer and answer is not self and answer.qos == 1
+            ):
                 self._done(packet.id, packet.code)
         elif packet.type == mq.PUBREC:
             self._received(packet)
@@ -215,24 +279,49 @@
         self.counts["again"] += packet.dup
         response, asked = packet.props.get("response_topic"), mqtt_topics.asked(topic, self.customer)
         rule = core.rule(asked.function) if not asked.why else None
-        why = asked.why or ("there is no such function" if rule is None else
-                            "the function is of another namespace type" if rule.type != asked.type else "")
-        code = mq.NOT_AUTHORIZED if response is not None and not mqtt_topics.may_answer(response, self.customer) else 0
+        why = asked.why or (
+            "there is no such function"
+            if rule is None
+            else "the function is of another namespace type"
+            if rule.type != asked.type
+            else ""
+        )
+        code = (
+            mq.NOT_AUTHORIZED
+            if response is not None and not mqtt_topics.may_answer(response, self.customer)
+            else 0
+        )
         if why or code:
             self._refuse(packet, response if not code else None, code or mq.BAD_TOPIC, why)
             return
         type_, wait = rule.type, packet.props.get("message_expiry", 0) * SECOND
         if "message_expiry" in packet.props and not wait:
-            wait = 1                                     # it has expired on its way
+            wait = 1  # it has expired on its way
         self.number, self.stamp = self.number + 1, max(self.stamp + 1, time.time_ns())
         id_ = mqtt_topics.identity(response, packet.props.get("correlation_data"), self.client, self.number)
         ask = intake.Ask(self.customer, id_, self.stamp, type_, now, wait)
         terms = core.terms.types[type_]
-        message = Message(self, response, packet.props.get("correlation_data"), ask, asked.function, rule,
-                          packet.payload, terms.target_latency)
+        message = Message(
+            self,
+            response,
+            packet.props.get("correlation_data"),
+            ask,
+            asked.function,
+            rule,
+            packet.payload,
+            terms.target_latency,
+        )
         due, _ = deadlines.due(now, wait, core.gateway.timeouts[type_])
-        self.deliveries.published(now, packet.id, packet.qos, bool(packet.dup), terms.effect, due,
-                                  hash((topic, response, packet.props.get("correlation_data"), packet.payload)), message)
+        self.deliveries.published(
+            now,
+            packet.id,
+            packet.qos,
+            bool(packet.dup),
+            terms.effect,
+            due,
+            hash((topic, response, packet.props.get("correlation_data"), packet.payload)),
+            message,
+        )
 
     def _refuse(self, packet, response, code, why):
         """What is no activation is acknowledged with a reason, and answered where that may be."""
@@ -240,8 +329,12 @@
         if packet.qos:
             self._write(mq.Packet(mq.PUBACK if packet.qos == 1 else mq.PUBREC, packet.id, code))
         if response is not None and why:
-            self._publish(response, packet.props.get("correlation_data"),
-                          (orjson.dumps({"status": "rejected", "detail": why}), [("status", "rejected")]), 1)
+            self._publish(
+                response,
+                packet.props.get("correlation_data"),
+                (orjson.dumps({"status": "rejected", "detail": why}), [("status", "rejected")]),
+                1,
+            )
 
     # What is decided of deliveries.
     def ack(self, id_, qos):
@@ -261,7 +354,10 @@
     def turn_away(self, delivery):
         message = delivery.what
         message.delivery = delivery
-        message.answer_is = (orjson.dumps({"status": "rejected", "detail": intake.NO_TIME}), [("status", "rejected")])
+        message.answer_is = (
+            orjson.dumps({"status": "rejected", "detail": intake.NO_TIME}),
+            [("status", "rejected")],
+        )
         self.give(delivery, bool(delivery.qos))
 
     def owes_abort(self, delivery):
@@ -279,7 +375,8 @@
             self.front.core.left(message.act, message)
 
     def give(self, delivery, owed):
-        """The answer, and in the same write the acknowledgement that is owed with it: the broker has both or, where
+        """The answer, and in the same write the acknowledgement that is owed with it: the broker has both or,
+        where
         the connection breaks, at most the first."""
         message, packets = delivery.what, []
         if message.response is not None and message.answer_is[1]:
@@ -297,7 +394,9 @@
         props = {"content_type": "application/json", "user": answer[1]}
         if correlation is not None:
             props["correlation_data"] = correlation
-        packet = mq.Packet(mq.PUBLISH, 0, topic=topic, payload=answer[0], qos=qos, dup=0, retain=0, props=props)
+        packet = mq.Packet(
+            mq.PUBLISH, 0, topic=topic, payload=answer[0], qos=qos, dup=0, retain=0, props=props
+        )
         self.counts["answers"] += 1
         if not self.up or len(self.answers) >= self.quota or self.fresh and qos == 2:
             if len(self.unsent) < self.terms.answers_kept:
@@ -317,7 +416,7 @@
             return
         known = packet.id in self.answers
         if known:
-            self.answers[packet.id] = None               # from now on only its PUBREL
+            self.answers[packet.id] = None  # from now on only its PUBREL
         self._write(mq.Packet(mq.PUBREL, packet.id, 0 if known else mq.ID_UNKNOWN))
 
     def _done(self, id_, code):
@@ -331,8 +430,10 @@
             self._write(packet)
 
     def _resend(self, present):
-        """After a reconnect. Answers of QoS 1 left with their acknowledgement: what came of both is seen from what the
-        broker delivers again, so they are not sent again here. Those of QoS 2 go on where the session has been kept."""
+        """After a reconnect. Answers of QoS 1 left with their acknowledgement: what came of both is seen from
+        what the
+        broker delivers again, so they are not sent again here. Those of QoS 2 go on where the session has
+        been kept."""
         answers, self.answers = self.answers, OrderedDict()
         for id_, packet in answers.items():
             if packet is None:
@@ -351,8 +452,14 @@
         """Takes nothing new: unsubscribes, turns away what was not begun, finishes the rest, disconnects."""
         if self.up:
             self.draining = self.front.core.loop.create_future()
-            self._write(mq.Packet(mq.UNSUBSCRIBE, self._id(), props={}, filters=[
-                mqtt_topics.filter_of(self.terms.group, self.customer)]))
+            self._write(
+                mq.Packet(
+                    mq.UNSUBSCRIBE,
+                    self._id(),
+                    props={},
+                    filters=[mqtt_topics.filter_of(self.terms.group, self.customer)],
+                )
+            )
             try:
                 await asyncio.wait_for(self.draining, self.terms.connect_within / 1e9)
             except asyncio.TimeoutError:
@@ -388,9 +495,14 @@
 
     def quiet(self):
         """Whether all is answered and the broker has the answers."""
-        return self.stopping is not None and self.stopping.done() and (
-            self.core.now() >= self.ends or all(
-                s.deliveries.idle() and not s.unsent and not s.answers for s in self.sessions))
+        return (
+            self.stopping is not None
+            and self.stopping.done()
+            and (
+                self.core.now() >= self.ends
+                or all(s.deliveries.idle() and not s.unsent and not s.answers for s in self.sessions)
+            )
+        )
 
     def close_idle(self):
         self.closed = True
--- a/petrelwood/fronts/signing.py
+++ b/petrelwood/fronts/signing.py
@@ -1,8 +1,11 @@
 """Signatures as the Standard Webhooks specification has them: https://www.standardwebhooks.com, version 1.
 
-What is signed is `id.timestamp.body`, the body as its raw bytes. `v1` is HMAC-SHA256 with a shared secret, `v1a`
-Ed25519. A header may carry several signatures, apart by spaces; one that holds under one of the keys is enough.
+What is signed is `id.timestamp.body`, the body as its raw bytes. `v1` is HMAC-SHA256 with a shared secret,
+`v1a`
+Ed25519. A header may carry several signatures, apart by spaces; one that holds under one of the keys is
+enough.
 """
+
 import base64
 import binascii
 import hashlib
@@ -11,7 +14,7 @@
 from cryptography.exceptions import InvalidSignature
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey, Ed25519PublicKey
 
-MOST_SIGNATURES = 16       # of one request: each costs a check
+MOST_SIGNATURES = 16  # of one request: each costs a check
 
 
 def content(id_, stamp, body):
@@ -19,10 +22,14 @@
 
 
 def sign(scheme, key, id_, stamp, body):
-    """One signature, `v1,...` or `v1a,...`. `key`: the secret's bytes, or an Ed25519 private key's 32 bytes."""
+    """One signature, `v1,...` or `v1a,...`. `key`: the secret's bytes, or an Ed25519 private key's 32
+    bytes."""
     what = content(id_, stamp, body)
-    raw = (hmac.new(key, what, hashlib.sha256).digest() if scheme == "v1"
-           else Ed25519PrivateKey.from_private_bytes(key).sign(what))
+    raw = (
+        hmac.new(key, what, hashlib.sha256).digest()
+        if scheme == "v1"
+        else Ed25519PrivateKey.from_private_bytes(key).sign(what)
+    )
     return f"{scheme},{base64.b64encode(raw).decode()}"
 
 
@@ -34,7 +41,8 @@
         self.public = [Ed25519PublicKey.from_public_bytes(raw) for scheme, raw in keys if scheme == "v1a"]
 
     def holds(self, header, id_, stamp, body):
-        """Whether one of the header's signatures holds under one of the keys. Every candidate of a scheme costs
+        """Whether one of the header's signatures holds under one of the keys. Every candidate of a scheme
+        costs
         the same, whether it is near or far from right."""
         what, made, held = content(id_, stamp, body), None, False
         for signature in header.split()[:MOST_SIGNATURES]:
--- a/petrelwood/fronts/webhook.py
+++ b/petrelwood/fronts/webhook.py
@@ -1,9 +1,12 @@
 """The webhook front: Standard Webhooks on HTTP/1.1, `POST /hooks/CUSTOMER/FUNCTION`.
 
-A connection reads ahead a few requests (pipelining); each begins at once, answers leave in the order of the requests.
-Wrong requests end here with a problem document; rightly signed ones go to the core, whose answer comes back through
+A connection reads ahead a few requests (pipelining); each begins at once, answers leave in the order of the
+requests.
+Wrong requests end here with a problem document; rightly signed ones go to the core, whose answer comes back
+through
 `Exchange.answer`, once. `Prefer: wait=N` (RFC 7240) tells the client's patience in seconds.
 """
+
 import socket
 import ssl
 import time
@@ -25,16 +28,39 @@
 TAKEN_TYPES = (b"application/json", b"application/octet-stream", b"text/plain")
 STATUS = {intake.GIVE: 200, intake.CONFLICT: 409, intake.ABORT: 504, intake.SPENT: 409}
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-BUSY = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nRetry-After: %d\r\nConnection: close\r\n\r\n"
+BUSY = (
+    b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nRetry-After: %d\r\nConnection: close\r\n\r\n"
+)
 
 
 class Exchange:
     """One request and the room for its one answer."""
-    __slots__ = ("line", "url", "headers", "body", "head_size", "came", "reply", "last", "act", "method", "refused", "held")
+
+    __slots__ = (
+        "line",
+        "url",
+        "headers",
+        "body",
+        "head_size",
+        "came",
+        "reply",
+        "last",
+        "act",
+        "method",
+        "refused",
+        "held",
+    )
 
     def __init__(self, line, came):
         self.line, self.url, self.headers, self.body, self.head_size, self.held = line, b"", {}, [], 0, 0
-        self.came, self.reply, self.last, self.act, self.method, self.refused = came, None, False, None, b"", None
+        self.came, self.reply, self.last, self.act, self.method, self.refused = (
+            came,
+            None,
+            False,
+            None,
+            b"",
+            None,
+        )
 
     def answer(self, what, body=b"", retry_after=0, why="", act=None):
         """The final answer, from the core: 'completed', 'rejected', 'aborted' or a verdict of the intake."""
@@ -49,16 +75,23 @@
             self.fail(STATUS[what], why, act)
 
     def fail(self, status, detail, act=None, retry_after=0, last=False):
-        self.respond(status, problem.document(status, detail, act), b"application/problem+json", act, retry_after,
-                     last)
+        self.respond(
+            status, problem.document(status, detail, act), b"application/problem+json", act, retry_after, last
+        )
 
     def respond(self, status, body, kind, act=None, retry_after=0, last=False):
         if self.reply is not None:
             return
         line = self.line
-        self.last = self.last or last or (line.leaving and line.now is None and bool(line.waiting) and line.waiting[-1] is self)
-        head = [b"HTTP/1.1 %d %s\r\nContent-Type: %s\r\nContent-Length: %d\r\n" % (
-            status, problem.TITLES[status].encode(), kind, len(body))]
+        self.last = (
+            self.last
+            or last
+            or (line.leaving and line.now is None and bool(line.waiting) and line.waiting[-1] is self)
+        )
+        head = [
+            b"HTTP/1.1 %d %s\r\nContent-Type: %s\r\nContent-Length: %d\r\n"
+            % (status, problem.TITLES[status].encode(), kind, len(body))
+        ]
         if act:
             head.append(b"Activation-Id: %s\r\n" % act.encode())
         if retry_after:
@@ -75,9 +108,16 @@
     def __init__(self, front, stream, peer):
         self.front, self.stream, self.peer = front, stream, peer[0]
         self.limits, self.waiting, self.now = front.limits, deque(), None
-        self.parser, self.closing, self.reading, self.over = httptools.HttpRequestParser(self), False, True, False
-        self.unread, self.unread_by = deque(), 0         # sizes of answers that the peer has not taken yet, and until when it may
-        self.leaving = False                             # the process gives way: each answer is the line's last
+        self.parser, self.closing, self.reading, self.over = (
+            httptools.HttpRequestParser(self),
+            False,
+            True,
+            False,
+        )
+        # sizes of answers that the peer has not taken yet, and until when it may
+        self.unread, self.unread_by = deque(), 0
+        # the process gives way: each answer is the line's last
+        self.leaving = False
         self.deadline, self.shaking = time.monotonic_ns() + self.limits.head_within, front.tls
         stream.set_close_callback(self.gone)
 
@@ -93,7 +133,8 @@
                 except httptools.HttpParserError as fault:
                     self._wrong(400, f"not HTTP/1.1: {fault}")
                 if len(self.waiting) > self.limits.pipeline or self.unread:
-                    self.reading = False                 # who does not read what was asked for asks for nothing more
+                    # who does not read what was asked for asks for nothing more
+                    self.reading = False
                 while not self.reading and not self.closing:
                     await self.front.room(self)
         except StreamClosedError as fault:
@@ -200,7 +241,7 @@
         while self.waiting and self.waiting[0].reply is not None:
             exchange = self.waiting.popleft()
             out.append(exchange.reply)
-            if exchange.last:                            # what was sent after it is not answered
+            if exchange.last:  # what was sent after it is not answered
                 self.closing = True
                 self._drop()
         if out and not self.stream.closed():
@@ -215,7 +256,12 @@
         self._go_on()
 
     def _go_on(self):
-        if not self.reading and len(self.waiting) <= self.limits.pipeline // 2 and not self.unread or self.closing:
+        if (
+            not self.reading
+            and len(self.waiting) <= self.limits.pipeline // 2
+            and not self.unread
+            or self.closing
+        ):
             self.reading = True
             self.front.wake(self)
 
@@ -286,8 +332,9 @@
         super().__init__(max_buffer_size=2 * READ, ssl_options=gateway.tls.server() if gateway.tls else None)
         self.gateway, self.core, self.limits, self.log = gateway, core, gateway.limits, log
         self.tls, limits = gateway.tls is not None, gateway.limits
-        self.admission = adm.Admission(limits.connections, limits.handshakes if self.tls else 0, limits.bytes,
-                                       core.chance.random)
+        self.admission = adm.Admission(
+            limits.connections, limits.handshakes if self.tls else 0, limits.bytes, core.chance.random
+        )
         self.verifiers = {name: Verifier(c.keys) for name, c in gateway.customers.items()}
         self.lines, self.rooms = set(), {}
         self.counts = {}
@@ -314,7 +361,8 @@
         return sockets[0].getsockname()[:2]
 
     def pause(self):
-        """Accepts nothing more; the sockets stay open. Lines stay too: a request that is on its way is answered, and told that it
+        """Accepts nothing more; the sockets stay open. Lines stay too: a request that is on its way is
+        answered, and told that it
         was the line's last; those that send nothing are closed with the process."""
         self.paused = list(self._sockets.values())
         for fd in list(self._sockets):
@@ -337,10 +385,12 @@
         verdict = self.admission.connects(now, address[0])
         if verdict != adm.TAKE:
             self._count(f"connections refused: {verdict}")
-            if self.tls:                                 # a word would cost the handshake
+            if self.tls:  # a word would cost the handshake
                 stream.close()
             else:
-                stream.write(BUSY % self.admission.wait(address[0], now)).add_done_callback(lambda done: stream.close())
+                stream.write(BUSY % self.admission.wait(address[0], now)).add_done_callback(
+                    lambda done: stream.close()
+                )
             return
         stream.set_nodelay(True)
         line = Line(self, stream, address)
@@ -420,7 +470,13 @@
         wait = patience_of(headers.get(b"prefer", b""))
         if wait is None:
             return 400, "Prefer: wait=N takes whole seconds, 1 or more", None, None, None
-        return 0, "", intake.Ask(customer, text, seconds * SECOND, rule.type, x.came, wait * SECOND), rule, function
+        return (
+            0,
+            "",
+            intake.Ask(customer, text, seconds * SECOND, rule.type, x.came, wait * SECOND),
+            rule,
+            function,
+        )
 
 
 def patience_of(header):
--- a/petrelwood/lab/day.py
+++ b/petrelwood/lab/day.py
@@ -1,8 +1,10 @@
 """Plays a day with real processes on loopback: a store, workers, a roster, dispatchers, a portal.
 
-The runner is the day's operator: it starts and kills processes, tells the roster, and hands the records to the audit.
+The runner is the day's operator: it starts and kills processes, tells the roster, and hands the records to
+the audit.
 Each process listens on a loopback address of its own, so that one that comes back finds its port free.
 """
+
 import asyncio
 import base64
 import json
@@ -20,8 +22,8 @@
 from petrelwood.emulate import script
 from petrelwood.settings import gateway as settings
 
-START_WITHIN = 60          # seconds for a process to be ready, on a busy machine
-LEAD = 1_500_000_000       # ns between the last process's readiness and the day's first second
+START_WITHIN = 60  # seconds for a process to be ready, on a busy machine
+LEAD = 1_500_000_000  # ns between the last process's readiness and the day's first second
 
 
 class DayFailed(Exception):
@@ -35,8 +37,8 @@
     async def start(self):
         log = open(self.folder / f"{self.name}.log", "ab")
         self.child = await asyncio.create_subprocess_exec(
-            *self.args, stdin=asyncio.subprocess.PIPE,
-            stdout=asyncio.subprocess.PIPE, stderr=log)
+            *self.args, stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE, stderr=log
+        )
         log.close()
         try:
             line = await asyncio.wait_for(self.child.stdout.readline(), START_WITHIN)
@@ -66,10 +68,16 @@
 
 
 class Run:
-    """One play of a day in a folder. `program` starts one of our commands; `dispatcher` one that serves a file."""
+    """One play of a day in a folder. `program` starts one of our commands; `dispatcher` one that serves a
+    file."""
 
     def __init__(self, day, seed, folder, tell=None, program=None, dispatcher=None):
-        self.day, self.seed, self.folder, self.tell = day, seed, pathlib.Path(folder), tell or (lambda *_: None)
+        self.day, self.seed, self.folder, self.tell = (
+            day,
+            seed,
+            pathlib.Path(folder),
+            tell or (lambda *_: None),
+        )
         self.program = program or [sys.executable, "-m", "petrelwood.cli"]
         self.dispatcher = dispatcher or [*self.program, "serve"]
         self.records = self.folder / "records"
@@ -77,11 +85,20 @@
         self.log = open(self.records / "operator.jsonl", "ab", buffering=0)
         self.processes, self.workers, self.dispatchers, self.booted = [], {}, {}, {}
         self.zones = {name: (hall, cell) for name, hall, cell in day.workers}
-        self.tasks, self.keys, self.roster, self.store, self.broker, self.router = [], {}, None, None, None, None
+        self.tasks, self.keys, self.roster, self.store, self.broker, self.router = (
+            [],
+            {},
+            None,
+            None,
+            None,
+            None,
+        )
         self.chance = random.Random(f"{seed}/keys")
 
     def put(self, what, **fields):
-        self.log.write(json.dumps({"t": what, "at": time.monotonic_ns(), "who": "operator", **fields}).encode() + b"\n")
+        self.log.write(
+            json.dumps({"t": what, "at": time.monotonic_ns(), "who": "operator", **fields}).encode() + b"\n"
+        )
 
     def process(self, name, args):
         made = Process(name, args, self.folder)
@@ -90,19 +107,36 @@
 
     # What each part is started with.
     def _standin(self, what, listen, *more):
-        return [*self.program, what, self.day.file, "--listen", listen, "--records", str(self.records),
-                "--seed", str(self.seed), *more]
+        return [
+            *self.program,
+            what,
+            self.day.file,
+            "--listen",
+            listen,
+            "--records",
+            str(self.records),
+            "--seed",
+            str(self.seed),
+            *more,
+        ]
 
     def _worker_args(self, name, number, booted, port=0):
         store = f"{self.store.address[0]}:{self.store.address[1]}"
-        return self._standin("worker", f"127.0.1.{number}:{port}", "--name", name, "--store", store,
-                             "--booted", str(booted))
+        return self._standin(
+            "worker", f"127.0.1.{number}:{port}", "--name", name, "--store", store, "--booted", str(booted)
+        )
 
     def _entry(self, name, state):
         host, port = self.workers[name].address
         hall, cell = self.zones[name]
-        return {"worker": name, "address": f"{host}:{port}", "zone": hall, "cell": cell,
-                "booted": self.booted[name], "state": state}
+        return {
+            "worker": name,
+            "address": f"{host}:{port}",
+            "zone": hall,
+            "cell": cell,
+            "booted": self.booted[name],
+            "state": state,
+        }
 
     def _make_keys(self):
         for client in self.day.clients:
@@ -115,16 +149,28 @@
         if scheme == "v1":
             return "whsec_" + base64.b64encode(key).decode()
         public = Ed25519PrivateKey.from_private_bytes(key).public_key()
-        return "whpk_" + base64.b64encode(public.public_bytes(
-            serialization.Encoding.Raw, serialization.PublicFormat.Raw)).decode()
+        return (
+            "whpk_"
+            + base64.b64encode(
+                public.public_bytes(serialization.Encoding.Raw, serialization.PublicFormat.Raw)
+            ).decode()
+        )
 
     def gateway_file(self, name, number, port=0):
         """Writes one dispatcher's file; its path."""
         day, keys = self.day, {}
         for client in day.clients:
             keys[client.name] = [self._public(scheme, key) for scheme, key in self.keys[client.name]]
-        text = script.gateway_text(day, name, number, f"127.0.2.{number}:{port}", "%s:%d" % self.roster.address, keys,
-                                   self.seed, "%s:%d" % self.broker.address if self.broker else "")
+        text = script.gateway_text(
+            day,
+            name,
+            number,
+            f"127.0.2.{number}:{port}",
+            "%s:%d" % self.roster.address,
+            keys,
+            self.seed,
+            "%s:%d" % self.broker.address if self.broker else "",
+        )
         if day.service:
             text += f'health "{name}.beats"\n'
         if day.upgrades:
@@ -141,8 +187,21 @@
         if any(client.by == "mqtt" for client in day.clients):
             self.broker = self.process("broker", self._standin("broker", "127.0.3.3:0"))
         if day.service:
-            self.router = self.process("router", [*self.program, "router", "--listen", "127.0.3.4:0", "--watch", "127.0.3.4:0",
-                                                  "--records", str(self.records), "--hold", "9"])
+            self.router = self.process(
+                "router",
+                [
+                    *self.program,
+                    "router",
+                    "--listen",
+                    "127.0.3.4:0",
+                    "--watch",
+                    "127.0.3.4:0",
+                    "--records",
+                    str(self.records),
+                    "--hold",
+                    "9",
+                ],
+            )
         await asyncio.gather(*(p.start() for p in self.processes))
         for number, (name, hall, cell) in enumerate(day.workers, 1):
             self.booted[name] = 0
@@ -157,7 +216,11 @@
         for number, name in enumerate(self.day.dispatchers, 1):
             path = self.gateway_file(name, number)
             self.dispatchers[name] = self.process(name, [*self.dispatcher, str(path)])
-        speakers = [self._speaker(name, number) for number, name in enumerate(self.day.dispatchers, 1) if self.day.service]
+        speakers = [
+            self._speaker(name, number)
+            for number, name in enumerate(self.day.dispatchers, 1)
+            if self.day.service
+        ]
         await asyncio.gather(*(p.start() for p in [*self.dispatchers.values(), *speakers]))
 
     def _speaker(self, name, number):
@@ -185,14 +248,24 @@
             await self._dispatchers()
             self.start = time.monotonic_ns() + LEAD
             self.put("start", start=self.start)
-            for process in (self.roster, self.store, *self.workers.values(), *([self.broker] if self.broker else ())):
+            for process in (
+                self.roster,
+                self.store,
+                *self.workers.values(),
+                *([self.broker] if self.broker else ()),
+            ):
                 process.tell({"start": self.start})
             for trouble in self.day.troubles:
                 if trouble.kind in OPERATES:
-                    self.tasks.append(asyncio.ensure_future(self._later(self.start + trouble.at, OPERATES[trouble.kind],
-                                                                        trouble)))
+                    self.tasks.append(
+                        asyncio.ensure_future(
+                            self._later(self.start + trouble.at, OPERATES[trouble.kind], trouble)
+                        )
+                    )
             counts, *_ = await asyncio.gather(
-                self._clients("portal", self.start), *([self._clients("devices", self.start)] if self.broker else ()))
+                self._clients("portal", self.start),
+                *([self._clients("devices", self.start)] if self.broker else ()),
+            )
             await asyncio.gather(*self.tasks)
             return counts
         finally:
@@ -208,22 +281,37 @@
         await call(self, trouble)
 
     async def _clients(self, what, start):
-        plan = {"start": start, "seed": self.seed,
-                "dispatchers": {n: list(d.address) for n, d in self.dispatchers.items()},
-                "keys": {c: [[s, k.hex()] for s, k in keys] for c, keys in self.keys.items()}}
+        plan = {
+            "start": start,
+            "seed": self.seed,
+            "dispatchers": {n: list(d.address) for n, d in self.dispatchers.items()},
+            "keys": {c: [[s, k.hex()] for s, k in keys] for c, keys in self.keys.items()},
+        }
         if self.broker is not None:
             plan["broker"] = list(self.broker.address)
         if self.router is not None:
             host, _, port = self.router.said["watch"].rpartition(":")
-            plan["steer"] = {"watch": [host, int(port)], "prefix": self.day.service,
-                             "names": {str((10 << 24) + n): name for n, name in enumerate(self.day.dispatchers, 1)}}
+            plan["steer"] = {
+                "watch": [host, int(port)],
+                "prefix": self.day.service,
+                "names": {str((10 << 24) + n): name for n, name in enumerate(self.day.dispatchers, 1)},
+            }
         path = self.folder / f"plan-{what}.json"
         path.write_text(json.dumps(plan))
         os.chmod(path, 0o600)
         with open(self.folder / f"{what}.log", "wb") as log:
             child = await asyncio.create_subprocess_exec(
-                *self.program, what, self.day.file, "--plan", str(path), "--records", str(self.records),
-                stdin=asyncio.subprocess.DEVNULL, stdout=asyncio.subprocess.PIPE, stderr=log)
+                *self.program,
+                what,
+                self.day.file,
+                "--plan",
+                str(path),
+                "--records",
+                str(self.records),
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=asyncio.subprocess.PIPE,
+                stderr=log,
+            )
         counts = {}
         try:
             while line := await child.stdout.readline():
@@ -282,13 +370,14 @@
         await again.start()
 
     async def _upgrade(self, trouble):
-        """One that can't take over (the one before has not proven itself, or was just killed) is tried once more."""
+        """One that can't take over (the one before has not proven itself, or was just killed) is tried once
+        more."""
         name = trouble.what["dispatcher"]
         number, old = self.day.dispatchers.index(name) + 1, self.dispatchers[name]
         path = self.gateway_file(name, number, old.address[1])
         for _ in range(2):
             if self.dispatchers[name] is not old or old.child.returncode is not None:
-                break                                    # killed meanwhile
+                break  # killed meanwhile
             new, begun = self.process(name, [*self.program, "upgrade", str(path)]), time.monotonic_ns()
             try:
                 await new.start()
@@ -311,8 +400,14 @@
         return case_of(self.folder, self.day)
 
 
-OPERATES = {"drain": Run._drain, "restart": Run._restart, "kill": Run._kill, "stop": Run._stop, "upgrade": Run._upgrade,
-            "router-reset": Run._router_reset}
+OPERATES = {
+    "drain": Run._drain,
+    "restart": Run._restart,
+    "kill": Run._kill,
+    "stop": Run._stop,
+    "upgrade": Run._upgrade,
+    "router-reset": Run._router_reset,
+}
 
 
 def case_of(folder, day):
@@ -321,5 +416,9 @@
     gateway = settings.read(folder / f"{day.dispatchers[0]}.kdl")
     records = rules.load(folder / "records")
     start = next((r["start"] for r in records if r["t"] == "start"), 0)
-    away = [(start + t.at, start + t.at + t.span) for t in day.troubles if t.kind in ("broker-lost", "broker-silent")]
+    away = [
+        (start + t.at, start + t.at + t.span)
+        for t in day.troubles
+        if t.kind in ("broker-lost", "broker-silent")
+    ]
     return rules.Case(records, gateway.terms, gateway.workers.drain_grace, day.build, day.works(), away)
--- a/petrelwood/lab/difference.py
+++ b/petrelwood/lab/difference.py
@@ -1,4 +1,6 @@
-"""How far the emulator is from the sockets: the same script, seed and figures, from the same kind of records."""
+"""How far the emulator is from the sockets: the same script, seed and figures, from the same kind of
+records."""
+
 from petrelwood.audit import rules
 from petrelwood.emulate.platform import Platform
 from petrelwood.lab import stages
@@ -7,8 +9,10 @@
 def figures(case):
     """Shares and times of a played day that mean the same wherever it was played."""
     ends, found = rules.outcomes(case), {}
-    total = {name: sum(counts.get(name, 0) for counts in ends.values())
-             for name in ("completed", "rejected", "aborted", "left", "broken", "sends", "sent")}
+    total = {
+        name: sum(counts.get(name, 0) for counts in ends.values())
+        for name in ("completed", "rejected", "aborted", "left", "broken", "sends", "sent")
+    }
     tries = max(1, sum(total[n] for n in ("completed", "rejected", "aborted", "left", "broken")))
     for name in ("completed", "rejected", "aborted", "left", "broken"):
         found[f"{name}, share of tries"] = total[name] / tries
@@ -16,7 +20,9 @@
     found["sends an activation"] = total["sends"] / max(1, total["sent"])
     took = sorted(a["took"] for a in case.by["answer"] if a["status"] == 200)
     for part in (50, 90, 99):
-        found[f"p{part} of completed, s"] = took[min(len(took) - 1, len(took) * part // 100)] / 1e9 if took else 0.0
+        found[f"p{part} of completed, s"] = (
+            took[min(len(took) - 1, len(took) * part // 100)] / 1e9 if took else 0.0
+        )
     for stage, times in stages.histograms(case.records).items():
         for part in (50, 99) if times.get_total_count() else ():
             found[f"{stage}, p{part}, s"] = times.get_value_at_percentile(part) / 1000
--- a/petrelwood/lab/estimate.py
+++ b/petrelwood/lab/estimate.py
@@ -1,8 +1,10 @@
 """What a change of settings would make of a day: both versions played in the emulator, paired by seed.
 
-A version's terms take the place of the day's where they mean something there; what the day is (traffic, workers as they really are,
+A version's terms take the place of the day's where they mean something there; what the day is (traffic,
+workers as they really are,
 troubles) stays. Simulated servers.
 """
+
 import concurrent.futures
 import multiprocessing
 import pathlib
@@ -18,14 +20,15 @@
 
 class Row(NamedTuple):
     figure: str
-    old: float             # means over the seeds
+    old: float  # means over the seeds
     new: float
-    low: float             # the difference's 95% interval; one point where the seeds are too few or agree
+    low: float  # the difference's 95% interval; one point where the seeds are too few or agree
     high: float
 
 
 def under(day, path):
-    """(the day under a version's terms, what was carried over). Raises `BadFile` where nothing of it means anything there."""
+    """(the day under a version's terms, what was carried over). Raises `BadFile` where nothing of it means
+    anything there."""
     file = doc.File(path)
     named = {(n.name, str(n.args[0])): n for n in file.children if n.args}
     alone = {n.name: n for n in file.children if n.name in CARRIED}
@@ -33,8 +36,12 @@
     for node in day.terms.children:
         label = (node.name, str(node.args[0])) if node.args else None
         found = named.get(label) if node.name in ("namespace-type", "function") else alone.get(node.name)
-        if found is not None and node.name == "function" and found.props.get("type") != node.props.get("type"):
-            found = None                                 # the day has no such type
+        if (
+            found is not None
+            and node.name == "function"
+            and found.props.get("type") != node.props.get("type")
+        ):
+            found = None  # the day has no such type
         if found is not None:
             found.children = [c for c in found.children if c.name != "tls"]
             carried.append(f"{node.name} '{label[1]}'" if label else node.name)
@@ -54,6 +61,7 @@
     from petrelwood.audit import rules
     from petrelwood.emulate import result
     from petrelwood.emulate.platform import Platform
+
     name, version, seed = job
     day, _ = under(script.read(name), version)
     platform = Platform(day, seed).run()
@@ -63,7 +71,8 @@
 
 
 def estimate(old, new, name, seeds, jobs=0):
-    """([Row], what each version broke, what was carried over) of two versions' files on a day, paired by seed."""
+    """([Row], what each version broke, what was carried over) of two versions' files on a day, paired by
+    seed."""
     path = str(script.find(name))
     day = script.read(path)
     carried = {"old": under(day, old)[1], "new": under(day, new)[1]}
