--- a/petrelwood/lab/experiment.py
+++ b/petrelwood/lab/experiment.py
@@ -1,18 +1,22 @@
-"""Experiments on the emulator: factors x levels x seeds, paired by seed, over all cores, resumed after a kill.
+"""Experiments on the emulator: factors x levels x seeds, paired by seed, over all cores, resumed after a
+kill.
 
     experiment "NAME" {
         day "bad"; day "quiet.kdl"          // scripts
         policy "petrelwood"; policy "bounded-hash"
         seeds from=1 count=8
-        factor "rate" 60 120 240            // rate, dispatchers, workers, store (a multiple of its pace), troubles (or none), trouble (that
+        factor "rate" 60 120 240            // rate, dispatchers, workers, store (a multiple of its pace),
+        troubles (or none), trouble (that
                                             // kind alone), early (none, forecast, oracle),
                                             // damping (of storms), state (that survives a kill)
         within "120s"                       // a run that takes longer is ended and kept as such
     }
 
-Each run is a process of its own and leaves one file, written beside and then renamed: what stands is whole, and a second
+Each run is a process of its own and leaves one file, written beside and then renamed: what stands is whole,
+and a second
 start does only what is missing. `results.parquet` holds all rows with what made them.
 """
+
 import base64
 import collections
 import gc
@@ -36,27 +40,35 @@
 from petrelwood.settings import document as doc
 from petrelwood.store.snapshot import put
 
-LEVELS = {"rate": doc.number, "dispatchers": doc.count, "workers": doc.count, "store": doc.number, "troubles": doc.yes, "damping": doc.yes, "state": doc.yes,
-          "early": doc.one_of("none", "forecast", "oracle"),
-          "trouble": doc.one_of("none", "all", *script.TROUBLES, *script.EMULATED)}
-HEAT = 60                  # seconds of the map of workers
+LEVELS = {
+    "rate": doc.number,
+    "dispatchers": doc.count,
+    "workers": doc.count,
+    "store": doc.number,
+    "troubles": doc.yes,
+    "damping": doc.yes,
+    "state": doc.yes,
+    "early": doc.one_of("none", "forecast", "oracle"),
+    "trouble": doc.one_of("none", "all", *script.TROUBLES, *script.EMULATED),
+}
+HEAT = 60  # seconds of the map of workers
 
 
 class Experiment(NamedTuple):
     name: str
-    text: str              # the file, as it was
-    days: tuple            # scripts' paths
-    policies: tuple        # the first one is what the others are compared with
+    text: str  # the file, as it was
+    days: tuple  # scripts' paths
+    policies: tuple  # the first one is what the others are compared with
     seeds: tuple
-    factors: tuple         # (name, levels)
-    within: float          # seconds
+    factors: tuple  # (name, levels)
+    within: float  # seconds
 
 
 class Run(NamedTuple):
     day: str
     policy: str
     seed: int
-    levels: tuple          # (factor, level)
+    levels: tuple  # (factor, level)
 
     @property
     def id(self):
@@ -65,7 +77,8 @@
 
 
 def read(path, text=None, problems=None):
-    """The experiment that a file, or a text in its place, describes. Raises `document.BadFile`, or collects what is wrong."""
+    """The experiment that a file, or a text in its place, describes. Raises `document.BadFile`, or collects
+    what is wrong."""
     file = doc.File(path, text, problems)
     return described(file, pathlib.Path(path))
 
@@ -81,7 +94,9 @@
             days.append(str(script.find(str(near) if near.exists() else given)))
             script.read(days[-1])
         except doc.BadFile as fault:
-            one.wrong(f"day '{given}': {fault.what}" + (f" ({fault.file}:{fault.line})" if fault.line else ""))
+            one.wrong(
+                f"day '{given}': {fault.what}" + (f" ({fault.file}:{fault.line})" if fault.line else "")
+            )
         one.done(1)
     for one in node.every("policy"):
         seen.append(one.arg(doc.one_of(*policies.named()), "a policy"))
@@ -100,14 +115,28 @@
     seeds.done()
     node.done(1)
     file.done()
-    return Experiment(name, next(iter(file.files.values()), ""), tuple(days), tuple(seen),
-                      tuple(range(first, first + count)), tuple(factors), within)
+    return Experiment(
+        name,
+        next(iter(file.files.values()), ""),
+        tuple(days),
+        tuple(seen),
+        tuple(range(first, first + count)),
+        tuple(factors),
+        within,
+    )
 
 
 def runs(experiment):
-    combos = list(itertools.product(*([(name, level) for level in levels] for name, levels in experiment.factors)))
-    return [Run(day, policy, seed, levels) for day in experiment.days for levels in combos
-            for seed in experiment.seeds for policy in experiment.policies]
+    combos = list(
+        itertools.product(*([(name, level) for level in levels] for name, levels in experiment.factors))
+    )
+    return [
+        Run(day, policy, seed, levels)
+        for day in experiment.days
+        for levels in combos
+        for seed in experiment.seeds
+        for policy in experiment.policies
+    ]
 
 
 def with_levels(day, levels):
@@ -129,14 +158,24 @@
             day = day._replace(troubles=tuple(t for t in day.troubles if level in (t.kind, "all")))
         elif name == "dispatchers":
             names = tuple(f"d{i + 1}" for i in range(level))
-            day = day._replace(dispatchers=names, troubles=tuple(
-                t for t in day.troubles if t.what.get("dispatcher", "d1") in names))
+            day = day._replace(
+                dispatchers=names,
+                troubles=tuple(t for t in day.troubles if t.what.get("dispatcher", "d1") in names),
+            )
         elif name == "workers":
             cell = max(1, len(day.workers) // len(day.halls) // 4)
-            made = tuple((f"w{i + 1}", day.halls[i % len(day.halls)],
-                          1 + i % len(day.halls) * 1000 + i // len(day.halls) // cell) for i in range(level))
-            day = day._replace(workers=made, troubles=tuple(
-                t for t in day.troubles if t.what.get("worker", "w1") in {w[0] for w in made}))
+            made = tuple(
+                (
+                    f"w{i + 1}",
+                    day.halls[i % len(day.halls)],
+                    1 + i % len(day.halls) * 1000 + i // len(day.halls) // cell,
+                )
+                for i in range(level)
+            )
+            day = day._replace(
+                workers=made,
+                troubles=tuple(t for t in day.troubles if t.what.get("worker", "w1") in {w[0] for w in made}),
+            )
     return day
 
 
@@ -147,6 +186,7 @@
     from petrelwood.emulate.foresight import Foresight
     from petrelwood.emulate.platform import Platform
     from petrelwood.lab import stages
+
     day = with_levels(script.read(run.day), run.levels)
     begun = time.process_time()
     policy, future = policies.named()[run.policy], None
@@ -164,8 +204,12 @@
         if wish.ended == "completed":
             times.record_value(max(1, wish.took // 1_000_000))
     row["times"] = base64.b64encode(times.encode()).decode()
-    row["stages"] = json.dumps({stage: base64.b64encode(found.encode()).decode()
-                                for stage, found in stages.histograms(platform.records).items()})
+    row["stages"] = json.dumps(
+        {
+            stage: base64.b64encode(found.encode()).decode()
+            for stage, found in stages.histograms(platform.records).items()
+        }
+    )
     row["course"] = json.dumps([dict(c) for c in platform.time_course])
     heat = collections.defaultdict(lambda: [0] * HEAT)
     for record in platform.records:
@@ -176,7 +220,8 @@
 
 
 def _child(run, path):
-    gc.disable()               # the process ends with its run; collecting crowds the caches that the others share
+    # the process ends with its run; collecting crowds the caches that the others share
+    gc.disable()
     try:
         row, status = play(run), "ended"
     except Exception:
@@ -185,8 +230,14 @@
 
 
 def _put(path, run, status, row):
-    made = {"status": status, "day": pathlib.Path(run.day).stem, "policy": run.policy, "seed": run.seed,
-            **{f"factor {k}": v if isinstance(v, str) else float(v) for k, v in run.levels}, **row}
+    made = {
+        "status": status,
+        "day": pathlib.Path(run.day).stem,
+        "policy": run.policy,
+        "seed": run.seed,
+        **{f"factor {k}": v if isinstance(v, str) else float(v) for k, v in run.levels},
+        **row,
+    }
     put(path, json.dumps(made).encode())
 
 
@@ -194,7 +245,7 @@
     """Does what is missing; (runs that stand, those of them that failed or never ended)."""
     folder = out / "runs"
     folder.mkdir(parents=True, exist_ok=True)
-    for part in folder.glob("*.part*"):                  # of a start that was killed
+    for part in folder.glob("*.part*"):  # of a start that was killed
         part.unlink()
     kept = out / "experiment.kdl"
     if kept.exists() and kept.read_text() != experiment.text:
@@ -227,8 +278,10 @@
             del alive[child]
             ended += 1
             spent = time.monotonic() - begun
-            tell(f"{len(wanted) - len(left) + ended} of {len(wanted)} runs, about "
-                 f"{spent / ended * (len(left) - ended):.0f} s left")
+            tell(
+                f"{len(wanted) - len(left) + ended} of {len(wanted)} runs, about "
+                f"{spent / ended * (len(left) - ended):.0f} s left"
+            )
     rows = [json.loads((folder / f"{r.id}.json").read_text()) for r in wanted]
     write_parquet(experiment, rows, out / "results.parquet")
     return len(rows), sum(r["status"] != "ended" for r in rows)
@@ -237,8 +290,14 @@
 def write_parquet(experiment, rows, path):
     names = sorted({name for row in rows for name in row})
     commit = subprocess.run(["git", "rev-parse", "HEAD"], capture_output=True, text=True).stdout.strip()
-    made = {"experiment": experiment.text, "commit": commit, "seeds": json.dumps(experiment.seeds),
-            "libraries": json.dumps({name: importlib.metadata.version(name) for name in ("numpy", "scipy", "pyarrow")})}
+    made = {
+        "experiment": experiment.text,
+        "commit": commit,
+        "seeds": json.dumps(experiment.seeds),
+        "libraries": json.dumps(
+            {name: importlib.metadata.version(name) for name in ("numpy", "scipy", "pyarrow")}
+        ),
+    }
     table = pyarrow.table({name: [row.get(name) for row in rows] for name in names})
     part = path.with_suffix(".part")
     pyarrow.parquet.write_table(table.replace_schema_metadata(made), part, compression="zstd")
@@ -248,16 +307,23 @@
 def rows_of(out):
     """(rows that ended, what made them)"""
     if not (out / "results.parquet").exists():
-        raise doc.BadFile(out, 0, "its runs have not all ended; start `experiment run` again, it does what is missing")
+        raise doc.BadFile(
+            out, 0, "its runs have not all ended; start `experiment run` again, it does what is missing"
+        )
     table = pyarrow.parquet.read_table(out / "results.parquet")
-    made = {k.decode(): v.decode() for k, v in (table.schema.metadata or {}).items() if not k.startswith(b"ARROW")}
+    made = {
+        k.decode(): v.decode() for k, v in (table.schema.metadata or {}).items() if not k.startswith(b"ARROW")
+    }
     return [r for r in table.to_pylist() if r["status"] == "ended"], made
 
 
 def setting(row, but=None):
     """The day and the levels of a row: what is paired. `but`: a factor that is compared, not paired."""
-    levels = " ".join(f"{k[7:]}={v if isinstance(v, str) else f'{v:g}'}" for k, v in sorted(row.items())
-                      if k.startswith("factor ") and v is not None and k[7:] != but)
+    levels = " ".join(
+        f"{k[7:]}={v if isinstance(v, str) else f'{v:g}'}"
+        for k, v in sorted(row.items())
+        if k.startswith("factor ") and v is not None and k[7:] != but
+    )
     return f"{row['day']} {levels}".strip()
 
 
@@ -267,13 +333,17 @@
 
 
 def interval(values, seed=1):
-    """(mean, lower, upper) of a mean, by bootstrap, 95%; the mean alone three times where there are too few."""
+    """(mean, lower, upper) of a mean, by bootstrap, 95%; the mean alone three times where there are too
+    few."""
     import numpy
     from scipy import stats
+
     values = numpy.asarray(values, dtype=float)
     if len(values) < 3 or numpy.ptp(values) == 0:
         return float(values.mean()), float(values.mean()), float(values.mean())
-    found = stats.bootstrap((values,), numpy.mean, n_resamples=2000, method="BCa", rng=numpy.random.default_rng(seed))
+    found = stats.bootstrap(
+        (values,), numpy.mean, n_resamples=2000, method="BCa", rng=numpy.random.default_rng(seed)
+    )
     return float(values.mean()), float(found.confidence_interval.low), float(found.confidence_interval.high)
 
 
@@ -286,11 +356,14 @@
 
 
 def differences(out, figure, factor=None):
-    """[(setting, policy or level, pairs, mean of the first, mean difference, lower, upper, corrected p)]: policies, or the
-    levels of a factor under the first policy, against the first of them; paired by seed, with the sign-flip test and Holm's
+    """[(setting, policy or level, pairs, mean of the first, mean difference, lower, upper, corrected p)]:
+    policies, or the
+    levels of a factor under the first policy, against the first of them; paired by seed, with the sign-flip
+    test and Holm's
     correction over the whole table."""
     import numpy
     from scipy import stats
+
     rows, made = rows_of(out)
     first, by = first_policy(made), {}
     if factor:
@@ -308,9 +381,18 @@
         gaps = numpy.array([values[s] - base[s] for s in seeds], dtype=float)
         p = 1.0
         if len(seeds) > 2 and numpy.ptp(gaps):
-            p = float(stats.permutation_test((gaps,), numpy.mean, permutation_type="samples", n_resamples=4999,
-                                             rng=numpy.random.default_rng(1)).pvalue)
-        found.append([where, policy, len(seeds), float(numpy.mean([base[s] for s in seeds])), *interval(gaps), p])
+            p = float(
+                stats.permutation_test(
+                    (gaps,),
+                    numpy.mean,
+                    permutation_type="samples",
+                    n_resamples=4999,
+                    rng=numpy.random.default_rng(1),
+                ).pvalue
+            )
+        found.append(
+            [where, policy, len(seeds), float(numpy.mean([base[s] for s in seeds])), *interval(gaps), p]
+        )
     worst = 0.0
     for rank, row in enumerate(sorted(found, key=lambda r: r[-1])):
         worst = max(worst, min(1.0, row[-1] * (len(found) - rank)))
@@ -331,7 +413,9 @@
     whole = {}
     for row in rows:
         for stage, text in json.loads(row["stages"]).items():
-            whole.setdefault(stage, HdrHistogram(1, 3_600_000, 3)).add(HdrHistogram.decode(base64.b64decode(text)))
+            whole.setdefault(stage, HdrHistogram(1, 3_600_000, 3)).add(
+                HdrHistogram.decode(base64.b64decode(text))
+            )
     return whole
 
 
--- a/petrelwood/lab/past.py
+++ b/petrelwood/lab/past.py
@@ -1,4 +1,5 @@
 """Forecasts replayed over a history: scores on its last third, and one function explained."""
+
 import collections
 
 import numpy
@@ -25,7 +26,8 @@
 
 
 def _replay(row, first, calendar):
-    """Each slot's forecasts by method and the believed one, before it is learnt: [(count, {method: (mean, spread)})]"""
+    """Each slot's forecasts by method and the believed one, before it is learnt: [(count, {method: (mean,
+    spread)})]"""
     series, steps = forecast.Series(), []
     for number, count in enumerate(row.tolist()):
         keys = calendar.keys((first + number) * calendar.slot)
@@ -48,15 +50,19 @@
     for index in numpy.argsort(-matrix.sum(axis=1))[:most]:
         series, steps = _replay(matrix[index], first, calendar)
         believed[series.believed] += 1
-        for count, made in steps[2 * len(steps) // 3:]:
+        for count, made in steps[2 * len(steps) // 3 :]:
             if {"seasonal", "recent", "both", "believed"} - set(made):
                 continue
             scored += 1
             for method, (mean, spread) in made.items():
                 sums[method][0] += forecast.score(mean, spread, count)
                 sums[method][1] += 1
-    return {"scores": {m: s / n for m, (s, n) in sorted(sums.items())}, "believed": dict(believed), "slots": scored,
-            "functions": min(most, len(names))}
+    return {
+        "scores": {m: s / n for m, (s, n) in sorted(sums.items())},
+        "believed": dict(believed),
+        "slots": scored,
+        "functions": min(most, len(names)),
+    }
 
 
 def explain(folder, slot, season, function, chart=None):
@@ -71,14 +77,18 @@
     yield f"{function}: {row.sum()} calls in {len(row)} slots of {slot / SECOND:g} s"
     for method, value in series.means(calendar.keys(at)).items():
         score = series.scores[method]
-        yield (f"  {method:9s} expects {'nothing yet' if value is None else f'{value:.2f}'} in the next slot"
-               + (f", mean score {score:.3f}" if score is not None else "")
-               + (", believed" if method == series.believed else ""))
+        yield (
+            f"  {method:9s} expects {'nothing yet' if value is None else f'{value:.2f}'} in the next slot"
+            + (f", mean score {score:.3f}" if score is not None else "")
+            + (", believed" if method == series.believed else "")
+        )
     if mean is not None:
         below = forecast.probabilities(mean, spread, int(mean + 6 * (mean * spread) ** 0.5) + 2)
         low, high = (next((k for k, p in enumerate(below) if p >= part), len(below)) for part in (0.1, 0.9))
-        yield (f"  next: {mean:.2f} calls, {low} to {high} in eight of ten; a call at all: "
-               f"{forecast.at_least_one(mean, spread):.0%}" + ("; it is hot" if series.hot else ""))
+        yield (
+            f"  next: {mean:.2f} calls, {low} to {high} in eight of ten; a call at all: "
+            f"{forecast.at_least_one(mean, spread):.0%}" + ("; it is hot" if series.hot else "")
+        )
     if chart:
         _draw(function, steps, slot, chart)
         yield f"  drawn: {chart}"
@@ -86,8 +96,10 @@
 
 def _draw(function, steps, slot, path):
     import matplotlib
+
     matplotlib.use("Agg")
     import matplotlib.pyplot as plt
+
     steps = steps[-600:]
     figure, axes = plt.subplots(figsize=(10, 3.6))
     spots = range(len(steps))
@@ -107,8 +119,13 @@
     plt.close(figure)
 
 
-COLORS = {ends_of.IN_TIME: "#3a7d44", ends_of.LATE: "#b5c99a", ends_of.NEVER: "#e9c46a", ends_of.PUSHED: "#9c89b8",
-          ends_of.FAILED: "#e76f51"}
+COLORS = {
+    ends_of.IN_TIME: "#3a7d44",
+    ends_of.LATE: "#b5c99a",
+    ends_of.NEVER: "#e9c46a",
+    ends_of.PUSHED: "#9c89b8",
+    ends_of.FAILED: "#e76f51",
+}
 
 
 def account(folder, by, most, chart=None):
@@ -130,26 +147,40 @@
     seen = collections.Counter(row["end"] for row in rows)
     saved = sum(max(0.0, row["seconds"]) for row in rows)
     spent = sum(max(0.0, -row["seconds"]) for row in rows)
-    return (f"{name:24s} {len(rows):6d} {saved:9.1f} {spent:9.1f} {saved - spent:+9.1f} {sum(r['memory'] for r in rows):8.1f}  "
-            + ", ".join(f"{end} {seen[end]}" for end in ends_of.ENDS if seen[end]))
+    return (
+        f"{name:24s} {len(rows):6d} {saved:9.1f} {spent:9.1f} {saved - spent:+9.1f} {sum(r['memory'] for r in rows):8.1f}  "
+        + ", ".join(f"{end} {seen[end]}" for end in ends_of.ENDS if seen[end])
+    )
 
 
 def _time_line(rows, path, most=60):
     """Each early load as a bar from its order to its end, by function, coloured by how it ended."""
     import matplotlib
+
     matplotlib.use("Agg")
     import matplotlib.pyplot as plt
+
     called = [name for name, _ in collections.Counter(row["function"] for row in rows).most_common(most)]
     spots, first = {name: i for i, name in enumerate(called)}, min(row["asked"] for row in rows)
     figure, axes = plt.subplots(figsize=(11, 1 + 0.17 * len(called)))
     for row in rows:
         if row["function"] in spots:
-            axes.barh(spots[row["function"]], (row["ended"] - row["asked"]) / SECOND, left=(row["asked"] - first) / SECOND,
-                      color=COLORS[row["end"]], height=0.8)
+            axes.barh(
+                spots[row["function"]],
+                (row["ended"] - row["asked"]) / SECOND,
+                left=(row["asked"] - first) / SECOND,
+                color=COLORS[row["end"]],
+                height=0.8,
+            )
     axes.set_yticks(range(len(called)), called, fontsize=6)
     axes.invert_yaxis()
     axes.set_xlabel("seconds from the first order")
-    axes.legend(handles=[plt.Rectangle((0, 0), 1, 1, color=c, label=end) for end, c in COLORS.items()], fontsize=7, ncols=5,
-                loc="upper center", bbox_to_anchor=(0.5, -0.08))
+    axes.legend(
+        handles=[plt.Rectangle((0, 0), 1, 1, color=c, label=end) for end, c in COLORS.items()],
+        fontsize=7,
+        ncols=5,
+        loc="upper center",
+        bbox_to_anchor=(0.5, -0.08),
+    )
     figure.savefig(path, dpi=90, bbox_inches="tight")
     plt.close(figure)
--- a/petrelwood/lab/report.py
+++ b/petrelwood/lab/report.py
@@ -1,4 +1,5 @@
 """An experiment's report: one HTML file that opens without a network, with its tables and charts in it."""
+
 import base64
 import collections
 import html
@@ -13,8 +14,14 @@
 from petrelwood.lab import experiment as lab
 
 matplotlib.use("Agg")
-ENDS = (("in time", "#3a7d44"), ("late", "#b5c99a"), ("rejected", "#e9c46a"), ("aborted", "#e76f51"), ("left", "#9c89b8"),
-        ("broken", "#444444"))
+ENDS = (
+    ("in time", "#3a7d44"),
+    ("late", "#b5c99a"),
+    ("rejected", "#e9c46a"),
+    ("aborted", "#e76f51"),
+    ("left", "#9c89b8"),
+    ("broken", "#444444"),
+)
 HEAD = """<!doctype html><html lang="en"><meta charset="utf-8"><title>%s</title>
 <style>body{font:15px/1.45 sans-serif;max-width:62em;margin:2em auto;padding:0 1em;color:#222}
 table{border-collapse:collapse;margin:1em 0}td,th{padding:.25em .7em;border-bottom:1px solid #ddd;text-align:right}
@@ -47,7 +54,13 @@
                 continue
             mean, low, high = lab.interval(values)
             y = i * (len(names) + 1) + j
-            axes.barh(y, mean, color=plt.cm.tab10(j), xerr=[[max(0, mean - low)], [max(0, high - mean)]], ecolor="#222")
+            axes.barh(
+                y,
+                mean,
+                color=plt.cm.tab10(j),
+                xerr=[[max(0, mean - low)], [max(0, high - mean)]],
+                ecolor="#222",
+            )
             spots.append(y)
             labels.append(f"{where}  {policy}")
     axes.set_yticks(spots, labels, fontsize=8)
@@ -94,12 +107,15 @@
 
 
 def _stages(rows):
-    """Where the time of completed answers went: the median, and what one in ten and one in a hundred waited beyond."""
+    """Where the time of completed answers went: the median, and what one in ten and one in a hundred waited
+    beyond."""
     names = list(dict.fromkeys(r["policy"] for r in rows))
     chart, axes = plt.subplots(figsize=(9, 1.0 + 0.34 * len(names) * 5))
     spots, labels = [], []
     for j, policy in enumerate(names):
-        for i, (stage, times) in enumerate(lab.merged_stages([r for r in rows if r["policy"] == policy]).items()):
+        for i, (stage, times) in enumerate(
+            lab.merged_stages([r for r in rows if r["policy"] == policy]).items()
+        ):
             y, left = i * (len(names) + 1) + j, 0
             for part, shade in ((50, 1.0), (90, 0.55), (99, 0.25)):
                 value = times.get_value_at_percentile(part) / 1000 if times.get_total_count() else 0
@@ -134,8 +150,14 @@
                     by[row[factor]].append(row[figure])
             levels = sorted(by)
             found = [lab.interval(by[x]) for x in levels]
-            axes.errorbar(levels, [f[0] for f in found], marker="o", label=f"{day} {policy}", yerr=[
-                [max(0, f[0] - f[1]) for f in found], [max(0, f[2] - f[0]) for f in found]], capsize=3)
+            axes.errorbar(
+                levels,
+                [f[0] for f in found],
+                marker="o",
+                label=f"{day} {policy}",
+                yerr=[[max(0, f[0] - f[1]) for f in found], [max(0, f[2] - f[0]) for f in found]],
+                capsize=3,
+            )
     axes.set_xlabel(factor[7:])
     axes.set_ylabel(figure)
     axes.legend(fontsize=7)
@@ -147,19 +169,42 @@
     rows, made = lab.rows_of(out)
     first = lab.first_policy(made)
     name = script.doc.File("experiment.kdl", made["experiment"]).child("experiment").args[0]
-    parts = [HEAD % (html.escape(name), html.escape(name)),
-             f"<p>{len(rows)} runs of the emulator: all servers are simulated. Commit {html.escape(made['commit'][:12])}, "
-             f"libraries {html.escape(made['libraries'])}.</p>"]
+    parts = [
+        HEAD % (html.escape(name), html.escape(name)),
+        f"<p>{len(rows)} runs of the emulator: all servers are simulated. Commit {html.escape(made['commit'][:12])}, "
+        f"libraries {html.escape(made['libraries'])}.</p>",
+    ]
     broken = [r for r in rows if r["policy"] == first and r["rules broken"]]
-    parts.append(f"<p>Runs of {html.escape(first)} in which a rule broke: {len(broken)}"
-                 + "".join(f"<br>{html.escape(lab.setting(r))}, seed {r['seed']}: {html.escape(r['broken rule'])}"
-                           for r in broken[:10]) + "</p>")
+    parts.append(
+        f"<p>Runs of {html.escape(first)} in which a rule broke: {len(broken)}"
+        + "".join(
+            f"<br>{html.escape(lab.setting(r))}, seed {r['seed']}: {html.escape(r['broken rule'])}"
+            for r in broken[:10]
+        )
+        + "</p>"
+    )
     for figure in figures:
         parts.append(f"<h2>{html.escape(figure)}</h2>" + _picture(*_bars(rows, figure)))
         against = f"{factor}={lab.first_level(made, factor)}" if factor else first
-        parts.append(_table(("day", factor or "policy", "pairs", against, "difference", "95%", "p (Holm)"), [
-            (where, variant, pairs, f"{base:.3f}", f"{mean:+.3f}", f"{low:+.3f} to {high:+.3f}", f"{p:.3f}")
-            for where, variant, pairs, base, mean, low, high, p in lab.differences(out, figure, factor)]))
+        parts.append(
+            _table(
+                ("day", factor or "policy", "pairs", against, "difference", "95%", "p (Holm)"),
+                [
+                    (
+                        where,
+                        variant,
+                        pairs,
+                        f"{base:.3f}",
+                        f"{mean:+.3f}",
+                        f"{low:+.3f} to {high:+.3f}",
+                        f"{p:.3f}",
+                    )
+                    for where, variant, pairs, base, mean, low, high, p in lab.differences(
+                        out, figure, factor
+                    )
+                ],
+            )
+        )
         for one in sorted({k for r in rows for k in r if k.startswith("factor ")}):
             if len({r[one] for r in rows}) > 1 and not any(isinstance(r[one], str) for r in rows):
                 parts.append(_picture(*_curves(rows, figure, one)))
@@ -172,16 +217,22 @@
         if row["policy"] == first and where not in shown and len(shown) < 8:
             shown.add(where)
             day = script.read(script.find(_path(made, row["day"])))
-            parts.append(f"<h2>{html.escape(where)}, {html.escape(first)}, seed {row['seed']}</h2>" + _picture(*_course(row, day))
-                         + _picture(*_heat(row)))
+            parts.append(
+                f"<h2>{html.escape(where)}, {html.escape(first)}, seed {row['seed']}</h2>"
+                + _picture(*_course(row, day))
+                + _picture(*_heat(row))
+            )
     parts.append(f"<h2>What made it</h2><pre>{html.escape(made['experiment'])}</pre>")
     pathlib.Path(to).write_text("\n".join(parts), encoding="utf-8")
 
 
 def chart(out, to, kind, figure, policy=None, seed=None, factor=None):
-    """One chart as a picture file. `course` and `heat` show one run: of `policy` (else the first) and `seed` (else the least)."""
+    """One chart as a picture file. `course` and `heat` show one run: of `policy` (else the first) and `seed`
+    (else the least)."""
     rows, made = lab.rows_of(out)
-    shown = [r for r in rows if r["policy"] == (policy or lab.first_policy(made)) and seed in (None, r["seed"])]
+    shown = [
+        r for r in rows if r["policy"] == (policy or lab.first_policy(made)) and seed in (None, r["seed"])
+    ]
     if not shown:
         raise script.doc.BadFile(out, 0, "it has no run of that policy and seed")
     one = min(shown, key=lambda r: r["seed"])
@@ -190,9 +241,15 @@
             raise script.doc.BadFile(out, 0, "curves need a factor of numbers that was varied")
         drawn, _ = _curves(rows, figure, f"factor {factor}")
     elif kind in ("course", "heat"):
-        drawn, _ = _heat(one) if kind == "heat" else _course(one, script.read(script.find(_path(made, one["day"]))))
+        drawn, _ = (
+            _heat(one) if kind == "heat" else _course(one, script.read(script.find(_path(made, one["day"]))))
+        )
     else:
-        drawn, _ = {"bars": lambda: _bars(rows, figure), "times": lambda: _times(rows), "stages": lambda: _stages(rows)}[kind]()
+        drawn, _ = {
+            "bars": lambda: _bars(rows, figure),
+            "times": lambda: _times(rows),
+            "stages": lambda: _stages(rows),
+        }[kind]()
     drawn.savefig(to, dpi=90, bbox_inches="tight")
     plt.close(drawn)
 
--- a/petrelwood/lab/search.py
+++ b/petrelwood/lab/search.py
@@ -1,4 +1,6 @@
-"""Looks for the days on which the module does worst, or breaks a rule, and shrinks what it finds to a small script."""
+"""Looks for the days on which the module does worst, or breaks a rule, and shrinks what it finds to a small
+script."""
+
 import random
 
 from petrelwood.audit import rules
@@ -8,11 +10,31 @@
 
 SECOND = 1_000_000_000
 # What a drawn trouble may be: property -> (least, most), in the property's own unit as text is made of it.
-RANGES = {"part": (0.1, 0.7), "times": (2, 8), "patience": (0.3, 0.6), "by": (1, 6), "down": (0.5, 4), "length": (0.2, 0.5),
-          "every": (0.8, 3), "size": (200, 900), "functions": (1, 3)}
+RANGES = {
+    "part": (0.1, 0.7),
+    "times": (2, 8),
+    "patience": (0.3, 0.6),
+    "by": (1, 6),
+    "down": (0.5, 4),
+    "length": (0.2, 0.5),
+    "every": (0.8, 3),
+    "size": (200, 900),
+    "functions": (1, 3),
+}
 TIMES, DRAWN = ("by", "down", "length", "every"), ("worker", "dispatcher", "customer", "hall")
-LEFT_OUT = ("replays", "forgeries", "slow-senders", "broker-drop", "broker-lost", "broker-silent", "broker-forgets",
-            "garbage", "clock-step", "upgrade", "router-reset")
+LEFT_OUT = (
+    "replays",
+    "forgeries",
+    "slow-senders",
+    "broker-drop",
+    "broker-lost",
+    "broker-silent",
+    "broker-forgets",
+    "garbage",
+    "clock-step",
+    "upgrade",
+    "router-reset",
+)
 
 
 def draw(chance, day):
@@ -27,8 +49,11 @@
             if name == "for":
                 words.append(f'for="{chance.uniform(length * 0.1, length * 0.35):.1f}s"')
             elif name == "worker":
-                words.append(f'worker="{chance.choice(day.workers)[0]}"' if kind not in script.WORKERS
-                             else f"part={chance.uniform(0.1, 0.4):.2f}")
+                words.append(
+                    f'worker="{chance.choice(day.workers)[0]}"'
+                    if kind not in script.WORKERS
+                    else f"part={chance.uniform(0.1, 0.4):.2f}"
+                )
             elif name == "dispatcher":
                 words.append(f'dispatcher="{chance.choice(day.dispatchers)}"')
             elif name == "customer":
@@ -38,8 +63,15 @@
             else:
                 low, high = RANGES[name]
                 value = chance.uniform(low, high)
-                words.append(f'{name}="{value:.1f}s"' if name in TIMES else f'{name}="{value:.0f}MB"' if name == "size"
-                             else f"{name}={round(value)}" if name == "functions" else f"{name}={value:.2f}")
+                words.append(
+                    f'{name}="{value:.1f}s"'
+                    if name in TIMES
+                    else f'{name}="{value:.0f}MB"'
+                    if name == "size"
+                    else f"{name}={round(value)}"
+                    if name == "functions"
+                    else f"{name}={value:.2f}"
+                )
         lines.append(" ".join(words))
     return lines
 
@@ -55,18 +87,22 @@
     day = script.read(where)
     mine = Platform(day, seed).run()
     best = Platform(day, seed, policies.Oracle, keep=False).run()
-    broken = [f"{f.rule}: {f.broken[0]}" for f in rules.judge(mine.case()) if f.broken] + result.conserved(mine)[:1]
+    broken = [f"{f.rule}: {f.broken[0]}" for f in rules.judge(mine.case()) if f.broken] + result.conserved(
+        mine
+    )[:1]
     return result.row(best)["service"] - result.row(mine)["service"], broken
 
 
 def shrink(base, lines, seed, where, gap, broken, tell):
     """Takes out what does not matter: the gap stays over four fifths, or the same rule still breaks."""
+
     def still(some):
         found, also = judge(base + "\n".join(some) + "\n", seed, where)
         return also and also[0][0] == broken[0][0] if broken else found >= 0.8 * gap
+
     at = 0
     while at < len(lines) and len(lines) > 1:
-        fewer = lines[:at] + lines[at + 1:]
+        fewer = lines[:at] + lines[at + 1 :]
         if still(fewer):
             tell(f"without: {lines[at]}")
             lines = fewer
@@ -86,13 +122,18 @@
             lines = draw(chance, day)
             gap, broken = judge(base + "\n".join(lines) + "\n", seed + number, where)
             found.append((bool(broken), gap, seed + number, lines, broken))
-            tell(f"{number + 1} of {runs}: gap to the oracle {gap:.3f}" + (f", broken {broken[0]}" if broken else ""))
+            tell(
+                f"{number + 1} of {runs}: gap to the oracle {gap:.3f}"
+                + (f", broken {broken[0]}" if broken else "")
+            )
         found.sort(key=lambda f: (-f[0], -f[1]))
         for rank, (_, gap, its_seed, lines, broken) in enumerate(found[:3], 1):
             small = shrink(base, lines, its_seed, where, gap, broken, tell)
             name = keep / f"found-{seed}-{rank}.kdl"
             gap, broken = judge(base + "\n".join(small) + "\n", its_seed, where)
-            head = f"// seed {its_seed}: gap to the oracle {gap:.3f}" + (f"; broken {broken[0]}" if broken else "")
+            head = f"// seed {its_seed}: gap to the oracle {gap:.3f}" + (
+                f"; broken {broken[0]}" if broken else ""
+            )
             name.write_text(head + "\n" + base + "\n".join(small) + "\n")
             yield f"{name}: seed {its_seed}, gap {gap:.3f}{', broken ' + broken[0] if broken else ''}: {'; '.join(small)}"
     finally:
--- a/petrelwood/lab/soak.py
+++ b/petrelwood/lab/soak.py
@@ -1,8 +1,11 @@
 """Memory and descriptors of a long day's processes, looked at again and again, and whether they grow.
 
-A process's figures are judged over its life without the first part, in which caches and rings fill: the slope between any two looks,
-its median (Theil and Sen), over the whole watched time, against the median figure. Figures come from /proc of this day's own children.
+A process's figures are judged over its life without the first part, in which caches and rings fill: the slope
+between any two looks,
+its median (Theil and Sen), over the whole watched time, against the median figure. Figures come from /proc of
+this day's own children.
 """
+
 import asyncio
 import csv
 import pathlib
@@ -12,19 +15,20 @@
 import numpy
 from scipy import stats
 
-WARM = 0.25                # of a process's watched life that is not judged
-GROWS = {"memory": 0.1, "descriptors": 0.25}     # growth over the watched time, against the median, that is more than noise
-LEAST = 20                 # looks that say something
+WARM = 0.25  # of a process's watched life that is not judged
+# growth over the watched time, against the median, that is more than noise
+GROWS = {"memory": 0.1, "descriptors": 0.25}
+LEAST = 20  # looks that say something
 
 
 class Growth(NamedTuple):
     name: str
     figure: str
     looks: int
-    middle: float          # bytes, or descriptors
+    middle: float  # bytes, or descriptors
     most: float
-    growth: float          # over the judged time, as a part of the median
-    band: tuple            # its 95% interval
+    growth: float  # over the judged time, as a part of the median
+    band: tuple  # its 95% interval
     grows: bool
 
 
@@ -53,7 +57,8 @@
 
 
 def judge(path, names=None):
-    """[Growth] of each process life that was looked at often enough; only those whose names begin with `names`, where given."""
+    """[Growth] of each process life that was looked at often enough; only those whose names begin with
+    `names`, where given."""
     lives = {}
     with open(path, newline="") as file:
         for row in csv.DictReader(file):
@@ -71,6 +76,16 @@
             middle = float(numpy.median(values))
             span = float(at[judged][-1] - at[judged][0]) / max(1.0, middle)
             # It grows where even the low end of the interval says so.
-            found.append(Growth(name, figure, len(values), middle, float(values.max()), slope * span, (low * span, high * span),
-                                low * span > 0 and slope * span > bound))
+            found.append(
+                Growth(
+                    name,
+                    figure,
+                    len(values),
+                    middle,
+                    float(values.max()),
+                    slope * span,
+                    (low * span, high * span),
+                    low * span > 0 and slope * span > bound,
+                )
+            )
     return found
--- a/petrelwood/lab/stages.py
+++ b/petrelwood/lab/stages.py
@@ -1,9 +1,11 @@
 """Where the time of a completed activation went, from records that emulator and stand-ins both make.
 
-    earlier tries -> to the worker (ways, held by the module) -> waited there (queue, load) -> at work -> answer's way
+    earlier tries -> to the worker (ways, held by the module) -> waited there (queue, load) -> at work ->
+    answer's way
 
 Only answers whose send can be told by its mark count; the parts of one add up to what its client saw.
 """
+
 from hdrh.histogram import HdrHistogram
 
 STAGES = ("earlier tries", "to the worker", "waited there", "at work", "answer's way")
@@ -11,7 +13,8 @@
 
 
 def parts(records):
-    """(stage times in ns, in the order of `STAGES`) of each completed answer, records in the order in which they were made."""
+    """(stage times in ns, in the order of `STAGES`) of each completed answer, records in the order in which
+    they were made."""
     first, arrived, done = {}, {}, {}
     for record in records:
         what = record["t"]
--- a/petrelwood/lab/walk.py
+++ b/petrelwood/lab/walk.py
@@ -1,13 +1,20 @@
-"""Every order of events in a small world of one client, one dispatcher with its log, one network and one worker.
-
-Breadth first over all interleavings of: the client asks, asks again signed anew, plays an old request back; the dispatcher's log gets
-its records, the disk has them, an activation goes out; it arrives, runs, or is lost; its answer arrives or is lost; it times out or is
-rejected unsent; the process is killed, or the machine falls, and a new life reads what is left. What is asked and what comes back
-is decided by the serving code: `decide.delivery.ledger`, `decide.delivery.recovery`. Two orders that come to the same state are one.
-
-What must hold in each state: what is once-only has run at most once; what is deduplicated ran as often as workers that drop repeats
+"""Every order of events in a small world of one client, one dispatcher with its log, one network and one
+worker.
+
+Breadth first over all interleavings of: the client asks, asks again signed anew, plays an old request back;
+the dispatcher's log gets
+its records, the disk has them, an activation goes out; it arrives, runs, or is lost; its answer arrives or is
+lost; it times out or is
+rejected unsent; the process is killed, or the machine falls, and a new life reads what is left. What is asked
+and what comes back
+is decided by the serving code: `decide.delivery.ledger`, `decide.delivery.recovery`. Two orders that come to
+the same state are one.
+
+What must hold in each state: what is once-only has run at most once; what is deduplicated ran as often as
+workers that drop repeats
 allow; each try has one answer in a life; nothing is told to be completed that did not run.
 """
+
 import collections
 import copy
 from typing import NamedTuple
@@ -19,26 +26,32 @@
 SECOND = 1_000_000_000
 TOLERANCE = 300 * SECOND
 KEY = ("x", "id")
-KINDS = {ports.ONCE_ONLY: ports.NamespaceType(SECOND, ports.ONCE_ONLY, "all", 0),
-         ports.DEDUPLICATED: ports.NamespaceType(SECOND, ports.DEDUPLICATED, "all", 30 * SECOND),
-         ports.REPEATABLE: ports.NamespaceType(SECOND, ports.REPEATABLE, "all", 0)}
+KINDS = {
+    ports.ONCE_ONLY: ports.NamespaceType(SECOND, ports.ONCE_ONLY, "all", 0),
+    ports.DEDUPLICATED: ports.NamespaceType(SECOND, ports.DEDUPLICATED, "all", 30 * SECOND),
+    ports.REPEATABLE: ports.NamespaceType(SECOND, ports.REPEATABLE, "all", 0),
+}
 
 
 class Found(NamedTuple):
     """A state in which something does not hold."""
+
     what: str
-    steps: tuple           # the shortest way there
+    steps: tuple  # the shortest way there
 
 
 class World:
-    """`effect` of the activation, `durability` of the log; `flaw`: 'no log', 'late log' (the record after the send), 'forgets' (a
-    life that reads nothing) or 'falls' (the machine falls, where the log is only to outlive the process): the search must find them."""
+    """`effect` of the activation, `durability` of the log; `flaw`: 'no log', 'late log' (the record after the
+    send), 'forgets' (a
+    life that reads nothing) or 'falls' (the machine falls, where the log is only to outlive the process): the
+    search must find them."""
 
     def __init__(self, effect, durability, asks, kills, flaw=""):
         self.effect, self.durability, self.asks, self.kills, self.flaw = effect, durability, asks, kills, flaw
         self.now, self.stamp, self.broken = 1000 * SECOND, 0, ""
-        self.disk, self.system, self.waiting = (), (), ()        # records: on the disk, in the system, in the process
-        self.net, self.runs = (), 0             # what is on its way: ("run", life, try) or ("ran", life, try)
+        # records: on the disk, in the system, in the process
+        self.disk, self.system, self.waiting = (), (), ()
+        self.net, self.runs = (), 0  # what is on its way: ("run", life, try) or ("ran", life, try)
         self.life, self.boot, self.alive, self.ledger = 0, 0, False, None
         self.tries, self.taken, self.sent, self.answered = 0, None, False, ()
         self.start()
@@ -62,7 +75,10 @@
             else:
                 found.append("time out")
         for message in sorted(set(self.net)):
-            found += [f"{message[0]} {message[1]}.{message[2]}", f"lose {message[0]} {message[1]}.{message[2]}"]
+            found += [
+                f"{message[0]} {message[1]}.{message[2]}",
+                f"lose {message[0]} {message[1]}.{message[2]}",
+            ]
         if self.kills:
             found += ["kill"] + (["fall"] if self.durability == "machine" or self.flaw == "falls" else [])
         return found
@@ -99,8 +115,11 @@
     def start(self):
         self.life, self.alive = self.life + 1, True
         types, wall = {"t": KINDS[self.effect]}, self.now
-        # A new life's ledger begins now; a stamp is a whole second, so that what was signed before stays before.
-        self.ledger = ledger.Ledger(10, 1000, TOLERANCE, types, {"t": 2 * TOLERANCE}, 0 if self.life == 1 else wall)
+        # A new life's ledger begins now; a stamp is a whole second, so that what was signed before stays
+        # before.
+        self.ledger = ledger.Ledger(
+            10, 1000, TOLERANCE, types, {"t": 2 * TOLERANCE}, 0 if self.life == 1 else wall
+        )
         records = [] if self.flaw == "forgets" else [*self.disk, *self.system]
         if records and self.flaw != "no log":
             found = recovery.replay(records, wall, str(self.boot), self.durability == "machine")
@@ -142,7 +161,8 @@
 
     def run(self, mark):
         self.net = self._without(("run", mark))
-        if not (self.effect == ports.DEDUPLICATED and self.runs):    # else the worker knows the id, and drops it
+        # else the worker knows the id, and drops it
+        if not (self.effect == ports.DEDUPLICATED and self.runs):
             self.runs += 1
         if self.effect == ports.ONCE_ONLY and self.runs > 1:
             self.broken = "ran twice"
@@ -181,9 +201,23 @@
         """What tells two states apart, times aside."""
         entry = self.ledger.entries.get(KEY) if self.ledger is not None else None
         known = (entry.state, entry.stamp, entry.sent, entry.body) if entry else None
-        records = tuple(tuple((r[0], *r[2:]) for r in part) for part in (self.disk, self.system, self.waiting))
-        return (self.stamp, self.tries, self.alive, known, records, tuple(sorted(self.net)), min(self.runs, 2), self.taken, self.sent,
-                self.kills, self.life, bool(self.ledger and self.ledger.began > 1000 * SECOND))
+        records = tuple(
+            tuple((r[0], *r[2:]) for r in part) for part in (self.disk, self.system, self.waiting)
+        )
+        return (
+            self.stamp,
+            self.tries,
+            self.alive,
+            known,
+            records,
+            tuple(sorted(self.net)),
+            min(self.runs, 2),
+            self.taken,
+            self.sent,
+            self.kills,
+            self.life,
+            bool(self.ledger and self.ledger.began > 1000 * SECOND),
+        )
 
 
 def search(effect, durability="process", asks=2, kills=1, flaw="", most=400_000, deepest=40):
--- a/petrelwood/links/calls.py
+++ b/petrelwood/links/calls.py
@@ -1,16 +1,20 @@
 """What a link to a worker has been asked and has not ended yet: the queue, the stages and how each call ends.
 
-Shared by the links of all protocols. What an end proves is decided in `decide.delivery.send_outcome`. `core` hears of each end, through `soon`:
+Shared by the links of all protocols. What an end proves is decided in `decide.delivery.send_outcome`. `core`
+hears of each end, through `soon`:
 `returned`, `held`, `probed`; never from within a method that it has called itself.
 """
+
 from collections import deque
 
 from petrelwood.decide.delivery import send_outcome
 
 
 class Call:
-    """One send, order or probe. `tag` names it among those that are out; `line` is the connection that has it, where there are
+    """One send, order or probe. `tag` names it among those that are out; `line` is the connection that has
+    it, where there are
     several; `until` (ns) is when a send's time is up, whether its activation still lives or not."""
+
     __slots__ = ("kind", "act", "n", "fn", "at", "frame", "stage", "tag", "line", "until")
 
     def __init__(self, kind, act, n, fn, at, frame, tag, until=None):
@@ -19,7 +23,8 @@
 
 
 class Calls:
-    """The calls of one link. Subclasses move them: `_wait` in, `_hand` out, `_notice_end` for what a worker should give up."""
+    """The calls of one link. Subclasses move them: `_wait` in, `_hand` out, `_notice_end` for what a worker
+    should give up."""
 
     def __init__(self, worker, address, core):
         self.worker, self.address, self.core = worker, address, core
@@ -42,7 +47,8 @@
             self._end(call, proof(call.stage))
 
     def withdraw(self, act, n):
-        """Its activation has ended: what has not left yet never does. That needs nobody's leave, as a cancel does."""
+        """Its activation has ended: what has not left yet never does. That needs nobody's leave, as a cancel
+        does."""
         call = self.runs.get((act, n))
         if call is not None and call.stage == send_outcome.WAITING:
             self._end(call, send_outcome.of_recall(call.stage))
@@ -71,7 +77,8 @@
         return frame
 
     def _may_leave(self, call):
-        """Whether the first that waits may still be handed over; what may not is ended. An order that has waited is held against
+        """Whether the first that waits may still be handed over; what may not is ended. An order that has
+        waited is held against
         the ration as it is now: it counts when it arrives, not when it was given."""
         if call.kind != "hold" or self.core.leaves(call.at):
             return True
@@ -84,7 +91,8 @@
         return [c for c in (*self.out.values(), *self.waiting) if c.kind != "run" and now - c.at > within]
 
     def _expired(self, now):
-        """Sends whose time is up. Those of activations that have ended have no other end on a connection that says nothing: they
+        """Sends whose time is up. Those of activations that have ended have no other end on a connection that
+        says nothing: they
         would keep their lane, their connection and their link."""
         return [c for c in self.out.values() if c.until is not None and now > c.until]
 
@@ -108,7 +116,9 @@
         call.stage = send_outcome.ANSWERED
         if call.kind == "run":
             self.runs.pop((call.act, call.n), None)
-            self.core.soon(self.core.returned, call.act, call.n, self.worker, code, note, body, call.at, gauge)
+            self.core.soon(
+                self.core.returned, call.act, call.n, self.worker, code, note, body, call.at, gauge
+            )
         elif call.kind == "hold":
             self.core.soon(self.core.held, self.worker, call.fn, code, note)
         else:
--- a/petrelwood/links/local.py
+++ b/petrelwood/links/local.py
@@ -1,4 +1,5 @@
 """A Unix socket at a path that processes take over from each other: whoever binds last is found there."""
+
 import os
 import socket
 
@@ -13,7 +14,7 @@
         self.sock.bind(part)
         os.chmod(part, 0o600)
         if kind == socket.SOCK_STREAM:
-            self.sock.listen(4)                          # before it can be found
+            self.sock.listen(4)  # before it can be found
         os.replace(part, self.path)
         self.inode = os.stat(self.path).st_ino
 
--- a/petrelwood/links/packets.py
+++ b/petrelwood/links/packets.py
@@ -1,14 +1,48 @@
 """MQTT 5 packets (OASIS standard, version 5.0) to bytes and back, for both ends, free of I/O.
 
-A packet is a `Packet`: its type, the fields of its variable header, its properties by name, its payload. `Reader` takes
-bytes as they come; whatever is not the standard's raises `Wrong` with the reason code that the peer should be told.
+A packet is a `Packet`: its type, the fields of its variable header, its properties by name, its payload.
+`Reader` takes
+bytes as they come; whatever is not the standard's raises `Wrong` with the reason code that the peer should be
+told.
 """
+
 import struct
 
-CONNECT, CONNACK, PUBLISH, PUBACK, PUBREC, PUBREL, PUBCOMP, SUBSCRIBE, SUBACK, UNSUBSCRIBE, UNSUBACK, PINGREQ, \
-    PINGRESP, DISCONNECT, AUTH = range(1, 16)
-NAMES = ("", "CONNECT", "CONNACK", "PUBLISH", "PUBACK", "PUBREC", "PUBREL", "PUBCOMP", "SUBSCRIBE", "SUBACK",
-         "UNSUBSCRIBE", "UNSUBACK", "PINGREQ", "PINGRESP", "DISCONNECT", "AUTH")
+(
+    CONNECT,
+    CONNACK,
+    PUBLISH,
+    PUBACK,
+    PUBREC,
+    PUBREL,
+    PUBCOMP,
+    SUBSCRIBE,
+    SUBACK,
+    UNSUBSCRIBE,
+    UNSUBACK,
+    PINGREQ,
+    PINGRESP,
+    DISCONNECT,
+    AUTH,
+) = range(1, 16)
+NAMES = (
+    "",
+    "CONNECT",
+    "CONNACK",
+    "PUBLISH",
+    "PUBACK",
+    "PUBREC",
+    "PUBREL",
+    "PUBCOMP",
+    "SUBSCRIBE",
+    "SUBACK",
+    "UNSUBSCRIBE",
+    "UNSUBACK",
+    "PINGREQ",
+    "PINGRESP",
+    "DISCONNECT",
+    "AUTH",
+)
 ACKS = (PUBACK, PUBREC, PUBREL, PUBCOMP)
 
 # Reason codes, as far as they are used here.
@@ -17,30 +51,52 @@
 TAKEN_OVER, BAD_FILTER, BAD_TOPIC, ID_IN_USE, ID_UNKNOWN = 0x8E, 0x8F, 0x90, 0x91, 0x92
 RECEIVE_MAXIMUM, BAD_ALIAS, TOO_LARGE, QUOTA = 0x93, 0x94, 0x95, 0x97
 
-MOST = 1_000_000           # bytes of one packet, unless said otherwise
+MOST = 1_000_000  # bytes of one packet, unless said otherwise
 
 # name -> (identifier, form, the packet types that may carry it); `None` stands for the will's properties
 _ACK = frozenset((CONNACK, PUBACK, PUBREC, PUBREL, PUBCOMP, SUBACK, UNSUBACK, DISCONNECT, AUTH))
 _TABLE = (
-    ("payload_format", 0x01, "B", (PUBLISH, None)), ("message_expiry", 0x02, "I", (PUBLISH, None)),
-    ("content_type", 0x03, "s", (PUBLISH, None)), ("response_topic", 0x08, "s", (PUBLISH, None)),
-    ("correlation_data", 0x09, "b", (PUBLISH, None)), ("subscription_id", 0x0B, "v", (PUBLISH, SUBSCRIBE)),
-    ("session_expiry", 0x11, "I", (CONNECT, CONNACK, DISCONNECT)), ("assigned_client", 0x12, "s", (CONNACK,)),
-    ("server_keep_alive", 0x13, "H", (CONNACK,)), ("auth_method", 0x15, "s", (CONNECT, CONNACK, AUTH)),
-    ("auth_data", 0x16, "b", (CONNECT, CONNACK, AUTH)), ("problem_information", 0x17, "B", (CONNECT,)),
-    ("will_delay", 0x18, "I", (None,)), ("response_information", 0x19, "B", (CONNECT,)),
-    ("response_info", 0x1A, "s", (CONNACK,)), ("server_reference", 0x1C, "s", (CONNACK, DISCONNECT)),
-    ("reason", 0x1F, "s", _ACK), ("receive_maximum", 0x21, "H", (CONNECT, CONNACK)),
-    ("topic_alias_maximum", 0x22, "H", (CONNECT, CONNACK)), ("topic_alias", 0x23, "H", (PUBLISH,)),
-    ("maximum_qos", 0x24, "B", (CONNACK,)), ("retain_available", 0x25, "B", (CONNACK,)),
+    ("payload_format", 0x01, "B", (PUBLISH, None)),
+    ("message_expiry", 0x02, "I", (PUBLISH, None)),
+    ("content_type", 0x03, "s", (PUBLISH, None)),
+    ("response_topic", 0x08, "s", (PUBLISH, None)),
+    ("correlation_data", 0x09, "b", (PUBLISH, None)),
+    ("subscription_id", 0x0B, "v", (PUBLISH, SUBSCRIBE)),
+    ("session_expiry", 0x11, "I", (CONNECT, CONNACK, DISCONNECT)),
+    ("assigned_client", 0x12, "s", (CONNACK,)),
+    ("server_keep_alive", 0x13, "H", (CONNACK,)),
+    ("auth_method", 0x15, "s", (CONNECT, CONNACK, AUTH)),
+    ("auth_data", 0x16, "b", (CONNECT, CONNACK, AUTH)),
+    ("problem_information", 0x17, "B", (CONNECT,)),
+    ("will_delay", 0x18, "I", (None,)),
+    ("response_information", 0x19, "B", (CONNECT,)),
+    ("response_info", 0x1A, "s", (CONNACK,)),
+    ("server_reference", 0x1C, "s", (CONNACK, DISCONNECT)),
+    ("reason", 0x1F, "s", _ACK),
+    ("receive_maximum", 0x21, "H", (CONNECT, CONNACK)),
+    ("topic_alias_maximum", 0x22, "H", (CONNECT, CONNACK)),
+    ("topic_alias", 0x23, "H", (PUBLISH,)),
+    ("maximum_qos", 0x24, "B", (CONNACK,)),
+    ("retain_available", 0x25, "B", (CONNACK,)),
     ("user", 0x26, "p", _ACK | {CONNECT, PUBLISH, SUBSCRIBE, UNSUBSCRIBE, None}),
-    ("maximum_packet", 0x27, "I", (CONNECT, CONNACK)), ("wildcards", 0x28, "B", (CONNACK,)),
-    ("subscription_ids", 0x29, "B", (CONNACK,)), ("shared", 0x2A, "B", (CONNACK,)))
+    ("maximum_packet", 0x27, "I", (CONNECT, CONNACK)),
+    ("wildcards", 0x28, "B", (CONNACK,)),
+    ("subscription_ids", 0x29, "B", (CONNACK,)),
+    ("shared", 0x2A, "B", (CONNACK,)),
+)
 BY_NAME = {name: (id_, form, frozenset(types)) for name, id_, form, types in _TABLE}
 BY_ID = {id_: (name, form, frozenset(types)) for name, id_, form, types in _TABLE}
 _NOT_ZERO = ("receive_maximum", "topic_alias", "maximum_packet", "subscription_id")
-_FLAG = ("payload_format", "problem_information", "response_information", "maximum_qos", "retain_available",
-         "wildcards", "subscription_ids", "shared")
+_FLAG = (
+    "payload_format",
+    "problem_information",
+    "response_information",
+    "maximum_qos",
+    "retain_available",
+    "wildcards",
+    "subscription_ids",
+    "shared",
+)
 
 
 class Wrong(Exception):
@@ -52,10 +108,12 @@
 
 
 class Packet:
-    """`type`; `id` where it has one; `code` of acknowledgements; `props` by name ('user': pairs). The rest by type:
+    """`type`; `id` where it has one; `code` of acknowledgements; `props` by name ('user': pairs). The rest by
+    type:
 
     CONNECT client, user, password (bytes), clean, keep_alive, will (a PUBLISH) | CONNACK present
-    PUBLISH topic, payload, qos, dup, retain | SUBSCRIBE filters [(filter, options)] | UNSUBSCRIBE filters [filter]
+    PUBLISH topic, payload, qos, dup, retain | SUBSCRIBE filters [(filter, options)] | UNSUBSCRIBE filters
+    [filter]
     SUBACK, UNSUBACK codes
     """
 
@@ -152,7 +210,7 @@
         if self.at + size > len(self.data):
             raise Wrong(MALFORMED, "a packet ends too early")
         self.at += size
-        return self.data[self.at - size:self.at]
+        return self.data[self.at - size : self.at]
 
     def number(self, form):
         return struct.unpack(">" + form, self.take(struct.calcsize(form)))[0]
@@ -190,8 +248,15 @@
             if form == "p":
                 props.setdefault(name, []).append((part.text(), part.text()))
                 continue
-            value = (part.text() if form == "s" else part.bytes() if form == "b" else
-                     part.varint() if form == "v" else part.number(form))
+            value = (
+                part.text()
+                if form == "s"
+                else part.bytes()
+                if form == "b"
+                else part.varint()
+                if form == "v"
+                else part.number(form)
+            )
             if name == "subscription_id" and type_ == PUBLISH:
                 props.setdefault(name, []).append(value)
             elif name in props:
@@ -230,8 +295,16 @@
     props = body.properties(PUBLISH)
     if topic and not topic_ok(topic) or not topic and "topic_alias" not in props:
         raise Wrong(BAD_TOPIC, "a topic that can't be published to")
-    return Packet(PUBLISH, id_, topic=topic, payload=body.rest(), qos=qos, dup=flags >> 3 & 1, retain=flags & 1,
-                  props=props)
+    return Packet(
+        PUBLISH,
+        id_,
+        topic=topic,
+        payload=body.rest(),
+        qos=qos,
+        dup=flags >> 3 & 1,
+        retain=flags & 1,
+        props=props,
+    )
 
 
 def _identifier(body):
@@ -262,8 +335,9 @@
         props, topic, payload = body.properties(None), body.text(), body.bytes()
         if not topic_ok(topic):
             raise Wrong(BAD_TOPIC, "a will's topic that can't be published to")
-        packet.will = Packet(PUBLISH, topic=topic, payload=payload, qos=bits >> 3 & 3, dup=0, retain=bits >> 5 & 1,
-                             props=props)
+        packet.will = Packet(
+            PUBLISH, topic=topic, payload=payload, qos=bits >> 3 & 3, dup=0, retain=bits >> 5 & 1, props=props
+        )
     packet.user = body.text() if bits & 0x80 else None
     packet.password = body.bytes() if bits & 0x40 else None
     return packet
@@ -307,9 +381,18 @@
     return Packet(type_, code=code, props=body.properties(type_) if body.at < len(body.data) else {})
 
 
-_READ = {PUBLISH: _read_publish, CONNECT: _read_connect, CONNACK: _read_connack, SUBSCRIBE: _read_subscribe,
-         UNSUBSCRIBE: _read_subscribe, SUBACK: _read_suback, UNSUBACK: _read_suback, DISCONNECT: _read_end,
-         AUTH: _read_end, **dict.fromkeys(ACKS, _read_ack)}
+_READ = {
+    PUBLISH: _read_publish,
+    CONNECT: _read_connect,
+    CONNACK: _read_connack,
+    SUBSCRIBE: _read_subscribe,
+    UNSUBSCRIBE: _read_subscribe,
+    SUBACK: _read_suback,
+    UNSUBACK: _read_suback,
+    DISCONNECT: _read_end,
+    AUTH: _read_end,
+    **dict.fromkeys(ACKS, _read_ack),
+}
 
 
 class Reader:
@@ -327,7 +410,7 @@
                 length, head = self._length(at)
                 if length is None or len(self.buffer) - at < head + length:
                     return
-                body = bytes(self.buffer[at + head:at + head + length])
+                body = bytes(self.buffer[at + head : at + head + length])
                 first, at = self.buffer[at], at + head + length
                 yield read(first, body)
         finally:
@@ -361,8 +444,11 @@
         if not group or set(group) & set("+#"):
             return False
     levels = name.split("/")
-    return bool(name) and all(
-        level in ("+", "#") or not set(level) & set("+#") for level in levels) and "#" not in levels[:-1]
+    return (
+        bool(name)
+        and all(level in ("+", "#") or not set(level) & set("+#") for level in levels)
+        and "#" not in levels[:-1]
+    )
 
 
 def matches(pattern, topic):
--- a/petrelwood/links/roster.py
+++ b/petrelwood/links/roster.py
@@ -1,9 +1,11 @@
 """The link to the roster: who is usable, draining or gone, by server-sent events.
 
 `GET /workers` answers with an endless stream: `list` with all entries, `change` with some, each with an id
-`EPOCH-NUMBER` that grows by one; comments keep it alive. `Last-Event-ID` resumes after a break. What is believed
+`EPOCH-NUMBER` that grows by one; comments keep it alive. `Last-Event-ID` resumes after a break. What is
+believed
 of the list is decided in `decide.cluster.membership`; 'told' counts from the moment the bytes are here.
 """
+
 import asyncio
 import time
 
@@ -23,7 +25,13 @@
 
     def __init__(self, address, membership, connect_within, core, log):
         self.address, self.membership, self.core, self.log = address, membership, core, log
-        self.within, self.stream, self.task, self.events, self.lists = connect_within / 1e9, None, None, None, 0
+        self.within, self.stream, self.task, self.events, self.lists = (
+            connect_within / 1e9,
+            None,
+            None,
+            None,
+            0,
+        )
 
     def open(self):
         self.task = self.core.loop.create_task(self._keep())
@@ -42,8 +50,13 @@
             why = "the stream ended"
             try:
                 await self._follow()
-            except (StreamClosedError, OSError, ValueError, asyncio.TimeoutError,
-                    httptools.HttpParserError) as fault:
+            except (
+                StreamClosedError,
+                OSError,
+                ValueError,
+                asyncio.TimeoutError,
+                httptools.HttpParserError,
+            ) as fault:
                 why = str(fault) or repr(fault)
             finally:
                 self.drop()
@@ -56,10 +69,14 @@
         self.stream, self.events = IOStream(sockets.fresh(host)), Events()
         parser, resume = httptools.HttpResponseParser(self), self.membership.resume
         await asyncio.wait_for(self.stream.connect(self.address), self.within)
-        await self.stream.write((
-            f"GET /workers HTTP/1.1\r\nHost: {host}:{port}\r\nAccept: text/event-stream\r\n"
-            f"User-Agent: {self.core.name}\r\n" +
-            (f"Last-Event-ID: {resume}\r\n" if resume else "") + "\r\n").encode())
+        await self.stream.write(
+            (
+                f"GET /workers HTTP/1.1\r\nHost: {host}:{port}\r\nAccept: text/event-stream\r\n"
+                f"User-Agent: {self.core.name}\r\n"
+                + (f"Last-Event-ID: {resume}\r\n" if resume else "")
+                + "\r\n"
+            ).encode()
+        )
         while True:
             data = await self.stream.read_bytes(READ, partial=True)
             if self.membership.alive(self.core.now()):
--- a/petrelwood/links/rpc.py
+++ b/petrelwood/links/rpc.py
@@ -1,20 +1,23 @@
-"""MessagePack-RPC on a byte stream, for both ends: https://github.com/msgpack-rpc/msgpack-rpc/blob/master/spec.md
+"""MessagePack-RPC on a byte stream, for both ends:
+https://github.com/msgpack-rpc/msgpack-rpc/blob/master/spec.md
 
     request [0, msgid, method, params]   response [1, msgid, error, result]   notification [2, method, params]
 
 A peer that sends anything else, or a message over the bound, is not understood any more: `Garbage`.
 """
+
 from typing import NamedTuple
 
 import msgpack
 
 REQUEST, RESPONSE, NOTICE = 0, 1, 2
-FIRST = 4096               # bytes that a bounded reader's buffer begins with
+FIRST = 4096  # bytes that a bounded reader's buffer begins with
 _pack = msgpack.Packer(use_bin_type=True, autoreset=True).pack
 
 
 class Parts(NamedTuple):
     """Bytes of a body and of a text, members of an array or map: the most of each in one message."""
+
     body: int
     text: int
     members: int
@@ -36,15 +39,31 @@
     return _pack([NOTICE, method, params])
 
 
-# Bytes that follow a code of MessagePack, and how many of them tell the length of a text (str) or a body (bin).
-_FOLLOW = {0xca: 4, 0xcb: 8, 0xcc: 1, 0xcd: 2, 0xce: 4, 0xcf: 8, 0xd0: 1, 0xd1: 2, 0xd2: 4, 0xd3: 8,
-           0xdc: 2, 0xdd: 4, 0xde: 2, 0xdf: 4}
-_TELL = {0xc4: 1, 0xc5: 2, 0xc6: 4, 0xd9: 1, 0xda: 2, 0xdb: 4}
-_EXTENSIONS = frozenset((0xc7, 0xc8, 0xc9, 0xd4, 0xd5, 0xd6, 0xd7, 0xd8))
+# Bytes that follow a code of MessagePack, and how many of them tell the length of a text (str) or a body
+# (bin).
+_FOLLOW = {
+    0xCA: 4,
+    0xCB: 8,
+    0xCC: 1,
+    0xCD: 2,
+    0xCE: 4,
+    0xCF: 8,
+    0xD0: 1,
+    0xD1: 2,
+    0xD2: 4,
+    0xD3: 8,
+    0xDC: 2,
+    0xDD: 4,
+    0xDE: 2,
+    0xDF: 4,
+}
+_TELL = {0xC4: 1, 0xC5: 2, 0xC6: 4, 0xD9: 1, 0xDA: 2, 0xDB: 4}
+_EXTENSIONS = frozenset((0xC7, 0xC8, 0xC9, 0xD4, 0xD5, 0xD6, 0xD7, 0xD8))
 
 
 class Lengths:
-    """Reads what a message that is not whole yet announces, as its bytes come: msgpack itself tells a text or a body that is too
+    """Reads what a message that is not whole yet announces, as its bytes come: msgpack itself tells a text or
+    a body that is too
     long only once it is there."""
 
     def __init__(self, parts):
@@ -65,11 +84,11 @@
                 return
             if code in _EXTENSIONS:
                 raise Garbage("an extension type")
-            if 0xa0 <= code <= 0xbf:
-                self.skip = code & 0x1f
+            if 0xA0 <= code <= 0xBF:
+                self.skip = code & 0x1F
             elif tell:
-                self.skip = int.from_bytes(data[at + 1:at + 1 + tell], "big")
-                if self.skip > (self.parts.body if code < 0xc7 else self.parts.text):
+                self.skip = int.from_bytes(data[at + 1 : at + 1 + tell], "big")
+                if self.skip > (self.parts.body if code < 0xC7 else self.parts.text):
                     raise Garbage(f"it announces {self.skip} bytes")
             else:
                 self.skip = _FOLLOW.get(code, 0)
@@ -77,17 +96,26 @@
 
 
 class Reader:
-    """Bytes to messages. `most`: bytes of one message. `parts`: bounds on what a message may hold (`Parts`), so that one that is
+    """Bytes to messages. `most`: bytes of one message. `parts`: bounds on what a message may hold (`Parts`),
+    so that one that is
     too large is told from the lengths that it announces, before it is here."""
 
     def __init__(self, most, parts=None):
         self.fed, self.ended, self.parts, self.lengths = 0, 0, parts, None
         if parts is None:
             self.unpacker = msgpack.Unpacker(raw=False, max_buffer_size=most, strict_map_key=False)
-        else:                                            # its buffer begins small: there may be hundreds of such peers
+        # its buffer begins small: there may be hundreds of such peers
+        else:
             self.unpacker = msgpack.Unpacker(
-                raw=False, max_buffer_size=most, read_size=FIRST, max_bin_len=parts.body, max_str_len=parts.text,
-                max_array_len=parts.members, max_map_len=parts.members, max_ext_len=0)
+                raw=False,
+                max_buffer_size=most,
+                read_size=FIRST,
+                max_bin_len=parts.body,
+                max_str_len=parts.text,
+                max_array_len=parts.members,
+                max_map_len=parts.members,
+                max_ext_len=0,
+            )
 
     def feed(self, data):
         """The messages that are whole now, each a checked list."""
@@ -97,15 +125,17 @@
             messages = []
             for message in self.unpacker:
                 messages.append(message)
-                self.ended = self.unpacker.tell()        # which also counts what it has read of a message that is not whole
-        except Exception as fault:            # msgpack raises many kinds for malformed input, ValueError among them
+                # which also counts what it has read of a message that is not whole
+                self.ended = self.unpacker.tell()
+        # msgpack raises many kinds for malformed input, ValueError among them
+        except Exception as fault:
             raise Garbage(f"not MessagePack: {fault!r}") from None
         if messages:
             self.lengths = None
         if self.parts is not None and not self.whole():
-            if self.lengths is None:                     # another one has begun
+            if self.lengths is None:  # another one has begun
                 self.lengths = Lengths(self.parts)
-            self.lengths.feed(data[-(self.fed - self.ended):])
+            self.lengths.feed(data[-(self.fed - self.ended) :])
         for message in messages:
             if not _shape(message):
                 raise Garbage("not a MessagePack-RPC message")
--- a/petrelwood/links/sockets.py
+++ b/petrelwood/links/sockets.py
@@ -1,4 +1,5 @@
 """New sockets for numeric addresses."""
+
 import socket
 
 
--- a/petrelwood/links/tls.py
+++ b/petrelwood/links/tls.py
@@ -1,9 +1,13 @@
-"""TLS for fronts and links: one identity (certificate, key, whom it trusts), checked at the start, renewed in place.
+"""TLS for fronts and links: one identity (certificate, key, whom it trusts), checked at the start, renewed in
+place.
 
-A context is made once and its certificate loaded anew when the files change: connections that stand keep theirs, new
-handshakes get the new one. What is wrong with the files is one clear error at the start; later it is logged and the last
+A context is made once and its certificate loaded anew when the files change: connections that stand keep
+theirs, new
+handshakes get the new one. What is wrong with the files is one clear error at the start; later it is logged
+and the last
 good certificate stays.
 """
+
 import datetime
 import pathlib
 import ssl
@@ -18,7 +22,8 @@
 
 
 class Identity:
-    """`cert`, `key`, `trusts`: paths, `trusts` empty for the system's; `mutual`: whether the other side must show a
+    """`cert`, `key`, `trusts`: paths, `trusts` empty for the system's; `mutual`: whether the other side must
+    show a
     certificate that `trusts` has signed."""
 
     def __init__(self, cert, key, trusts="", mutual=False, name=""):
@@ -46,7 +51,9 @@
         if now >= found.not_valid_after_utc:
             raise BadIdentity(f"{self.cert} ran out on {found.not_valid_after_utc:%Y-%m-%d %H:%M} UTC")
         if now < found.not_valid_before_utc:
-            raise BadIdentity(f"{self.cert} holds only from {found.not_valid_before_utc:%Y-%m-%d %H:%M} UTC on")
+            raise BadIdentity(
+                f"{self.cert} holds only from {found.not_valid_before_utc:%Y-%m-%d %H:%M} UTC on"
+            )
         self._load(ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER))
         return found.not_valid_after_utc - now
 
@@ -56,10 +63,12 @@
                 context.load_cert_chain(self.cert, self.key or None)
             if self.trusts:
                 context.load_verify_locations(self.trusts)
-        except OSError as fault:                         # ssl.SSLError is one of its kinds
+        except OSError as fault:  # ssl.SSLError is one of its kinds
             reason = getattr(fault, "reason", None) or fault.strerror or str(fault)
-            raise BadIdentity(f"{self.cert} and {self.key or 'its key'} do not go together, or {self.trusts or 'trust'} "
-                              f"can't be read: {reason}") from None
+            raise BadIdentity(
+                f"{self.cert} and {self.key or 'its key'} do not go together, or {self.trusts or 'trust'} "
+                f"can't be read: {reason}"
+            ) from None
         self.stamps = self._stamps()
 
     def _stamps(self):
--- a/petrelwood/links/worker.py
+++ b/petrelwood/links/worker.py
@@ -8,8 +8,10 @@
     probe [] -> gauge
     hello [worker, its start time]  (its first notification; ours is hello [dispatcher])
 
-What is decided about a link is in `decide.cluster.link_state`, what an end proves in `decide.delivery.send_outcome`.
+What is decided about a link is in `decide.cluster.link_state`, what an end proves in
+`decide.delivery.send_outcome`.
 """
+
 from tornado.iostream import IOStream, SSLIOStream, StreamClosedError
 
 from petrelwood.decide.delivery import send_outcome
@@ -17,7 +19,7 @@
 from petrelwood.links import rpc, sockets
 from petrelwood.links.calls import Call, Calls
 
-BATCH = 65_536             # bytes handed to the socket at a time; the rest waits here and can be taken back
+BATCH = 65_536  # bytes handed to the socket at a time; the rest waits here and can be taken back
 GAUGES = ("running", "waiting", "cores", "pinned", "loads")
 
 
@@ -79,7 +81,7 @@
         try:
             done = self.stream.write(data)
         except StreamClosedError:
-            return                                       # the close callback tells of it
+            return  # the close callback tells of it
         if not done.done():
             self.writing = True
             done.add_done_callback(self._written)
@@ -105,18 +107,26 @@
         host, port = self.address
         self.writing = False
         most = self.terms.frame + BATCH
-        self.stream = (IOStream(sockets.fresh(host), max_buffer_size=most) if self.tls is None else
-                       SSLIOStream(sockets.fresh(host), ssl_options=self.tls.client(), max_buffer_size=most))
+        self.stream = (
+            IOStream(sockets.fresh(host), max_buffer_size=most)
+            if self.tls is None
+            else SSLIOStream(sockets.fresh(host), ssl_options=self.tls.client(), max_buffer_size=most)
+        )
         self.core.loop.create_task(self._serve(self.stream, (host, port)))
 
     async def _serve(self, stream, address):
         why = "closed by the peer"
         try:
-            await (stream.connect(address) if self.tls is None else
-                   stream.connect(address, server_hostname=self.tls.server_name(address[0])))
+            await (
+                stream.connect(address)
+                if self.tls is None
+                else stream.connect(address, server_hostname=self.tls.server_name(address[0]))
+            )
             stream.set_nodelay(True)
             self.state.connected(self.core.now())
-            stream.write(rpc.notice("hello", [self.core.name])).add_done_callback(lambda done: done.exception())
+            stream.write(rpc.notice("hello", [self.core.name])).add_done_callback(
+                lambda done: done.exception()
+            )
             reader = rpc.Reader(self.terms.frame)
             while True:
                 data = await stream.read_bytes(BATCH, partial=True)
@@ -141,8 +151,14 @@
         was_up = self.state.state == link_state.UP
         self.state.lost(self.core.now())
         self.counts["lost"] += 1
-        self.log.info("link lost", worker=self.worker, why=why, was_up=was_up, out=len(self.out),
-                      waiting=len(self.waiting))
+        self.log.info(
+            "link lost",
+            worker=self.worker,
+            why=why,
+            was_up=was_up,
+            out=len(self.out),
+            waiting=len(self.waiting),
+        )
         for call in list(self.out.values()) + list(self.waiting):
             self._end(call, send_outcome.of_loss(call.stage))
 
@@ -178,7 +194,7 @@
 
     def _response(self, msgid, error, result):
         call = self.out.get(msgid)
-        if call is None:                                 # its wait has ended; or nobody ever asked
+        if call is None:  # its wait has ended; or nobody ever asked
             self.counts["strays"] += 1
             return
         self.counts["answered"] += 1
@@ -194,13 +210,22 @@
             note = parts[2] if isinstance(parts[2], int) else 0
             if not isinstance(body, bytes):
                 raise rpc.Garbage("an answer's body must be bytes")
-            self._end(call, send_outcome.of_error(head) if error is not None else "completed", note, body, gauge)
+            self._end(
+                call, send_outcome.of_error(head) if error is not None else "completed", note, body, gauge
+            )
         elif call.kind == "hold":
             good = isinstance(result, list) and len(result) == 2 and isinstance(result[1], int)
-            self._end(call, ("completed" if result[0] == "ok" else send_outcome.of_error(result[0])) if good else
-                      send_outcome.of_error(error), result[1] if good else 0)
+            self._end(
+                call,
+                ("completed" if result[0] == "ok" else send_outcome.of_error(result[0]))
+                if good
+                else send_outcome.of_error(error),
+                result[1] if good else 0,
+            )
         else:
-            self._end(call, "completed" if error is None else send_outcome.of_error(error), gauge=_gauge(result))
+            self._end(
+                call, "completed" if error is None else send_outcome.of_error(error), gauge=_gauge(result)
+            )
 
 
 def _gauge(raw):
--- a/petrelwood/node/__main__.py
+++ b/petrelwood/node/__main__.py
@@ -2,9 +2,10 @@
 
 Exit status 0 after SIGTERM, 2 with one line on standard error where it can't start.
 """
+
 import signal
 
-EARLY = []                                               # signals that come before the loop runs
+EARLY = []  # signals that come before the loop runs
 for _name in (signal.SIGHUP, signal.SIGTERM):
     signal.signal(_name, lambda number, frame: EARLY.append(number))
 
@@ -18,7 +19,8 @@
 from petrelwood.node.service import Node
 
 
-AGAIN, TRIES = 0.1, 30     # seconds until a file that can't be used is read again; so often, as the platform waits 4 s for it
+# seconds until a file that can't be used is read again; so often, as the platform waits 4 s for it
+AGAIN, TRIES = 0.1, 30
 
 
 class Running:
@@ -55,12 +57,17 @@
     for number in EARLY:
         running.heard(number)
     gc.collect()
-    gc.set_threshold(1000, 5, 5)                         # little lives long: what dies in circles goes soon, and cheaply
-    gc.freeze()                                          # what stays for good is not looked through again and again
-    log.info("listening", host=gateway.listen[0], port=gateway.listen[1], workers=len(node.membership.members))
+    # little lives long: what dies in circles goes soon, and cheaply
+    gc.set_threshold(1000, 5, 5)
+    # what stays for good is not looked through again and again
+    gc.freeze()
+    log.info(
+        "listening", host=gateway.listen[0], port=gateway.listen[1], workers=len(node.membership.members)
+    )
     await ends.wait()
     await node.close()
-    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP, signal.SIGTERM))     # it ends: by none that comes while the loop is closed
+    # it ends: by none that comes while the loop is closed
+    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP, signal.SIGTERM))
 
 
 def main():
@@ -73,7 +80,10 @@
     try:
         asyncio.run(_serve(gateway, log))
     except OSError as fault:
-        print(f"petrelwood: can't listen on {gateway.listen[0]}:{gateway.listen[1]}: {fault.strerror}", file=sys.stderr)
+        print(
+            f"petrelwood: can't listen on {gateway.listen[0]}:{gateway.listen[1]}: {fault.strerror}",
+            file=sys.stderr,
+        )
         return 2
     return 0
 
--- a/petrelwood/node/front.py
+++ b/petrelwood/node/front.py
@@ -1,8 +1,11 @@
 """Clients: MessagePack-RPC over TCP; the namespace type is the method, beside `cancel` and `health`.
 
-What is wrong with a request ends here, with an error; what can't be read ends its connection. Rightly asked ones go to the core, whose
-answer comes back through `Exchange.answer`, once. How much fits is decided in `decide.overload.resource_limits`.
+What is wrong with a request ends here, with an error; what can't be read ends its connection. Rightly asked
+ones go to the core, whose
+answer comes back through `Exchange.answer`, once. How much fits is decided in
+`decide.overload.resource_limits`.
 """
+
 import errno
 import functools
 import math
@@ -21,16 +24,17 @@
 from petrelwood.node.told import MS
 
 READ = 16_384
-READERS = 8                # kept for whoever sends next
-ACCEPTS = 32               # connections taken in one turn of the loop
+READERS = 8  # kept for whoever sends next
+ACCEPTS = 32  # connections taken in one turn of the loop
 REJECTED, ABORTED, WRONG = "Throttled", "Broken", "Invalid"
 HEX, TEXT = frozenset("0123456789abcdef"), frozenset((str,))
-FACTS = 512                # texts of further figures whose reading is kept
+FACTS = 512  # texts of further figures whose reading is kept
 PARTS = rpc.Parts(resource_limits.BODY, resource_limits.TEXT, resource_limits.MEMBERS)
 
 
 def pending(socks):
-    """Those of `socks` (their descriptors) of which the machine has something that nobody has read: bytes, an end, a connection."""
+    """Those of `socks` (their descriptors) of which the machine has something that nobody has read: bytes, an
+    end, a connection."""
     poll = select.poll()
     for sock in socks:
         poll.register(sock, select.POLLIN)
@@ -39,9 +43,10 @@
 
 class Figures(NamedTuple):
     """What a request tells of its function and its work, as `settings.gateway.FunctionRule` has it."""
+
     lanes: int
-    load_time: int         # ns; 0: not told
-    work: int              # ns; 0: not told
+    load_time: int  # ns; 0: not told
+    work: int  # ns; 0: not told
 
 
 class Wrong(Exception):
@@ -66,7 +71,8 @@
 
 @functools.lru_cache(maxsize=FACTS)
 def _facts(text, most):
-    """(lanes, load time in ns) of a request's further figures: the same text with each request for a function."""
+    """(lanes, load time in ns) of a request's further figures: the same text with each request for a
+    function."""
     facts = {}
     for part in filter(None, text.split(";")):
         name, _, value = part.partition(":")
@@ -78,7 +84,8 @@
 
 
 def asked(type_, fields, body, came, customers, timeouts):
-    """(ask, function, figures) of a `call`'s parameters; `customers`: their names, none where the platform has none. Raises `Wrong`."""
+    """(ask, function, figures) of a `call`'s parameters; `customers`: their names, none where the platform
+    has none. Raises `Wrong`."""
     if not isinstance(fields, dict) or not isinstance(body, bytes):
         raise Wrong("a call has a map and a body")
     if not (TEXT.issuperset(map(type, fields)) and TEXT.issuperset(map(type, fields.values()))):
@@ -94,12 +101,16 @@
     most = 1000 * timeout / MS
     work = _number(fields["work"], 0, most, "work") if "work" in fields else 0.0
     lanes, load_time = _facts(fields.get("facts", ""), most)
-    return (Ask(customer, _id(fields.get("call"), 16, "call"), 0, type_, came, int(wait * MS), mark),
-            _id(fields.get("row"), 16, "row"), Figures(lanes, load_time, int(work * MS)))
+    return (
+        Ask(customer, _id(fields.get("call"), 16, "call"), 0, type_, came, int(wait * MS), mark),
+        _id(fields.get("row"), 16, "row"),
+        Figures(lanes, load_time, int(work * MS)),
+    )
 
 
 class Exchange:
     """One request and the room for its one answer."""
+
     __slots__ = ("client", "msgid", "act")
 
     def __init__(self, client, msgid):
@@ -111,7 +122,8 @@
 
     def answer(self, what, body=b"", retry_after=0, why="", act=None):
         """The final answer, from the core: 'completed', 'rejected', 'aborted' or a verdict of the intake."""
-        if not self.waits():                             # taken back, its number used again perhaps; or its client is gone
+        # taken back, its number used again perhaps; or its client is gone
+        if not self.waits():
             return
         del self.client.open[self.msgid]
         if what == "completed":
@@ -125,6 +137,7 @@
 
 class Client:
     """One connection. `open`: exchanges by message id; `coming`: what its next bytes resolve."""
+
     __slots__ = ("front", "stream", "open", "reader", "coming", "since", "asked", "part", "faults", "ending")
 
     def __init__(self, front, stream, now):
@@ -140,9 +153,14 @@
                 now = front.core.now()
                 front.reads += 1
                 if self.reader is None:
-                    self.reader = front.readers.pop() if front.readers else rpc.Reader(resource_limits.FRAME + READ, PARTS)
+                    self.reader = (
+                        front.readers.pop()
+                        if front.readers
+                        else rpc.Reader(resource_limits.FRAME + READ, PARTS)
+                    )
                 messages = self.reader.feed(data)
-                if self.reader.whole():                  # a reader has some 40 KB: only who is in a message has one
+                # a reader has some 40 KB: only who is in a message has one
+                if self.reader.whole():
                     if len(front.readers) < READERS:
                         front.readers.append(self.reader)
                     self.reader, self.part = None, 0
@@ -151,7 +169,8 @@
                 for message in messages:
                     self._message(message, now)
                     if self.ending:
-                        self.since = now                 # once what was written has gone out; see `Front.check`
+                        # once what was written has gone out; see `Front.check`
+                        self.since = now
                         return
         except StreamClosedError:
             pass
@@ -162,13 +181,19 @@
         self.close()
 
     def unread(self):
-        """Whether anything of it has come that it was not served for yet, here or in the machine's hands: whoever closes over that
+        """Whether anything of it has come that it was not served for yet, here or in the machine's hands:
+        whoever closes over that
         loses a request, and the reset that follows overtakes what was written."""
-        return (self.coming is None or self.coming.done()
-                or not self.stream.closed() and bool(pending((self.stream.socket,))))
+        return (
+            self.coming is None
+            or self.coming.done()
+            or not self.stream.closed()
+            and bool(pending((self.stream.socket,)))
+        )
 
     def at_rest(self):
-        """Whether it may be closed for having nothing open: its answers have gone out, and nothing has come."""
+        """Whether it may be closed for having nothing open: its answers have gone out, and nothing has
+        come."""
         return not self.stream.writing() and not self.unread()
 
     def close(self):
@@ -198,7 +223,11 @@
             self.front.core.loop.call_soon(self.close)
 
     def refuse(self, msgid, retry_after):
-        self.write(rpc.response(msgid, [REJECTED, {"pushback": str(-(-retry_after // MS))} if retry_after else {}], None))
+        self.write(
+            rpc.response(
+                msgid, [REJECTED, {"pushback": str(-(-retry_after // MS))} if retry_after else {}], None
+            )
+        )
 
     def wrong(self, msgid, why):
         self.front.note("wrong", why)
@@ -211,7 +240,8 @@
         kind = message[0]
         if kind == rpc.REQUEST:
             _, msgid, method, params = message
-            if msgid in self.open:                       # whose answer the next one under it would be can't be told
+            # whose answer the next one under it would be can't be told
+            if msgid in self.open:
                 raise rpc.Garbage("a number that is open")
             if method in self.front.core.terms.types:
                 self._call(msgid, method, params, now)
@@ -256,9 +286,17 @@
 
     def __init__(self, core, room, log):
         self.core, self.room, self.log, self.sock = core, room, log, None
-        self.readers, self.reads, self.deaf = [], 0, False   # `deaf`: the listener rests until the next look
-        self.clients, self.idle = {}, OrderedDict()      # all, and those without an open request, longest first
-        self.counts = {"connections": 0, "crowded out": 0, "unreadable": 0, "wrong": 0, "over its part": 0, "too slow": 0}
+        self.readers, self.reads, self.deaf = [], 0, False  # `deaf`: the listener rests until the next look
+        # all, and those without an open request, longest first
+        self.clients, self.idle = {}, OrderedDict()
+        self.counts = {
+            "connections": 0,
+            "crowded out": 0,
+            "unreadable": 0,
+            "wrong": 0,
+            "over its part": 0,
+            "too slow": 0,
+        }
 
     def note(self, what, why):
         """Counts a bad client; the first few are told in the log, then one in many."""
@@ -293,7 +331,8 @@
             except OSError as fault:
                 if fault.errno in (errno.EMFILE, errno.ENFILE) and self._make_room():
                     continue
-                self.deaf = True                         # it stays readable: the loop would come back here at once, and again
+                # it stays readable: the loop would come back here at once, and again
+                self.deaf = True
                 self.core.loop.remove_reader(self.sock)
                 return
             self.counts["connections"] += 1
@@ -302,13 +341,22 @@
                 continue
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            client = Client(self, Stream(sock, max_buffer_size=2 * READ + resource_limits.FRAME, read_chunk_size=READ,
-                                           max_write_buffer_size=resource_limits.UNREAD), self.core.now())
+            client = Client(
+                self,
+                Stream(
+                    sock,
+                    max_buffer_size=2 * READ + resource_limits.FRAME,
+                    read_chunk_size=READ,
+                    max_write_buffer_size=resource_limits.UNREAD,
+                ),
+                self.core.now(),
+            )
             self.clients[client] = self.idle[client] = True
             self.core.loop.create_task(client.serve())
 
     def _make_room(self):
-        """Descriptors run short: the connection that has been idle longest goes, never one with an open request."""
+        """Descriptors run short: the connection that has been idle longest goes, never one with an open
+        request."""
         client = next((c for c in self.idle if c.at_rest()), None)
         if client is None:
             return False
@@ -321,11 +369,15 @@
             self.deaf = False
             self.core.loop.add_reader(self.sock, self._accept)
         for client in list(self.clients):
-            if client.ending:                            # nothing of it is read any more
+            if client.ending:  # nothing of it is read any more
                 if not client.stream.writing() or now - client.since > resource_limits.PART:
                     client.close()
-            elif ((client.part and now - client.part > resource_limits.PART or not client.asked and now - client.since > resource_limits.SILENT)
-                  and not client.unread()):
+            elif (
+                client.part
+                and now - client.part > resource_limits.PART
+                or not client.asked
+                and now - client.since > resource_limits.SILENT
+            ) and not client.unread():
                 self.counts["too slow"] += 1
                 client.close()
         for client in list(self.idle):
@@ -335,8 +387,12 @@
                 client.close()
 
     def quiet(self):
-        """Whether all that was written has gone out, and all that has come was read: connections, requests, ends."""
-        if any(c.stream.writing() for c in self.clients) or any(c.coming is None or c.coming.done() for c in self.clients if not c.ending):
+        """Whether all that was written has gone out, and all that has come was read: connections, requests,
+        ends."""
+        if any(c.stream.writing() for c in self.clients) or any(
+            c.coming is None or c.coming.done() for c in self.clients if not c.ending
+        ):
             return False
-        return self.sock is None or not pending([self.sock, *(c.stream.socket for c in self.clients
-                                                              if not c.ending and not c.stream.closed())])
+        return self.sock is None or not pending(
+            [self.sock, *(c.stream.socket for c in self.clients if not c.ending and not c.stream.closed())]
+        )
--- a/petrelwood/node/lines.py
+++ b/petrelwood/node/lines.py
@@ -1,7 +1,8 @@
 """The workers' JSON lines: commands to bytes, bytes to answers. Free of I/O.
 
-    FN, KILL, TOP, SPAWN out;  HIT, NONE, SHED, FAULT, LATE, PONG, SICK in
+FN, KILL, TOP, SPAWN out;  HIT, NONE, SHED, FAULT, LATE, PONG, SICK in
 """
+
 from binascii import Error, a2b_base64, b2a_base64
 from typing import NamedTuple
 
@@ -11,10 +12,21 @@
 from petrelwood.node import told
 
 # What an answer proves, in the module's codes. Whatever else a worker says can't be read.
-ENDS = {"HIT": ports.COMPLETED, "NONE": ports.MISSING, "SHED": ports.FULL, "FAULT": ports.ERROR,
-        "LATE": ports.NOT_SENT, "PONG": ports.COMPLETED, "SICK": ports.ERROR}
-NOTES = {"warm": ports.FOUND_WARM, "cold": ports.BEGAN_LOAD, "joined": ports.AWAITED_LOAD,
-         "load_failed": ports.LOAD_FAILED}
+ENDS = {
+    "HIT": ports.COMPLETED,
+    "NONE": ports.MISSING,
+    "SHED": ports.FULL,
+    "FAULT": ports.ERROR,
+    "LATE": ports.NOT_SENT,
+    "PONG": ports.COMPLETED,
+    "SICK": ports.ERROR,
+}
+NOTES = {
+    "warm": ports.FOUND_WARM,
+    "cold": ports.BEGAN_LOAD,
+    "joined": ports.AWAITED_LOAD,
+    "load_failed": ports.LOAD_FAILED,
+}
 
 
 class Garbage(Exception):
@@ -23,11 +35,11 @@
 
 class Answer(NamedTuple):
     tag: str
-    code: str              # of `ports`
+    code: str  # of `ports`
     note: int
     copies: int
     body: bytes
-    report: object         # as the module reads it, or None
+    report: object  # as the module reads it, or None
 
 
 def run(tag, type_, fn, patience, mark, body):
@@ -35,7 +47,12 @@
     meta = {"sort": type_, "asset": fn, "patience": patience}
     if mark:
         meta["op"] = mark
-    return orjson.dumps({"type": "FN", "req": tag, "meta": meta, "data": b2a_base64(body, newline=False).decode()}) + b"\n"
+    return (
+        orjson.dumps(
+            {"type": "FN", "req": tag, "meta": meta, "data": b2a_base64(body, newline=False).decode()}
+        )
+        + b"\n"
+    )
 
 
 def kill(tag):
@@ -69,9 +86,16 @@
         if not isinstance(tag, str):
             raise Garbage("an answer without a tag")
         text = meta.get("l")
-        return Answer(tag, ENDS[raw["type"]], NOTES.get(meta.get("n"), 0), int(meta.get("pods") or 0),
-                      a2b_base64(data, strict_mode=True) if data else b"", _report(text) if text else None)
-    except (KeyError, TypeError, ValueError, AttributeError, RecursionError, Error) as fault:     # orjson's own is a ValueError
+        return Answer(
+            tag,
+            ENDS[raw["type"]],
+            NOTES.get(meta.get("n"), 0),
+            int(meta.get("pods") or 0),
+            a2b_base64(data, strict_mode=True) if data else b"",
+            _report(text) if text else None,
+        )
+    # orjson's own is a ValueError
+    except (KeyError, TypeError, ValueError, AttributeError, RecursionError, Error) as fault:
         raise Garbage(f"not an answer: {fault!r}") from None
 
 
@@ -82,7 +106,8 @@
         self.most, self.rest = most, b""
 
     def feed(self, data):
-        """Yields the answers that are whole now. Raises `Garbage` at what can't be read; what came before it stands."""
+        """Yields the answers that are whole now. Raises `Garbage` at what can't be read; what came before it
+        stands."""
         parts = (self.rest + data if self.rest else data).split(b"\n")
         self.rest = parts.pop()
         for part in parts:
--- a/petrelwood/node/log.py
+++ b/petrelwood/node/log.py
@@ -1,4 +1,6 @@
-"""The log of a dispatcher on the platform: JSON lines on standard error, so few imports that they fit into a small machine."""
+"""The log of a dispatcher on the platform: JSON lines on standard error, so few imports that they fit into a
+small machine."""
+
 import time
 
 import orjson
@@ -12,7 +14,10 @@
 
     def _line(self, level, event, fields):
         at = time.time()
-        self.out.write(orjson.dumps({"at": round(at, 3), "level": level, "event": event, **fields}, default=str).decode() + "\n")
+        self.out.write(
+            orjson.dumps({"at": round(at, 3), "level": level, "event": event, **fields}, default=str).decode()
+            + "\n"
+        )
         self.out.flush()
 
     def info(self, event, **fields):
--- a/petrelwood/node/roster.py
+++ b/petrelwood/node/roster.py
@@ -1,8 +1,10 @@
 """The roster by DNS over UDP: the SRV records of one name are the whole list, the SOA's serial its number.
 
-What is believed of the list is decided in `decide.cluster.membership`, when to ask in `decide.cluster.polling`. An answer counts if its sender, its id
+What is believed of the list is decided in `decide.cluster.membership`, when to ask in
+`decide.cluster.polling`. An answer counts if its sender, its id
 and its question are those that were asked, and it is whole and good; an older list changes nothing.
 """
+
 import socket
 
 import dns.exception
@@ -19,7 +21,7 @@
 from petrelwood.node.told import MS
 
 NAME = dns.name.from_text("_api._tcp.svc.local")
-MOST = 65_535              # bytes of a datagram
+MOST = 65_535  # bytes of a datagram
 STATES = {0: members.USABLE, 1: members.DRAINING}
 
 
@@ -40,7 +42,11 @@
         message = dns.message.from_wire(data)
     except (dns.exception.DNSException, ValueError, IndexError) as fault:
         raise Unusable(f"can't be read: {fault!r}") from None
-    if not message.flags & dns.flags.QR or message.opcode() != dns.opcode.QUERY or message.flags & dns.flags.TC:
+    if (
+        not message.flags & dns.flags.QR
+        or message.opcode() != dns.opcode.QUERY
+        or message.flags & dns.flags.TC
+    ):
         raise Unusable("not a whole answer")
     if message.rcode() != dns.rcode.NOERROR:
         raise Unusable(f"it says {dns.rcode.to_text(message.rcode())}")
@@ -57,7 +63,9 @@
         if record.rdtype == dns.rdatatype.A:
             hosts[record.name] = record[0].address
         elif record.rdtype == dns.rdatatype.TXT:
-            texts[record.name] = dict(s.decode("utf-8", "replace").partition("=")[::2] for s in record[0].strings)
+            texts[record.name] = dict(
+                s.decode("utf-8", "replace").partition("=")[::2] for s in record[0].strings
+            )
     for record in message.answer:
         if record.rdtype == dns.rdatatype.SRV and record.name == NAME:
             for one in record:
@@ -70,8 +78,14 @@
     if one.target not in hosts or text is None or len(labels) < 3 or one.priority not in STATES:
         raise Unusable(f"it does not tell of {one.target}")
     try:
-        return members.Entry(labels[0].decode(), (hosts[one.target], one.port), labels[1].decode(),
-                             int(text.get("cell") or 0), int(text.get("started") or 0) * MS, STATES[one.priority])
+        return members.Entry(
+            labels[0].decode(),
+            (hosts[one.target], one.port),
+            labels[1].decode(),
+            int(text.get("cell") or 0),
+            int(text.get("started") or 0) * MS,
+            STATES[one.priority],
+        )
     except ValueError as fault:
         raise Unusable(f"it garbles {one.target}: {fault}") from None
 
@@ -80,15 +94,26 @@
     """`core.listed(entries, leaving, whole)` hears of each list that is new."""
 
     def __init__(self, address, membership, asking, core, log):
-        self.address, self.membership, self.asking, self.core, self.log = address, membership, asking, core, log
-        self.sock, self.question, self.last, self.counts = None, question(), None, {"asked": 0, "good": 0, "unusable": 0, "old": 0}
-        self.failed = False                              # it was to be opened anew, and could not be
+        self.address, self.membership, self.asking, self.core, self.log = (
+            address,
+            membership,
+            asking,
+            core,
+            log,
+        )
+        self.sock, self.question, self.last, self.counts = (
+            None,
+            question(),
+            None,
+            {"asked": 0, "good": 0, "unusable": 0, "old": 0},
+        )
+        self.failed = False  # it was to be opened anew, and could not be
 
     def open(self):
         self.close()
         self.sock = sockets.fresh(self.address[0], socket.SOCK_DGRAM)
         self.sock.setblocking(False)
-        self.sock.connect(self.address)                  # the kernel drops what comes from anyone else
+        self.sock.connect(self.address)  # the kernel drops what comes from anyone else
         self.core.loop.add_reader(self.sock, self._read)
 
     def close(self):
@@ -104,14 +129,17 @@
         self._reopen()
 
     def _reopen(self):
-        """Against a list that is never asked for again, as no descriptor was left at SIGHUP or its address can't be reached now."""
+        """Against a list that is never asked for again, as no descriptor was left at SIGHUP or its address
+        can't be reached now."""
         self.failed = False
         try:
             self.open()
         except OSError as fault:
             self.close()
             self.failed = True
-            self.log.warning("the roster can't be asked", address=f"{self.address[0]}:{self.address[1]}", why=str(fault))
+            self.log.warning(
+                "the roster can't be asked", address=f"{self.address[0]}:{self.address[1]}", why=str(fault)
+            )
 
     def check(self, now):
         if self.sock is None and not self.failed or not self.asking.due(now):
@@ -123,7 +151,7 @@
         if self.sock is not None:
             try:
                 self.sock.send(asked)
-            except OSError:                              # nobody there, or no room: it is asked again
+            except OSError:  # nobody there, or no room: it is asked again
                 pass
 
     def _read(self):
@@ -132,7 +160,7 @@
                 data = self.sock.recv(MOST)
             except (BlockingIOError, InterruptedError):
                 return
-            except OSError:                              # a refusal of what was sent before
+            except OSError:  # a refusal of what was sent before
                 continue
             self.take(data)
 
@@ -142,7 +170,7 @@
         if len(data) < 12 or not self.asking.answered(now, int.from_bytes(data[:2], "big")):
             self.counts["unusable"] += 1
             return
-        if data[2:] == self.last:                        # nothing has changed: nothing is read
+        if data[2:] == self.last:  # nothing has changed: nothing is read
             self._good(now)
             return
         try:
@@ -158,7 +186,9 @@
         self.last = data[2:]
         self._good(now)
         if serial > self.membership.number:
-            self.core.listed(*self.membership.whole(f"dns-{serial}", entries, now, self.core.clock.wall()), True)
+            self.core.listed(
+                *self.membership.whole(f"dns-{serial}", entries, now, self.core.clock.wall()), True
+            )
 
     def _good(self, now):
         self.counts["good"] += 1
--- a/petrelwood/node/service.py
+++ b/petrelwood/node/service.py
@@ -1,4 +1,5 @@
 """One dispatcher on the platform: the core on a loop, its front, its links, its roster, its end."""
+
 import asyncio
 from random import Random
 
@@ -15,11 +16,12 @@
 from petrelwood.node.roster import DnsRoster
 from petrelwood.node.worker import NodeLink
 
-CHECK = 0.05               # seconds between looks at links, clients and the roster
-BEHIND = 100_000_000       # ns without a look, after which the loop was held up: two looks
-QUIET, TURNS = 3, 64       # turns of the loop in which nothing of a client is read, after which all is; turns at most
-TIDY = 20                  # looks between two at connections that rest
-STANDING = 100             # looks between two log lines of what is believed
+CHECK = 0.05  # seconds between looks at links, clients and the roster
+BEHIND = 100_000_000  # ns without a look, after which the loop was held up: two looks
+# turns of the loop in which nothing of a client is read, after which all is; turns at most
+QUIET, TURNS = 3, 64
+TIDY = 20  # looks between two at connections that rest
+STANDING = 100  # looks between two log lines of what is believed
 UNKNOWN = Figures(1, 0, 0)
 
 
@@ -28,7 +30,15 @@
 
     def __init__(self, gateway, log, brain=Brain):
         self.loop, self.room = asyncio.get_running_loop(), Room(gateway.sockets, gateway.memory)
-        self.busy, self.checks, self.looks, self.tag, self.lines, self.losses, self.began = {}, None, 0, 0, 0, 0, False
+        self.busy, self.checks, self.looks, self.tag, self.lines, self.losses, self.began = (
+            {},
+            None,
+            0,
+            0,
+            0,
+            0,
+            False,
+        )
         super().__init__(gateway, LoopClock(), Random(gateway.seed), self._link, log, brain)
         self.beat, self.turns, self.still, self.read, self.rings = self.now(), 0, 0, 0, []
         self.front = Front(self, self.room, log)
@@ -52,12 +62,15 @@
         return self.began and not self.intake.closing
 
     def is_open(self, act_id):
-        """Whether an activation has this id, or a send of one that had it is still out, whose answer would be taken for the new
+        """Whether an activation has this id, or a send of one that had it is still out, whose answer would be
+        taken for the new
         one's: also another customer's, as workers know no more of it than the id."""
-        return act_id in self.duty.acts or any((act_id, n) in self.flying for n in range(self.terms.allowed.sends))
+        return act_id in self.duty.acts or any(
+            (act_id, n) in self.flying for n in range(self.terms.allowed.sends)
+        )
 
     def _ask(self, ask, function, rule, body, exchange):
-        if not exchange.waits():                         # its client left between its reading and its turn
+        if not exchange.waits():  # its client left between its reading and its turn
             return
         if self.is_open(ask.id):
             exchange.answer(intake.ABORT, why="an id that is open")
@@ -66,7 +79,8 @@
 
     # After the loop was held up.
     def behind(self):
-        """Whether what came while the loop was held up may still lie unread: a client's end or cancel, news of workers. Nothing
+        """Whether what came while the loop was held up may still lie unread: a client's end or cancel, news
+        of workers. Nothing
         leaves for a worker until it is read; what it takes back is then still here."""
         if not self.turns and self.now() - self.beat > BEHIND:
             self.turns, self.still, self.read = TURNS, QUIET, self.front.reads
@@ -88,7 +102,8 @@
             link.pump()
 
     def _ring(self, mark):
-        """What the module makes of time that has passed, it makes once it knows what has come in that time."""
+        """What the module makes of time that has passed, it makes once it knows what has come in that
+        time."""
         if self.behind():
             self.rings.append(mark)
         else:
@@ -115,8 +130,10 @@
 
     def note_loss(self, worker, why, out):
         self.losses += 1
-        if self.losses <= 32 or not self.losses % 64:    # sparse, whatever the workers do
-            self.log.info("a connection to a worker is lost", worker=worker, why=why, out=out, losses=self.losses)
+        if self.losses <= 32 or not self.losses % 64:  # sparse, whatever the workers do
+            self.log.info(
+                "a connection to a worker is lost", worker=worker, why=why, out=out, losses=self.losses
+            )
 
     def active(self, link):
         self.busy[link] = True
@@ -129,8 +146,12 @@
             if whole:
                 known.clear()
             known.update((e.worker, e) for e in entries)
-        listed = self.membership.whole(f"dns-{self.gateway.number}",
-                                       [e for e in known.values() if e.state != told.membership.GONE], now, wall)
+        listed = self.membership.whole(
+            f"dns-{self.gateway.number}",
+            [e for e in known.values() if e.state != told.membership.GONE],
+            now,
+            wall,
+        )
         self.membership.alive(now)
         self.listed(*listed, True)
         self.front.open(self.gateway.listen)
@@ -166,8 +187,10 @@
         self.roster.moves(gateway.names)
 
     async def close(self):
-        """SIGTERM: takes what still comes, then turns it away, answers all that it owes, and ends. It listens to the last: a
-        connection that the machine has accepted may have a request in it, which a closed listener would lose."""
+        """SIGTERM: takes what still comes, then turns it away, answers all that it owes, and ends. It listens
+        to the last: a
+        connection that the machine has accepted may have a request in it, which a closed listener would
+        lose."""
         ends = shutdown.Leaving(self.now(), max(self.gateway.timeouts.values()))
         self.began = False
         while not ends.over(self.now(), len(self.duty.acts), self.front.quiet()):
@@ -176,13 +199,15 @@
                 for act_id in sorted(self.duty.acts):
                     self.soon(self._cut, act_id)
             await asyncio.sleep(CHECK / 5)
-        self.front.stop()                                # nothing comes between the look that found it quiet and this
+        # nothing comes between the look that found it quiet and this
+        self.front.stop()
         self.checks.cancel()
         self.roster.close()
         self.log.info("closed", **self.figures())
 
     def standing(self):
-        """What is believed of load and health, by worker: sends out, connections, what the module makes of it. Of hundreds of
+        """What is believed of load and health, by worker: sends out, connections, what the module makes of
+        it. Of hundreds of
         workers only those that have something of ours, or are thought ill."""
         brain, counts, copies = self.brain, self.duty.counts, {}
         for fn in brain.functions.values():
@@ -191,20 +216,46 @@
         ends = {worker: link.ends for worker, link in self.links.items() if link.ends}
         for link in self.links.values():
             link.ends = {}
-        return {"taken": counts["taken"], "completed": counts[ledger.COMPLETED], "rejected": counts[ledger.REJECTED],
-                "aborted": counts[ledger.ABORTED], "held": self.intake.held, "out": brain.out_now, "slow": round(brain.slow, 2),
-                "turned": round(brain.turned, 2), "cap": brain.cap.most and round(brain.cap.most, 1),
-                "functions": len(brain.functions), "clients": len(self.front.clients),
-                "listed": len(brain.fleet), "ends": ends, "workers": {
-                    w.id: [len(w.out), round(w.pace, 2), w.cap.most and round(w.cap.most, 1), int(w.silent), lines, copies.get(w.id, 0)]
-                    for w in brain.fleet for lines in [len(self.links[w.id].lines) if w.id in self.links else 0]
-                    if lines or w.out or w.silent or w.cap.most or w.id in copies}}
+        return {
+            "taken": counts["taken"],
+            "completed": counts[ledger.COMPLETED],
+            "rejected": counts[ledger.REJECTED],
+            "aborted": counts[ledger.ABORTED],
+            "held": self.intake.held,
+            "out": brain.out_now,
+            "slow": round(brain.slow, 2),
+            "turned": round(brain.turned, 2),
+            "cap": brain.cap.most and round(brain.cap.most, 1),
+            "functions": len(brain.functions),
+            "clients": len(self.front.clients),
+            "listed": len(brain.fleet),
+            "ends": ends,
+            "workers": {
+                w.id: [
+                    len(w.out),
+                    round(w.pace, 2),
+                    w.cap.most and round(w.cap.most, 1),
+                    int(w.silent),
+                    lines,
+                    copies.get(w.id, 0),
+                ]
+                for w in brain.fleet
+                for lines in [len(self.links[w.id].lines) if w.id in self.links else 0]
+                if lines or w.out or w.silent or w.cap.most or w.id in copies
+            },
+        }
 
     def _cut(self, act_id):
-        """Its time ends with the process: the module makes an answer of how its sends end, as it does when it is due."""
+        """Its time ends with the process: the module makes an answer of how its sends end, as it does when it
+        is due."""
         if act_id in self.duty.acts:
             self.brain.cut(self.now(), act_id)
             self._out_of_time(act_id)
 
     def figures(self):
-        return {**super().figures(), "front": self.front.counts, "roster": self.roster.counts, "losses": self.losses}
+        return {
+            **super().figures(),
+            "front": self.front.counts,
+            "roster": self.roster.counts,
+            "losses": self.losses,
+        }
--- a/petrelwood/node/stream.py
+++ b/petrelwood/node/stream.py
@@ -1,4 +1,6 @@
-"""Tornado's stream without its first look at the socket: most reads here begin long before there is anything to read."""
+"""Tornado's stream without its first look at the socket: most reads here begin long before there is anything
+to read."""
+
 from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream
 
--- a/petrelwood/node/told.py
+++ b/petrelwood/node/told.py
@@ -1,7 +1,10 @@
-"""What the platform tells: its JSON file and the settings in it, decoded once to what core and module are told.
+"""What the platform tells: its JSON file and the settings in it, decoded once to what core and module are
+told.
 
-The settings are those of the simulator's first message, in microseconds; `drill.py` takes its terms from here too.
+The settings are those of the simulator's first message, in microseconds; `drill.py` takes its terms from here
+too.
 """
+
 import json
 import math
 from typing import NamedTuple
@@ -9,10 +12,18 @@
 from petrelwood import ports
 from petrelwood.decide.cluster import membership
 
-US, MS = 1_000, 1_000_000       # nanoseconds in the settings' and in the protocol's unit of time
-CONNECT, ORDER = 250 * MS, 10_000 * MS         # where the settings say nothing of them
-REPORT = {"concurrent": "running", "depth": "waiting", "load_share": "cores", "x0": "pinned", "x1": "loads",
-          "inflight": "running", "queue": "waiting", "util": "cores"}
+US, MS = 1_000, 1_000_000  # nanoseconds in the settings' and in the protocol's unit of time
+CONNECT, ORDER = 250 * MS, 10_000 * MS  # where the settings say nothing of them
+REPORT = {
+    "concurrent": "running",
+    "depth": "waiting",
+    "load_share": "cores",
+    "x0": "pinned",
+    "x1": "loads",
+    "inflight": "running",
+    "queue": "waiting",
+    "util": "cores",
+}
 EFFECTS = {"repeatable": ports.REPEATABLE, "by_key": ports.DEDUPLICATED, "once": ports.ONCE_ONLY}
 SCOPES = ("all", "zone", "cell")
 STATES = {"Ready": membership.USABLE, "Terminating": membership.DRAINING, "Gone": membership.GONE}
@@ -24,7 +35,8 @@
 
 
 class Part:
-    """One object of what is told. Each value is taken by its name; one of an unknown shape is named with the way there. Null is
+    """One object of what is told. Each value is taken by its name; one of an unknown shape is named with the
+    way there. Null is
     absent, and what nobody asks for is passed over."""
 
     def __init__(self, raw, way):
@@ -43,8 +55,14 @@
         return value
 
     def number(self, name, default=None, least=0):
-        return self._take(name, lambda v: isinstance(v, (int, float)) and not isinstance(v, bool) and math.isfinite(v)
-                          and v >= least, f"a number of {least} at least", default)
+        return self._take(
+            name,
+            lambda v: (
+                isinstance(v, (int, float)) and not isinstance(v, bool) and math.isfinite(v) and v >= least
+            ),
+            f"a number of {least} at least",
+            default,
+        )
 
     def time(self, name, default=None, least=0):
         """ns of a value in microseconds."""
@@ -57,10 +75,14 @@
         return self._take(name, lambda v: isinstance(v, str), "a text", default)
 
     def word(self, name, known, default=None):
-        return self._take(name, lambda v: isinstance(v, str) and v in known, "one of " + ", ".join(known), default)
+        return self._take(
+            name, lambda v: isinstance(v, str) and v in known, "one of " + ", ".join(known), default
+        )
 
     def part(self, name, default=None):
-        return Part(self._take(name, lambda v: isinstance(v, dict), "an object", default), f"{self.way}.{name}")
+        return Part(
+            self._take(name, lambda v: isinstance(v, dict), "an object", default), f"{self.way}.{name}"
+        )
 
     def each(self, name, default=None):
         rows = self._take(name, lambda v: isinstance(v, list), "a list", default)
@@ -71,25 +93,59 @@
     """`ports.Terms` of the settings. Raises `Bad`."""
     o = Part(raw, "settings")
     fam, g, p, fees = o.part("familyInfo"), o.part("guarantees"), o.part("permissions"), o.part("fees", {})
-    types = {c.text("name"): ports.NamespaceType(
-        c.time("slo", least=1), EFFECTS[c.word("effect", EFFECTS)], c.word("keyScope", SCOPES, "all"), c.time("window", 0),
-        c.number("aimStretch", 0), c.time("deadline", 0)) for c in o.each("classes")}
+    types = {
+        c.text("name"): ports.NamespaceType(
+            c.time("slo", least=1),
+            EFFECTS[c.word("effect", EFFECTS)],
+            c.word("keyScope", SCOPES, "all"),
+            c.time("window", 0),
+            c.number("aimStretch", 0),
+            c.time("deadline", 0),
+        )
+        for c in o.each("classes")
+    }
     if not types:
         raise Bad("settings.classes must hold one at least")
     asks = o.word("membershipMode", ("push", "ask"), "push") == "ask"
     return ports.Terms(
-        zone=o.text("zone", ""), dispatchers=int(o.number("balancers", least=1)), types=types,
-        quotas={t.text("name"): t.number("quotaRps") for t in o.each("tenants", []) if t.raw.get("quotaRps") is not None},
-        guarantees=ports.Guarantees(g.time("askWithin", None if asks else 0), g.time("cold"), g.number("startCapacity"),
-                                    g.number("fallMultiple"), g.time("fall")),
+        zone=o.text("zone", ""),
+        dispatchers=int(o.number("balancers", least=1)),
+        types=types,
+        quotas={
+            t.text("name"): t.number("quotaRps")
+            for t in o.each("tenants", [])
+            if t.raw.get("quotaRps") is not None
+        },
+        guarantees=ports.Guarantees(
+            g.time("askWithin", None if asks else 0),
+            g.time("cold"),
+            g.number("startCapacity"),
+            g.number("fallMultiple"),
+            g.time("fall"),
+        ),
         orders=ports.LoadOrders(
-            fam.flag("mayOrder"), fam.word("onMiss", ("load", "miss"), "load") == "load", fam.time("keep"),
-            fam.number("freeLoads", 0), fam.number("loadPart", 0), fam.time("loadPeriod", 0)),
+            fam.flag("mayOrder"),
+            fam.word("onMiss", ("load", "miss"), "load") == "load",
+            fam.time("keep"),
+            fam.number("freeLoads", 0),
+            fam.number("loadPart", 0),
+            fam.time("loadPeriod", 0),
+        ),
         allowed=ports.Allowed(
-            int(p.number("maxAttempts", least=1)), p.flag("secondCopies"), p.flag("cancelling"), p.flag("probes"),
-            p.flag("retryAfter"), p.time("maxRetryAfter", 0)),
-        asks=asks, reports_by_probe=o.part("loadInfo", {}).word("how", ("piggyback", "pull", "silent"), "silent") == "pull",
-        tick=o.time("tick", least=1), probe_fee=fees.number("probe", 0), beyond=o.number("overShareWorth", 0))
+            int(p.number("maxAttempts", least=1)),
+            p.flag("secondCopies"),
+            p.flag("cancelling"),
+            p.flag("probes"),
+            p.flag("retryAfter"),
+            p.time("maxRetryAfter", 0),
+        ),
+        asks=asks,
+        reports_by_probe=o.part("loadInfo", {}).word("how", ("piggyback", "pull", "silent"), "silent")
+        == "pull",
+        tick=o.time("tick", least=1),
+        probe_fee=fees.number("probe", 0),
+        beyond=o.number("overShareWorth", 0),
+    )
 
 
 def report(gauge):
@@ -98,7 +154,9 @@
 
 
 class WorkerTerms(NamedTuple):
-    """ns, but for `streams`, sends that one connection may carry at a time, and `cancels`, whether a send may be taken back."""
+    """ns, but for `streams`, sends that one connection may carry at a time, and `cancels`, whether a send may
+    be taken back."""
+
     connect_within: int
     idle: int
     streams: int
@@ -108,16 +166,17 @@
 
 class Told(NamedTuple):
     """As `settings.gateway.Gateway`, as far as the core asks it."""
+
     name: str
     listen: tuple
-    names: tuple             # (host, port) of the roster
-    number: int              # of the last event in `known`
-    known: tuple             # batches of (whole, entries), in order
+    names: tuple  # (host, port) of the roster
+    number: int  # of the last event in `known`
+    known: tuple  # batches of (whole, entries), in order
     seed: str
-    sockets: int             # descriptors
-    memory: int              # bytes
-    timeouts: dict           # namespace type -> action timeout, ns
-    customers: frozenset     # their names, also of those without a quota
+    sockets: int  # descriptors
+    memory: int  # bytes
+    timeouts: dict  # namespace type -> action timeout, ns
+    customers: frozenset  # their names, also of those without a quota
     workers: WorkerTerms
     terms: ports.Terms
     damps: bool = False
@@ -132,20 +191,29 @@
 
 def entry(raw):
     """A `membership.Entry` of an endpoint."""
-    return membership.Entry(raw["name"], address(raw["address"]), raw.get("zone") or "", int(raw.get("group") or 0),
-                         int(raw.get("since_ms") or 0) * MS, STATES[raw["status"]])
+    return membership.Entry(
+        raw["name"],
+        address(raw["address"]),
+        raw.get("zone") or "",
+        int(raw.get("group") or 0),
+        int(raw.get("since_ms") or 0) * MS,
+        STATES[raw["status"]],
+    )
 
 
 def _known(known):
     batches = []
     for event in known["batch"]:
         topology = event["topology"]
-        batches.append((bool(topology.get("snapshot")) or not batches, tuple(entry(e) for e in topology["endpoints"])))
+        batches.append(
+            (bool(topology.get("snapshot")) or not batches, tuple(entry(e) for e in topology["endpoints"]))
+        )
     return tuple(batches)
 
 
 def decode(raw):
-    """A `Told` of the file's object. Raises `Bad`, and KeyError, TypeError, ValueError, AttributeError where lists of workers or
+    """A `Told` of the file's object. Raises `Bad`, and KeyError, TypeError, ValueError, AttributeError where
+    lists of workers or
     addresses do not fit."""
     file = Part(raw, "the file")
     settings, limits = file.part("settings"), file.part("limits")
@@ -153,14 +221,25 @@
     allowed, family = settings.part("permissions"), settings.part("familyInfo")
     timeouts = {c.text("name"): c.time("deadline", least=1) for c in settings.each("classes")}
     return Told(
-        file.text("name"), address(file.text("listen")), address(file.text("names")), int(file.part("known").number("offset")),
-        _known(raw["known"]), str(raw["seed"]), int(limits.number("sockets", least=1)),
-        int(limits.number("memory_mb", least=1)) << 20, timeouts,
+        file.text("name"),
+        address(file.text("listen")),
+        address(file.text("names")),
+        int(file.part("known").number("offset")),
+        _known(raw["known"]),
+        str(raw["seed"]),
+        int(limits.number("sockets", least=1)),
+        int(limits.number("memory_mb", least=1)) << 20,
+        timeouts,
         frozenset(t.text("name") for t in settings.each("tenants", [])),
-        WorkerTerms(allowed.time("connectTimeout", 0) or CONNECT, allowed.time("connIdle", 0),
-                    max(1, int(allowed.number("multiplex", 1))), family.time("orderLimit", 0) or ORDER,
-                    allowed.flag("cancelling")),
-        terms(settings.raw))
+        WorkerTerms(
+            allowed.time("connectTimeout", 0) or CONNECT,
+            allowed.time("connIdle", 0),
+            max(1, int(allowed.number("multiplex", 1))),
+            family.time("orderLimit", 0) or ORDER,
+            allowed.flag("cancelling"),
+        ),
+        terms(settings.raw),
+    )
 
 
 def read(environ):
--- a/petrelwood/node/worker.py
+++ b/petrelwood/node/worker.py
@@ -1,8 +1,10 @@
 """The link to one worker in JSON lines, over a few connections that are kept.
 
-Queue, stages and ends are those of `links.calls`; which connection carries a call is decided in `decide.cluster.connection_pool`. A connection that has
+Queue, stages and ends are those of `links.calls`; which connection carries a call is decided in
+`decide.cluster.connection_pool`. A connection that has
 once carried what can't be read is closed: what was handed to it may have run.
 """
+
 from tornado.iostream import StreamBufferFullError, StreamClosedError
 
 from petrelwood import ports
@@ -19,7 +21,9 @@
 
 
 class Line:
-    """One connection: `open` are its calls by the id that they go under, `carried` the last ids that it has carried."""
+    """One connection: `open` are its calls by the id that they go under, `carried` the last ids that it has
+    carried."""
+
     __slots__ = ("stream", "up", "open", "carried", "heard", "timer")
 
     def __init__(self, stream, now):
@@ -32,7 +36,8 @@
 
     def __init__(self, worker, address, terms, core, log):
         super().__init__(worker, address, core)
-        self.ends = {}                                   # answers other than completed, by code, since they were last told
+        # answers other than completed, by code, since they were last told
+        self.ends = {}
         self.terms, self.log, self.lines, self.connecting, self.pumping = terms, log, [], 0, False
 
     # What the dispatcher asks.
@@ -65,20 +70,27 @@
     # The way out. A call's `act` is the id that it goes under.
     def pump(self):
         """Hands over what waits, as far as connections are up for it."""
-        if self.pumping or self.core.behind():           # a connection that makes room, or is lost, comes back here
+        # a connection that makes room, or is lost, comes back here
+        if self.pumping or self.core.behind():
             return
         self.pumping = True
         try:
             while self.waiting:
-                line = connection_pool.pick(self.lines, self.waiting[0].act, self.terms.streams, self.core.may_open())
+                line = connection_pool.pick(
+                    self.lines, self.waiting[0].act, self.terms.streams, self.core.may_open()
+                )
                 if line is not None:
                     if line.stream.closed() or self._rested(line, self.core.now()):
-                        self._lost(line, "closed or idle")       # known before anything of the send has left
+                        self._lost(line, "closed or idle")  # known before anything of the send has left
                     elif self._may_leave(self.waiting[0]):
                         self._put(line, self.waiting.popleft())
-                elif self.connecting < min(len(self.waiting), connection_pool.CONNECTING) and self.core.makes_room():
+                elif (
+                    self.connecting < min(len(self.waiting), connection_pool.CONNECTING)
+                    and self.core.makes_room()
+                ):
                     self._connect()
-                elif not self.lines:                     # no descriptor is left, and nothing that could carry it
+                # no descriptor is left, and nothing that could carry it
+                elif not self.lines:
                     self._end(self.waiting[0], send_outcome.of_crowding())
                 else:
                     break
@@ -89,7 +101,7 @@
         frame = self._hand(call)
         call.line, line.open[call.act] = line, call
         connection_pool.remembers(line, call.act)
-        self.lines.remove(line)                          # the last used stands at the end
+        self.lines.remove(line)  # the last used stands at the end
         self.lines.append(line)
         try:
             line.stream.write(frame)
@@ -109,7 +121,7 @@
         host, port = self.address
         try:
             sock = sockets.fresh(host)
-        except OSError:                                  # no descriptor after all: nothing was sent
+        except OSError:  # no descriptor after all: nothing was sent
             self._end(self.waiting[0], send_outcome.of_crowding())
             return
         stream = Stream(sock, max_buffer_size=resource_limits.FRAME * 4, read_chunk_size=READ)
@@ -117,14 +129,16 @@
         self.lines.append(line)
         self.connecting += 1
         self.core.opened()
-        line.timer = self.core.loop.call_later(self.terms.connect_within / 1e9, self._lost, line, "not made in time")
+        line.timer = self.core.loop.call_later(
+            self.terms.connect_within / 1e9, self._lost, line, "not made in time"
+        )
         self.core.loop.create_task(self._serve(line, (host, port)))
 
     async def _serve(self, line, address):
         why = "closed by the peer"
         try:
             await line.stream.connect(address)
-            if line.timer is None:                       # given up meanwhile
+            if line.timer is None:  # given up meanwhile
                 return
             self._up(line)
             reader = lines.Reader(resource_limits.FRAME)
@@ -159,7 +173,7 @@
             line.timer.cancel()
             line.timer = None
             self.connecting -= 1
-            if self.waiting:                             # one call for one connection that was not made
+            if self.waiting:  # one call for one connection that was not made
                 self._end(self.waiting[0], send_outcome.of_loss(send_outcome.WAITING))
         if line.open or not line.up:
             self.counts["lost"] += 1
@@ -201,7 +215,8 @@
             self._lost(line, "idle")
 
     def _rested(self, line, now):
-        """Whether it has been idle for half of what the settings give it, and so is ours to close: against a send into one that its
+        """Whether it has been idle for half of what the settings give it, and so is ours to close: against a
+        send into one that its
         worker closes at that moment, which then may have run."""
         return line.up and not line.open and 0 < self.terms.idle < 2 * (now - line.heard)
 
@@ -219,7 +234,7 @@
     # The way back.
     def _answer(self, line, answer):
         call = line.open.get(answer.tag)
-        if call is None:                                 # its wait has ended, or nobody ever asked
+        if call is None:  # its wait has ended, or nobody ever asked
             self.counts["strays"] += 1
             return
         self.counts["answered"] += 1
--- a/petrelwood/settings/document.py
+++ b/petrelwood/settings/document.py
@@ -1,8 +1,10 @@
 """KDL 2 text to nodes that know their place.
 
-The parser is ckdl, which tells neither the place of a node nor that of an error. A scan of the text finds where
+The parser is ckdl, which tells neither the place of a node nor that of an error. A scan of the text finds
+where
 each node begins, in document order, and the first line whose addition makes the text unreadable.
 """
+
 import difflib
 import json
 import pathlib
@@ -11,8 +13,23 @@
 import ckdl
 
 WORD = re.compile(r'[^\s{}()\[\]"#;=\\/]+')
-UNITS = {"ns": 1, "us": 1_000, "ms": 1_000_000, "s": 1_000_000_000, "m": 60_000_000_000, "h": 3_600_000_000_000}
-SIZES = {"B": 1, "KB": 1_000, "MB": 1_000_000, "GB": 1_000_000_000, "KiB": 1 << 10, "MiB": 1 << 20, "GiB": 1 << 30}
+UNITS = {
+    "ns": 1,
+    "us": 1_000,
+    "ms": 1_000_000,
+    "s": 1_000_000_000,
+    "m": 60_000_000_000,
+    "h": 3_600_000_000_000,
+}
+SIZES = {
+    "B": 1,
+    "KB": 1_000,
+    "MB": 1_000_000,
+    "GB": 1_000_000_000,
+    "KiB": 1 << 10,
+    "MiB": 1 << 20,
+    "GiB": 1 << 30,
+}
 REQUIRED = object()
 
 
@@ -27,7 +44,13 @@
 def meant(word, known):
     """' (did you mean X?)' where one of the known words is near, else the words that would do."""
     near = difflib.get_close_matches(str(word), [str(k) for k in known], 1, 0.6)
-    return f"; did you mean '{near[0]}'?" if near else f"; known here: {', '.join(map(str, known))}" if known else ""
+    return (
+        f"; did you mean '{near[0]}'?"
+        if near
+        else f"; known here: {', '.join(map(str, known))}"
+        if known
+        else ""
+    )
 
 
 def _skip(text, i):
@@ -71,9 +94,10 @@
                 depths.append(depth)
                 line, begun = line + 1, k + 1
         i = j
+
     while i < len(text):
         c = text[i]
-        j = _skip(text, i) if c in '"#/' else i          # nothing else can begin a string or a comment
+        j = _skip(text, i) if c in '"#/' else i  # nothing else can begin a string or a comment
         if text.startswith("/-", i):
             omit = at_start
             over(i + 2)
@@ -121,7 +145,9 @@
     for n in range(1, len(rows) + 1):
         if not _reads("\n".join(rows[:n]) + "\n" + "}" * max(0, depths[n - 1])):
             last = n
-            while last < len(rows) and not _reads("\n".join(rows[:last]) + "\n" + "}" * max(0, depths[last - 1])):
+            while last < len(rows) and not _reads(
+                "\n".join(rows[:last]) + "\n" + "}" * max(0, depths[last - 1])
+            ):
                 last += 1
             if last == len(rows):
                 return n, "this is not KDL" + (f": {rows[n - 1].strip()}" if rows[n - 1].strip() else "")
@@ -137,27 +163,39 @@
 
 
 class Node:
-    """A node with its place. Reading marks what was read, so that `done` can name what nobody knows. With `problems`, a list, what
-    is wrong is collected there in place of being raised, and a value that makes sense of the kind stands in for it."""
+    """A node with its place. Reading marks what was read, so that `done` can name what nobody knows. With
+    `problems`, a list, what
+    is wrong is collected there in place of being raised, and a value that makes sense of the kind stands in
+    for it."""
 
     def __init__(self, file, raw, places, path="", problems=None, reads=None):
-        self.file, self.name, self.args, self.props = str(file), raw.name, list(raw.args), dict(raw.properties)
+        self.file, self.name, self.args, self.props = (
+            str(file),
+            raw.name,
+            list(raw.args),
+            dict(raw.properties),
+        )
         self.line, self.column = next(places, (0, 0))
         label = raw.args and isinstance(raw.args[0], str) and raw.children
         self._begin(path + raw.name + (f' "{raw.args[0]}"' if label else ""), problems, reads)
-        self.children = [Node(file, child, places, self.path + " > ", problems, reads) for child in raw.children]
+        self.children = [
+            Node(file, child, places, self.path + " > ", problems, reads) for child in raw.children
+        ]
 
     def _begin(self, path, problems, reads):
         self.path, self.problems, self.reads, self.tainted, self.ghost = path, problems, reads, False, False
-        self.maybes = []                                 # (what stands there and may be meant, what is missing then)
-        self.partial = False                             # a part of it could not be found: what it lacks may be there
+        # (what stands there and may be meant, what is missing then)
+        self.maybes = []
+        # a part of it could not be found: what it lacks may be there
+        self.partial = False
         self.known_props, self.known_children, self.children = set(), set(), []
 
     def bad(self, what):
         return BadFile(self.file, self.line, what, self.column)
 
     def wrong(self, what):
-        """Tells what is wrong: raises it, or collects it where problems are. What follows from another problem is not told."""
+        """Tells what is wrong: raises it, or collects it where problems are. What follows from another
+        problem is not told."""
         if self.problems is None:
             raise self.bad(what)
         if not self.tainted and not self.ghost:
@@ -171,7 +209,8 @@
         self.tainted = True
 
     def _missing(self, name, there, fault):
-        """Something is not there. Where something like it stands, and `done` finds that nobody knows that, one message is enough."""
+        """Something is not there. Where something like it stands, and `done` finds that nobody knows that,
+        one message is enough."""
         near = difflib.get_close_matches(name, there, 1, 0.6)
         if near and self.problems is not None:
             self.tainted = True
@@ -188,7 +227,13 @@
 
     def _note(self, key, value, default=False):
         if self.reads is not None:
-            self.reads.append((f"{self.path} > {key}" if key else self.path, value, None if default else (self.file, self.line)))
+            self.reads.append(
+                (
+                    f"{self.path} > {key}" if key else self.path,
+                    value,
+                    None if default else (self.file, self.line),
+                )
+            )
 
     def arg(self, kind, what, default=REQUIRED, at=0):
         """The argument at a place, decoded by `kind`: one of the functions below."""
@@ -217,13 +262,19 @@
             found[1].wrong(f"'{name}' is given twice; first {found[0].place(self)}")
         if not found and default is REQUIRED:
             if not self.partial:
-                self._missing(name, [c.name for c in self.children], self.bad(f"'{self.name}' needs a '{name}'"))
+                self._missing(
+                    name, [c.name for c in self.children], self.bad(f"'{self.name}' needs a '{name}'")
+                )
             return Ghost(self, name)
         return found[0] if found else default
 
     def place(self, seen_from=None):
         """Where it stands, in words."""
-        return f"on line {self.line}" if seen_from is not None and seen_from.file == self.file else f"in {self.file}:{self.line}"
+        return (
+            f"on line {self.line}"
+            if seen_from is not None and seen_from.file == self.file
+            else f"in {self.file}:{self.line}"
+        )
 
     def every(self, name):
         self.known_children.add(name)
@@ -242,19 +293,28 @@
         return found
 
     def done(self, args=0):
-        """Fails on what was given and that nobody asked for: the first of it, or all where problems are collected."""
+        """Fails on what was given and that nobody asked for: the first of it, or all where problems are
+        collected."""
         for near, fault in self.maybes:
             if near in self.known_props or near in self.known_children:
                 self.problems.append(fault)
         self.maybes = []
         for name in self.props:
             if name not in self.known_props:
-                self._unknown(self.bad(f"'{self.name}' has no property '{name}'{meant(name, sorted(self.known_props))}"))
+                self._unknown(
+                    self.bad(f"'{self.name}' has no property '{name}'{meant(name, sorted(self.known_props))}")
+                )
         if len(self.args) > args:
-            self._unknown(self.bad(f"'{self.name}' takes {args} value{'s' * (args != 1)}, not {len(self.args)}"))
+            self._unknown(
+                self.bad(f"'{self.name}' takes {args} value{'s' * (args != 1)}, not {len(self.args)}")
+            )
         for child in self.children:
             if child.name not in self.known_children:
-                self._unknown(child.bad(f"'{self.name}' has no '{child.name}'{meant(child.name, sorted(self.known_children))}"))
+                self._unknown(
+                    child.bad(
+                        f"'{self.name}' has no '{child.name}'{meant(child.name, sorted(self.known_children))}"
+                    )
+                )
 
     def _unknown(self, fault):
         if self.problems is None:
@@ -266,20 +326,29 @@
     """Stands in for a node that should be there, and says nothing more about it."""
 
     def __init__(self, parent, name):
-        self.file, self.name, self.args, self.props, self.line, self.column = parent.file, name, [], {}, parent.line, parent.column
+        self.file, self.name, self.args, self.props, self.line, self.column = (
+            parent.file,
+            name,
+            [],
+            {},
+            parent.line,
+            parent.column,
+        )
         self._begin(f"{parent.path} > {name}", parent.problems, None)
         self.ghost = self.tainted = True
 
 
-DEEPEST = 64               # blocks within blocks, includes within includes, templates within templates
-MOST = 1 << 24             # bytes of one file
+DEEPEST = 64  # blocks within blocks, includes within includes, templates within templates
+MOST = 1 << 24  # bytes of one file
 
 
 class File(Node):
     """A whole file with what it includes: a node without a name or place.
 
-    `include "halls.kdl"` or `include "routes/"` (all *.kdl of a folder, by name) at the top takes what stands there in its place;
-    `template "NAME" { ... }` at the top and `use "NAME"` in a block give what the block does not say itself."""
+    `include "halls.kdl"` or `include "routes/"` (all *.kdl of a folder, by name) at the top takes what stands
+    there in its place;
+    `template "NAME" { ... }` at the top and `use "NAME"` in a block give what the block does not say
+    itself."""
 
     def __init__(self, path, text=None, problems=None, reads=None):
         path = pathlib.Path(path)
@@ -308,7 +377,10 @@
         """The nodes of one file, or of the text given in its place, those that it includes among them."""
         whole = path if given is not None else path.resolve()
         if whole in chain:
-            asked.wrong(f"'{path.name}' includes itself: " + " -> ".join(p.name for p in (*chain[chain.index(whole):], whole)))
+            asked.wrong(
+                f"'{path.name}' includes itself: "
+                + " -> ".join(p.name for p in (*chain[chain.index(whole) :], whole))
+            )
             return []
         if len(chain) >= DEEPEST:
             asked.wrong(f"includes go deeper than {DEEPEST}")
@@ -317,8 +389,11 @@
             found = read_whole(path) if given is None else given
             document, places = parse(path, found)
         except BadFile as fault:
-            self._taint(fault if asked is None or fault.line else BadFile(
-                asked.file, asked.line, f"'{path.name}' {fault.what}", asked.column))
+            self._taint(
+                fault
+                if asked is None or fault.line
+                else BadFile(asked.file, asked.line, f"'{path.name}' {fault.what}", asked.column)
+            )
             self.partial = True
             return []
         self.files[str(path)] = found
@@ -351,7 +426,11 @@
             if before.st_size > MOST:
                 raise BadFile(path, 0, f"is larger than {MOST} bytes")
             data, after = path.read_bytes(), path.stat()
-            if (before.st_ino, before.st_mtime_ns, before.st_size) == (after.st_ino, after.st_mtime_ns, len(data)):
+            if (before.st_ino, before.st_mtime_ns, before.st_size) == (
+                after.st_ino,
+                after.st_mtime_ns,
+                len(data),
+            ):
                 return data.decode("utf-8")
     except OSError as fault:
         raise BadFile(path, 0, f"can't be read: {fault.strerror}") from None
@@ -364,7 +443,9 @@
     """(a ckdl document, where each of its nodes starts). Raises `BadFile`."""
     places, depths = starts(text)
     if max(depths) > DEEPEST:
-        raise BadFile(path, next(n for n, d in enumerate(depths, 1) if d > DEEPEST), f"blocks go deeper than {DEEPEST}")
+        raise BadFile(
+            path, next(n for n, d in enumerate(depths, 1) if d > DEEPEST), f"blocks go deeper than {DEEPEST}"
+        )
     try:
         return ckdl.parse(text, version=2), places
     except ckdl.ParseError:
@@ -381,7 +462,7 @@
             use.wrong(f"there is no template '{name}'{meant(name, sorted(templates))}")
             node.partial = True
         elif name in chain:
-            use.wrong(f"template '{name}' uses itself: {' -> '.join((*chain[chain.index(name):], name))}")
+            use.wrong(f"template '{name}' uses itself: {' -> '.join((*chain[chain.index(name) :], name))}")
             node.partial = True
         else:
             template = templates[name]
@@ -426,10 +507,10 @@
 
 def _measure(node, where, value, units, sort, example):
     if isinstance(value, (int, float)) and not isinstance(value, bool):
-        raise node.bad(f"{where} is a {sort} and needs a unit, as in \"{value}{example}\"")
+        raise node.bad(f'{where} is a {sort} and needs a unit, as in "{value}{example}"')
     found = re.fullmatch(r"(\d+(?:\.\d+)?)\s*([A-Za-z]+)", str(value))
     if not found:
-        raise node.bad(f"{where} must be a {sort} like \"250{example}\", not {value!r}")
+        raise node.bad(f'{where} must be a {sort} like "250{example}", not {value!r}')
     if found[2] not in units:
         raise node.bad(f"{where}: '{found[2]}' is no unit of a {sort}{meant(found[2], list(units))}")
     return round(float(found[1]) * units[found[2]])
@@ -450,6 +531,7 @@
         if value not in words:
             raise node.bad(f"{where} can't be {value!r}{meant(value, words)}")
         return value
+
     kind.sample, kind.words = words[0], words
     return kind
 
@@ -458,12 +540,20 @@
     """(host, port)."""
     host, _, port = text(node, where, value).rpartition(":")
     if not host or not port.isdigit() or int(port) > 65535:
-        raise node.bad(f"{where} must be an address like \"127.0.0.1:8080\", not {value!r}")
+        raise node.bad(f'{where} must be an address like "127.0.0.1:8080", not {value!r}')
     return host.strip("[]"), int(port)
 
 
-for _kind, _sample in ((text, ""), (number, 1), (count, 1), (share, 0.5), (yes, False), (duration, 1_000_000_000), (size, 1),
-                       (address, ("127.0.0.1", 0))):
+for _kind, _sample in (
+    (text, ""),
+    (number, 1),
+    (count, 1),
+    (share, 0.5),
+    (yes, False),
+    (duration, 1_000_000_000),
+    (size, 1),
+    (address, ("127.0.0.1", 0)),
+):
     _kind.sample = _sample
 
 
--- a/petrelwood/settings/gateway.py
+++ b/petrelwood/settings/gateway.py
@@ -1,4 +1,6 @@
-"""What a gateway's file says, decoded once: who calls, which functions there are, and the terms of the module."""
+"""What a gateway's file says, decoded once: who calls, which functions there are, and the terms of the
+module."""
+
 import base64
 import binascii
 import datetime
@@ -16,39 +18,39 @@
 
 class Customer(NamedTuple):
     name: str
-    share: float          # activations a second at all dispatchers together; 0: no share is kept
-    keys: tuple           # (scheme, bytes): "v1" with an HMAC secret, "v1a" with an Ed25519 public key
+    share: float  # activations a second at all dispatchers together; 0: no share is kept
+    keys: tuple  # (scheme, bytes): "v1" with an HMAC secret, "v1a" with an Ed25519 public key
 
 
 class FunctionRule(NamedTuple):
-    pattern: str          # a whole name, or the beginning of names before a '*'
-    type: str             # its namespace type
+    pattern: str  # a whole name, or the beginning of names before a '*'
+    type: str  # its namespace type
     lanes: int
-    load_time: int        # ns; 0: not known
-    work: int = 0         # ns of the usual work; 0: not known
+    load_time: int  # ns; 0: not known
+    work: int = 0  # ns of the usual work; 0: not known
 
 
 class Limits(NamedTuple):
     connections: int
-    header: int           # bytes of one request's head
-    body: int             # bytes
-    head_within: int      # ns from the connection's start, or the first byte, to the end of the head
+    header: int  # bytes of one request's head
+    body: int  # bytes
+    head_within: int  # ns from the connection's start, or the first byte, to the end of the head
     body_within: int
     idle: int
-    pipeline: int         # requests read ahead on one connection
-    held: int             # activations owed an answer
-    per_customer: float   # the part of them that one customer may hold
-    ledger: int           # ids remembered
-    results: int          # bytes of answers kept for retries
-    handshakes: int       # TLS handshakes in hand
-    bytes: int            # of requests that are not whole yet, over all connections
+    pipeline: int  # requests read ahead on one connection
+    held: int  # activations owed an answer
+    per_customer: float  # the part of them that one customer may hold
+    ledger: int  # ids remembered
+    results: int  # bytes of answers kept for retries
+    handshakes: int  # TLS handshakes in hand
+    bytes: int  # of requests that are not whole yet, over all connections
 
 
 class WorkerTerms(NamedTuple):
-    connect_within: int   # ns, to a connection that has greeted
-    queue: int            # bytes waiting for a worker that does not read
-    frame: int            # bytes of one message at most
-    quiet: int            # a link that owes something and is silent so long is closed
+    connect_within: int  # ns, to a connection that has greeted
+    queue: int  # bytes waiting for a worker that does not read
+    frame: int  # bytes of one message at most
+    quiet: int  # a link that owes something and is silent so long is closed
     drain_grace: int
     order_within: int
 
@@ -57,39 +59,39 @@
     broker: tuple
     user: str
     password: bytes
-    group: str            # of the shared subscription: the same at all dispatchers
-    keep_alive: int       # ns
-    session: int          # how long the broker keeps a session without a connection, ns
-    window_least: int     # activations of one customer under way at a time
+    group: str  # of the shared subscription: the same at all dispatchers
+    keep_alive: int  # ns
+    session: int  # how long the broker keeps a session without a connection, ns
+    window_least: int  # activations of one customer under way at a time
     window_most: int
     connect_within: int
-    most: int             # bytes of one packet
-    answers_kept: int     # answers that wait for the broker, for each customer
+    most: int  # bytes of one packet
+    answers_kept: int  # answers that wait for the broker, for each customer
     comeback_first: int
     comeback_most: int
-    tls: object           # links.tls.Identity, or None
+    tls: object  # links.tls.Identity, or None
 
 
 class EarlyTerms(NamedTuple):
-    slot: int             # ns that a forecast counts calls in
-    season: int           # what repeats: a day, in service
-    week: int             # 0: weeks do not matter
-    events: tuple         # (begin, end, factor, prefix), wall clock ns
-    fetch: float          # seconds of cold wait that a fetch from the store is worth
-    memory_price: float   # and a gigabyte held idle for a second
-    size: int             # bytes of a usual copy
-    memory: int           # bytes that early loads of this dispatcher may hold; 0: no bound
+    slot: int  # ns that a forecast counts calls in
+    season: int  # what repeats: a day, in service
+    week: int  # 0: weeks do not matter
+    events: tuple  # (begin, end, factor, prefix), wall clock ns
+    fetch: float  # seconds of cold wait that a fetch from the store is worth
+    memory_price: float  # and a gigabyte held idle for a second
+    size: int  # bytes of a usual copy
+    memory: int  # bytes that early loads of this dispatcher may hold; 0: no bound
 
 
 class HistoryTerms(NamedTuple):
     folder: str
-    keep: int             # days
-    most: int             # bytes on disk
+    keep: int  # days
+    most: int  # bytes on disk
 
 
 class StateTerms(NamedTuple):
     folder: str
-    durability: str       # "process" or "machine": what a kept record survives
+    durability: str  # "process" or "machine": what a kept record survives
 
 
 class Gateway(NamedTuple):
@@ -97,29 +99,38 @@
     listen: tuple
     roster: tuple
     seed: int
-    tolerance: int        # ns a webhook's time may be off
-    timeouts: dict        # namespace type -> action timeout, ns
-    remember: dict        # namespace type -> how long an id is remembered, ns
+    tolerance: int  # ns a webhook's time may be off
+    timeouts: dict  # namespace type -> action timeout, ns
+    remember: dict  # namespace type -> how long an id is remembered, ns
     limits: Limits
     workers: WorkerTerms
     customers: dict
     functions: tuple
     terms: ports.Terms
-    tls: object           # of the webhook front: links.tls.Identity, or None
+    tls: object  # of the webhook front: links.tls.Identity, or None
     worker_tls: object
-    mqtt: object          # MqttTerms, or None
-    early: object         # EarlyTerms, or None: nothing is loaded ahead
-    history: object       # HistoryTerms, or None
-    state: object         # StateTerms, or None: nothing survives
-    versions: str         # folder of versions that are rolled out over all; "": there is none
-    control: str          # path of the socket for hand-overs; "": there are none
-    health: str           # path of the socket of a speaker beside it, that hears its beats; "": there is none
-    damps: bool           # whether storms are damped: on unless the file turns it off
+    mqtt: object  # MqttTerms, or None
+    early: object  # EarlyTerms, or None: nothing is loaded ahead
+    history: object  # HistoryTerms, or None
+    state: object  # StateTerms, or None: nothing survives
+    versions: str  # folder of versions that are rolled out over all; "": there is none
+    control: str  # path of the socket for hand-overs; "": there are none
+    health: str  # path of the socket of a speaker beside it, that hears its beats; "": there is none
+    damps: bool  # whether storms are damped: on unless the file turns it off
 
     def as_of(self, own):
         """These settings, with what stays each dispatcher's own taken from the ones of its own file."""
-        return self._replace(name=own.name, listen=own.listen, seed=own.seed, state=own.state, history=own.history,
-                             control=own.control, versions=own.versions, health=own.health, terms=self.terms._replace(zone=own.terms.zone))
+        return self._replace(
+            name=own.name,
+            listen=own.listen,
+            seed=own.seed,
+            state=own.state,
+            history=own.history,
+            control=own.control,
+            versions=own.versions,
+            health=own.health,
+            terms=self.terms._replace(zone=own.terms.zone),
+        )
 
     def rule(self, function):
         """The rule of a function: its own name first, then the longest beginning; None if there is none."""
@@ -134,7 +145,8 @@
 
 
 def key(node, where, value):
-    """A key as Standard Webhooks writes it: `whsec_` and a base64 secret, or `whpk_` and an Ed25519 public key."""
+    """A key as Standard Webhooks writes it: `whsec_` and a base64 secret, or `whpk_` and an Ed25519 public
+    key."""
     prefix, _, rest = doc.text(node, where, value).partition("_")
     schemes = {"whsec": ("v1", HMAC_BYTES), "whpk": ("v1a", ED25519_BYTES)}
     if prefix not in schemes:
@@ -145,8 +157,10 @@
     except (binascii.Error, ValueError):
         raise node.bad(f"{where} is not base64 after '{prefix}_'") from None
     if len(raw) not in sizes:
-        raise node.bad(f"{where} holds {len(raw)} bytes; {prefix} takes {sizes[0]}" +
-                       (f" to {sizes[-1]}" if len(sizes) > 1 else ""))
+        raise node.bad(
+            f"{where} holds {len(raw)} bytes; {prefix} takes {sizes[0]}"
+            + (f" to {sizes[-1]}" if len(sizes) > 1 else "")
+        )
     return scheme, raw
 
 
@@ -212,12 +226,20 @@
 def _limits(node):
     read = node.value if node else lambda name, kind, default: default
     limits = Limits(
-        read("connections", doc.count, 2000), read("header", doc.size, 16_000), read("body", doc.size, 1_000_000),
-        read("head-within", doc.duration, 5 * SECOND), read("body-within", doc.duration, 10 * SECOND),
-        read("idle", doc.duration, 75 * SECOND), read("pipeline", doc.count, 16),
-        read("held", doc.count, 20_000), read("per-customer", doc.share, 0.8),
-        read("ledger", doc.count, 500_000), read("results", doc.size, 64_000_000),
-        read("handshakes", doc.count, 250), read("bytes", doc.size, 256_000_000))
+        read("connections", doc.count, 2000),
+        read("header", doc.size, 16_000),
+        read("body", doc.size, 1_000_000),
+        read("head-within", doc.duration, 5 * SECOND),
+        read("body-within", doc.duration, 10 * SECOND),
+        read("idle", doc.duration, 75 * SECOND),
+        read("pipeline", doc.count, 16),
+        read("held", doc.count, 20_000),
+        read("per-customer", doc.share, 0.8),
+        read("ledger", doc.count, 500_000),
+        read("results", doc.size, 64_000_000),
+        read("handshakes", doc.count, 250),
+        read("bytes", doc.size, 256_000_000),
+    )
     if node:
         node.done()
     return limits
@@ -229,8 +251,10 @@
     if found is None:
         return None
     base = pathlib.Path(node.file).parent
-    paths = [str(base / value) if value else "" for value in (
-        found.prop(name, doc.text, "") for name in ("cert", "key", "trusts"))]
+    paths = [
+        str(base / value) if value else ""
+        for value in (found.prop(name, doc.text, "") for name in ("cert", "key", "trusts"))
+    ]
     mutual, name = found.prop("mutual", doc.yes, mutual), found.prop("name", doc.text, "")
     found.done()
     try:
@@ -257,12 +281,21 @@
         except OSError as fault:
             node.wrong(f"'password-file' can't be read: {fault.strerror}")
     made = MqttTerms(
-        node.value("broker", doc.address), node.value("user", doc.text, None), password.encode() if password else None,
-        node.value("group", doc.text, "petrelwood"), node.value("keep-alive", doc.duration, 20 * SECOND),
-        node.value("session", doc.duration, 30 * SECOND), least, most,
-        node.value("connect-within", doc.duration, 2 * SECOND), node.value("packet", doc.size, 1_000_000),
-        node.value("answers", doc.count, 10_000), node.value("come-back", doc.duration, SECOND // 10),
-        node.value("come-back-most", doc.duration, 10 * SECOND), _tls(node))
+        node.value("broker", doc.address),
+        node.value("user", doc.text, None),
+        password.encode() if password else None,
+        node.value("group", doc.text, "petrelwood"),
+        node.value("keep-alive", doc.duration, 20 * SECOND),
+        node.value("session", doc.duration, 30 * SECOND),
+        least,
+        most,
+        node.value("connect-within", doc.duration, 2 * SECOND),
+        node.value("packet", doc.size, 1_000_000),
+        node.value("answers", doc.count, 10_000),
+        node.value("come-back", doc.duration, SECOND // 10),
+        node.value("come-back-most", doc.duration, 10 * SECOND),
+        _tls(node),
+    )
     node.done()
     if made.keep_alive < SECOND:
         node.wrong("'keep-alive' must be 1 s or more: the protocol counts in seconds")
@@ -276,9 +309,9 @@
     try:
         found = datetime.datetime.fromisoformat(doc.text(node, where, value))
     except ValueError:
-        raise node.bad(f"{where} must be a time like \"2026-12-31T08:00+01:00\", not {value!r}") from None
+        raise node.bad(f'{where} must be a time like "2026-12-31T08:00+01:00", not {value!r}') from None
     if found.tzinfo is None:
-        raise node.bad(f"{where} needs its offset from UTC, as in \"{value}+01:00\"")
+        raise node.bad(f'{where} needs its offset from UTC, as in "{value}+01:00"')
     return int(found.timestamp()) * SECOND
 
 
@@ -288,15 +321,26 @@
     events = []
     for one in node.every("event"):
         begin = one.prop("from", date)
-        events.append((begin, begin + one.prop("for", doc.duration), float(one.prop("factor", doc.number)),
-                       one.arg(doc.text, "the beginning of functions' names")))
+        events.append(
+            (
+                begin,
+                begin + one.prop("for", doc.duration),
+                float(one.prop("factor", doc.number)),
+                one.arg(doc.text, "the beginning of functions' names"),
+            )
+        )
         one.done(1)
     season = node.value("season", doc.duration, 86_400 * SECOND)
-    made = EarlyTerms(node.value("slot", doc.duration, 60 * SECOND), season,
-                      7 * season if node.value("weeks", doc.yes, True) else 0, tuple(events),
-                      node.value("fetch-price", doc.duration, SECOND // 5) / SECOND,
-                      float(node.value("memory-price", doc.number, 0.002)), node.value("copy-size", doc.size, 10**9),
-                      node.value("memory", doc.size, 0))
+    made = EarlyTerms(
+        node.value("slot", doc.duration, 60 * SECOND),
+        season,
+        7 * season if node.value("weeks", doc.yes, True) else 0,
+        tuple(events),
+        node.value("fetch-price", doc.duration, SECOND // 5) / SECOND,
+        float(node.value("memory-price", doc.number, 0.002)),
+        node.value("copy-size", doc.size, 10**9),
+        node.value("memory", doc.size, 0),
+    )
     node.done()
     if not 0 < made.slot <= made.season:
         node.wrong("'slot' must be over 0 and no longer than 'season'")
@@ -306,8 +350,11 @@
 def _history(node):
     if node is None:
         return None
-    made = HistoryTerms(str(pathlib.Path(node.file).parent / node.value("folder", doc.text)),
-                        node.value("keep", doc.count, 60), node.value("most", doc.size, 1 << 30))
+    made = HistoryTerms(
+        str(pathlib.Path(node.file).parent / node.value("folder", doc.text)),
+        node.value("keep", doc.count, 60),
+        node.value("most", doc.size, 1 << 30),
+    )
     node.done()
     return made
 
@@ -315,8 +362,10 @@
 def _state(node):
     if node is None:
         return None
-    made = StateTerms(str(pathlib.Path(node.file).parent / node.value("folder", doc.text)),
-                      node.value("durability", doc.one_of("process", "machine"), "process"))
+    made = StateTerms(
+        str(pathlib.Path(node.file).parent / node.value("folder", doc.text)),
+        node.value("durability", doc.one_of("process", "machine"), "process"),
+    )
     node.done()
     return made
 
@@ -327,20 +376,43 @@
     ration = node.child("ration", None)
     keep, on_miss = node.value("keep", doc.duration), node.value("on-miss", doc.one_of("load", "miss"))
     within = node.value("connect-within", doc.duration, SECOND // 4)
-    terms = WorkerTerms(within, node.value("queue", doc.size, 4_000_000), node.value("frame", doc.size, 8_000_000),
-                        node.value("quiet", doc.duration, 30 * SECOND),
-                        node.value("drain-grace", doc.duration, SECOND // 4),
-                        node.value("order-within", doc.duration, 10 * SECOND))
+    terms = WorkerTerms(
+        within,
+        node.value("queue", doc.size, 4_000_000),
+        node.value("frame", doc.size, 8_000_000),
+        node.value("quiet", doc.duration, 30 * SECOND),
+        node.value("drain-grace", doc.duration, SECOND // 4),
+        node.value("order-within", doc.duration, 10 * SECOND),
+    )
     guarantees = ports.Guarantees(
-        0, cold.arg(doc.duration, "a time"), cold.prop("from", doc.share),
-        fall.prop("multiple", doc.number), fall.arg(doc.duration, "a time"))
+        0,
+        cold.arg(doc.duration, "a time"),
+        cold.prop("from", doc.share),
+        fall.prop("multiple", doc.number),
+        fall.arg(doc.duration, "a time"),
+    )
     orders = ports.LoadOrders(
-        node.value("orders", doc.yes, True), on_miss == "load", keep,
-        *((float(ration.prop("free", doc.number)), ration.prop("part", doc.share), ration.prop("period", doc.duration))
-          if ration else (0.0, 0.0, 0)))
+        node.value("orders", doc.yes, True),
+        on_miss == "load",
+        keep,
+        *(
+            (
+                float(ration.prop("free", doc.number)),
+                ration.prop("part", doc.share),
+                ration.prop("period", doc.duration),
+            )
+            if ration
+            else (0.0, 0.0, 0)
+        ),
+    )
     allowed = ports.Allowed(
-        sends.arg(doc.count, "a number"), sends.prop("overlap", doc.yes, True), node.value("cancel", doc.yes, True),
-        node.value("probe", doc.yes, True), True, node.value("most-retry-after", doc.duration, 10 * SECOND))
+        sends.arg(doc.count, "a number"),
+        sends.prop("overlap", doc.yes, True),
+        node.value("cancel", doc.yes, True),
+        node.value("probe", doc.yes, True),
+        True,
+        node.value("most-retry-after", doc.duration, 10 * SECOND),
+    )
     by_probe = node.value("reports", doc.one_of("answers", "probe"), "answers") == "probe"
     tls = _tls(node)
     for part, args in ((cold, 1), (fall, 1), (sends, 1), (ration, 0), (node, 0)):
@@ -353,13 +425,16 @@
 
 
 def read(path, text=None, problems=None, reads=None):
-    """The gateway that a file, or a text in its place, describes. Raises `document.BadFile` with the first thing that is wrong;
-    with `problems`, a list, all of it is put there. `reads`, a list, is told of each value: (key, value, place or None)."""
+    """The gateway that a file, or a text in its place, describes. Raises `document.BadFile` with the first
+    thing that is wrong;
+    with `problems`, a list, all of it is put there. `reads`, a list, is told of each value: (key, value,
+    place or None)."""
     return described(doc.File(path, text, problems, reads))
 
 
 def described(file):
-    """The gateway that a `document.File` describes; what is wrong is raised or collected as the file was opened to do."""
+    """The gateway that a `document.File` describes; what is wrong is raised or collected as the file was
+    opened to do."""
     node = file.child("gateway")
     name, zone = node.arg(doc.text, "a name"), node.value("zone", doc.text, "")
     listen, roster = node.value("listen", doc.address), node.value("roster", doc.address)
@@ -383,10 +458,15 @@
     for one in _unique(file.every("function"), "function"):
         type_ = one.prop("type", doc.text)
         if type_ not in types:
-            if "" not in types and types and not file.partial:       # else one that can't be read may be meant
+            # else one that can't be read may be meant
+            if "" not in types and types and not file.partial:
                 one.wrong(f"there is no namespace type '{type_}'{doc.meant(type_, sorted(types))}")
-        rule = FunctionRule(one.arg(doc.text, "a name"), type_, one.prop("lanes", doc.count, 1) or 1,
-                            one.prop("load-time", doc.duration, 0))
+        rule = FunctionRule(
+            one.arg(doc.text, "a name"),
+            type_,
+            one.prop("lanes", doc.count, 1) or 1,
+            one.prop("load-time", doc.duration, 0),
+        )
         one.done(1)
         functions.append(rule)
     limits = _limits(file.child("limits", None))
@@ -397,10 +477,39 @@
     health, damps = file.value("health", doc.text, ""), file.value("damp-storms", doc.yes, True)
     workers, guarantees, orders, allowed, by_probe, worker_tls = _worker_terms(file.child("workers"))
     file.done()
-    terms = ports.Terms(zone, dispatchers, types, {c.name: c.share for c in customers.values() if c.share},
-                        guarantees, orders, allowed, False, by_probe, tick)
-    return Gateway(name, listen, roster, seed, tolerance, timeouts, remember, limits, workers, customers,
-                   tuple(functions), terms, tls, worker_tls, mqtt, early, history, state,
-                   str(pathlib.Path(file.file).parent / versions) if versions else "",
-                   str(pathlib.Path(file.file).parent / control) if control else "",
-                   str(pathlib.Path(file.file).parent / health) if health else "", damps)
+    terms = ports.Terms(
+        zone,
+        dispatchers,
+        types,
+        {c.name: c.share for c in customers.values() if c.share},
+        guarantees,
+        orders,
+        allowed,
+        False,
+        by_probe,
+        tick,
+    )
+    return Gateway(
+        name,
+        listen,
+        roster,
+        seed,
+        tolerance,
+        timeouts,
+        remember,
+        limits,
+        workers,
+        customers,
+        tuple(functions),
+        terms,
+        tls,
+        worker_tls,
+        mqtt,
+        early,
+        history,
+        state,
+        str(pathlib.Path(file.file).parent / versions) if versions else "",
+        str(pathlib.Path(file.file).parent / control) if control else "",
+        str(pathlib.Path(file.file).parent / health) if health else "",
+        damps,
+    )
--- a/petrelwood/settings/layout.py
+++ b/petrelwood/settings/layout.py
@@ -1,5 +1,8 @@
-"""The one layout of a KDL file: four spaces a block, one space between words, no more than one empty line. Comments, strings and
-the order of things stay; a file laid out twice is the same as once, and means the same as before (which is checked)."""
+"""The one layout of a KDL file: four spaces a block, one space between words, no more than one empty line.
+Comments, strings and
+the order of things stay; a file laid out twice is the same as once, and means the same as before (which is
+checked)."""
+
 import re
 
 from petrelwood.settings import document as doc
@@ -8,12 +11,19 @@
 
 
 def _pieces(text):
-    """(kind, text) in order: 'string', 'line comment', 'comment', 'break', 'space', 'open', 'close', 'end', 'word'."""
+    """(kind, text) in order: 'string', 'line comment', 'comment', 'break', 'space', 'open', 'close', 'end',
+    'word'."""
     i = 0
     while i < len(text):
         j = doc._skip(text, i)
         if j > i:
-            kind = "line comment" if text.startswith("//", i) else "comment" if text.startswith("/*", i) else "string"
+            kind = (
+                "line comment"
+                if text.startswith("//", i)
+                else "comment"
+                if text.startswith("/*", i)
+                else "string"
+            )
             if kind == "line comment":
                 yield kind, text[i:j].rstrip()
             else:
@@ -38,15 +48,20 @@
             yield "continued", "\\" + (" " + found[1].rstrip() if found[1] else "") + "\n"
         else:
             j = i + 1
-            while j < len(text) and text[j] not in ' \t\r\n{};"\\' and not text.startswith(("//", "/*"), j) and not (
-                    text[j] == "#" and re.compile(r'#+"').match(text, j)):
+            while (
+                j < len(text)
+                and text[j] not in ' \t\r\n{};"\\'
+                and not text.startswith(("//", "/*"), j)
+                and not (text[j] == "#" and re.compile(r'#+"').match(text, j))
+            ):
                 j += 1
             yield "word", text[i:j]
         i = j
 
 
 def laid_out(text):
-    """The text in the one layout. Raises `document.BadFile` where it is no KDL, or would mean something else."""
+    """The text in the one layout. Raises `document.BadFile` where it is no KDL, or would mean something
+    else."""
     before, _ = doc.parse("text", text)
     out, depth, line, empty, gap, continued = [], 0, "", 0, False, False
 
@@ -57,6 +72,7 @@
                 out.append("")
             out.append(line)
             line, empty = "", 0
+
     for kind, piece in _pieces(text):
         if kind == "break":
             if line:
@@ -99,5 +115,13 @@
 
 
 def _meaning(nodes):
-    return [(n.name, n.type_annotation, list(map(repr, n.args)), sorted((k, repr(v)) for k, v in n.properties.items()),
-             _meaning(n.children)) for n in nodes]
+    return [
+        (
+            n.name,
+            n.type_annotation,
+            list(map(repr, n.args)),
+            sorted((k, repr(v)) for k, v in n.properties.items()),
+            _meaning(n.children),
+        )
+        for n in nodes
+    ]
--- a/petrelwood/settings/meanings.py
+++ b/petrelwood/settings/meanings.py
@@ -1,8 +1,13 @@
 """One sentence for each name that a gateway's file may have; `reference.paths` says which there are."""
 
-_TLS = {"": "TLS with a certificate of its own, or to trust others by.", " cert=": "Certificate chain, PEM.",
-        " key=": "Its private key, PEM.", " trusts=": "Who is trusted, PEM; the system's where it is left out.",
-        " mutual=": "Whether the other side must show a certificate.", " name=": "The name that the other side's certificate must have."}
+_TLS = {
+    "": "TLS with a certificate of its own, or to trust others by.",
+    " cert=": "Certificate chain, PEM.",
+    " key=": "Its private key, PEM.",
+    " trusts=": "Who is trusted, PEM; the system's where it is left out.",
+    " mutual=": "Whether the other side must show a certificate.",
+    " name=": "The name that the other side's certificate must have.",
+}
 
 MEANINGS = {
     "gateway": "The dispatcher itself.",
@@ -106,5 +111,9 @@
     "workers > probe": "Whether a worker can be asked how it is.",
     "workers > most-retry-after": "The latest that a client is told to come back.",
     "workers > reports": "Whether load is reported with answers or only when asked.",
-    **{f"{where} > tls{rest}": text for where in ("gateway", "mqtt", "workers") for rest, text in _TLS.items()},
+    **{
+        f"{where} > tls{rest}": text
+        for where in ("gateway", "mqtt", "workers")
+        for rest, text in _TLS.items()
+    },
 }
--- a/petrelwood/settings/reference.py
+++ b/petrelwood/settings/reference.py
@@ -1,15 +1,27 @@
-"""The schema of a gateway's file, learned from the code that decodes it: a file that has whatever it is asked for notes what that was.
+"""The schema of a gateway's file, learned from the code that decodes it: a file that has whatever it is asked
+for notes what that was.
 
-So there is one description, the decoding; the reference page and completion are read off it and can't say anything else.
+So there is one description, the decoding; the reference page and completion are read off it and can't say
+anything else.
 """
+
 import pathlib
 
 from petrelwood.settings import document as doc
 from petrelwood.settings import gateway
 
-WORDS = {doc.text: "text", doc.number: "number", doc.count: "whole number", doc.share: "share, 0 to 1", doc.yes: "#true or #false",
-         doc.duration: 'duration, as "250ms"', doc.size: 'size, as "64MB"', doc.address: 'address, as "127.0.0.1:8080"',
-         gateway.key: "key, `whsec_` or `whpk_`", gateway.date: "time with its offset from UTC"}
+WORDS = {
+    doc.text: "text",
+    doc.number: "number",
+    doc.count: "whole number",
+    doc.share: "share, 0 to 1",
+    doc.yes: "#true or #false",
+    doc.duration: 'duration, as "250ms"',
+    doc.size: 'size, as "64MB"',
+    doc.address: 'address, as "127.0.0.1:8080"',
+    gateway.key: "key, `whsec_` or `whpk_`",
+    gateway.date: "time with its offset from UTC",
+}
 
 
 class Item:
@@ -20,8 +32,11 @@
         self.words = getattr(kind, "words", ("#true", "#false") if kind is doc.yes else ())
 
     def takes(self):
-        return " or ".join(f'"{w}"' for w in self.words) if self.words and self.kind is not doc.yes else WORDS.get(
-            self.kind, self.kind.__name__)
+        return (
+            " or ".join(f'"{w}"' for w in self.words)
+            if self.words and self.kind is not doc.yes
+            else WORDS.get(self.kind, self.kind.__name__)
+        )
 
     def shown(self):
         """Its default, as a file would have it; None where it must be given."""
@@ -31,19 +46,49 @@
         if value is None or value == "" and not self.words:
             return "none"
         if self.kind is doc.duration:
-            return '"0s"' if not value else next(f'"{value // size}{unit}"' for unit, size in reversed(doc.UNITS.items()) if value % size == 0)
+            return (
+                '"0s"'
+                if not value
+                else next(
+                    f'"{value // size}{unit}"'
+                    for unit, size in reversed(doc.UNITS.items())
+                    if value % size == 0
+                )
+            )
         if self.kind is doc.size:
-            return '"0s"' if not value else next(f'"{value // size}{unit}"' for unit, size in reversed(list(doc.SIZES.items())[:4]) if value % size == 0)
-        return f"#{value}".lower() if self.kind is doc.yes else f'"{value}"' if isinstance(value, str) else f"{value:g}"
+            return (
+                '"0s"'
+                if not value
+                else next(
+                    f'"{value // size}{unit}"'
+                    for unit, size in reversed(list(doc.SIZES.items())[:4])
+                    if value % size == 0
+                )
+            )
+        return (
+            f"#{value}".lower()
+            if self.kind is doc.yes
+            else f'"{value}"'
+            if isinstance(value, str)
+            else f"{value:g}"
+        )
 
 
 class Block:
-    """A node that may stand in another: its values by place, its properties and what may stand in it, by name."""
+    """A node that may stand in another: its values by place, its properties and what may stand in it, by
+    name."""
 
     def __init__(self, name, parent=None):
         self.name, self.args, self.props, self.blocks, self.many = name, {}, {}, {}, False
-        self.value, self.required = None, False          # the Item of a node that has one value and nothing else
-        self.path = f"{parent.path} > {name}" if parent is not None and parent.path else name if parent is not None else ""
+        # the Item of a node that has one value and nothing else
+        self.value, self.required = None, False
+        self.path = (
+            f"{parent.path} > {name}"
+            if parent is not None and parent.path
+            else name
+            if parent is not None
+            else ""
+        )
 
     def walk(self):
         yield self
@@ -108,10 +153,14 @@
 
 def page(meanings):
     """The reference page. `meanings`: path -> one sentence; a path without one raises `KeyError`."""
-    rows = ["# Reference of a gateway's file", "",
-            "Made by `petrelwood config reference`: the names, kinds and defaults are those that the decoding asks for, the sentences stand in",
-            "`petrelwood/settings/meanings.py`. What has no default must be given. `include`, `template` and `use`: see "
-            "[configuration](configuration.md).", ""]
+    rows = [
+        "# Reference of a gateway's file",
+        "",
+        "Made by `petrelwood config reference`: the names, kinds and defaults are those that the decoding asks for, the sentences stand in",
+        "`petrelwood/settings/meanings.py`. What has no default must be given. `include`, `template` and `use`: see "
+        "[configuration](configuration.md).",
+        "",
+    ]
     for block in schema().walk():
         if not block.path or block.value is not None:
             continue
@@ -119,17 +168,25 @@
         rows += [f"## `{block.path}`", "", f"`{_line(block)}`, {often}. {meanings[block.path]}", ""]
         table = [(f"<{what}>", item, "") for _, (what, item) in sorted(block.args.items())]
         table += [(f"{name}=", item, meanings[f"{block.path} {name}="]) for name, item in block.props.items()]
-        table += [(child.name, child.value, meanings[child.path]) for child in block.blocks.values() if child.value is not None]
+        table += [
+            (child.name, child.value, meanings[child.path])
+            for child in block.blocks.values()
+            if child.value is not None
+        ]
         if table:
             rows += ["| what | takes | default | meaning |", "| --- | --- | --- | --- |"]
             for name, item, meaning in table:
                 default = item.shown()
-                rows.append(f"| `{name}` | {item.takes()} | {f'`{default}`' if default else ''} | {meaning} |")
+                rows.append(
+                    f"| `{name}` | {item.takes()} | {f'`{default}`' if default else ''} | {meaning} |"
+                )
             rows.append("")
     alone = [b for b in schema().blocks.values() if b.value is not None]
     if alone:
         rows += ["## At the top", "", "| what | takes | default | meaning |", "| --- | --- | --- | --- |"]
-        rows += [f"| `{b.name}` | {b.value.takes()} | `{b.value.shown()}` | {meanings[b.path]} |" for b in alone]
+        rows += [
+            f"| `{b.name}` | {b.value.takes()} | `{b.value.shown()}` | {meanings[b.path]} |" for b in alone
+        ]
         rows.append("")
     return "\n".join(rows)
 
@@ -143,14 +200,15 @@
 
 
 def _open_blocks(text):
-    """The names of the blocks that are open at the end of a text, and the node that is being written there, or None; None in place of
+    """The names of the blocks that are open at the end of a text, and the node that is being written there,
+    or None; None in place of
     the names in a string or a comment."""
     stack, node, at_start, i = [], None, True, 0
     while i < len(text):
         c = text[i]
         j = doc._skip(text, i) if c in '"#/' else i
         if j > len(text) or j == len(text) and text.startswith(("//", "/*"), i):
-            return None, None                            # in a string or a comment
+            return None, None  # in a string or a comment
         if j > i:
             i, at_start = j, at_start and text.startswith(("//", "/*"), i)
         elif c in "\n;":
@@ -179,14 +237,15 @@
 
 
 def completions(text, line, column, file=None):
-    """What may come at a place of a text (line and column from 1): [(word, what it is)]. `file`: where names that are referred
+    """What may come at a place of a text (line and column from 1): [(word, what it is)]. `file`: where names
+    that are referred
     to are looked up. Works on a text that is not whole yet."""
     rows = text.split("\n")
     if not 0 < line <= len(rows):
         return []
-    before = "\n".join(rows[:line - 1] + [rows[line - 1][:column - 1]])
-    begun = before[max(before.rfind(s) for s in " \t\n;{") + 1:]
-    head = before[:len(before) - len(begun)]
+    before = "\n".join(rows[: line - 1] + [rows[line - 1][: column - 1]])
+    begun = before[max(before.rfind(s) for s in " \t\n;{") + 1 :]
+    head = before[: len(before) - len(begun)]
     stack, node = _open_blocks(head)
     if stack is None:
         return []
@@ -198,7 +257,9 @@
     found = []
     if node is None:
         found = [(name, "block" if b.value is None else b.value.takes()) for name, b in at.blocks.items()]
-        found += [("use", "a template")] if stack else [("include", "a file or a folder"), ("template", "a name")]
+        found += (
+            [("use", "a template")] if stack else [("include", "a file or a folder"), ("template", "a name")]
+        )
     elif node == "use":
         found = [(f'"{name}"', "template") for name in (_referred(file, "template") if file else [])]
     else:
@@ -213,7 +274,11 @@
                 words = [f'"{w}"' for w in _referred(file, "namespace-type")]
             found = [(f"{name}={w}", "") for w in words]
         else:
-            found = [(f"{name}=", item.takes()) for name, item in block.props.items() if f" {name}=" not in head.split("\n")[-1]]
+            found = [
+                (f"{name}=", item.takes())
+                for name, item in block.props.items()
+                if f" {name}=" not in head.split("\n")[-1]
+            ]
             if block.value is not None:
                 found += [(f'"{w}"' if not w.startswith("#") else w, "") for w in block.value.words]
     return [(word, what) for word, what in found if word.startswith(begun)]
@@ -222,6 +287,7 @@
 def write(path):
     """Writes the reference page; whether it changed."""
     from petrelwood.settings.meanings import MEANINGS
+
     path, made = pathlib.Path(path), page(MEANINGS)
     if path.exists() and path.read_text() == made:
         return False
--- a/petrelwood/standins/broker.py
+++ b/petrelwood/standins/broker.py
@@ -1,4 +1,5 @@
 """A stand-in MQTT broker: the model of `emulate.broker` behind sockets, with misbehaviour by script."""
+
 import asyncio
 
 from tornado.iostream import StreamClosedError
@@ -41,6 +42,7 @@
         def close(code):
             send(mq.Packet(mq.DISCONNECT, code=code))
             stream.close()
+
         try:
             stream.set_nodelay(True)
             while not clean:
@@ -94,17 +96,21 @@
             self.drop_all()
 
     def troubles(self):
-        return {"broker-drop": (self.drop_all, None), "broker-lost": (self.lose, self.back),
-                "broker-forgets": (self.forget, None),
-                "broker-silent": (lambda t: self.silence(True), lambda t: self.silence(False))}
+        return {
+            "broker-drop": (self.drop_all, None),
+            "broker-lost": (self.lose, self.back),
+            "broker-forgets": (self.forget, None),
+            "broker-silent": (lambda t: self.silence(True), lambda t: self.silence(False)),
+        }
 
 
 async def serve(day, listen, folder, users):
     records = Records(folder, "broker")
     server = BrokerServer(users, records.put)
     server.add_sockets(sockets := bind_sockets(listen[1], listen[0]))
-    hearing = asyncio.ensure_future(host.listen_to_operator(
-        lambda said: host.play(day, said["start"], server.troubles())))
+    hearing = asyncio.ensure_future(
+        host.listen_to_operator(lambda said: host.play(day, said["start"], server.troubles()))
+    )
     host.ready(sockets[0].getsockname()[:2])
     await host.until_told()
     hearing.cancel()
--- a/petrelwood/standins/caller.py
+++ b/petrelwood/standins/caller.py
@@ -1,4 +1,5 @@
 """An HTTP/1.1 client on IOStream that keeps its connections, for the portal and for measurements."""
+
 import asyncio
 
 import httptools
@@ -39,7 +40,7 @@
 
     async def connect(self):
         made = sockets.fresh(self.address[0])
-        if self.source:                                  # an address of this machine that it comes from
+        if self.source:  # an address of this machine that it comes from
             made.bind((self.source, 0))
         stream = IOStream(made)
         try:
@@ -50,13 +51,14 @@
         return stream
 
     async def call(self, request, within):
-        """Sends the bytes and reads one answer within so many seconds (asyncio.TimeoutError beyond: hung up)."""
+        """Sends the bytes and reads one answer within so many seconds (asyncio.TimeoutError beyond: hung
+        up)."""
         while self.idle and self.idle[-1].closed():
             self.idle.pop()
         stream = self.idle.pop() if self.idle else await self.connect()
         try:
             reply = await asyncio.wait_for(self.exchange(stream, request), within)
-        except asyncio.TimeoutError:                     # an OSError too, so it comes first
+        except asyncio.TimeoutError:  # an OSError too, so it comes first
             stream.close()
             raise
         except (StreamClosedError, OSError):
@@ -85,4 +87,6 @@
 
 def request(path, headers, body):
     head = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
-    return f"POST {path} HTTP/1.1\r\nHost: gateway\r\nContent-Length: {len(body)}\r\n{head}\r\n".encode() + body
+    return (
+        f"POST {path} HTTP/1.1\r\nHost: gateway\r\nContent-Length: {len(body)}\r\n{head}\r\n".encode() + body
+    )
--- a/petrelwood/standins/devices.py
+++ b/petrelwood/standins/devices.py
@@ -1,8 +1,10 @@
 """Stand-in devices: customers' MQTT sessions that publish activations and wait for their answers.
 
-What must not run twice is published with QoS 2, the rest with QoS 1. Each message has a Response Topic, Correlation Data
+What must not run twice is published with QoS 2, the rest with QoS 1. Each message has a Response Topic,
+Correlation Data
 and its patience as Message Expiry Interval. What is asked and each answer that comes is recorded.
 """
+
 import asyncio
 import socket
 import time
@@ -38,11 +40,23 @@
         self.stream, reader = IOStream(socket.socket()), mq.Reader()
         await asyncio.wait_for(self.stream.connect(self.address), 2)
         self.stream.set_nodelay(True)
-        self.send(mq.Packet(mq.CONNECT, client=self.name, clean=0, keep_alive=30, user=self.user, password=self.password,
-                            props={"session_expiry": 60}))
+        self.send(
+            mq.Packet(
+                mq.CONNECT,
+                client=self.name,
+                clean=0,
+                keep_alive=30,
+                user=self.user,
+                password=self.password,
+                props={"session_expiry": 60},
+            )
+        )
         while True:
-            data = await (self.stream.read_bytes(65536, partial=True) if self.up else
-                          asyncio.wait_for(self.stream.read_bytes(65536, partial=True), 2))
+            data = await (
+                self.stream.read_bytes(65536, partial=True)
+                if self.up
+                else asyncio.wait_for(self.stream.read_bytes(65536, partial=True), 2)
+            )
             for packet in reader.feed(data):
                 self._packet(packet)
 
@@ -80,9 +94,16 @@
 
     def ask(self, type_, function, body, correlation, qos, expiry):
         self.last = self.last % 60_000 + 1
-        packet = mq.Packet(mq.PUBLISH, self.last if qos else 0, topic=f"act/{self.user}/{type_}/{function}", payload=body,
-                           qos=qos, dup=0, retain=0, props={"response_topic": self.reply, "message_expiry": expiry,
-                                                            "correlation_data": correlation})
+        packet = mq.Packet(
+            mq.PUBLISH,
+            self.last if qos else 0,
+            topic=f"act/{self.user}/{type_}/{function}",
+            payload=body,
+            qos=qos,
+            dup=0,
+            retain=0,
+            props={"response_topic": self.reply, "message_expiry": expiry, "correlation_data": correlation},
+        )
         if qos:
             self.unacked[self.last] = packet
         if self.up:
@@ -91,15 +112,34 @@
 
 class Devices:
     def __init__(self, day, address, timeouts, repeatable, records, seed):
-        self.day, self.timeouts, self.repeatable, self.records, self.seed = day, timeouts, repeatable, records, seed
-        self.arrivals, self.choice = host.stream(seed, "mqtt-arrivals"), Choice(day, host.stream(seed, "mqtt-picks"))
+        self.day, self.timeouts, self.repeatable, self.records, self.seed = (
+            day,
+            timeouts,
+            repeatable,
+            records,
+            seed,
+        )
+        self.arrivals, self.choice = (
+            host.stream(seed, "mqtt-arrivals"),
+            Choice(day, host.stream(seed, "mqtt-picks")),
+        )
         self.manners, self.last, self.waiting, self.counts = host.stream(seed, "mqtt-manners"), 0, {}, {}
-        self.of = {c.name: [Device(address, f"{c.name}-{i}", c.name, c.name.encode(), self.hear)
-                            for i in range(c.devices)] for c in day.clients if c.by == "mqtt"}
+        self.of = {
+            c.name: [
+                Device(address, f"{c.name}-{i}", c.name, c.name.encode(), self.hear) for i in range(c.devices)
+            ]
+            for c in day.clients
+            if c.by == "mqtt"
+        }
 
     def hear(self, packet):
-        correlation, status = packet.props.get("correlation_data", b"").hex(), dict(packet.props.get("user", ()))
-        self.records.put("manswer", key=correlation, status=status.get("status"), act=status.get("activation"))
+        correlation, status = (
+            packet.props.get("correlation_data", b"").hex(),
+            dict(packet.props.get("user", ())),
+        )
+        self.records.put(
+            "manswer", key=correlation, status=status.get("status"), act=status.get("activation")
+        )
         self.waiting.pop(correlation, None)
         self.counts[status.get("status")] = self.counts.get(status.get("status"), 0) + 1
 
@@ -114,26 +154,46 @@
             correlation = f"{self.seed}-{self.last}".encode()
             qos = 1 if kind.type in self.repeatable else 2
             wait = min(client.patience or 60, int(self.timeouts[kind.type]))
-            self.records.put("mask", key=correlation.hex(), type=kind.type, fn=function, qos=qos, customer=client.name,
-                             patience=wait * 10**9)
+            self.records.put(
+                "mask",
+                key=correlation.hex(),
+                type=kind.type,
+                fn=function,
+                qos=qos,
+                customer=client.name,
+                patience=wait * 10**9,
+            )
             self.waiting[correlation.hex()] = time.monotonic_ns() + wait * 10**9
-            device.ask(kind.type, function, orjson.dumps({"work": work, "device": self.last}), correlation, qos, wait)
+            device.ask(
+                kind.type, function, orjson.dumps({"work": work, "device": self.last}), correlation, qos, wait
+            )
 
 
 async def serve(day, address, timeouts, repeatable, folder, start, seed, tell=None):
     """Plays the day's messages from `start` on; returns when all is answered, or nothing more can come."""
     records = Records(folder, "devices")
     devices = Devices(day, address, timeouts, repeatable, records, seed)
-    keeping = [asyncio.ensure_future(d.keep(devices.manners.random)) for several in devices.of.values() for d in several]
+    keeping = [
+        asyncio.ensure_future(d.keep(devices.manners.random))
+        for several in devices.of.values()
+        for d in several
+    ]
     await asyncio.sleep(max(0, start - time.monotonic_ns()) / 1e9)
     until = start + day.length
     clients = [asyncio.ensure_future(devices.client(c, until)) for c in day.clients if c.by == "mqtt"]
     while time.monotonic_ns() < until + day.settle and (
-            not all(c.done() for c in clients) or any(end > time.monotonic_ns() - 10**9 for end in devices.waiting.values())):
+        not all(c.done() for c in clients)
+        or any(end > time.monotonic_ns() - 10**9 for end in devices.waiting.values())
+    ):
         await asyncio.sleep(0.5)
         if tell:
-            tell({"at": (time.monotonic_ns() - start) / 1e9, "mqtt open": len(devices.waiting),
-                  **{f"mqtt {k}": v for k, v in devices.counts.items()}})
+            tell(
+                {
+                    "at": (time.monotonic_ns() - start) / 1e9,
+                    "mqtt open": len(devices.waiting),
+                    **{f"mqtt {k}": v for k, v in devices.counts.items()},
+                }
+            )
     for task in clients + keeping:
         task.cancel()
     records.put("counts", **{str(k): v for k, v in devices.counts.items()})
@@ -147,6 +207,7 @@
     def hear(packet):
         if not answer.done():
             answer.set_result((dict(packet.props.get("user", ())).get("status"), packet.payload))
+
     name = f"publish-{time.time_ns():x}"
     device = Device(address, name, customer, password, hear)
     keeping = asyncio.ensure_future(device.keep())
--- a/petrelwood/standins/host.py
+++ b/petrelwood/standins/host.py
@@ -1,4 +1,5 @@
 """What every stand-in process does: announce its address, play its troubles, end on SIGTERM."""
+
 import asyncio
 import json
 import random
@@ -27,7 +28,9 @@
 async def listen_to_operator(hear):
     """Hands each JSON line of standard input to `hear`, until its end."""
     reader = asyncio.StreamReader()
-    await asyncio.get_running_loop().connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+    await asyncio.get_running_loop().connect_read_pipe(
+        lambda: asyncio.StreamReaderProtocol(reader), sys.stdin
+    )
     while line := await reader.readline():
         hear(json.loads(line))
 
@@ -38,7 +41,8 @@
 
 
 def play(day, start, mine):
-    """Plays the troubles of a day that `mine` (kind -> (begin, end or None)) knows, from `start` on. What began
+    """Plays the troubles of a day that `mine` (kind -> (begin, end or None)) knows, from `start` on. What
+    began
     before is not begun again, but for what still lasts."""
     passed = time.monotonic_ns() - start
     for trouble in day.troubles:
