--- a/petrelwood/standins/portal.py
+++ b/petrelwood/standins/portal.py
@@ -1,8 +1,10 @@
 """A stand-in portal: many customers' clients that sign webhooks, retry, replay, forge, dawdle and hang up.
 
-It records each try and its answer as seen on its sockets. Once-only activations are asked for again only after a
+It records each try and its answer as seen on its sockets. Once-only activations are asked for again only
+after a
 rejection or where no byte went out, deduplicated ones too; repeatable ones also after a broken connection.
 """
+
 import asyncio
 import base64
 import bisect
@@ -98,8 +100,12 @@
         self.stamps[id_] = stamp
         scheme, secret = self.manners.choice(self.keys[client.name])
         signature = sign(scheme, secret, id_, stamp, body + b"?" if wrong else body)
-        headers = {"Content-Type": "application/json", "webhook-id": id_, "webhook-timestamp": stamp,
-                   "webhook-signature": f"v1,{base64.b64encode(b'other').decode()} {signature}"}
+        headers = {
+            "Content-Type": "application/json",
+            "webhook-id": id_,
+            "webhook-timestamp": stamp,
+            "webhook-signature": f"v1,{base64.b64encode(b'other').decode()} {signature}",
+        }
         if patience:
             headers["Prefer"] = f"wait={patience}"
         return request(f"/hooks/{client.name}/{function}", headers, body), stamp
@@ -118,7 +124,7 @@
         tries = 1 + client.retries
         ends = "none"
         for n in range(tries):
-            if self.steering is not None:                # each try is a flow of its own
+            if self.steering is not None:  # each try is a flow of its own
                 dispatcher = await self.steered(f"{id_}/{n}")
             ends, wait = await self.once(client, kind, function, id_, body, dispatcher, n, wrong)
             again = ends in ("rejected", "refused") or ends == "broken" and kind.type in self.repeatable
@@ -134,7 +140,8 @@
         self.stamps.pop(id_, None)
 
     async def steered(self, flow):
-        """Where the router sends a flow; while it has nowhere, its client's connection waits in vain and is tried again."""
+        """Where the router sends a flow; while it has nowhere, its client's connection waits in vain and is
+        tried again."""
         while (name := self.steering.pick(flow)) is None:
             self.count("no route")
             await asyncio.sleep(0.1)
@@ -145,11 +152,22 @@
         message, stamp = self.message(client, function, id_, body, client.patience, wrong)
         timeout = self.timeouts[kind.type]
         patience = min(client.patience, timeout) if client.patience else timeout
-        leaves = patience * (0.1 + 0.5 * self.manners.random()) if self.manners.random() < client.impatient else None
+        leaves = (
+            patience * (0.1 + 0.5 * self.manners.random())
+            if self.manners.random() < client.impatient
+            else None
+        )
         common = {"key": f"{client.name}/{id_}", "stamp": stamp, "to": dispatcher, "try": n}
         begun = time.monotonic_ns()
-        self.records.put("ask", type=kind.type, fn=function, patience=int(patience * 1e9), wrong=wrong,
-                         leaves=leaves is not None, **common)
+        self.records.put(
+            "ask",
+            type=kind.type,
+            fn=function,
+            patience=int(patience * 1e9),
+            wrong=wrong,
+            leaves=leaves is not None,
+            **common,
+        )
         try:
             reply = await self.callers[dispatcher].call(message, leaves or patience * 1.25)
         except asyncio.TimeoutError:
@@ -160,13 +178,20 @@
         except Broken as fault:
             self.records.put("broken", sent=fault.sent, **common)
             return ("broken" if fault.sent else "refused"), 0
-        self.records.put("answer", status=reply.status, act=reply.headers.get(b"activation-id", b"").decode(),
-                         took=time.monotonic_ns() - begun, **common)
+        self.records.put(
+            "answer",
+            status=reply.status,
+            act=reply.headers.get(b"activation-id", b"").decode(),
+            took=time.monotonic_ns() - begun,
+            **common,
+        )
         if len(self.old) < REPLAY_KEPT and not wrong:
             self.old.append((dispatcher, message, common["key"], stamp))
         if reply.status in (429, 503):
             return "rejected", int(reply.headers.get(b"retry-after", b"0"))
-        return {200: "completed", 504: "aborted", 401: "unsigned", 409: "conflict"}.get(reply.status, "odd"), 0
+        return {200: "completed", 504: "aborted", 401: "unsigned", 409: "conflict"}.get(
+            reply.status, "odd"
+        ), 0
 
     async def replays(self, until):
         while time.monotonic_ns() < until:
@@ -177,8 +202,14 @@
             begun = time.monotonic_ns()
             try:
                 reply = await self.callers[dispatcher].call(message, 5)
-                self.records.put("replayed", key=key, stamp=stamp, status=reply.status, to=dispatcher,
-                                 took=time.monotonic_ns() - begun)
+                self.records.put(
+                    "replayed",
+                    key=key,
+                    stamp=stamp,
+                    status=reply.status,
+                    to=dispatcher,
+                    took=time.monotonic_ns() - begun,
+                )
                 self.count(f"replay {reply.status}")
             except (Broken, asyncio.TimeoutError):
                 self.count("replay lost")
@@ -208,15 +239,26 @@
             self.spawn(self.replays(start + t.at + t.span))
 
         def times(name):
-            return (lambda t: self.more.__setitem__(name(t), t.what["times"]),
-                    lambda t: self.more.pop(name(t), None))
-        return {"forgeries": (lambda t: setattr(self, "forged", t.what["part"]),
-                              lambda t: setattr(self, "forged", 0.0)),
-                "replays": (replays, None), "slow-senders": (many, None),
-                "overuse": times(lambda t: t.what["customer"]), "burst": times(lambda t: "")}
+            return (
+                lambda t: self.more.__setitem__(name(t), t.what["times"]),
+                lambda t: self.more.pop(name(t), None),
+            )
+
+        return {
+            "forgeries": (
+                lambda t: setattr(self, "forged", t.what["part"]),
+                lambda t: setattr(self, "forged", 0.0),
+            ),
+            "replays": (replays, None),
+            "slow-senders": (many, None),
+            "overuse": times(lambda t: t.what["customer"]),
+            "burst": times(lambda t: ""),
+        }
 
 
-async def serve(day, dispatchers, keys, timeouts, repeatable, folder, start, seed, clock_off=0.0, tell=None, steer=None):
+async def serve(
+    day, dispatchers, keys, timeouts, repeatable, folder, start, seed, clock_off=0.0, tell=None, steer=None
+):
     """Plays the day's traffic from `start` on; returns when all is answered."""
     records = Records(folder, "portal")
     portal = Portal(day, dispatchers, keys, records, seed, clock_off)
--- a/petrelwood/standins/records.py
+++ b/petrelwood/standins/records.py
@@ -1,4 +1,5 @@
 """What a stand-in saw on its sockets: one JSON line an event, for the audit."""
+
 import pathlib
 import time
 
--- a/petrelwood/standins/roster.py
+++ b/petrelwood/standins/roster.py
@@ -1,7 +1,9 @@
 """A stand-in roster: pushes who is usable, draining or gone by server-sent events, late by script.
 
-News of workers comes on standard input, a JSON object a line: an entry as `decide.cluster.membership.entry` reads it.
+News of workers comes on standard input, a JSON object a line: an entry as `decide.cluster.membership.entry`
+reads it.
 """
+
 import asyncio
 import time
 
@@ -14,14 +16,19 @@
 from petrelwood.standins import host
 from petrelwood.standins.records import Records
 
-KEPT, BEAT = 256, 1.0      # changes kept for those that resume; seconds between comments
+KEPT, BEAT = 256, 1.0  # changes kept for those that resume; seconds between comments
 
 
 class Roster(TCPServer):
     def __init__(self, day, records):
         super().__init__()
         self.entries, self.changes, self.number, self.streams = {}, [], 0, {}
-        self.epoch, self.late, self.closed, self.records = f"{time.time_ns():x}", day.roster_late, False, records
+        self.epoch, self.late, self.closed, self.records = (
+            f"{time.time_ns():x}",
+            day.roster_late,
+            False,
+            records,
+        )
 
     async def handle_stream(self, stream, address):
         try:
@@ -29,15 +36,32 @@
             if self.closed:
                 stream.close()
                 return
-            after = next((line.split(":", 1)[1].strip() for line in head.split("\r\n")
-                          if line.lower().startswith("last-event-id:")), "")
-            await stream.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n")
-            agent = next((line.split(":", 1)[1].strip() for line in head.split("\r\n")
-                          if line.lower().startswith("user-agent:")), "?")
+            after = next(
+                (
+                    line.split(":", 1)[1].strip()
+                    for line in head.split("\r\n")
+                    if line.lower().startswith("last-event-id:")
+                ),
+                "",
+            )
+            await stream.write(
+                b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+            )
+            agent = next(
+                (
+                    line.split(":", 1)[1].strip()
+                    for line in head.split("\r\n")
+                    if line.lower().startswith("user-agent:")
+                ),
+                "?",
+            )
             epoch, _, number = after.rpartition("-")
             missed = [c for c in self.changes if number.isdigit() and c[0] > int(number)]
-            if epoch == self.epoch and number.isdigit() and (
-                    int(number) == self.number or missed and missed[0][0] == int(number) + 1):
+            if (
+                epoch == self.epoch
+                and number.isdigit()
+                and (int(number) == self.number or missed and missed[0][0] == int(number) + 1)
+            ):
                 for n, entries in missed:
                     await self.push(stream, agent, "change", entries, n)
             else:
@@ -53,7 +77,9 @@
             stream.close()
 
     def push(self, stream, to, kind, entries, number):
-        self.records.put("told", to=to, entries=[(e["worker"], e["state"], e["booted"]) for e in entries], kind=kind)
+        self.records.put(
+            "told", to=to, entries=[(e["worker"], e["state"], e["booted"]) for e in entries], kind=kind
+        )
         return stream.write(sse.event(kind, orjson.dumps(entries).decode(), f"{self.epoch}-{number}"))
 
     def news(self, entry):
@@ -66,8 +92,11 @@
             del self.entries[entry["worker"]]
         self.changes = (self.changes + [(self.number, [entry])])[-KEPT:]
         for stream, to in list(self.streams.items()):
-            if not stream.closed():                      # one that was just lost hears nothing, and must not count as told
-                self.push(stream, to, "change", [entry], self.number).add_done_callback(lambda done: done.exception())
+            # one that was just lost hears nothing, and must not count as told
+            if not stream.closed():
+                self.push(stream, to, "change", [entry], self.number).add_done_callback(
+                    lambda done: done.exception()
+                )
 
     def lose(self, trouble):
         self.closed = True
@@ -76,9 +105,12 @@
 
     def troubles(self):
         return {
-            "roster-late": (lambda t: setattr(self, "late", self.late + t.what["by"]),
-                            lambda t: setattr(self, "late", self.late - t.what["by"])),
-            "roster-lost": (self.lose, lambda t: setattr(self, "closed", False))}
+            "roster-late": (
+                lambda t: setattr(self, "late", self.late + t.what["by"]),
+                lambda t: setattr(self, "late", self.late - t.what["by"]),
+            ),
+            "roster-lost": (self.lose, lambda t: setattr(self, "closed", False)),
+        }
 
 
 async def serve(day, listen, folder):
@@ -86,12 +118,13 @@
     roster = Roster(day, records)
 
     def hear(said):
-        if "start" in said:                              # the day begins
+        if "start" in said:  # the day begins
             host.play(day, said["start"], roster.troubles())
         elif said.pop("now", False):
             roster.change(said)
         else:
             roster.news(said)
+
     hearing = asyncio.ensure_future(host.listen_to_operator(hear))
     roster.add_sockets(sockets := bind_sockets(listen[1], listen[0]))
     host.ready(sockets[0].getsockname()[:2])
--- a/petrelwood/standins/router.py
+++ b/petrelwood/standins/router.py
@@ -1,7 +1,10 @@
-"""A stand-in router: accepts BGP sessions, keeps a table, steers flows by it, and misbehaves where it is told to.
+"""A stand-in router: accepts BGP sessions, keeps a table, steers flows by it, and misbehaves where it is told
+to.
 
-It speaks with the same codec and state machine as the speaker, from the other side; what it knows of a session it has from the wire alone.
+It speaks with the same codec and state machine as the speaker, from the other side; what it knows of a
+session it has from the wire alone.
 """
+
 import asyncio
 import json
 import random
@@ -25,9 +28,21 @@
     """One neighbour's session, as the router has it: the `out` of its `Neighbor`."""
 
     def __init__(self, router, stream):
-        self.router, self.stream, self.id, self.mute, self.open, self.told = router, stream, None, False, None, {}
-        self.neighbor = neighbor.Neighbor(neighbor.Terms(
-            router.asn, 0, router.id, router.hold, FAMILIES, router.role, passive=True, most=router.most), self, router.chance.random)
+        self.router, self.stream, self.id, self.mute, self.open, self.told = (
+            router,
+            stream,
+            None,
+            False,
+            None,
+            {},
+        )
+        self.neighbor = neighbor.Neighbor(
+            neighbor.Terms(
+                router.asn, 0, router.id, router.hold, FAMILIES, router.role, passive=True, most=router.most
+            ),
+            self,
+            router.chance.random,
+        )
 
     def connect(self):
         """It never does."""
@@ -68,8 +83,14 @@
         for prefix in update.withdrawn:
             self.router.saw("withdrawn", self, prefix=bgp.shown(prefix))
         for prefix in update.announced:
-            self.router.saw("announced", self, prefix=bgp.shown(prefix), med=update.attrs.med,
-                            less=bgp.GRACEFUL_SHUTDOWN in update.attrs.communities, next_hop=update.attrs.next_hop.hex())
+            self.router.saw(
+                "announced",
+                self,
+                prefix=bgp.shown(prefix),
+                med=update.attrs.med,
+                less=bgp.GRACEFUL_SHUTDOWN in update.attrs.communities,
+                next_hop=update.attrs.next_hop.hex(),
+            )
         self.router.changed(self, changed)
 
 
@@ -79,7 +100,13 @@
     def __init__(self, asn=65000, id_=1, hold=9, role=None, most=100_000, on=None, seed=1):
         super().__init__()
         self.asn, self.id, self.hold, self.role, self.most, self.on = asn, id_, hold, role, most, on
-        self.loop, self.chance, self.table, self.sides, self.all = asyncio.get_running_loop(), random.Random(seed), Table(most), {}, set()
+        self.loop, self.chance, self.table, self.sides, self.all = (
+            asyncio.get_running_loop(),
+            random.Random(seed),
+            Table(most),
+            {},
+            set(),
+        )
         self.events, self.accepts, self.resilient = [], True, False
         self.checks = self.loop.create_task(self._check())
 
@@ -87,8 +114,11 @@
 
     def open(self, address=("127.0.0.1", 0)):
         sockets = bind_sockets(address[1], address[0], family=socket.AF_UNSPEC)
-        for sock in sockets:                             # RFC 5082: the answer to a SYN counts too
-            for option in ((socket.IPPROTO_IP, socket.IP_TTL), (socket.IPPROTO_IPV6, socket.IPV6_UNICAST_HOPS)):
+        for sock in sockets:  # RFC 5082: the answer to a SYN counts too
+            for option in (
+                (socket.IPPROTO_IP, socket.IP_TTL),
+                (socket.IPPROTO_IPV6, socket.IPV6_UNICAST_HOPS),
+            ):
                 try:
                     sock.setsockopt(*option, 255)
                 except OSError:
@@ -131,7 +161,9 @@
     # The table, and what others are told of it.
     def changed(self, side, prefixes):
         for prefix in prefixes:
-            self.saw("best", side, prefix=bgp.shown(prefix), peers=[peer for peer, _ in self.table.best(prefix)])
+            self.saw(
+                "best", side, prefix=bgp.shown(prefix), peers=[peer for peer, _ in self.table.best(prefix)]
+            )
             for one in list(self.sides.values()):
                 self.tell(one, [prefix])
 
@@ -192,7 +224,12 @@
         self.router, self.streams = router, set()
 
     def line(self, prefix):
-        return json.dumps({"prefix": bgp.shown(prefix), "peers": [peer for peer, _ in self.router.table.best(prefix)]}).encode() + b"\n"
+        return (
+            json.dumps(
+                {"prefix": bgp.shown(prefix), "peers": [peer for peer, _ in self.router.table.best(prefix)]}
+            ).encode()
+            + b"\n"
+        )
 
     async def handle_stream(self, stream, address):
         stream.set_nodelay(True)
@@ -208,8 +245,10 @@
 
 
 async def serve(listen, asn, id_, hold, watch=None, records=""):
-    """Until SIGTERM. `watch`: where whoever steers by the table listens to it; `records`: a folder for what it saw."""
+    """Until SIGTERM. `watch`: where whoever steers by the table listens to it; `records`: a folder for what
+    it saw."""
     from petrelwood.standins.records import Records
+
     kept = Records(records, "router") if records else None
     watching = None
 
@@ -220,6 +259,7 @@
             kept.put("route", saw=what, peer=peer, **facts)
         else:
             print(json.dumps({"at": at, "what": what, "peer": peer, **facts}), flush=True)
+
     router = Router(asn, id_, hold, on=tell)
     host, port = router.open(listen)
     ready = {"ready": f"{host}:{port}"}
@@ -241,7 +281,8 @@
 
 
 def _line(router):
-    """Orders on standard input, a JSON object a line: {"do": "reset" | "mute" | "speak" | "raw", "peer": N, "data": HEX}."""
+    """Orders on standard input, a JSON object a line: {"do": "reset" | "mute" | "speak" | "raw", "peer": N,
+    "data": HEX}."""
     line = sys.stdin.readline()
     if not line:
         asyncio.get_running_loop().remove_reader(sys.stdin.fileno())
--- a/petrelwood/standins/store.py
+++ b/petrelwood/standins/store.py
@@ -1,4 +1,5 @@
 """A stand-in store of models: the model of `emulate.store` behind MessagePack-RPC (`fetch [bytes]`)."""
+
 import asyncio
 
 from tornado.iostream import StreamClosedError
@@ -30,14 +31,20 @@
     def reply(stream, msgid, ok):
         if not stream.closed():
             stream.write(rpc.response(msgid, None, "ok" if ok else "refused")).add_done_callback(
-                lambda done: done.exception())
+                lambda done: done.exception()
+            )
 
 
 async def serve(day, listen, folder):
     server, records = StoreServer(day), Records(folder, "store")
     server.add_sockets(sockets := bind_sockets(listen[1], listen[0]))
-    hearing = asyncio.ensure_future(host.listen_to_operator(lambda said: host.play(
-        day, said["start"], {"store-stop": (lambda t: server.store.stop(t.span), None)})))
+    hearing = asyncio.ensure_future(
+        host.listen_to_operator(
+            lambda said: host.play(
+                day, said["start"], {"store-stop": (lambda t: server.store.stop(t.span), None)}
+            )
+        )
+    )
     host.ready(sockets[0].getsockname()[:2])
     await host.until_told()
     hearing.cancel()
--- a/petrelwood/standins/worker.py
+++ b/petrelwood/standins/worker.py
@@ -1,4 +1,5 @@
 """A stand-in worker: the model of `emulate.machine` behind MessagePack-RPC, with misbehaviour by script."""
+
 import asyncio
 import hashlib
 import os
@@ -18,7 +19,7 @@
 from petrelwood.standins.records import Records
 
 MOST = 8_000_000
-LINGER = struct.pack("ii", 1, 0)       # closing then resets
+LINGER = struct.pack("ii", 1, 0)  # closing then resets
 
 
 class StoreLink:
@@ -59,14 +60,15 @@
         self.day, self.name, self.records, self.booted = day, name, records, booted
         self.store = StoreLink(store)
         chance = host.stream(seed, name)
-        self.machine = Machine(LoopClock(), day.build, self.store.fetch, chance,
-                               time.monotonic_ns() if booted else 0)
+        self.machine = Machine(
+            LoopClock(), day.build, self.store.fetch, chance, time.monotonic_ns() if booted else 0
+        )
         self.lines, self.mute, self.silent, self.seed = {}, False, False, seed
         self.garbage = False
 
     async def handle_stream(self, stream, address):
         stream.set_nodelay(True)
-        if self.silent:                                  # accepted, and nothing more
+        if self.silent:  # accepted, and nothing more
             await asyncio.sleep(3600)
         self.lines[stream] = {"who": "?", "jobs": {}}
         reader = rpc.Reader(MOST)
@@ -107,6 +109,7 @@
 
         def done(word, copies):
             self.write(stream, rpc.response(msgid, None, [word, copies]))
+
         self.machine.hold(kind.model(fn), count, done)
 
     def on_run(self, stream, line, msgid, params):
@@ -120,8 +123,16 @@
 
         def done(word, note):
             job = line["jobs"].pop((act, n), None)
-            self.records.put("ran", by=line["who"], act=act, n=n, word=word, mark=mark, muted=self.mute,
-                             waited=job.begun - job.came if job else 0)
+            self.records.put(
+                "ran",
+                by=line["who"],
+                act=act,
+                n=n,
+                word=word,
+                mark=mark,
+                muted=self.mute,
+                waited=job.begun - job.came if job else 0,
+            )
             if word == "ok":
                 result = orjson.dumps({"by": self.name, "of": hashlib.sha256(body).hexdigest()[:16]})
                 reply = rpc.response(msgid, None, [act, n, note, result, self.machine.gauge()])
@@ -130,6 +141,7 @@
             if self.garbage:
                 self.garbage, reply = False, b"\xc1 this is no message"
             self.write(stream, reply)
+
         job = self.machine.run(kind.model(fn), work, time.monotonic_ns() + left, done)
         if job is not None and job.where != "over":
             line["jobs"][act, n] = job
@@ -159,7 +171,8 @@
             "pause": (lambda t: self.machine.pause(t.span), None),
             "reset": (self.reset, None),
             "silent-accept": (self.begin_silence, self.end_silence),
-            "garbage": (lambda t: setattr(self, "garbage", True), None)}
+            "garbage": (lambda t: setattr(self, "garbage", True), None),
+        }
 
 
 async def serve(day, name, listen, store, folder, booted, seed):
@@ -168,8 +181,9 @@
     worker.add_sockets(sockets := bind_sockets(listen[1], listen[0]))
     asyncio.ensure_future(worker.store.follow())
     mine = day._replace(troubles=tuple(t for t in day.troubles if name in day.hit(t, seed)))
-    hearing = asyncio.ensure_future(host.listen_to_operator(
-        lambda said: host.play(mine, said["start"], worker.troubles())))
+    hearing = asyncio.ensure_future(
+        host.listen_to_operator(lambda said: host.play(mine, said["start"], worker.troubles()))
+    )
     if not booted:
         worker.machine.stand(day.kind(fn).model(fn) for fn in day.standing(seed)[name])
     records.put("up", booted=booted, pid=os.getpid())
--- a/petrelwood/store/ends.py
+++ b/petrelwood/store/ends.py
@@ -1,8 +1,10 @@
 """How early loads ended: a log of rows beside the history, for the account that people read.
 
-A full or failing disk ends the log, never the early loads. When it is as large as its bound it begins anew, and the one before
+A full or failing disk ends the log, never the early loads. When it is as large as its bound it begins anew,
+and the one before
 is kept as `early-old.log`.
 """
+
 import pathlib
 
 import msgpack
@@ -13,10 +15,16 @@
 
 
 class Ends:
-    """Times are wall-clock ns; `seconds` what it saved less its costs, `memory` the gigabyte-seconds it stood."""
+    """Times are wall-clock ns; `seconds` what it saved less its costs, `memory` the gigabyte-seconds it
+    stood."""
 
     def __init__(self, folder, most=32 << 20, files=None):
-        self.path, self.most, self.files, self.stopped = pathlib.Path(folder) / "early.log", most, files or tail.Files(), None
+        self.path, self.most, self.files, self.stopped = (
+            pathlib.Path(folder) / "early.log",
+            most,
+            files or tail.Files(),
+            None,
+        )
         self.path.parent.mkdir(parents=True, exist_ok=True)
         try:
             self.log = tail.Log(self.path, self.files, most)
--- a/petrelwood/store/history.py
+++ b/petrelwood/store/history.py
@@ -1,12 +1,17 @@
 """The history of use: what was called, when, cold or warm, how long it waited. Columns, by day, compressed.
 
-Rows are noted in memory and written to a tail (`store.tail`) in groups; when a group of `ROLL` rows or a new day is full, a
-Parquet file of it is written beside, renamed, and only then the tail begins anew. So a kill at any byte loses no more than
-what was noted since the last flush, and what was dropped is said. A file that is renamed while its tail still stands is
+Rows are noted in memory and written to a tail (`store.tail`) in groups; when a group of `ROLL` rows or a new
+day is full, a
+Parquet file of it is written beside, renamed, and only then the tail begins anew. So a kill at any byte loses
+no more than
+what was noted since the last flush, and what was dropped is said. A file that is renamed while its tail still
+stands is
 known by the tail's number, so no row counts twice.
 
-A full or failing disk stops the history, never the dispatching: `note` then does nothing and `stopped` tells why.
+A full or failing disk stops the history, never the dispatching: `note` then does nothing and `stopped` tells
+why.
 """
+
 import datetime
 import pathlib
 import struct
@@ -16,13 +21,20 @@
 
 from petrelwood.store import tail
 
-ROLL = 50_000              # rows of one file
-GROUP = 256                # rows noted before they are written
+ROLL = 50_000  # rows of one file
+GROUP = 256  # rows noted before they are written
 ROW = struct.Struct("<qHHHBIII")
-COLUMNS = (("at", pyarrow.int64()), ("function", pyarrow.string()), ("customer", pyarrow.string()),
-           ("hall", pyarrow.string()), ("how", pyarrow.uint8()), ("waited_us", pyarrow.uint32()),
-           ("took_us", pyarrow.uint32()), ("load_us", pyarrow.uint32()))
-WARM, COLD, JOINED, NEVER = range(4)      # how: found a copy, began a load, waited for one, was not completed
+COLUMNS = (
+    ("at", pyarrow.int64()),
+    ("function", pyarrow.string()),
+    ("customer", pyarrow.string()),
+    ("hall", pyarrow.string()),
+    ("how", pyarrow.uint8()),
+    ("waited_us", pyarrow.uint32()),
+    ("took_us", pyarrow.uint32()),
+    ("load_us", pyarrow.uint32()),
+)
+WARM, COLD, JOINED, NEVER = range(4)  # how: found a copy, began a load, waited for one, was not completed
 
 
 def day_of(at):
@@ -33,7 +45,12 @@
     """`most`: bytes on disk; `keep`: days. Times are wall-clock ns."""
 
     def __init__(self, folder, most=1 << 30, keep=60, files=None, group=GROUP, roll=ROLL):
-        self.folder, self.most, self.keep, self.files = pathlib.Path(folder), most, keep, files or tail.Files()
+        self.folder, self.most, self.keep, self.files = (
+            pathlib.Path(folder),
+            most,
+            keep,
+            files or tail.Files(),
+        )
         self.group, self.roll, self.stopped, self.names, self.rows = group, roll, None, {}, []
         self.dropped, self.lost, self.noted, self.log, self.since = 0, 0, 0, None, 0
         self.folder.mkdir(parents=True, exist_ok=True)
@@ -55,12 +72,15 @@
         for part in self.folder.glob("**/*.part"):
             part.unlink()
         done = sealed(self.folder)
-        self.number = max([n for n, _ in done] + [int(p.stem.split("-")[1]) for p in self._tails()], default=1)
+        self.number = max(
+            [n for n, _ in done] + [int(p.stem.split("-")[1]) for p in self._tails()], default=1
+        )
         for path in self._tails():
             number = int(path.stem.split("-")[1])
             if number == self.number and number not in {n for n, _ in done}:
-                continue                                 # the one that goes on
-            _, rows = replayed(tail.scan(path.read_bytes())[0])      # a seal that a kill has cut short: it is finished
+                continue  # the one that goes on
+            # a seal that a kill has cut short: it is finished
+            _, rows = replayed(tail.scan(path.read_bytes())[0])
             self._write_days([r for r in rows if (number, day_of(r[0])) not in done], number)
             self.files.remove(str(path))
             self.number = max(self.number, number + 1)
@@ -76,11 +96,20 @@
         return number
 
     def note(self, at, function, customer, hall, how, waited, took, load):
-        """One activation's end; ns, as large as 71 minutes are kept. Cheap: most calls only append to a list."""
+        """One activation's end; ns, as large as 71 minutes are kept. Cheap: most calls only append to a
+        list."""
         if self.stopped is not None:
             return
-        row = (at, function, customer, hall, how, min(waited // 1000, 0xFFFFFFFF), min(took // 1000, 0xFFFFFFFF),
-               min(load // 1000, 0xFFFFFFFF))
+        row = (
+            at,
+            function,
+            customer,
+            hall,
+            how,
+            min(waited // 1000, 0xFFFFFFFF),
+            min(took // 1000, 0xFFFFFFFF),
+            min(load // 1000, 0xFFFFFFFF),
+        )
         self.rows.append(row)
         self.noted += 1
         self.since += 1
@@ -93,8 +122,10 @@
             return
         try:
             if self.since:
-                packed = b"".join(ROW.pack(row[0], self._name(row[1]), self._name(row[2]), self._name(row[3]), *row[4:])
-                                  for row in self.rows[-self.since:])
+                packed = b"".join(
+                    ROW.pack(row[0], self._name(row[1]), self._name(row[2]), self._name(row[3]), *row[4:])
+                    for row in self.rows[-self.since :]
+                )
                 if not self.log.append(b"r" + packed):
                     raise tail.Failed("the tail is full")
                 self.log.flush()
@@ -126,7 +157,9 @@
 
     def _write(self, rows, target):
         part = target.with_suffix(".part")
-        columns = {name: pyarrow.array([row[i] for row in rows], type_) for i, (name, type_) in enumerate(COLUMNS)}
+        columns = {
+            name: pyarrow.array([row[i] for row in rows], type_) for i, (name, type_) in enumerate(COLUMNS)
+        }
         pyarrow.parquet.write_table(pyarrow.table(columns), part, compression="zstd")
         self.files.replace(str(part), str(target))
 
@@ -186,22 +219,31 @@
 
 
 def sealed(folder):
-    """{(tail's number, day)} whose rows stand in a file of their own. Compacted files carry their highest number."""
-    return {(int(p.stem.split("-")[2]), p.parent.name[4:]) for p in pathlib.Path(folder).glob("day=*/rows-*-*.parquet")}
+    """{(tail's number, day)} whose rows stand in a file of their own. Compacted files carry their highest
+    number."""
+    return {
+        (int(p.stem.split("-")[2]), p.parent.name[4:])
+        for p in pathlib.Path(folder).glob("day=*/rows-*-*.parquet")
+    }
 
 
 def read(folder, since=0, until=1 << 62):
     """All rows of a folder with `since <= at < until`, as a table sorted by time, the tail's among them."""
     folder = pathlib.Path(folder)
-    tables = [pyarrow.parquet.read_table(p, filters=[("at", ">=", since), ("at", "<", until)])
-              for p in sorted(folder.glob("day=*/rows-*.parquet"))]
+    tables = [
+        pyarrow.parquet.read_table(p, filters=[("at", ">=", since), ("at", "<", until)])
+        for p in sorted(folder.glob("day=*/rows-*.parquet"))
+    ]
     done = sealed(folder)
     for path in sorted(folder.glob("tail-*.log")):
         number = int(path.stem.split("-")[1])
         _, rows = replayed(tail.scan(path.read_bytes())[0])
         rows = [r for r in rows if since <= r[0] < until and (number, day_of(r[0])) not in done]
-        tables.append(pyarrow.table({name: pyarrow.array([r[i] for r in rows], type_)
-                                     for i, (name, type_) in enumerate(COLUMNS)}))
+        tables.append(
+            pyarrow.table(
+                {name: pyarrow.array([r[i] for r in rows], type_) for i, (name, type_) in enumerate(COLUMNS)}
+            )
+        )
     if not tables:
         return pyarrow.table({name: pyarrow.array([], type_) for name, type_ in COLUMNS})
     return pyarrow.concat_tables(tables).sort_by("at")
@@ -216,7 +258,9 @@
         except (OSError, pyarrow.ArrowException) as fault:
             wrong.append(f"{path}: {str(fault).splitlines()[0]}")
             continue
-        days = {day_of(at) for at in (table["at"][0].as_py(), table["at"][-1].as_py())} if len(table) else set()
+        days = (
+            {day_of(at) for at in (table["at"][0].as_py(), table["at"][-1].as_py())} if len(table) else set()
+        )
         if days - {path.parent.name[4:]}:
             wrong.append(f"{path}: holds rows of {', '.join(sorted(days))}")
     for path in sorted(pathlib.Path(folder).glob("tail-*.log")):
--- a/petrelwood/store/snapshot.py
+++ b/petrelwood/store/snapshot.py
@@ -1,9 +1,13 @@
-"""One value in one file that is whole or not there: a kill at any byte leaves the value before or the value after.
+"""One value in one file that is whole or not there: a kill at any byte leaves the value before or the value
+after.
 
-The file is a mark, a kind, a version, a length, a CRC-32 over all of it, and the value in msgpack. It is written beside, made
-durable, and renamed over the old one; then the folder is made durable, so that the rename is not lost either. What can't be
+The file is a mark, a kind, a version, a length, a CRC-32 over all of it, and the value in msgpack. It is
+written beside, made
+durable, and renamed over the old one; then the folder is made durable, so that the rename is not lost either.
+What can't be
 read is refused with a reason and left where it is, for people to look at.
 """
+
 import os
 import pathlib
 import struct
@@ -14,12 +18,13 @@
 from petrelwood.store import tail
 
 MARK = b"ptw-snap"
-HEAD = struct.Struct("<8sHHQI")           # mark, length of the kind, version, length of the value, sum
+HEAD = struct.Struct("<8sHHQI")  # mark, length of the kind, version, length of the value, sum
 MOST = 1 << 30
 
 
 class Unreadable(Exception):
-    """It is not whole, of another kind, or of a version that this build does not know; `str()` tells which."""
+    """It is not whole, of another kind, or of a version that this build does not know; `str()` tells
+    which."""
 
 
 class Files(tail.Files):
@@ -38,8 +43,17 @@
 
 def pack(kind, version, value):
     name, body = kind.encode("ascii"), msgpack.packb(value, use_bin_type=True)
-    return HEAD.pack(MARK, len(name), version, len(body), zlib.crc32(
-        struct.pack("<HHQ", len(name), version, len(body)) + name + body)) + name + body
+    return (
+        HEAD.pack(
+            MARK,
+            len(name),
+            version,
+            len(body),
+            zlib.crc32(struct.pack("<HHQ", len(name), version, len(body)) + name + body),
+        )
+        + name
+        + body
+    )
 
 
 def unpack(data, kind, newest, oldest=1):
@@ -47,7 +61,7 @@
     if len(data) < HEAD.size or data[:8] != MARK:
         raise Unreadable("this is no snapshot of petrelwood's")
     _, named, version, size, check = HEAD.unpack_from(data)
-    rest = data[HEAD.size:]
+    rest = data[HEAD.size :]
     if size > MOST or len(rest) != named + size:
         raise Unreadable("it is not whole")
     if zlib.crc32(struct.pack("<HHQ", named, version, size) + rest) != check:
@@ -77,7 +91,8 @@
 
 
 def put(path, data, mode=None):
-    """Bytes in place of what stood there, whole or not at all: written beside and renamed. They outlive the process; what must
+    """Bytes in place of what stood there, whole or not at all: written beside and renamed. They outlive the
+    process; what must
     outlive the machine goes by `write`."""
     path = pathlib.Path(path)
     part = path.with_name(f".{path.name}.{os.getpid()}.part")
--- a/petrelwood/store/state.py
+++ b/petrelwood/store/state.py
@@ -1,7 +1,9 @@
 """The state that survives a dispatcher: a log of what it took, how it ended, and which loads it ordered.
 
-Segments follow each other; each is a `store.tail` log, which opens again after a kill at any byte. A segment begins with the life
-that wrote it. What is remembered for a time is forgotten with its segment: one is removed once all in it is older than that, so
+Segments follow each other; each is a `store.tail` log, which opens again after a kill at any byte. A segment
+begins with the life
+that wrote it. What is remembered for a time is forgotten with its segment: one is removed once all in it is
+older than that, so
 nothing is ever rewritten, and what a start has to read is bounded by what one memory's time wrote.
 
     folder/state-EPOCH-NUMBER.log      records in msgpack:
@@ -11,9 +13,12 @@
       ["order", wall, worker, function, copies]
       ["close", wall]                                the process ended in order, owing nothing
 
-Durability says when a record counts as kept: "process" once the system has it (it survives a kill of the process), "machine"
-once the disk has it. A failing disk stops the log, and its owner decides what it may still do (`decide.delivery.recovery`).
+Durability says when a record counts as kept: "process" once the system has it (it survives a kill of the
+process), "machine"
+once the disk has it. A failing disk stops the log, and its owner decides what it may still do
+(`decide.delivery.recovery`).
 """
+
 import pathlib
 
 import msgpack
@@ -23,7 +28,7 @@
 
 FORMAT, OLDEST = 1, 1
 SIZES = {LIFE: 5, TAKE: 6, END: 7, ORDER: 5, CLOSE: 2}
-MOST = 1 << 28             # bytes of one segment
+MOST = 1 << 28  # bytes of one segment
 
 
 class Refused(Exception):
@@ -76,10 +81,16 @@
 
 
 class StateLog:
-    """The writer of one life. `keep`: ns after which a segment's records are of no use; `boot` names the machine's start."""
+    """The writer of one life. `keep`: ns after which a segment's records are of no use; `boot` names the
+    machine's start."""
 
     def __init__(self, folder, wall, boot, keep, durability="process", files=None, segment=MOST):
-        self.folder, self.files, self.keep, self.durability = pathlib.Path(folder), files or tail.Files(), keep, durability
+        self.folder, self.files, self.keep, self.durability = (
+            pathlib.Path(folder),
+            files or tail.Files(),
+            keep,
+            durability,
+        )
         self.boot, self.segment, self.stopped, self.log = boot, segment, None, None
         self.folder.mkdir(parents=True, exist_ok=True)
         self.found, self.lasts, self.epoch = [], {}, 0
@@ -106,7 +117,8 @@
             self._stop(fault)
 
     def add(self, *record):
-        """Notes a record: it is kept once `flush` has returned (durability "process"). Whether it was taken."""
+        """Notes a record: it is kept once `flush` has returned (durability "process"). Whether it was
+        taken."""
         if self.stopped is not None:
             return False
         data = msgpack.packb(record, use_bin_type=True)
@@ -128,11 +140,13 @@
         return self.stopped is None
 
     def sync(self):
-        """What was added is on the disk when this returns; whether it is. May be called from another thread, one at a time."""
+        """What was added is on the disk when this returns; whether it is. May be called from another thread,
+        one at a time."""
         if self.stopped is None:
             try:
                 self.files.sync(self.log.handle)
-            except OSError as fault:                     # after a failed fsync nothing is known: never tried again
+            # after a failed fsync nothing is known: never tried again
+            except OSError as fault:
                 self._stop(f"{self.log.path}: {fault.strerror or fault}")
         return self.stopped is None
 
@@ -161,7 +175,8 @@
                     return
 
     def renew(self, wall):
-        """A new epoch: this life goes on after another one had taken over. What that one wrote is then in `found`."""
+        """A new epoch: this life goes on after another one had taken over. What that one wrote is then in
+        `found`."""
         there = segments(self.folder)
         self.found = [r for epoch, _, path in there if epoch > self.epoch for r in scan(path)[0]]
         if self._seal():
--- a/petrelwood/store/tail.py
+++ b/petrelwood/store/tail.py
@@ -1,10 +1,14 @@
 """An append-only log that opens again after a kill at any byte.
 
-A file begins with a mark and its format; each record is its length, a CRC-32 of length and payload, and the payload. A
-record that is not whole, or whose sum is off, ends what is believed: the file is cut there when it is opened, and what was
-dropped is said. Records go to the disk in groups: `flush` writes what is waiting, `sync` makes it durable. A failing disk
+A file begins with a mark and its format; each record is its length, a CRC-32 of length and payload, and the
+payload. A
+record that is not whole, or whose sum is off, ends what is believed: the file is cut there when it is opened,
+and what was
+dropped is said. Records go to the disk in groups: `flush` writes what is waiting, `sync` makes it durable. A
+failing disk
 raises `Failed` once; the log then takes nothing more, and its owner goes on without it.
 """
+
 import os
 import pathlib
 import struct
@@ -12,7 +16,7 @@
 
 MARK = b"ptw-log\x01"
 HEAD = struct.Struct("<II")
-MOST = 1 << 24             # bytes of one record
+MOST = 1 << 24  # bytes of one record
 
 
 class Failed(Exception):
@@ -67,7 +71,7 @@
     if not data:
         return [], 0, None
     if not data.startswith(MARK):
-        if MARK.startswith(data[:len(MARK)]):
+        if MARK.startswith(data[: len(MARK)]):
             return [], 0, "the mark is not whole"
         raise Refused("this is not a log of petrelwood's, or one of a later format")
     records, at = [], len(MARK)
@@ -80,9 +84,9 @@
         end = at + HEAD.size + size
         if end > len(data):
             return records, at, "a record is not whole"
-        if zlib.crc32(data[at:at + 4] + data[at + HEAD.size:end]) != check:
+        if zlib.crc32(data[at : at + 4] + data[at + HEAD.size : end]) != check:
             return records, at, "a record's sum is off"
-        records.append(data[at + HEAD.size:end])
+        records.append(data[at + HEAD.size : end])
         at = end
     return records, at, None
 
@@ -91,7 +95,14 @@
     """One file. `records` are those found at the opening; `dropped` is how many bytes were cut, and `why`."""
 
     def __init__(self, path, files=None, most=1 << 30):
-        self.path, self.files, self.most, self.waiting, self.queued, self.failed = pathlib.Path(path), files or Files(), most, [], 0, None
+        self.path, self.files, self.most, self.waiting, self.queued, self.failed = (
+            pathlib.Path(path),
+            files or Files(),
+            most,
+            [],
+            0,
+            None,
+        )
         data = self.path.read_bytes() if self.path.exists() else b""
         self.records, whole, self.why = scan(data)
         self.dropped = len(data) - whole
@@ -138,7 +149,8 @@
         if not self.failed:
             try:
                 self.files.sync(self.handle)
-            except OSError as fault:                     # after a failed fsync nothing is known: never tried again
+            # after a failed fsync nothing is known: never tried again
+            except OSError as fault:
                 self._fail(fault)
 
     def close(self):
--- a/petrelwood/store/versions.py
+++ b/petrelwood/store/versions.py
@@ -6,6 +6,7 @@
 
 Files are written beside and renamed. Numbers only grow.
 """
+
 import json
 import pathlib
 
@@ -19,8 +20,13 @@
     for path in sorted(folder.glob("*.json")):
         try:
             if path.stem.isdigit() and (folder / f"{path.stem}.kdl").exists():
-                found.append(Announced(int(path.stem), int(json.loads(path.read_text())["begun"]),
-                                       (folder / f"{path.stem}.off").exists()))
+                found.append(
+                    Announced(
+                        int(path.stem),
+                        int(json.loads(path.read_text())["begun"]),
+                        (folder / f"{path.stem}.off").exists(),
+                    )
+                )
         except (OSError, ValueError, KeyError, TypeError):
             continue
     return found
--- a/petrelwood/wire/bgp.py
+++ b/petrelwood/wire/bgp.py
@@ -1,28 +1,50 @@
-"""BGP-4 messages, free of I/O: RFC 4271, 4760 (IPv6), 5492 (capabilities), 6793 (four-octet AS numbers), 1997 (communities), 2918
-(route refresh), 4724 and 8538 (graceful restart, read only), 8654 (extended messages), 9003 (shutdown text), 9234 (roles), and 7606:
+"""BGP-4 messages, free of I/O: RFC 4271, 4760 (IPv6), 5492 (capabilities), 6793 (four-octet AS numbers), 1997
+(communities), 2918
+(route refresh), 4724 and 8538 (graceful restart, read only), 8654 (extended messages), 9003 (shutdown text),
+9234 (roles), and 7606:
 an update whose attributes are wrong takes its routes back in place of ending the session.
 
 A prefix is (afi, network bytes, length). What can't be gone on from raises `Wrong`, which is a NOTIFICATION.
 """
+
 import ipaddress
 import struct
 from typing import NamedTuple
 
 OPEN, UPDATE, NOTIFICATION, KEEPALIVE, REFRESH = 1, 2, 3, 4, 5
-NAMES = {OPEN: "OPEN", UPDATE: "UPDATE", NOTIFICATION: "NOTIFICATION", KEEPALIVE: "KEEPALIVE", REFRESH: "ROUTE-REFRESH"}
+NAMES = {
+    OPEN: "OPEN",
+    UPDATE: "UPDATE",
+    NOTIFICATION: "NOTIFICATION",
+    KEEPALIVE: "KEEPALIVE",
+    REFRESH: "ROUTE-REFRESH",
+}
 MARKER, HEAD, MOST, EXTENDED = b"\xff" * 16, 19, 4096, 65535
 LEAST = {OPEN: 29, UPDATE: 23, NOTIFICATION: 21, KEEPALIVE: 19, REFRESH: 23}
 HEADER_ERROR, OPEN_ERROR, UPDATE_ERROR, HOLD_EXPIRED, FSM_ERROR, CEASE = 1, 2, 3, 4, 5, 6
-PREFIXES, SHUTDOWN, RESET, REJECTED, COLLISION, RESOURCES, HARD = 1, 2, 4, 5, 7, 8, 9          # of CEASE
-MP, REFRESHES, EXTENDS, ROLE, RESTARTS, FOUR = 1, 2, 6, 9, 64, 65                # capabilities
-ORIGIN, AS_PATH, NEXT_HOP, MED, LOCAL_PREF, ATOMIC, AGGREGATOR, COMMUNITIES, REACH, UNREACH, AS4_PATH, AS4_AGG, OTC = (
-    1, 2, 3, 4, 5, 6, 7, 8, 14, 15, 17, 18, 35)
+PREFIXES, SHUTDOWN, RESET, REJECTED, COLLISION, RESOURCES, HARD = 1, 2, 4, 5, 7, 8, 9  # of CEASE
+MP, REFRESHES, EXTENDS, ROLE, RESTARTS, FOUR = 1, 2, 6, 9, 64, 65  # capabilities
+(
+    ORIGIN,
+    AS_PATH,
+    NEXT_HOP,
+    MED,
+    LOCAL_PREF,
+    ATOMIC,
+    AGGREGATOR,
+    COMMUNITIES,
+    REACH,
+    UNREACH,
+    AS4_PATH,
+    AS4_AGG,
+    OTC,
+) = (1, 2, 3, 4, 5, 6, 7, 8, 14, 15, 17, 18, 35)
 WELL_KNOWN = {ORIGIN, AS_PATH, NEXT_HOP, LOCAL_PREF, ATOMIC}
 IPV4, IPV6, UNICAST, AS_TRANS = 1, 2, 1, 23456
 BITS = {IPV4: 32, IPV6: 128}
 SEQUENCE, SET = 2, 1
-GRACEFUL_SHUTDOWN = 0xFFFF0000                           # RFC 8326
-PROVIDER, RS, RS_CLIENT, CUSTOMER, PEER = range(5)       # roles, RFC 9234
+GRACEFUL_SHUTDOWN = 0xFFFF0000  # RFC 8326
+PROVIDER, RS, RS_CLIENT, CUSTOMER, PEER = range(5)  # roles, RFC 9234
 AGREE = {(PROVIDER, CUSTOMER), (CUSTOMER, PROVIDER), (RS, RS_CLIENT), (RS_CLIENT, RS), (PEER, PEER)}
 
 
@@ -35,30 +57,30 @@
 
 
 class Open(NamedTuple):
-    asn: int               # four octets where the peer can
-    hold: int              # s
+    asn: int  # four octets where the peer can
+    hold: int  # s
     id: int
-    families: tuple        # (afi, safi)
+    families: tuple  # (afi, safi)
     four: bool
     extended: bool
     refresh: bool
-    role: object           # or None
-    restart: object        # (flags, seconds) of graceful restart, or None
+    role: object  # or None
+    restart: object  # (flags, seconds) of graceful restart, or None
 
 
 class Attrs(NamedTuple):
     origin: int
-    path: tuple            # ((SEQUENCE or SET, (AS number, ...)), ...)
-    next_hop: bytes        # 4 or 16
-    med: object            # or None
+    path: tuple  # ((SEQUENCE or SET, (AS number, ...)), ...)
+    next_hop: bytes  # 4 or 16
+    med: object  # or None
     communities: tuple
 
 
 class Update(NamedTuple):
     withdrawn: tuple
     announced: tuple
-    attrs: object          # Attrs, or None where nothing is announced
-    notes: tuple           # what was wrong and passed over
+    attrs: object  # Attrs, or None where nothing is announced
+    notes: tuple  # what was wrong and passed over
 
 
 class Notification(NamedTuple):
@@ -68,8 +90,16 @@
 
     def text(self):
         """A shutdown's text, where there is one: as the peer wrote it, made harmless to print."""
-        if self.code == CEASE and self.sub in (SHUTDOWN, RESET) and self.data and self.data[0] <= len(self.data) - 1:
-            return "".join(c if c.isprintable() else "?" for c in self.data[1:1 + self.data[0]].decode("utf-8", "replace"))
+        if (
+            self.code == CEASE
+            and self.sub in (SHUTDOWN, RESET)
+            and self.data
+            and self.data[0] <= len(self.data) - 1
+        ):
+            return "".join(
+                c if c.isprintable() else "?"
+                for c in self.data[1 : 1 + self.data[0]].decode("utf-8", "replace")
+            )
         return ""
 
 
@@ -97,13 +127,17 @@
 def open_message(asn, hold, id_, families, role=None, extended=True):
     caps = b"".join(_capability(MP, struct.pack("!HBB", afi, 0, safi)) for afi, safi in families)
     caps += _capability(REFRESHES) + _capability(FOUR, struct.pack("!I", asn))
-    caps += (_capability(EXTENDS) if extended else b"") + (_capability(ROLE, bytes((role,))) if role is not None else b"")
+    caps += (_capability(EXTENDS) if extended else b"") + (
+        _capability(ROLE, bytes((role,))) if role is not None else b""
+    )
     options = bytes((2, len(caps))) + caps
-    return message(OPEN, struct.pack("!BHHIB", 4, asn if asn < 65536 else AS_TRANS, hold, id_, len(options)) + options)
+    return message(
+        OPEN, struct.pack("!BHHIB", 4, asn if asn < 65536 else AS_TRANS, hold, id_, len(options)) + options
+    )
 
 
 def notification(code, sub=0, data=b""):
-    return message(NOTIFICATION, bytes((code, sub)) + data[:MOST - HEAD - 2])
+    return message(NOTIFICATION, bytes((code, sub)) + data[: MOST - HEAD - 2])
 
 
 def shutdown_text(text):
@@ -112,7 +146,7 @@
         try:
             raw.decode()
             return bytes((len(raw),)) + raw
-        except UnicodeDecodeError:                       # cut inside a character
+        except UnicodeDecodeError:  # cut inside a character
             raw = raw[:-1]
 
 
@@ -148,7 +182,7 @@
     if version != 4:
         raise Wrong(OPEN_ERROR, 1, f"version {version}", struct.pack("!H", 4))
     options = body[10:]
-    if size == 255 and options[:1] == b"\xff" and len(options) >= 3:             # RFC 9072
+    if size == 255 and options[:1] == b"\xff" and len(options) >= 3:  # RFC 9072
         size, options, wide = struct.unpack_from("!H", options, 1)[0], options[3:], True
     else:
         wide = False
@@ -159,7 +193,7 @@
         if len(options) < head:
             raise Wrong(OPEN_ERROR, 0, "an option is cut short")
         kind, length = options[0], struct.unpack_from("!H", options, 1)[0] if wide else options[1]
-        value, options = options[head:head + length], options[head + length:]
+        value, options = options[head : head + length], options[head + length :]
         if len(value) != length:
             raise Wrong(OPEN_ERROR, 0, "an option is cut short")
         if kind != 2:
@@ -167,8 +201,8 @@
         while value:
             if len(value) < 2 or len(value) < 2 + value[1]:
                 raise Wrong(OPEN_ERROR, 0, "a capability is cut short")
-            caps.setdefault(value[0], []).append(value[2:2 + value[1]])
-            value = value[2 + value[1]:]
+            caps.setdefault(value[0], []).append(value[2 : 2 + value[1]])
+            value = value[2 + value[1] :]
     four = next((struct.unpack("!I", v)[0] for v in caps.get(FOUR, ()) if len(v) == 4), None)
     asn = asn if four is None else four
     if not asn or asn == AS_TRANS and four is not None:
@@ -177,13 +211,29 @@
         raise Wrong(OPEN_ERROR, 6, f"a hold time of {hold} s")
     if not id_:
         raise Wrong(OPEN_ERROR, 3, "an identifier of 0")
-    families = tuple(sorted({(afi, safi) for afi, _, safi in (struct.unpack("!HBB", v) for v in caps.get(MP, ()) if len(v) == 4)}))
+    families = tuple(
+        sorted(
+            {
+                (afi, safi)
+                for afi, _, safi in (struct.unpack("!HBB", v) for v in caps.get(MP, ()) if len(v) == 4)
+            }
+        )
+    )
     roles = {v[0] for v in caps.get(ROLE, ()) if len(v) == 1}
     if len(roles) > 1:
         raise Wrong(OPEN_ERROR, 11, "two roles at once")
     restart = next((struct.unpack_from("!H", v)[0] for v in caps.get(RESTARTS, ()) if len(v) >= 2), None)
-    return Open(asn, hold, id_, families or ((IPV4, UNICAST),), four is not None, EXTENDS in caps, REFRESHES in caps,
-                next(iter(roles), None), None if restart is None else (restart >> 12, restart & 0xFFF))
+    return Open(
+        asn,
+        hold,
+        id_,
+        families or ((IPV4, UNICAST),),
+        four is not None,
+        EXTENDS in caps,
+        REFRESHES in caps,
+        next(iter(roles), None),
+        None if restart is None else (restart >> 12, restart & 0xFFF),
+    )
 
 
 def read_notification(body):
@@ -197,9 +247,9 @@
         octets = (length + 7) // 8
         if length > BITS[afi] or at + octets > len(data):
             raise Wrong(UPDATE_ERROR, 10, f"{what}: a prefix that can't be")
-        raw = bytearray(data[at:at + octets])
+        raw = bytearray(data[at : at + octets])
         if length % 8:
-            raw[-1] &= 0xFF << 8 - length % 8 & 0xFF     # bits beyond the length mean nothing
+            raw[-1] &= 0xFF << 8 - length % 8 & 0xFF  # bits beyond the length mean nothing
         found.append((afi, bytes(raw) + bytes(BITS[afi] // 8 - octets), length))
         at += octets
     return tuple(found)
@@ -247,7 +297,7 @@
         return None
     if size not in ((4,) if afi == IPV4 else (16, 32)) or len(value) < 5 + size:
         raise Wrong(UPDATE_ERROR, 9, "a next hop of MP_REACH_NLRI that can't be")
-    return _prefixes(value[5 + size:], afi, "MP_REACH_NLRI"), value[4:4 + min(size, 16)]
+    return _prefixes(value[5 + size :], afi, "MP_REACH_NLRI"), value[4 : 4 + min(size, 16)]
 
 
 def _unreach(value):
@@ -258,13 +308,27 @@
 
 
 def _check(kind, flags, value, four, made):
-    """Takes one attribute into `made`; what is wrong with it in the sense of RFC 7606: 'withdraw', 'discard' or None."""
-    sizes = {ORIGIN: 1, NEXT_HOP: 4, MED: 4, LOCAL_PREF: 4, ATOMIC: 0, AGGREGATOR: 8 if four else 6, AS4_AGG: 8, OTC: 4}
+    """Takes one attribute into `made`; what is wrong with it in the sense of RFC 7606: 'withdraw', 'discard'
+    or None."""
+    sizes = {
+        ORIGIN: 1,
+        NEXT_HOP: 4,
+        MED: 4,
+        LOCAL_PREF: 4,
+        ATOMIC: 0,
+        AGGREGATOR: 8 if four else 6,
+        AS4_AGG: 8,
+        OTC: 4,
+    }
     optional, transitive = bool(flags & 0x80), bool(flags & 0x40)
     if kind in WELL_KNOWN and (optional or not transitive):
         return "withdraw"
-    if kind in (MED, REACH, UNREACH) and (not optional or transitive) or kind in (COMMUNITIES, AGGREGATOR, AS4_PATH) and not (
-            optional and transitive):
+    if (
+        kind in (MED, REACH, UNREACH)
+        and (not optional or transitive)
+        or kind in (COMMUNITIES, AGGREGATOR, AS4_PATH)
+        and not (optional and transitive)
+    ):
         return "withdraw" if kind != AGGREGATOR else "discard"
     if kind in sizes and len(value) != sizes[kind]:
         return "discard" if kind in (ATOMIC, AGGREGATOR, AS4_AGG) else "withdraw"
@@ -286,12 +350,12 @@
     size = struct.unpack_from("!H", body)[0]
     if len(body) < 4 + size:
         raise Wrong(UPDATE_ERROR, 1, "the withdrawn routes' length is off")
-    withdrawn = _prefixes(body[2:2 + size], IPV4, "withdrawn")
+    withdrawn = _prefixes(body[2 : 2 + size], IPV4, "withdrawn")
     length = struct.unpack_from("!H", body, 2 + size)[0]
     begin = 4 + size
     if len(body) < begin + length:
         raise Wrong(UPDATE_ERROR, 1, "the attributes' length is off")
-    data, plain = body[begin:begin + length], _prefixes(body[begin + length:], IPV4, "announced")
+    data, plain = body[begin : begin + length], _prefixes(body[begin + length :], IPV4, "announced")
     made, seen, notes, bad, at = {}, set(), [], False, 0
     while at < len(data):
         wide = data[at] & 0x10
@@ -302,7 +366,7 @@
         flags, kind = data[at], data[at + 1]
         size = struct.unpack_from("!H", data, at + 2)[0] if wide else data[at + 2]
         at += 4 if wide else 3
-        value, at = data[at:at + size], at + size
+        value, at = data[at : at + size], at + size
         if len(value) != size:
             if kind in (REACH, UNREACH):
                 raise Wrong(UPDATE_ERROR, 5, "a multiprotocol attribute is cut short")
@@ -316,9 +380,14 @@
             continue
         seen.add(kind)
         if kind not in WELL_KNOWN and not flags & 0x80:
-            raise Wrong(UPDATE_ERROR, 2, f"well-known attribute {kind} is not known", bytes((flags, kind, min(size, 255))) + value[:255])
+            raise Wrong(
+                UPDATE_ERROR,
+                2,
+                f"well-known attribute {kind} is not known",
+                bytes((flags, kind, min(size, 255))) + value[:255],
+            )
         if kind not in (*WELL_KNOWN, MED, AGGREGATOR, COMMUNITIES, REACH, UNREACH, AS4_PATH, AS4_AGG, OTC):
-            continue                                     # optional, and not ours: nothing is passed on anyway
+            continue  # optional, and not ours: nothing is passed on anyway
         how = _check(kind, flags, value, four, made)
         if how:
             bad = bad or how == "withdraw"
@@ -335,24 +404,42 @@
         return Update(withdrawn + announced, (), None, tuple(notes))
     path = made[AS_PATH] if four or AS4_PATH not in made else _merged(made[AS_PATH], made[AS4_PATH])
     communities = made.get(COMMUNITIES, b"")
-    return Update(withdrawn, announced, Attrs(
-        made[ORIGIN][0], path, reached[1] if reached and not plain else made[NEXT_HOP],
-        struct.unpack("!I", made[MED])[0] if MED in made else None,
-        struct.unpack(f"!{len(communities) // 4}I", communities)), tuple(notes))
+    return Update(
+        withdrawn,
+        announced,
+        Attrs(
+            made[ORIGIN][0],
+            path,
+            reached[1] if reached and not plain else made[NEXT_HOP],
+            struct.unpack("!I", made[MED])[0] if MED in made else None,
+            struct.unpack(f"!{len(communities) // 4}I", communities),
+        ),
+        tuple(notes),
+    )
 
 
 def _attribute(flags, kind, value):
-    return struct.pack("!BBH", flags | 0x10, kind, len(value)) + value if len(value) > 255 else bytes((flags, kind, len(value))) + value
+    return (
+        struct.pack("!BBH", flags | 0x10, kind, len(value)) + value
+        if len(value) > 255
+        else bytes((flags, kind, len(value))) + value
+    )
 
 
 def _octets(found):
-    return bytes((found[2],)) + found[1][:(found[2] + 7) // 8]
+    return bytes((found[2],)) + found[1][: (found[2] + 7) // 8]
 
 
 def _attributes(attrs, four):
     def path(wide):
-        return b"".join(bytes((kind, len(asns))) + struct.pack(f"!{len(asns)}{'I' if wide else 'H'}", *(
-            a if wide or a < 65536 else AS_TRANS for a in asns)) for kind, asns in attrs.path)
+        return b"".join(
+            bytes((kind, len(asns)))
+            + struct.pack(
+                f"!{len(asns)}{'I' if wide else 'H'}", *(a if wide or a < 65536 else AS_TRANS for a in asns)
+            )
+            for kind, asns in attrs.path
+        )
+
     out = _attribute(0x40, ORIGIN, bytes((attrs.origin,))) + _attribute(0x40, AS_PATH, path(four))
     if len(attrs.next_hop) == 4:
         out += _attribute(0x40, NEXT_HOP, attrs.next_hop)
@@ -381,7 +468,8 @@
 
 
 def updates(announced, attrs, withdrawn, four, most=MOST):
-    """The messages for prefixes that share their attributes, and for those taken back; as few as fit `most` octets each."""
+    """The messages for prefixes that share their attributes, and for those taken back; as few as fit `most`
+    octets each."""
     out, room = [], most - HEAD - 4
     old, new = ([p for p in withdrawn if p[0] == afi] for afi in (IPV4, IPV6))
     for piece in _packed(old, room):
@@ -395,7 +483,11 @@
         for piece in _packed(old, room - len(common)):
             out.append(message(UPDATE, b"\0\0" + struct.pack("!H", len(common)) + common + piece, most))
         for piece in _packed(new, room - len(common) - 9 - len(attrs.next_hop)):
-            value = common + _attribute(0x80, REACH, struct.pack("!HBB", IPV6, UNICAST, len(attrs.next_hop)) + attrs.next_hop + b"\0" + piece)
+            value = common + _attribute(
+                0x80,
+                REACH,
+                struct.pack("!HBB", IPV6, UNICAST, len(attrs.next_hop)) + attrs.next_hop + b"\0" + piece,
+            )
             out.append(message(UPDATE, b"\0\0" + struct.pack("!H", len(value)) + value, most))
     return out
 
--- a/tests/broken.py
+++ b/tests/broken.py
@@ -1,4 +1,6 @@
-"""`python broken.py RULE FILE`: serves a gateway that breaks one rule on purpose, so that the audit can be proved."""
+"""`python broken.py RULE FILE`: serves a gateway that breaks one rule on purpose, so that the audit can be
+proved."""
+
 import sys
 
 from petrelwood import ports
@@ -13,6 +15,7 @@
 
 class Drops(Brain):
     """Rule 1: every tenth activation is forgotten."""
+
     seen = 0
 
     def activation(self, *args):
@@ -42,6 +45,7 @@
 
 class Orders(Brain):
     """Rule 5: orders a load for every other activation."""
+
     seen = 0
 
     def activation(self, now, act_id, key, *rest):
@@ -59,13 +63,15 @@
     if name == "chases":
         return Chases
     if name == "repeats":
-        send_outcome.of_loss = lambda stage: ports.NO_CONNECTION  # claims of all that was lost that it never ran
+        # claims of all that was lost that it never ran
+        send_outcome.of_loss = lambda stage: ports.NO_CONNECTION
     elif name == "ignores drains":
         Membership.usable = lambda self, worker: True
         take = Membership._take
 
         def usable(self, entries, now, wall):
             return [e._replace(usable=True) for e in take(self, entries, now, wall)[0]], []
+
         Membership._take = usable
     elif name == "floods":
         return Floods
--- a/tests/desk.py
+++ b/tests/desk.py
@@ -1,4 +1,5 @@
 """A desk for one instance of the module: it writes down each decision, and compares with the kept trace."""
+
 import unittest
 
 from petrelwood import ports
@@ -9,16 +10,40 @@
 MS = 1_000_000
 
 
-def terms(effect=ports.REPEATABLE, self_loading=True, ration=(0, 0, 0), dispatchers=2, probes=False, orders=True, sends=3,
-          target=1000, stretch=0, ask=0, keep=8000, cold=8000, fall=1000, fee=0.0, quotas=(), beyond=0.0):
+def terms(
+    effect=ports.REPEATABLE,
+    self_loading=True,
+    ration=(0, 0, 0),
+    dispatchers=2,
+    probes=False,
+    orders=True,
+    sends=3,
+    target=1000,
+    stretch=0,
+    ask=0,
+    keep=8000,
+    cold=8000,
+    fall=1000,
+    fee=0.0,
+    quotas=(),
+    beyond=0.0,
+):
     return ports.Terms(
-        zone="north", dispatchers=dispatchers,
-        types={"plain": ports.NamespaceType(target * MS, effect, "zone", 1500 * MS, stretch, 3 * target * MS)},
+        zone="north",
+        dispatchers=dispatchers,
+        types={
+            "plain": ports.NamespaceType(target * MS, effect, "zone", 1500 * MS, stretch, 3 * target * MS)
+        },
         quotas=dict(quotas),
         guarantees=ports.Guarantees(ask * MS, cold * MS, 0.25, 2.0, fall * MS),
         orders=ports.LoadOrders(orders, self_loading, keep * MS, *ration),
         allowed=ports.Allowed(sends, True, True, probes, True, 500 * MS),
-        asks=bool(ask), reports_by_probe=probes, tick=2 * MS, probe_fee=fee, beyond=beyond)
+        asks=bool(ask),
+        reports_by_probe=probes,
+        tick=2 * MS,
+        probe_fee=fee,
+        beyond=beyond,
+    )
 
 
 def worker(name, zone="north", booted=0, usable=True):
@@ -70,12 +95,23 @@
 
     def come(self, *acts, fn=1, lanes=1, patience=3000, customer="", work=0, load=300):
         for act in acts:
-            self.brain.activation(self.now, act, fn, "plain", customer, self.now + patience * MS, lanes, work * MS, load * MS)
+            self.brain.activation(
+                self.now, act, fn, "plain", customer, self.now + patience * MS, lanes, work * MS, load * MS
+            )
 
     def answer(self, act, worker, code=ports.COMPLETED, n=0, took=100, note=1):
         self.say(f"       {act}#{n} on {worker}: {code}")
-        self.brain.answer(self.now, act, n, worker, code, note if code == ports.COMPLETED else 0,
-                          code == ports.COMPLETED, took * MS, None)
+        self.brain.answer(
+            self.now,
+            act,
+            n,
+            worker,
+            code,
+            note if code == ports.COMPLETED else 0,
+            code == ports.COMPLETED,
+            took * MS,
+            None,
+        )
 
     def end(self, test: unittest.TestCase):
         """Fails with the difference unless the trace is the kept one."""
--- a/tests/node_site.py
+++ b/tests/node_site.py
@@ -1,4 +1,6 @@
-"""A small platform for `petrelwood.node` on loopback: workers in JSON lines, a roster by DNS, clients; all scripted, all of our own."""
+"""A small platform for `petrelwood.node` on loopback: workers in JSON lines, a roster by DNS, clients; all
+scripted, all of our own."""
+
 import asyncio
 import base64
 import json
@@ -16,27 +18,83 @@
 
 ROOT = pathlib.Path(__file__).parent.parent
 SETTINGS = {
-    "zone": "north", "balancers": 1, "tick": 1000, "membershipMode": "push",
+    "zone": "north",
+    "balancers": 1,
+    "tick": 1000,
+    "membershipMode": "push",
     "classes": [
-        {"name": "plain", "slo": 400_000, "deadline": 2_000_000, "effect": "repeatable", "keyScope": "all", "window": 0},
-        {"name": "marked", "slo": 800_000, "deadline": 2_000_000, "effect": "by_key", "keyScope": "zone", "window": 4_000_000},
-        {"name": "single", "slo": 800_000, "deadline": 2_000_000, "effect": "once", "keyScope": "all", "window": 0}],
+        {
+            "name": "plain",
+            "slo": 400_000,
+            "deadline": 2_000_000,
+            "effect": "repeatable",
+            "keyScope": "all",
+            "window": 0,
+        },
+        {
+            "name": "marked",
+            "slo": 800_000,
+            "deadline": 2_000_000,
+            "effect": "by_key",
+            "keyScope": "zone",
+            "window": 4_000_000,
+        },
+        {
+            "name": "single",
+            "slo": 800_000,
+            "deadline": 2_000_000,
+            "effect": "once",
+            "keyScope": "all",
+            "window": 0,
+        },
+    ],
     "tenants": [{"name": "acme", "quotaRps": 10_000.0, "share": 1.0}],
-    "familyInfo": {"mayOrder": True, "onMiss": "miss", "keep": 60_000_000, "freeLoads": 50.0, "loadPart": 1.0,
-                   "loadPeriod": 10_000_000, "orderLimit": 2_000_000},
-    "guarantees": {"cold": 1_000_000, "startCapacity": 0.2, "fallMultiple": 2.5, "fall": 1_000_000, "drainGrace": 2_000_000},
-    "permissions": {"maxAttempts": 3, "secondCopies": True, "cancelling": True, "probes": True, "retryAfter": True,
-                    "maxRetryAfter": 500_000, "connectTimeout": 250_000, "connIdle": 30_000_000, "multiplex": 32},
+    "familyInfo": {
+        "mayOrder": True,
+        "onMiss": "miss",
+        "keep": 60_000_000,
+        "freeLoads": 50.0,
+        "loadPart": 1.0,
+        "loadPeriod": 10_000_000,
+        "orderLimit": 2_000_000,
+    },
+    "guarantees": {
+        "cold": 1_000_000,
+        "startCapacity": 0.2,
+        "fallMultiple": 2.5,
+        "fall": 1_000_000,
+        "drainGrace": 2_000_000,
+    },
+    "permissions": {
+        "maxAttempts": 3,
+        "secondCopies": True,
+        "cancelling": True,
+        "probes": True,
+        "retryAfter": True,
+        "maxRetryAfter": 500_000,
+        "connectTimeout": 250_000,
+        "connIdle": 30_000_000,
+        "multiplex": 32,
+    },
     "loadInfo": {"how": "pull", "fields": ["depth", "concurrent"]},
 }
 
 
 class Worker:
-    """Answers at once what it is told to; `runs` are the ids that it has run, in order. `script(worker, line)` may return
+    """Answers at once what it is told to; `runs` are the ids that it has run, in order. `script(worker,
+    line)` may return
     bytes, None (the usual answer) or b"" (none); it may be async."""
 
     def __init__(self, name, script=None):
-        self.name, self.script, self.runs, self.meta, self.kills, self.orders, self.probes = name, script, [], [], [], [], 0
+        self.name, self.script, self.runs, self.meta, self.kills, self.orders, self.probes = (
+            name,
+            script,
+            [],
+            [],
+            [],
+            [],
+            0,
+        )
         self.copies, self.server, self.port, self.streams = set(), None, None, []
 
     async def open(self, port=0):
@@ -100,10 +158,19 @@
     """`spoil(wire)`: what goes out instead, or None for nothing."""
 
     def __init__(self):
-        self.serial, self.entries, self.asked, self.spoil, self.port, self.transport = 1, {}, 0, None, None, None
+        self.serial, self.entries, self.asked, self.spoil, self.port, self.transport = (
+            1,
+            {},
+            0,
+            None,
+            None,
+            None,
+        )
 
     async def open(self):
-        self.transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(lambda: self, ("127.0.0.1", 0))
+        self.transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
+            lambda: self, ("127.0.0.1", 0)
+        )
         self.port = self.transport.get_extra_info("sockname")[1]
 
     def tell(self, worker, state="Ready", zone="north", started=0):
@@ -129,10 +196,16 @@
     name = "_api._tcp.svc.local."
     for worker, (port, state, zone, started) in entries.items():
         host = f"{worker}.{zone}.hosts."
-        reply.answer.append(dns.rrset.from_text(name, 5, "IN", "SRV", f"{int(state != 'Ready')} 10 {port} {host}"))
+        reply.answer.append(
+            dns.rrset.from_text(name, 5, "IN", "SRV", f"{int(state != 'Ready')} 10 {port} {host}")
+        )
         reply.additional.append(dns.rrset.from_text(host, 5, "IN", "A", "127.0.0.1"))
-        reply.additional.append(dns.rrset.from_text(host, 5, "IN", "TXT", f'"kind=std" "cell=1" "started={started}"'))
-    reply.authority.append(dns.rrset.from_text("svc.local.", 5, "IN", "SOA", f"ns.local. ops.local. {serial} 1 1 1 1"))
+        reply.additional.append(
+            dns.rrset.from_text(host, 5, "IN", "TXT", f'"kind=std" "cell=1" "started={started}"')
+        )
+    reply.authority.append(
+        dns.rrset.from_text("svc.local.", 5, "IN", "SOA", f"ns.local. ops.local. {serial} 1 1 1 1")
+    )
     return reply.to_wire(max_size=8000)
 
 
@@ -140,7 +213,14 @@
     """One connection; `call` waits for its answer: ("completed", body), (word, fields) or ("lost", None)."""
 
     def __init__(self, address):
-        self.address, self.last, self.waiting, self.strange, self.reader, self.writer = address, 0, {}, [], None, None
+        self.address, self.last, self.waiting, self.strange, self.reader, self.writer = (
+            address,
+            0,
+            {},
+            [],
+            None,
+            None,
+        )
 
     async def open(self):
         self.reader, self.writer = await asyncio.open_connection(*self.address)
@@ -197,15 +277,27 @@
 
 def ask(fn=1, ttl=2000, **more):
     """A request's fields with a new id."""
-    return {"call": f"{next(NUMBER):016x}", "ttl": str(ttl), "org": "acme", "row": f"{fn:016x}", "work": "5.0",
-            "facts": "memory_mb:64;lanes:4;load_ms:20", **more}
+    return {
+        "call": f"{next(NUMBER):016x}",
+        "ttl": str(ttl),
+        "org": "acme",
+        "row": f"{fn:016x}",
+        "work": "5.0",
+        "facts": "memory_mb:64;lanes:4;load_ms:20",
+        **more,
+    }
 
 
 class Site:
     """`async with Site(workers) as site`: a dispatcher by `python -m petrelwood.node` among them."""
 
     def __init__(self, workers, sockets=256, memory=64, **settings):
-        self.workers, self.roster, self.limits, self.settings = workers, Roster(), (sockets, memory), {**SETTINGS, **settings}
+        self.workers, self.roster, self.limits, self.settings = (
+            workers,
+            Roster(),
+            (sockets, memory),
+            {**SETTINGS, **settings},
+        )
         self.process, self.log, self.folder = None, [], tempfile.TemporaryDirectory()
 
     async def __aenter__(self):
@@ -220,24 +312,53 @@
         return self
 
     def write(self, **changes):
-        entries = [{"name": w, "address": f"127.0.0.1:{port}", "zone": zone, "type": "std", "group": 1, "status": state,
-                    "weight": 1, "since_ms": started} for w, (port, state, zone, started) in self.roster.entries.items()]
-        told = {"name": "n0", "listen": "%s:%d" % self.address, "seed": "8c1f30d27a5be964",
-                "limits": {"cores": 1.0, "memory_mb": self.limits[1], "sockets": self.limits[0]},
-                "names": f"127.0.0.1:{self.roster.port}",
-                "known": {"offset": self.roster.serial, "batch": [{"offset": self.roster.serial, "topology": {
-                    "index": 0, "snapshot": True, "endpoints": entries}}]},
-                "settings": self.settings, **changes}
+        entries = [
+            {
+                "name": w,
+                "address": f"127.0.0.1:{port}",
+                "zone": zone,
+                "type": "std",
+                "group": 1,
+                "status": state,
+                "weight": 1,
+                "since_ms": started,
+            }
+            for w, (port, state, zone, started) in self.roster.entries.items()
+        ]
+        told = {
+            "name": "n0",
+            "listen": "%s:%d" % self.address,
+            "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": self.limits[1], "sockets": self.limits[0]},
+            "names": f"127.0.0.1:{self.roster.port}",
+            "known": {
+                "offset": self.roster.serial,
+                "batch": [
+                    {
+                        "offset": self.roster.serial,
+                        "topology": {"index": 0, "snapshot": True, "endpoints": entries},
+                    }
+                ],
+            },
+            "settings": self.settings,
+            **changes,
+        }
         path = pathlib.Path(self.folder.name) / "config.json"
         path.write_text(json.dumps(told))
         return path
 
     def environ(self, path):
-        return {**os.environ, "PROXY_NAME": "n0", "PROXY_LISTEN": "%s:%d" % self.address, "PROXY_CONFIG": str(path)}
+        return {
+            **os.environ,
+            "PROXY_NAME": "n0",
+            "PROXY_LISTEN": "%s:%d" % self.address,
+            "PROXY_CONFIG": str(path),
+        }
 
     async def start(self, command=(sys.executable, "-m", "petrelwood.node"), **environ):
         self.process = await asyncio.create_subprocess_exec(
-            *command, cwd=ROOT, env={**self.environ(self.write()), **environ}, stderr=asyncio.subprocess.PIPE)
+            *command, cwd=ROOT, env={**self.environ(self.write()), **environ}, stderr=asyncio.subprocess.PIPE
+        )
         self.reading = asyncio.ensure_future(self._logs(self.process.stderr))
         await self.until(lambda: any('"listening"' in line for line in self.log))
 
@@ -259,7 +380,9 @@
     def figures(self):
         """(bytes of memory, descriptors) of the dispatcher."""
         at = pathlib.Path(f"/proc/{self.process.pid}")
-        return int((at / "statm").read_text().split()[1]) * os.sysconf("SC_PAGE_SIZE"), len(list((at / "fd").iterdir()))
+        return int((at / "statm").read_text().split()[1]) * os.sysconf("SC_PAGE_SIZE"), len(
+            list((at / "fd").iterdir())
+        )
 
     async def stop(self, within=6):
         """SIGTERM; the exit status."""
--- a/tests/ration.py
+++ b/tests/ration.py
@@ -1,10 +1,15 @@
-"""A judge of rule 5, with books of its own: what arrives at workers, held against what clients had sent by then.
-
-A written run of the dispatcher's core, module and links on `virtual`: connections that come up late, never or are refused, answers that
-are lost, workers that hang or are replaced, loads that fail, clients that give up, floods that are taken back or that ask for what nobody
-has, and a load of work that falls off steeply. An order counts when it has arrived whole, an activation when its last byte was
+"""A judge of rule 5, with books of its own: what arrives at workers, held against what clients had sent by
+then.
+
+A written run of the dispatcher's core, module and links on `virtual`: connections that come up late, never or
+are refused, answers that
+are lost, workers that hang or are replaced, loads that fail, clients that give up, floods that are taken back
+or that ask for what nobody
+has, and a load of work that falls off steeply. An order counts when it has arrived whole, an activation when
+its last byte was
 sent; what a bad client sends counts for nothing.
 """
+
 import bisect
 import copy
 import random
@@ -17,7 +22,7 @@
 from petrelwood.node.front import Figures
 
 MS = virtual.MS
-GRACE = 2.0                # s, as `node_site.SETTINGS` tells it
+GRACE = 2.0  # s, as `node_site.SETTINGS` tells it
 
 
 class Log:
@@ -35,16 +40,36 @@
 
     def __init__(self, seed, **changes):
         self.seed, self.period, self.free, self.part, self.connect, self.rate, self.falls, self.seconds = (
-            seed, 10_000, 4, 0.2, 250, 40, 0.1, 30)
-        self.late, self.latest, self.never, self.refused, self.floods, self.strange, self.gives_up, self.lag, self.target = (
-            0.3, 1000, 0.05, 0.02, 0.2, 0.1, 0.1, 2, 400)
+            seed,
+            10_000,
+            4,
+            0.2,
+            250,
+            40,
+            0.1,
+            30,
+        )
+        (
+            self.late,
+            self.latest,
+            self.never,
+            self.refused,
+            self.floods,
+            self.strange,
+            self.gives_up,
+            self.lag,
+            self.target,
+        ) = (0.3, 1000, 0.05, 0.02, 0.2, 0.1, 0.1, 2, 400)
         self.functions, self.workers, self.replaced, self.streams = 60, 8, 3, 32
-        self.hangs, self.hung = 0.0, 12                  # the part of the workers that hang at a time, and for how many seconds
+        # the part of the workers that hang at a time, and for how many seconds
+        self.hangs, self.hung = 0.0, 12
         vars(self).update(changes)
 
     def settings(self):
         raw = copy.deepcopy(SETTINGS)
-        raw["familyInfo"].update(freeLoads=self.free, loadPart=self.part, loadPeriod=self.period * 1000, keep=4_000_000)
+        raw["familyInfo"].update(
+            freeLoads=self.free, loadPart=self.part, loadPeriod=self.period * 1000, keep=4_000_000
+        )
         raw["permissions"].update(connectTimeout=self.connect * 1000, multiplex=self.streams)
         for type_ in raw["classes"]:
             type_["slo"], type_["deadline"] = self.target * 1000, 4 * self.target * 1000
@@ -55,7 +80,13 @@
     """`sent`: when its last byte was sent, s; `bad`: whether its client means no good."""
 
     def __init__(self, world, bad):
-        self.world, self.act, self.ended, self.sent, self.bad = world, None, None, world.clock.loop.time(), bad
+        self.world, self.act, self.ended, self.sent, self.bad = (
+            world,
+            None,
+            None,
+            world.clock.loop.time(),
+            bad,
+        )
 
     def waits(self):
         return self.ended is None
@@ -64,15 +95,22 @@
         if self.ended is not None:
             raise AssertionError("a second final answer")
         self.ended = what
-        if self.bad and what == "completed":             # it was an activation like any other
+        if self.bad and what == "completed":  # it was an activation like any other
             bisect.insort(self.world.asked, self.sent)
         self.world.ends[what] = self.world.ends.get(what, 0) + 1
 
 
 class Worker:
     def __init__(self, world, name, port):
-        self.world, self.name, self.port, self.copies, self.killed, self.gone = world, name, port, set(), set(), None
-        self.hung = 0.0                                  # reads nothing until then, and then all at once
+        self.world, self.name, self.port, self.copies, self.killed, self.gone = (
+            world,
+            name,
+            port,
+            set(),
+            set(),
+            None,
+        )
+        self.hung = 0.0  # reads nothing until then, and then all at once
 
     def joins(self, stream):
         c, chance = self.world.case, self.world.chance
@@ -108,7 +146,7 @@
             stream.says({"type": "FAULT", "req": tag, "meta": {}})
         elif meta["asset"] not in self.copies:
             stream.says({"type": "NONE", "req": tag, "meta": {}})
-        elif chance.random() > 0.02:                     # else its answer is lost
+        elif chance.random() > 0.02:  # else its answer is lost
             self.world.later(chance.expovariate(1 / 0.06), self.ran, stream, said)
 
     def loaded(self, stream, tag, fn, good):
@@ -130,9 +168,17 @@
 
     async def run(self):
         self.clock = virtual.Clock()
-        gateway = told.decode({
-            "name": "n0", "listen": "127.0.0.1:1", "names": "127.0.0.1:2", "known": {"offset": 0, "batch": []}, "seed": str(self.case.seed),
-            "limits": {"sockets": 512, "memory_mb": 64}, "settings": self.case.settings()})
+        gateway = told.decode(
+            {
+                "name": "n0",
+                "listen": "127.0.0.1:1",
+                "names": "127.0.0.1:2",
+                "known": {"offset": 0, "batch": []},
+                "seed": str(self.case.seed),
+                "limits": {"sockets": 512, "memory_mb": 64},
+                "settings": self.case.settings(),
+            }
+        )
         self.node = service.Node(gateway, Log())
         for _ in range(self.case.workers):
             self.hire()
@@ -164,44 +210,62 @@
 
     def tell(self):
         self.serial += 1
-        entries = [told.entry({"name": w.name, "address": f"h:{port}", "status": "Ready"}) for port, w in self.hosts.items()
-                   if w.gone is None]
+        entries = [
+            told.entry({"name": w.name, "address": f"h:{port}", "status": "Ready"})
+            for port, w in self.hosts.items()
+            if w.gone is None
+        ]
         node = self.node
         node.membership.alive(node.now())
-        node.listed(*node.membership.whole(f"dns-{self.serial}", entries, node.now(), node.clock.wall()), True)
+        node.listed(
+            *node.membership.whole(f"dns-{self.serial}", entries, node.now(), node.clock.wall()), True
+        )
 
     def replace(self, part=0.6):
         """The oldest are told to be gone, and live on for a while; as many new ones are told with that."""
-        for port in [port for port, host in self.hosts.items() if host.gone is None][:int(self.case.workers * part)]:
+        for port in [port for port, host in self.hosts.items() if host.gone is None][
+            : int(self.case.workers * part)
+        ]:
             self.hosts[port].gone = self.clock.loop.time()
             self.hire()
         self.tell()
 
     def steps(self, steps, since, until):
         """Six in ten are replaced, in so many steps between two times (s)."""
+
         def step():
             self.replace(0.6 / steps)
             if self.clock.loop.time() < until:
                 self.later((until - since) / steps, step)
+
         self.at_second = (since, step)
 
     def hang(self):
         now = self.clock.loop.time()
-        for host in self.chance.sample(list(self.hosts.values()), max(1, int(self.case.hangs * len(self.hosts)))):
+        for host in self.chance.sample(
+            list(self.hosts.values()), max(1, int(self.case.hangs * len(self.hosts)))
+        ):
             host.hung = now + self.case.hung
         self.later(self.case.hung + 1, self.hang)
 
     # Clients.
     def rate(self):
-        """Heavy for a part of each period, then little: what gave the right to orders leaves the window at once."""
+        """Heavy for a part of each period, then little: what gave the right to orders leaves the window at
+        once."""
         phase = self.clock.loop.time() % 13 / 13
         return self.case.rate * (1 if phase < 0.25 else self.case.falls)
 
     def client(self):
-        now, span = self.clock.loop.time(), int(1 + now_part(self.clock.loop.time(), self.case) * 2) * self.case.functions
+        now, span = (
+            self.clock.loop.time(),
+            int(1 + now_part(self.clock.loop.time(), self.case) * 2) * self.case.functions,
+        )
         strange = self.chance.random() < self.case.strange
-        fn = f"{self.chance.getrandbits(63) | 1 << 63:016x}" if strange else self.names[
-            int(span * self.chance.random() ** 2)]
+        fn = (
+            f"{self.chance.getrandbits(63) | 1 << 63:016x}"
+            if strange
+            else self.names[int(span * self.chance.random() ** 2)]
+        )
         if not strange:
             self.real.add(fn)
             self.asked.append(now)
@@ -220,7 +284,13 @@
 
     def read(self, exchange, id_, fn, ttl):
         if not self.node.is_open(id_):
-            self.node.ask(Ask("acme", id_, 0, "plain", self.clock.now(), ttl * MS, ""), fn, Figures(4, 200 * MS, 5 * MS), b"x", exchange)
+            self.node.ask(
+                Ask("acme", id_, 0, "plain", self.clock.now(), ttl * MS, ""),
+                fn,
+                Figures(4, 200 * MS, 5 * MS),
+                b"x",
+                exchange,
+            )
 
     def leave(self, exchange):
         if exchange.ended is None and exchange.act is not None:
@@ -228,15 +298,23 @@
             self.node.left(exchange.act, exchange)
 
     def flood(self):
-        """Hundreds at once, half of them under one id: for what nobody has, taken back at once, a little later or never, or for what
+        """Hundreds at once, half of them under one id: for what nobody has, taken back at once, a little
+        later or never, or for what
         somebody has, taken back."""
         self.floods += 1
         size, fn = 200, f"{self.chance.getrandbits(63) | 1 << 63:016x}"
         known = self.chance.random() < 0.3 and self.real
-        one, back = self.chance.random() < 0.5, self.chance.choice((0.0, 0.0, 0.02) if known else (0.0, 0.0, 0.02, None))
+        one, back = (
+            self.chance.random() < 0.5,
+            self.chance.choice((0.0, 0.0, 0.02) if known else (0.0, 0.0, 0.02, None)),
+        )
         for n in range(size):
-            name = self.chance.choice(sorted(self.real)) if known else fn if one else f"{int(fn, 16) ^ n:016x}"
-            exchange = self.ask_later(name, True, 3 * self.case.target, f"{self.floods:08x}{0 if one else n:08x}")
+            name = (
+                self.chance.choice(sorted(self.real)) if known else fn if one else f"{int(fn, 16) ^ n:016x}"
+            )
+            exchange = self.ask_later(
+                name, True, 3 * self.case.target, f"{self.floods:08x}{0 if one else n:08x}"
+            )
             if back is not None:
                 self.later(self.case.lag / 1000 + 0.0001 + back, self.leave, exchange)
         self.later(self.chance.expovariate(self.case.floods), self.flood)
@@ -260,13 +338,19 @@
 
 
 def play(case):
-    """The `World` after the run; `worst`: (orders over the ration, orders, activations, s) where it was nearest or most broken."""
+    """The `World` after the run; `worst`: (orders over the ration, orders, activations, s) where it was
+    nearest or most broken."""
     return on(World(case))
 
 
 def on(world):
     """Plays a world that was made before."""
-    with mock.patch.object(service, "LoopClock", virtual.Clock), mock.patch.object(worker.sockets, "fresh", lambda host: None), \
-            mock.patch.object(worker, "Stream", lambda *_, **__: virtual.Stream(lambda address: world.hosts.get(address[1]))):
+    with (
+        mock.patch.object(service, "LoopClock", virtual.Clock),
+        mock.patch.object(worker.sockets, "fresh", lambda host: None),
+        mock.patch.object(
+            worker, "Stream", lambda *_, **__: virtual.Stream(lambda address: world.hosts.get(address[1]))
+        ),
+    ):
         virtual.run(world.run())
     return world
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -1,4 +1,5 @@
 """A dispatcher on real sockets in this process, with a roster and workers that do just what a test says."""
+
 import asyncio
 import base64
 import pathlib
@@ -76,14 +77,25 @@
 
     def __init__(self, name, on_run=None, greet=True, reads=True, booted=0):
         super().__init__()
-        self.name, self.on_run, self.greet, self.reads, self.booted = name, on_run or answer, greet, reads, booted
+        self.name, self.on_run, self.greet, self.reads, self.booted = (
+            name,
+            on_run or answer,
+            greet,
+            reads,
+            booted,
+        )
         self.runs, self.cancels, self.holds, self.streams = [], [], [], []
         sock, self.port = bind_unused_port()
         self.add_sockets([sock])
 
     def entry(self, state="usable", zone="n"):
-        return {"worker": self.name, "address": f"127.0.0.1:{self.port}", "zone": zone, "state": state,
-                "booted": self.booted}
+        return {
+            "worker": self.name,
+            "address": f"127.0.0.1:{self.port}",
+            "zone": zone,
+            "state": state,
+            "booted": self.booted,
+        }
 
     async def handle_stream(self, stream, address):
         self.streams.append(stream)
@@ -130,15 +142,20 @@
 class Case(unittest.IsolatedAsyncioTestCase):
     """`await self.begin(workers...)`, then `self.post(...)`."""
 
-    async def begin(self, *workers, limits='body "20KB"', terms="", brain=None, tolerance=None, slowly="300ms"):
+    async def begin(
+        self, *workers, limits='body "20KB"', terms="", brain=None, tolerance=None, slowly="300ms"
+    ):
         self.roster, self.log, self.workers = Roster(), Quiet(), workers
         sock, port = bind_unused_port()
         self.roster.add_sockets([sock])
         self.roster.entries = [w.entry(zone=getattr(w, "zone", "n")) for w in workers]
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder) / "g.kdl"
-            path.write_text(FILE.format(roster=port, key=KEY, limits=limits, workers=terms).replace(
-                'body-within "300ms"', f'body-within "{slowly}"'))
+            path.write_text(
+                FILE.format(roster=port, key=KEY, limits=limits, workers=terms).replace(
+                    'body-within "300ms"', f'body-within "{slowly}"'
+                )
+            )
             self.gateway = gateway.read(path)
         self.core = Dispatcher(self.gateway, self.log, **({"brain": brain} if brain else {}))
         # What was signed before this life began is refused; a test begins inside a second.
@@ -173,8 +190,12 @@
     def message(self, function="again-1", id_=None, stamp=None, body=b"{}", path=None, **headers):
         self.number += 1
         id_, stamp = id_ or f"m{self.number}", stamp or self.stamp
-        made = {"Content-Type": "application/json", "webhook-id": id_, "webhook-timestamp": stamp,
-                "webhook-signature": sign("v1", SECRET, id_, stamp, body)}
+        made = {
+            "Content-Type": "application/json",
+            "webhook-id": id_,
+            "webhook-timestamp": stamp,
+            "webhook-signature": sign("v1", SECRET, id_, stamp, body),
+        }
         made.update({k.replace("_", "-"): v for k, v in headers.items()})
         return request(path or f"/hooks/x/{function}", {k: v for k, v in made.items() if v is not None}, body)
 
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -1,4 +1,6 @@
-"""The audit is proved: a sound dispatcher passes a short day, and one that breaks a rule is caught by that rule."""
+"""The audit is proved: a sound dispatcher passes a short day, and one that breaks a rule is caught by that
+rule."""
+
 import asyncio
 import pathlib
 import sys
@@ -29,6 +31,7 @@
                 await run.play()
             case = run.case()
             played[how] = {f.rule: f for f in rules.judge(case)}, rules.outcomes(case)
+
     await asyncio.gather(*map(play, HOW))
     return played
 
@@ -40,7 +43,9 @@
 
     def caught(self, how, rule):
         found, _ = self.played[how]
-        self.assertTrue(found[rule].broken, f"a dispatcher that {how} was not caught; looked at {found[rule].looked}")
+        self.assertTrue(
+            found[rule].broken, f"a dispatcher that {how} was not caught; looked at {found[rule].looked}"
+        )
         return found
 
     def test_a_sound_dispatcher_breaks_none(self):
@@ -70,17 +75,26 @@
 
 class Told(unittest.IsolatedAsyncioTestCase):
     async def test_news_after_the_roster_was_lost_does_not_count_as_told(self):
-        """Found by the soak: a worker's end, told into a connection that had just been dropped, stood as if the dispatcher knew it."""
+        """Found by the soak: a worker's end, told into a connection that had just been dropped, stood as if
+        the dispatcher knew it."""
         kept = []
 
         class Records:
             def put(self, what, **facts):
                 kept.append(facts["kind"])
+
         described = script.read(HERE / "days" / "small.kdl")
         made = Roster(described, Records())
         sock, port = bind_unused_port()
         made.add_sockets([sock])
-        entry = {"worker": "w1", "address": "127.0.0.1:1", "zone": "a", "cell": 1, "state": "usable", "booted": 0}
+        entry = {
+            "worker": "w1",
+            "address": "127.0.0.1:1",
+            "zone": "a",
+            "cell": 1,
+            "state": "usable",
+            "booted": 0,
+        }
         made.change(entry)
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
         writer.write(b"GET /workers HTTP/1.1\r\nUser-Agent: d1\r\n\r\n")
--- a/tests/test_bgp.py
+++ b/tests/test_bgp.py
@@ -1,4 +1,6 @@
-"""BGP: messages bent and cut, neighbours on a clock that is handed in, what is announced; traces are read by people."""
+"""BGP: messages bent and cut, neighbours on a clock that is handed in, what is announced; traces are read by
+people."""
+
 import random
 import struct
 import unittest
@@ -27,30 +29,51 @@
     reader, found = bgp.Reader(), []
     reader.most = most
     for kind, body in reader.feed(data):
-        found.append(bgp.read_update(body, four) if kind == bgp.UPDATE else bgp.read_open(body) if kind == bgp.OPEN else
-                     bgp.read_notification(body) if kind == bgp.NOTIFICATION else kind)
+        found.append(
+            bgp.read_update(body, four)
+            if kind == bgp.UPDATE
+            else bgp.read_open(body)
+            if kind == bgp.OPEN
+            else bgp.read_notification(body)
+            if kind == bgp.NOTIFICATION
+            else kind
+        )
     return found
 
 
-nets = st.one_of(st.tuples(st.binary(min_size=4, max_size=4), st.integers(0, 32)).map(lambda t: (bgp.IPV4, *t)),
-                 st.tuples(st.binary(min_size=16, max_size=16), st.integers(0, 128)).map(lambda t: (bgp.IPV6, *t)))
+nets = st.one_of(
+    st.tuples(st.binary(min_size=4, max_size=4), st.integers(0, 32)).map(lambda t: (bgp.IPV4, *t)),
+    st.tuples(st.binary(min_size=16, max_size=16), st.integers(0, 128)).map(lambda t: (bgp.IPV6, *t)),
+)
 
 
 def masked(found):
     afi, raw, length = found
     bits = len(raw) * 8
-    return afi, (int.from_bytes(raw, "big") >> (bits - length) << (bits - length)).to_bytes(len(raw), "big"), length
+    return (
+        afi,
+        (int.from_bytes(raw, "big") >> (bits - length) << (bits - length)).to_bytes(len(raw), "big"),
+        length,
+    )
 
 
 class Messages(unittest.TestCase):
     @settings(max_examples=150, deadline=None, derandomize=True)
-    @given(st.lists(nets.map(masked), max_size=300, unique=True), st.lists(nets.map(masked), max_size=300, unique=True), st.booleans(),
-           st.lists(st.integers(1, (1 << 32) - 1), max_size=40), st.one_of(st.none(), st.integers(0, (1 << 32) - 1)),
-           st.lists(st.integers(0, (1 << 32) - 1), max_size=70), st.booleans())
+    @given(
+        st.lists(nets.map(masked), max_size=300, unique=True),
+        st.lists(nets.map(masked), max_size=300, unique=True),
+        st.booleans(),
+        st.lists(st.integers(1, (1 << 32) - 1), max_size=40),
+        st.one_of(st.none(), st.integers(0, (1 << 32) - 1)),
+        st.lists(st.integers(0, (1 << 32) - 1), max_size=70),
+        st.booleans(),
+    )
     def test_what_is_written_is_read(self, new, old, four, path, med, communities, extended):
         most = bgp.EXTENDED if extended else bgp.MOST
         for afi, hop in ((bgp.IPV4, "7f000001"), (bgp.IPV6, "00" * 15 + "01")):
-            given_ = bgp.Attrs(2, ((bgp.SEQUENCE, tuple(path)),) if path else (), bytes.fromhex(hop), med, tuple(communities))
+            given_ = bgp.Attrs(
+                2, ((bgp.SEQUENCE, tuple(path)),) if path else (), bytes.fromhex(hop), med, tuple(communities)
+            )
             mine, gone = [p for p in new if p[0] == afi], [p for p in old if p[0] == afi]
             raw = bgp.updates(mine, given_, gone, four, most)
             self.assertTrue(all(len(one) <= most for one in raw))
@@ -67,7 +90,7 @@
         raw = bgp.updates(prefixes, attrs(), (), True)
         self.assertEqual(max(map(len, raw)) > 4096 - 5, True)
         body = b"\0\0" + b"\0\0" + b"\x18\x0a\0\0" * 1018 + b"\0"
-        whole = bgp.message(bgp.UPDATE, body)                 # 4,096 octets exactly
+        whole = bgp.message(bgp.UPDATE, body)  # 4,096 octets exactly
         self.assertEqual(len(whole), 4096)
         self.assertIsInstance(read(whole)[0], bgp.Update)
         with self.assertRaises(ValueError):
@@ -76,15 +99,25 @@
         with self.assertRaises(bgp.Wrong) as caught:
             read(over)
         self.assertEqual((caught.exception.code, caught.exception.sub), (1, 2))
-        self.assertEqual(len(read(over, most=bgp.EXTENDED)), 1)                  # RFC 8654
-        with self.assertRaises(bgp.Wrong):                    # never an OPEN
+        self.assertEqual(len(read(over, most=bgp.EXTENDED)), 1)  # RFC 8654
+        with self.assertRaises(bgp.Wrong):  # never an OPEN
             read(bgp.MARKER + struct.pack("!HB", 4097, bgp.OPEN) + bytes(5000), most=bgp.EXTENDED)
 
     def test_whatever_comes_is_a_message_or_a_fault_with_a_name(self):
         chance, faults = random.Random(5), {}
-        seeds = [bgp.open_message(4_200_000_000, 9, 7, FAMILIES, bgp.CUSTOMER), bgp.notification(6, 2, bgp.shutdown_text("drained")),
-                 *bgp.updates([PREFIX, bgp.prefix("10.0.0.0/8")], attrs((65001, 70000), communities=(1, 2), med=5), [PREFIX], True),
-                 *bgp.updates([bgp.prefix("2001:db8::/32")], attrs(hop="00" * 16), [bgp.prefix("2001:db8::1/128")], True)]
+        seeds = [
+            bgp.open_message(4_200_000_000, 9, 7, FAMILIES, bgp.CUSTOMER),
+            bgp.notification(6, 2, bgp.shutdown_text("drained")),
+            *bgp.updates(
+                [PREFIX, bgp.prefix("10.0.0.0/8")],
+                attrs((65001, 70000), communities=(1, 2), med=5),
+                [PREFIX],
+                True,
+            ),
+            *bgp.updates(
+                [bgp.prefix("2001:db8::/32")], attrs(hop="00" * 16), [bgp.prefix("2001:db8::1/128")], True
+            ),
+        ]
         for turn in range(20_000):
             data = bytearray(chance.choice(seeds))
             for _ in range(chance.randrange(4)):
@@ -92,14 +125,15 @@
                 if how == 0:
                     data[at] ^= 1 << chance.randrange(8)
                 elif how == 1:
-                    del data[at:at + chance.randrange(1, 9)]
+                    del data[at : at + chance.randrange(1, 9)]
                 elif how == 2:
                     data[at:at] = chance.randbytes(chance.randrange(1, 9))
                 else:
                     data[at] = chance.choice((0, 1, 127, 255))
                 if not data:
                     data = bytearray(b"\0")
-            if chance.random() < 0.7 and len(data) >= 19:     # most of them framed rightly, or nothing behind the frame is met
+            # most of them framed rightly, or nothing behind the frame is met
+            if chance.random() < 0.7 and len(data) >= 19:
                 data[:16] = bgp.MARKER
                 data[16:18] = struct.pack("!H", len(data))
             try:
@@ -112,22 +146,51 @@
     def test_faults_in_attributes_take_routes_back_or_end_the_session(self):
         """RFC 7606, attribute by attribute."""
         lines = []
-        good = {1: (0x40, b"\0"), 2: (0x40, b"\2\1\0\0\xfd\xe9"), 3: (0x40, b"\x7f\0\0\1"), 4: (0x80, b"\0\0\0\1"), 8: (0xC0, b"\0\0\0\1")}
-        cases = [("as it should be", {}), ("origin of 3", {1: (0x40, b"\3")}), ("origin of two octets", {1: (0x40, b"\0\0")}),
-                 ("origin optional", {1: (0xC0, b"\0")}), ("no origin", {1: None}), ("no path", {2: None}), ("no next hop", {3: None}),
-                 ("path cut", {2: (0x40, b"\2\2\0\0\xfd\xe9")}), ("path of an empty segment", {2: (0x40, b"\2\0")}),
-                 ("next hop of 5 octets", {3: (0x40, b"\x7f\0\0\1\0")}), ("MED of 3", {4: (0x80, b"\0\0\1")}), ("MED transitive", {4: (0xC0, b"\0\0\0\1")}),
-                 ("communities of 5", {8: (0xC0, b"\0\0\0\1\0")}), ("no communities in it", {8: (0xC0, b"")}), ("aggregator of 7", {7: (0xC0, bytes(7))}),
-                 ("atomic of 1", {6: (0x40, b"\1")}), ("unknown and optional", {99: (0xC0, b"xyz")}), ("unknown and well-known", {99: (0x40, b"x")}),
-                 ("IPv6 with a next hop of 5", {14: (0x80, b"\0\2\1\5\0\0\0\0\0\0\0")}), ("IPv6 of 129 bits", {14: (0x80, b"\0\2\1\x10" + bytes(17) + b"\x81")}),
-                 ("a family not ours", {14: (0x80, b"\0\1\x80\4\1\2\3\4\0")}), ("IPv6 taken back, cut", {15: (0x80, b"\0\2")})]
+        good = {
+            1: (0x40, b"\0"),
+            2: (0x40, b"\2\1\0\0\xfd\xe9"),
+            3: (0x40, b"\x7f\0\0\1"),
+            4: (0x80, b"\0\0\0\1"),
+            8: (0xC0, b"\0\0\0\1"),
+        }
+        cases = [
+            ("as it should be", {}),
+            ("origin of 3", {1: (0x40, b"\3")}),
+            ("origin of two octets", {1: (0x40, b"\0\0")}),
+            ("origin optional", {1: (0xC0, b"\0")}),
+            ("no origin", {1: None}),
+            ("no path", {2: None}),
+            ("no next hop", {3: None}),
+            ("path cut", {2: (0x40, b"\2\2\0\0\xfd\xe9")}),
+            ("path of an empty segment", {2: (0x40, b"\2\0")}),
+            ("next hop of 5 octets", {3: (0x40, b"\x7f\0\0\1\0")}),
+            ("MED of 3", {4: (0x80, b"\0\0\1")}),
+            ("MED transitive", {4: (0xC0, b"\0\0\0\1")}),
+            ("communities of 5", {8: (0xC0, b"\0\0\0\1\0")}),
+            ("no communities in it", {8: (0xC0, b"")}),
+            ("aggregator of 7", {7: (0xC0, bytes(7))}),
+            ("atomic of 1", {6: (0x40, b"\1")}),
+            ("unknown and optional", {99: (0xC0, b"xyz")}),
+            ("unknown and well-known", {99: (0x40, b"x")}),
+            ("IPv6 with a next hop of 5", {14: (0x80, b"\0\2\1\5\0\0\0\0\0\0\0")}),
+            ("IPv6 of 129 bits", {14: (0x80, b"\0\2\1\x10" + bytes(17) + b"\x81")}),
+            ("a family not ours", {14: (0x80, b"\0\1\x80\4\1\2\3\4\0")}),
+            ("IPv6 taken back, cut", {15: (0x80, b"\0\2")}),
+        ]
         for name, change in cases:
-            made = b"".join(bytes((flags, kind, len(value))) + value for kind, (flags, value) in sorted(
-                (k, v) for k, v in {**good, **change}.items() if v is not None))
+            made = b"".join(
+                bytes((flags, kind, len(value))) + value
+                for kind, (flags, value) in sorted(
+                    (k, v) for k, v in {**good, **change}.items() if v is not None
+                )
+            )
             body = b"\0\0" + struct.pack("!H", len(made)) + made + b"\x20\xc0\0\2\1"
             try:
                 found = bgp.read_update(body, True)
-                lines.append(f"{name}: announced {len(found.announced)}, withdrawn {len(found.withdrawn)}" + "".join(f"; {n}" for n in found.notes))
+                lines.append(
+                    f"{name}: announced {len(found.announced)}, withdrawn {len(found.withdrawn)}"
+                    + "".join(f"; {n}" for n in found.notes)
+                )
             except bgp.Wrong as fault:
                 lines.append(f"{name}: NOTIFICATION {fault.code}/{fault.sub} {fault}")
         compare(self, "bgp_faults", lines)
@@ -179,7 +242,7 @@
             going, self.flying = self.flying, []
             for to, key, data in going:
                 if to in deaf:
-                    if data == SYN:                      # nobody answers: the try times out
+                    if data == SYN:  # nobody answers: the try times out
                         self.other(to).neighbor.failed(self.now)
                     continue
                 other_key = neighbor.THEIRS if key == neighbor.OURS else neighbor.OURS
@@ -211,7 +274,11 @@
         kind = data[18]
         if kind != bgp.KEEPALIVE:
             words = bgp.read_notification(data[19:]) if kind == bgp.NOTIFICATION else None
-            self.wire.say(self.name, f"{bgp.NAMES[kind]} on {key}" + (f" {words.code}/{words.sub} {words.text()}" if words else ""))
+            self.wire.say(
+                self.name,
+                f"{bgp.NAMES[kind]} on {key}"
+                + (f" {words.code}/{words.sub} {words.text()}" if words else ""),
+            )
         self.wire.flying.append((self.wire.other(self.name).name, key, data))
 
     def close(self, key):
@@ -242,16 +309,24 @@
         for ids in ((1, 2), (2, 1)):
             wire = self.started(terms_of(65001, 65000, ids[0]), terms_of(65000, 65001, ids[1]))
             wire.run(2 * S)
-            keys = {name: end.neighbor.established and end.neighbor.established.key for name, end in wire.ends.items()}
-            self.assertEqual(keys, {"A": neighbor.OURS, "B": neighbor.THEIRS} if ids[0] > ids[1] else {"A": neighbor.THEIRS, "B": neighbor.OURS})
+            keys = {
+                name: end.neighbor.established and end.neighbor.established.key
+                for name, end in wire.ends.items()
+            }
+            self.assertEqual(
+                keys,
+                {"A": neighbor.OURS, "B": neighbor.THEIRS}
+                if ids[0] > ids[1]
+                else {"A": neighbor.THEIRS, "B": neighbor.OURS},
+            )
             self.assertTrue(all(len(end.neighbor.connections) == 1 for end in wire.ends.values()))
         compare(self, "bgp_collision", wire.lines)
 
     def test_a_life_of_a_session(self):
         wire = self.started(terms_of(65001, 65000, 1), terms_of(65000, 65001, 2, passive=True, hold=3))
-        wire.run(20 * S)                                  # keepalives hold it
+        wire.run(20 * S)  # keepalives hold it
         self.assertEqual([e.ups for e in wire.ends.values()], [1, 1])
-        wire.run(24 * S, deaf=("B",))                    # B hangs: A must notice within the hold time
+        wire.run(24 * S, deaf=("B",))  # B hangs: A must notice within the hold time
         wire.run(27 * S)
         wire.ends["A"].neighbor.stop(wire.now, bgp.SHUTDOWN, "drained")
         wire.run(29 * S)
@@ -260,17 +335,24 @@
 
     def test_who_does_not_fit_is_told_why_and_tried_ever_less(self):
         lines = []
-        for name, terms in (("another AS", terms_of(65009, 65001, 2, passive=True)), ("our identifier", terms_of(65001, 65001, 1, passive=True)),
-                            ("both customers", terms_of(65000, 65001, 2, passive=True, role=bgp.CUSTOMER)),
-                            ("a hold time of 1", terms_of(65000, 65001, 2, passive=True, hold=1)),
-                            ("a hold time of 0", terms_of(65000, 65001, 2, passive=True, hold=0)),
-                            ("a hold time of 3", terms_of(65000, 65001, 2, passive=True, hold=3))):
-            wire = self.started(terms_of(65001, 65001 if name == "our identifier" else 65000, 1, role=bgp.CUSTOMER), terms)
+        for name, terms in (
+            ("another AS", terms_of(65009, 65001, 2, passive=True)),
+            ("our identifier", terms_of(65001, 65001, 1, passive=True)),
+            ("both customers", terms_of(65000, 65001, 2, passive=True, role=bgp.CUSTOMER)),
+            ("a hold time of 1", terms_of(65000, 65001, 2, passive=True, hold=1)),
+            ("a hold time of 0", terms_of(65000, 65001, 2, passive=True, hold=0)),
+            ("a hold time of 3", terms_of(65000, 65001, 2, passive=True, hold=3)),
+        ):
+            wire = self.started(
+                terms_of(65001, 65001 if name == "our identifier" else 65000, 1, role=bgp.CUSTOMER), terms
+            )
             wire.run(40 * S)
             tries = sum("A connects" in line for line in wire.lines)
             why = next((line[9:] for line in wire.lines if "NOTIFICATION" in line), "")
             up = wire.ends["A"].neighbor.established
-            lines.append(f"{name}: {f'up, hold {up.hold}' if up else why}; {'once' if tries == 1 else 'again and again'}")
+            lines.append(
+                f"{name}: {f'up, hold {up.hold}' if up else why}; {'once' if tries == 1 else 'again and again'}"
+            )
             self.assertEqual(bool(up), tries == 1)
             self.assertLess(tries, 12)
         compare(self, "bgp_misfits", lines)
@@ -280,7 +362,9 @@
             chance = random.Random(seed)
             wire = self.started(seed=seed)
             for _ in range(20):
-                wire.run(wire.now + chance.randrange(S // 50, 3 * S), deaf=chance.choice(((), (), ("A",), ("B",))))
+                wire.run(
+                    wire.now + chance.randrange(S // 50, 3 * S), deaf=chance.choice(((), (), ("A",), ("B",)))
+                )
                 if wire.flying and chance.random() < 0.5:
                     at = chance.randrange(len(wire.flying))
                     to, key, data = wire.flying[at]
@@ -296,9 +380,14 @@
                 for end in wire.ends.values():
                     states = [c.state for c in end.neighbor.connections.values()]
                     self.assertLessEqual(states.count(neighbor.ESTABLISHED), 1)
-                    self.assertEqual(end.neighbor.counts["up"] - end.neighbor.counts["down"], states.count(neighbor.ESTABLISHED))
-            wire.run(wire.now + 150 * S)                  # whatever came, it heals
-            self.assertTrue(all(end.neighbor.established for end in wire.ends.values()), (seed, wire.lines[-9:]))
+                    self.assertEqual(
+                        end.neighbor.counts["up"] - end.neighbor.counts["down"],
+                        states.count(neighbor.ESTABLISHED),
+                    )
+            wire.run(wire.now + 150 * S)  # whatever came, it heals
+            self.assertTrue(
+                all(end.neighbor.established for end in wire.ends.values()), (seed, wire.lines[-9:])
+            )
 
 
 class Serves(unittest.TestCase):
@@ -319,15 +408,37 @@
 
     def test_late_on_early_off(self):
         f = self.FINE
-        lines, _ = self.play([(0.3, None, False), (2, f, False), (1, None, False), (3, f, False), (1, f._replace(closing=True), False),
-                              (4, f, False), (0.5, f._replace(stalled=S), True), (6, f, True), (0.5, f._replace(listed=40 * S), True),
-                              (0.2, f._replace(keeps=False), True), (12, f, True)])
+        lines, _ = self.play(
+            [
+                (0.3, None, False),
+                (2, f, False),
+                (1, None, False),
+                (3, f, False),
+                (1, f._replace(closing=True), False),
+                (4, f, False),
+                (0.5, f._replace(stalled=S), True),
+                (6, f, True),
+                (0.5, f._replace(listed=40 * S), True),
+                (0.2, f._replace(keeps=False), True),
+                (12, f, True),
+            ]
+        )
         compare(self, "serving_own", lines)
 
     def test_what_may_be_everyones_never_takes_the_last_one_away(self):
         f, ill = self.FINE, self.FINE._replace(usable=0)
-        lines, made = self.play([(2, f, False), (2, ill, False), (2, ill, True), (1, ill, False), (3, f, True),
-                                 (1, f._replace(good=10, bad=90), False), (1, f._replace(good=70, bad=30), False), (3, f, False)])
+        lines, made = self.play(
+            [
+                (2, f, False),
+                (2, ill, False),
+                (2, ill, True),
+                (1, ill, False),
+                (3, f, True),
+                (1, f._replace(good=10, bad=90), False),
+                (1, f._replace(good=70, bad=30), False),
+                (3, f, False),
+            ]
+        )
         compare(self, "serving_shared", lines)
         self.assertEqual(made.level, serving.FULL)
 
@@ -337,28 +448,40 @@
         for _ in range(12):
             steps += [(0.5, None, True), (4, f, True)]
         lines, made = self.play([*steps, (400, f, True)])
-        self.assertLess(made.flaps, 7, lines)             # of twelve hangs
+        self.assertLess(made.flaps, 7, lines)  # of twelve hangs
         self.assertEqual(made.level, serving.FULL)
 
     def test_all_ill_at_once_and_one_stays_whatever_the_order(self):
-        """Many speakers and a router that tells each the best path of another: never is nobody announced for longer than a turn."""
+        """Many speakers and a router that tells each the best path of another: never is nobody announced for
+        longer than a turn."""
         for seed in range(8):
             chance, count = random.Random(seed), random.Random(seed).choice((2, 4, 30))
-            nodes, table, update = [serving.Serving(self.BOUNDS, 0) for _ in range(count)], Table(), announce.Service(
-                PREFIX, b"\x7f\0\0\1", (), None, 1000, 3)
+            nodes, table, update = (
+                [serving.Serving(self.BOUNDS, 0) for _ in range(count)],
+                Table(),
+                announce.Service(PREFIX, b"\x7f\0\0\1", (), None, 1000, 3),
+            )
             told, gone, ill = [None] * count, 0, [False] * count
             for turn in range(600):
                 now = turn * S // 20
                 if turn > 200 and turn % 10 == 0:
-                    ill = [chance.random() < 0.7 if turn < 300 else True for _ in range(count)] if turn < 500 else [False] * count
+                    ill = (
+                        [chance.random() < 0.7 if turn < 300 else True for _ in range(count)]
+                        if turn < 500
+                        else [False] * count
+                    )
                 for i in chance.sample(range(count), count):
                     others = any(not announce.is_less(a) for peer, a in table.best(PREFIX)[:1] if peer != i)
                     nodes[i].beat(now, self.FINE._replace(usable=0 if ill[i] else 5))
                     nodes[i].look(now, others)
-                    want = announce.attributes(update._replace(next_hop=bytes((127, 0, 0, i))), nodes[i].level, 65001)
+                    want = announce.attributes(
+                        update._replace(next_hop=bytes((127, 0, 0, i))), nodes[i].level, 65001
+                    )
                     if want != told[i]:
                         told[i] = want
-                        table.heard(i, bgp.Update(() if want else (PREFIX,), (PREFIX,) if want else (), want, ()))
+                        table.heard(
+                            i, bgp.Update(() if want else (PREFIX,), (PREFIX,) if want else (), want, ())
+                        )
                 if turn > 60:
                     gone = gone + 1 if not table.best(PREFIX) else 0
                     self.assertLessEqual(gone, 1, (seed, turn))
@@ -370,6 +493,7 @@
 
         def hears(peer, found):
             table.heard(peer, bgp.Update((), (PREFIX,), found, ()))
+
         hears(1, attrs((65001,)))
         hears(2, attrs((65001,)))
         hears(3, attrs((65001, 65001)))
@@ -395,7 +519,9 @@
                 table.heard(peer, bgp.Update((), (PREFIX,), attrs(), ()))
             before = {flow: table.pick(PREFIX, flow, resilient) for flow in range(2000)}
             table.gone(3)
-            moved[resilient] = sum(before[f] != table.pick(PREFIX, f, resilient) for f in before if before[f] != 3)
+            moved[resilient] = sum(
+                before[f] != table.pick(PREFIX, f, resilient) for f in before if before[f] != 3
+            )
         self.assertEqual(moved[True], 0)
         self.assertGreater(moved[False], 1000)
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -1,8 +1,11 @@
 """Rare moments on real sockets, each crossing made and not hoped for.
 
-The dispatcher runs in the test's own loop (`Inside`), its peers are plain sockets that the test reads and writes itself: what it does
-between two awaits has come when the loop goes on, in that order. `held_up` keeps the loop from going on, as a stopped process does.
+The dispatcher runs in the test's own loop (`Inside`), its peers are plain sockets that the test reads and
+writes itself: what it does
+between two awaits has come when the loop goes on, in that order. `held_up` keeps the loop from going on, as a
+stopped process does.
 """
+
 import asyncio
 import contextlib
 import copy
@@ -28,7 +31,7 @@
 from petrelwood.node import worker as link
 from petrelwood.node.service import Node
 
-SLOW = 30                  # s that anything may take on a busy machine before it is called lost
+SLOW = 30  # s that anything may take on a busy machine before it is called lost
 
 
 def settings(**changes):
@@ -164,14 +167,15 @@
 
 
 class Raw:
-    """A worker on plain sockets, which does nothing by itself. `narrow`: its listen queue is full until `opens`."""
+    """A worker on plain sockets, which does nothing by itself. `narrow`: its listen queue is full until
+    `opens`."""
 
     def __init__(self, name, narrow=False):
         self.name, self.sock, self.fillers, self.lines, self.ended = name, socket.socket(), [], [], 0
         self.sock.bind(("127.0.0.1", 0))
         self.port = self.sock.getsockname()[1]
         self.sock.listen(0 if narrow else 64)
-        if narrow:                                       # the queue has room for one more than it was given
+        if narrow:  # the queue has room for one more than it was given
             self.fillers = [socket.create_connection(self.sock.getsockname())]
         self.sock.setblocking(False)
         self.conns = []
@@ -234,7 +238,9 @@
         for how in ("end", "reset", "cancel"):
             with self.subTest(how):
                 worker = Raw("s-1", narrow=True)
-                async with Inside([worker], permissions={"cancelling": False, "connectTimeout": 20_000_000}) as site:
+                async with Inside(
+                    [worker], permissions={"cancelling": False, "connectTimeout": 20_000_000}
+                ) as site:
                     gone, stays = Caller(site.address), Caller(site.address)
                     left, kept = ask(fn=1, ttl=3900), ask(fn=2, ttl=3900)
                     gone.call(left)
@@ -333,7 +339,9 @@
             client = Caller(site.address)
             client.call(left := ask(fn=1))
             await site.until(lambda: len(first.runs()) + len(second.runs()) == 2)
-            worker = next(w for w in (first, second) if any(said["req"] == left["call"] for _, said in w.runs()))
+            worker = next(
+                w for w in (first, second) if any(said["req"] == left["call"] for _, said in w.runs())
+            )
             worker.answer(worker.runs()[-1], type="SHED")
             client.close()
             held_up()
@@ -342,7 +350,8 @@
             self.assertEqual(len(first.runs()) + len(second.runs()), 2)
 
     async def test_between_its_reading_and_its_turn(self):
-        """So much happens in one turn of the loop that the call waits for the next, and its client leaves in between."""
+        """So much happens in one turn of the loop that the call waits for the next, and its client leaves in
+        between."""
         for how in ("end", "reset", "cancel"):
             with self.subTest(how):
                 worker = Raw("s-1")
@@ -369,12 +378,22 @@
             sock = fresh(host, kind)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
             return sock
+
         with mock.patch.object(link.sockets, "fresh", narrow):
             async with Inside([worker], **NO_CANCEL) as site:
                 gone = Caller(site.address)
                 gone.call(ask(fn=1), b"z" * resource_limits.BODY)
-                await site.until(lambda: any(line.open and line.stream.writing() for line in site.node.links["s-1"].lines
-                                             if site.node.flying) if site.node.links else False)
+                await site.until(
+                    lambda: (
+                        any(
+                            line.open and line.stream.writing()
+                            for line in site.node.links["s-1"].lines
+                            if site.node.flying
+                        )
+                        if site.node.links
+                        else False
+                    )
+                )
                 gone.close()
                 await site.until(lambda: site.node.duty.counts["left"] == 1)
                 await site.turns()
@@ -389,12 +408,15 @@
     async def test_a_second_send_that_waits_when_the_first_is_answered(self):
         """Rule 1: the final answer is out, and the other send has not left yet."""
         slow, narrow = Raw("s-1"), Raw("s-2", narrow=True)
-        async with Inside([slow, narrow], permissions={"cancelling": False, "connectTimeout": 20_000_000}) as site:
+        async with Inside(
+            [slow, narrow], permissions={"cancelling": False, "connectTimeout": 20_000_000}
+        ) as site:
             node, client = site.node, Caller(site.address)
             number = client.call(fields := ask(fn=1, ttl=3900))
             await site.until(lambda: node.flying)
             (act, n), worker = next(iter(node.flying.items()))
-            if worker == "s-2":                          # it went to the narrow one first: the other is its second
+            # it went to the narrow one first: the other is its second
+            if worker == "s-2":
                 node.soon(node.send, act, "s-1", 0)
             else:
                 node.soon(node.send, act, "s-2", 0)
@@ -408,7 +430,7 @@
             narrow.opens()
             await site.turns()
             node.soon(node.hold, "s-2", f"{4:016x}", 1)
-            await site.until(narrow.orders)              # the way is open now
+            await site.until(narrow.orders)  # the way is open now
             self.assertNotIn(fields["call"], [said["req"] for _, said in narrow.runs()])
             client.close()
 
@@ -425,15 +447,21 @@
                     held_up(0.25)
                     second = client.call(ask(fn=1))
                     await site.until(lambda: second in client.read() or client.ended)
-                    self.assertEqual((client.answers[number][0], client.answers.get(second, client.ended)),
-                                     ("completed", ("completed", b"x")))
-                    await site.until(lambda: client.read() and client.ended)     # at rest it ends all the same
+                    self.assertEqual(
+                        (client.answers[number][0], client.answers.get(second, client.ended)),
+                        ("completed", ("completed", b"x")),
+                    )
+                    # at rest it ends all the same
+                    await site.until(lambda: client.read() and client.ended)
                     self.assertEqual(client.ended, "end")
 
     async def test_a_first_request_that_comes_as_its_silence_ends(self):
         async with Inside([Worker("s-1")]) as site:
-            with mock.patch.object(resource_limits, "SILENT", 200_000_000), mock.patch.object(resource_limits, "PART", 200_000_000):
-                for cut in (0, 40):                      # all of it comes then, or what it lacked
+            with (
+                mock.patch.object(resource_limits, "SILENT", 200_000_000),
+                mock.patch.object(resource_limits, "PART", 200_000_000),
+            ):
+                for cut in (0, 40):  # all of it comes then, or what it lacked
                     client, fields = Caller(site.address), ask(fn=1)
                     await site.until(lambda: site.node.front.clients)
                     if cut:
@@ -457,12 +485,12 @@
             client.call(ask(fn=1))
             await site.until(client.read)
             site.node.room.clients = 1
-            more = Caller(site.address)                  # the listener is told of first
+            more = Caller(site.address)  # the listener is told of first
             second = client.call(ask(fn=1))
             await site.until(lambda: second in client.read() or client.ended)
             self.assertEqual(client.answers.get(second, client.ended), ("completed", b"x"))
             await site.until(lambda: more.read() or more.ended)
-            more = Caller(site.address)                  # and at rest it makes room
+            more = Caller(site.address)  # and at rest it makes room
             number = more.call(ask(fn=1))
             await site.until(lambda: more.read() or more.ended)
             self.assertEqual(more.answers.get(number, more.ended), ("completed", b"x"))
@@ -497,18 +525,18 @@
             client = Caller(site.address)
             client.call(ask(fn=1), b"one")
             await site.until(worker.runs)
-            client.cancel(1)                             # in the same bytes as what follows under its number
+            client.cancel(1)  # in the same bytes as what follows under its number
             client.cancel(1)
             client.last = 0
             client.call(again := ask(fn=1), b"two")
             await site.until(lambda: len(worker.runs()) == 2)
-            worker.answer(worker.runs()[0])              # it crossed the cancel
+            worker.answer(worker.runs()[0])  # it crossed the cancel
             await site.turns()
             self.assertEqual(client.read(), {})
             worker.answer(next(run for run in worker.runs() if run[1]["req"] == again["call"]))
             await site.until(client.read)
             self.assertEqual(client.answers, {1: ("completed", b"two")})
-            client.cancel(2)                             # before its call: of no meaning
+            client.cancel(2)  # before its call: of no meaning
             client.last = 1
             client.call(ask(fn=1), b"three")
             await site.until(lambda: len(worker.runs()) == 3)
@@ -518,12 +546,15 @@
             client.close()
 
     async def test_a_client_that_reads_nothing_until_all_its_answers_are_there(self):
-        """As many requests as it may have open, of the largest size, from one that is stopped for a moment."""
+        """As many requests as it may have open, of the largest size, from one that is stopped for a
+        moment."""
         async with Inside([Worker("s-1")]) as site:
             client = Caller(site.address)
             client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
             await site.until(lambda: site.node.front.clients)
-            next(iter(site.node.front.clients)).stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            next(iter(site.node.front.clients)).stream.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, 4096
+            )
             other = Caller(site.address)
             first = other.call(ask(fn=1))
             await site.until(other.read)
@@ -532,19 +563,23 @@
             for body in bodies:
                 client.last += 1
                 data = msgpack.packb([0, client.last, "plain", [ask(fn=1), body]])
-                while data:                              # its bytes go out as they are read
+                while data:  # its bytes go out as they are read
                     with contextlib.suppress(BlockingIOError):
-                        data = data[client.sock.send(data):]
+                        data = data[client.sock.send(data) :]
                     await asyncio.sleep(0)
             await site.until(lambda: site.node.duty.counts["completed"] == len(bodies) + 1)
             looks = site.node.looks
-            with mock.patch.object(resource_limits, "IDLE", 1):       # nothing of it is open, and its answers have not gone out
+            # nothing of it is open, and its answers have not gone out
+            with mock.patch.object(resource_limits, "IDLE", 1):
                 await site.until(lambda: site.node.looks > looks + 2)
             client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)
             for there in site.node.front.clients:
                 there.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1 << 20)
             await site.until(lambda: len(client.read()) == len(bodies) or client.ended)
-            self.assertEqual([client.answers.get(n + 1) for n in range(len(bodies))], [("completed", body) for body in bodies])
+            self.assertEqual(
+                [client.answers.get(n + 1) for n in range(len(bodies))],
+                [("completed", body) for body in bodies],
+            )
             self.assertEqual(other.answers[first][0], "completed")
             client.sock.close(), other.close()
 
@@ -568,7 +603,10 @@
 
 
 class TwoCustomers(unittest.IsolatedAsyncioTestCase):
-    TENANTS = [{"name": "acme", "quotaRps": 10_000.0, "share": 0.5}, {"name": "bolt", "quotaRps": 10_000.0, "share": 0.5}]
+    TENANTS = [
+        {"name": "acme", "quotaRps": 10_000.0, "share": 0.5},
+        {"name": "bolt", "quotaRps": 10_000.0, "share": 0.5},
+    ]
 
     def inside(self, workers, **changes):
         site = Inside(workers, **changes)
@@ -599,8 +637,12 @@
         """Two customers and two namespace types: each has its own lanes, time, body and answer."""
         worker, mark = Raw("s-1"), "ab" * 16
         async with self.inside([worker]) as site:
-            kinds = [("acme", "plain", 1, 1900, b"a"), ("bolt", "plain", 3, 1500, b"b"), ("acme", "marked", 3, 1700, b"c"),
-                     ("bolt", "single", 3, 1300, b"d")]
+            kinds = [
+                ("acme", "plain", 1, 1900, b"a"),
+                ("bolt", "plain", 3, 1500, b"b"),
+                ("acme", "marked", 3, 1700, b"c"),
+                ("bolt", "single", 3, 1300, b"d"),
+            ]
             callers = [Caller(site.address) for _ in kinds]
             sent = {}
 
@@ -609,9 +651,10 @@
                 fields = ask(fn=1, ttl=ttl, org=org, dedupe=mark, facts=f"lanes:{lanes};load_ms:20")
                 sent[fields["call"]] = which
                 callers[which].call(fields, body, type_)
+
             call(1)
             await site.until(worker.runs)
-            for which in (0, 2, 3):                      # the first may have one lane, and one is taken
+            for which in (0, 2, 3):  # the first may have one lane, and one is taken
                 call(which)
                 await site.until(lambda: site.node.intake.held == len(sent))
             await site.until(lambda: len(worker.runs()) == 3)
@@ -621,7 +664,9 @@
             for run in worker.runs():
                 org, type_, _, ttl, body = kinds[sent[run[1]["req"]]]
                 meta = run[1]["meta"]
-                self.assertEqual((meta["sort"], meta["op"], run[1]["data"]), (type_, mark, hit(run[1], body)["data"]))
+                self.assertEqual(
+                    (meta["sort"], meta["op"], run[1]["data"]), (type_, mark, hit(run[1], body)["data"])
+                )
                 self.assertLessEqual(meta["patience"], ttl)
                 self.assertGreater(meta["patience"], ttl - 1000)
             for run in list(worker.runs()):
@@ -629,7 +674,9 @@
             await site.until(lambda: len(worker.runs()) == 4)
             worker.answer(worker.runs()[3])
             await site.until(lambda: all(caller.read() for caller in callers))
-            self.assertEqual([caller.answers for caller in callers], [{1: ("completed", kind[4])} for kind in kinds])
+            self.assertEqual(
+                [caller.answers for caller in callers], [{1: ("completed", kind[4])} for kind in kinds]
+            )
             for caller in callers:
                 caller.close()
 
@@ -638,7 +685,8 @@
     """SIGTERM with activations in flight, judged by what clients and workers have seen."""
 
     async def test_requests_that_came_before_the_last_look_get_their_answer(self):
-        """In the listen queue, on an open connection, larger than one reading: all lies unread when the time to take ends."""
+        """In the listen queue, on an open connection, larger than one reading: all lies unread when the time
+        to take ends."""
         for waits in ("in the listen queue", "on an open connection", "larger than one reading"):
             with self.subTest(waits):
                 async with Inside([Worker("s-1")]) as site:
@@ -649,14 +697,17 @@
                     await site.turns(3)
                     if waits == "in the listen queue":
                         client = Caller(site.address)
-                    number = client.call(ask(fn=1), body=b"z" * (16_384 if waits == "larger than one reading" else 1))
-                    held_up(0.75)                        # what still comes is over when the loop goes on
+                    number = client.call(
+                        ask(fn=1), body=b"z" * (16_384 if waits == "larger than one reading" else 1)
+                    )
+                    held_up(0.75)  # what still comes is over when the loop goes on
                     await asyncio.wait_for(ending, SLOW)
                     await site.until(lambda: client.read() is not None and client.ended)
                     self.assertIn(client.answers.get(number, (client.ended,))[0], ("completed", "Throttled"))
 
     async def test_all_that_it_took_is_answered_before_it_is_killed(self):
-        """With action timeouts of a second the platform kills 1.7 s after SIGTERM. Judged by the client's clock."""
+        """With action timeouts of a second the platform kills 1.7 s after SIGTERM. Judged by the client's
+        clock."""
         worker = Raw("s-1")
         async with Inside([worker], classes={"deadline": 1_000_000}) as site:
             client = Caller(site.address)
@@ -667,14 +718,16 @@
             ending = asyncio.ensure_future(site.node.close())
             await site.until(lambda: len(client.read()) == 2)
             took = time.monotonic() - began
-            self.assertEqual(client.answers[out][0], "Broken")       # once-only: it may have run
+            self.assertEqual(client.answers[out][0], "Broken")  # once-only: it may have run
             self.assertLess(took, 1.7)
             await asyncio.wait_for(ending, SLOW)
             self.assertIn(number, client.answers)
 
     async def test_what_is_cut_and_never_left_is_rejected(self):
         worker = Raw("s-1", narrow=True)
-        async with Inside([worker], permissions={"connectTimeout": 20_000_000}, classes={"deadline": 4_000_000}) as site:
+        async with Inside(
+            [worker], permissions={"connectTimeout": 20_000_000}, classes={"deadline": 4_000_000}
+        ) as site:
             client = Caller(site.address)
             number = client.call(ask(fn=1, ttl=7900), type_="single")
             await site.until(lambda: site.node.links and site.node.links["s-1"].waiting)
@@ -695,7 +748,7 @@
             ending = asyncio.ensure_future(site.node.close())
             await site.turns()
             held_up(0.8)
-            await site.until(lambda: site.node.intake.closing or ending.done())      # nothing more is taken
+            await site.until(lambda: site.node.intake.closing or ending.done())  # nothing more is taken
             await asyncio.sleep(0.05)
             self.assertFalse(ending.done())
             worker.answer(worker.runs()[0])
@@ -712,6 +765,7 @@
                 client.sock.sendall(msgpack.packb([0, client.last, "health", [{}]]))
                 await site.until(lambda: client.last in client.read())
                 return client.answers[client.last]
+
             self.assertEqual(await health(), ("completed", True))
             ending = asyncio.ensure_future(site.node.close())
             await site.turns()
@@ -719,7 +773,8 @@
             await asyncio.wait_for(ending, SLOW)
 
     async def test_signals_at_every_moment_of_its_life(self):
-        """Before it is ready, twice, and until its process has ended: nothing ends it but its own end, with status 0."""
+        """Before it is ready, twice, and until its process has ended: nothing ends it but its own end, with
+        status 0."""
         site = Site([Worker("s-1")])
         await site.roster.open()
         await site.workers[0].open()
@@ -731,11 +786,19 @@
         path = site.write()
         for before in (True, False):
             process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "petrelwood.node", cwd=ROOT, env=site.environ(path), stderr=asyncio.subprocess.PIPE)
+                sys.executable,
+                "-m",
+                "petrelwood.node",
+                cwd=ROOT,
+                env=site.environ(path),
+                stderr=asyncio.subprocess.PIPE,
+            )
             lines = asyncio.ensure_future(process.stderr.read()) if before else None
             status = pathlib.Path(f"/proc/{process.pid}/status")
             if before:
-                await self.wait(lambda: self.catches(status, signal.SIGTERM) and self.catches(status, signal.SIGHUP))
+                await self.wait(
+                    lambda: self.catches(status, signal.SIGTERM) and self.catches(status, signal.SIGHUP)
+                )
                 process.send_signal(signal.SIGHUP)
                 process.terminate()
             else:
@@ -785,7 +848,8 @@
             site.roster.tell(silent, "Gone")
             await site.until(lambda: "s-1" not in site.node.links)
             self.assertFalse(link.owes() or link.lines or site.node.flying)
-            self.assertEqual([said["type"] for _, said in silent.read() if said["type"] == "KILL"], [])     # not allowed
+            # not allowed
+            self.assertEqual([said["type"] for _, said in silent.read() if said["type"] == "KILL"], [])
             client = Caller(site.address)
             number = client.call(ask(fn=1))
             await site.until(client.read)
@@ -796,7 +860,7 @@
         old, new = Raw("s-1", narrow=True), Worker("s-1")
         async with Inside([old], permissions={"connectTimeout": 20_000_000}) as site:
             client = Caller(site.address)
-            numbers = [client.call(ask(fn=fn, ttl=3900)) for fn in range(8)]     # more than connect at a time
+            numbers = [client.call(ask(fn=fn, ttl=3900)) for fn in range(8)]  # more than connect at a time
             await site.until(lambda: site.node.links and len(site.node.links["s-1"].waiting) >= 8)
             await new.open()
             site.workers.append(new)
@@ -805,9 +869,14 @@
             await site.until(lambda: len(client.read()) == 8)
             self.assertEqual({client.answers[number][0] for number in numbers}, {"completed"})
             old.opens()
-            probe = socket.create_connection(("127.0.0.1", old.port))    # comes after all that was tried before
-            await site.until(lambda: old.read() is not None and any(
-                conn.getpeername() == probe.getsockname() for conn, _ in old.conns))
+            # comes after all that was tried before
+            probe = socket.create_connection(("127.0.0.1", old.port))
+            await site.until(
+                lambda: (
+                    old.read() is not None
+                    and any(conn.getpeername() == probe.getsockname() for conn, _ in old.conns)
+                )
+            )
             self.assertEqual(len(old.conns), 1)
             probe.close(), client.close()
 
@@ -824,8 +893,12 @@
             await site.until(client.read)
             old.opens()
             probe = socket.create_connection(("127.0.0.1", old.port))
-            await site.until(lambda: old.read() is not None and any(
-                conn.getpeername() == probe.getsockname() for conn, _ in old.conns))
+            await site.until(
+                lambda: (
+                    old.read() is not None
+                    and any(conn.getpeername() == probe.getsockname() for conn, _ in old.conns)
+                )
+            )
             await site.turns()
             self.assertEqual((client.answers[number][0], old.runs(), old.orders()), ("completed", [], []))
             probe.close(), client.close()
@@ -840,7 +913,8 @@
             client.call(ask(fn=1, facts=facts))
             await site.until(lambda: site.node.intake.held == 2)
             told_ = []
-            site.roster.spoil = lambda wire: told_.append(wire)      # it has the question now, and answers when it is told to
+            # it has the question now, and answers when it is told to
+            site.roster.spoil = lambda wire: told_.append(wire)
             await site.until(lambda: told_)
             site.roster.tell(worker, "Terminating")
             await site.until(lambda: len(told_) > 2)
@@ -853,7 +927,8 @@
             client.close()
 
     async def test_a_loop_that_was_held_up_blames_no_worker(self):
-        """Its answer came in time and lies unread when time is looked at: neither silent nor sent again, and nothing loaded elsewhere."""
+        """Its answer came in time and lies unread when time is looked at: neither silent nor sent again, and
+        nothing loaded elsewhere."""
         workers = [Raw("s-1"), Raw("s-2")]
         async with Inside(workers) as site:
             client = Caller(site.address)
@@ -866,12 +941,20 @@
             await site.until(client.read)
             looks = site.node.looks
             await site.until(lambda: site.node.looks > looks + 4)
-            self.assertEqual((client.answers[number][0], len(worker.runs()), other.read()[asked:], worker.orders()),
-                             ("completed", 1, [], []))
+            self.assertEqual(
+                (client.answers[number][0], len(worker.runs()), other.read()[asked:], worker.orders()),
+                ("completed", 1, [], []),
+            )
             client.close()
 
     async def test_an_answer_and_the_end_of_its_connection_come_together(self):
-        for ends, what in (("reset", "whole"), ("end", "whole"), ("end", "half"), ("reset", "half"), ("end", "twice")):
+        for ends, what in (
+            ("reset", "whole"),
+            ("end", "whole"),
+            ("end", "half"),
+            ("reset", "half"),
+            ("end", "twice"),
+        ):
             with self.subTest(f"{what}, {ends}"):
                 worker = Raw("s-1")
                 async with Inside([worker]) as site:
@@ -887,8 +970,13 @@
                     held_up(0.02)
                     await site.until(client.read)
                     # A reset may overtake what was written before it: then it may have run.
-                    good = {"whole": {("completed", b"x")} if ends == "end" else {("completed", b"x"), ("Broken", None)},
-                            "twice": {("completed", b"x")}, "half": {("Broken", None)}}[what]
+                    good = {
+                        "whole": {("completed", b"x")}
+                        if ends == "end"
+                        else {("completed", b"x"), ("Broken", None)},
+                        "twice": {("completed", b"x")},
+                        "half": {("Broken", None)},
+                    }[what]
                     word, body = client.answers[number]
                     self.assertIn((word, body if word == "completed" else None), good)
                     self.assertEqual(len(worker.runs()), 1)
@@ -925,7 +1013,7 @@
             held_up(0.45)
             number = client.call(ask(fn=1), type_="single")
             for conn, _ in worker.conns:
-                conn.close()                             # its end is still unread when the next one is sent
+                conn.close()  # its end is still unread when the next one is sent
             self.assertEqual(await site.second(client, number, worker), ("completed", b"x"))
             client.close()
 
@@ -940,7 +1028,8 @@
                     await site.until(worker.runs)
                     worker.answer(worker.runs()[0])
                     await site.until(client.read)
-                    await site.turns()                   # no event is left over: what comes first is told of first
+                    # no event is left over: what comes first is told of first
+                    await site.turns()
                     number = client.call(ask(fn=1), type_="single")
                     for line in range(len(worker.conns)):
                         if ends == "reset":
@@ -975,7 +1064,7 @@
             await second.open()
             second.serial, second.entries = site.roster.serial, dict(site.roster.entries)
             with no_descriptors():
-                site.node.roster.close()                 # its descriptor is taken by another at once
+                site.node.roster.close()  # its descriptor is taken by another at once
                 with contextlib.suppress(OSError):
                     taken = os.dup(0)
                 site.node.reload(site.node.gateway._replace(names=("127.0.0.1", second.port)))
@@ -985,7 +1074,8 @@
             second.transport.close()
 
     async def test_answers_that_come_late_are_still_taken(self):
-        """Each comes two seconds after its question: more questions are open by then than were once remembered."""
+        """Each comes two seconds after its question: more questions are open by then than were once
+        remembered."""
         old, new = Worker("s-1"), Worker("s-2")
         async with Inside([old]) as site:
             await new.open()
@@ -993,16 +1083,22 @@
             roster = site.roster
 
             def late(wire):
-                asyncio.get_running_loop().call_later(2, roster.transport.sendto, wire, site.node.roster.sock.getsockname())
+                asyncio.get_running_loop().call_later(
+                    2, roster.transport.sendto, wire, site.node.roster.sock.getsockname()
+                )
+
             roster.spoil = late
             asked = roster.asked
             await site.until(lambda: roster.asked > asked)
             roster.tell(new)
             roster.tell(old, "Terminating")
-            await site.until(lambda: site.node.membership.usable("s-2") and not site.node.membership.usable("s-1"), 12)
+            await site.until(
+                lambda: site.node.membership.usable("s-2") and not site.node.membership.usable("s-1"), 12
+            )
 
     async def test_a_silence_under_which_workers_change(self):
-        """The first answer after it is an old one, then the new one comes: what has gone gets nothing from then on."""
+        """The first answer after it is an old one, then the new one comes: what has gone gets nothing from
+        then on."""
         old, new = Worker("s-1"), Worker("s-2")
         async with Inside([old]) as site:
             await new.open()
@@ -1014,7 +1110,7 @@
             site.roster.tell(old, "Gone")
             number = client.call(ask(fn=1))
             await site.until(lambda: number in client.read())
-            self.assertEqual(client.answers[number][0], "completed")     # by what it knows
+            self.assertEqual(client.answers[number][0], "completed")  # by what it knows
             kept.clear()
             await site.until(lambda: kept)
             newest = kept[-1]
@@ -1034,7 +1130,8 @@
             client.close()
 
     async def test_a_list_under_a_serial_that_stands_still(self):
-        """The serial is the number of the last event: where it is the same nothing has happened, whatever the list says."""
+        """The serial is the number of the last event: where it is the same nothing has happened, whatever the
+        list says."""
         workers = [Worker("s-1"), Worker("s-2")]
         async with Inside(workers) as site:
             good, entries = site.node.roster.counts["good"], site.roster.entries
@@ -1051,10 +1148,10 @@
             second.serial, second.entries = site.roster.serial + 1, dict(site.roster.entries)
             whole = site.write(names=f"127.0.0.1:{second.port}").read_text()
             path = site.write()
-            path.write_text(whole[:len(whole) // 2])
+            path.write_text(whole[: len(whole) // 2])
             site.process.send_signal(signal.SIGHUP)
             await site.until(lambda: any("nothing changes" in line for line in site.log))
-            path.write_text(whole)                       # no second signal comes
+            path.write_text(whole)  # no second signal comes
             await site.until(lambda: second.asked)
             second.transport.close()
             self.assertEqual(await site.stop(), 0)
@@ -1062,7 +1159,8 @@
 
 class NewVersions(unittest.IsolatedAsyncioTestCase):
     async def test_all_copies_of_most_functions_go_void_at_once_on_a_quiet_day(self):
-        """No list tells of it and nothing is amiss: each activation in hand misses, and is completed after one load."""
+        """No list tells of it and nothing is amiss: each activation in hand misses, and is completed after
+        one load."""
         workers = [Worker(f"s-{n}") for n in range(4)]
         async with Inside(workers) as site:
             clients, functions, sent = [Caller(site.address) for _ in range(4)], range(1, 13), {}
@@ -1071,14 +1169,19 @@
                 for fn in functions:
                     client = clients[fn % 4]
                     fields = ask(fn=fn)
-                    sent[fields["call"]] = (client, client.call(fields, b"%d of %d" % (round_, fn)), b"%d of %d" % (round_, fn))
+                    sent[fields["call"]] = (
+                        client,
+                        client.call(fields, b"%d of %d" % (round_, fn)),
+                        b"%d of %d" % (round_, fn),
+                    )
 
             async def answered():
                 await site.until(lambda: all(number in client.read() for client, number, _ in sent.values()))
+
             for round_ in range(3):
                 ask_all(round_)
                 await answered()
-            for worker in workers:                       # all that they hold of eight of the twelve
+            for worker in workers:  # all that they hold of eight of the twelve
                 worker.copies -= {f"{fn:016x}" for fn in functions[:8]}
             orders, runs = sum(len(w.orders) for w in workers), sum(len(w.runs) for w in workers)
             ask_all(3)
@@ -1089,7 +1192,7 @@
                 self.assertEqual(client.answers[number], ("completed", body))
             self.assertEqual(sum(len(w.runs) for w in workers) - runs, 2 * len(functions))
             loads = sum(len(w.orders) for w in workers) - orders
-            self.assertGreaterEqual(loads, 8)            # one each, and few more
+            self.assertGreaterEqual(loads, 8)  # one each, and few more
             self.assertLessEqual(loads, 12)
             for client in clients:
                 client.close()
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -1,4 +1,6 @@
-"""Crowds on real sockets: many connections, slow writers, forgers, clients that do not listen; others are served meanwhile."""
+"""Crowds on real sockets: many connections, slow writers, forgers, clients that do not listen; others are
+served meanwhile."""
+
 import asyncio
 import socket
 
@@ -33,7 +35,7 @@
     async def first(self, stream):
         try:
             return await asyncio.wait_for(stream.read_bytes(100, partial=True), 0.05)
-        except Exception:                                # nothing was said: it was taken
+        except Exception:  # nothing was said: it was taken
             return b""
 
     async def test_half_written_requests_share_the_room_out(self):
@@ -47,13 +49,17 @@
         await self.served(quiet, 5)
         for stream in streams:
             ends.append(await asyncio.wait_for(stream.read_until_close(), 30))
-        self.assertEqual({end[9:12] for end in ends}, {b"503", b"408"}, ends)      # refused, or too slow
+        self.assertEqual({end[9:12] for end in ends}, {b"503", b"408"}, ends)  # refused, or too slow
         await self.until(lambda: self.front.admission.held == 0)
 
     async def test_slow_readers_are_let_go_and_others_are_served(self):
-        """They ask for much and read nothing: what waits for them stays in its bound, and each goes after a while."""
+        """They ask for much and read nothing: what waits for them stays in its bound, and each goes after a
+        while."""
         big = b"x" * 6_000_000
-        await self.begin(Worker("w1", lambda w, s, m, p: answer(w, s, m, p, big if b"big" in p[6] else b"{}")), limits='body "20KB"; bytes "40MB"')
+        await self.begin(
+            Worker("w1", lambda w, s, m, p: answer(w, s, m, p, big if b"big" in p[6] else b"{}")),
+            limits='body "20KB"; bytes "40MB"',
+        )
         crowd, quiet, most = self.others("127.0.0.2"), self.others("127.0.0.3"), 0
         streams = []
         for _ in range(6):
@@ -62,21 +68,25 @@
             streams.append(stream)
             await stream.write(b"".join(self.message(body=b'{"big":1}') for _ in range(5)))
         await self.until(lambda: self.front.admission.held > 10_000_000)
-        while self.front.lines:                          # `body-within` is 300 ms
+        while self.front.lines:  # `body-within` is 300 ms
             most = max(most, self.front.admission.held)
             self.assertEqual((await quiet.call(self.message(), 30)).status, 200)
             if all(line.peer == "127.0.0.3" for line in self.front.lines):
                 break
         self.assertLessEqual(most, 40_000_000)
         await self.until(lambda: self.front.admission.held == 0)
-        self.assertGreaterEqual(sum(n for what, n in self.front.counts.items() if what.startswith("answers not read")), 6)
+        self.assertGreaterEqual(
+            sum(n for what, n in self.front.counts.items() if what.startswith("answers not read")), 6
+        )
         self.assertEqual(self.core.duty.counts["overdue"], 0)
         for stream in streams:
             stream.close()
 
     async def test_one_that_reads_slowly_but_reads_is_answered_whole(self):
         big = b"x" * 3_000_000
-        await self.begin(Worker("w1", lambda w, s, m, p: answer(w, s, m, p, big)), limits='body "20KB"', slowly="60s")
+        await self.begin(
+            Worker("w1", lambda w, s, m, p: answer(w, s, m, p, big)), limits='body "20KB"', slowly="60s"
+        )
         stream = await self.caller.connect()
         stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 17)
         await stream.write(b"".join(self.message() for _ in range(3)))
@@ -99,13 +109,15 @@
         async def right():
             try:
                 return (await forger.call(self.message(), 30)).status == 200
-            except Exception:                            # the connection is closed after a refusal
+            except Exception:  # the connection is closed after a refusal
                 return False
+
         for _ in range(100):
             if await right():
                 break
             await asyncio.sleep(0.05)
-        self.assertTrue(await right())                   # when the ban is over it may try, and one right one is enough
+        # when the ban is over it may try, and one right one is enough
+        self.assertTrue(await right())
 
     async def test_hints_grow_for_one_that_does_not_listen(self):
         await self.begin(Worker("w1", never), limits="held 1", terms='most-retry-after "60s"')
@@ -127,7 +139,9 @@
         until = asyncio.get_running_loop().time() + 30
         while not self.log.said("a storm begins"):
             self.assertLess(asyncio.get_running_loop().time(), until)
-            await asyncio.gather(*(self.caller.call(self.message(id_="same", stamp=self.stamp), 30) for _ in range(10)))
+            await asyncio.gather(
+                *(self.caller.call(self.message(id_="same", stamp=self.stamp), 30) for _ in range(10))
+            )
         self.assertIn("repeats", [more["symptom"] for more in self.log.said("a storm begins")])
         await self.until(lambda: "repeats" in [m["symptom"] for m in self.log.said("a storm is over")], 15)
         self.assertFalse(self.core.intake.storms.on("repeats"))
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -1,4 +1,5 @@
 """What is decided beside the module: each scenario prints a short trace, compared with the kept one."""
+
 import random
 import unittest
 
@@ -20,10 +21,12 @@
 
 MS, S = 1_000_000, 1_000_000_000
 WALL = 1_700_000_000 * S
-TYPES = {"again": ports.NamespaceType(S, ports.REPEATABLE, "all", 0),
-         "hall": ports.NamespaceType(S, ports.DEDUPLICATED, "zone", 2 * S),
-         "all": ports.NamespaceType(S, ports.DEDUPLICATED, "all", 2 * S),
-         "once": ports.NamespaceType(S, ports.ONCE_ONLY, "all", 0)}
+TYPES = {
+    "again": ports.NamespaceType(S, ports.REPEATABLE, "all", 0),
+    "hall": ports.NamespaceType(S, ports.DEDUPLICATED, "zone", 2 * S),
+    "all": ports.NamespaceType(S, ports.DEDUPLICATED, "all", 2 * S),
+    "once": ports.NamespaceType(S, ports.ONCE_ONLY, "all", 0),
+}
 TIMEOUTS = {name: 4 * S for name in TYPES}
 
 
@@ -59,7 +62,9 @@
             self.duty.join(self.now, key, verdict.due, f"{id_}@{stamp}")
         elif verdict.retry_after:
             more = f" back after {verdict.retry_after / S:.2f}"
-        self.say(f"{id_}@{stamp} {type_}: {verdict.what} {verdict.why}{verdict.body.decode()}".rstrip() + more)
+        self.say(
+            f"{id_}@{stamp} {type_}: {verdict.what} {verdict.why}{verdict.body.decode()}".rstrip() + more
+        )
 
     def end(self, id_, outcome, body=None, customer="x"):
         act = self.duty.by_key.get((customer, id_))
@@ -83,39 +88,64 @@
 
     def test_a_replay_is_never_an_activation(self):
         b = Book("replays")
-        b.ask("m1", "once", 10); b.ask("m1", "once", 10); b.ask("m1", "once", 9)
+        b.ask("m1", "once", 10)
+        b.ask("m1", "once", 10)
+        b.ask("m1", "once", 9)
         b.end("m1", ledger.REJECTED)
-        b.ask("m1", "once", 10); b.now = 200 * S; b.ask("m1", "once", 10); b.ask("m1", "once", 200)
-        b.say("signed before this life began:"); b.ask("m2", "again", -1)
+        b.ask("m1", "once", 10)
+        b.now = 200 * S
+        b.ask("m1", "once", 10)
+        b.ask("m1", "once", 200)
+        b.say("signed before this life began:")
+        b.ask("m2", "again", -1)
         b.compare(self)
 
     def test_a_retry_joins_the_try_that_runs(self):
         b = Book("joins")
-        b.ask("m1", "once", 10); b.now = S; b.ask("m1", "once", 11); b.now = 2 * S
+        b.ask("m1", "once", 10)
+        b.now = S
+        b.ask("m1", "once", 11)
+        b.now = 2 * S
         b.end("m1", ledger.COMPLETED, b"=result")
         b.compare(self)
 
     def test_deduplicated_for_all_repeats_only_inside_its_window(self):
         b = Book("window")
-        b.ask("m1", "all", 10); b.now = S; b.end("m1", ledger.ABORTED)
-        b.ask("m1", "all", 11); b.now = int(1.9 * S); b.end("m1", ledger.REJECTED)
-        b.now = int(2.1 * S); b.ask("m1", "all", 12)
+        b.ask("m1", "all", 10)
+        b.now = S
+        b.end("m1", ledger.ABORTED)
+        b.ask("m1", "all", 11)
+        b.now = int(1.9 * S)
+        b.end("m1", ledger.REJECTED)
+        b.now = int(2.1 * S)
+        b.ask("m1", "all", 12)
         b.say("turned away before any send, it is as new:")
-        b.ask("m2", "all", 13, sends=0); b.end("m2", ledger.REJECTED); b.now = 9 * S; b.ask("m2", "all", 14)
+        b.ask("m2", "all", 13, sends=0)
+        b.end("m2", ledger.REJECTED)
+        b.now = 9 * S
+        b.ask("m2", "all", 14)
         b.compare(self)
 
     def test_a_full_ledger_refuses_and_forgets_only_what_it_may(self):
         b = Book("ledger_full", most=2)
-        b.ask("m1", "again", 0); b.end("m1", ledger.COMPLETED, b"=1"); b.ask("m2", "again", 0)
-        b.ask("m3", "again", 0); b.now = 599 * S; b.ask("m3", "again", 599); b.now = 601 * S; b.ask("m3", "again", 601)
+        b.ask("m1", "again", 0)
+        b.end("m1", ledger.COMPLETED, b"=1")
+        b.ask("m2", "again", 0)
+        b.ask("m3", "again", 0)
+        b.now = 599 * S
+        b.ask("m3", "again", 599)
+        b.now = 601 * S
+        b.ask("m3", "again", 601)
         b.say(f"m2 still runs, {len(b.ledger.entries)} ids are known")
         b.compare(self)
 
     def test_bodies_have_a_bound_of_their_own(self):
         b = Book("bodies", bytes_=10)
         for id_ in ("m1", "m2"):
-            b.ask(id_, "again", 10); b.end(id_, ledger.COMPLETED, b"=eight..")
-        b.ask("m1", "again", 11); b.ask("m2", "again", 11)
+            b.ask(id_, "again", 10)
+            b.end(id_, ledger.COMPLETED, b"=eight..")
+        b.ask("m1", "again", 11)
+        b.ask("m2", "again", 11)
         b.compare(self)
 
     def test_never_more_ids_than_the_bound_and_none_forgotten_early(self):
@@ -139,11 +169,15 @@
         b = Book("room", held=5)
         for i in range(5):
             b.ask(f"x{i}", "again", 10)
-        b.ask("y0", "again", 10, customer="y"); b.ask("y1", "again", 10, customer="y")
+        b.ask("y0", "again", 10, customer="y")
+        b.ask("y1", "again", 10, customer="y")
         b.ask("x0", "again", 11)
-        b.say("a retry joins without room"); b.end("x1", ledger.COMPLETED, b"=r"); b.ask("x9", "again", 12)
+        b.say("a retry joins without room")
+        b.end("x1", ledger.COMPLETED, b"=r")
+        b.ask("x9", "again", 12)
         b.intake.closing = True
-        b.ask("y2", "again", 12, customer="y"); b.ask("x1", "again", 13)
+        b.ask("y2", "again", 12, customer="y")
+        b.ask("x1", "again", 13)
         b.compare(self)
 
     def test_patience_never_lengthens_the_action_timeout(self):
@@ -160,7 +194,8 @@
         act = b.duty.by_key["x", "m1"]
         b.end("m1", ledger.COMPLETED, b"=1")
         b.say(f"again: {b.duty.end(b.now, act.id, ledger.ABORTED)}, sent after it: {b.duty.sent(act.id)}")
-        b.ask("m2", "again", 10); b.ask("m3", "once", 10)
+        b.ask("m2", "again", 10)
+        b.ask("m3", "once", 10)
         for id_ in ("m2", "m3"):
             act = b.duty.by_key["x", id_]
             b.say(f"the client of {id_} goes: {b.duty.left(b.now, act.id, act.waiting[0][0])}")
@@ -171,7 +206,8 @@
         b.compare(self)
 
     def test_an_id_that_comes_again_has_its_own_time(self):
-        """Found on join+mass (sockets): the time of a request that had ended cut short another under its id."""
+        """Found on join+mass (sockets): the time of a request that had ended cut short another under its
+        id."""
         duty = Duty(Direct(Room(256, 64 << 20), S), None, None)
         for came in (0, 1):
             ask = Ask("x", "m1", 0, "again", came * S, 2 * S, "")
@@ -184,7 +220,9 @@
 
     def test_a_joined_retry_with_less_patience_is_answered_apart(self):
         b = Book("apart")
-        b.ask("m1", "once", 10); b.now = S // 2; b.ask("m1", "once", 11, wait=1)
+        b.ask("m1", "once", 10)
+        b.now = S // 2
+        b.ask("m1", "once", 11, wait=1)
         for b.now in (S, 2 * S, 4 * S):
             for act, late, whole in b.duty.overdue(b.now):
                 b.say(f"overdue {act.key[1]}, whole {whole}, waiters apart {late}")
@@ -199,22 +237,39 @@
 
         def say(what):
             lines.append(f"{what}: {link.state}, lives {link.lives}")
-        say(f"call {link.wants(0)}"); link.connecting(0); link.connected(1)
-        say(f"call {link.wants(1)}"); say(f"silent accept, at 250 ms {link.check(250 * MS, False)}"); link.lost(250 * MS)
+
+        say(f"call {link.wants(0)}")
+        link.connecting(0)
+        link.connected(1)
+        say(f"call {link.wants(1)}")
+        say(f"silent accept, at 250 ms {link.check(250 * MS, False)}")
+        link.lost(250 * MS)
         say(f"call at once {link.wants(260 * MS)}, later {link.wants(600 * MS)}")
-        link.connecting(S); link.connected(S); say(f"greets as another: {link.greeted(S, 'w2', 7)}")
+        link.connecting(S)
+        link.connected(S)
+        say(f"greets as another: {link.greeted(S, 'w2', 7)}")
         say(f"greets: {link.greeted(S, 'w1', 7)}")
         for at in (2, 3, 5, 7, 9, 10):
             say(f"quiet until {at} s and owing: {link.check(at * S, True)}")
-        link.lost(10 * S); link.connecting(11 * S); link.connected(11 * S); link.greeted(11 * S, "w1", 8)
+        link.lost(10 * S)
+        link.connecting(11 * S)
+        link.connected(11 * S)
+        link.greeted(11 * S, "w1", 8)
         say("back with another start time")
         compare(self, "link", lines)
 
     def test_what_an_end_proves(self):
         lines = []
-        for name, of in (("loss", send_outcome.of_loss), ("time", send_outcome.of_time), ("cancel", send_outcome.of_cancel),
-                         ("recall", send_outcome.of_recall)):
-            for stage_, word in ((send_outcome.WAITING, "in our queue"), (send_outcome.HANDED, "handed over")):
+        for name, of in (
+            ("loss", send_outcome.of_loss),
+            ("time", send_outcome.of_time),
+            ("cancel", send_outcome.of_cancel),
+            ("recall", send_outcome.of_recall),
+        ):
+            for stage_, word in (
+                (send_outcome.WAITING, "in our queue"),
+                (send_outcome.HANDED, "handed over"),
+            ):
                 code = of(stage_)
                 lines.append(f"{name}, {word}: {code}, never ran {code in ports.NEVER_RAN}")
         for word in ("full", "missing", "draining", "error", "cancelled", "late", "nonsense"):
@@ -243,7 +298,9 @@
 
 
 def entry(worker, state="usable", booted=0):
-    return membership.entry({"worker": worker, "address": "127.0.0.1:1", "zone": "n", "state": state, "booted": booted})
+    return membership.entry(
+        {"worker": worker, "address": "127.0.0.1:1", "zone": "n", "state": state, "booted": booted}
+    )
 
 
 class MembershipCases(unittest.TestCase):
@@ -253,26 +310,37 @@
         def say(what, pair=((), ())):
             listed = [f"{e.worker} {'up' if e.usable else 'down'} since {e.booted / S:g}" for e in pair[0]]
             lines.append(f"{what}: {', '.join(listed) or '-'}; leaving {pair[1]}; resume {m.resume}")
+
         say("nothing yet")
         say("list", m.whole("e-4", [entry("a"), entry("b"), entry("c", booted=WALL - S)], 9 * S, WALL))
         for id_ in ("e-5", "e-4", "e-7", "f-5", "e-x"):
             say(f"{id_} is {m.event(id_)}")
         say("a drains", m.change("e-5", [entry("a", "draining")], 10 * S, WALL + S))
         say("told again", m.change("e-6", [entry("a", "draining")], 11 * S, WALL + 2 * S))
-        say("clock stepped, c is told again", m.change("e-7", [entry("c", booted=WALL - S)], 12 * S, WALL + 900 * S))
+        say(
+            "clock stepped, c is told again",
+            m.change("e-7", [entry("c", booted=WALL - S)], 12 * S, WALL + 900 * S),
+        )
         say("c restarted", m.change("e-8", [entry("c", booted=WALL + 2 * S)], 13 * S, WALL + 4 * S))
         say("a is gone", m.change("e-9", [entry("a", "gone")], 14 * S, WALL))
         say("a list without b", m.whole("f-1", [entry("c", booted=WALL + 2 * S)], 15 * S, WALL))
         m.forget()
         say(f"after a gap f-2 is {m.event('f-2')}")
         m.alive(15 * S)
-        lines.append(f"lost after 4 s {m.silent(19 * S)}, 5 s {m.silent(20 * S)}, said again {m.silent(21 * S)}, "
-                     f"heard again {m.alive(22 * S)}")
+        lines.append(
+            f"lost after 4 s {m.silent(19 * S)}, 5 s {m.silent(20 * S)}, said again {m.silent(21 * S)}, "
+            f"heard again {m.alive(22 * S)}"
+        )
         compare(self, "membership", lines)
 
     def test_what_a_roster_garbles_is_one_clear_error(self):
-        for raw in (None, {}, {"worker": "a", "address": "nowhere", "state": "usable"},
-                    {"worker": "a", "address": "h:1", "state": "asleep"}, {"worker": 3, "address": "h:1", "state": "gone"},
-                    {"worker": "a", "address": 7, "state": "gone"}):
+        for raw in (
+            None,
+            {},
+            {"worker": "a", "address": "nowhere", "state": "usable"},
+            {"worker": "a", "address": "h:1", "state": "asleep"},
+            {"worker": 3, "address": "h:1", "state": "gone"},
+            {"worker": "a", "address": 7, "state": "gone"},
+        ):
             with self.assertRaises(ValueError):
                 membership.entry(raw)
