--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -9,9 +9,13 @@
     def test_holds_for_a_free_lane_then_adds_one_copy(self):
         d = Desk("ordinary")
         d.come("x1")
-        d.at(400); d.answer("x1", "a" if "to a" in d.lines[0] else d.lines[0][-1], note=2, took=400)
-        d.come("x2", "x3"); d.at(480); d.answer("x2", d.lines[0][-1])
-        d.come("x4", "x5", "x6"); d.at(900)
+        d.at(400)
+        d.answer("x1", "a" if "to a" in d.lines[0] else d.lines[0][-1], note=2, took=400)
+        d.come("x2", "x3")
+        d.at(480)
+        d.answer("x2", d.lines[0][-1])
+        d.come("x4", "x5", "x6")
+        d.at(900)
         d.end(self)
 
     def test_one_further_copy_at_a_time(self):
@@ -22,7 +26,6 @@
         d.at(600)
         d.end(self)
 
-
     def test_a_placement_asks_the_first_two_and_takes_the_less_loaded(self):
         """Found on lugano-later big-1 (simulated servers): placed blindly, slow workers jam."""
         d = Desk("placement", workers="abcd", probes=True, dispatchers=90)
@@ -33,29 +36,47 @@
         d.end(self)
 
     def test_many_dispatchers_begin_at_different_workers(self):
-        """Found on verbund-later big-1 (simulated servers): 184 dispatchers sent a hot function to one worker."""
+        """Found on verbund-later big-1 (simulated servers): 184 dispatchers sent a hot function to one
+        worker."""
         d = Desk("spread", workers="abcdefghijklmnop", dispatchers=180)
         for i in range(12):
-            d.come(f"x{i}", lanes=8); d.at(100 * i + 100)
+            d.come(f"x{i}", lanes=8)
+            d.at(100 * i + 100)
         d.end(self)
 
     def test_many_sleep_until_something_is_held_or_due(self):
         d = Desk("sleep", workers="a", dispatchers=180)
-        d.come("x1"); d.answer("x1", "a"); before = len(d.rings); d.at(1000)
-        d.say(f"{len(d.rings) - before} wakes while idle"); d.come("x2", "x3"); before = len(d.rings); d.at(2000)
+        d.come("x1")
+        d.answer("x1", "a")
+        before = len(d.rings)
+        d.at(1000)
+        d.say(f"{len(d.rings) - before} wakes while idle")
+        d.come("x2", "x3")
+        before = len(d.rings)
+        d.at(2000)
         d.say(f"{len(d.rings) - before} wakes while one is held")
         d.end(self)
 
-
     def test_a_reset_from_a_worker_that_has_just_answered_is_its_connections(self):
-        """Found on wide+reset+stale (sockets): each reset connection cost the belief in all copies of its worker."""
+        """Found on wide+reset+stale (sockets): each reset connection cost the belief in all copies of its
+        worker."""
         d = Desk("reset_alive", workers="a", self_loading=False, ration=(8, 1, 8000 * MS))
-        d.come("x1"); d.answer("x1", "a", ports.MISSING, took=5); d.at(300)
-        d.brain.stands(d.now, "a", 1, ports.COMPLETED, 1); d.at(310)
-        d.come("x2", lanes=4); d.at(400); d.answer("x2", "a")
-        d.come("x3", lanes=4); d.at(420); d.answer("x3", "a", ports.RESET, took=20)
-        d.say(f"known on {sorted(d.brain.functions[1].copies)}"); d.at(1500)
-        d.come("x4", lanes=4); d.at(2500); d.answer("x4", "a", ports.RESET, took=1000)
+        d.come("x1")
+        d.answer("x1", "a", ports.MISSING, took=5)
+        d.at(300)
+        d.brain.stands(d.now, "a", 1, ports.COMPLETED, 1)
+        d.at(310)
+        d.come("x2", lanes=4)
+        d.at(400)
+        d.answer("x2", "a")
+        d.come("x3", lanes=4)
+        d.at(420)
+        d.answer("x3", "a", ports.RESET, took=20)
+        d.say(f"known on {sorted(d.brain.functions[1].copies)}")
+        d.at(1500)
+        d.come("x4", lanes=4)
+        d.at(2500)
+        d.answer("x4", "a", ports.RESET, took=1000)
         d.say(f"known on {sorted(d.brain.functions[1].copies)}")
         d.end(self)
 
@@ -65,34 +86,42 @@
 
     def test_where_no_loads_may_be_ordered_a_send_begins_the_further_copy(self):
         d = Desk("no_orders", workers="abcdef", orders=False)
-        d.come("x1", "x2", "x3"); d.at(700)
+        d.come("x1", "x2", "x3")
+        d.at(700)
         d.end(self)
 
     def test_the_list_is_asked_for_in_time_where_the_target_latency_is_far_longer(self):
-        """Rule 3: who has not asked for so long counts as told; a look an eighth of a minute came too late for it."""
+        """Rule 3: who has not asked for so long counts as told; a look an eighth of a minute came too late
+        for it."""
         d = Desk("asks_in_time", workers="ab", ask=1000, target=60_000)
-        d.at(3000); d.brain.list_lost(d.now); d.at(5000)
+        d.at(3000)
+        d.brain.list_lost(d.now)
+        d.at(5000)
         d.end(self)
 
     def test_a_load_of_minutes_is_neither_forgotten_nor_followed_by_others(self):
         d = Desk("long_load", workers="abcdef", self_loading=False, target=2000)
         d.come("x1", patience=90_000, load=30_000)
         worker = d.lines[0][-1]
-        d.answer("x1", worker, ports.MISSING, took=5); d.at(29_000)
+        d.answer("x1", worker, ports.MISSING, took=5)
+        d.at(29_000)
         d.brain.stands(d.now, next(iter(d.brain.functions[1].copies), worker), 1, ports.COMPLETED, 1)
         d.at(29_500)
         d.end(self)
 
     def test_a_load_time_that_nothing_tells_is_learnt(self):
         d = Desk("load_learnt", workers="ab", self_loading=False)
-        d.come("x1", load=0); d.answer("x1", d.lines[0][-1], ports.MISSING, took=5); d.at(700)
+        d.come("x1", load=0)
+        d.answer("x1", d.lines[0][-1], ports.MISSING, took=5)
+        d.at(700)
         d.brain.stands(d.now, next(iter(d.brain.functions[1].copies)), 1, ports.COMPLETED, 1)
         d.say(f"a load takes {d.brain.functions[1].load_time // MS}")
         d.end(self)
 
     def test_a_fleet_of_three_is_used_whole(self):
         d = Desk("three_workers", workers="abc", dispatchers=1)
-        d.come("x1", "x2", "x3", "x4", "x5", "x6", patience=8000); d.at(200)
+        d.come("x1", "x2", "x3", "x4", "x5", "x6", patience=8000)
+        d.at(200)
         for ms in (400, 600, 800, 1000):
             d.at(ms)
             for copy in list(d.brain.functions[1].copies.values()):
@@ -103,16 +132,20 @@
 
     def test_where_one_send_is_all_it_is_not_spent_on_a_guess(self):
         d = Desk("one_send", workers="abc", self_loading=False, sends=1)
-        d.come("x1"); d.at(300)
+        d.come("x1")
+        d.at(300)
         d.brain.stands(d.now, next(iter(d.brain.functions[1].copies)), 1, ports.COMPLETED, 1)
         d.end(self)
 
     def test_an_activation_s_own_target_latency_grows_with_its_work(self):
         d = Desk("stretch", workers="a", stretch=4)
-        d.come("x1"); d.answer("x1", "a", took=100)
-        d.come("short", "heavy", work=100); act = d.brain.acts["short"]
+        d.come("x1")
+        d.answer("x1", "a", took=100)
+        d.come("short", "heavy", work=100)
+        act = d.brain.acts["short"]
         d.say(f"a target latency of {act.target // MS}, late after {d.brain._late(act) // MS}")
-        d.come("huge", work=900, patience=60_000); d.say(f"a target latency of {d.brain.acts['huge'].target // MS}")
+        d.come("huge", work=900, patience=60_000)
+        d.say(f"a target latency of {d.brain.acts['huge'].target // MS}")
         d.end(self)
 
     def test_a_report_that_lacks_a_field_does_not_tell_none(self):
@@ -128,7 +161,9 @@
         for fee in (0.0, 0.01, 0.08):
             d = Desk("", workers="abcdef", probes=True, fee=fee)
             for i in range(200):
-                d.at(1000 * i); d.come(f"x{i}"); d.at(1000 * i + 100)
+                d.at(1000 * i)
+                d.come(f"x{i}")
+                d.at(1000 * i + 100)
                 sent = [line for line in d.lines if line.split()[1:3] == ["send", f"x{i}"]]
                 d.answer(f"x{i}", sent[0][-1])
             counts[fee] = len(d.asked)
@@ -143,11 +178,13 @@
             self.assertEqual(d.brain.acts["x8"].beyond, lesser)
 
     def test_times_of_zero_divide_nothing(self):
-        """A worker that starts ahead of our clock, where no time is cold, none counts for the fall and idle copies go at once."""
+        """A worker that starts ahead of our clock, where no time is cold, none counts for the fall and idle
+        copies go at once."""
         for changes in ({"cold": 0}, {"fall": 0}, {"keep": 0}):
             with self.subTest(changes):
                 d = Desk("", workers=[worker("a", booted=0 if "keep" in changes else 500)], **changes)
-                d.come("x1", "x2", "x3"); d.at(400)
+                d.come("x1", "x2", "x3")
+                d.at(400)
                 sends = [line for line in d.lines if " send " in line]
                 self.assertTrue(sends)
 
@@ -155,43 +192,56 @@
 class Rules(unittest.TestCase):
     def test_one_final_answer_and_nothing_after(self):
         d = Desk("one_answer", workers="a")
-        d.come("x1", "x2"); d.at(1600)
-        d.answer("x1", "a", ports.TIMED_OUT, took=1600); d.answer("x1", "a", ports.TIMED_OUT, took=1600)
-        d.brain.left(d.now, "x2"); d.at(4000)
+        d.come("x1", "x2")
+        d.at(1600)
+        d.answer("x1", "a", ports.TIMED_OUT, took=1600)
+        d.answer("x1", "a", ports.TIMED_OUT, took=1600)
+        d.brain.left(d.now, "x2")
+        d.at(4000)
         d.end(self)
 
     def test_sweeps_go_on_while_activations_come_just_before_each_wake(self):
-        """Found on lugano's overload day (simulated servers): a wake put off again and again lost an activation."""
+        """Found on lugano's overload day (simulated servers): a wake put off again and again lost an
+        activation."""
         d = Desk("overdue_wake", workers="a")
-        d.come("x0", patience=300); d.come("late", patience=200)
+        d.come("x0", patience=300)
+        d.come("late", patience=200)
         for i in range(1, 12):
-            d.now = i * 20 * MS                          # the activation comes first, then what rings by then
-            d.come(f"y{i}"); d.at(i * 20)
+            d.now = i * 20 * MS  # the activation comes first, then what rings by then
+            d.come(f"y{i}")
+            d.at(i * 20)
         d.end(self)
 
     @staticmethod
     def nine_miss(d):
-        """Nine functions are called one after the other; each that is sent is missing, so that a load would be ordered."""
+        """Nine functions are called one after the other; each that is sent is missing, so that a load would
+        be ordered."""
         for i in range(9):
-            d.at(300 * i + 300); d.come(f"x{i}", fn=i)
+            d.at(300 * i + 300)
+            d.come(f"x{i}", fn=i)
             sent = [line for line in d.lines if f" send x{i} " in line]
             if sent:
                 d.answer(f"x{i}", sent[0][-1], ports.MISSING, took=5)
 
     def test_what_is_taken_back_gives_no_right_to_loads(self):
-        """Found on join+mass (sockets): 200 calls that a bad client took back at once let 18 loads be ordered where 14 were due."""
+        """Found on join+mass (sockets): 200 calls that a bad client took back at once let 18 loads be ordered
+        where 14 were due."""
         d = Desk("taken_back", workers="abcdefghijklmnop", self_loading=False, ration=(2, 0.1, 10_000 * MS))
         d.come(*(f"flood{i}" for i in range(60)), fn=99, patience=200)
         for i in range(30):
             d.brain.left(d.now, f"flood{i}")
         d.at(200)
-        d.say(f"30 were taken back, {sum('reject' in line for line in d.lines)} rejected"); d.lines = d.lines[-1:]
+        d.say(f"30 were taken back, {sum('reject' in line for line in d.lines)} rejected")
+        d.lines = d.lines[-1:]
         self.nine_miss(d)
-        d.say(f"{sum('order' in line for line in d.lines)} orders for {d.brain.taken.most(d.now)} activations")
+        d.say(
+            f"{sum('order' in line for line in d.lines)} orders for {d.brain.taken.most(d.now)} activations"
+        )
         d.end(self)
 
     def test_what_asks_for_functions_that_nobody_has_gives_no_right_to_loads(self):
-        """Each of these is sent at once, as another dispatcher's copy may stand there; a worker answers that it can't be used."""
+        """Each of these is sent at once, as another dispatcher's copy may stand there; a worker answers that
+        it can't be used."""
         d = Desk("strange", workers="abcdefghijklmnop", self_loading=False, ration=(2, 0.1, 10_000 * MS))
         for i in range(60):
             d.come(f"bad{i}", fn=1000 + i, patience=200)
@@ -199,16 +249,22 @@
             if sent:
                 d.answer(f"bad{i}", sent[0][-1], ports.ERROR, took=2)
         d.at(300)
-        d.say(f"{sum(' send bad' in line for line in d.lines)} of 60 were sent"); d.lines = d.lines[-1:]
+        d.say(f"{sum(' send bad' in line for line in d.lines)} of 60 were sent")
+        d.lines = d.lines[-1:]
         self.nine_miss(d)
         d.at(3200)
-        d.say(f"{sum('order' in line for line in d.lines)} orders for {d.brain.taken.most(d.now)} activations")
+        d.say(
+            f"{sum('order' in line for line in d.lines)} orders for {d.brain.taken.most(d.now)} activations"
+        )
         d.end(self)
 
     def test_who_is_taken_back_soon_gives_no_right_to_loads_though_a_worker_has_answered(self):
-        d = Desk("taken_back_soon", workers="abcdefghijklmnop", self_loading=False, ration=(2, 0.1, 10_000 * MS))
+        d = Desk(
+            "taken_back_soon", workers="abcdefghijklmnop", self_loading=False, ration=(2, 0.1, 10_000 * MS)
+        )
         for i in range(30):
-            d.come(f"back{i}", fn=100 + i); d.come(f"stays{i}", fn=200 + i)
+            d.come(f"back{i}", fn=100 + i)
+            d.come(f"stays{i}", fn=200 + i)
             for act in (f"back{i}", f"stays{i}"):
                 sent = [line for line in d.lines if f" send {act} " in line]
                 if sent:
@@ -216,8 +272,10 @@
         d.at(20)
         for i in range(30):
             d.brain.left(d.now, f"back{i}")
-        d.say(f"{d.brain.taken.most(d.now)} activations count"); d.lines = d.lines[-1:]
-        d.at(200); d.come("last", fn=1)
+        d.say(f"{d.brain.taken.most(d.now)} activations count")
+        d.lines = d.lines[-1:]
+        d.at(200)
+        d.come("last", fn=1)
         d.lines = d.lines[:1]
         d.say(f"{d.brain.taken.most(d.now)} activations count")
         d.end(self)
@@ -225,20 +283,30 @@
     def test_an_order_that_waited_is_counted_when_it_leaves(self):
         d = Desk("leaves", workers="abcd", self_loading=False, ration=(0, 0.1, 1000 * MS))
         d.brain.taken.add(0, 10)
-        d.say(f"may order: {d.brain._may_order(0)}"); d.brain.loads.add(0)
+        d.say(f"may order: {d.brain._may_order(0)}")
+        d.brain.loads.add(0)
         d.say(f"another: {d.brain._may_order(0)}")
-        d.at(500); d.say(f"it may leave: {d.brain.leaves(d.now, 0)}, another: {d.brain._may_order(d.now)}")
-        d.at(800); d.brain.taken.add(d.now, 10)
-        d.at(1400); d.say(f"another, with ten new ones: {d.brain._may_order(d.now)}")
-        d.at(1700); d.say(f"now that it has left the window: {d.brain._may_order(d.now)}"); d.brain.loads.add(d.now)
-        d.brain.stays(d.now, d.now); d.say(f"another, as that one never left: {d.brain._may_order(d.now)}"); d.brain.loads.add(d.now)
-        d.at(2600); d.say(f"it may leave with none taken: {d.brain.leaves(d.now, 1700 * MS)}")
+        d.at(500)
+        d.say(f"it may leave: {d.brain.leaves(d.now, 0)}, another: {d.brain._may_order(d.now)}")
+        d.at(800)
+        d.brain.taken.add(d.now, 10)
+        d.at(1400)
+        d.say(f"another, with ten new ones: {d.brain._may_order(d.now)}")
+        d.at(1700)
+        d.say(f"now that it has left the window: {d.brain._may_order(d.now)}")
+        d.brain.loads.add(d.now)
+        d.brain.stays(d.now, d.now)
+        d.say(f"another, as that one never left: {d.brain._may_order(d.now)}")
+        d.brain.loads.add(d.now)
+        d.at(2600)
+        d.say(f"it may leave with none taken: {d.brain.leaves(d.now, 1700 * MS)}")
         d.end(self)
 
     def test_an_order_that_never_left_is_no_failed_load(self):
         """A failed load stops all further copies for two target latencies."""
         d = Desk("not_left", workers="abcdefgh", self_loading=False, ration=(9, 1, 8000 * MS), target=400)
-        d.come("x1", patience=1500); d.answer("x1", d.lines[-1][-1], ports.MISSING, took=2)
+        d.come("x1", patience=1500)
+        d.answer("x1", d.lines[-1][-1], ports.MISSING, took=2)
         for _ in range(3):
             order = next((line for line in reversed(d.lines) if "order" in line), None)
             if order is not None:
@@ -249,47 +317,69 @@
 
     def test_a_ring_takes_back_what_it_still_holds(self):
         ring = Ring(1200)
-        ring.add(100); ring.add(900); ring.add(100, -1)
+        ring.add(100)
+        ring.add(900)
+        ring.add(100, -1)
         self.assertEqual((ring.most(900), ring.least(900)), (1, 1))
-        ring.add(2000); ring.add(900, -1); ring.add(100, -1)     # that of 100 has been let go: nothing is taken off another's
+        # that of 100 has been let go: nothing is taken off another's
+        ring.add(2000)
+        ring.add(900, -1)
+        ring.add(100, -1)
         self.assertEqual(ring.most(2000), 1)
 
     def test_once_only_never_again_unless_it_provably_never_ran(self):
         d = Desk("once_only", effect=ports.ONCE_ONLY)
-        d.come("x1"); d.answer("x1", d.lines[-1][-1], ports.FULL)
-        d.at(700); d.answer("x1", d.lines[-1][-1], ports.ERROR, n=1)
+        d.come("x1")
+        d.answer("x1", d.lines[-1][-1], ports.FULL)
+        d.at(700)
+        d.answer("x1", d.lines[-1][-1], ports.ERROR, n=1)
         d.at(3000)
         d.end(self)
 
     def test_deduplicated_stays_in_its_group_and_window(self):
         north = [worker("a"), worker("b")]
-        d = Desk("deduplicated", workers=north + [worker(w, "south") for w in "cdef"], effect=ports.DEDUPLICATED)
-        d.come("x1"); d.answer("x1", d.lines[-1][-1], ports.ERROR)
-        d.at(300); d.come("x2", fn=2); d.at(1900); d.answer("x2", d.lines[-1][-1], ports.ERROR)
+        d = Desk(
+            "deduplicated", workers=north + [worker(w, "south") for w in "cdef"], effect=ports.DEDUPLICATED
+        )
+        d.come("x1")
+        d.answer("x1", d.lines[-1][-1], ports.ERROR)
+        d.at(300)
+        d.come("x2", fn=2)
+        d.at(1900)
+        d.answer("x2", d.lines[-1][-1], ports.ERROR)
         d.at(4000)
         d.end(self)
 
     def test_window_holds_though_the_first_send_never_ran(self):
         """Found on ie886b5 (simulated servers): a second send was out when the first was disproved."""
         d = Desk("disproved", workers="abc", effect=ports.DEDUPLICATED)
-        d.come("x0", lanes=2); first = d.lines[-1][-1]; d.answer("x0", first, note=1)
-        d.come("x1", lanes=2, patience=6000); d.at(1600); second = d.lines[-1][-1]
-        d.answer("x1", first, ports.MISSING); d.at(1700); d.answer("x1", second, ports.ERROR, n=1)
+        d.come("x0", lanes=2)
+        first = d.lines[-1][-1]
+        d.answer("x0", first, note=1)
+        d.come("x1", lanes=2, patience=6000)
+        d.at(1600)
+        second = d.lines[-1][-1]
+        d.answer("x1", first, ports.MISSING)
+        d.at(1700)
+        d.answer("x1", second, ports.ERROR, n=1)
         d.at(2900)
         d.end(self)
 
     def test_nothing_new_to_a_worker_that_drains(self):
         d = Desk("drain", workers="ab", self_loading=False)
-        d.come("x1"); first = d.lines[-1][-1]
+        d.come("x1")
+        first = d.lines[-1][-1]
         d.brain.stands(d.now, first, 1, ports.COMPLETED, 1)
         d.brain.listed(d.now, [worker(first, usable=False)], False)
-        d.come("x2", "x3"); d.at(2000)
+        d.come("x2", "x3")
+        d.at(2000)
         d.end(self)
 
     def test_cold_worker_gets_our_part_of_its_budget(self):
         d = Desk("cold_budget", workers=[worker("a", booted=1), worker("b", usable=False)])
         for i in range(60):
-            d.at(10 + 140 * i); d.come(f"x{i}", lanes=8, patience=400)
+            d.at(10 + 140 * i)
+            d.come(f"x{i}", lanes=8, patience=400)
             if d.lines and " send " in d.lines[-1] and d.lines[-1].split()[2] == f"x{i}":
                 d.answer(f"x{i}", "a")
         d.lines = [line for line in d.lines if "reject" not in line]
@@ -297,8 +387,9 @@
 
     def test_load_orders_stay_in_their_ration(self):
         d = Desk("ration", workers="abcd", self_loading=False, ration=(2, 0.2, 1000 * 10**6))
-        for fn in range(1, 7):                           # each guesses, misses, and wants a load ordered
-            d.come(f"x{fn}", fn=fn); d.answer(f"x{fn}", d.lines[-1][-1], ports.MISSING)
+        for fn in range(1, 7):  # each guesses, misses, and wants a load ordered
+            d.come(f"x{fn}", fn=fn)
+            d.answer(f"x{fn}", d.lines[-1][-1], ports.MISSING)
         d.at(1500)
         d.end(self)
 
@@ -306,7 +397,9 @@
 class Failures(unittest.TestCase):
     def test_fast_errors_do_not_draw_the_backlog(self):
         d = Desk("fast_errors", workers="a")
-        d.come("x1"); d.at(400); d.answer("x1", "a", note=2, took=400)
+        d.come("x1")
+        d.at(400)
+        d.answer("x1", "a", note=2, took=400)
         d.come(*[f"y{i}" for i in range(6)])
         for i in range(40):
             d.at(400 + 10 * i)
@@ -316,19 +409,29 @@
 
     def test_silent_worker_gets_nothing_new_and_loses_what_it_holds(self):
         d = Desk("silent", workers="ab")
-        d.come("x1", lanes=2); first = d.lines[-1][-1]
-        d.at(400); d.answer("x1", first, note=2, took=400)
-        d.come("x2", lanes=2); d.at(1800); d.come("x3", lanes=2)
+        d.come("x1", lanes=2)
+        first = d.lines[-1][-1]
+        d.at(400)
+        d.answer("x1", first, note=2, took=400)
+        d.come("x2", lanes=2)
+        d.at(1800)
+        d.come("x3", lanes=2)
         d.at(2600)
         d.end(self)
 
     def test_while_most_answers_are_slow_fewer_are_sent_at_once(self):
-        """Found on i8a87f1 (simulated servers): each of many dispatchers has one or two out, all of them late."""
+        """Found on i8a87f1 (simulated servers): each of many dispatchers has one or two out, all of them
+        late."""
         d = Desk("slow_fleet", workers="ab", dispatchers=90)
-        d.come("w", lanes=8); d.at(100); d.answer("w", d.lines[0][-1])
+        d.come("w", lanes=8)
+        d.at(100)
+        d.answer("w", d.lines[0][-1])
         for i in range(1, 50):
-            d.come(f"x{i}", lanes=8, patience=1500); d.at(100 * i + 100)
-            for line in [line for line in d.lines if " send " in line and int(line.split()[0]) == d.now // MS - 900]:
+            d.come(f"x{i}", lanes=8, patience=1500)
+            d.at(100 * i + 100)
+            for line in [
+                line for line in d.lines if " send " in line and int(line.split()[0]) == d.now // MS - 900
+            ]:
                 d.answer(line.split()[2], line[-1], took=900)
         out = sum(" send " in line for line in d.lines[-14:])
         d.say(f"{out} sends among the last 14 lines")
@@ -338,10 +441,13 @@
         """x1 goes to a worker that answers all but that one; what follows for it, and for its lane."""
         d = Desk(kept, workers="a", effect=effect, self_loading=False, ration=(8, 1, 8000 * MS))
         for fn in (1, 2):
-            d.come(f"w{fn}", fn=fn); d.answer(f"w{fn}", "a")
-        d.come("x1", fn=1); d.brain.listed(d.now, [worker("b")], False)
+            d.come(f"w{fn}", fn=fn)
+            d.answer(f"w{fn}", "a")
+        d.come("x1", fn=1)
+        d.brain.listed(d.now, [worker("b")], False)
         for i in range(30):
-            d.at(50 * i + 50); d.come(f"y{i}", fn=2)
+            d.at(50 * i + 50)
+            d.come(f"y{i}", fn=2)
             if (f"y{i}", 0) in d.brain.workers["a"].out:
                 d.answer(f"y{i}", "a", took=50)
             d.lines = [line for line in d.lines if " y" not in line]
@@ -350,78 +456,113 @@
             if i == 20:
                 d.brain.stands(d.now, "b", 1, ports.COMPLETED, 1)
         before = d.brain.slow
-        d.at(2900); d.answer("x1", "a", ports.TIMED_OUT, took=2900)
-        d.say(f"{d.brain.workers['a'].lost} lost there; fleet slower for it: {d.brain.slow > before}; "
-              f"{d.brain.out_now} out")
+        d.at(2900)
+        d.answer("x1", "a", ports.TIMED_OUT, took=2900)
+        d.say(
+            f"{d.brain.workers['a'].lost} lost there; fleet slower for it: {d.brain.slow > before}; "
+            f"{d.brain.out_now} out"
+        )
         d.end(self)
 
     def test_a_send_overtaken_by_far_gives_its_lane_back_and_is_sent_again(self):
-        """Found on churn+long (sockets): answers were lost on their way for ten seconds, and each kept its lane to the end."""
+        """Found on churn+long (sockets): answers were lost on their way for ten seconds, and each kept its
+        lane to the end."""
         self.lost("lost_answer", ports.REPEATABLE)
 
     def test_a_once_only_one_gives_its_lane_back_and_is_not_sent_again(self):
         self.lost("lost_once_only", ports.ONCE_ONLY)
 
     def test_time_outs_bring_no_rest(self):
-        """Found on i327267 (simulated servers): overload made time-outs, and rests took workers away from it."""
+        """Found on i327267 (simulated servers): overload made time-outs, and rests took workers away from
+        it."""
         d = Desk("no_rest", workers="a")
-        d.come("x1", "x2", "x3", lanes=4, patience=600); d.at(600)
+        d.come("x1", "x2", "x3", lanes=4, patience=600)
+        d.at(600)
         for act in ("x1", "x2", "x3"):
             d.answer(act, "a", ports.TIMED_OUT, took=600)
-        d.at(1300); d.come("x4", lanes=4); d.at(1800)
+        d.at(1300)
+        d.come("x4", lanes=4)
+        d.at(1800)
         d.end(self)
 
     def test_copies_on_a_jammed_worker_do_not_keep_a_function_from_another(self):
-        """Found on churn (sockets): functions waited for their one copy on a throttled worker, and were given up there."""
+        """Found on churn (sockets): functions waited for their one copy on a throttled worker, and were given
+        up there."""
         d = Desk("jammed", workers="ab", self_loading=False, ration=(8, 1, 8000 * MS))
-        d.come("w1", fn=1); jams = d.lines[-1][-1]; fine = "ab".replace(jams, "")
+        d.come("w1", fn=1)
+        jams = d.lines[-1][-1]
+        fine = "ab".replace(jams, "")
         d.answer("w1", jams)
-        for i in range(2, 8):                            # the other one answers as usual, with what it has
+        for i in range(2, 8):  # the other one answers as usual, with what it has
             d.brain.stands(d.now, fine, 2, ports.COMPLETED, 1)
-            d.at(100 * i); d.come(f"w{i}", fn=2); d.answer(f"w{i}", fine)
-        d.brain.spread_after = d.now + 3000 * MS         # some load has failed: no function with a copy of use may spread
+            d.at(100 * i)
+            d.come(f"w{i}", fn=2)
+            d.answer(f"w{i}", fine)
+        # some load has failed: no function with a copy of use may spread
+        d.brain.spread_after = d.now + 3000 * MS
         for i in range(8, 11):
-            d.at(200 * i); d.come(f"w{i}", fn=1); d.answer(f"w{i}", jams, ports.FULL)
-        d.at(2100); d.come("x1", "x2", fn=1); d.at(2500)
+            d.at(200 * i)
+            d.come(f"w{i}", fn=1)
+            d.answer(f"w{i}", jams, ports.FULL)
+        d.at(2100)
+        d.come("x1", "x2", fn=1)
+        d.at(2500)
         d.brain.stands(d.now, fine, 1, ports.COMPLETED, 1)
         d.at(2600)
         d.end(self)
 
     def test_late_answers_of_a_jammed_worker_turn_nothing_away_elsewhere(self):
-        """Found on churn (sockets): three throttled workers made the fleet look slow, and what came was turned away."""
+        """Found on churn (sockets): three throttled workers made the fleet look slow, and what came was
+        turned away."""
         d = Desk("jammed_slow", workers="ab", self_loading=False, ration=(8, 1, 8000 * MS))
-        for i in range(12):                              # one is full each time, the other answers as usual
+        for i in range(12):  # one is full each time, the other answers as usual
             for fn, name, code in ((1, "a", ports.FULL), (2, "b", ports.COMPLETED)):
-                d.brain.stands(d.now, name, fn, ports.COMPLETED, 1); d.come(f"{name}{i}", fn=fn, lanes=2, patience=2000)
+                d.brain.stands(d.now, name, fn, ports.COMPLETED, 1)
+                d.come(f"{name}{i}", fn=fn, lanes=2, patience=2000)
                 if d.brain.workers[name].out:
                     d.answer(*next(iter(d.brain.workers[name].out))[:1], name, code)
-            d.at(300 * i + 300); d.lines.clear()
+            d.at(300 * i + 300)
+            d.lines.clear()
             d.say(f"turned away {d.brain.turned:.2f}; of a: pace {d.brain.workers['a'].pace:.1f}")
         d.end(self)
 
     def test_a_worker_whose_loads_wait_is_passed_over_and_nothing_else(self):
-        """Found on churn (sockets): orders answered full kept every function from loading anywhere for two target latencies."""
+        """Found on churn (sockets): orders answered full kept every function from loading anywhere for two
+        target latencies."""
         d = Desk("loads_wait", workers="abc", self_loading=False, ration=(20, 1, 8000 * MS))
         for fn in (1, 2):
-            d.come(f"x{fn}", fn=fn); d.answer(f"x{fn}", d.lines[-1][-1], ports.MISSING)
+            d.come(f"x{fn}", fn=fn)
+            d.answer(f"x{fn}", d.lines[-1][-1], ports.MISSING)
         packed = d.lines[-1][-1]
-        d.at(20); d.brain.stands(d.now, packed, 2, ports.FULL, 0); d.at(600)
+        d.at(20)
+        d.brain.stands(d.now, packed, 2, ports.FULL, 0)
+        d.at(600)
         d.say(f"{packed} was full; copies may be added: {d.now >= d.brain.spread_after}")
         d.end(self)
 
     def test_what_is_to_be_given_up_takes_a_lane_that_is_free(self):
         """Found in a test of MQTT: given up with a lane free, since lesser work flows at sweeps alone."""
         d = Desk("free_lane", workers="a")
-        d.come("w", lanes=2); d.at(50); d.answer("w", "a", took=50)
-        d.come("x1", "x2", "x3", lanes=2, patience=2190); d.at(1124)
-        d.answer("x1", "a", took=1074); d.at(1200)
+        d.come("w", lanes=2)
+        d.at(50)
+        d.answer("w", "a", took=50)
+        d.come("x1", "x2", "x3", lanes=2, patience=2190)
+        d.at(1124)
+        d.answer("x1", "a", took=1074)
+        d.at(1200)
         d.end(self)
 
     def test_a_resend_that_finds_no_lane_does_not_block_the_rest(self):
         d = Desk("no_block", workers="a")
-        d.come("x1", lanes=2); d.at(400); d.answer("x1", "a", note=2, took=400)
-        d.come("x2", lanes=2); d.at(420); d.answer("x2", "a", ports.ERROR, took=20)
-        d.at(800); d.come("x3", lanes=2); d.at(900)
+        d.come("x1", lanes=2)
+        d.at(400)
+        d.answer("x1", "a", note=2, took=400)
+        d.come("x2", lanes=2)
+        d.at(420)
+        d.answer("x2", "a", ports.ERROR, took=20)
+        d.at(800)
+        d.come("x3", lanes=2)
+        d.at(900)
         d.end(self)
 
 
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -1,4 +1,6 @@
-"""When messages are acknowledged and begun: kept traces, and thousands of seeded walks against the broker's model."""
+"""When messages are acknowledged and begun: kept traces, and thousands of seeded walks against the broker's
+model."""
+
 import random
 import unittest
 from collections import Counter, deque
@@ -13,7 +15,7 @@
 from kept import compare
 
 S = 1_000_000_000
-IDS = range(1, 41)         # packet identifiers of the walk's answers
+IDS = range(1, 41)  # packet identifiers of the walk's answers
 
 
 class Noted:
@@ -69,51 +71,79 @@
     def test_each_quality_and_kind(self):
         n = Noted("mqtt_plans")
         d = n.deliveries
-        n.publish(0, 0, "q0"); n.done("q0")
-        n.publish(1, 1, "a", ports.REPEATABLE); n.done("a")
-        n.publish(2, 2, "b", ports.REPEATABLE); n.done("b"); n.then("PUBREL 2", d.released, n.now, 2)
-        n.publish(3, 1, "c"); n.then("PINGRESP", d.ponged, n.now); n.done("c")
-        n.publish(4, 2, "d"); n.then("PUBREL 4", d.released, n.now, 4); n.done("d")
-        n.publish(5, 1, "e", ports.DEDUPLICATED); n.then("PINGRESP", d.ponged, n.now); n.done("e")
+        n.publish(0, 0, "q0")
+        n.done("q0")
+        n.publish(1, 1, "a", ports.REPEATABLE)
+        n.done("a")
+        n.publish(2, 2, "b", ports.REPEATABLE)
+        n.done("b")
+        n.then("PUBREL 2", d.released, n.now, 2)
+        n.publish(3, 1, "c")
+        n.then("PINGRESP", d.ponged, n.now)
+        n.done("c")
+        n.publish(4, 2, "d")
+        n.then("PUBREL 4", d.released, n.now, 4)
+        n.done("d")
+        n.publish(5, 1, "e", ports.DEDUPLICATED)
+        n.then("PINGRESP", d.ponged, n.now)
+        n.done("e")
         compare(self, n.kept, n.lines)
 
     def test_lost_between_pubrec_and_pubrel(self):
         n = Noted("mqtt_pubrec_lost")
         d = n.deliveries
-        n.publish(1, 2, "kept"); n.publish(2, 2, "again")
-        n.then("connection lost", d.lost); n.then("resumed", d.resume, n.now, True)
+        n.publish(1, 2, "kept")
+        n.publish(2, 2, "again")
+        n.then("connection lost", d.lost)
+        n.then("resumed", d.resume, n.now, True)
         n.then("PUBREL 1", d.released, n.now, 1)
-        n.publish(2, 2, "again", dup=True); n.then("PUBREL 2", d.released, n.now, 2)
-        n.then("PINGRESP", d.ponged, n.now); n.done("kept"); n.done("again")
+        n.publish(2, 2, "again", dup=True)
+        n.then("PUBREL 2", d.released, n.now, 2)
+        n.then("PINGRESP", d.ponged, n.now)
+        n.done("kept")
+        n.done("again")
         compare(self, n.kept, n.lines)
 
     def test_puback_lost_and_puback_read(self):
         n = Noted("mqtt_puback_lost")
         d = n.deliveries
-        n.publish(1, 1, "read"); n.publish(2, 1, "unread")
-        n.then("connection lost", d.lost); n.then("resumed", d.resume, n.now, True)
+        n.publish(1, 1, "read")
+        n.publish(2, 1, "unread")
+        n.then("connection lost", d.lost)
+        n.then("resumed", d.resume, n.now, True)
         n.publish(2, 1, "unread", dup=True)
-        n.then("PINGRESP", d.ponged, n.now); n.then("PINGRESP", d.ponged, n.now)
+        n.then("PINGRESP", d.ponged, n.now)
+        n.then("PINGRESP", d.ponged, n.now)
         n.done("unread")
         compare(self, n.kept, n.lines)
 
     def test_a_session_that_the_broker_has_lost(self):
         n = Noted("mqtt_session_lost")
         d = n.deliveries
-        n.publish(1, 1, "proving"); n.publish(2, 1, "running", ports.REPEATABLE); n.publish(3, 2, "proving2")
-        n.then("connection lost", d.lost); n.then("connected, no session", d.resume, n.now, False)
-        n.publish(1, 1, "another"); n.then("PINGRESP", d.ponged, n.now); n.done("another")
+        n.publish(1, 1, "proving")
+        n.publish(2, 1, "running", ports.REPEATABLE)
+        n.publish(3, 2, "proving2")
+        n.then("connection lost", d.lost)
+        n.then("connected, no session", d.resume, n.now, False)
+        n.publish(1, 1, "another")
+        n.then("PINGRESP", d.ponged, n.now)
+        n.done("another")
         compare(self, n.kept, n.lines)
 
     def test_done_while_disconnected(self):
         n = Noted("mqtt_done_apart")
         d = n.deliveries
-        n.publish(1, 1, "comes again", ports.REPEATABLE); n.publish(2, 1, "moved", ports.REPEATABLE)
+        n.publish(1, 1, "comes again", ports.REPEATABLE)
+        n.publish(2, 1, "moved", ports.REPEATABLE)
         n.publish(3, 1, "still runs", ports.REPEATABLE)
-        n.then("connection lost", d.lost); n.done("comes again"); n.done("moved")
-        n.then("resumed", d.resume, n.now, True); n.publish(1, 1, "comes again", ports.REPEATABLE, dup=True)
+        n.then("connection lost", d.lost)
+        n.done("comes again")
+        n.done("moved")
+        n.then("resumed", d.resume, n.now, True)
+        n.publish(1, 1, "comes again", ports.REPEATABLE, dup=True)
         n.publish(3, 1, "still runs", ports.REPEATABLE, dup=True)
-        n.then("PINGRESP", d.ponged, n.now); n.done("still runs")
+        n.then("PINGRESP", d.ponged, n.now)
+        n.done("still runs")
         compare(self, n.kept, n.lines)
 
     def test_the_window_holds_and_what_is_late_is_turned_away(self):
@@ -121,8 +151,14 @@
         d = n.deliveries
         for i in range(1, 6):
             n.publish(i, 1, f"m{i}", ports.REPEATABLE, due=5 if i == 4 else 100)
-        n.now = 6 * S; n.then("sweep", d.sweep, n.now); n.done("m1"); n.now = 8 * S; n.done("m2", well=False)
-        n.say(f"window {d.window.size:.2f}"); n.then("drain", d.close, n.now); n.done("m3")
+        n.now = 6 * S
+        n.then("sweep", d.sweep, n.now)
+        n.done("m1")
+        n.now = 8 * S
+        n.done("m2", well=False)
+        n.say(f"window {d.window.size:.2f}")
+        n.then("drain", d.close, n.now)
+        n.done("m3")
         n.say(f"idle {d.idle()}")
         compare(self, n.kept, n.lines)
 
@@ -135,20 +171,35 @@
         self.begin_anew()
 
     def begin_anew(self):
-        self.deliveries, self.running, self.answers = mqtt_acknowledgement.Deliveries(
-            mqtt_acknowledgement.Window(2, 6), self), [], {}
+        self.deliveries, self.running, self.answers = (
+            mqtt_acknowledgement.Deliveries(mqtt_acknowledgement.Window(2, 6), self),
+            [],
+            {},
+        )
         self.fresh, self.unsent = True, []
 
     def connect(self, clean=False):
-        self.there.clear(); self.here.clear()
+        self.there.clear()
+        self.here.clear()
         self.session = self.walk.broker.connect(
-            mq.Packet(mq.CONNECT, client=self.name, clean=int(clean), user="gateway", will=None,
-                      props={"session_expiry": 50, "receive_maximum": 6}), self.here.append, lambda code: self.cut())
+            mq.Packet(
+                mq.CONNECT,
+                client=self.name,
+                clean=int(clean),
+                user="gateway",
+                will=None,
+                props={"session_expiry": 50, "receive_maximum": 6},
+            ),
+            self.here.append,
+            lambda code: self.cut(),
+        )
         self.life = self.session.life
         first = self.here.popleft()
         if not first.present:
-            self.walk.broker.subscribe(self.session, mq.Packet(mq.SUBSCRIBE, 1, props={}, filters=[("$share/g/act/#", 2)]))
-        if self.fresh:                 # what an earlier life has begun to send is let go
+            self.walk.broker.subscribe(
+                self.session, mq.Packet(mq.SUBSCRIBE, 1, props={}, filters=[("$share/g/act/#", 2)])
+            )
+        if self.fresh:  # what an earlier life has begun to send is let go
             self.there.append([mq.Packet(mq.PUBREL, id_) for id_ in IDS])
         self.deliveries.resume(0, bool(first.present))
         for id_, packet in list(self.answers.items()):
@@ -164,7 +215,8 @@
         if self.session is None:
             return
         session, self.session = self.session, None
-        self.there.clear(); self.here.clear()
+        self.there.clear()
+        self.here.clear()
         self.walk.broker.gone(session, self.life, False)
         self.deliveries.lost()
         if kill:
@@ -192,7 +244,7 @@
         elif p.type == mq.PINGRESP:
             while self.here and self.here[0].type == mq.PUBCOMP:
                 self.step_here()
-            self.fresh = False                           # the broker has let go of the numbers
+            self.fresh = False  # the broker has let go of the numbers
             self.deliveries.ponged(0)
             self.send_unsent()
         elif p.type == mq.PUBREC:
@@ -247,8 +299,16 @@
             self.unsent.append((delivery, owed))
             return
         id_ = next(i for i in IDS if i not in self.answers)
-        answer = mq.Packet(mq.PUBLISH, id_, topic="r/" + delivery.what, payload=b"", qos=1 if owed else 2, dup=0,
-                           retain=0, props={})
+        answer = mq.Packet(
+            mq.PUBLISH,
+            id_,
+            topic="r/" + delivery.what,
+            payload=b"",
+            qos=1 if owed else 2,
+            dup=0,
+            retain=0,
+            props={},
+        )
         self.answers[answer.id] = answer
         packets = [answer]
         if owed and delivery.id is not None:
@@ -257,21 +317,25 @@
 
 
 class Walk:
-    """A broker, three dispatchers and random events: bytes arrive, work ends, connections break, processes die."""
+    """A broker, three dispatchers and random events: bytes arrive, work ends, connections break, processes
+    die."""
 
     def __init__(self, seed, kills, steps=700):
         self.chance, self.begun, self.killed, self.aborted = random.Random(seed), Counter(), set(), set()
         self.answered, self.clock = Counter(), VirtualClock()
         self.broker = Broker(self.clock, lambda *_: True, self.saw)
         self.members = [Member(self, f"d{i}") for i in range(3)]
-        self.client = self.broker.connect(mq.Packet(mq.CONNECT, client="c", clean=1, user=None, will=None, props={}),
-                                          lambda p: None, lambda code: None)
+        self.client = self.broker.connect(
+            mq.Packet(mq.CONNECT, client="c", clean=1, user=None, will=None, props={}),
+            lambda p: None,
+            lambda code: None,
+        )
         for member in self.members:
             member.connect()
         self.asked = []
         for _ in range(steps):
             self.step(kills)
-        for _ in range(3):                               # then all goes well
+        for _ in range(3):  # then all goes well
             for member in self.members:
                 if member.session is None:
                     member.connect()
@@ -290,8 +354,19 @@
             what = self.chance.choice("roq") + str(len(self.asked))
             self.asked.append(what)
             qos = {"r": self.chance.choice((1, 2)), "o": 2, "q": 1}[what[0]]
-            self.broker.packet(self.client, mq.Packet(mq.PUBLISH, len(self.asked), topic="act/" + what, payload=b"",
-                                                      qos=qos, dup=0, retain=0, props={}))
+            self.broker.packet(
+                self.client,
+                mq.Packet(
+                    mq.PUBLISH,
+                    len(self.asked),
+                    topic="act/" + what,
+                    payload=b"",
+                    qos=qos,
+                    dup=0,
+                    retain=0,
+                    props={},
+                ),
+            )
         elif pick < 0.18:
             member.cut(kill=kills and self.chance.random() < 0.5)
         elif pick < 0.25:
@@ -307,8 +382,11 @@
             walk = Walk(seed, kills=False)
             once = {w: n for w, n in walk.begun.items() if w[0] in "oq" and n > 1}
             self.assertEqual(once, {}, f"seed {seed}: begun twice")
-            wrong = {w: walk.answered[w] for w in walk.asked
-                     if walk.answered[w] != 1 and not (w in walk.aborted and w[0] == "q")}
+            wrong = {
+                w: walk.answered[w]
+                for w in walk.asked
+                if walk.answered[w] != 1 and not (w in walk.aborted and w[0] == "q")
+            }
             self.assertEqual(wrong, {}, f"seed {seed}: answers")
 
     def test_kills_never_run_once_only_twice_and_lose_only_what_the_killed_held(self):
@@ -326,8 +404,16 @@
 
 class Topics(unittest.TestCase):
     def test_where_answers_may_go(self):
-        for topic, good in (("reply/x/1", 1), ("reply/x/a/b", 1), ("reply/x/", 0), ("reply/y/1", 0), ("reply/x/+", 0),
-                            ("reply/x/#", 0), ("act/x/t/f", 0), ("reply/x", 0)):
+        for topic, good in (
+            ("reply/x/1", 1),
+            ("reply/x/a/b", 1),
+            ("reply/x/", 0),
+            ("reply/y/1", 0),
+            ("reply/x/+", 0),
+            ("reply/x/#", 0),
+            ("act/x/t/f", 0),
+            ("reply/x", 0),
+        ):
             self.assertEqual(mqtt_topics.may_answer(topic, "x"), bool(good), topic)
 
     def test_what_a_topic_asks(self):
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -1,4 +1,6 @@
-"""What the operators' platform builds and starts by `deploy/balancer.toml`: a build that was cut short, one process, nothing written."""
+"""What the operators' platform builds and starts by `deploy/balancer.toml`: a build that was cut short, one
+process, nothing written."""
+
 import os
 import pathlib
 import subprocess
@@ -28,8 +30,13 @@
 
 class Build(unittest.TestCase):
     def build(self, folder):
-        return subprocess.run(["/bin/sh", "-c", DEPLOY["build"]], cwd=folder, capture_output=True, timeout=60,
-                              env={"PATH": f"{folder}/tools:{os.environ['PATH']}"}).returncode
+        return subprocess.run(
+            ["/bin/sh", "-c", DEPLOY["build"]],
+            cwd=folder,
+            capture_output=True,
+            timeout=60,
+            env={"PATH": f"{folder}/tools:{os.environ['PATH']}"},
+        ).returncode
 
     def test_what_a_build_that_was_cut_short_leaves_does_not_count_as_whole(self):
         with tempfile.TemporaryDirectory() as name:
@@ -42,6 +49,7 @@
 
             def calls():
                 return (folder / "calls").read_text().split()
+
             (folder / "cut").touch()
             self.assertNotEqual(self.build(folder), 0)
             self.assertTrue((folder / ".venv" / "bin" / "python").exists())
@@ -66,12 +74,17 @@
             site.log.clear()
             before, temporary = stamps(), pathlib.Path(site.folder.name) / "tmp"
             temporary.mkdir()
-            await site.start(("/bin/sh", "-c", DEPLOY["run"]), TMPDIR=str(temporary), PYTHONDONTWRITEBYTECODE="",
-                             PYTHONPYCACHEPREFIX=str(temporary))    # no byte code is at hand there: it would be written anew
+            await site.start(
+                ("/bin/sh", "-c", DEPLOY["run"]),
+                TMPDIR=str(temporary),
+                PYTHONDONTWRITEBYTECODE="",
+                # no byte code is at hand there: it would be written anew
+                PYTHONPYCACHEPREFIX=str(temporary),
+            )
             client = await site.client()
             self.assertEqual((await client.call(body=b"x"))[0], "completed")
             at = pathlib.Path(f"/proc/{site.process.pid}")
-            self.assertIn("petrelwood.node", (at / "cmdline").read_text())   # the shell has given way to it
+            self.assertIn("petrelwood.node", (at / "cmdline").read_text())  # the shell has given way to it
             self.assertEqual([(task / "children").read_text() for task in (at / "task").iterdir()], [""])
             self.assertIn("/libc.so", (at / "maps").read_text())
             self.assertEqual((stamps(), list(temporary.iterdir())), (before, []))
--- a/tests/test_early.py
+++ b/tests/test_early.py
@@ -1,4 +1,6 @@
-"""Early loads and the history on real sockets: wishes become orders, drains and restarts hold, the disk may fail."""
+"""Early loads and the history on real sockets: wishes become orders, drains and restarts hold, the disk may
+fail."""
+
 import asyncio
 import pathlib
 import subprocess
@@ -21,8 +23,13 @@
 class Sockets(Case):
     async def begin_early(self, *workers, more="", early=EARLY):
         import rig
+
         plain = rig.FILE
-        rig.FILE = plain.replace('keep "8s"', 'keep "400ms"').replace(' lanes=4\n', ' lanes=4 load-time="300ms"\n') + early + more
+        rig.FILE = (
+            plain.replace('keep "8s"', 'keep "400ms"').replace(" lanes=4\n", ' lanes=4 load-time="300ms"\n')
+            + early
+            + more
+        )
         try:
             await self.begin(*workers)
         finally:
@@ -55,7 +62,9 @@
 
     async def test_the_history_is_written_and_a_failing_disk_stops_only_it(self):
         with tempfile.TemporaryDirectory() as folder:
-            await self.begin_early(Worker("w1", later(0)), more=f'history {{{{ folder "{folder}/h" }}}}\n', early="")
+            await self.begin_early(
+                Worker("w1", later(0)), more=f'history {{{{ folder "{folder}/h" }}}}\n', early=""
+            )
             for i in range(30):
                 self.assertEqual((await self.post(f"again-{i % 3}"))[0], 200)
             self.core.history.flush(sync=True)
@@ -65,6 +74,7 @@
 
             def full(handle, data):
                 raise OSError(28, "No space left on device")
+
             self.core.history.files.write = full
             for i in range(5):
                 self.assertEqual((await self.post("again-1"))[0], 200)
@@ -74,11 +84,13 @@
             await self.until(lambda: self.log.said("the history has stopped; dispatching goes on"))
             self.assertEqual((await self.post("again-1"))[0], 200)
 
-
     async def test_forecasts_survive_a_restart_and_a_broken_file_is_learnt_anew(self):
         from petrelwood.store import ends, snapshot
+
         with tempfile.TemporaryDirectory() as folder:
-            await self.begin_early(Worker("w1"), Worker("w2"), more=f'history {{{{ folder "{folder}/h" }}}}\n')
+            await self.begin_early(
+                Worker("w1"), Worker("w2"), more=f'history {{{{ folder "{folder}/h" }}}}\n'
+            )
             await self.call(1.0)
             await self.until(lambda: self.core.early.made >= 1)
             known = sorted(self.core.early.forecast.series)
@@ -88,7 +100,10 @@
             self.assertEqual({r["function"] for r in rows} <= {"again-1"}, True)
             again = type(self.core)(self.core.gateway, self.log)
             self.assertEqual(sorted(again.early.forecast.series), known)
-            self.assertEqual(again.early.forecast.series["again-1"].dump(), self.core.early.forecast.series["again-1"].dump())
+            self.assertEqual(
+                again.early.forecast.series["again-1"].dump(),
+                self.core.early.forecast.series["again-1"].dump(),
+            )
             path = pathlib.Path(folder) / "h" / "forecast.snap"
             path.write_bytes(path.read_bytes()[:-3])
             with self.assertRaises(snapshot.Unreadable):
@@ -100,16 +115,23 @@
                 made.history.close()
                 made.ends.close()
 
-
     async def test_a_model_without_history_is_seen_and_a_date_that_does_not_come_loads_nothing(self):
-        event = EARLY.replace('copy-size "1MB"', 'copy-size "1MB"; event "again-9" from="2020-01-01T00:00+00:00" for="900000h" factor=40')
+        event = EARLY.replace(
+            'copy-size "1MB"',
+            'copy-size "1MB"; event "again-9" from="2020-01-01T00:00+00:00" for="900000h" factor=40',
+        )
         await self.begin_early(w1 := Worker("w1"), w2 := Worker("w2"), early=event)
         await self.call(0.6, "again-1", 0.1)
         forecast = self.core.early.forecast
         self.assertNotIn("again-7", forecast.series)
-        await self.call(0.6, "again-7", 0.005)           # nobody had ever called it
-        await self.until(lambda: forecast.series.get("again-7") is not None and forecast.ahead(
-            self.core.clock.wall(), "again-7")[0] > 4 * forecast.ahead(self.core.clock.wall(), "again-1")[0])
+        await self.call(0.6, "again-7", 0.005)  # nobody had ever called it
+        await self.until(
+            lambda: (
+                forecast.series.get("again-7") is not None
+                and forecast.ahead(self.core.clock.wall(), "again-7")[0]
+                > 4 * forecast.ahead(self.core.clock.wall(), "again-1")[0]
+            )
+        )
         turns = self.core.early.plans
         await self.until(lambda: self.core.early.plans >= turns + 10)
         self.assertEqual([h for w in (w1, w2) for h in w.holds if h[0].startswith("again-9")], [])
@@ -123,15 +145,20 @@
             platform = Platform(day._replace(length=140 * 10**9, troubles=half, early=early), 3)
             if early:
                 draining = next(t for t in half if t.kind == "drain").at
-                platform.clock.at(draining, lambda: seen.setdefault("made", sum(c.early.made for c in platform.cores.values())))
+                platform.clock.at(
+                    draining,
+                    lambda: seen.setdefault("made", sum(c.early.made for c in platform.cores.values())),
+                )
             platform.run()
             self.assertEqual([f.broken for f in rules.judge(platform.case()) if f.broken], [])
             seen[early] = result.row(platform)
         self.assertGreater(seen[True]["early loads"], 100)
-        self.assertGreater(seen[True]["early loads"], seen["made"])          # it went on through the drains
+        self.assertGreater(seen[True]["early loads"], seen["made"])  # it went on through the drains
         self.assertLess(seen[True]["cold starts"], seen[False]["cold starts"])
         self.assertGreater(seen[True]["service"], seen[False]["service"] - 0.01)
-        self.assertLessEqual(seen[True]["fetched in the busiest 5 s"], seen[False]["fetched in the busiest 5 s"] * 1.1)
+        self.assertLessEqual(
+            seen[True]["fetched in the busiest 5 s"], seen[False]["fetched in the busiest 5 s"] * 1.1
+        )
 
 
 class Commands(Case):
@@ -143,16 +170,23 @@
             made.close()
 
             def run(*args):
-                ended = subprocess.run([sys.executable, "-m", "petrelwood.cli", *args], capture_output=True, text=True)
+                ended = subprocess.run(
+                    [sys.executable, "-m", "petrelwood.cli", *args], capture_output=True, text=True
+                )
                 return ended.returncode, ended.stdout + ended.stderr
+
             self.assertIn("1500 rows", run("history", "show", f"{folder}/h")[1])
             self.assertEqual(run("history", "export", f"{folder}/h", "--to", f"{folder}/x.parquet")[0], 0)
-            self.assertIn("1500 rows taken", run("history", "import", f"{folder}/again", f"{folder}/x.parquet")[1])
+            self.assertIn(
+                "1500 rows taken", run("history", "import", f"{folder}/again", f"{folder}/x.parquet")[1]
+            )
             self.assertEqual(run("history", "verify", f"{folder}/again"), (0, "all is whole\n"))
             self.assertIn("became 1", run("history", "compact", f"{folder}/h")[1])
             code, said = run("forecast", "backtest", f"{folder}/h", "--season", "7200", "--slot", "600")
             self.assertEqual((code, "believed" in said), (0, True), said)
-            code, said = run("forecast", "explain", f"{folder}/h", "f1", "--slot", "600", "--chart", f"{folder}/f.png")
+            code, said = run(
+                "forecast", "explain", f"{folder}/h", "f1", "--slot", "600", "--chart", f"{folder}/f.png"
+            )
             self.assertEqual((code, pathlib.Path(f"{folder}/f.png").stat().st_size > 5000), (0, True), said)
             self.assertEqual(run("forecast", "explain", f"{folder}/h", "none")[0], 1)
             hit = next(pathlib.Path(f"{folder}/h").glob("day=*/rows-*"))
@@ -165,10 +199,14 @@
             path = pathlib.Path(folder) / "g.kdl"
             path.write_text(GOOD + 'early { event "f-" from="2026-12-31T08:00+01:00" for="6h" factor=4 }\n')
             begin, end, factor, prefix = gateway.read(path).early.events[0]
-            self.assertEqual((begin, end - begin, factor, prefix), (1_798_700_400 * 10**9, 21_600 * 10**9, 4.0, "f-"))
-            for text, words in (('early { slot "2h"; season "1h" }', "no longer than 'season'"),
-                                ('early { event "f-" from="2026-12-31T08:00" for="6h" factor=4 }', "needs its offset"),
-                                ('early { event "f-" from="soon" for="6h" factor=4 }', "must be a time like")):
+            self.assertEqual(
+                (begin, end - begin, factor, prefix), (1_798_700_400 * 10**9, 21_600 * 10**9, 4.0, "f-")
+            )
+            for text, words in (
+                ('early { slot "2h"; season "1h" }', "no longer than 'season'"),
+                ('early { event "f-" from="2026-12-31T08:00" for="6h" factor=4 }', "needs its offset"),
+                ('early { event "f-" from="soon" for="6h" factor=4 }', "must be a time like"),
+            ):
                 path.write_text(GOOD + text + "\n")
                 with self.assertRaises(document.BadFile) as caught:
                     gateway.read(path)
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -1,4 +1,6 @@
-"""The emulator: what adds up, what has a closed form, what is the same twice, and that it is the serving code."""
+"""The emulator: what adds up, what has a closed form, what is the same twice, and that it is the serving
+code."""
+
 import hashlib
 import heapq
 import json
@@ -37,7 +39,8 @@
         return clock, machine, model
 
     def test_waits_of_m_m_c(self):
-        """Four lanes on four cores, exponential work. On the same draws the mean wait is that of Kiefer and Wolfowitz's
+        """Four lanes on four cores, exponential work. On the same draws the mean wait is that of Kiefer and
+        Wolfowitz's
         recursion within 0.1%; the recursion itself, over two million draws, is Erlang's C within 3%."""
         rate, mean = 30.0, 0.1
 
@@ -49,37 +52,55 @@
                 total += begins - now
                 heapq.heappush(free, begins + chance.expovariate(1 / mean))
             return total / count
+
         clock, machine, model = self.machine(4)
         chance, waits, now = random.Random(7), [], 0.0
         for _ in range(40_000):
             now += chance.expovariate(rate)
             work = chance.expovariate(1 / mean)
-            clock.at(int(now * S), lambda begun, work: machine.run(
-                model, int(work * S), 10**18, lambda word, note: waits.append((clock.now() - begun) / S - work)),
-                int(now * S), work)
+            clock.at(
+                int(now * S),
+                lambda begun, work: machine.run(
+                    model,
+                    int(work * S),
+                    10**18,
+                    lambda word, note: waits.append((clock.now() - begun) / S - work),
+                ),
+                int(now * S),
+                work,
+            )
         clock.run(10**15)
         self.assertEqual(len(waits), 40_000)
         self.assertLess(abs(sum(waits) / len(waits) / recursion(7, 40_000) - 1), 0.001)
         a, c = rate * mean, 4
-        top = a ** c / math.factorial(c) * c / (c - a)
-        wait = top / (sum(a ** k / math.factorial(k) for k in range(c)) + top) * mean / (c - a)
+        top = a**c / math.factorial(c) * c / (c - a)
+        wait = top / (sum(a**k / math.factorial(k) for k in range(c)) + top) * mean / (c - a)
         self.assertLess(abs(recursion(1, 2_000_000) / wait - 1), 0.03)
 
     def test_littles_law_while_cores_are_shared(self):
-        """Sixteen lanes on four cores: the mean in hand is the arrival rate times the mean stay, within 1%."""
+        """Sixteen lanes on four cores: the mean in hand is the arrival rate times the mean stay, within
+        1%."""
         clock, machine, model = self.machine(16, thrash=0.0)
         chance, now, stays, area = random.Random(3), 0.0, [], [0.0]
         for _ in range(20_000):
             now += chance.expovariate(35.0)
-            clock.at(int(now * S), lambda begun: machine.run(
-                model, int(chance.expovariate(10) * S), 10**18,
-                lambda word, note: stays.append(clock.now() - begun)), int(now * S))
+            clock.at(
+                int(now * S),
+                lambda begun: machine.run(
+                    model,
+                    int(chance.expovariate(10) * S),
+                    10**18,
+                    lambda word, note: stays.append(clock.now() - begun),
+                ),
+                int(now * S),
+            )
         step = S // 200
 
         def look():
             area[0] += (len(machine.at_work) + machine.waiting) * step
             if clock.now() < now * S:
                 clock.at(clock.now() + step, look)
+
         look()
         clock.run(10**15)
         self.assertLess(abs(area[0] / sum(stays) - 1), 0.01)
@@ -89,10 +110,12 @@
         store = Store(clock, 100_000_000, takes=8, thrash=0.0)
         machine = Machine(clock, BUILD._replace(start_share=0.5), store.fetch, random.Random(1).random)
         ends = []
-        machine.hold(Model("f", 1, 50_000_000, S), 1, lambda word, copies: ends.append((word, copies, clock.now())))
+        machine.hold(
+            Model("f", 1, 50_000_000, S), 1, lambda word, copies: ends.append((word, copies, clock.now()))
+        )
         clock.run(10 * S)
         self.assertEqual(ends[0][:2], ("ok", 1))
-        self.assertLess(abs(ends[0][2] - S), S // 1000)    # half a second each
+        self.assertLess(abs(ends[0][2] - S), S // 1000)  # half a second each
 
     def test_the_store_shares_its_pace_and_turns_away(self):
         clock = VirtualClock()
@@ -100,8 +123,17 @@
         for i in range(6):
             store.fetch(1000, lambda ok, i=i: ends.append((i, ok, round(clock.now() / S, 2))))
         clock.run(60 * S)
-        self.assertEqual(ends, [(4, False, 0.0), (5, False, 0.0), (0, True, 4.0), (1, True, 4.0), (2, True, 4.0),
-                                (3, True, 4.0)])
+        self.assertEqual(
+            ends,
+            [
+                (4, False, 0.0),
+                (5, False, 0.0),
+                (0, True, 4.0),
+                (1, True, 4.0),
+                (2, True, 4.0),
+                (3, True, 4.0),
+            ],
+        )
         store.stop(2 * S)
         store.fetch(1000, lambda ok: ends.append(ok))
         self.assertEqual(ends[-1], False)
@@ -139,15 +171,32 @@
     def test_every_trouble_plays_and_keeps_the_rules(self):
         base = search.base_text(script.find("bad"))
         lines = {
-            "hot": 'for="6s" part=0.2 functions=2', "scan": 'for="6s" part=0.1', "heavy": 'for="6s" part=0.02 times=12',
-            "hurry": 'for="6s" part=0.5 patience=0.5', "shift": "part=0.6",
-            "ageing": 'part=0.2 for="8s" times=8 down="2s"', "pauses": 'part=0.3 for="6s" length="300ms" every="1s"',
-            "cut": 'dispatcher="d1" hall="halle-b" for="5s"', "lying": 'worker="w2" for="8s"',
-            "wrong-answers": 'worker="w2" for="3s"', "leak": 'worker="w2" for="6s" size="900MB"',
-            "clock-step": 'dispatcher="d1" by="90s"', "roster-stale": 'part=0.5 for="5s"', "withdrawn": 'part=0.5 for="5s"', "crash": 'part=0.5 down="2s"', "roll": 'part=1.0 for="8s" down="1s"',
-            "slow": 'part=0.2 for="6s" times=4', "hang": 'part=0.2 for="5s"', "burst": 'for="4s" times=2',
-            "restart": 'part=0.3 down="1s"', "drain": 'part=0.3 for="5s"', "stop": 'dispatcher="d2" down="1s"',
-            "store-stop": 'for="3s"', "roster-lost": 'for="4s"', "release": "part=0.8"}
+            "hot": 'for="6s" part=0.2 functions=2',
+            "scan": 'for="6s" part=0.1',
+            "heavy": 'for="6s" part=0.02 times=12',
+            "hurry": 'for="6s" part=0.5 patience=0.5',
+            "shift": "part=0.6",
+            "ageing": 'part=0.2 for="8s" times=8 down="2s"',
+            "pauses": 'part=0.3 for="6s" length="300ms" every="1s"',
+            "cut": 'dispatcher="d1" hall="halle-b" for="5s"',
+            "lying": 'worker="w2" for="8s"',
+            "wrong-answers": 'worker="w2" for="3s"',
+            "leak": 'worker="w2" for="6s" size="900MB"',
+            "clock-step": 'dispatcher="d1" by="90s"',
+            "roster-stale": 'part=0.5 for="5s"',
+            "withdrawn": 'part=0.5 for="5s"',
+            "crash": 'part=0.5 down="2s"',
+            "roll": 'part=1.0 for="8s" down="1s"',
+            "slow": 'part=0.2 for="6s" times=4',
+            "hang": 'part=0.2 for="5s"',
+            "burst": 'for="4s" times=2',
+            "restart": 'part=0.3 down="1s"',
+            "drain": 'part=0.3 for="5s"',
+            "stop": 'dispatcher="d2" down="1s"',
+            "store-stop": 'for="3s"',
+            "roster-lost": 'for="4s"',
+            "release": "part=0.8",
+        }
         missing = set(script.EMULATED) - set(lines)
         self.assertEqual(missing, set())
         with tempfile.TemporaryDirectory() as folder:
@@ -156,11 +205,12 @@
                 with self.subTest(kind):
                     path.write_text(f'{base}trouble "{kind}" at="3s" {rest}\n')
                     platform = Platform(script.read(path)._replace(length=12 * S), 2).run()
-                    self.assertEqual([f"{f.rule}: {f.broken[0]}" for f in rules.judge(platform.case()) if f.broken], [])
+                    self.assertEqual(
+                        [f"{f.rule}: {f.broken[0]}" for f in rules.judge(platform.case()) if f.broken], []
+                    )
                     self.assertEqual((result.conserved(platform), platform.log.counts["defect"]), ([], 0))
                     self.assertGreater(result.row(platform)["service"], 0.2)
 
-
     def test_a_roster_that_must_be_asked_is_late_and_turns_askers_away(self):
         day = script.read(script.find("bad"))._replace(length=12 * S, ask_every=S, roster_lines=400.0)
         platform = Platform(day, 3).run()
@@ -177,6 +227,7 @@
         class Forgetful(Brain):
             def _give_up(self, act, now):
                 pass
+
         day = script.read(script.find("bad"))
         sound, broken = Platform(day, 1).run(), Platform(day, 1, Forgetful).run()
         self.assertEqual(result.row(sound)["overdue"], 0)
@@ -188,6 +239,7 @@
         class Careless(Brain):
             def answer(self, now, act_id, n, worker_id, code, *rest):
                 super().answer(now, act_id, n, worker_id, "no connection" if code == "reset" else code, *rest)
+
         try:
             platform = Platform(script.read(script.find("bad")), 1, Careless).run()
         finally:
@@ -197,19 +249,32 @@
 
 class Same(unittest.TestCase):
     def test_the_same_seed_gives_the_same_bytes_whatever_the_hash_seed(self):
-        code = ("import sys, json, hashlib; from petrelwood.emulate import script; from petrelwood.emulate.platform import "
-                "Platform; p = Platform(script.read(sys.argv[1]), 3).run(); "
-                "print(hashlib.sha256(json.dumps(p.records).encode()).hexdigest())")
-        found = {subprocess.run([sys.executable, "-c", code, str(HERE / "days" / "small.kdl")], capture_output=True, text=True,
-                                check=True, env={"PYTHONHASHSEED": seed, "PATH": "/usr/bin"}).stdout for seed in ("0", "1", "77")}
+        code = (
+            "import sys, json, hashlib; from petrelwood.emulate import script; from petrelwood.emulate.platform import "
+            "Platform; p = Platform(script.read(sys.argv[1]), 3).run(); "
+            "print(hashlib.sha256(json.dumps(p.records).encode()).hexdigest())"
+        )
+        found = {
+            subprocess.run(
+                [sys.executable, "-c", code, str(HERE / "days" / "small.kdl")],
+                capture_output=True,
+                text=True,
+                check=True,
+                env={"PYTHONHASHSEED": seed, "PATH": "/usr/bin"},
+            ).stdout
+            for seed in ("0", "1", "77")
+        }
         self.assertEqual(len(found), 1)
 
     def test_a_policy_does_not_change_the_traffic(self):
         asked = []
         for policy in (Brain, policies.RandomOfTwo, policies.Oracle):
             platform = Platform(small(), 4, policy).run()
-            asked.append(hashlib.sha256(json.dumps([(w.id, w.fn, w.work, w.begun) for w in platform.clients.wishes])
-                                        .encode()).hexdigest())
+            asked.append(
+                hashlib.sha256(
+                    json.dumps([(w.id, w.fn, w.work, w.begun) for w in platform.clients.wishes]).encode()
+                ).hexdigest()
+            )
         self.assertEqual(len(set(asked)), 1)
 
 
@@ -241,7 +306,9 @@
         self.assertEqual(sorted(kept), sorted(again))
         same = f"{wanted[5].id}.json"
         a, b = json.loads(kept[same]), json.loads(again[same])
-        self.assertEqual({k: v for k, v in a.items() if k != "cpu s"}, {k: v for k, v in b.items() if k != "cpu s"})
+        self.assertEqual(
+            {k: v for k, v in a.items() if k != "cpu s"}, {k: v for k, v in b.items() if k != "cpu s"}
+        )
         rows, made = experiment.rows_of(out)
         self.assertEqual((len(rows), made["experiment"]), (12, described.text))
         lines = list(experiment.table_lines(out, "service"))
@@ -256,6 +323,7 @@
                 raise RuntimeError("a defect")
             while True:
                 pass
+
         experiment.play = bad
         try:
             self.assertEqual(experiment.run(described, self.path / "bad", 2, lambda text: None), (2, 2))
@@ -267,10 +335,21 @@
     def test_paired_differences_and_their_intervals(self):
         mean, low, high = experiment.interval([1.0, 2.0, 3.0, 4.0, 5.0, 6.0])
         self.assertTrue(low < mean == 3.5 < high)
-        rows = [{"status": "ended", "day": "d", "policy": p, "seed": s, "f": s + (0.5 if p == "b" else 0) + 0.01 * (s % 3)
-                 * (p == "b")} for s in range(10) for p in ("a", "b")]
-        made = experiment.Experiment("x", 'experiment "x" { policy "a" }', (), ("a", "b"), tuple(range(10)), (), 1.0)
+        rows = [
+            {
+                "status": "ended",
+                "day": "d",
+                "policy": p,
+                "seed": s,
+                "f": s + (0.5 if p == "b" else 0) + 0.01 * (s % 3) * (p == "b"),
+            }
+            for s in range(10)
+            for p in ("a", "b")
+        ]
+        made = experiment.Experiment(
+            "x", 'experiment "x" { policy "a" }', (), ("a", "b"), tuple(range(10)), (), 1.0
+        )
         experiment.write_parquet(made, rows, self.path / "results.parquet")
-        (where, policy, pairs, base, gap, low, high, p), = experiment.differences(self.path, "f")
+        ((where, policy, pairs, base, gap, low, high, p),) = experiment.differences(self.path, "f")
         self.assertEqual((where, policy, pairs, base), ("d", "b", 10, 4.5))
         self.assertTrue(low <= gap <= high and abs(gap - 0.51) < 0.01 and p < 0.01)
--- a/tests/test_forecast.py
+++ b/tests/test_forecast.py
@@ -1,4 +1,6 @@
-"""Forecasts, plans and accounts: proper scores, back-tests, gaps and steps of the clock, greedy against the best, turns."""
+"""Forecasts, plans and accounts: proper scores, back-tests, gaps and steps of the clock, greedy against the
+best, turns."""
+
 import itertools
 import math
 import random
@@ -31,10 +33,13 @@
 
 class Scores(unittest.TestCase):
     def test_the_score_is_proper(self):
-        """Over counts that are drawn from a distribution no other forecast scores better than that distribution."""
+        """Over counts that are drawn from a distribution no other forecast scores better than that
+        distribution."""
         chance = random.Random(2)
         counts = [poisson(chance, 6.0) for _ in range(4000)]
-        found = {mean: sum(forecast.score(mean, 1.0001, c) for c in counts) for mean in (3.0, 5.0, 6.0, 7.0, 10.0)}
+        found = {
+            mean: sum(forecast.score(mean, 1.0001, c) for c in counts) for mean in (3.0, 5.0, 6.0, 7.0, 10.0)
+        }
         self.assertEqual(min(found, key=found.get), 6.0)
         spread = {s: sum(forecast.score(6.0, s, c) for c in counts) for s in (1.0001, 2.0, 5.0)}
         self.assertEqual(min(spread, key=spread.get), 1.0001)
@@ -57,7 +62,9 @@
             if slot > days * 96:
                 mean, spread, _ = series.forecast(keys)
                 mine.append(forecast.score(mean, spread, count))
-                plain.append(forecast.score(series.means(keys)["seasonal"], series.spreads["seasonal"], count))
+                plain.append(
+                    forecast.score(series.means(keys)["seasonal"], series.spreads["seasonal"], count)
+                )
             series.learn(keys, count)
         return sum(mine) / len(mine), sum(plain) / len(plain), series
 
@@ -69,6 +76,7 @@
     def test_another_is_believed_where_it_pays(self):
         def doubling(at):
             return busy(at) * 1.12 ** (at // DAY)
+
         mine, plain, series = self.play(doubling, 21, random.Random(1))
         self.assertNotEqual(series.believed, "seasonal")
         self.assertLess(mine, 0.9 * plain)
@@ -115,9 +123,9 @@
         found, at = self.learned(), 8 * DAY
         before = found.ahead(9 * DAY + 13 * 3600 * S, "ab0")
         found.called(at, "ab0")
-        found.passes(at - 3 * DAY)                       # the clock steps back: that slot is thrown away
+        found.passes(at - 3 * DAY)  # the clock steps back: that slot is thrown away
         self.assertEqual((found.broken, found.ahead(9 * DAY + 13 * 3600 * S, "ab0")), (1, before))
-        found.passes(at + 30 * DAY)                      # nobody was here for a month
+        found.passes(at + 30 * DAY)  # nobody was here for a month
         self.assertEqual(found.broken, 2)
         self.assertFalse(found.stale(at + 30 * DAY))
         self.assertTrue(found.stale(at + 31 * DAY))
@@ -131,7 +139,7 @@
             if slot >= 14 * 144:
                 errors.append(abs((series.forecast(keys)[0] or 0) - mean))
             series.learn(keys, poisson(chance, mean))
-        days = [sum(errors[i * 144:(i + 1) * 144]) / 144 for i in range(7)]
+        days = [sum(errors[i * 144 : (i + 1) * 144]) / 144 for i in range(7)]
         self.assertLess(days[5], days[0])
 
     def test_learning_in_slices_comes_to_the_same(self):
@@ -146,7 +154,8 @@
                 pass
         for number in range(5):
             self.assertEqual(whole.ahead(2 * DAY, f"ab{number}"), sliced.ahead(2 * DAY, f"ab{number}"))
-        for slot in range(288, 300):                     # nobody works: it stays bounded, and says what it gave up
+        # nobody works: it stays bounded, and says what it gave up
+        for slot in range(288, 300):
             sliced.called(slot * SLOT, "ab0")
         self.assertEqual((len(sliced.jobs), sliced.broken > 0), (forecast.JOBS, True))
 
@@ -168,11 +177,25 @@
 
 class Plans(unittest.TestCase):
     def plan(self, functions, means, dispatchers=1, chance=None, memory=1 << 60, orders=99, store=1.0):
-        return planner.plan(0, functions, lambda n: (means[n], 1.2), planner.Room(memory, orders, store), 60 * S, 60 * S,
-                            PRICES, dispatchers, chance or (lambda: 0.0))
+        return planner.plan(
+            0,
+            functions,
+            lambda n: (means[n], 1.2),
+            planner.Room(memory, orders, store),
+            60 * S,
+            60 * S,
+            PRICES,
+            dispatchers,
+            chance or (lambda: 0.0),
+        )
 
     def test_what_is_called_is_wished_and_what_is_not_or_stands_is_not(self):
-        functions = {"often": model(), "never": model(), "stands": model(copies=9), "once": model(load=S // 100)}
+        functions = {
+            "often": model(),
+            "never": model(),
+            "stands": model(copies=9),
+            "once": model(load=S // 100),
+        }
         found = self.plan(functions, {"often": 30, "never": 0.0, "stands": 30, "once": 0.3})
         self.assertEqual({w.function for w in found}, {"often"})
         self.assertTrue(all(w.worth > 0 for w in found))
@@ -187,17 +210,27 @@
     def test_greedy_is_within_one_wish_of_the_best(self):
         chance = random.Random(8)
         for _ in range(60):
-            functions = {f"f{i}": model(size=chance.randrange(1, 9) * 10**8, load=chance.randrange(1, 9) * S // 4)
-                         for i in range(9)}
+            functions = {
+                f"f{i}": model(size=chance.randrange(1, 9) * 10**8, load=chance.randrange(1, 9) * S // 4)
+                for i in range(9)
+            }
             means = {name: chance.uniform(0.2, 3) for name in functions}
             memory = chance.randrange(8, 25) * 10**8
             found = self.plan(functions, means, memory=memory)
             self.assertLessEqual(sum(functions[w.function].size for w in found), memory)
-            worths = {n: planner.worth(means[n], 1.2, m, 60 * S, 60 * S, PRICES) for n, m in functions.items()}
+            worths = {
+                n: planner.worth(means[n], 1.2, m, 60 * S, 60 * S, PRICES) for n, m in functions.items()
+            }
             once = {w.function: w.worth for w in found}
-            best = max((sum(max(0, worths[n]) for n in some) for size in range(10)
-                        for some in itertools.combinations(functions, size)
-                        if sum(functions[n].size for n in some) <= memory), default=0)
+            best = max(
+                (
+                    sum(max(0, worths[n]) for n in some)
+                    for size in range(10)
+                    for some in itertools.combinations(functions, size)
+                    if sum(functions[n].size for n in some) <= memory
+                ),
+                default=0,
+            )
             self.assertGreaterEqual(sum(once.values()) + max(worths.values()) + 1e-9, best)
 
     def test_many_dispatchers_take_turns_without_talk(self):
@@ -220,14 +253,22 @@
 
         def say(text, end=None):
             lines.append(f"{text}: {end or '-'}; {account.whole.seconds:+.2f} s, open {len(account.open)}")
+
         for name in "abcdef":
             account.ordered(0, name, "n", "w1", 60 * S, 10**9, 2 * S)
-        account.stands(S, "a", "w1", True); say("a called warm at 5 s", account.called(5 * S, "a", "w1", True))
+        account.stands(S, "a", "w1", True)
+        say("a called warm at 5 s", account.called(5 * S, "a", "w1", True))
         say("b called while it loads", account.called(S, "b", "w1", False))
-        account.stands(S, "c", "w1", False); say("c failed")
-        account.stands(S, "d", "w1", True, pushed="z"); account.pushed_out(9 * S, "z"); say("z missed what d pushed out")
-        account.stands(S, "e", "w1", True); account.sweep(60 * S); say("e and f lapse")
-        account.stopped(61 * S, "g", "n"); say("g was stopped")
+        account.stands(S, "c", "w1", False)
+        say("c failed")
+        account.stands(S, "d", "w1", True, pushed="z")
+        account.pushed_out(9 * S, "z")
+        say("z missed what d pushed out")
+        account.stands(S, "e", "w1", True)
+        account.sweep(60 * S)
+        say("e and f lapse")
+        account.stopped(61 * S, "g", "n")
+        say("g was stopped")
         compare(self, "account", lines + list(account.lines()))
 
     def test_a_negative_balance_holds_back_and_is_tried_again_later_each_time(self):
@@ -254,7 +295,15 @@
 
 class Early(unittest.TestCase):
     def made(self, wish, dispatchers=1):
-        return EarlyLoads(forecast.Calendar(10 * S, 3600 * S, 0), PRICES, 60 * S, dispatchers, random.Random(1).random, wish, "n")
+        return EarlyLoads(
+            forecast.Calendar(10 * S, 3600 * S, 0),
+            PRICES,
+            60 * S,
+            dispatchers,
+            random.Random(1).random,
+            wish,
+            "n",
+        )
 
     def play(self, early, slots, functions=("a", "b")):
         for slot in range(slots):
@@ -267,7 +316,9 @@
 
     def test_it_wishes_what_is_called_and_takes_a_refusal(self):
         wished = []
-        early = self.made(lambda fn, lanes, load: wished.append(fn) or (f"w{len(wished)}" if len(wished) % 2 else None))
+        early = self.made(
+            lambda fn, lanes, load: wished.append(fn) or (f"w{len(wished)}" if len(wished) % 2 else None)
+        )
         for now in self.play(early, 30):
             early.known["a"].copies.clear()
             early.turn(now, now, 10)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -1,4 +1,6 @@
-"""Hand-over: the two machines by their traces, then real processes that follow each other under load, die, hang and are refused."""
+"""Hand-over: the two machines by their traces, then real processes that follow each other under load, die,
+hang and are refused."""
+
 import asyncio
 import collections
 import os
@@ -39,7 +41,8 @@
             "it dies once it is proven": "asked ready owns proven lost drained",
             "ready twice": "asked ready ready owns proven drained",
             "owns before go": "asked owns ready owns drained proven",
-            "a second upgrade after a failed one": "asked lost asked ready owns proven drained"}
+            "a second upgrade after a failed one": "asked lost asked ready owns proven drained",
+        }
         lines = []
         for name, steps in stories.items():
             giver, now, said = handover.Giver(), 0, []
@@ -52,12 +55,20 @@
                 elif step == "owns":
                     what = giver.owns(now)
                 else:
-                    what = {"asked": giver.asked, "ready": giver.ready, "proven": giver.is_proven,
-                            "drained": giver.is_drained}[step](now)
+                    what = {
+                        "asked": giver.asked,
+                        "ready": giver.ready,
+                        "proven": giver.is_proven,
+                        "drained": giver.is_drained,
+                    }[step](now)
                 said.append(f"{step}{' -> ' + what if what else ''}")
             lines.append(f"{name}: {', '.join(said)}; {giver.state}{', ' + giver.why if giver.why else ''}")
-        for name, good, bad, before, end in (("as good as before", 90, 10, (0.95, 200), 6), ("worse", 60, 40, (0.95, 200), 1),
-                                             ("too few to tell", 0, 10, (0.95, 200), 6), ("as bad as before", 10, 90, (0.2, 200), 6)):
+        for name, good, bad, before, end in (
+            ("as good as before", 90, 10, (0.95, 200), 6),
+            ("worse", 60, 40, (0.95, 200), 1),
+            ("too few to tell", 0, 10, (0.95, 200), 6),
+            ("as bad as before", 10, 90, (0.2, 200), 6),
+        ):
             taker = handover.Taker(0)
             said = [taker.can_serve(0), taker.go(S, before)]
             for _ in range(good):
@@ -65,7 +76,9 @@
             for _ in range(bad):
                 taker.ended(False)
             said.append(taker.check(S + end * S))
-            lines.append(f"new one, {name}: {', '.join(map(str, said))}; {taker.state}{', ' + taker.why if taker.why else ''}")
+            lines.append(
+                f"new one, {name}: {', '.join(map(str, said))}; {taker.state}{', ' + taker.why if taker.why else ''}"
+            )
         taker = handover.Taker(0)
         lines.append(f"new one, no word to go: {taker.can_serve(0)}, {taker.check(20 * S)}, {taker.why}")
         taker = handover.Taker(0)
@@ -75,8 +88,12 @@
     def test_who_may_take_over(self):
         good = {"name": "d", "reads": (1, 2), "protocol": 1}
         self.assertIsNone(handover.refuses(good, "d", 1, False))
-        for more, busy, words in (({"name": "e"}, False, "for gateway 'e'"), ({"reads": (2, 3)}, False, "reads state of format 2 to 3"),
-                                  ({"protocol": 7}, False, "speaks hand-over 7"), ({}, True, "under way")):
+        for more, busy, words in (
+            ({"name": "e"}, False, "for gateway 'e'"),
+            ({"reads": (2, 3)}, False, "reads state of format 2 to 3"),
+            ({"protocol": 7}, False, "speaks hand-over 7"),
+            ({}, True, "under way"),
+        ):
             self.assertIn(words, handover.refuses({**good, **more}, "d", 1, busy))
 
 
@@ -87,7 +104,7 @@
         told = [("end", "x", f"m{i}", "completed", True, bytes([i % 256]) * 4000) for i in range(400)]
         tasks = [asyncio.ensure_future(ours.send(*message)) for message in told]
         await asyncio.sleep(0)
-        self.assertFalse(all(task.done() for task in tasks))         # more than the socket holds
+        self.assertFalse(all(task.done() for task in tasks))  # more than the socket holds
         for message in told:
             self.assertEqual(tuple(await asyncio.wait_for(theirs.receive(), 30)), message)
         await asyncio.gather(*tasks)
@@ -106,6 +123,7 @@
 
         def slowly(w, s, m, p):
             asyncio.get_running_loop().call_later(0.03, answer, w, s, m, p)
+
         self.worker = Worker("w1", slowly)
         self.roster.entries = [self.worker.entry(zone="n")]
         free = socket.socket()
@@ -113,8 +131,12 @@
         self.address = free.getsockname()
         free.close()
         self.path = self.folder / "g.kdl"
-        self.path.write_text(rig.FILE.format(roster=port, key=KEY, limits='body "20KB"', workers="").replace(
-            "127.0.0.1:0", f"127.0.0.1:{self.address[1]}") + 'state { folder "state" }\ncontrol "d.sock"\n')
+        self.path.write_text(
+            rig.FILE.format(roster=port, key=KEY, limits='body "20KB"', workers="").replace(
+                "127.0.0.1:0", f"127.0.0.1:{self.address[1]}"
+            )
+            + 'state { folder "state" }\ncontrol "d.sock"\n'
+        )
         self.caller, self.stamp = Caller(self.address), 0
 
     async def asyncTearDown(self):
@@ -131,8 +153,14 @@
     async def start(self, command="serve", path=None, ready=True):
         with open(self.folder / f"{len(self.processes)}.log", "wb") as log:
             process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "petrelwood.cli", command, str(path or self.path), stdout=asyncio.subprocess.PIPE,
-                stderr=log)
+                sys.executable,
+                "-m",
+                "petrelwood.cli",
+                command,
+                str(path or self.path),
+                stdout=asyncio.subprocess.PIPE,
+                stderr=log,
+            )
         self.processes.append(process)
         if ready:
             line = await asyncio.wait_for(process.stdout.readline(), 30)
@@ -145,19 +173,22 @@
     message = rig.Case.message
 
     async def one(self, type_, ends):
-        """One request until it has a final outcome: what refuses or breaks before a byte went out is tried again."""
+        """One request until it has a final outcome: what refuses or breaks before a byte went out is tried
+        again."""
         self.number += 1
         id_ = f"{type_}-{self.number}"
         for attempt in range(40):
             try:
-                reply = await self.caller.call(self.message(f"{type_}-1", id_=id_, stamp=int(time.time()) + attempt), 30)
+                reply = await self.caller.call(
+                    self.message(f"{type_}-1", id_=id_, stamp=int(time.time()) + attempt), 30
+                )
             except Broken as fault:
                 if fault.sent and type_ == "once":
                     ends["broken"] += 1
                     return
                 await asyncio.sleep(0.02)
                 continue
-            except asyncio.TimeoutError:                 # it went to one that stands still
+            except asyncio.TimeoutError:  # it went to one that stands still
                 ends["left"] += 1
                 return
             if reply.status == 503:
@@ -187,7 +218,7 @@
             new = await self.start("upgrade")
             self.assertEqual(await asyncio.wait_for(old.wait(), 30), 0, self.said())
             old = new
-            async with asyncio.timeout(10):              # until it can be followed itself
+            async with asyncio.timeout(10):  # until it can be followed itself
                 while not await self.reachable():
                     await asyncio.sleep(0.05)
         stop.set()
@@ -221,17 +252,20 @@
         load = asyncio.ensure_future(self.load(stop, ends))
         for how in (signal.SIGKILL, signal.SIGSTOP):
             new = await self.start("upgrade")
-            await asyncio.sleep(0.5)                     # some are on its hands
+            await asyncio.sleep(0.5)  # some are on its hands
             new.send_signal(how)
             ends_at = time.monotonic() + 40
             while self.said().count("serves again") < (1 if how == signal.SIGKILL else 2):
                 self.assertLess(time.monotonic(), ends_at, self.said())
                 await asyncio.sleep(0.1)
-            if how == signal.SIGSTOP:                    # it wakes, hears that it is over, finishes what it has, and ends
+            # it wakes, hears that it is over, finishes what it has, and ends
+            if how == signal.SIGSTOP:
                 new.send_signal(signal.SIGCONT)
                 self.assertEqual(await asyncio.wait_for(new.wait(), 20), 1, self.said())
         await asyncio.sleep(0.5)
-        self.assertEqual((await self.caller.call(self.message("again-2", stamp=int(time.time()) + 60), 30)).status, 200)
+        self.assertEqual(
+            (await self.caller.call(self.message("again-2", stamp=int(time.time()) + 60), 30)).status, 200
+        )
         stop.set()
         count = await load
         self.assertEqual(sum(ends[e] for e in (200, 504, "broken", "gave up", "left")), count, ends)
@@ -255,11 +289,12 @@
         hung.sock.setblocking(False)
         await hung.send("hello", {"name": "d", "reads": (1, 1), "protocol": 1})
         self.assertEqual((await asyncio.wait_for(hung.receive(), 30))[0], "offer")
-        second = await self.start("upgrade", ready=False)                    # two at once: the second is told so
+        # two at once: the second is told so
+        second = await self.start("upgrade", ready=False)
         self.assertEqual(await asyncio.wait_for(second.wait(), 20), 1)
         self.assertIn("an upgrade is under way", self.said())
         self.assertEqual((await self.caller.call(self.message(stamp=int(time.time())), 30)).status, 200)
-        hung.close()                                     # it crashed before it was ready
+        hung.close()  # it crashed before it was ready
         async with asyncio.timeout(20):
             while (await self.try_upgrade()) != 0:
                 await asyncio.sleep(0.2)
@@ -285,7 +320,10 @@
 
         async def status(function):
             self.stamp += 1
-            return (await self.caller.call(self.message(function, stamp=int(time.time()) + self.stamp), 30)).status
+            return (
+                await self.caller.call(self.message(function, stamp=int(time.time()) + self.stamp), 30)
+            ).status
+
         self.assertEqual(await status("new-1"), 404)
         more = text + 'function "new-*" type="again" lanes=4\n'
         await reload(more, '"event": "new settings"')
@@ -315,9 +353,11 @@
                     return
                 self.assertLess(time.monotonic(), ends_at, self.said())
                 await asyncio.sleep(0.1)
+
         await until(404)
         new = self.path.read_text() + 'function "new-*" type="again" lanes=4\n'
-        self.assertEqual(versions.announce(folder, new, time.time_ns() - 600 * S), 1)      # its stages are over
+        # its stages are over
+        self.assertEqual(versions.announce(folder, new, time.time_ns() - 600 * S), 1)
         await until(200)
         versions.call_off(folder, 1, "by hand")
         await until(404)
@@ -341,9 +381,12 @@
             while self.said().count(words) < count:
                 self.assertLess(time.monotonic(), ends_at, self.said())
                 await asyncio.sleep(0.1)
+
         text = self.path.read_text()
         self.assertIn('action-timeout "2s"', text)
-        versions.announce(folder, text.replace('action-timeout "2s"', 'action-timeout "1.9s"'), time.time_ns() - 600 * S)
+        versions.announce(
+            folder, text.replace('action-timeout "2s"', 'action-timeout "1.9s"'), time.time_ns() - 600 * S
+        )
         await until(1, "a version is taken by an upgrade")
         await until(1, '"event": "the upgrade has proven itself"')
         self.assertEqual(await asyncio.wait_for(old.wait(), 30), 0)
@@ -355,16 +398,21 @@
         self.roster.entries[0] = self.worker.entry("draining")
         self.roster.tell(self.worker.entry("draining"))
         versions.call_off(folder, 1, "by hand")
-        await asyncio.sleep(1)                           # four times the grace
+        await asyncio.sleep(1)  # four times the grace
         had = len(self.worker.runs)
         await until(2, "a version is taken by an upgrade")
         await until(2, '"event": "the upgrade has proven itself"')
-        versions.announce(folder, text.replace('"127.0.0.1:0"', '"127.0.0.1:1"').replace('action-timeout "2s"', 'action-timeout "1s"'),
-                          time.time_ns() - 600 * S)      # what is each dispatcher's own stays it
+        versions.announce(
+            folder,
+            text.replace('"127.0.0.1:0"', '"127.0.0.1:1"').replace(
+                'action-timeout "2s"', 'action-timeout "1s"'
+            ),
+            time.time_ns() - 600 * S,
+        )  # what is each dispatcher's own stays it
         await until(3, '"event": "the upgrade has proven itself"')
         stop.set()
         await load
-        self.assertEqual(len(self.worker.runs), had)     # the drain holds over both hand-overs
+        self.assertEqual(len(self.worker.runs), had)  # the drain holds over both hand-overs
         self.assertGreater(len(second.runs), 0)
         self.assertEqual(self.twice(), [], self.said())
         self.assertEqual(set(ends) - {200, 504, "came back"}, set(), ends)
@@ -383,7 +431,8 @@
         await load
         known = [run[3].split("/", 1)[1] for run in self.worker.runs if run[3].startswith("x/once")]
         statuses = collections.Counter()
-        for id_ in known[::7]:                           # each asked again, signed anew: given again, or unknown, never run
+        # each asked again, signed anew: given again, or unknown, never run
+        for id_ in known[::7]:
             reply = await self.caller.call(self.message("once-1", id_=id_, stamp=int(time.time()) + 100), 30)
             statuses[reply.status] += 1
         self.assertEqual(self.twice(), [], self.said())
--- a/tests/test_mqtt.py
+++ b/tests/test_mqtt.py
@@ -1,4 +1,5 @@
 """MQTT triggers on real sockets: a broker, dispatchers, workers and a client in one process."""
+
 import asyncio
 import pathlib
 import resource
@@ -18,8 +19,10 @@
 
 from rig import FILE, KEY, Case, Worker, later, never, says
 
-MQTT = 'mqtt {{ broker "127.0.0.1:{port}"; user "gateway"; password "g"; keep-alive "{alive}s"; session "{session}"; ' \
-       'come-back "20ms"; come-back-most "200ms"; connect-within "500ms"; window least=2 most={most} }}\n'
+MQTT = (
+    'mqtt {{ broker "127.0.0.1:{port}"; user "gateway"; password "g"; keep-alive "{alive}s"; session "{session}"; '
+    'come-back "20ms"; come-back-most "200ms"; connect-within "500ms"; window least=2 most={most} }}\n'
+)
 USERS = {"gateway": b"g", "x": b"x"}
 
 
@@ -28,13 +31,22 @@
 
     def __init__(self, port, name="device", user="x"):
         self.port, self.name, self.user, self.answers, self.acks, self.id = port, name, user, {}, {}, 0
-        self.mute = False                                # acknowledges no answer
+        self.mute = False  # acknowledges no answer
 
     async def open(self, clean=1, session=0, reply="reply/x/device"):
         self.stream = IOStream(socket.socket())
         await self.stream.connect(("127.0.0.1", self.port))
-        self.send(mq.Packet(mq.CONNECT, client=self.name, clean=clean, keep_alive=60, user=self.user,
-                            password=USERS[self.user], props={"session_expiry": session}))
+        self.send(
+            mq.Packet(
+                mq.CONNECT,
+                client=self.name,
+                clean=clean,
+                keep_alive=60,
+                user=self.user,
+                password=USERS[self.user],
+                props={"session_expiry": session},
+            )
+        )
         self.reader, self.reply, self.connack = mq.Reader(), reply, asyncio.get_running_loop().create_future()
         self.task = asyncio.ensure_future(self.read())
         found = await asyncio.wait_for(self.connack, 30)
@@ -53,7 +65,9 @@
                         self.connack.set_result(p)
                     elif p.type == mq.PUBLISH:
                         status = dict(p.props["user"])
-                        self.answers.setdefault(p.props["correlation_data"], []).append((status["status"], p.payload))
+                        self.answers.setdefault(p.props["correlation_data"], []).append(
+                            (status["status"], p.payload)
+                        )
                         if p.qos and not self.mute:
                             self.send(mq.Packet(mq.PUBACK if p.qos == 1 else mq.PUBREC, p.id))
                     elif p.type == mq.PUBREL:
@@ -65,13 +79,25 @@
         except StreamClosedError:
             pass
 
-    def ask(self, function, correlation, qos=1, expiry=None, topic=None, reply=None, body=b"{}", dup=0, id_=0):
+    def ask(
+        self, function, correlation, qos=1, expiry=None, topic=None, reply=None, body=b"{}", dup=0, id_=0
+    ):
         self.id = id_ or self.id + 1
         props = {"response_topic": reply or self.reply, "correlation_data": correlation}
         if expiry is not None:
             props["message_expiry"] = expiry
-        self.send(mq.Packet(mq.PUBLISH, self.id if qos else 0, topic=topic or f"act/x/{function.split('-')[0]}/{function}",
-                            payload=body, qos=qos, dup=dup, retain=0, props=props))
+        self.send(
+            mq.Packet(
+                mq.PUBLISH,
+                self.id if qos else 0,
+                topic=topic or f"act/x/{function.split('-')[0]}/{function}",
+                payload=body,
+                qos=qos,
+                dup=dup,
+                retain=0,
+                props=props,
+            )
+        )
         return self.id
 
     def close(self):
@@ -96,8 +122,12 @@
     async def another(self, name):
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder) / "g.kdl"
-            path.write_text(FILE.format(roster=self.gateway.roster[1], key=KEY, limits='body "20KB"', workers="").replace(
-                'gateway "d"', f'gateway "{name}"') + self.settings)
+            path.write_text(
+                FILE.format(roster=self.gateway.roster[1], key=KEY, limits='body "20KB"', workers="").replace(
+                    'gateway "d"', f'gateway "{name}"'
+                )
+                + self.settings
+            )
             described = gateway.read(path)
         core = Dispatcher(described, self.log)
         core.open()
@@ -153,8 +183,11 @@
 
     async def test_what_may_not_be_is_refused_with_a_reason(self):
         await self.begin(Worker("w1"))
-        for topic, reply, code in (("act/x/again/again-1", "reply/y/1", mq.NOT_AUTHORIZED),
-                                   ("act/x/again/unknown", None, 0), ("act/x/once/again-1", None, 0)):
+        for topic, reply, code in (
+            ("act/x/again/again-1", "reply/y/1", mq.NOT_AUTHORIZED),
+            ("act/x/again/unknown", None, 0),
+            ("act/x/once/again-1", None, 0),
+        ):
             self.client.ask("again-1", topic.encode(), 2, topic=topic, reply=reply)
         self.client.ask("again-1", b"foreign", 1, topic="act/y/again/again-1")
         await self.answered(b"act/x/again/unknown", b"act/x/once/again-1")
@@ -170,7 +203,7 @@
         self.assertLess(time.monotonic() - begun, 1.1)
         self.client.ask("once-1", b"none", 2, expiry=0)
         await asyncio.sleep(0.2)
-        self.assertNotIn(b"none", self.client.answers)   # it expired at the broker: never delivered
+        self.assertNotIn(b"none", self.client.answers)  # it expired at the broker: never delivered
         self.assertIn("expired", [what for what, _ in self.facts])
 
     async def test_a_client_that_asks_again_joins_or_gets_the_same_answer(self):
@@ -180,7 +213,9 @@
         await self.until(lambda: len(self.client.answers.get(b"same", ())) == 2)
         self.client.ask("once-1", b"same", 2)
         await self.until(lambda: len(self.client.answers[b"same"]) == 3)
-        self.assertEqual((self.runs(), {a for a in self.client.answers[b"same"]}), (1, {("completed", b'{"ok":1}')}))
+        self.assertEqual(
+            (self.runs(), {a for a in self.client.answers[b"same"]}), (1, {("completed", b'{"ok":1}')})
+        )
 
     async def test_the_broker_holds_what_the_window_does_not_take(self):
         await self.begin(w := Worker("w1", later(0.2)), most=8)
@@ -212,14 +247,15 @@
         await self.begin(w := Worker("w1"), dispatchers=2)
         core = self.cores[0]
         session = core.fronts[0].sessions[0]
-        session.deliveries.released = lambda now, id_: None      # its PUBRELs are never read
+        session.deliveries.released = lambda now, id_: None  # its PUBRELs are never read
         names = [b"%d" % i for i in range(6)]
         for name in names:
             self.client.ask("once-1", name, 2)
         await self.until(lambda: any(d.state == "proving" for d in session.deliveries.known.values()))
         held = {d.what.correlation for d in session.deliveries.known.values()}
         self.kill(core)
-        await self.another("d0")                          # the same session: the broker sends its PUBRELs again
+        # the same session: the broker sends its PUBRELs again
+        await self.another("d0")
         others = [n for n in names if n not in held]
         await self.answered(*others)
         await asyncio.sleep(0.3)
@@ -233,8 +269,11 @@
         for name in names:
             self.client.ask("once-1" if name[:1] == b"o" else "again-1", name, 2)
         await self.until(lambda: len(w.runs) >= 6)
-        for stream in [s for s, session in self.broker.streams.items() if session.client.startswith("d")
-                       and session.client != "device"]:
+        for stream in [
+            s
+            for s, session in self.broker.streams.items()
+            if session.client.startswith("d") and session.client != "device"
+        ]:
             stream.close()
         self.assertEqual(set(await self.answered(*names)), {"completed"})
         await asyncio.sleep(0.2)
@@ -301,7 +340,8 @@
         self.assertEqual(len(marks), len(set(marks)))
 
     async def test_a_device_that_breaks_before_its_puback_hears_the_one_answer_again(self):
-        """Found on mqtt-morning: the audit took the broker's own redelivery to a device for a second answer."""
+        """Found on mqtt-morning: the audit took the broker's own redelivery to a device for a second
+        answer."""
         await self.begin(Worker("w1"))
         away = Client(self.port, "away")
         await away.open(clean=1, session=30, reply="reply/x/away")
@@ -326,7 +366,9 @@
         await self.until(lambda: "away" not in self.broker.model.sessions)
         await self.until(lambda: w.runs)
         session = self.cores[0].fronts[0].sessions[0]
-        await self.until(lambda: session.counts["answers"] == 1 and not session.answers and not session.unsent)
+        await self.until(
+            lambda: session.counts["answers"] == 1 and not session.answers and not session.unsent
+        )
         self.assertEqual((await away.open(clean=0, session=1, reply="reply/x/away")).present, 0)
         self.client.ask("again-1", b"after", 1)
         self.assertEqual(await self.answered(b"after"), ["completed"])
@@ -336,26 +378,38 @@
     async def test_two_thousand_sessions_come_back_at_once(self):
         await self.begin(Worker("w1", later(0.05)))
 
-        room = asyncio.Semaphore(64)                     # the kernel's queue for a listener holds some 128
+        room = asyncio.Semaphore(64)  # the kernel's queue for a listener holds some 128
 
         async def connect(number):
             while True:
                 try:
                     async with room:
                         return await once(number)
-                except ConnectionError:                  # as a device would: the queue was full all the same
+                except ConnectionError:  # as a device would: the queue was full all the same
                     await asyncio.sleep(0.02)
 
         async def once(number):
             reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
-            writer.write(mq.write(mq.Packet(mq.CONNECT, client=f"many{number}", clean=0, keep_alive=60, user="x", password=b"x",
-                                            props={"session_expiry": 60})))
+            writer.write(
+                mq.write(
+                    mq.Packet(
+                        mq.CONNECT,
+                        client=f"many{number}",
+                        clean=0,
+                        keep_alive=60,
+                        user="x",
+                        password=b"x",
+                        props={"session_expiry": 60},
+                    )
+                )
+            )
             packets = mq.Reader()
             while True:
                 data = await reader.read(100)
                 self.assertTrue(data, "the broker closed the connection")
                 for packet in packets.feed(data):
                     return writer, packet.present
+
         soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
         resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
         self.addCleanup(resource.setrlimit, resource.RLIMIT_NOFILE, (soft, hard))
@@ -370,7 +424,8 @@
         self.assertEqual(sum(present for _, present in again), 2000)
         self.client.close()
         await self.client.open()
-        # What is published while nobody has subscribed is lost, as the standard has it, and on a machine that stands still
+        # What is published while nobody has subscribed is lost, as the standard has it, and on a machine that
+        # stands still
         # the dispatcher's own session may have run out: as a device would, ask again until an answer comes.
         for attempt in range(60):
             self.client.ask("again-1", b"after-%d" % attempt, 1)
@@ -379,8 +434,10 @@
                 break
             except AssertionError:
                 continue
-        self.assertIn(("completed", b'{"ok":1}'), [a for found in self.client.answers.values() for a in found])
-        self.assertLess(took, 120)                       # about a second where nothing else runs
+        self.assertIn(
+            ("completed", b'{"ok":1}'), [a for found in self.client.answers.values() for a in found]
+        )
+        self.assertLess(took, 120)  # about a second where nothing else runs
         for writer, _ in again:
             writer.close()
 
@@ -388,11 +445,14 @@
 class SameDecision(MqttCase):
     async def test_a_recorded_case_gives_the_same_decision_through_either_front(self):
         """Each case once by webhook and once by MQTT: how it ends, and how often it reaches a worker."""
-        cases = [(kind, word) for kind in ("again", "hall", "once") for word in ("ok", "error", "full", "never")]
+        cases = [
+            (kind, word) for kind in ("again", "hall", "once") for word in ("ok", "error", "full", "never")
+        ]
 
         def by_body(w, s, m, p):
             word = orjson.loads(p[6])["word"]
             {"ok": later(0), "never": never}.get(word, says(word))(w, s, m, p)
+
         await self.begin(w := Worker("w1", by_body))
         self.core.fronts = self.core.fronts[:1]
         for number, (kind, word) in enumerate(cases):
@@ -401,7 +461,9 @@
                 before = len(w.runs)
                 status, _ = await self.post(f"{kind}-a{number}", body=body, Prefer="wait=1")
                 await asyncio.sleep(0.01)
-                counted.append(({200: "completed", 503: "rejected", 504: "aborted"}[status], len(w.runs) - before))
+                counted.append(
+                    ({200: "completed", 503: "rejected", 504: "aborted"}[status], len(w.runs) - before)
+                )
                 before, name = len(w.runs), b"%d" % number
                 self.client.ask(f"{kind}-b{number}", name, 2, body=body, expiry=1)
                 counted.append(((await self.answered(name))[0], len(w.runs) - before))
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,4 +1,6 @@
-"""The dispatcher on the platform's protocol: codecs without I/O, then `python -m petrelwood.node` among scripted peers on real sockets."""
+"""The dispatcher on the platform's protocol: codecs without I/O, then `python -m petrelwood.node` among
+scripted peers on real sockets."""
+
 import asyncio
 import copy
 import json
@@ -43,8 +45,14 @@
     def test_what_is_too_large_ends_before_much_of_it_is_held(self):
         """All is told from the length that is announced."""
         head = msgpack.packb([0, 1, "plain", []])[:-1] + b"\x92\x80"
-        for bad, most in ((b"\xc6\x7f\xff\xff\xff", 0), (b"\xdb\x00\x10\x00\x00", 0), (b"\xc9\x00\x10\x00\x00\x01", 0),
-                          (b"\xdd\xff\xff\xff\xff", 0), (b"\xdf\xff\xff\xff\xff", 0), (b"\xc7\x01\x01\x01", 0)):
+        for bad, most in (
+            (b"\xc6\x7f\xff\xff\xff", 0),
+            (b"\xdb\x00\x10\x00\x00", 0),
+            (b"\xc9\x00\x10\x00\x00\x01", 0),
+            (b"\xdd\xff\xff\xff\xff", 0),
+            (b"\xdf\xff\xff\xff\xff", 0),
+            (b"\xc7\x01\x01\x01", 0),
+        ):
             with self.subTest(bad.hex()):
                 reader, fed = rpc.Reader(50_000, PARTS), 0
                 with self.assertRaises(rpc.Garbage):
@@ -66,10 +74,34 @@
 
     def test_what_fits_is_read_the_same_wherever_it_is_cut(self):
         chance = random.Random(5)
-        values = (None, True, -1, 127, -(1 << 40), 1 << 63, 0.5, "", "x" * 31, "x" * 32, "x" * 300, "x" * 1024, b"", b"y" * 255,
-                  b"y" * 16_384, [], list(range(64)), {}, {str(n): n for n in range(64)})
+        values = (
+            None,
+            True,
+            -1,
+            127,
+            -(1 << 40),
+            1 << 63,
+            0.5,
+            "",
+            "x" * 31,
+            "x" * 32,
+            "x" * 300,
+            "x" * 1024,
+            b"",
+            b"y" * 255,
+            b"y" * 16_384,
+            [],
+            list(range(64)),
+            {},
+            {str(n): n for n in range(64)},
+        )
         for _ in range(400):
-            message = [0, chance.getrandbits(32), "plain", [chance.choice(values) for _ in range(chance.randrange(3))]]
+            message = [
+                0,
+                chance.getrandbits(32),
+                "plain",
+                [chance.choice(values) for _ in range(chance.randrange(3))],
+            ]
             frame, reader, found, last = msgpack.packb(message), rpc.Reader(80_000, PARTS), [], 0
             twice = frame + frame
             for cut in sorted(chance.randrange(len(twice)) for _ in range(4)) + [len(twice)]:
@@ -107,28 +139,65 @@
         taken, fn, figures = front.asked("plain", good, b"x", 5, customers, timeouts)
         self.assertEqual((taken.id, taken.came, taken.wait, fn), (good["call"], 5, 2000 * MS, good["row"]))
         self.assertEqual(figures, (4, 20 * MS, 5 * MS))
-        for changes in ({"ttl": "-1"}, {"ttl": "nan"}, {"ttl": "1e9"}, {"ttl": "soon"}, {"org": "nobody"}, {"call": "xyz"},
-                        {"call": ""}, {"row": "f" * 15}, {"work": "inf"}, {"work": "-2"}, {"facts": "lanes:0"},
-                        {"facts": "lanes:four"}, {"facts": "load_ms:-1"}, {"dedupe": "short"}, {"ttl": 1500}):
+        for changes in (
+            {"ttl": "-1"},
+            {"ttl": "nan"},
+            {"ttl": "1e9"},
+            {"ttl": "soon"},
+            {"org": "nobody"},
+            {"call": "xyz"},
+            {"call": ""},
+            {"row": "f" * 15},
+            {"work": "inf"},
+            {"work": "-2"},
+            {"facts": "lanes:0"},
+            {"facts": "lanes:four"},
+            {"facts": "load_ms:-1"},
+            {"dedupe": "short"},
+            {"ttl": 1500},
+        ):
             with self.subTest(changes), self.assertRaises(front.Wrong):
                 front.asked("plain", {**good, **changes}, b"x", 5, customers, timeouts)
-        self.assertEqual(front.asked("plain", {**good, "org": "any"}, b"x", 5, frozenset(), timeouts)[0].customer, "any")
+        self.assertEqual(
+            front.asked("plain", {**good, "org": "any"}, b"x", 5, frozenset(), timeouts)[0].customer, "any"
+        )
         for fields, body in ((good, "text"), ([], b"x"), (None, b"x")):
             with self.assertRaises(front.Wrong):
                 front.asked("plain", fields, body, 5, customers, timeouts)
 
     def test_lines_out_and_back(self):
         said = json.loads(lines.run("0" * 16, "plain", "a" * 16, 300, "k" * 32, b"\x00\xff"))
-        self.assertEqual(said, {"type": "FN", "req": "0" * 16, "data": "AP8=", "meta": {
-            "sort": "plain", "asset": "a" * 16, "patience": 300, "op": "k" * 32}})
+        self.assertEqual(
+            said,
+            {
+                "type": "FN",
+                "req": "0" * 16,
+                "data": "AP8=",
+                "meta": {"sort": "plain", "asset": "a" * 16, "patience": 300, "op": "k" * 32},
+            },
+        )
         self.assertNotIn("op", json.loads(lines.run("t", "plain", "a", 3, "", b""))["meta"])
-        found = lines.answer(b'{"type":"HIT","req":"t","meta":{"n":"cold","pods":"2","l":"inflight:7;util:0.5"},"data":"AP8="}')
-        self.assertEqual(found, ("t", ports.COMPLETED, ports.BEGAN_LOAD, 2, b"\x00\xff", {"running": 7.0, "cores": 0.5}))
-        for word, code in (("NONE", ports.MISSING), ("SHED", ports.FULL), ("FAULT", ports.ERROR), ("LATE", ports.NOT_SENT)):
-            self.assertEqual(lines.answer(json.dumps({"type": word, "req": "t", "meta": {}}).encode()).code, code)
+        found = lines.answer(
+            b'{"type":"HIT","req":"t","meta":{"n":"cold","pods":"2","l":"inflight:7;util:0.5"},"data":"AP8="}'
+        )
+        self.assertEqual(
+            found, ("t", ports.COMPLETED, ports.BEGAN_LOAD, 2, b"\x00\xff", {"running": 7.0, "cores": 0.5})
+        )
+        for word, code in (
+            ("NONE", ports.MISSING),
+            ("SHED", ports.FULL),
+            ("FAULT", ports.ERROR),
+            ("LATE", ports.NOT_SENT),
+        ):
+            self.assertEqual(
+                lines.answer(json.dumps({"type": word, "req": "t", "meta": {}}).encode()).code, code
+            )
 
     def test_spoilt_lines_are_garbage_wherever_they_are_cut(self):
-        whole, chance = b'{"type":"HIT","req":"0123456789abcdef","meta":{"n":"warm"},"data":"YWJjZGVmZ2g="}', random.Random(3)
+        whole, chance = (
+            b'{"type":"HIT","req":"0123456789abcdef","meta":{"n":"warm"},"data":"YWJjZGVmZ2g="}',
+            random.Random(3),
+        )
         for cut in range(1, len(whole)):
             with self.assertRaises(lines.Garbage):
                 lines.answer(whole[:cut])
@@ -150,9 +219,18 @@
         entries = {"s-1": (5050, "Ready", "east", 0), "s-2": (5051, "Terminating", "west", 1_700_000_000_123)}
         wire = answer(asked, 41, entries)
         serial, found = roster.answer(wire)
-        self.assertEqual((serial, sorted(found)), (41, [
-            membership.Entry("s-1", ("127.0.0.1", 5050), "east", 1, 0, "usable"),
-            membership.Entry("s-2", ("127.0.0.1", 5051), "west", 1, 1_700_000_000_123 * MS, "draining")]))
+        self.assertEqual(
+            (serial, sorted(found)),
+            (
+                41,
+                [
+                    membership.Entry("s-1", ("127.0.0.1", 5050), "east", 1, 0, "usable"),
+                    membership.Entry(
+                        "s-2", ("127.0.0.1", 5051), "west", 1, 1_700_000_000_123 * MS, "draining"
+                    ),
+                ],
+            ),
+        )
         for cut in range(2, len(wire)):
             with self.assertRaises(roster.Unusable):
                 roster.answer(wire[:cut])
@@ -184,14 +262,25 @@
     def test_which_connection(self):
         class Line:
             def __init__(self, name, up, open_, carried=()):
-                self.name, self.up, self.open, self.carried = name, up, dict.fromkeys(open_), dict.fromkeys(carried)
+                self.name, self.up, self.open, self.carried = (
+                    name,
+                    up,
+                    dict.fromkeys(open_),
+                    dict.fromkeys(carried),
+                )
+
         said = []
-        for what, args in (("the last used that is free", ([Line("a", True, ""), Line("b", True, "")], "x", 4, True)),
-                           ("none free: wait for a new one", ([Line("a", True, "p")], "x", 4, True)),
-                           ("no room for one: the least loaded", ([Line("a", True, "p"), Line("b", True, "pq")], "x", 4, False)),
-                           ("all full", ([Line("a", True, "pqrs")], "x", 4, False)),
-                           ("coming up", ([Line("a", False, "")], "x", 4, False)),
-                           ("it has carried this id", ([Line("a", True, "", "x"), Line("b", True, "p")], "x", 4, False))):
+        for what, args in (
+            ("the last used that is free", ([Line("a", True, ""), Line("b", True, "")], "x", 4, True)),
+            ("none free: wait for a new one", ([Line("a", True, "p")], "x", 4, True)),
+            (
+                "no room for one: the least loaded",
+                ([Line("a", True, "p"), Line("b", True, "pq")], "x", 4, False),
+            ),
+            ("all full", ([Line("a", True, "pqrs")], "x", 4, False)),
+            ("coming up", ([Line("a", False, "")], "x", 4, False)),
+            ("it has carried this id", ([Line("a", True, "", "x"), Line("b", True, "p")], "x", 4, False)),
+        ):
             line = connection_pool.pick(*args)
             said.append(f"{what}: {line.name if line else '-'}")
         compare(self, "node_pool", said)
@@ -199,19 +288,29 @@
     def test_an_id_is_remembered_by_its_connection_and_not_for_ever(self):
         class Line:
             carried = {}
+
         for number in range(100):
             connection_pool.remembers(Line, number)
-        self.assertEqual((len(Line.carried), 99 in Line.carried, 0 in Line.carried), (connection_pool.KEPT, True, False))
+        self.assertEqual(
+            (len(Line.carried), 99 in Line.carried, 0 in Line.carried), (connection_pool.KEPT, True, False)
+        )
 
     def test_the_end(self):
         said = []
-        for longest, looks in ((6000, ((100, 0), (600, 0), (700, 0), (700, 2), (3300, 2), (3600, 2))),
-                               (3000, ((3299, 2), (3300, 2), (3499, 2), (3500, 2))),
-                               (1000, ((699, 0), (1449, 2), (1450, 2), (1574, 2), (1575, 2)))):
+        for longest, looks in (
+            (6000, ((100, 0), (600, 0), (700, 0), (700, 2), (3300, 2), (3600, 2))),
+            (3000, ((3299, 2), (3300, 2), (3499, 2), (3500, 2))),
+            (1000, ((699, 0), (1449, 2), (1450, 2), (1574, 2), (1575, 2))),
+        ):
             ends = shutdown.Leaving(0, longest * MS)
-            said.append(f"longest action timeout {longest} ms: killed {700 + min(longest, 3000)} ms after it at the soonest")
-            said += [f"{at:5d} ms, {owed} owed: closed {ends.closed(at * MS)}, cut {ends.out_of_time(at * MS)}, "
-                     f"over {ends.over(at * MS, owed, True)}" for at, owed in looks]
+            said.append(
+                f"longest action timeout {longest} ms: killed {700 + min(longest, 3000)} ms after it at the soonest"
+            )
+            said += [
+                f"{at:5d} ms, {owed} owed: closed {ends.closed(at * MS)}, cut {ends.out_of_time(at * MS)}, "
+                f"over {ends.over(at * MS, owed, True)}"
+                for at, owed in looks
+            ]
         compare(self, "node_leaving", said)
 
     def test_room_is_a_part_of_each_limit(self):
@@ -227,8 +326,14 @@
 class Told(unittest.TestCase):
     def start(self, **environ):
         clean = {k: v for k, v in os.environ.items() if not k.startswith("PROXY")}
-        done = subprocess.run([sys.executable, "-m", "petrelwood.node"], cwd=ROOT, env={**clean, **environ},
-                              capture_output=True, text=True, timeout=60)
+        done = subprocess.run(
+            [sys.executable, "-m", "petrelwood.node"],
+            cwd=ROOT,
+            env={**clean, **environ},
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
         return done.returncode, done.stderr
 
     def test_a_bad_start_says_what_is_wrong_in_one_line(self):
@@ -246,10 +351,14 @@
         busy.bind(("127.0.0.1", 0))
         busy.listen()
         names = {k: good[k] for k in ("PROXY_NAME", "PROXY_LISTEN", "PROXY_CONFIG")}
-        for changes, what in (({"PROXY_CONFIG": ""}, "PROXY_CONFIG"), ({"PROXY_CONFIG": "/nowhere/x"}, "/nowhere/x"),
-                              ({"PROXY_CONFIG": str(lacking)}, "settings"), ({"PROXY_CONFIG": str(torn)}, "torn.json"),
-                              ({"PROXY_LISTEN": "127.0.0.1:%d" % busy.getsockname()[1]}, "in use"),
-                              ({"PROXY_LISTEN": "192.0.2.1:5050"}, "192.0.2.1")):
+        for changes, what in (
+            ({"PROXY_CONFIG": ""}, "PROXY_CONFIG"),
+            ({"PROXY_CONFIG": "/nowhere/x"}, "/nowhere/x"),
+            ({"PROXY_CONFIG": str(lacking)}, "settings"),
+            ({"PROXY_CONFIG": str(torn)}, "torn.json"),
+            ({"PROXY_LISTEN": "127.0.0.1:%d" % busy.getsockname()[1]}, "in use"),
+            ({"PROXY_LISTEN": "192.0.2.1:5050"}, "192.0.2.1"),
+        ):
             with self.subTest(what):
                 code, said = self.start(**{**names, **changes})
                 self.assertEqual((code, said.count("\n")), (2, 1), said)
@@ -271,33 +380,37 @@
         site.folder.cleanup()
 
     def test_each_setting_is_held_to_its_shape(self):
-        """Read without a look at its shape a text times 1000 is a long text, and an unknown word is one of the known."""
+        """Read without a look at its shape a text times 1000 is a long text, and an unknown word is one of
+        the known."""
+
         def decoded(change):
             raw = copy.deepcopy(SETTINGS)
             change(raw)
             return told.terms(raw)
+
         for change, named in (
-                (lambda o: o["classes"][0].update(slo="400"), "settings.classes[0].slo"),
-                (lambda o: o["classes"][0].update(slo=0), "settings.classes[0].slo"),
-                (lambda o: o["classes"][2].update(keyScope="planet"), "settings.classes[2].keyScope"),
-                (lambda o: o["classes"][0].update(aimStretch=[2]), "settings.classes[0].aimStretch"),
-                (lambda o: o.update(classes=[]), "settings.classes"),
-                (lambda o: o.update(classes={"plain": {}}), "settings.classes"),
-                (lambda o: o.update(classes=["plain"]), "settings.classes[0]"),
-                (lambda o: o.update(membershipMode="gossip"), "settings.membershipMode"),
-                (lambda o: o.update(membershipMode="ask"), "'askWithin'"),
-                (lambda o: o.update(balancers=0), "settings.balancers"),
-                (lambda o: o.update(balancers=True), "settings.balancers"),
-                (lambda o: o.pop("familyInfo"), "'familyInfo'"),
-                (lambda o: o["familyInfo"].update(onMiss="forward"), "settings.familyInfo.onMiss"),
-                (lambda o: o["familyInfo"].update(keep=float("inf")), "settings.familyInfo.keep"),
-                (lambda o: o["familyInfo"].update(mayOrder="yes"), "settings.familyInfo.mayOrder"),
-                (lambda o: o["guarantees"].update(fall=-1), "settings.guarantees.fall"),
-                (lambda o: o["guarantees"].pop("cold"), "'cold'"),
-                (lambda o: o["permissions"].update(maxAttempts=0), "settings.permissions.maxAttempts"),
-                (lambda o: o["tenants"][0].update(quotaRps="many"), "settings.tenants[0].quotaRps"),
-                (lambda o: o["loadInfo"].update(how="whisper"), "settings.loadInfo.how"),
-                (lambda o: o.update(fees=0.1), "settings.fees")):
+            (lambda o: o["classes"][0].update(slo="400"), "settings.classes[0].slo"),
+            (lambda o: o["classes"][0].update(slo=0), "settings.classes[0].slo"),
+            (lambda o: o["classes"][2].update(keyScope="planet"), "settings.classes[2].keyScope"),
+            (lambda o: o["classes"][0].update(aimStretch=[2]), "settings.classes[0].aimStretch"),
+            (lambda o: o.update(classes=[]), "settings.classes"),
+            (lambda o: o.update(classes={"plain": {}}), "settings.classes"),
+            (lambda o: o.update(classes=["plain"]), "settings.classes[0]"),
+            (lambda o: o.update(membershipMode="gossip"), "settings.membershipMode"),
+            (lambda o: o.update(membershipMode="ask"), "'askWithin'"),
+            (lambda o: o.update(balancers=0), "settings.balancers"),
+            (lambda o: o.update(balancers=True), "settings.balancers"),
+            (lambda o: o.pop("familyInfo"), "'familyInfo'"),
+            (lambda o: o["familyInfo"].update(onMiss="forward"), "settings.familyInfo.onMiss"),
+            (lambda o: o["familyInfo"].update(keep=float("inf")), "settings.familyInfo.keep"),
+            (lambda o: o["familyInfo"].update(mayOrder="yes"), "settings.familyInfo.mayOrder"),
+            (lambda o: o["guarantees"].update(fall=-1), "settings.guarantees.fall"),
+            (lambda o: o["guarantees"].pop("cold"), "'cold'"),
+            (lambda o: o["permissions"].update(maxAttempts=0), "settings.permissions.maxAttempts"),
+            (lambda o: o["tenants"][0].update(quotaRps="many"), "settings.tenants[0].quotaRps"),
+            (lambda o: o["loadInfo"].update(how="whisper"), "settings.loadInfo.how"),
+            (lambda o: o.update(fees=0.1), "settings.fees"),
+        ):
             with self.subTest(named), self.assertRaisesRegex(told.Bad, re.escape(named)):
                 decoded(change)
 
@@ -309,12 +422,27 @@
             raw["familyInfo"].pop(name)
         made = told.terms(raw)
         self.assertEqual((made.quotas, made.reports_by_probe, made.orders.period), ({}, False, 0))
-        self.assertEqual(made.types["plain"], ports.NamespaceType(400 * MS, ports.REPEATABLE, "all", 0, 0, 2000 * MS))
+        self.assertEqual(
+            made.types["plain"], ports.NamespaceType(400 * MS, ports.REPEATABLE, "all", 0, 0, 2000 * MS)
+        )
 
     def test_run_imports_only_what_it_uses(self):
-        said = subprocess.run([sys.executable, "-c", "import sys, petrelwood.node.__main__; print(*sys.modules)"],
-                              cwd=ROOT, capture_output=True, text=True, check=True).stdout.split()
-        found = {name.split(".")[0] for name in said} & {"numpy", "pyarrow", "matplotlib", "ckdl", "cryptography", "scipy", "rich"}
+        said = subprocess.run(
+            [sys.executable, "-c", "import sys, petrelwood.node.__main__; print(*sys.modules)"],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            check=True,
+        ).stdout.split()
+        found = {name.split(".")[0] for name in said} & {
+            "numpy",
+            "pyarrow",
+            "matplotlib",
+            "ckdl",
+            "cryptography",
+            "scipy",
+            "rich",
+        }
         self.assertEqual(found, set())
 
 
@@ -326,7 +454,9 @@
             self.assertTrue(await client.health())
             found = []
             for first in range(0, 200, 20):
-                found += await asyncio.gather(*(client.call(fn=n % 5, body=b"%d" % n) for n in range(first, first + 20)))
+                found += await asyncio.gather(
+                    *(client.call(fn=n % 5, body=b"%d" % n) for n in range(first, first + 20))
+                )
             self.assertEqual(found, [("completed", b"%d" % n) for n in range(200)])
             marked = ask(dedupe="ab" * 16)
             self.assertEqual((await client.call(marked, type_="marked"))[0], "completed")
@@ -346,16 +476,26 @@
             pack = msgpack.packb
             fields = ask()
             openers = {
-                "noise": b"\xc1" * 200, "text": b"GET / HTTP/1.1\r\n\r\n", "a length of 2 GB": pack([0, 1, "plain"])[:-1] + b"\xc6\x7f\xff\xff\xff",
-                "deep": b"\x91" * 5000, "half": pack([0, 1, "plain", [fields, b"x" * 300]])[:100], "silent": b"",
-                "a number twice": (pack([0, 1, "plain", [ask(fn=99), b""]])) * 2, "answers": pack([1, 1, None, None])}
+                "noise": b"\xc1" * 200,
+                "text": b"GET / HTTP/1.1\r\n\r\n",
+                "a length of 2 GB": pack([0, 1, "plain"])[:-1] + b"\xc6\x7f\xff\xff\xff",
+                "deep": b"\x91" * 5000,
+                "half": pack([0, 1, "plain", [fields, b"x" * 300]])[:100],
+                "silent": b"",
+                "a number twice": (pack([0, 1, "plain", [ask(fn=99), b""]])) * 2,
+                "answers": pack([1, 1, None, None]),
+            }
             for name, said in openers.items():
                 with self.subTest(name):
                     bad = await site.client()
                     bad.writer.write(said)
                     await bad.closed(within=3)
-            for name, type_, changes in (("no class", "none", {}), ("no tenant", "plain", {"org": "x"}),
-                                         ("no id", "plain", {"call": ""}), ("no number", "plain", {"ttl": "x"})):
+            for name, type_, changes in (
+                ("no class", "none", {}),
+                ("no tenant", "plain", {"org": "x"}),
+                ("no id", "plain", {"call": ""}),
+                ("no number", "plain", {"ttl": "x"}),
+            ):
                 with self.subTest(name):
                     bad = await site.client()
                     word, _ = await bad.call({**ask(), **changes}, type_=type_, within=3)
@@ -373,6 +513,7 @@
     async def test_what_is_taken_back_and_who_hangs_up_owes_no_answer(self):
         async def slow(worker, said, writer):
             await asyncio.sleep(0.5)
+
         worker = Worker("s-1", slow)
         async with Site([worker]) as site:
             client, gone = await site.client(), await site.client()
@@ -388,8 +529,12 @@
             client.close()
 
     async def test_spoilt_answers_end_their_connection_and_prove_nothing(self):
-        for name, spoilt in (("noise", b"\xff\xfe\x00\n"), ("no end", b"x" * 200_000), ("cut", b'{"type":"HIT","req":"'),
-                             ("unknown", b'{"type":"WHAT","req":"%s"}\n')):
+        for name, spoilt in (
+            ("noise", b"\xff\xfe\x00\n"),
+            ("no end", b"x" * 200_000),
+            ("cut", b'{"type":"HIT","req":"'),
+            ("unknown", b'{"type":"WHAT","req":"%s"}\n'),
+        ):
             bad = [True]
 
             def script(worker, said, writer, spoilt=spoilt, bad=bad):
@@ -399,13 +544,14 @@
                     if name == "cut":
                         writer.transport.abort()
                     return b""
+
             with self.subTest(name):
                 workers = [Worker("s-1", script), Worker("s-2", script)]
                 async with Site(workers) as site:
                     client = await site.client()
                     fields = ask(fn=1)
                     word, _ = await client.call(fields, type_="single")
-                    self.assertEqual(word, "Broken")     # once-only: it may have run
+                    self.assertEqual(word, "Broken")  # once-only: it may have run
                     self.assertEqual(sum(w.runs.count(fields["call"]) for w in workers), 1)
                     self.assertEqual((await client.call(fn=1))[0], "completed")
                     client.close()
@@ -415,6 +561,7 @@
             line = json.dumps(hit(said)).encode() + b"\n"
             ahead = json.dumps({**hit(said, b"wrong"), "req": "f" * 16}).encode() + b"\n"
             return ahead + line + line
+
         async with Site([Worker("s-1", script)]) as site:
             client = await site.client()
             for n in range(60):
@@ -440,7 +587,9 @@
             await new.open(old.port)
             site.workers.append(new)
             site.roster.tell(new)
-            await site.until(lambda: any("s-new" in line for line in site.log) or site.roster.asked >= asked + 8)
+            await site.until(
+                lambda: any("s-new" in line for line in site.log) or site.roster.asked >= asked + 8
+            )
             for first in (20, 40):
                 found = await asyncio.gather(*(client.call(fn=n) for n in range(first, first + 20)))
                 self.assertEqual({w for w, _ in found}, {"completed"})
@@ -457,8 +606,14 @@
             def spoil(wire):
                 first[0] = first[0] or wire
                 kind = kinds.pop() if kinds else None
-                return {"lost": None, "cut": wire[:40], "failed": wire[:3] + bytes([wire[3] | 2]) + wire[4:],
-                        "id": bytes([wire[0] ^ 1]) + wire[1:], "old": wire[:2] + first[0][2:]}.get(kind, wire)
+                return {
+                    "lost": None,
+                    "cut": wire[:40],
+                    "failed": wire[:3] + bytes([wire[3] | 2]) + wire[4:],
+                    "id": bytes([wire[0] ^ 1]) + wire[1:],
+                    "old": wire[:2] + first[0][2:],
+                }.get(kind, wire)
+
             site.roster.spoil = spoil
             asked = site.roster.asked
             await site.until(lambda: site.roster.asked > asked)
@@ -476,6 +631,7 @@
     async def test_a_vanished_worker_is_silent_and_others_serve(self):
         async def silent(worker, said, writer):
             await asyncio.sleep(60)
+
         quiet, loud = Worker("s-1", silent), Worker("s-2")
         async with Site([quiet, loud]) as site:
             client = await site.client()
@@ -510,12 +666,13 @@
     async def test_the_end_answers_all_that_it_took(self):
         async def slow(worker, said, writer):
             await asyncio.sleep(0.3)
+
         async with Site([Worker("s-1", slow), Worker("s-2", slow)]) as site:
             client = await site.client()
             early = [asyncio.ensure_future(client.call(fn=n % 6)) for n in range(20)]
             await client.health()
             site.process.terminate()
-            await asyncio.sleep(0.2)                     # the platform still sends so long after it
+            await asyncio.sleep(0.2)  # the platform still sends so long after it
             fresh = await site.client()
             late = [asyncio.ensure_future(c.call(fn=n % 6)) for n in range(6) for c in (client, fresh)]
             found = [await one for one in early + late]
@@ -524,14 +681,17 @@
             self.assertEqual(await asyncio.wait_for(site.process.wait(), 6), 0)
 
     async def test_memory_and_descriptors_stay_while_clients_and_workers_come_and_go(self):
-        """Found on churn (bench): circles of activations and sends, left to the collector, grew by 0.65 KB each."""
+        """Found on churn (bench): circles of activations and sends, left to the collector, grew by 0.65 KB
+        each."""
         async with Site([Worker(f"s-{n}") for n in range(3)]) as site:
+
             async def turn(count):
                 for _ in range(count):
                     clients = [await site.client() for _ in range(20)]
                     await asyncio.gather(*(c.call(fn=n % 7) for n, c in enumerate(clients) for _ in range(5)))
                     for client in clients:
                         client.close()
+
             await turn(20)
             before, _ = site.figures()
             for number in range(4):
--- a/tests/test_packets.py
+++ b/tests/test_packets.py
@@ -1,4 +1,6 @@
-"""The MQTT 5 codec: round trips, every truncation, every flipped bit. A reason code, never another exception."""
+"""The MQTT 5 codec: round trips, every truncation, every flipped bit. A reason code, never another
+exception."""
+
 import random
 import unittest
 
@@ -12,26 +14,79 @@
 WORD = st.text(st.characters(exclude_characters="+#\0", exclude_categories=("Cs",)), min_size=1, max_size=20)
 PUBLISHED = st.builds(
     lambda topic, payload, qos, dup, retain, id_, props: P(
-        mq.PUBLISH, id_ if qos else 0, topic=topic, payload=payload, qos=qos, dup=dup if qos else 0, retain=retain,
-        props=props),
-    WORD, st.binary(max_size=40), st.integers(0, 2), st.integers(0, 1), st.integers(0, 1), st.integers(1, 65535),
-    st.fixed_dictionaries({}, optional={
-        "message_expiry": st.integers(0, 2**32 - 1), "response_topic": WORD, "correlation_data": st.binary(max_size=9),
-        "content_type": WORD, "topic_alias": st.integers(1, 65535),
-        "subscription_id": st.lists(st.integers(1, 2**28 - 1), min_size=1, max_size=3),
-        "user": st.lists(st.tuples(WORD, WORD), min_size=1, max_size=3)}))
-ACK = st.builds(lambda type_, id_, code, why: P(type_, id_, code, props={"reason": why} if why else {}),
-                st.sampled_from(mq.ACKS), st.integers(1, 65535), st.integers(0, 255), st.one_of(st.none(), WORD))
+        mq.PUBLISH,
+        id_ if qos else 0,
+        topic=topic,
+        payload=payload,
+        qos=qos,
+        dup=dup if qos else 0,
+        retain=retain,
+        props=props,
+    ),
+    WORD,
+    st.binary(max_size=40),
+    st.integers(0, 2),
+    st.integers(0, 1),
+    st.integers(0, 1),
+    st.integers(1, 65535),
+    st.fixed_dictionaries(
+        {},
+        optional={
+            "message_expiry": st.integers(0, 2**32 - 1),
+            "response_topic": WORD,
+            "correlation_data": st.binary(max_size=9),
+            "content_type": WORD,
+            "topic_alias": st.integers(1, 65535),
+            "subscription_id": st.lists(st.integers(1, 2**28 - 1), min_size=1, max_size=3),
+            "user": st.lists(st.tuples(WORD, WORD), min_size=1, max_size=3),
+        },
+    ),
+)
+ACK = st.builds(
+    lambda type_, id_, code, why: P(type_, id_, code, props={"reason": why} if why else {}),
+    st.sampled_from(mq.ACKS),
+    st.integers(1, 65535),
+    st.integers(0, 255),
+    st.one_of(st.none(), WORD),
+)
 CORPUS = [
-    P(mq.CONNECT, client="c", clean=1, keep_alive=30, user="u", password=b"p", props={"session_expiry": 9},
-      will=P(mq.PUBLISH, topic="gone", payload=b"x", qos=1, dup=0, retain=1, props={"will_delay": 3})),
+    P(
+        mq.CONNECT,
+        client="c",
+        clean=1,
+        keep_alive=30,
+        user="u",
+        password=b"p",
+        props={"session_expiry": 9},
+        will=P(mq.PUBLISH, topic="gone", payload=b"x", qos=1, dup=0, retain=1, props={"will_delay": 3}),
+    ),
     P(mq.CONNACK, present=1, code=0, props={"receive_maximum": 7, "reason": "well"}),
-    P(mq.PUBLISH, 3, topic="act/x/y", payload=b"hi", qos=2, dup=1, retain=0,
-      props={"response_topic": "reply/x", "correlation_data": b"\0\1", "message_expiry": 4, "user": [("a", "b")]}),
-    P(mq.PUBACK, 3, 0x97), P(mq.PUBREL, 3), P(mq.PUBCOMP, 3, 0x92, props={"user": [("a", "b")]}),
+    P(
+        mq.PUBLISH,
+        3,
+        topic="act/x/y",
+        payload=b"hi",
+        qos=2,
+        dup=1,
+        retain=0,
+        props={
+            "response_topic": "reply/x",
+            "correlation_data": b"\0\1",
+            "message_expiry": 4,
+            "user": [("a", "b")],
+        },
+    ),
+    P(mq.PUBACK, 3, 0x97),
+    P(mq.PUBREL, 3),
+    P(mq.PUBCOMP, 3, 0x92, props={"user": [("a", "b")]}),
     P(mq.SUBSCRIBE, 2, props={"subscription_id": 5}, filters=[("$share/g/act/+/#", 1)]),
-    P(mq.SUBACK, 2, props={}, codes=[1, 0x87]), P(mq.UNSUBSCRIBE, 2, props={}, filters=["a/#"]),
-    P(mq.PINGREQ), P(mq.PINGRESP), P(mq.DISCONNECT, code=0x8E, props={"reason": "taken over"}), P(mq.AUTH, code=0x18)]
+    P(mq.SUBACK, 2, props={}, codes=[1, 0x87]),
+    P(mq.UNSUBSCRIBE, 2, props={}, filters=["a/#"]),
+    P(mq.PINGREQ),
+    P(mq.PINGRESP),
+    P(mq.DISCONNECT, code=0x8E, props={"reason": "taken over"}),
+    P(mq.AUTH, code=0x18),
+]
 
 
 def read(data, most=10_000):
@@ -48,7 +103,7 @@
     def test_any_packets_come_back_in_pieces_of_any_size(self, packets, size):
         data, reader, found = b"".join(map(mq.write, packets)), mq.Reader(), []
         for i in range(0, len(data), size):
-            found += reader.feed(data[i:i + size])
+            found += reader.feed(data[i : i + size])
         self.assertEqual(found, packets)
 
     def test_every_truncation_waits_or_is_refused(self):
@@ -56,7 +111,7 @@
             whole = mq.write(packet)
             for size in range(len(whole)):
                 self.assertEqual(read(whole[:size]), [])
-                if size > 2:                             # the same, as if that were all of it
+                if size > 2:  # the same, as if that were all of it
                     short = bytes((whole[0], size - 2)) + whole[2:size]
                     try:
                         self.assertEqual(len(read(short)), 1)
@@ -94,11 +149,28 @@
             read(b"\x30\xff\xff\xff\xff\x01")
 
     def test_topics_and_filters(self):
-        for name, good in (("a/b", 1), ("+/b/#", 1), ("a/#/b", 0), ("a+", 0), ("", 0), ("$share/g/a", 1), ("$share/g", 0),
-                           ("$share/+/a", 0), ("#", 1)):
+        for name, good in (
+            ("a/b", 1),
+            ("+/b/#", 1),
+            ("a/#/b", 0),
+            ("a+", 0),
+            ("", 0),
+            ("$share/g/a", 1),
+            ("$share/g", 0),
+            ("$share/+/a", 0),
+            ("#", 1),
+        ):
             self.assertEqual(mq.filter_ok(name), bool(good), name)
-        for pattern, topic, good in (("a/+", "a/b", 1), ("a/+", "a/b/c", 0), ("a/#", "a", 1), ("a/#", "a/b/c", 1),
-                                     ("#", "$SYS/x", 0), ("+", "a", 1), ("a/b", "a", 0), ("+/+", "/", 1)):
+        for pattern, topic, good in (
+            ("a/+", "a/b", 1),
+            ("a/+", "a/b/c", 0),
+            ("a/#", "a", 1),
+            ("a/#", "a/b/c", 1),
+            ("#", "$SYS/x", 0),
+            ("+", "a", 1),
+            ("a/b", "a", 0),
+            ("+/+", "/", 1),
+        ):
             self.assertEqual(mq.matches(pattern, topic), bool(good), (pattern, topic))
 
 
@@ -107,7 +179,9 @@
 
     def test_rpc_any_bytes_end_in_messages_or_garbage(self):
         chance = random.Random(4)
-        whole = rpc.request(7, "run", ["a", 0, "f", "x/m", 5, 1, b"body"]) + rpc.response(7, None, ["a", 0, 1, b"", {}])
+        whole = rpc.request(7, "run", ["a", 0, "f", "x/m", 5, 1, b"body"]) + rpc.response(
+            7, None, ["a", 0, 1, b"", {}]
+        )
         garbage = 0
         for _ in range(3000):
             data = bytearray(whole)
@@ -122,8 +196,15 @@
     @settings(max_examples=200, deadline=None, derandomize=True)
     @given(st.binary(max_size=100), st.integers(1, 9))
     def test_events_in_any_pieces(self, noise, size):
-        data, events, found = sse.event("list", "[1]", "e-1") + b": beat\n\n" + noise.replace(b"\r", b"") + b"\n\n" + \
-            sse.event("change", "[2]", "e-2"), sse.Events(), []
+        data, events, found = (
+            sse.event("list", "[1]", "e-1")
+            + b": beat\n\n"
+            + noise.replace(b"\r", b"")
+            + b"\n\n"
+            + sse.event("change", "[2]", "e-2"),
+            sse.Events(),
+            [],
+        )
         for i in range(0, len(data), size):
-            found += events.feed(data[i:i + size])
+            found += events.feed(data[i : i + size])
         self.assertEqual((found[0], found[-1][1]), (("list", "[1]", "e-1"), "[2]"))
--- a/tests/test_ration.py
+++ b/tests/test_ration.py
@@ -1,4 +1,5 @@
 """Rule 5, the ration of load orders, as the workers see it: see `ration` for the judge."""
+
 import types
 import unittest
 from unittest import mock
@@ -13,13 +14,22 @@
 MS = virtual.MS
 CASES = {
     "as the site that broke it has it": {},
-    "no ration": {"period": 0}, "nothing for activations": {"part": 0}, "nothing free": {"free": 0, "part": 0.5},
-    "many free": {"free": 50, "part": 0.01}, "a period under the time to connect": {"period": 500, "connect": 1500},
-    "a period near the target latency": {"period": 2000, "target": 1800}, "a long period": {"period": 40_000, "seconds": 50, "floods": 0.05},
-    "few connections": {"streams": 1, "never": 0.2}, "all connections late": {"late": 1.0, "workers": 100, "replaced": 20, "connect": 1500},
-    "late, and none made": {"late": 1.0, "connect": 50, "never": 0.2}, "half of it for what nobody has": {"strange": 0.5},
-    "a fifth hang for longer than the period": {"hangs": 0.2, "workers": 40}, "a fifth hang for a while": {"hangs": 0.2, "hung": 3},
-    "floods": {"floods": 2.0, "seconds": 12}, "all give up": {"gives_up": 0.9}, "read late": {"lag": 150},
+    "no ration": {"period": 0},
+    "nothing for activations": {"part": 0},
+    "nothing free": {"free": 0, "part": 0.5},
+    "many free": {"free": 50, "part": 0.01},
+    "a period under the time to connect": {"period": 500, "connect": 1500},
+    "a period near the target latency": {"period": 2000, "target": 1800},
+    "a long period": {"period": 40_000, "seconds": 50, "floods": 0.05},
+    "few connections": {"streams": 1, "never": 0.2},
+    "all connections late": {"late": 1.0, "workers": 100, "replaced": 20, "connect": 1500},
+    "late, and none made": {"late": 1.0, "connect": 50, "never": 0.2},
+    "half of it for what nobody has": {"strange": 0.5},
+    "a fifth hang for longer than the period": {"hangs": 0.2, "workers": 40},
+    "a fifth hang for a while": {"hangs": 0.2, "hung": 3},
+    "floods": {"floods": 2.0, "seconds": 12},
+    "all give up": {"gives_up": 0.9},
+    "read late": {"lag": 150},
     "hundreds of workers, replaced": {"workers": 300, "replaced": 5, "floods": 0.05, "rate": 80},
 }
 
@@ -40,13 +50,20 @@
         def always(self, now, part=1.0):
             return self.terms.orders.allowed
 
-        def at_once(self, now, act=None):                # what is sent gives a right, whatever it is
+        def at_once(self, now, act=None):  # what is sent gives a right, whatever it is
             if act is not None and act.right is None:
                 act.right = True
                 self.taken.add(act.born)
 
-        for what, changes in (("_may_order", {"floods": 0}), ("_ripen", {"strange": 0.5}), ("_ripen", {"floods": 0.5})):
-            with self.subTest(what=what, **changes), mock.patch.object(brain.Brain, what, {"_may_order": always, "_ripen": at_once}[what]):
+        for what, changes in (
+            ("_may_order", {"floods": 0}),
+            ("_ripen", {"strange": 0.5}),
+            ("_ripen", {"floods": 0.5}),
+        ):
+            with (
+                self.subTest(what=what, **changes),
+                mock.patch.object(brain.Brain, what, {"_may_order": always, "_ripen": at_once}[what]),
+            ):
                 self.assertGreater(ration.play(ration.Case(1, **changes)).worst[0], 3)
 
 
@@ -55,8 +72,22 @@
 
     def play(self, joins, script, **changes):
         """Runs `script(world)` with one worker, whose connections come up after `joins` seconds."""
-        case = ration.Case(1, workers=1, floods=0, rate=1e-9, replaced=0, period=1000, free=0, part=0.1, connect=1500, seconds=6,
-                           late=0, never=0, refused=0, **changes)
+        case = ration.Case(
+            1,
+            workers=1,
+            floods=0,
+            rate=1e-9,
+            replaced=0,
+            period=1000,
+            free=0,
+            part=0.1,
+            connect=1500,
+            seconds=6,
+            late=0,
+            never=0,
+            refused=0,
+            **changes,
+        )
         world = ration.World(case)
         world.client = lambda: script(world)
         with mock.patch.object(ration.Worker, "joins", lambda _, stream: joins):
@@ -82,9 +113,11 @@
             world.later(2.0, lambda: given.append(self.give(world, 9)))
             world.later(2.0, world.node.brain.taken.add, world.node.now() + 2000 * MS, 20)
             world.later(2.1, lambda: given.append(self.give(world, 9)))
+
         world = self.play(0.9, script)
         self.assertEqual(given, [4, 0, 2])
-        self.assertEqual(len(world.orders), 2)           # those of 2.1 s, on the connection that is up by then
+        # those of 2.1 s, on the connection that is up by then
+        self.assertEqual(len(world.orders), 2)
 
     def test_an_order_counts_from_when_it_left(self):
         """Given at 0.1 s, gone at 0.6 s: at 1.3 s the window still has it."""
@@ -96,6 +129,7 @@
             world.later(1.2, lambda: world.node.brain.taken.add(world.node.now(), 40))
             world.later(1.3, lambda: given.append(self.give(world, 9)))
             world.later(1.9, lambda: given.append(self.give(world, 9)))
+
         world = self.play(0.5, script)
         self.assertEqual(given, [4, 0, 4])
         self.assertEqual(len(world.orders), 8)
@@ -109,6 +143,7 @@
             world.later(0.1, lambda: given.append(self.give(world, 9)))
             world.later(0.2, world.replace, 1)
             world.later(0.3, lambda: given.append(self.give(world, 9)))
+
         world = self.play(None, script)
         self.assertEqual((given, world.orders), ([4, 4], []))
 
@@ -124,16 +159,25 @@
             node.held = lambda worker_, fn, code, copies: ends.append((round(node.now() / 1e9), code))
             world.later(0.3, lambda: self.give(world, 2))
             world.later(0.4, lambda: self.give(world, 1))
-        with mock.patch.object(ration.Worker, "line", lambda *_: None), mock.patch.object(worker.NodeLink, "_doubt", lambda *_: None):
+
+        with (
+            mock.patch.object(ration.Worker, "line", lambda *_: None),
+            mock.patch.object(worker.NodeLink, "_doubt", lambda *_: None),
+        ):
             self.play(0.1, script, streams=2)
-        self.assertEqual(sorted(ends), [(2, ports.NOT_SENT), (2, ports.NOT_SENT), (2, ports.TIMED_OUT), (2, ports.TIMED_OUT)])
+        self.assertEqual(
+            sorted(ends),
+            [(2, ports.NOT_SENT), (2, ports.NOT_SENT), (2, ports.TIMED_OUT), (2, ports.TIMED_OUT)],
+        )
 
 
 class Others(unittest.TestCase):
     """The same at the links of the other fronts and of the emulator."""
 
     class Core:
-        """What a link asks of the core, with a clock that is set; `asked` and `kept_back` are the times of the orders told."""
+        """What a link asks of the core, with a clock that is set; `asked` and `kept_back` are the times of
+        the orders told."""
+
         name, reconnects = "n0", None
 
         def __init__(self, bears):
@@ -159,7 +203,9 @@
         def active(self, link):
             pass
 
-    TERMS = types.SimpleNamespace(connect_within=100, quiet=10**9, queue=1 << 20, frame=1 << 16, order_within=10**9)
+    TERMS = types.SimpleNamespace(
+        connect_within=100, quiet=10**9, queue=1 << 20, frame=1 << 16, order_within=10**9
+    )
 
     def wait(self, link, core):
         """Two orders, given at 0 and at 50, before the connection is up."""
@@ -186,8 +232,12 @@
 
     def test_the_emulators_link(self):
         core, after = self.Core(lambda at: at > 0), []
-        platform = types.SimpleNamespace(after=lambda wait, call, *args: after.append(call), is_cut=lambda *_: False, way=lambda *_: 1)
-        node = types.SimpleNamespace(name="w", hall="a", machine=object(), silent=False, booted=1, life=1, links=[])
+        platform = types.SimpleNamespace(
+            after=lambda wait, call, *args: after.append(call), is_cut=lambda *_: False, way=lambda *_: 1
+        )
+        node = types.SimpleNamespace(
+            name="w", hall="a", machine=object(), silent=False, booted=1, life=1, links=[]
+        )
         link = emulate_link.Link(platform, node, core, "a", self.TERMS, lambda: 0.5)
         self.wait(link, core)
         link._connected(link.attempt)
--- a/tests/test_reference.py
+++ b/tests/test_reference.py
@@ -1,4 +1,6 @@
-"""What is read off the decoding: reference, completion; checks of days and experiments; the estimate of a change."""
+"""What is read off the decoding: reference, completion; checks of days and experiments; the estimate of a
+change."""
+
 import pathlib
 import tempfile
 import unittest
@@ -12,7 +14,10 @@
 from test_settings import GOOD
 
 DAYS = pathlib.Path(__file__).with_name("days")
-OTHERS = (("experiment", lambda file: experiment.described(file, pathlib.Path(file.file))), ("day", script.described))
+OTHERS = (
+    ("experiment", lambda file: experiment.described(file, pathlib.Path(file.file))),
+    ("day", script.described),
+)
 
 
 class Reference(unittest.TestCase):
@@ -32,9 +37,24 @@
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder) / "g.kdl"
             path.write_text(GOOD + 'template "quick" { }\n')
-            for text in ('na', 'gateway "d" {\n    li', 'gateway "d" { listen "x"; t', 'namespace-type "t" {\n  effect ', 'function "f" ',
-                         'function "f" lanes=2 l', 'function "f" type=', 'workers { cold "5s" ', 'workers { tls ', 'workers { use ', 'damp-storms ',
-                         'customer "x" { key ', '// na', 'customer "x" { note "{"; ', 'nothing { ', 'workers { sends 3 overlap='):
+            for text in (
+                "na",
+                'gateway "d" {\n    li',
+                'gateway "d" { listen "x"; t',
+                'namespace-type "t" {\n  effect ',
+                'function "f" ',
+                'function "f" lanes=2 l',
+                'function "f" type=',
+                'workers { cold "5s" ',
+                "workers { tls ",
+                "workers { use ",
+                "damp-storms ",
+                'customer "x" { key ',
+                "// na",
+                'customer "x" { note "{"; ',
+                "nothing { ",
+                "workers { sends 3 overlap=",
+            ):
                 rows = text.split("\n")
                 found = reference.completions(text, len(rows), len(rows[-1]) + 1, path)
                 lines.append(text.replace("\n", " / ") + "|")
@@ -45,19 +65,42 @@
 class Kinds(unittest.TestCase):
     def test_broken_days_and_experiments(self):
         lines, day = [], (DAYS / "small.kdl").read_text()
-        plain = 'experiment "e" { day "bad"; policy "petrelwood"; seeds from=1 count=2; factor "rate" 60 120 }\n'
+        plain = (
+            'experiment "e" { day "bad"; policy "petrelwood"; seeds from=1 count=2; factor "rate" 60 120 }\n'
+        )
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder) / "x.kdl"
-            for text, changes in ((day, (("rate", "rat"), ('halls "', 'hals "'), ("workers ", "workers #true "), ('lanes=', 'lane='),
-                                         ('at="', 'at="9h" again="1ms" worker="w99" xt="'))),
-                                  (plain, (('"bad"', '"bat"'), ('"petrelwood"', '"petrel"'), ("count=2", ""), (" 60 120", ""),
-                                           ('"rate" 60', '"rate" "x"'), ("seeds", "seed")))):
+            for text, changes in (
+                (
+                    day,
+                    (
+                        ("rate", "rat"),
+                        ('halls "', 'hals "'),
+                        ("workers ", "workers #true "),
+                        ("lanes=", "lane="),
+                        ('at="', 'at="9h" again="1ms" worker="w99" xt="'),
+                    ),
+                ),
+                (
+                    plain,
+                    (
+                        ('"bad"', '"bat"'),
+                        ('"petrelwood"', '"petrel"'),
+                        ("count=2", ""),
+                        (" 60 120", ""),
+                        ('"rate" 60', '"rate" "x"'),
+                        ("seeds", "seed"),
+                    ),
+                ),
+            ):
                 for old, new in changes:
                     self.assertIn(old, text)
                     path.write_text(text.replace(old, new, 1))
                     errors, _, _ = sense.check(path, others=OTHERS)
                     lines.append(f"{old} -> {new}")
-                    lines += [f"    {fault}".replace(folder + "/", "") for fault in errors] or ["    (nothing)"]
+                    lines += [f"    {fault}".replace(folder + "/", "") for fault in errors] or [
+                        "    (nothing)"
+                    ]
                     self.assertTrue(errors)
                 path.write_text(text)
                 self.assertEqual(sense.check(path, others=OTHERS)[0], [])
@@ -70,8 +113,13 @@
             old, new = (pathlib.Path(folder) / f"{n}.kdl" for n in ("old", "new"))
             terms = document.render(script.read(DAYS / "small.kdl").terms.children)
             old.write_text(terms)
-            new.write_text(terms.replace("sends 3", "sends 1").replace('quiet "', 'most-retry-after "1s"\n    quiet "', 1)
-                           if "most-retry-after" not in terms else terms.replace("sends 3", "sends 1"))
+            new.write_text(
+                terms.replace("sends 3", "sends 1").replace(
+                    'quiet "', 'most-retry-after "1s"\n    quiet "', 1
+                )
+                if "most-retry-after" not in terms
+                else terms.replace("sends 3", "sends 1")
+            )
             self.assertNotEqual(old.read_text(), new.read_text())
             rows, broken, carried = estimate.estimate(old, new, str(DAYS / "small.kdl"), (1, 2, 3), jobs=3)
             same, _, _ = estimate.estimate(old, old, str(DAYS / "small.kdl"), (1,), jobs=2)
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -1,4 +1,5 @@
 """A staged roll-out over many dispatchers that do not talk, on a clock that is handed in."""
+
 import random
 import unittest
 
@@ -10,15 +11,23 @@
 
 
 class World:
-    """Dispatchers with answers; versions that are bad complete less. What one calls off all read a second later."""
+    """Dispatchers with answers; versions that are bad complete less. What one calls off all read a second
+    later."""
 
     def __init__(self, count, bad=(), seed=1, share=0.97):
         self.chance, self.bad, self.share, self.off = random.Random(seed), set(bad), share, {}
-        self.nodes, self.announced, self.lines, self.most = [Rollout(f"d{i}", 1) for i in range(count)], [], [], 0
+        self.nodes, self.announced, self.lines, self.most = (
+            [Rollout(f"d{i}", 1) for i in range(count)],
+            [],
+            [],
+            0,
+        )
 
     def play(self, begin, end, step=S, pace=5, sees=lambda node, at: True):
         for at in range(begin, end, step):
-            told = [a._replace(off=self.off.get(a.number, 1 << 62) <= at) for a in self.announced if a.begun <= at]
+            told = [
+                a._replace(off=self.off.get(a.number, 1 << 62) <= at) for a in self.announced if a.begun <= at
+            ]
             for node in self.nodes:
                 for _ in range(pace):
                     node.ended(self.chance.random() < (0.5 if node.version in self.bad else self.share))
@@ -29,8 +38,10 @@
             have = sum(n.version != 1 for n in self.nodes)
             self.most = max(self.most, sum(n.version in self.bad for n in self.nodes))
             if at % (10 * S) == 0:
-                self.lines.append(f"{at // S:4d} s  {have:3d} of {len(self.nodes)} have a newer one; "
-                                  f"called off: {sorted(self.off)}")
+                self.lines.append(
+                    f"{at // S:4d} s  {have:3d} of {len(self.nodes)} have a newer one; "
+                    f"called off: {sorted(self.off)}"
+                )
 
 
 class Rollouts(unittest.TestCase):
@@ -50,7 +61,8 @@
             self.assertEqual(set(world.off), {2})
 
     def test_a_process_that_an_upgrade_began_goes_on_watching(self):
-        """Whatever is handed over in the middle, it ends as without: a bad version is left, a good one stays."""
+        """Whatever is handed over in the middle, it ends as without: a bad version is left, a good one
+        stays."""
         for share, ends in ((0.5, 0), (0.97, 2)):
             chance, node, off = random.Random(3), Rollout("d1", 0), False
             for at in range(0, 400 * S, S):
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,4 +1,5 @@
 """Files that are wrong: each gives one clear message that points to the right line."""
+
 import pathlib
 import subprocess
 import sys
@@ -33,32 +34,32 @@
     on-miss "load"
 }}
 '''
-BROKEN = (       # what is replaced, by what, the line, words of the message
+BROKEN = (  # what is replaced, by what, the line, words of the message
     ('listen "127.0.0.1:8080"', 'lisen "127.0.0.1:8080"', 1, "needs a 'listen'"),
     ('zone "n"', 'zoen "n"', 4, "did you mean 'zone'"),
     ('"127.0.0.1:8080"', '"8080"', 2, "address like"),
     ('"1s"\n    action', '"1"\n    action', 10, "duration like"),
-    ('"1s"\n    action', '1000\n    action', 10, "needs a unit"),
+    ('"1s"\n    action', "1000\n    action", 10, "needs a unit"),
     ('"1s"\n    action', '"1sec"\n    action', 10, "no unit of a duration"),
     ('"1s"\n    action', '"3s"\n    action', 9, "over its action timeout"),
     ('"repeatable"', '"repeatabel"', 12, "did you mean 'repeatable'"),
     ('"repeatable"', '"deduplicated"', 9, "needs a 'scope'"),
     ('type="t"', 'type="score"', 14, "no namespace type 'score'"),
     ('type="t" ', 'typ="t" ', 14, "needs type="),
-    ('lanes=2', 'lane=2', 14, "did you mean 'lanes'"),
-    ('from=0.2', 'from=2', 16, "between 0 and 1"),
-    ('sends 3', 'sends "3"', 18, "whole number"),
-    ('sends 3', 'sends 3 4', 18, "takes 1 value, not 2"),
+    ("lanes=2", "lane=2", 14, "did you mean 'lanes'"),
+    ("from=0.2", "from=2", 16, "between 0 and 1"),
+    ("sends 3", 'sends "3"', 18, "whole number"),
+    ("sends 3", "sends 3 4", 18, "takes 1 value, not 2"),
     (KEY, "whsec_abc", 7, "not base64"),
     (KEY, "whsec_" + "QUJD", 7, "holds 3 bytes"),
     (KEY, "secret", 7, "must begin with"),
     ('customer "x" share=10 {', 'customer "x" share="many" {', 6, "must be a number"),
     ('fall "1s"', 'fall "1s', 17, "not KDL"),
-    ('sends 3', 'sends true', 18, "not KDL"),
+    ("sends 3", "sends true", 18, "not KDL"),
     ('    on-miss "load"\n}', '    on-miss "load"\n', 15, "never closed"),
-    ('workers {', 'limits { held "many" }\nworkers {', 15, "whole number"),
-    ('workers {', 'namespace-type "t" { }\nworkers {', 15, "given twice; first on line 9"),
-    ('workers {', 'wrokers {', 1, "needs a 'workers'"),
+    ("workers {", 'limits { held "many" }\nworkers {', 15, "whole number"),
+    ("workers {", 'namespace-type "t" { }\nworkers {', 15, "given twice; first on line 9"),
+    ("workers {", "wrokers {", 1, "needs a 'workers'"),
 )
 
 
@@ -74,15 +75,19 @@
 
     def test_a_good_file(self):
         made = self.read(GOOD)
-        self.assertEqual((made.listen, made.timeouts["t"], made.terms.quotas), (("127.0.0.1", 8080), 2_500_000_000,
-                                                                                {"x": 10.0}))
+        self.assertEqual(
+            (made.listen, made.timeouts["t"], made.terms.quotas),
+            (("127.0.0.1", 8080), 2_500_000_000, {"x": 10.0}),
+        )
         self.assertEqual(made.terms.types["t"], ports.NamespaceType(1_000_000_000, "repeatable", "all", 0))
         self.assertEqual((made.rule("f-7").lanes, made.rule("g-7")), (2, None))
 
     def test_the_longest_beginning_of_a_name_decides_and_a_whole_name_before_it(self):
         more = 'function "f-hot-*" type="t" lanes=3\nfunction "f-hot-1" type="t" lanes=4\n'
         made = self.read(GOOD + more)
-        self.assertEqual([made.rule(n).lanes for n in ("f-1", "f-hot-2", "f-hot-1", "f-hot-11")], [2, 3, 4, 3])
+        self.assertEqual(
+            [made.rule(n).lanes for n in ("f-1", "f-hot-2", "f-hot-1", "f-hot-11")], [2, 3, 4, 3]
+        )
 
     def test_each_broken_file_gives_one_message_at_its_line(self):
         for old, new, line, words in BROKEN:
@@ -96,8 +101,10 @@
                 self.assertEqual(said.count("\n"), 0)
 
     def test_places_survive_comments_strings_and_slashdash(self):
-        text = ('// a { b\n/* c {\n */ one "x{" {\n  /- two { three }\n  four #"a " } b"#; five\n'
-                '  (t)six """\n   { seven\n   """ \\\n   8\n}\nnine\n')
+        text = (
+            '// a { b\n/* c {\n */ one "x{" {\n  /- two { three }\n  four #"a " } b"#; five\n'
+            '  (t)six """\n   { seven\n   """ \\\n   8\n}\nnine\n'
+        )
         self.path.write_text(text)
         found = []
 
@@ -105,6 +112,7 @@
             for child in node.children:
                 found.append((child.name, child.line))
                 walk(child)
+
         walk(document.File(self.path))
         self.assertEqual(found, [("one", 3), ("four", 5), ("five", 5), ("six", 6), ("nine", 11)])
 
@@ -117,17 +125,22 @@
 
     def test_the_program_says_it_in_one_line_and_exits_2(self):
         self.path.write_text(GOOD.replace("zone", "zoen"))
-        ended = subprocess.run([sys.executable, "-m", "petrelwood.cli", "serve", str(self.path)],
-                               capture_output=True, text=True)
-        self.assertEqual((ended.returncode, ended.stdout, len(ended.stderr.splitlines())), (2, "", 1), ended.stderr)
+        ended = subprocess.run(
+            [sys.executable, "-m", "petrelwood.cli", "serve", str(self.path)], capture_output=True, text=True
+        )
+        self.assertEqual(
+            (ended.returncode, ended.stdout, len(ended.stderr.splitlines())), (2, "", 1), ended.stderr
+        )
         self.assertIn(f"{self.path}:4: ", ended.stderr)
 
     def test_a_day_that_does_not_hold_together(self):
         text = pathlib.Path(script.find("bad")).read_text()
-        for old, new, words in (('worker="w3"', 'worker="w33"', "no worker 'w33'; did you mean"),
-                                ('trouble "drain"', 'trouble "dran"', "did you mean 'drain'"),
-                                ('at="8s" worker', 'at="80s" worker', "after the day's end"),
-                                ('dispatcher="d2"', 'dispatcher="d9"', "no dispatcher 'd9'")):
+        for old, new, words in (
+            ('worker="w3"', 'worker="w33"', "no worker 'w33'; did you mean"),
+            ('trouble "drain"', 'trouble "dran"', "did you mean 'drain'"),
+            ('at="8s" worker', 'at="80s" worker', "after the day's end"),
+            ('dispatcher="d2"', 'dispatcher="d9"', "no dispatcher 'd9'"),
+        ):
             self.path.write_text(text.replace(old, new, 1))
             with self.assertRaises(document.BadFile) as caught:
                 script.read(self.path)
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -1,4 +1,6 @@
-"""A fleet of another size: a thousand workers known at start, the longest list that DNS may carry, a release of hundreds within seconds."""
+"""A fleet of another size: a thousand workers known at start, the longest list that DNS may carry, a release
+of hundreds within seconds."""
+
 import asyncio
 import json
 import time
@@ -29,7 +31,7 @@
             entries[f"s-{len(entries):08x}"] = (5050, "Ready", "east", 1_700_000_000_123)
             try:
                 wire = answer(asked, 41, entries)
-            except Exception:                            # dnspython's own, at one worker too many
+            except Exception:  # dnspython's own, at one worker too many
                 break
             found = len(entries)
         self.assertGreater(found, 60)
@@ -51,13 +53,18 @@
                 record.clear()
                 record.add(dns.rdata.from_text("IN", "TXT", '"started=9" "note=a=b" "cell=1" "" "kind=std"'))
         plain = message.to_wire(max_size=65_535)
-        self.assertEqual(roster.answer(plain)[1][0], roster.answer(answer(asked, 7, {"s-1": (5050, "Ready", "east", 9)}))[1][0])
+        self.assertEqual(
+            roster.answer(plain)[1][0],
+            roster.answer(answer(asked, 7, {"s-1": (5050, "Ready", "east", 9)}))[1][0],
+        )
 
 
 class Released(unittest.TestCase):
     def test_six_in_ten_of_hundreds_are_replaced_and_no_order_or_send_comes_late(self):
         """Rules 3 and 5 at 400 workers, replaced in steps within five seconds."""
-        case = ration.Case(3, workers=400, replaced=0, rate=60, falls=0.5, floods=0, seconds=14, functions=100)
+        case = ration.Case(
+            3, workers=400, replaced=0, rate=60, falls=0.5, floods=0, seconds=14, functions=100
+        )
         world = ration.World(case)
         world.steps(12, 4, 9)
         ration.on(world)
@@ -78,9 +85,10 @@
             begun = time.process_time()
             json.dumps(world.node.standing())
             took.append(time.process_time() - begun)
+
         world.at_second = (3, news)
         ration.on(world)
-        self.assertLess(max(took), 0.5)                  # some 0.05 s where nothing else runs
+        self.assertLess(max(took), 0.5)  # some 0.05 s where nothing else runs
 
 
 class Started(unittest.IsolatedAsyncioTestCase):
@@ -90,7 +98,8 @@
             self.assertEqual(await site.stop(), 0)
             for n in range(SERVERS, NAMES):
                 site.roster.tell(Named(f"w{n}", servers[n % SERVERS]))
-            site.roster.datagram_received = lambda *_: None      # no answer may be so long: `known` is all there is
+            # no answer may be so long: `known` is all there is
+            site.roster.datagram_received = lambda *_: None
             site.log.clear()
             began = time.monotonic()
             await site.start()
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -1,4 +1,5 @@
 """Faults on real sockets: what the dispatcher answers, and what reached the workers."""
+
 import asyncio
 import signal
 import socket
@@ -24,20 +25,31 @@
         status, reply = await self.post(body=b'{"a":1}')
         self.assertEqual((status, reply.body), (200, b'{"ok":1}'))
         act, n, fn, mark, left, lanes, body = w.runs[0]
-        self.assertEqual((act, n, fn, mark, lanes, body),
-                         (reply.headers[b"activation-id"].decode(), 0, "again-1", "x/m1", 4, b'{"a":1}'))
+        self.assertEqual(
+            (act, n, fn, mark, lanes, body),
+            (reply.headers[b"activation-id"].decode(), 0, "again-1", "x/m1", 4, b'{"a":1}'),
+        )
         self.assertTrue(0 < left < 2_000_000_000)
 
     async def test_wrong_requests_end_at_the_front(self):
         await self.begin(w := Worker("w1"))
         now = int(time.time())
         for status, more in (
-                (401, {"webhook_signature": "v1,AAAA"}), (401, {"webhook_signature": "v1a,AAAA v2,AAAA x"}),
-                (400, {"webhook_signature": None}), (400, {"webhook_id": None}), (400, {"webhook_timestamp": "soon"}),
-                (400, {"stamp": now - 1000}), (400, {"stamp": now + 1000}), (400, {"Prefer": "wait=never"}),
-                (404, {"path": "/hooks/x"}), (404, {"function": "unknown"}), (401, {"path": "/hooks/y/again-1"}),
-                (415, {"Content_Type": "image/png"}), (413, {"body": b"x" * 30_000}),
-                (431, {"X_Large": "y" * 3000})):
+            (401, {"webhook_signature": "v1,AAAA"}),
+            (401, {"webhook_signature": "v1a,AAAA v2,AAAA x"}),
+            (400, {"webhook_signature": None}),
+            (400, {"webhook_id": None}),
+            (400, {"webhook_timestamp": "soon"}),
+            (400, {"stamp": now - 1000}),
+            (400, {"stamp": now + 1000}),
+            (400, {"Prefer": "wait=never"}),
+            (404, {"path": "/hooks/x"}),
+            (404, {"function": "unknown"}),
+            (401, {"path": "/hooks/y/again-1"}),
+            (415, {"Content_Type": "image/png"}),
+            (413, {"body": b"x" * 30_000}),
+            (431, {"X_Large": "y" * 3000}),
+        ):
             with self.subTest(status=status, **{k: str(v)[:30] for k, v in more.items()}):
                 got, reply = await self.post(**more)
                 problem = orjson.loads(reply.body)
@@ -63,6 +75,7 @@
         async def slow_first(w, s, m, p):
             await asyncio.sleep(0.2 if p[2] == "again-0" else 0)
             answer(w, s, m, p, p[2].encode())
+
         await self.begin(Worker("w1", lambda *a: asyncio.ensure_future(slow_first(*a))))
         stream = await self.caller.connect()
         await stream.write(b"".join(self.message(f"again-{i}") for i in range(12)))
@@ -150,12 +163,14 @@
         exchange = line.waiting[0]
         link = self.core.links["w1"]
         msgid = next(iter(link.out))
-        link._response(msgid, None, [*w.acts()[0], 1, b"{}", None])      # both in one turn of the loop
+        link._response(msgid, None, [*w.acts()[0], 1, b"{}", None])  # both in one turn of the loop
         self.front.core.left(exchange.act, exchange)
         line.stream.close()
-        await asyncio.gather(asked, return_exceptions=True)    # it may still have got the bytes
+        await asyncio.gather(asked, return_exceptions=True)  # it may still have got the bytes
         counts = self.core.duty.counts
-        self.assertEqual((counts["completed"], counts["left"], counts["twice"], counts["defects"]), (1, 0, 0, 0))
+        self.assertEqual(
+            (counts["completed"], counts["left"], counts["twice"], counts["defects"]), (1, 0, 0, 0)
+        )
         self.assertEqual(self.core.duty.acts, {})
 
     async def test_the_hang_up_first_and_the_answer_in_the_same_turn(self):
@@ -166,11 +181,13 @@
         msgid = next(iter(link.out))
         self.front.core.left(line.waiting[0].act, line.waiting[0])
         link._response(msgid, None, [*w.acts()[0], 1, b"{}", None])
-        with self.assertRaises(asyncio.TimeoutError):    # nothing may be written for what was left
+        with self.assertRaises(asyncio.TimeoutError):  # nothing may be written for what was left
             await asyncio.wait_for(asyncio.shield(asked), 0.2)
         asked.cancel()
         counts = self.core.duty.counts
-        self.assertEqual((counts["completed"], counts["left"], counts["twice"], counts["defects"]), (0, 1, 0, 0))
+        self.assertEqual(
+            (counts["completed"], counts["left"], counts["twice"], counts["defects"]), (0, 1, 0, 0)
+        )
 
 
 class Links(Case):
@@ -195,12 +212,14 @@
         def cut(w, stream, msgid, params):
             stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             stream.close()
+
         await self.begin(Worker("w1", cut), Worker("w2", cut))
         status, _ = await self.post("once-1")
         self.assertEqual((status, self.runs()), (504, 1))
 
     async def test_a_connection_lost_after_half_a_frame_may_have_run(self):
-        """The worker stops reading inside a large call, then resets: bytes were handed over, so nothing is proved."""
+        """The worker stops reading inside a large call, then resets: bytes were handed over, so nothing is
+        proved."""
         slow = Worker("w1", reads=False)
         await self.begin(slow, limits='body "8MB"', terms='frame "16MB"; queue "32MB"')
         asked = asyncio.ensure_future(self.post("once-1", body=b"x" * 6_000_000))
@@ -213,7 +232,7 @@
             stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             stream.close()
         self.assertEqual((await asked)[0], 504)
-        self.assertEqual((await small)[0], 503)           # never ran: it may come back
+        self.assertEqual((await small)[0], 503)  # never ran: it may come back
 
     async def test_a_drain_told_while_the_call_is_being_written_takes_the_rest_back(self):
         stuck, free = Worker("w1", reads=False), Worker("w2", later(0.05))
@@ -233,17 +252,29 @@
 
     async def test_a_peer_that_does_not_read_fills_its_own_queue_only(self):
         stuck = Worker("w1", reads=False)
-        await self.begin(stuck, Worker("w2"), limits='body "8MB"; held 500', terms='frame "16MB"; queue "8MB"', slowly="10s")
-        asks = [asyncio.ensure_future(self.post(f"again-{i % 7}", body=b"x" * 2_000_000, within=10)) for i in range(30)]
+        await self.begin(
+            stuck,
+            Worker("w2"),
+            limits='body "8MB"; held 500',
+            terms='frame "16MB"; queue "8MB"',
+            slowly="10s",
+        )
+        asks = [
+            asyncio.ensure_future(self.post(f"again-{i % 7}", body=b"x" * 2_000_000, within=10))
+            for i in range(30)
+        ]
         ends = [await a for a in asks]
         self.assertLessEqual(max(link.waiting_bytes for link in self.core.links.values()), 8_000_000)
         self.assertEqual({status for status, _ in ends} - {200, 503, 504}, set())
         self.assertEqual(self.core.duty.counts["overdue"], 0)
 
     async def test_garbage_and_wrong_answers_end_the_connection(self):
-        for name, bad in (("garbage", b"\xc1\xc1\xc1"), ("text", b"HTTP/1.1 200 OK\r\n\r\n"),
-                          ("not a message", rpc.response(1, None, None)[:-1] + b"\x93\x07\x01\x02"),
-                          ("too long", b"\xc6\x7f\xff\xff\xff")):
+        for name, bad in (
+            ("garbage", b"\xc1\xc1\xc1"),
+            ("text", b"HTTP/1.1 200 OK\r\n\r\n"),
+            ("not a message", rpc.response(1, None, None)[:-1] + b"\x93\x07\x01\x02"),
+            ("too long", b"\xc6\x7f\xff\xff\xff"),
+        ):
             with self.subTest(name):
                 await self.begin(w := Worker("w1", lambda w, s, m, p: s.write(bad)))
                 status, _ = await self.post("once-1")
@@ -253,6 +284,7 @@
     async def test_an_answer_for_another_activation_is_no_answer(self):
         def wrong(w, s, m, p):
             s.write(rpc.response(m, None, ["other", 0, 1, b"secret", None]))
+
         await self.begin(Worker("w1", wrong))
         status, reply = await self.post("once-1")
         self.assertEqual((status, b"secret" in reply.body), (504, False))
@@ -280,10 +312,10 @@
         self.assertFalse(marks & {p[3] for w in south for p in w.runs})
 
     async def test_half_open_peer_is_given_up(self):
-        await self.begin(w := Worker("w1", never), terms='')
+        await self.begin(w := Worker("w1", never), terms="")
         asked = asyncio.ensure_future(self.post("again-1"))
         await self.until(lambda: w.runs)
-        self.assertEqual((await asked)[0], 503)          # repeatable: it may come back
+        self.assertEqual((await asked)[0], 503)  # repeatable: it may come back
         self.assertEqual(self.core.duty.counts["overdue"], 0)
 
     async def test_another_life_on_the_same_address(self):
@@ -299,7 +331,8 @@
 
         async def answered():
             return (await self.post("once-2"))[0] == 200
-        for _ in range(30):                               # cold: its budget is small at first
+
+        for _ in range(30):  # cold: its budget is small at first
             if await answered():
                 break
         self.assertEqual(self.core.links["w1"].state.lives, 2)
@@ -324,7 +357,7 @@
     async def test_what_is_garbled_changes_nothing(self):
         await self.begin(Worker("w1"))
         for stream in list(self.roster.streams):
-            stream.write(b"event: change\nid: e-1\ndata: [{\"worker\": 7}]\n\n")
+            stream.write(b'event: change\nid: e-1\ndata: [{"worker": 7}]\n\n')
         await self.until(lambda: len(self.roster.asked) == 2)
         self.assertEqual((await self.post())[0], 200)
 
@@ -336,8 +369,11 @@
                 if self.acts[act_id].fn.key == "again-bad":
                     raise RuntimeError("a defect")
                 super().answer(now, act_id, *rest)
+
         on_run = {"again-bad": says("error")}
-        await self.begin(Worker("w1", lambda w, s, m, p: on_run.get(p[2], later(0.1))(w, s, m, p)), brain=Faulty)
+        await self.begin(
+            Worker("w1", lambda w, s, m, p: on_run.get(p[2], later(0.1))(w, s, m, p)), brain=Faulty
+        )
         good, bad = asyncio.ensure_future(self.post("again-1")), asyncio.ensure_future(self.post("again-bad"))
         self.assertEqual((await bad)[0], 504)
         self.assertEqual((await good)[0], 200)
@@ -349,6 +385,7 @@
         class Forgetful(Brain):
             def activation(self, *args):
                 pass
+
         await self.begin(Worker("w1"), brain=Forgetful)
         begun = time.monotonic()
         status, _ = await self.post("again-1", Prefer="wait=1")
@@ -360,6 +397,7 @@
             def left(self, now, act_id):
                 super().left(now, act_id)
                 self.out.send(act_id, "w1", 0)
+
         await self.begin(w := Worker("w1", never), brain=Late)
         with self.assertRaises(asyncio.TimeoutError):
             await self.caller.call(self.message("again-1", "m"), 0.1)
@@ -370,6 +408,7 @@
 class Stalls(Case):
     async def test_a_loop_that_stands_still_is_seen_and_its_place_is_logged(self):
         from petrelwood.dispatch.stall import StallWatch
+
         log = Quiet()
         watch = StallWatch(asyncio.get_running_loop(), 20_000_000, log)
         watch.open()
@@ -379,6 +418,7 @@
             ends = time.monotonic() + 0.6
             while time.monotonic() < ends:
                 pass
+
         stands_still()
         await self.until(lambda: log.said("the loop stood still"))
         watch.close()
@@ -394,9 +434,17 @@
             port = self.gateway.roster[1]
             path.write_text(FILE.format(roster=port, key=KEY, limits='body "20KB"', workers=""))
             child = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "petrelwood.cli", "serve", str(path), stdout=subprocess.PIPE,
-                stderr=subprocess.PIPE)
-            host, _, port = orjson.loads(await asyncio.wait_for(child.stdout.readline(), 30))["ready"].rpartition(":")
+                sys.executable,
+                "-m",
+                "petrelwood.cli",
+                "serve",
+                str(path),
+                stdout=subprocess.PIPE,
+                stderr=subprocess.PIPE,
+            )
+            host, _, port = orjson.loads(await asyncio.wait_for(child.stdout.readline(), 30))[
+                "ready"
+            ].rpartition(":")
             self.caller.close()
             self.caller = type(self.caller)((host, int(port)))
             asked = asyncio.ensure_future(self.post("once-1", stamp=int(time.time()) + 1))
--- a/tests/test_speaker.py
+++ b/tests/test_speaker.py
@@ -1,4 +1,5 @@
 """The speaker on real sockets: what the router saw, when things go wrong."""
+
 import asyncio
 import os
 import pathlib
@@ -54,7 +55,9 @@
         return made
 
     def speaker(self, *routers, number=1, hold="9s", more='bounds settle="200ms" silent="500ms"', peer=""):
-        peers = "\n".join(f'peer "r{i}" address="127.0.0.1:{r.address[1]}" asn=65000 {peer}' for i, r in enumerate(routers))
+        peers = "\n".join(
+            f'peer "r{i}" address="127.0.0.1:{r.address[1]}" asn=65000 {peer}' for i, r in enumerate(routers)
+        )
         path = self.folder / f"{number}.kdl"
         path.write_text(FILE.format(number=number, hold=hold, peers=peers, more=more))
         made = Speaker(speaker.read(path), Quiet())
@@ -72,6 +75,7 @@
                 if box["facts"] is not None:
                     box["sender"].send(box["facts"])
                 await asyncio.sleep(0.02)
+
         self.beating.append((asyncio.ensure_future(beat()), box))
         return box
 
@@ -93,17 +97,24 @@
         box = self.beats(one)
         await self.until(lambda: self.has(router) and self.has(router, SIX))
         found = router.table.best(bgp.prefix(FOUR))[0][1]
-        self.assertEqual((found.path, found.communities, found.next_hop), (((2, (65001,)),), (65000 << 16 | 100,), b"\x7f\0\2\1"))
-        box["facts"] = FINE._replace(usable=0)           # it may be everyone's: it gives way, and stays
-        await self.until(lambda: bgp.GRACEFUL_SHUTDOWN in router.table.best(bgp.prefix(FOUR))[0][1].communities)
+        self.assertEqual(
+            (found.path, found.communities, found.next_hop),
+            (((2, (65001,)),), (65000 << 16 | 100,), b"\x7f\0\2\1"),
+        )
+        box["facts"] = FINE._replace(usable=0)  # it may be everyone's: it gives way, and stays
+        await self.until(
+            lambda: bgp.GRACEFUL_SHUTDOWN in router.table.best(bgp.prefix(FOUR))[0][1].communities
+        )
         await asyncio.sleep(0.3)
         self.assertTrue(self.has(router))
         box["facts"] = FINE
-        await self.until(lambda: bgp.GRACEFUL_SHUTDOWN not in router.table.best(bgp.prefix(FOUR))[0][1].communities)
+        await self.until(
+            lambda: bgp.GRACEFUL_SHUTDOWN not in router.table.best(bgp.prefix(FOUR))[0][1].communities
+        )
         box["facts"] = FINE._replace(closing=True)
         await self.until(lambda: not self.has(router) and not self.has(router, SIX))
-        self.assertTrue(router.sides)                    # the session stays
-        box["facts"] = None                              # silence is as good as a drain
+        self.assertTrue(router.sides)  # the session stays
+        box["facts"] = None  # silence is as good as a drain
         await asyncio.sleep(0.1)
         box["facts"] = FINE
         await self.until(lambda: self.has(router))
@@ -121,17 +132,18 @@
         await self.until(lambda: one.peers[0].neighbor.counts["up"] == 2)
         await asyncio.sleep(0.3)
         seen = [what for _, what, _, _ in router.events]
-        self.assertNotIn("announced", seen[len(seen) - seen[::-1].index("up"):])
+        self.assertNotIn("announced", seen[len(seen) - seen[::-1].index("up") :])
         self.assertFalse(self.has(router))
 
     async def test_two_routers_that_disagree_and_two_speakers_that_are_ill(self):
-        """One sees another that is well and goes; when all are ill nobody goes; whatever the routers prefer."""
+        """One sees another that is well and goes; when all are ill nobody goes; whatever the routers
+        prefer."""
         left, right = self.router(id_=1), self.router(id_=2)
         speakers = [self.speaker(left, right, number=n) for n in (1, 2)]
         boxes = [self.beats(one) for one in speakers]
         await self.until(lambda: all(len(self.has(r)) == 2 for r in (left, right)))
         boxes[0]["facts"] = FINE._replace(usable=0)
-        await self.until(lambda: speakers[0].serving.level == "none")            # the other is well
+        await self.until(lambda: speakers[0].serving.level == "none")  # the other is well
         boxes[1]["facts"] = FINE._replace(usable=0)
         await self.until(lambda: [s.serving.level for s in speakers] == ["less", "less"])
         await asyncio.sleep(0.5)
@@ -157,11 +169,18 @@
         one = self.speaker(router)
         self.beats(one)
         ups, peer = 0, one.peers[0]
-        bad = b"\0\0\0\x0e" + b"\x40\1\1\3" + b"\x40\2\0" + b"\x40\3\4\x7f\0\0\1" + b"\x20\xc0\0\2\x09"       # an origin of 3
-        for raw, ends in ((b"\0" * 19, True), (bgp.MARKER + b"\0\x13\x09", True), (bgp.MARKER + b"\0\x12\4", True),
-                          (bgp.message(bgp.UPDATE, bad), False), (bgp.message(bgp.REFRESH, b"\0\1\0\1"), False),
-                          (bgp.message(bgp.UPDATE, b"\xff\xff\0\0"), True), (bgp.open_message(65000, 9, 1, ((1, 1),)), True),
-                          (bgp.notification(6, 4, bgp.shutdown_text("\x1b[2J")), True)):
+        # an origin of 3
+        bad = b"\0\0\0\x0e" + b"\x40\1\1\3" + b"\x40\2\0" + b"\x40\3\4\x7f\0\0\1" + b"\x20\xc0\0\2\x09"
+        for raw, ends in (
+            (b"\0" * 19, True),
+            (bgp.MARKER + b"\0\x13\x09", True),
+            (bgp.MARKER + b"\0\x12\4", True),
+            (bgp.message(bgp.UPDATE, bad), False),
+            (bgp.message(bgp.REFRESH, b"\0\1\0\1"), False),
+            (bgp.message(bgp.UPDATE, b"\xff\xff\0\0"), True),
+            (bgp.open_message(65000, 9, 1, ((1, 1),)), True),
+            (bgp.notification(6, 4, bgp.shutdown_text("\x1b[2J")), True),
+        ):
             ups += 1
             await self.until(lambda: peer.neighbor.counts["up"] == ups and self.has(router))
             updates = peer.neighbor.counts["updates"]
@@ -180,11 +199,13 @@
         self.beats(one)
         await self.until(lambda: self.has(router))
         table = [(bgp.IPV4, i.to_bytes(4, "big"), 32) for i in range(1 << 24, (1 << 24) + 2000)]
-        router.raw(b"".join(bgp.updates(table, bgp.Attrs(0, ((2, (65000,)),), b"\x7f\0\0\1", None, ()), (), True)))
+        router.raw(
+            b"".join(bgp.updates(table, bgp.Attrs(0, ((2, (65000,)),), b"\x7f\0\0\1", None, ()), (), True))
+        )
         await self.until(lambda: one.peers[0].neighbor.counts["down"] == 1)
         self.assertIn("over 500 routes", str(one.log.said("peer down")))
         self.assertEqual(len(one.peers[0].inbox.seen), 0)
-        await self.until(lambda: self.has(router))       # it comes back, later each time
+        await self.until(lambda: self.has(router))  # it comes back, later each time
 
     async def test_beats_that_are_none(self):
         router = self.router()
@@ -201,11 +222,25 @@
     def test_broken_files(self):
         good = FILE.format(number=1, hold="9s", peers='peer "r" address="127.0.0.1:179" asn=65000', more="")
         lines = []
-        for old, new in (("asn 65001", ""), ("asn 65001", "asn 0"), ('"10.0.0.1"', '"10.0.0"'), ('"10.0.0.1"', '"0.0.0.0"'), ('"9s"', '"2s"'),
-                         ('"9s"', "9"), ('"9s"', '"3500ms"'), ("asn=65000", 'asn=65000 role="boss"'), ("asn=65000", "asn=65000 passive=#true"),
-                         ("192.0.2.1/32", "192.0.2.1/24"), ("192.0.2.1/32", "here"), ('next-hop="::1"', 'next-hop="127.0.0.1"'),
-                         ('"65000:100"', '"65000"'), ("next-hop=", "nexthop="), ('peer "r"', 'peer "r" address="127.0.0.1:1" asn=1\npeer "r"'),
-                         ('peer "r" address="127.0.0.1:179" asn=65000', ""), ("speaker", "speeker")):
+        for old, new in (
+            ("asn 65001", ""),
+            ("asn 65001", "asn 0"),
+            ('"10.0.0.1"', '"10.0.0"'),
+            ('"10.0.0.1"', '"0.0.0.0"'),
+            ('"9s"', '"2s"'),
+            ('"9s"', "9"),
+            ('"9s"', '"3500ms"'),
+            ("asn=65000", 'asn=65000 role="boss"'),
+            ("asn=65000", "asn=65000 passive=#true"),
+            ("192.0.2.1/32", "192.0.2.1/24"),
+            ("192.0.2.1/32", "here"),
+            ('next-hop="::1"', 'next-hop="127.0.0.1"'),
+            ('"65000:100"', '"65000"'),
+            ("next-hop=", "nexthop="),
+            ('peer "r"', 'peer "r" address="127.0.0.1:1" asn=1\npeer "r"'),
+            ('peer "r" address="127.0.0.1:179" asn=65000', ""),
+            ("speaker", "speeker"),
+        ):
             problems = []
             self.assertIn(old, good)
             try:
@@ -230,17 +265,27 @@
         roster.entries = [worker.entry()]
         one = self.speaker(router, more='bounds settle="200ms" silent="1s"')
         path = self.folder / "d.kdl"
-        path.write_text(rig.FILE.format(roster=port, key=KEY, limits='body "20KB"', workers="") + f'health "{one.path}"\n')
+        path.write_text(
+            rig.FILE.format(roster=port, key=KEY, limits='body "20KB"', workers="") + f'health "{one.path}"\n'
+        )
 
         async def start():
-            process = await asyncio.create_subprocess_exec(sys.executable, "-m", "petrelwood.cli", "serve", str(path),
-                                                           stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.DEVNULL)
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "petrelwood.cli",
+                "serve",
+                str(path),
+                stdout=asyncio.subprocess.PIPE,
+                stderr=asyncio.subprocess.DEVNULL,
+            )
             await asyncio.wait_for(process.stdout.readline(), 30)
             return process
+
         process = await start()
         try:
             await self.until(lambda: self.has(router))
-            process.send_signal(signal.SIGSTOP)          # it hangs, and its sockets stay open
+            process.send_signal(signal.SIGSTOP)  # it hangs, and its sockets stay open
             await self.until(lambda: not self.has(router))
             self.assertEqual(one.serving.why, "it says nothing")
             process.send_signal(signal.SIGCONT)
@@ -250,8 +295,10 @@
             self.assertEqual(await asyncio.wait_for(process.wait(), 30), 0)
             self.assertIn("it drains", [m["why"] for m in one.log.said("serves")])
             process = await start()
-            await self.until(lambda: self.has(router))   # the session was never given up
-            self.assertEqual(one.peers[0].neighbor.counts, {**one.peers[0].neighbor.counts, "up": 1, "down": 0})
+            await self.until(lambda: self.has(router))  # the session was never given up
+            self.assertEqual(
+                one.peers[0].neighbor.counts, {**one.peers[0].neighbor.counts, "up": 1, "down": 0}
+            )
         finally:
             if process.returncode is None:
                 os.kill(process.pid, signal.SIGKILL)
