--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -1,4 +1,6 @@
-"""State that survives: a kill at every byte and every write, disks that fail, lives that follow each other."""
+"""State that survives: a kill at every byte and every write, disks that fail, lives that follow each
+other."""
+
 import errno
 import pathlib
 import random
@@ -18,14 +20,17 @@
 from kept import compare
 
 S, WALL = 10**9, 1_764_547_200 * 10**9
-TYPES = {"again": ports.NamespaceType(S, ports.REPEATABLE, "all", 0),
-         "all": ports.NamespaceType(S, ports.DEDUPLICATED, "all", 20 * S),
-         "once": ports.NamespaceType(S, ports.ONCE_ONLY, "all", 0)}
+TYPES = {
+    "again": ports.NamespaceType(S, ports.REPEATABLE, "all", 0),
+    "all": ports.NamespaceType(S, ports.DEDUPLICATED, "all", 20 * S),
+    "once": ports.NamespaceType(S, ports.ONCE_ONLY, "all", 0),
+}
 REMEMBER = {name: 600 * S for name in TYPES}
 
 
 class Files(tail.Files):
-    """Fails at the n-th call that could: `full` writes nothing, `torn` a part, `sync` fails to make durable."""
+    """Fails at the n-th call that could: `full` writes nothing, `torn` a part, `sync` fails to make
+    durable."""
 
     def __init__(self, at, how):
         self.left, self.how = at, how
@@ -37,7 +42,7 @@
     def write(self, handle, data):
         if self.how != "sync" and self._turn():
             if self.how == "torn":
-                super().write(handle, data[:len(data) // 2])
+                super().write(handle, data[: len(data) // 2])
             raise OSError(errno.ENOSPC, "No space left on device")
         return super().write(handle, data)
 
@@ -55,7 +60,11 @@
 
     def log(self, wall=WALL, boot="b1", files=None, **more):
         made = state.StateLog(self.folder, wall, boot, 600 * S, files=files, **more)
-        self.addCleanup(lambda: made.log and made.files.close(made.log.handle) if made.log and not made.log.failed else None)
+        self.addCleanup(
+            lambda: (
+                made.log and made.files.close(made.log.handle) if made.log and not made.log.failed else None
+            )
+        )
         return made
 
 
@@ -120,6 +129,7 @@
         log = self.log()
         path = log.log.path
         import msgpack
+
         path.write_bytes(tail.MARK + tail.frame(msgpack.packb([state.LIFE, WALL, "b", 1, 9])))
         with self.assertRaises(state.Refused) as caught:
             state.read(self.folder)
@@ -127,7 +137,8 @@
         path.write_bytes(tail.MARK + tail.frame(msgpack.packb(["new kind", 1, 2])))
         with self.assertRaises(state.Refused):
             state.read(self.folder)
-        self.assertEqual(len(state.repair(self.folder)), 0)      # whole, only unknown: left for a build that knows it
+        # whole, only unknown: left for a build that knows it
+        self.assertEqual(len(state.repair(self.folder)), 0)
         path.write_bytes(b"something else")
         self.assertEqual([p.suffix for p, _ in state.repair(self.folder)], [".unreadable"])
 
@@ -137,8 +148,11 @@
         log.flush()
 
         def run(*args):
-            ended = subprocess.run([sys.executable, "-m", "petrelwood.cli", "state", *args], capture_output=True, text=True)
+            ended = subprocess.run(
+                [sys.executable, "-m", "petrelwood.cli", "state", *args], capture_output=True, text=True
+            )
             return ended.returncode, ended.stdout + ended.stderr
+
         self.assertIn("1 life, 3 take, 1 end", run("ls", str(self.folder))[1])
         code, said = run("show", str(self.folder), "--open")
         self.assertEqual((code, "2 ids" in said, "cut short" in said), (0, True, True), said)
@@ -164,52 +178,101 @@
     def test_what_may_be_done_with_each_id(self):
         records, lines, at = [self.LIFE], [], WALL + 5 * S
         for type_ in TYPES:
-            for outcome, sent in ((None, None), (led.COMPLETED, True), (led.REJECTED, False), (led.ABORTED, True), (led.LEFT, True),
-                                  (led.LEFT, False)):
+            for outcome, sent in (
+                (None, None),
+                (led.COMPLETED, True),
+                (led.REJECTED, False),
+                (led.ABORTED, True),
+                (led.LEFT, True),
+                (led.LEFT, False),
+            ):
                 id_ = f"{type_}, {outcome or 'no outcome'}{', sent' if sent else ''}"
                 records.append(["take", at, "x", id_, at, type_])
                 if outcome:
-                    records.append(["end", at + S, "x", id_, outcome, sent, b"kept" if outcome == led.COMPLETED else None])
-        for wall, word in ((WALL + 10 * S, "5 s later"), (WALL + 40 * S, "35 s later, the window is over"),
-                           (WALL - 90 * S, "the clock went back")):
+                    records.append(
+                        [
+                            "end",
+                            at + S,
+                            "x",
+                            id_,
+                            outcome,
+                            sent,
+                            b"kept" if outcome == led.COMPLETED else None,
+                        ]
+                    )
+        for wall, word in (
+            (WALL + 10 * S, "5 s later"),
+            (WALL + 40 * S, "35 s later, the window is over"),
+            (WALL - 90 * S, "the clock went back"),
+        ):
             _, ledger = self.story(records, wall)
             lines.append(word)
             for (_, id_), entry in list(ledger.entries.items()):
                 verdict, entry = ledger.ask(50 * S, wall, ("x", id_), max(wall, at) + 2 * S, entry.type)
-                lines.append(f"    {id_}: {verdict}{' ' + entry.body.decode() if verdict == led.AGAIN else ''}")
+                lines.append(
+                    f"    {id_}: {verdict}{' ' + entry.body.decode() if verdict == led.AGAIN else ''}"
+                )
         compare(self, "state_ids", lines)
 
     def test_replays_signed_before_the_restart(self):
-        records = [self.LIFE, ["take", WALL + S, "x", "m1", WALL, "once"], ["end", WALL + 2 * S, "x", "m1", led.COMPLETED, True, b"r"]]
+        records = [
+            self.LIFE,
+            ["take", WALL + S, "x", "m1", WALL, "once"],
+            ["end", WALL + 2 * S, "x", "m1", led.COMPLETED, True, b"r"],
+        ]
         lines = []
-        for word, wall, boot, durable in (("killed", WALL + 9 * S, "b1", False), ("the machine fell", WALL + 9 * S, "b2", False),
-                                          ("the machine fell, each was on the disk", WALL + 9 * S, "b2", True),
-                                          ("the clock went back", WALL - 9 * S, "b1", False)):
+        for word, wall, boot, durable in (
+            ("killed", WALL + 9 * S, "b1", False),
+            ("the machine fell", WALL + 9 * S, "b2", False),
+            ("the machine fell, each was on the disk", WALL + 9 * S, "b2", True),
+            ("the clock went back", WALL - 9 * S, "b1", False),
+        ):
             found, ledger = self.story(records, wall, boot, durable)
-            asked = [ledger.ask(50 * S, wall, ("x", id_), stamp, "once")[0]
-                     for id_, stamp in (("m1", WALL), ("m2", WALL + S), ("m3", wall + S))]
-            lines.append(f"{word}: a replay of m1 {asked[0]}, m2 signed before {asked[1]}, m3 signed after {asked[2]}; "
-                         f"{'whole' if found.began else 'doubted'}")
+            asked = [
+                ledger.ask(50 * S, wall, ("x", id_), stamp, "once")[0]
+                for id_, stamp in (("m1", WALL), ("m2", WALL + S), ("m3", wall + S))
+            ]
+            lines.append(
+                f"{word}: a replay of m1 {asked[0]}, m2 signed before {asked[1]}, m3 signed after {asked[2]}; "
+                f"{'whole' if found.began else 'doubted'}"
+            )
         compare(self, "state_replays", lines)
 
     def test_orders_and_cold_windows_of_the_life_before(self):
         guarantees = ports.Guarantees(S, 8 * S, 0.25, 2.5, S)
         orders = ports.LoadOrders(True, True, 8 * S, 6, 0.4, 5 * S)
         records = [self.LIFE] + [["order", WALL + i * S, "w1", "f", 1] for i in range(10)]
-        for wall, count, cold_after in ((WALL + 10 * S, 4, S), (WALL + 9 * S, 5, S), (WALL + 60 * S, 0, 0), (WALL - 60 * S, 10, S)):
+        for wall, count, cold_after in (
+            (WALL + 10 * S, 4, S),
+            (WALL + 9 * S, 5, S),
+            (WALL + 60 * S, 0, 0),
+            (WALL - 60 * S, 10, S),
+        ):
             found, _ = self.story(records, wall)
             back = recovery.Return(found, 50 * S, wall, guarantees, orders)
-            self.assertEqual((back.orders, back.cold_from - 50 * S, back.begins_low), (count, cold_after, True))
-            self.assertEqual((back.may_send(50 * S, True), back.may_send(50 * S, False)), (cold_after == 0, True))
+            self.assertEqual(
+                (back.orders, back.cold_from - 50 * S, back.begins_low), (count, cold_after, True)
+            )
+            self.assertEqual(
+                (back.may_send(50 * S, True), back.may_send(50 * S, False)), (cold_after == 0, True)
+            )
         found, _ = self.story(records + [["close", WALL + 10 * S]], WALL + 11 * S)
         self.assertFalse(recovery.Return(found, 0, WALL + 11 * S, guarantees, orders).begins_low)
 
     def test_no_order_of_damage_raises(self):
         chance = random.Random(2)
-        records = [self.LIFE] + [chance.choice([["take", WALL + i, "x", f"m{i % 9}", WALL, chance.choice([*TYPES, "gone"])],
-                                                ["end", WALL + i, "x", f"m{i % 9}", led.ABORTED, True, None],
-                                                ["order", WALL + i, "w", "f", 1], ["close", WALL + i], self.LIFE])
-                                 for i in range(300)]
+        records = [self.LIFE] + [
+            chance.choice(
+                [
+                    ["take", WALL + i, "x", f"m{i % 9}", WALL, chance.choice([*TYPES, "gone"])],
+                    ["end", WALL + i, "x", f"m{i % 9}", led.ABORTED, True, None],
+                    ["order", WALL + i, "w", "f", 1],
+                    ["close", WALL + i],
+                    self.LIFE,
+                ]
+            )
+            for i in range(300)
+        ]
         for _ in range(200):
             some = [r for r in records if chance.random() < 0.7]
             chance.shuffle(some)
@@ -218,14 +281,26 @@
 
 
 class Lives(unittest.TestCase):
-    """Dispatchers killed at drawn moments of an emulated day, before clients that ask again even for what may have run."""
+    """Dispatchers killed at drawn moments of an emulated day, before clients that ask again even for what may
+    have run."""
 
     def effects(self, seed, kept):
         day = script.read(script.find(str(pathlib.Path(__file__).parent / "days" / "small.kdl")))
         chance = random.Random(seed)
-        kills = tuple(script.Trouble("kill", int(chance.uniform(0.3, 5) * S), 0, {
-            "dispatcher": chance.choice(day.dispatchers), "down": int(chance.uniform(0.05, 1) * S)}) for _ in range(6))
-        day = day._replace(state=kept, troubles=kills, clients=tuple(c._replace(insists=True, retries=4) for c in day.clients))
+        kills = tuple(
+            script.Trouble(
+                "kill",
+                int(chance.uniform(0.3, 5) * S),
+                0,
+                {"dispatcher": chance.choice(day.dispatchers), "down": int(chance.uniform(0.05, 1) * S)},
+            )
+            for _ in range(6)
+        )
+        day = day._replace(
+            state=kept,
+            troubles=kills,
+            clients=tuple(c._replace(insists=True, retries=4) for c in day.clients),
+        )
         platform = Platform(day, seed).run()
         broken = [b for f in rules.judge(platform.case()) for b in f.broken]
         lives = sum(record["t"] == "killed" for record in platform.records)
@@ -241,7 +316,8 @@
         for seed in range(1, 13):
             without += len(self.effects(seed, False)[0])
         self.assertGreater(kills, 150)
-        self.assertGreater(without, 0)                   # the same clients break the rule where nothing survives
+        # the same clients break the rule where nothing survives
+        self.assertGreater(without, 0)
 
 
 if __name__ == "__main__":
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -1,4 +1,5 @@
 """The tail and the history: a kill at every byte, a disk that fails at every call, bits that flip."""
+
 import errno
 import pathlib
 import random
@@ -8,8 +9,8 @@
 from petrelwood.store import history, snapshot, tail
 
 DAY = 86_400 * 10**9
-MIDNIGHT = 24 * 60                      # minutes
-T0 = 1_764_547_200 * 10**9               # a midnight
+MIDNIGHT = 24 * 60  # minutes
+T0 = 1_764_547_200 * 10**9  # a midnight
 
 
 class Faulty(tail.Files):
@@ -26,9 +27,9 @@
     def write(self, handle, data):
         if self._turn():
             if self.how == "short":
-                return super().write(handle, data[:max(1, len(data) // 2)])
+                return super().write(handle, data[: max(1, len(data) // 2)])
             if self.how == "torn":
-                super().write(handle, data[:len(data) // 3])
+                super().write(handle, data[: len(data) // 3])
             raise OSError(errno.ENOSPC, "No space left on device")
         return super().write(handle, data)
 
@@ -84,7 +85,7 @@
             except tail.Refused:
                 self.assertLess(bit // 8, len(tail.MARK))
                 continue
-            self.assertEqual(records, whole[:len(records)])
+            self.assertEqual(records, whole[: len(records)])
             self.assertTrue(why)
             self.assertLess(len(records), 5)
 
@@ -100,7 +101,7 @@
         with self.assertRaises(tail.Failed):
             log.sync()
         self.assertFalse(log.append(b"2"))
-        log.sync()                                       # tried no more, and raises no more
+        log.sync()  # tried no more, and raises no more
 
 
 class Histories(Case):
@@ -121,7 +122,9 @@
         self.assertEqual(table["function"].to_pylist()[:8], ["f0", "f1", "f2", "f3", "f4", "f5", "f6", "f0"])
         self.assertEqual(len(list(self.path.glob("day=*"))), 2)
         self.assertEqual(history.verify(self.path), [])
-        self.assertEqual(self.ids(history.read(self.path, T0 + 600 * 10**9, T0 + 1200 * 10**9)), list(range(10, 20)))
+        self.assertEqual(
+            self.ids(history.read(self.path, T0 + 600 * 10**9, T0 + 1200 * 10**9)), list(range(10, 20))
+        )
         before, after = history.History(self.path).compact()
         self.assertEqual((before > after, after, self.ids()), (True, 2, list(range(3000))))
 
@@ -131,11 +134,15 @@
 
         class Shots(tail.Files):
             def _shot(self):
-                shots.append(({p.relative_to(path): p.read_bytes() for p in path.rglob("*") if p.is_file()},
-                              made.noted if made else 0))
+                shots.append(
+                    (
+                        {p.relative_to(path): p.read_bytes() for p in path.rglob("*") if p.is_file()},
+                        made.noted if made else 0,
+                    )
+                )
 
             def write(self, handle, data):
-                done = super().write(handle, data[:max(1, len(data) // 2)])
+                done = super().write(handle, data[: max(1, len(data) // 2)])
                 self._shot()
                 return done
 
@@ -146,9 +153,11 @@
             def remove(self, target):
                 super().remove(target)
                 self._shot()
+
         path, made = self.path / "first", None
         made = history.History(path, group=5, roll=60, files=Shots())
-        self.fill(made, 200, MIDNIGHT - 100)             # one of the files' rows lie on both sides of midnight
+        # one of the files' rows lie on both sides of midnight
+        self.fill(made, 200, MIDNIGHT - 100)
         made.close()
         self.assertGreater(len(shots), 80)
         for number, (files, noted) in enumerate(shots):
@@ -161,7 +170,9 @@
             rows = [(r[0] - T0) // (60 * 10**9) for r in again.rows]
             again.close()
             found = self.ids(history.read(where))
-            self.assertEqual(found, list(range(MIDNIGHT - 100, MIDNIGHT - 100 + len(found))), f"shot {number}")
+            self.assertEqual(
+                found, list(range(MIDNIGHT - 100, MIDNIGHT - 100 + len(found))), f"shot {number}"
+            )
             self.assertGreaterEqual(len(found), noted - 5 - 5, f"shot {number}: {len(rows)} in the tail")
 
     def test_a_disk_that_fails_at_any_call_stops_the_history_and_nothing_else(self):
@@ -244,7 +255,7 @@
             except OSError:
                 pass
             kept.append(snapshot.read(path, "test", 2)[1] == self.NEW)
-        self.assertEqual(kept, [False, False, False, True, True])      # the rename decides
+        self.assertEqual(kept, [False, False, False, True, True])  # the rename decides
         snapshot.write(path, "test", 1, self.OLD, FaultyParts(0, short=True))
         self.assertEqual(snapshot.read(path, "test", 1), (1, self.OLD))
 
@@ -260,10 +271,11 @@
                 snapshot.unpack(data[:at], "test", 1)
 
     def test_another_kind_and_a_build_ahead_are_told_apart(self):
-        for data, words in ((snapshot.pack("other", 1, 0), "holds other, not test"),
-                            (snapshot.pack("test", 3, 0), "version is 3; this build reads 1 to 2")):
+        for data, words in (
+            (snapshot.pack("other", 1, 0), "holds other, not test"),
+            (snapshot.pack("test", 3, 0), "version is 3; this build reads 1 to 2"),
+        ):
             with self.assertRaises(snapshot.Unreadable) as caught:
                 snapshot.unpack(data, "test", 2)
             self.assertIn(words, str(caught.exception))
         self.assertIsNone(snapshot.read(self.path / "none.snap", "test", 1))
-
--- a/tests/test_storms.py
+++ b/tests/test_storms.py
@@ -1,4 +1,6 @@
-"""Storms: symptoms on and off, manners, the bound on what is held, admission by address, budgets; on a virtual clock."""
+"""Storms: symptoms on and off, manners, the bound on what is held, admission by address, budgets; on a
+virtual clock."""
+
 import random
 import unittest
 
@@ -22,7 +24,8 @@
 
 class Signs(unittest.TestCase):
     def play(self, phases, seed=1):
-        """Phases of (seconds, asks a second, share of repeats, connections an ask, share of cold sends, asks at a time)."""
+        """Phases of (seconds, asks a second, share of repeats, connections an ask, share of cold sends, asks
+        at a time)."""
         chance, storms, now, lines = random.Random(seed), Storms(), 0, []
         for seconds, pace, repeats, connects, cold, bunch in phases:
             end, next_ask = now + seconds * S, now
@@ -36,14 +39,28 @@
                         storms.ran(next_ask, chance.random() < cold)
                     next_ask += int(chance.expovariate(pace / bunch) * S)
                 now = looks
-                lines += [f"{now / S:5.1f}  {name} {'on' if on else 'off'}" for name, on, _ in storms.look(now)]
+                lines += [
+                    f"{now / S:5.1f}  {name} {'on' if on else 'off'}" for name, on, _ in storms.look(now)
+                ]
         return storms, lines
 
     def test_each_symptom_comes_with_its_cause_and_goes_without_it(self):
         quiet = (20, 60, 0.02, 0.1, 0.1, 1)
-        _, lines = self.play([quiet, (5, 60, 0.6, 0.1, 0.1, 1), quiet, (5, 300, 0.02, 0.1, 0.1, 1), quiet,
-                              (5, 60, 0.02, 0.1, 0.9, 1), quiet, (5, 60, 0.02, 1.0, 0.1, 1), quiet, (5, 60, 0.02, 0.1, 0.1, 30),
-                              quiet])
+        _, lines = self.play(
+            [
+                quiet,
+                (5, 60, 0.6, 0.1, 0.1, 1),
+                quiet,
+                (5, 300, 0.02, 0.1, 0.1, 1),
+                quiet,
+                (5, 60, 0.02, 0.1, 0.9, 1),
+                quiet,
+                (5, 60, 0.02, 1.0, 0.1, 1),
+                quiet,
+                (5, 60, 0.02, 0.1, 0.1, 30),
+                quiet,
+            ]
+        )
         compare(self, "storm_signs", lines)
 
     def test_nothing_is_told_from_few_or_from_ordinary_noise(self):
@@ -52,7 +69,9 @@
             self.assertEqual(self.play([(60, 3, 0.9, 1.0, 1.0, 1)], seed)[1], [])
 
     def test_one_that_comes_back_soon_is_kept_for_longer_each_time(self):
-        storms, lines = self.play([(10, 60, 0.0, 0, 0, 1)] + [(2, 60, 0.9, 0, 0, 1), (6, 60, 0.0, 0, 0, 1)] * 8)
+        storms, lines = self.play(
+            [(10, 60, 0.0, 0, 0, 1)] + [(2, 60, 0.9, 0, 0, 1), (6, 60, 0.0, 0, 0, 1)] * 8
+        )
         self.assertLessEqual(sum("repeats on" in line for line in lines), 4, lines)
         self.assertEqual(storms.seen["repeats"], sum("repeats on" in line for line in lines))
 
@@ -76,13 +95,17 @@
     def test_who_listens_gets_in_and_who_does_not_wears_out_only_his_own(self):
         manners, lines = retry_budget.Manners(1000), []
         manners.hint(0, "calm", "c1", S, half, 60 * S, False)
-        for at in range(12):                              # he retries each 100 ms, whatever he is told
+        for at in range(12):  # he retries each 100 ms, whatever he is told
             how = manners.comes(at * S // 10, "loud", "l1")
             may = how != retry_budget.EARLY or manners.may("loud")
             wait = manners.hint(at * S // 10, "loud", "l1", S, half, 60 * S, how == retry_budget.EARLY)
-            lines.append(f"{at / 10:4.1f}  loud {how} {'goes on' if may else 'is over his budget'}, told {wait / S:.0f} s")
-        lines.append(f" 1.0  calm {manners.comes(S, 'calm', 'c1')}; deaf {manners.deaf('calm'):.2f} against "
-                     f"{manners.deaf('loud'):.2f}")
+            lines.append(
+                f"{at / 10:4.1f}  loud {how} {'goes on' if may else 'is over his budget'}, told {wait / S:.0f} s"
+            )
+        lines.append(
+            f" 1.0  calm {manners.comes(S, 'calm', 'c1')}; deaf {manners.deaf('calm'):.2f} against "
+            f"{manners.deaf('loud'):.2f}"
+        )
         manners.settled("loud", "l1")
         lines.append(f" 1.2  loud, once taken, {manners.comes(12 * S // 10, 'loud', 'l1')}")
         compare(self, "storm_manners", lines)
@@ -106,14 +129,16 @@
             budget.first()
         self.assertEqual(([budget.spend() for _ in range(2)], budget.refused), ([True, False], 2))
         timed = Budget(0.1, 2, every=S)
-        self.assertEqual([timed.spend(0) for _ in range(3)] + [timed.spend(S), timed.spend(S + 1)],
-                         [True, True, False, True, False])
+        self.assertEqual(
+            [timed.spend(0) for _ in range(3)] + [timed.spend(S), timed.spend(S + 1)],
+            [True, True, False, True, False],
+        )
 
     def test_links_that_failed_share_a_budget_and_one_that_greets_earns(self):
         terms = type("Terms", (), {"connect_within": S // 4, "quiet": S})
         shared = Budget(1.0, 2, every=10 * S)
         links = [LinkState(f"w{i}", terms, half, shared) for i in range(5)]
-        self.assertEqual([link.wants(0) for link in links], ["connect"] * 5)      # the first time is free
+        self.assertEqual([link.wants(0) for link in links], ["connect"] * 5)  # the first time is free
         for link in links:
             link.connecting(0)
             link.lost(0)
@@ -123,17 +148,20 @@
         self.assertTrue(links[0].greeted(S, "w0", 7))
         self.assertEqual(links[3].wants(S), "connect")
         self.assertEqual(links[4].wants(S), "refuse")
-        self.assertEqual(links[4].wants(11 * S), "connect")                       # time earns too
+        self.assertEqual(links[4].wants(11 * S), "connect")  # time earns too
 
 
 class Bound(unittest.TestCase):
     def serve(self, seconds, offered, able, patience, ramp=None, pace=None, queue=0, repeats=0):
-        """A server that does `able` a second in order; (answers in time a second, queue at the end). Late ones ask again."""
+        """A server that does `able` a second in order; (answers in time a second, queue at the end). Late
+        ones ask again."""
         now, in_time, step, back, todo, work = 0, 0, S // 20, 0.0, [0] * queue, 0.0
         while now < seconds * S:
             back_now, back = int(back), back - int(back)
             for _ in range(int(offered / 20) + back_now):
-                if (ramp is None or ramp.room(len(todo))) and not (pace and pace.too_late(now, len(todo), now + patience)):
+                if (ramp is None or ramp.room(len(todo))) and not (
+                    pace and pace.too_late(now, len(todo), now + patience)
+                ):
                     todo.append(now)
             work += able / 20
             while work >= 1 and todo:
@@ -155,8 +183,12 @@
 
     def test_after_a_trigger_it_comes_back_by_itself_where_none_does_not(self):
         """Metastable: 80 a second offered to 100, behind a queue of 800 whose late ones ask again."""
-        for more, least, most in (({}, 0, 10), ({"ramp": self.ramp()}, 55, 80), ({"pace": Pace(8)}, 64, 80),
-                                  ({"ramp": self.ramp(), "pace": Pace(8)}, 64, 80)):
+        for more, least, most in (
+            ({}, 0, 10),
+            ({"ramp": self.ramp()}, 55, 80),
+            ({"pace": Pace(8)}, 64, 80),
+            ({"ramp": self.ramp(), "pace": Pace(8)}, 64, 80),
+        ):
             served, _ = self.serve(60, 80, 100, S, queue=800, repeats=0.9, **more)
             self.assertTrue(least <= served <= most, (sorted(more), served))
 
@@ -189,11 +221,11 @@
         pace = Pace(20)
         for at in range(50):
             pace.ended(at * S // 10)
-        self.assertIsNone(pace.stay(5 * S, 5))            # few are held: nothing is believed
+        self.assertIsNone(pace.stay(5 * S, 5))  # few are held: nothing is believed
         self.assertAlmostEqual(pace.stay(5 * S, 40) / S, 4.0, delta=0.3)
         self.assertTrue(pace.too_late(5 * S, 40, 8 * S))
         self.assertFalse(pace.too_late(5 * S, 40, 10 * S))
-        self.assertIsNone(pace.stay(60 * S, 40))          # nothing has left for long: nothing is known
+        self.assertIsNone(pace.stay(60 * S, 40))  # nothing has left for long: nothing is known
 
 
 class Doors(unittest.TestCase):
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -1,4 +1,6 @@
-"""TLS on both fronts and on the worker link: who is let in, what is said of a bad certificate, renewal under load."""
+"""TLS on both fronts and on the worker link: who is let in, what is said of a bad certificate, renewal under
+load."""
+
 import asyncio
 import datetime
 import os
@@ -49,15 +51,20 @@
 class Files(unittest.TestCase):
     def test_what_is_wrong_is_one_clear_error_at_the_start(self):
         place = Place(self)
-        cases = ((("expired.pem", "expired.key", "ca.pem"), "ran out on 2020-01-03"),
-                 (("good.pem", "foreign.key", "ca.pem"), "do not go together"),
-                 (("none.pem", "good.key", "ca.pem"), "can't be read"), (("good.key", "good.key", "ca.pem"), "no certificate"))
+        cases = (
+            (("expired.pem", "expired.key", "ca.pem"), "ran out on 2020-01-03"),
+            (("good.pem", "foreign.key", "ca.pem"), "do not go together"),
+            (("none.pem", "good.key", "ca.pem"), "can't be read"),
+            (("good.key", "good.key", "ca.pem"), "no certificate"),
+        )
         for (cert, key, trusts), words in cases:
             with self.assertRaises(BadIdentity) as caught:
                 Identity(place.file(cert), place.file(key), place.file(trusts))
             self.assertIn(words, str(caught.exception))
             path = place.path / "g.kdl"
-            path.write_text(GOOD.replace('zone "n"', f'zone "n"\n    tls cert="{cert}" key="{key}" trusts="{trusts}"'))
+            path.write_text(
+                GOOD.replace('zone "n"', f'zone "n"\n    tls cert="{cert}" key="{key}" trusts="{trusts}"')
+            )
             with self.assertRaises(document.BadFile) as caught:
                 gateway.read(path)
             self.assertEqual(caught.exception.line, 5)
@@ -83,12 +90,13 @@
 
     async def connect():
         return await TCPClient().connect(*address, ssl_options=context)
+
     made.connect = connect
     return made
 
 
 from test_mqtt import MqttCase  # noqa: E402
-from rig import Case, Worker    # noqa: E402
+from rig import Case, Worker  # noqa: E402
 
 
 class Front(Case):
@@ -154,6 +162,7 @@
         def tls_read(path):
             found = read(path)
             return found._replace(worker_tls=identity, mqtt=found.mqtt and found.mqtt._replace(tls=None))
+
         gateway.read = tls_read
         try:
             await self.begin(worker)
@@ -161,7 +170,8 @@
             gateway.read = read
         self.client.ask("once-1", b"1", 2)
         self.assertEqual(await self.answered(b"1"), ["completed"])
-        worker.ssl_options = place.identity("foreign").server()    # the worker shows another authority's certificate
+        # the worker shows another authority's certificate
+        worker.ssl_options = place.identity("foreign").server()
         for stream in worker.streams:
             stream.close()
         lost = self.cores[0].links["w1"].counts["lost"]
--- a/tests/test_walk.py
+++ b/tests/test_walk.py
@@ -1,4 +1,5 @@
 """Every order of events in a small world; worlds with a flaw show that the search finds what is wrong."""
+
 import unittest
 
 from petrelwood import ports
@@ -19,9 +20,11 @@
         self.assertEqual((found, whole), (None, True))
 
     def test_a_flawed_world_is_found_by_its_shortest_way(self):
-        for flaw, way in (("no log", "ask, send, run 1.1, kill, start, ask, send, run 2.2"),
-                          ("late log", "ask, send, run 1.1, kill, start, ask, send, run 2.2"),
-                          ("falls", "ask, log, send, run 1.1, fall, start, ask, log, send, run 2.2")):
+        for flaw, way in (
+            ("no log", "ask, send, run 1.1, kill, start, ask, send, run 2.2"),
+            ("late log", "ask, send, run 1.1, kill, start, ask, send, run 2.2"),
+            ("falls", "ask, log, send, run 1.1, fall, start, ask, log, send, run 2.2"),
+        ):
             _, found, _ = walk.search(ports.ONCE_ONLY, "process", flaw=flaw)
             self.assertEqual((found.what, ", ".join(found.steps)), ("ran twice", way), flaw)
         _, found, _ = walk.search(ports.ONCE_ONLY, "machine", flaw="forgets")
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -1,4 +1,6 @@
-"""Asyncio on a clock that jumps, and connections to scripted workers that live on it: the dispatcher's own link and core run unchanged."""
+"""Asyncio on a clock that jumps, and connections to scripted workers that live on it: the dispatcher's own
+link and core run unchanged."""
+
 import asyncio
 import json
 import selectors
@@ -43,7 +45,8 @@
     wall = now
 
     def at(self, when, call, *args):
-        return self.loop.call_at((when + 2) / 1e9, call, *args)     # never early, however the float is rounded
+        # never early, however the float is rounded
+        return self.loop.call_at((when + 2) / 1e9, call, *args)
 
 
 def run(main):
@@ -53,7 +56,8 @@
 
 
 class Stream:
-    """What the link uses of `node.stream.Stream`. `net(address)` gives the host there: `joins(stream)` (seconds until the connection is
+    """What the link uses of `node.stream.Stream`. `net(address)` gives the host there: `joins(stream)`
+    (seconds until the connection is
     up, None for never, or an OSError), `transit()` (seconds) and `line(stream, said)`."""
 
     def __init__(self, net):
@@ -93,7 +97,7 @@
             raise StreamClosedError()
         self._later(self._arrives, data)
 
-    def _later(self, call, *args):                       # in order, both ways
+    def _later(self, call, *args):  # in order, both ways
         at = max(self.last, self.loop.time() + self.host.transit())
         self.last = at
         self.loop.call_at(at, call, *args)
