--- a/petrelwood/bgp/run.py
+++ b/petrelwood/bgp/run.py
@@ -21,7 +21,7 @@
             put(status, json.dumps(speaker.figures()).encode())
         try:
             await asyncio.wait_for(ends.wait(), 1)
-        except asyncio.TimeoutError:
+        except TimeoutError:
             pass
     await speaker.close()
     log.info("closed", **speaker.figures())
--- a/petrelwood/bgp/speaker.py
+++ b/petrelwood/bgp/speaker.py
@@ -15,9 +15,7 @@
 from tornado.tcpserver import TCPServer
 
 from petrelwood.bgp.beats import Receiver
-from petrelwood.decide.routing import announce
-from petrelwood.decide.routing import neighbor
-from petrelwood.decide.routing import serving
+from petrelwood.decide.routing import announce, neighbor, serving
 from petrelwood.wire import bgp
 
 SECOND = 1_000_000_000
@@ -79,7 +77,7 @@
         stream = IOStream(sock)
         try:
             await asyncio.wait_for(stream.connect((host, port)), CONNECT)
-        except (OSError, StreamClosedError, asyncio.TimeoutError):
+        except (TimeoutError, OSError, StreamClosedError):
             stream.close()
             self.neighbor.failed(self.speaker.now())
             self.speaker.wake()
--- a/petrelwood/cli/configs.py
+++ b/petrelwood/cli/configs.py
@@ -172,7 +172,8 @@
     )
     def reference(to, only):
         """The reference of a gateway's file, made from what the decoding asks for."""
-        from petrelwood.settings import meanings, reference as made
+        from petrelwood.settings import meanings
+        from petrelwood.settings import reference as made
 
         if only and to:
             same = pathlib.Path(to).exists() and pathlib.Path(to).read_text() == made.page(meanings.MEANINGS)
@@ -190,7 +191,8 @@
     def complete(file, line, column):
         """What may come in FILE at LINE and COLUMN, for editors: a word and what it takes, tab between
         them."""
-        from petrelwood.settings import document, reference as made
+        from petrelwood.settings import document
+        from petrelwood.settings import reference as made
 
         for word, what in made.completions(document.read_whole(pathlib.Path(file)), line, column, file):
             click.echo(f"{word}\t{what}")
--- a/petrelwood/cli/kept.py
+++ b/petrelwood/cli/kept.py
@@ -10,9 +10,7 @@
 
 
 def _shown(at):
-    return datetime.datetime.fromtimestamp(at / 1e9, datetime.timezone.utc).strftime("%Y-%m-%d %H:%M:%S.%f")[
-        :-3
-    ]
+    return datetime.datetime.fromtimestamp(at / 1e9, datetime.UTC).strftime("%Y-%m-%d %H:%M:%S.%f")[:-3]
 
 
 def add(cli, command):
@@ -55,8 +53,7 @@
     @click.option("--json", "as_json", is_flag=True)
     def show(folder, id_, customer, only_open, rows, as_json):
         """What a start would make of it: the last ids and how they ended."""
-        from petrelwood.decide.delivery import ledger
-        from petrelwood.decide.delivery import recovery
+        from petrelwood.decide.delivery import ledger, recovery
         from petrelwood.store import state as store
 
         try:
--- a/petrelwood/cli/main.py
+++ b/petrelwood/cli/main.py
@@ -428,8 +428,7 @@
 
 def _later_commands():
     """What needs heavier libraries only when it is used."""
-    from petrelwood.cli import bgp, emulated, kept, past
-    from petrelwood.cli import configs
+    from petrelwood.cli import bgp, configs, emulated, kept, past
 
     emulated.add(cli, _day, command)
     past.add(cli, command)
--- a/petrelwood/cli/past.py
+++ b/petrelwood/cli/past.py
@@ -19,12 +19,12 @@
         except ValueError:
             self.fail(f"'{value}' is no time like 2026-12-01T08:00", param, ctx)
         if found.tzinfo is None:
-            found = found.replace(tzinfo=datetime.timezone.utc)
+            found = found.replace(tzinfo=datetime.UTC)
         return int(found.timestamp()) * 10**9
 
 
 def _shown(at):
-    return datetime.datetime.fromtimestamp(at / 1e9, datetime.timezone.utc).strftime("%Y-%m-%d %H:%M:%S")
+    return datetime.datetime.fromtimestamp(at / 1e9, datetime.UTC).strftime("%Y-%m-%d %H:%M:%S")
 
 
 def _between(function):
--- a/petrelwood/clocks.py
+++ b/petrelwood/clocks.py
@@ -5,7 +5,6 @@
 import heapq
 import time
 
-
 WALL = 1_700_000_000 * 10**9  # where virtual time begins on the wall
 
 
--- a/petrelwood/decide/overload/intake.py
+++ b/petrelwood/decide/overload/intake.py
@@ -10,11 +10,10 @@
 from typing import NamedTuple
 
 from petrelwood.decide.delivery import ledger as led
-from petrelwood.decide.overload import retry_budget
-from petrelwood.decide.overload import deadlines
-from petrelwood.decide.overload.throughput import Pace
+from petrelwood.decide.overload import deadlines, retry_budget
 from petrelwood.decide.overload.concurrency_limit import Ramp
 from petrelwood.decide.overload.storm import Storms
+from petrelwood.decide.overload.throughput import Pace
 
 TAKE, JOIN, GIVE, REFUSE, CONFLICT, ABORT, SPENT = (
     "take",
--- a/petrelwood/dispatch/core.py
+++ b/petrelwood/dispatch/core.py
@@ -14,17 +14,17 @@
 
 from petrelwood import ports
 from petrelwood.brain import Brain
-from petrelwood.decide.overload import intake as stage
+from petrelwood.decide.cluster.membership import Membership
 from petrelwood.decide.delivery import ledger as led
 from petrelwood.decide.delivery import recovery
-from petrelwood.decide.overload.backoff import Budget
+from petrelwood.decide.delivery.ledger import Ledger
 from petrelwood.decide.delivery.pending import Duty
-from petrelwood.decide.forecasting.prefetch import EarlyLoads
 from petrelwood.decide.forecasting.forecast import Calendar
-from petrelwood.decide.overload.intake import Intake
-from petrelwood.decide.delivery.ledger import Ledger
-from petrelwood.decide.cluster.membership import Membership
 from petrelwood.decide.forecasting.planner import Prices
+from petrelwood.decide.forecasting.prefetch import EarlyLoads
+from petrelwood.decide.overload import intake as stage
+from petrelwood.decide.overload.backoff import Budget
+from petrelwood.decide.overload.intake import Intake
 from petrelwood.decide.overload.sliding_window import Ring
 
 MOST_IN_A_TURN = 10_000  # what follows from what, before the clock is let go on
--- a/petrelwood/dispatch/handover.py
+++ b/petrelwood/dispatch/handover.py
@@ -189,7 +189,7 @@
                     self._do(self.machine.is_proven(now()))
                 elif message[0] == "back":
                     raise Lost(f"it gives back: {message[1]}")
-        except (Lost, asyncio.TimeoutError, ValueError, TypeError, IndexError) as fault:
+        except (TimeoutError, Lost, ValueError, TypeError, IndexError) as fault:
             channel.close()
             if channel is self.channel:
                 self._gone(str(fault) or "it said nothing")
@@ -212,7 +212,7 @@
     async def _dismiss(self, channel):
         try:
             await asyncio.wait_for(channel.send("taken"), 5)
-        except (Lost, asyncio.TimeoutError):
+        except (TimeoutError, Lost):
             pass
         channel.close()
 
@@ -258,7 +258,7 @@
         )
         try:
             kind, fact = (await asyncio.wait_for(self.channel.receive(), 10))[:2]
-        except asyncio.TimeoutError:
+        except TimeoutError:
             raise Lost("the old process does not answer") from None
         if kind != "offer":
             raise Lost(f"the old process says no: {fact}")
@@ -273,7 +273,7 @@
         await self.channel.send("ready")
         try:
             message = await asyncio.wait_for(self.channel.receive(), handover.READY_WITHIN / 1e9)
-        except asyncio.TimeoutError:
+        except TimeoutError:
             raise Lost("the old process did not give way in time") from None
         if message[0] != "go" or self.machine.go(now(), (message[1], message[2])) != "accept":
             raise Lost("the old process did not give way")
--- a/petrelwood/dispatch/serve.py
+++ b/petrelwood/dispatch/serve.py
@@ -19,7 +19,6 @@
 from petrelwood.settings.document import BadFile, read_whole
 from petrelwood.store import state, versions
 
-
 AGAIN = 5  # seconds between two tries to go back by an upgrade
 
 
--- a/petrelwood/emulate/link.py
+++ b/petrelwood/emulate/link.py
@@ -7,8 +7,8 @@
 
 from collections import deque
 
-from petrelwood.decide.delivery import send_outcome
 from petrelwood.decide.cluster import link_state
+from petrelwood.decide.delivery import send_outcome
 
 HOP = 100_000  # ns that a connection takes beyond the way: the handshakes
 
--- a/petrelwood/fronts/mqtt.py
+++ b/petrelwood/fronts/mqtt.py
@@ -14,10 +14,8 @@
 import orjson
 from tornado.iostream import IOStream, SSLIOStream, StreamClosedError
 
-from petrelwood.decide.delivery import mqtt_acknowledgement
-from petrelwood.decide.overload import intake
-from petrelwood.decide.overload import deadlines
-from petrelwood.decide.delivery import mqtt_topics
+from petrelwood.decide.delivery import mqtt_acknowledgement, mqtt_topics
+from petrelwood.decide.overload import deadlines, intake
 from petrelwood.decide.overload.backoff import Comeback
 from petrelwood.links import packets as mq
 from petrelwood.links import sockets
@@ -117,7 +115,7 @@
             except mq.Wrong as fault:
                 why = str(fault)
                 self._leave(fault.code)
-            except (OSError, asyncio.TimeoutError, ValueError) as fault:
+            except (TimeoutError, OSError, ValueError) as fault:
                 why = str(fault) or repr(fault)
             except Exception as fault:
                 why = repr(fault)
@@ -462,7 +460,7 @@
             )
             try:
                 await asyncio.wait_for(self.draining, self.terms.connect_within / 1e9)
-            except asyncio.TimeoutError:
+            except TimeoutError:
                 pass
         self.front.core.soon(self.deliveries.close, self.front.core.now())
 
--- a/petrelwood/lab/day.py
+++ b/petrelwood/lab/day.py
@@ -44,7 +44,7 @@
             line = await asyncio.wait_for(self.child.stdout.readline(), START_WITHIN)
             self.said = json.loads(line)
             host, _, port = self.said["ready"].rpartition(":")
-        except (asyncio.TimeoutError, ValueError, KeyError):
+        except (TimeoutError, ValueError, KeyError):
             tail = (self.folder / f"{self.name}.log").read_text(errors="replace").strip().splitlines()[-3:]
             raise DayFailed(f"{self.name} did not start: {' | '.join(tail) or 'it said nothing'}") from None
         self.address = host, int(port) if port.isdigit() else 0
@@ -63,7 +63,7 @@
         self.child.send_signal(signal.SIGTERM)
         try:
             await asyncio.wait_for(self.child.wait(), within)
-        except asyncio.TimeoutError:
+        except TimeoutError:
             await self.kill()
 
 
--- a/petrelwood/lab/walk.py
+++ b/petrelwood/lab/walk.py
@@ -20,8 +20,7 @@
 from typing import NamedTuple
 
 from petrelwood import ports
-from petrelwood.decide.delivery import ledger
-from petrelwood.decide.delivery import recovery
+from petrelwood.decide.delivery import ledger, recovery
 
 SECOND = 1_000_000_000
 TOLERANCE = 300 * SECOND
--- a/petrelwood/links/roster.py
+++ b/petrelwood/links/roster.py
@@ -50,13 +50,7 @@
             why = "the stream ended"
             try:
                 await self._follow()
-            except (
-                StreamClosedError,
-                OSError,
-                ValueError,
-                asyncio.TimeoutError,
-                httptools.HttpParserError,
-            ) as fault:
+            except (TimeoutError, StreamClosedError, OSError, ValueError, httptools.HttpParserError) as fault:
                 why = str(fault) or repr(fault)
             finally:
                 self.drop()
--- a/petrelwood/links/tls.py
+++ b/petrelwood/links/tls.py
@@ -29,7 +29,7 @@
     def __init__(self, cert, key, trusts="", mutual=False, name=""):
         self.cert, self.key, self.trusts, self.mutual, self.name = cert, key, trusts, mutual, name
         self.contexts, self.stamps, self.refused = [], {}, 0
-        self.check(datetime.datetime.now(datetime.timezone.utc))
+        self.check(datetime.datetime.now(datetime.UTC))
 
     @property
     def paths(self):
@@ -101,7 +101,7 @@
         try:
             if self._stamps() == self.stamps:
                 return False
-            self.check(datetime.datetime.now(datetime.timezone.utc))
+            self.check(datetime.datetime.now(datetime.UTC))
             for context in self.contexts:
                 self._load(context)
         except (BadIdentity, OSError) as fault:
--- a/petrelwood/links/worker.py
+++ b/petrelwood/links/worker.py
@@ -14,8 +14,8 @@
 
 from tornado.iostream import IOStream, SSLIOStream, StreamClosedError
 
-from petrelwood.decide.delivery import send_outcome
 from petrelwood.decide.cluster import link_state
+from petrelwood.decide.delivery import send_outcome
 from petrelwood.links import rpc, sockets
 from petrelwood.links.calls import Call, Calls
 
--- a/petrelwood/node/__main__.py
+++ b/petrelwood/node/__main__.py
@@ -18,7 +18,6 @@
 from petrelwood.node.log import Log
 from petrelwood.node.service import Node
 
-
 # seconds until a file that can't be used is read again; so often, as the platform waits 4 s for it
 AGAIN, TRIES = 0.1, 30
 
--- a/petrelwood/node/front.py
+++ b/petrelwood/node/front.py
@@ -16,8 +16,7 @@
 
 from tornado.iostream import StreamBufferFullError, StreamClosedError
 
-from petrelwood.decide.overload import intake
-from petrelwood.decide.overload import resource_limits
+from petrelwood.decide.overload import intake, resource_limits
 from petrelwood.decide.overload.intake import Ask
 from petrelwood.links import rpc, sockets
 from petrelwood.node.stream import Stream
--- a/petrelwood/node/service.py
+++ b/petrelwood/node/service.py
@@ -5,10 +5,10 @@
 
 from petrelwood.brain import Brain
 from petrelwood.clocks import LoopClock
-from petrelwood.decide.overload import intake
-from petrelwood.decide.delivery import ledger
 from petrelwood.decide.cluster import shutdown
 from petrelwood.decide.cluster.polling import Asking
+from petrelwood.decide.delivery import ledger
+from petrelwood.decide.overload import intake
 from petrelwood.decide.overload.resource_limits import Direct, Room
 from petrelwood.dispatch.core import Core
 from petrelwood.node import told
--- a/petrelwood/node/worker.py
+++ b/petrelwood/node/worker.py
@@ -8,8 +8,8 @@
 from tornado.iostream import StreamBufferFullError, StreamClosedError
 
 from petrelwood import ports
-from petrelwood.decide.delivery import send_outcome
 from petrelwood.decide.cluster import connection_pool
+from petrelwood.decide.delivery import send_outcome
 from petrelwood.decide.overload import resource_limits
 from petrelwood.links import sockets
 from petrelwood.links.calls import Call, Calls
--- a/petrelwood/settings/sense.py
+++ b/petrelwood/settings/sense.py
@@ -102,7 +102,7 @@
                 _node(file, "namespace-type", name),
                 f"ids of '{name}' are forgotten before its action timeout is over",
             )
-    now = now or datetime.datetime.now(datetime.timezone.utc)
+    now = now or datetime.datetime.now(datetime.UTC)
     for node, identity in (
         (_node(file, "gateway"), gateway.tls),
         (_node(file, "workers"), gateway.worker_tls),
--- a/petrelwood/standins/broker.py
+++ b/petrelwood/standins/broker.py
@@ -6,8 +6,8 @@
 from tornado.netutil import bind_sockets
 from tornado.tcpserver import TCPServer
 
-from petrelwood.emulate.broker import Broker
 from petrelwood.clocks import LoopClock
+from petrelwood.emulate.broker import Broker
 from petrelwood.links import packets as mq
 from petrelwood.standins import host
 from petrelwood.standins.records import Records
@@ -63,7 +63,7 @@
                         self.model.packet(session, packet)
         except mq.Wrong as fault:
             close(fault.code)
-        except asyncio.TimeoutError:
+        except TimeoutError:
             close(mq.KEEP_ALIVE)
         except (StreamClosedError, OSError):
             pass
--- a/petrelwood/standins/caller.py
+++ b/petrelwood/standins/caller.py
@@ -58,7 +58,7 @@
         stream = self.idle.pop() if self.idle else await self.connect()
         try:
             reply = await asyncio.wait_for(self.exchange(stream, request), within)
-        except asyncio.TimeoutError:  # an OSError too, so it comes first
+        except TimeoutError:  # an OSError too, so it comes first
             stream.close()
             raise
         except (StreamClosedError, OSError):
--- a/petrelwood/standins/devices.py
+++ b/petrelwood/standins/devices.py
@@ -30,7 +30,7 @@
         while True:
             try:
                 await self._follow()
-            except (StreamClosedError, OSError, mq.Wrong, asyncio.TimeoutError):
+            except (TimeoutError, StreamClosedError, OSError, mq.Wrong):
                 pass
             self.up = False
             self.stream.close()
@@ -220,7 +220,7 @@
             raise OSError(f"no broker answers at {address[0]}:{address[1]}")
         device.ask(type_, function, body, name.encode(), qos, wait)
         return await asyncio.wait_for(answer, wait)
-    except asyncio.TimeoutError:
+    except TimeoutError:
         return None, b""
     finally:
         for task in (keeping, ready):
--- a/petrelwood/standins/portal.py
+++ b/petrelwood/standins/portal.py
@@ -170,7 +170,7 @@
         )
         try:
             reply = await self.callers[dispatcher].call(message, leaves or patience * 1.25)
-        except asyncio.TimeoutError:
+        except TimeoutError:
             self.records.put("left", early=leaves is not None, **common)
             if len(self.old) < REPLAY_KEPT:
                 self.old.append((dispatcher, message, common["key"], stamp))
@@ -211,7 +211,7 @@
                     took=time.monotonic_ns() - begun,
                 )
                 self.count(f"replay {reply.status}")
-            except (Broken, asyncio.TimeoutError):
+            except (TimeoutError, Broken):
                 self.count("replay lost")
 
     async def dawdle(self, until):
--- a/petrelwood/store/history.py
+++ b/petrelwood/store/history.py
@@ -38,7 +38,7 @@
 
 
 def day_of(at):
-    return datetime.datetime.fromtimestamp(at / 1e9, datetime.timezone.utc).strftime("%Y-%m-%d")
+    return datetime.datetime.fromtimestamp(at / 1e9, datetime.UTC).strftime("%Y-%m-%d")
 
 
 class History:
--- a/tests/broken.py
+++ b/tests/broken.py
@@ -6,8 +6,8 @@
 from petrelwood import ports
 from petrelwood.brain import Brain, Copy
 from petrelwood.cli.logs import open_log
-from petrelwood.decide.delivery import send_outcome
 from petrelwood.decide.cluster.membership import Membership
+from petrelwood.decide.delivery import send_outcome
 from petrelwood.dispatch import serve
 from petrelwood.dispatch.dispatcher import Dispatcher
 from petrelwood.settings import gateway
--- a/tests/desk.py
+++ b/tests/desk.py
@@ -2,11 +2,11 @@
 
 import unittest
 
+from kept import compare
+
 from petrelwood import ports
 from petrelwood.brain import Brain
 
-from kept import compare
-
 MS = 1_000_000
 
 
--- a/tests/ration.py
+++ b/tests/ration.py
@@ -17,6 +17,7 @@
 
 import virtual
 from node_site import SETTINGS
+
 from petrelwood.decide.overload.intake import Ask
 from petrelwood.node import service, told, worker
 from petrelwood.node.front import Figures
--- a/tests/test_bgp.py
+++ b/tests/test_bgp.py
@@ -7,15 +7,12 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from kept import compare
 
-from petrelwood.decide.routing import announce
-from petrelwood.decide.routing import neighbor
-from petrelwood.decide.routing import serving
+from petrelwood.decide.routing import announce, neighbor, serving
 from petrelwood.decide.routing.routing_table import Table
 from petrelwood.wire import bgp
 
-from kept import compare
-
 S = 10**9
 FAMILIES = ((bgp.IPV4, bgp.UNICAST), (bgp.IPV6, bgp.UNICAST))
 PREFIX = bgp.prefix("192.0.2.1/32")
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -1,7 +1,6 @@
 """The configuration language: every problem once and no more, one layout, what a change means; files that are
 read by people."""
 
-import datetime
 import os
 import pathlib
 import random
@@ -11,13 +10,13 @@
 import time
 import unittest
 
-from petrelwood.decide.cluster import settings_change
-from petrelwood.settings import document, gateway, layout, sense
-
 from kept import compare
 from rig import KEY
 from test_settings import GOOD
 
+from petrelwood.decide.cluster import settings_change
+from petrelwood.settings import document, gateway, layout, sense
+
 # What is replaced in a file that is right, by what; or whole files, by name.
 BROKEN = (
     ('gateway "d"', 'gatway "d"'),
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -22,8 +22,8 @@
 from unittest import mock
 
 import msgpack
-
 from node_site import ROOT, SETTINGS, Roster, Site, Worker, ask, hit
+
 from petrelwood.decide.overload import resource_limits
 from petrelwood.dispatch import core
 from petrelwood.links import sockets
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -4,10 +4,10 @@
 import asyncio
 import socket
 
-from petrelwood.standins.caller import Caller
-
 from rig import Case, Worker, answer, later, never
 
+from petrelwood.standins.caller import Caller
+
 
 class Crowds(Case):
     def others(self, source):
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -3,22 +3,19 @@
 import random
 import unittest
 
+from kept import compare
+
 from petrelwood import ports
-from petrelwood.decide.delivery import send_outcome
-from petrelwood.decide.cluster import link_state
-from petrelwood.decide.overload import deadlines
-from petrelwood.decide.overload import intake
-from petrelwood.decide.delivery import ledger
-from petrelwood.decide.cluster import membership
-from petrelwood.decide.overload.backoff import Budget, Comeback
+from petrelwood.decide.cluster import link_state, membership
+from petrelwood.decide.delivery import ledger, send_outcome
+from petrelwood.decide.delivery.ledger import Ledger
 from petrelwood.decide.delivery.pending import Duty
+from petrelwood.decide.overload import deadlines, intake
+from petrelwood.decide.overload.backoff import Budget, Comeback
 from petrelwood.decide.overload.intake import Ask, Intake
-from petrelwood.decide.delivery.ledger import Ledger
 from petrelwood.decide.overload.resource_limits import Direct, Room
 from petrelwood.settings.gateway import Limits, WorkerTerms
 
-from kept import compare
-
 MS, S = 1_000_000, 1_000_000_000
 WALL = 1_700_000_000 * S
 TYPES = {
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -1,6 +1,7 @@
 import unittest
 
 from desk import MS, Desk, worker
+
 from petrelwood import ports
 from petrelwood.brain import Ring
 
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -5,15 +5,14 @@
 import unittest
 from collections import Counter, deque
 
+from kept import compare
+
 from petrelwood import ports
-from petrelwood.decide.delivery import mqtt_acknowledgement
-from petrelwood.decide.delivery import mqtt_topics
-from petrelwood.emulate.broker import Broker
 from petrelwood.clocks import VirtualClock
+from petrelwood.decide.delivery import mqtt_acknowledgement, mqtt_topics
+from petrelwood.emulate.broker import Broker
 from petrelwood.links import packets as mq
 
-from kept import compare
-
 S = 1_000_000_000
 IDS = range(1, 41)  # packet identifiers of the walk's answers
 
--- a/tests/test_early.py
+++ b/tests/test_early.py
@@ -8,15 +8,15 @@
 import tempfile
 import unittest
 
+from rig import Case, Worker, later
+from test_settings import GOOD
+
 from petrelwood.audit import rules
 from petrelwood.emulate import result, script
 from petrelwood.emulate.platform import Platform
 from petrelwood.settings import document, gateway
 from petrelwood.store import history
 
-from rig import Case, Worker, later
-from test_settings import GOOD
-
 EARLY = 'early {{ slot "100ms"; season "2s"; weeks #false; fetch-price "1ms"; memory-price 0.0; copy-size "1MB" }}\n'
 
 
--- a/tests/test_forecast.py
+++ b/tests/test_forecast.py
@@ -6,13 +6,12 @@
 import random
 import unittest
 
+from kept import compare
+
 from petrelwood.decide.forecasting import account as ac
-from petrelwood.decide.forecasting import forecast
-from petrelwood.decide.forecasting import planner
+from petrelwood.decide.forecasting import forecast, planner
 from petrelwood.decide.forecasting.prefetch import EarlyLoads
 
-from kept import compare
-
 S = 10**9
 SLOT, DAY = 600 * S, 86_400 * S
 CALENDAR = forecast.Calendar(SLOT, DAY, 7 * DAY)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -13,17 +13,15 @@
 import time
 import unittest
 
-import orjson
+import rig
+from kept import compare
+from rig import KEY, Roster, Worker, answer
 
 from petrelwood.decide.cluster import handover
 from petrelwood.dispatch.handover import Channel
 from petrelwood.standins.caller import Broken, Caller
 from petrelwood.store import versions
 
-import rig
-from kept import compare
-from rig import KEY, Roster, Worker, answer
-
 S = 10**9
 
 
@@ -188,7 +186,7 @@
                     return
                 await asyncio.sleep(0.02)
                 continue
-            except asyncio.TimeoutError:  # it went to one that stands still
+            except TimeoutError:  # it went to one that stands still
                 ends["left"] += 1
                 return
             if reply.status == 503:
--- a/tests/test_mqtt.py
+++ b/tests/test_mqtt.py
@@ -8,6 +8,7 @@
 import time
 
 import orjson
+from rig import FILE, KEY, Case, Worker, later, never, says
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.testing import bind_unused_port
 
@@ -17,8 +18,6 @@
 from petrelwood.settings import gateway
 from petrelwood.standins.broker import BrokerServer
 
-from rig import FILE, KEY, Case, Worker, later, never, says
-
 MQTT = (
     'mqtt {{ broker "127.0.0.1:{port}"; user "gateway"; password "g"; keep-alive "{alive}s"; session "{session}"; '
     'come-back "20ms"; come-back-most "200ms"; connect-within "500ms"; window least=2 most={most} }}\n'
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -12,20 +12,16 @@
 import sys
 import unittest
 
-import dns.exception
 import msgpack
-
 from kept import compare
-from node_site import ROOT, SETTINGS, Client, Roster, Site, Worker, answer, ask, hit
+from node_site import ROOT, SETTINGS, Roster, Site, Worker, answer, ask, hit
+
 from petrelwood import ports
-from petrelwood.decide.cluster import shutdown
-from petrelwood.decide.cluster import membership
-from petrelwood.decide.cluster import connection_pool
+from petrelwood.decide.cluster import connection_pool, membership, shutdown
 from petrelwood.decide.cluster.polling import AGAIN, EVERY, Asking
 from petrelwood.decide.overload.resource_limits import Direct, Room
 from petrelwood.links import rpc
-from petrelwood.node import lines, roster, told
-from petrelwood.node import front
+from petrelwood.node import front, lines, roster, told
 
 MS = 1_000_000
 PARTS = rpc.Parts(16_384, 1_024, 64)
--- a/tests/test_ration.py
+++ b/tests/test_ration.py
@@ -6,6 +6,7 @@
 
 import ration
 import virtual
+
 from petrelwood import brain, ports
 from petrelwood.emulate import link as emulate_link
 from petrelwood.links import worker as links_worker
--- a/tests/test_reference.py
+++ b/tests/test_reference.py
@@ -5,14 +5,14 @@
 import tempfile
 import unittest
 
+from kept import compare
+from test_settings import GOOD
+
 from petrelwood.emulate import script
 from petrelwood.lab import estimate, experiment
 from petrelwood.settings import document, reference, sense
 from petrelwood.settings.meanings import MEANINGS
 
-from kept import compare
-from test_settings import GOOD
-
 DAYS = pathlib.Path(__file__).with_name("days")
 OTHERS = (
     ("experiment", lambda file: experiment.described(file, pathlib.Path(file.file))),
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -3,10 +3,10 @@
 import random
 import unittest
 
-from petrelwood.decide.cluster.rollout import DWELL, STAGES, Announced, Rollout, turn
-
 from kept import compare
 
+from petrelwood.decide.cluster.rollout import DWELL, STAGES, Announced, Rollout, turn
+
 S = 10**9
 
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -6,12 +6,12 @@
 import tempfile
 import unittest
 
+from rig import KEY
+
 from petrelwood import ports
 from petrelwood.emulate import script
 from petrelwood.settings import document, gateway
 
-from rig import KEY
-
 GOOD = f'''gateway "d" {{
     listen "127.0.0.1:8080"
     roster "127.0.0.1:7070"
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -9,9 +9,9 @@
 import dns.message
 import dns.rdata
 import dns.rdatatype
-
 import ration
 from node_site import Site, Worker, answer
+
 from petrelwood.node import roster
 
 SERVERS, NAMES, MOST = 16, 1024, 8_000
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -1,23 +1,22 @@
 """Faults on real sockets: what the dispatcher answers, and what reached the workers."""
 
 import asyncio
+import pathlib
 import signal
 import socket
 import struct
 import subprocess
 import sys
 import tempfile
-import pathlib
 import time
 
 import orjson
+from rig import FILE, KEY, Case, IOStream, Quiet, Worker, answer, later, never, says
 
 from petrelwood import ports
 from petrelwood.brain import Brain
 from petrelwood.links import rpc
 
-from rig import FILE, KEY, Case, IOStream, Quiet, Worker, answer, later, never, says
-
 
 class Webhooks(Case):
     async def test_the_whole_path(self):
--- a/tests/test_speaker.py
+++ b/tests/test_speaker.py
@@ -9,18 +9,17 @@
 import time
 import unittest
 
+import rig
+from kept import compare
+from rig import KEY, Quiet
+
 from petrelwood.bgp.beats import Sender
 from petrelwood.bgp.speaker import Speaker
-from petrelwood.decide.routing import neighbor
 from petrelwood.decide.routing.serving import Facts
 from petrelwood.settings import document, speaker
 from petrelwood.standins.router import Router
 from petrelwood.wire import bgp
 
-import rig
-from kept import compare
-from rig import KEY, Quiet
-
 S = 10**9
 FINE = Facts(False, 0, 9, 100, 0, 0, True)
 FOUR, SIX = "192.0.2.1/32", "2001:db8::1/128"
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -9,6 +9,8 @@
 import tempfile
 import unittest
 
+from kept import compare
+
 from petrelwood import ports
 from petrelwood.audit import rules
 from petrelwood.decide.delivery import ledger as led
@@ -17,8 +19,6 @@
 from petrelwood.emulate.platform import Platform
 from petrelwood.store import state, tail
 
-from kept import compare
-
 S, WALL = 10**9, 1_764_547_200 * 10**9
 TYPES = {
     "again": ports.NamespaceType(S, ports.REPEATABLE, "all", 0),
--- a/tests/test_storms.py
+++ b/tests/test_storms.py
@@ -4,16 +4,15 @@
 import random
 import unittest
 
-from petrelwood.decide.overload import admission
-from petrelwood.decide.overload import retry_budget
-from petrelwood.decide.overload.backoff import Budget
+from kept import compare
+
 from petrelwood.decide.cluster.link_state import LinkState
-from petrelwood.decide.overload.throughput import Pace
+from petrelwood.decide.overload import admission, retry_budget
+from petrelwood.decide.overload.backoff import Budget
 from petrelwood.decide.overload.concurrency_limit import Ramp
 from petrelwood.decide.overload.sliding_window import Ring
 from petrelwood.decide.overload.storm import Storms, dispersion
-
-from kept import compare
+from petrelwood.decide.overload.throughput import Pace
 
 S, MS = 10**9, 10**6
 
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -12,6 +12,8 @@
 
 import trustme
 from cryptography import x509
+from rig import Quiet, later
+from test_settings import GOOD
 from tornado.iostream import SSLIOStream
 from tornado.tcpclient import TCPClient
 
@@ -19,9 +21,6 @@
 from petrelwood.settings import document, gateway
 from petrelwood.standins.caller import Caller
 
-from rig import Quiet, later
-from test_settings import GOOD
-
 
 class Place:
     """A folder with an authority, its certificates and a foreign one."""
@@ -33,7 +32,7 @@
         self.ca.cert_pem.write_to_path(self.file("ca.pem"))
         self.issue("good", self.ca)
         self.issue("foreign", self.foreign)
-        past = datetime.datetime(2020, 1, 1, tzinfo=datetime.timezone.utc)
+        past = datetime.datetime(2020, 1, 1, tzinfo=datetime.UTC)
         self.issue("expired", self.ca, not_before=past, not_after=past + datetime.timedelta(days=2))
 
     def file(self, name):
@@ -95,8 +94,8 @@
     return made
 
 
-from test_mqtt import MqttCase  # noqa: E402
 from rig import Case, Worker  # noqa: E402
+from test_mqtt import MqttCase  # noqa: E402
 
 
 class Front(Case):
