--- /dev/null
+++ b/benchmarks/capacity.py
@@ -0,0 +1,537 @@
+"""What control costs a dispatcher, as slope x size + constant: the figures of `docs/CAPACITY.md`.
+
+    .venv/bin/python benchmarks/capacity.py [ROW ...] [--runs 3]
+
+Without a row all are measured, one after the other, and printed as one Markdown table. Costs are processor time
+of this process (`time.process_time`), so that they hold on a busy machine; bytes are counted. Each figure is
+fitted over its sizes once a run (least squares with relative weights); slope and constant are medians over the
+runs, and the spread is the largest less the smallest slope as a part of the median.
+"""
+
+import argparse
+import asyncio
+import gc
+import json
+import multiprocessing
+import pathlib
+import random
+import resource
+import statistics
+import sys
+import tempfile
+import time
+from typing import NamedTuple
+
+import dns.exception
+import dns.flags
+import dns.message
+import dns.rrset
+import msgpack
+import orjson
+from tornado.iostream import StreamClosedError
+from tornado.netutil import bind_sockets
+
+from petrelwood.bgp.beats import EVERY
+from petrelwood.decide.cluster import link_state, membership, settings_change
+from petrelwood.decide.cluster.rollout import DWELL, STAGES, Announced, Rollout
+from petrelwood.decide.overload.sliding_window import Ring
+from petrelwood.dispatch.health import Health
+from petrelwood.links import rpc, sse
+from petrelwood.links.roster import READ, RosterLink
+from petrelwood.links.worker import WorkerLink
+from petrelwood.node import roster as dns_roster
+from petrelwood.settings import gateway as settings
+from petrelwood.store import state, versions
+
+sys.path.insert(0, str(pathlib.Path(__file__).parents[1]))
+from benchmarks.dispatcher import Plain  # noqa: E402
+
+SECOND = 1_000_000_000
+WALL = 1_764_547_200 * SECOND  # any wall-clock time
+LEAST = 0.03  # seconds of processor time over which one point is taken at least
+LINKS = (100, 200, 400, 800)  # open links to workers
+IDLE_LOOKS = 100  # 20 a second, as a dispatcher looks
+PERIOD = 60 * SECOND  # after which a membership that is silent counts as lost; no row comes to it
+
+
+class Figure(NamedTuple):
+    """One measured quantity. `points`: for each run a list of (size, value)."""
+
+    name: str
+    size: str  # what the size counts
+    unit: str
+    points: list
+
+
+class Fit(NamedTuple):
+    slope: float
+    constant: float
+
+
+def fitted(points):
+    """Least squares of slope x size + constant, each point weighted by its own value's inverse square."""
+    weights = [1 / max(abs(value), 1e-12) ** 2 for _, value in points]
+    total = sum(weights)
+    mean_size = sum(w * size for w, (size, _) in zip(weights, points)) / total
+    mean_value = sum(w * value for w, (_, value) in zip(weights, points)) / total
+    above = sum(w * (s - mean_size) * (v - mean_value) for w, (s, v) in zip(weights, points))
+    below = sum(w * (s - mean_size) ** 2 for w, (s, _) in zip(weights, points))
+    slope = above / below
+    return Fit(slope, mean_value - slope * mean_size)
+
+
+def cost(call):
+    """Seconds of processor time of one `call()`: the mean over as many as take `LEAST`."""
+    count, spent = 0, 0.0
+    while spent < LEAST:
+        begun = time.process_time()
+        call()
+        spent += time.process_time() - begun
+        count += 1
+    return spent / count
+
+
+# The list of workers by DNS (`run`).
+def dns_answer(workers):
+    """An answer of the directory in the form of its protocol, with names compressed."""
+    query = dns.message.make_query(dns_roster.NAME, "SRV")
+    reply = dns.message.make_response(query)
+    reply.flags |= dns.flags.AA
+    name = dns_roster.NAME.to_text()
+    for n in range(workers):
+        host = f"s-{n * 2654435761 % 2**32:08x}.east.hosts."
+        reply.answer.append(dns.rrset.from_text(name, 5, "IN", "SRV", f"0 40 {5000 + n % 50} {host}"))
+        reply.additional.append(dns.rrset.from_text(host, 5, "IN", "A", f"10.{n >> 16}.{n >> 8 & 255}.{n & 255}"))
+        reply.additional.append(dns.rrset.from_text(host, 5, "IN", "TXT", '"kind=std" "cell=1" "started=0"'))
+    reply.authority.append(
+        dns.rrset.from_text("svc.local.", 5, "IN", "SOA", "ns.local. ops.local. 1 1 1 1 1")
+    )
+    return reply.to_wire(max_size=dns_roster.MOST)
+
+
+def most_by_dns():
+    """The largest list of which an answer fits a datagram."""
+    fits, too_many = 1, 2_000
+    while too_many - fits > 1:
+        tried = (fits + too_many) // 2
+        try:
+            dns_answer(tried)
+        except dns.exception.TooBig:
+            too_many = tried
+        else:
+            fits = tried
+    return fits
+
+
+def dns_list(runs):
+    """Bytes and processor time of one whole list, read anew, by workers."""
+    sizes = (50, 100, 200, 400)
+    answers = {size: dns_answer(size) for size in sizes}
+    size_points = [(size, len(answers[size])) for size in sizes]
+    read, taken = [], []
+    for _ in range(runs):
+        read.append([(size, 1e3 * cost(lambda: dns_roster.answer(answers[size]))) for size in sizes])
+        points = []
+        for size in sizes:
+            entries = dns_roster.answer(answers[size])[1]
+            known = membership.Membership(PERIOD, SECOND, random.Random(1).random)
+            points.append((size, 1e3 * cost(lambda: known.whole("dns-1", entries, SECOND, WALL))))
+        taken.append(points)
+    same, other = answers[400], bytes(answers[400])
+    return [
+        f"| DNS: the largest list that fits {dns_roster.MOST:,} bytes | {most_by_dns()} workers |",
+        f"| DNS: an answer that has not changed, 400 workers | {1e6 * cost(lambda: same[2:] == other[2:]):.1f} us |",
+        Figure("DNS: bytes of an answer", "workers", "bytes", [size_points] * runs),
+        Figure("DNS: reading an answer that has changed", "workers", "ms", read),
+        Figure("DNS: membership of a whole list", "workers", "ms", taken),
+    ]
+
+
+# The list of workers by server-sent events (`serve`).
+def roster_entry(number, booted=0):
+    return {
+        "worker": f"w-{number:08x}",
+        "address": f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}:5050",
+        "zone": f"zone-{number % 6}",
+        "cell": number % 16,
+        "booted": booted,
+        "state": "usable",
+    }
+
+
+class Listener:
+    """Stands in for the core: hears of lists and does nothing with them."""
+
+    def __init__(self):
+        self.heard = 0
+
+    def now(self):
+        return SECOND
+
+    def listed(self, entries, leaving, whole):
+        self.heard += len(entries)
+
+
+def roster_link():
+    known = membership.Membership(PERIOD, SECOND, random.Random(1).random)
+    link = RosterLink(("127.0.0.1", 1), known, SECOND, Listener(), None)
+    link.events = sse.Events()
+    return link
+
+
+def fed(link, data):
+    """Hands bytes on as the socket does, a read at a time."""
+    for start in range(0, len(data), READ):
+        link.on_body(data[start : start + READ])
+
+
+def sse_list(runs):
+    """A whole list, and one change told to dispatchers that hold a list of that size."""
+    sizes = (100, 400, 1_000, 4_000, 10_000, 40_000)
+    lists = {
+        size: sse.event("list", orjson.dumps([roster_entry(n) for n in range(size)]).decode(), "e-0")
+        for size in sizes
+    }
+    change = [sse.event("change", orjson.dumps([roster_entry(7, WALL)]).decode(), f"e-{n}") for n in range(9_999)]
+    whole, parts = [], []
+    for _ in range(runs):
+        points, changes = [], []
+        for size in sizes:
+            points.append((size, 1e3 * cost(lambda: fed(roster_link(), lists[size]))))
+            link = roster_link()
+            fed(link, lists[size])
+            said = iter(change[1:])
+            changes.append((size, 1e3 * cost(lambda: fed(link, next(said)))))
+        whole.append(points)
+        parts.append(changes)
+    return [
+        Figure("SSE: bytes of a whole list", "workers", "bytes", [[(s, len(lists[s])) for s in sizes]] * runs),
+        Figure("SSE: reading a whole list", "workers", "ms", whole),
+        Figure("SSE: bytes of one change", "workers", "bytes", [[(s, len(change[1])) for s in sizes]] * runs),
+        Figure("SSE: reading one change", "workers", "ms", parts),
+    ]
+
+
+# Versions of the configuration: the folder that each dispatcher reads once a second.
+def version_folder(runs):
+    sizes = (10, 100, 740)
+    points = []
+    for _ in range(runs):
+        row = []
+        for size in sizes:
+            with tempfile.TemporaryDirectory() as folder:
+                for number in range(1, size + 1):
+                    (pathlib.Path(folder) / f"{number}.kdl").write_text("x")
+                    (pathlib.Path(folder) / f"{number}.json").write_text(json.dumps({"begun": WALL}))
+                row.append((size, 1e3 * cost(lambda: versions.announced(folder))))
+        points.append(row)
+    return [Figure("Versions: one look at the folder", "versions in it", "ms", points)]
+
+
+class Day(NamedTuple):
+    """What became of one day's versions."""
+
+    reached_all: int
+    longest: float  # seconds for which some dispatcher ran another version than the newest, at one stretch
+
+
+def rolled_day(begins, dispatchers):
+    """Plays versions that begin at `begins` (s) over dispatchers that look at each moment a stage turns."""
+    nodes = [Rollout(f"d{n}", 0) for n in range(dispatchers)]
+    looks = sorted({begun + stage * DWELL // SECOND + 0.5 for begun in begins for stage in range(len(STAGES))})
+    reached, behind, longest = set(), None, 0.0
+    announced, number = [], 0
+    for look in looks:
+        while number < len(begins) and begins[number] <= look:
+            number += 1
+            announced = [Announced(number, int(begins[number - 1] * SECOND), False)]
+            behind = begins[number - 1] if behind is None else behind
+        for node in nodes:
+            node.look(int(look * SECOND), announced)
+        has = sum(node.version == number for node in nodes)
+        if has == dispatchers:
+            reached.add(number)
+            longest, behind = max(longest, look - behind if behind is not None else 0.0), None
+    return Day(len(reached), max(longest, looks[-1] - behind if behind is not None else 0.0))
+
+
+def poisson_day(chance, changes, seconds=86_400):
+    return sorted(chance.random() * seconds for _ in range(changes))
+
+
+def burst_day(chance, changes, each=20, within=600, seconds=86_400):
+    """Groups of `each` changes within ten minutes, as at a release."""
+    begins = []
+    for _ in range(changes // each):
+        start = chance.random() * (seconds - within)
+        begins += [start + chance.random() * within for _ in range(each)]
+    return sorted(begins)
+
+
+def rollouts(runs):
+    """Parts of a day's 740 versions that reached all dispatchers, by the stages."""
+    lines = []
+    for name, make in (("Poisson", poisson_day), ("bursts of 20 in ten minutes", burst_day)):
+        days = [rolled_day(make(random.Random(f"{name}/{seed}"), 740), 100) for seed in range(runs)]
+        lines.append(
+            f"| 740 versions a day, {name}: reached all of 100 dispatchers; longest time in which not "
+            f"all had the newest | "
+            + "; ".join(f"{d.reached_all}, {d.longest:.0f} s" for d in days)
+            + " |"
+        )
+    return lines
+
+
+# Settings: read anew at SIGHUP and for each version.
+def gateway_text(functions):
+    """A gateway's file that names each function, as 13,000 functions of many owners are told."""
+    rules = "\n".join(
+        f'function "owner-{n % 97}-{n:05d}" type="call" lanes=4 load-time="{100 + n % 400}ms"'
+        for n in range(functions)
+    )
+    return f"""
+gateway "d" {{ listen "127.0.0.1:0"; roster "127.0.0.1:1"; zone "n"; seed 1; dispatchers 400 }}
+customer "x" {{ key "whsec_{"A" * 43}=" }}
+namespace-type "call" {{ target-latency "1s"; action-timeout "5s"; effect "repeatable" }}
+{rules}
+workers {{ cold "8s" from=0.25; fall "1s" multiple=2.5; sends 3; keep "60s"; on-miss "load" }}
+"""
+
+
+def reload(runs):
+    """What one new version costs by the functions that it names, and what follows in the calls after it."""
+    sizes = (500, 2_000, 6_500, 13_000)
+    texts = {size: gateway_text(size) for size in sizes}
+    read, compared, looked_up = [], [], []
+    for _ in range(runs):
+        rows = [], [], []
+        for size in sizes:
+            old, new = (settings.read("g.kdl", texts[size]) for _ in range(2))
+            names = random.Random(size).sample([rule.pattern for rule in old.functions], 40)
+            rows[0].append((size, 1e3 * cost(lambda: settings.read("g.kdl", texts[size]))))
+            rows[1].append((size, 1e3 * cost(lambda: settings_change.changes(old, new))))
+            rows[2].append((size, 1e3 / len(names) * cost(lambda: [old.rule(name) for name in names])))
+        for kept, points in zip((read, compared, looked_up), rows):
+            kept.append(points)
+    sizes_of = [[(size, len(texts[size])) for size in sizes]] * runs
+    return [
+        Figure("Settings: bytes of a version", "functions", "bytes", sizes_of),
+        Figure("Settings: reading a version", "functions", "ms", read),
+        Figure("Settings: comparing it with the one before", "functions", "ms", compared),
+        Figure("Settings: a function's rule, looked up at its first call after it", "functions", "ms", looked_up),
+    ]
+
+
+# What it says of itself to the speaker beside it, twenty times a second.
+class Counted:
+    """Stands in for the core, as `dispatch.health.Health` asks of it."""
+
+    def __init__(self, workers):
+        self.membership = membership.Membership(PERIOD, SECOND, random.Random(1).random)
+        entries = [membership.entry(roster_entry(n)) for n in range(workers)]
+        self.membership.whole("e-1", entries, SECOND, WALL)
+        self.intake = Intake(False)
+        self.goods = self.bads = Ring(SECOND, 11)
+        self.state, self.retired = None, False
+
+    def now(self):
+        return 2 * SECOND
+
+
+class Intake(NamedTuple):
+    closing: bool
+
+
+def health(runs):
+    """Facts for the speaker, and their bytes."""
+    sizes = (100, 1_000, 4_000, 20_000)
+    points = []
+    for _ in range(runs):
+        made = {size: Health("/nowhere", Counted(size)) for size in sizes}
+        points.append([(size, 1e3 * cost(made[size].facts)) for size in sizes])
+    said = len(msgpack.packb([1, *made[4_000].facts()]))
+    return [
+        f"| Health: bytes of one message to the speaker beside it, 1 / {EVERY:g} a second | {said} bytes |",
+        Figure("Health: the facts of one message", "workers", "ms", points),
+    ]
+
+
+# State that survives a restart.
+def state_log(runs):
+    """Bytes and processor time of the two records of a call."""
+    sizes = (1_000, 4_000, 16_000)
+    written, spent = [], []
+    for _ in range(runs):
+        rows = [], []
+        for size in sizes:
+            with tempfile.TemporaryDirectory() as folder:
+                log = state.StateLog(folder, WALL, "b", 600 * SECOND)
+                begun = time.process_time()
+                for number in range(size):
+                    name = f"msg_{number:026d}"
+                    log.add(state.TAKE, WALL + number, "customer", name, WALL, "once")
+                    log.flush()
+                    log.add(state.END, WALL + number, "customer", name, "completed", True, b'{"ok":1}')
+                    log.flush()
+                rows[1].append((size, 1e3 * (time.process_time() - begun)))
+                log.close(WALL)
+                rows[0].append((size, sum(path.stat().st_size for path in pathlib.Path(folder).iterdir())))
+        written.append(rows[0])
+        spent.append(rows[1])
+    return [
+        Figure("State: bytes written", "calls", "bytes", written),
+        Figure("State: two records, a write each", "calls", "ms", spent),
+    ]
+
+
+# Connections to workers.
+def greeting_worker(pipe):
+    """A process that accepts links, greets as worker `w0`, and says how many bytes it has been sent."""
+    accepted, received = [], [0]
+
+    class Greeter(Plain):
+        async def handle_stream(self, stream, address):
+            accepted.append(stream)
+            stream.write(rpc.notice("hello", ["w0", 0]))
+            try:
+                while True:
+                    received[0] += len(await stream.read_bytes(65_536, partial=True))
+            except StreamClosedError:
+                pass
+
+    async def serve():
+        sockets = bind_sockets(0, "127.0.0.1")
+        Greeter("w0", 0).add_sockets(sockets)
+        pipe.send(sockets[0].getsockname()[1])
+        while True:
+            await asyncio.sleep(0.05)
+            if pipe.poll():
+                pipe.recv()
+                pipe.send((len(accepted), received[0]))
+
+    asyncio.run(serve())
+
+
+def resident():
+    """Bytes of this process that are in memory."""
+    with open("/proc/self/statm", encoding="ascii") as file:
+        return int(file.read().split()[1]) * resource.getpagesize()
+
+
+class LinkCore:
+    """Stands in for the core, as a link asks of it."""
+
+    name, reconnects = "d", None
+
+    def __init__(self):
+        self.loop = asyncio.get_running_loop()
+
+    def now(self):
+        return time.monotonic_ns()
+
+    def active(self, link):
+        pass
+
+
+async def connect_links(port, count):
+    """Links that are up and carry nothing."""
+    core, terms = LinkCore(), settings.read("g.kdl", gateway_text(1)).workers
+    links = [
+        WorkerLink("w0", ("127.0.0.1", port), terms, random.Random(1).random, core, None) for _ in range(count)
+    ]
+    for start in range(0, count, 50):
+        for link in links[start : start + 50]:
+            link._connect(core.now())
+        while any(link.state.state != link_state.UP for link in links[start : start + 50]):
+            await asyncio.sleep(0.01)
+    return core, links
+
+
+def link_memory(pipe):
+    """A process that opens more and more links to one worker, and says how much memory each size takes."""
+
+    async def grow():
+        here, there = multiprocessing.Pipe()
+        worker = multiprocessing.Process(target=greeting_worker, args=(there,), daemon=True)
+        worker.start()
+        port, points, kept = here.recv(), [], []
+        await connect_links(port, 20)
+        for size in LINKS:
+            gc.collect()
+            core, links = await connect_links(port, size - sum(len(some) for some in kept))
+            kept.append(links)
+            points.append((size, resident() / 1_000))
+        here.send(None)
+        before = here.recv()[1]
+        begun = time.process_time()
+        for _ in range(IDLE_LOOKS):
+            for links in kept:
+                for link in links:
+                    link.check(core.now())
+            await asyncio.sleep(0.05)
+        spent = time.process_time() - begun
+        here.send(None)
+        pipe.send((points, here.recv()[1] - before, spent))
+        worker.terminate()
+
+    asyncio.run(grow())
+
+
+def links(runs):
+    """Memory of open links to workers; what they send while they carry nothing."""
+    points, lines = [], []
+    for _ in range(runs):
+        here, there = multiprocessing.Pipe()
+        child = multiprocessing.Process(target=link_memory, args=(there,))
+        child.start()
+        run, sent, spent = here.recv()
+        child.join()
+        points.append(run)
+        lines.append(f"{sent} bytes")
+    text = f"| Links: bytes sent on {LINKS[-1]} idle ones in {IDLE_LOOKS * 0.05:.0f} s | " + "; ".join(lines) + " |"
+    return [text, Figure("Links: memory of the process", "open links", "KB", points)]
+
+
+ROWS = {
+    "dns": dns_list,
+    "sse": sse_list,
+    "folder": version_folder,
+    "rollout": rollouts,
+    "reload": reload,
+    "health": health,
+    "state": state_log,
+    "links": links,
+}
+
+
+def line(figure):
+    """One row of the table."""
+    fits = [fitted(points) for points in figure.points]
+    slopes = [fit.slope for fit in fits]
+    slope, constant = statistics.median(slopes), statistics.median(fit.constant for fit in fits)
+    spread = (max(slopes) - min(slopes)) / abs(slope) if slope else 0.0
+    sizes = [size for size, _ in figure.points[0]]
+    seen = [statistics.median(run[n][1] for run in figure.points) for n in range(len(sizes))]
+    return (
+        f"| {figure.name} | {slope:.4g} {figure.unit} x {figure.size} + {constant:.4g} {figure.unit} "
+        f"| {sizes[0]:,} to {sizes[-1]:,} | {spread:.0%} | " + ", ".join(f"{s:,}: {v:.4g}" for s, v in zip(sizes, seen)) + " |"
+    )
+
+
+def main():
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
+    parser.add_argument("rows", nargs="*", choices=[[], *ROWS], help="rows to measure; none: all")
+    parser.add_argument("--runs", type=int, default=3)
+    options = parser.parse_args()
+    gc.disable()
+    for name in options.rows or ROWS:
+        print(f"... {name}", file=sys.stderr, flush=True)
+        for found in ROWS[name](options.runs):
+            print(found if isinstance(found, str) else line(found), flush=True)
+        gc.collect()
+
+
+if __name__ == "__main__":
+    main()
