--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -2,17 +2,16 @@
 
     .venv/bin/python benchmarks/capacity.py [ROW ...] [--runs 3]
 
-Without a row all are measured, one after the other, and printed as one Markdown table. Costs are processor time
-of this process (`time.process_time`), so that they hold on a busy machine; bytes are counted. Each figure is
-fitted over its sizes once a run (least squares with relative weights); slope and constant are medians over the
-runs, and the spread is the largest less the smallest slope as a part of the median.
+Without a row all are measured, one after the other, and printed as rows of a Markdown table. Costs are
+processor time, so that they hold on a busy machine; bytes are counted. Each figure is fitted over its sizes
+once a run (least squares with relative weights); slope and constant are medians over the runs, and the spread
+is the largest less the smallest slope as a part of the median. Rows that play processes or days print lines
+of their own.
 """
 
 import argparse
 import asyncio
-import collections
 import gc
-import heapq
 import json
 import multiprocessing
 import pathlib
@@ -34,9 +33,7 @@
 from tornado.iostream import StreamClosedError
 from tornado.netutil import bind_sockets
 
-from petrelwood import ports
 from petrelwood.bgp.beats import EVERY
-from petrelwood.brain import Brain
 from petrelwood.decide.cluster import link_state, membership, settings_change
 from petrelwood.decide.cluster.rollout import DWELL, STAGES, Announced, Rollout
 from petrelwood.decide.overload.sliding_window import Ring
@@ -49,6 +46,7 @@
 from petrelwood.store import state, versions
 
 sys.path.insert(0, str(pathlib.Path(__file__).parents[1]))
+from benchmarks import rare_calls  # noqa: E402
 from benchmarks.dispatcher import Plain, Setup, backend, open_load  # noqa: E402
 
 SECOND = 1_000_000_000
@@ -58,14 +56,6 @@
 IDLE_LOOKS = 100  # 20 a second, as a dispatcher looks
 CALL_RATES = (0, 46, 92.5, 185, 370)  # calls a second; 92.5 is one dispatcher's part
 CALL_SECONDS = 5.0  # of each
-ZONES = 6
-CALLS, RARE_RATE = 92.5, 0.54  # calls a second of one dispatcher; those of rare functions among them
-HOT = 200  # functions that all dispatchers call often
-KEEP = 10 * SECOND  # an idle copy stays so long; only its ratio to the time between calls counts
-LOAD, SERVICE = SECOND // 4, SECOND // 33  # of a copy; of a call, the mean of an exponential
-WARM_UP, PLAYED = 10 * SECOND, 12 * SECOND  # of virtual time; played longer where dispatchers are few
-RARE_EVERY = (KEEP,)  # between two calls of a rare function, all dispatchers together
-COLD_SIZES = ((10, 25), (10, 100), (10, 250), (10, 1_000), (50, 250), (100, 250))  # dispatchers, workers
 PERIOD = 60 * SECOND  # after which a membership that is silent counts as lost; no row comes to it
 
 
@@ -87,20 +77,20 @@
     """Least squares of slope x size + constant, each point weighted by its own value's inverse square."""
     weights = [1 / max(abs(value), 1e-12) ** 2 for _, value in points]
     total = sum(weights)
-    mean_size = sum(w * size for w, (size, _) in zip(weights, points)) / total
-    mean_value = sum(w * value for w, (_, value) in zip(weights, points)) / total
-    above = sum(w * (s - mean_size) * (v - mean_value) for w, (s, v) in zip(weights, points))
-    below = sum(w * (s - mean_size) ** 2 for w, (s, _) in zip(weights, points))
+    mean_size = sum(w * size for w, (size, _) in zip(weights, points, strict=True)) / total
+    mean_value = sum(w * value for w, (_, value) in zip(weights, points, strict=True)) / total
+    above = sum(w * (s - mean_size) * (v - mean_value) for w, (s, v) in zip(weights, points, strict=True))
+    below = sum(w * (s - mean_size) ** 2 for w, (s, _) in zip(weights, points, strict=True))
     slope = above / below
     return Fit(slope, mean_value - slope * mean_size)
 
 
-def cost(call):
-    """Seconds of processor time of one `call()`: the mean over as many as take `LEAST`."""
+def cost(call, *arguments):
+    """Seconds of processor time of one `call(*arguments)`: the mean over as many as take `LEAST`."""
     count, spent = 0, 0.0
     while spent < LEAST:
         begun = time.process_time()
-        call()
+        call(*arguments)
         spent += time.process_time() - begun
         count += 1
     return spent / count
@@ -116,7 +106,9 @@
     for n in range(workers):
         host = f"s-{n * 2654435761 % 2**32:08x}.east.hosts."
         reply.answer.append(dns.rrset.from_text(name, 5, "IN", "SRV", f"0 40 {5000 + n % 50} {host}"))
-        reply.additional.append(dns.rrset.from_text(host, 5, "IN", "A", f"10.{n >> 16}.{n >> 8 & 255}.{n & 255}"))
+        reply.additional.append(
+            dns.rrset.from_text(host, 5, "IN", "A", f"10.{n >> 16}.{n >> 8 & 255}.{n & 255}")
+        )
         reply.additional.append(dns.rrset.from_text(host, 5, "IN", "TXT", '"kind=std" "cell=1" "started=0"'))
     reply.authority.append(
         dns.rrset.from_text("svc.local.", 5, "IN", "SOA", "ns.local. ops.local. 1 1 1 1 1")
@@ -138,6 +130,11 @@
     return fits
 
 
+def unchanged(answer, before):
+    """As `DnsRoster.take` compares an answer with the one before."""
+    return answer[2:] == before[2:]
+
+
 def dns_list(runs):
     """Bytes and processor time of one whole list, read anew, by workers."""
     sizes = (50, 100, 200, 400)
@@ -145,17 +142,17 @@
     size_points = [(size, len(answers[size])) for size in sizes]
     read, taken = [], []
     for _ in range(runs):
-        read.append([(size, 1e3 * cost(lambda: dns_roster.answer(answers[size]))) for size in sizes])
+        read.append([(size, 1e3 * cost(dns_roster.answer, answers[size])) for size in sizes])
         points = []
         for size in sizes:
             entries = dns_roster.answer(answers[size])[1]
             known = membership.Membership(PERIOD, SECOND, random.Random(1).random)
-            points.append((size, 1e3 * cost(lambda: known.whole("dns-1", entries, SECOND, WALL))))
+            points.append((size, 1e3 * cost(known.whole, "dns-1", entries, SECOND, WALL)))
         taken.append(points)
     same, other = answers[400], bytes(answers[400])
     return [
         f"| DNS: the largest list that fits {dns_roster.MOST:,} bytes | {most_by_dns()} workers |",
-        f"| DNS: an answer that has not changed, 400 workers | {1e6 * cost(lambda: same[2:] == other[2:]):.1f} us |",
+        f"| DNS: an answer that has not changed, 400 workers | {1e6 * cost(unchanged, same, other):.1f} us |",
         Figure("DNS: bytes of an answer", "workers", "bytes", [size_points] * runs),
         Figure("DNS: reading an answer that has changed", "workers", "ms", read),
         Figure("DNS: membership of a whole list", "workers", "ms", taken),
@@ -200,6 +197,16 @@
         link.on_body(data[start : start + READ])
 
 
+def feed_anew(data):
+    """A whole list, on a connection of its own."""
+    fed(roster_link(), data)
+
+
+def feed_next(link, changes):
+    """One change more."""
+    fed(link, next(changes))
+
+
 def read_at_all(size):
     """Whether a link takes a whole list of so many workers, and what that costs."""
     data = sse.event("list", orjson.dumps([roster_entry(n) for n in range(size)]).decode(), "e-0")
@@ -218,22 +225,26 @@
         size: sse.event("list", orjson.dumps([roster_entry(n) for n in range(size)]).decode(), "e-0")
         for size in sizes
     }
-    change = [sse.event("change", orjson.dumps([roster_entry(7, WALL)]).decode(), f"e-{n}") for n in range(9_999)]
+    change = [
+        sse.event("change", orjson.dumps([roster_entry(7, WALL)]).decode(), f"e-{n}") for n in range(9_999)
+    ]
     whole, parts = [], []
     for _ in range(runs):
         points, changes = [], []
         for size in sizes:
-            points.append((size, 1e3 * cost(lambda: fed(roster_link(), lists[size]))))
+            points.append((size, 1e3 * cost(feed_anew, lists[size])))
             link = roster_link()
             fed(link, lists[size])
             said = iter(change[1:])
-            changes.append((size, 1e3 * cost(lambda: fed(link, next(said)))))
+            changes.append((size, 1e3 * cost(feed_next, link, said)))
         whole.append(points)
         parts.append(changes)
     verdicts = "; ".join(f"{size:,}: {read_at_all(size)}" for size in (70_000, 94_000))
     return [
         f"| SSE: one whole list of so many workers, in one event | {verdicts} |",
-        Figure("SSE: bytes of a whole list", "workers", "bytes", [[(s, len(lists[s])) for s in sizes]] * runs),
+        Figure(
+            "SSE: bytes of a whole list", "workers", "bytes", [[(s, len(lists[s])) for s in sizes]] * runs
+        ),
         Figure("SSE: reading a whole list", "workers", "ms", whole),
         Figure("SSE: bytes of one change", "workers", "bytes", [[(s, len(change[1])) for s in sizes]] * runs),
         Figure("SSE: reading one change", "workers", "ms", parts),
@@ -251,7 +262,7 @@
                 for number in range(1, size + 1):
                     (pathlib.Path(folder) / f"{number}.kdl").write_text("x")
                     (pathlib.Path(folder) / f"{number}.json").write_text(json.dumps({"begun": WALL}))
-                row.append((size, 1e3 * cost(lambda: versions.announced(folder))))
+                row.append((size, 1e3 * cost(versions.announced, folder)))
         points.append(row)
     return [Figure("Versions: one look at the folder", "versions in it", "ms", points)]
 
@@ -266,7 +277,9 @@
 def rolled_day(begins, dispatchers):
     """Plays versions that begin at `begins` (s) over dispatchers that look at each moment a stage turns."""
     nodes = [Rollout(f"d{n}", 0) for n in range(dispatchers)]
-    looks = sorted({begun + stage * DWELL // SECOND + 0.5 for begun in begins for stage in range(len(STAGES))})
+    looks = sorted(
+        {begun + stage * DWELL // SECOND + 0.5 for begun in begins for stage in range(len(STAGES))}
+    )
     reached, behind, longest = set(), None, 0.0
     announced, number = [], 0
     for look in looks:
@@ -303,9 +316,7 @@
         days = [rolled_day(make(random.Random(f"{name}/{seed}"), 740), 100) for seed in range(runs)]
         lines.append(
             f"| 740 versions a day, {name}: reached all of 100 dispatchers; longest time in which not "
-            f"all had the newest | "
-            + "; ".join(f"{d.reached_all}, {d.longest:.0f} s" for d in days)
-            + " |"
+            f"all had the newest | " + "; ".join(f"{d.reached_all}, {d.longest:.0f} s" for d in days) + " |"
         )
     return lines
 
@@ -326,6 +337,11 @@
 """
 
 
+def look_up(gateway, names):
+    """The rules of functions, each looked up for the first time."""
+    return [gateway.rule(name) for name in names]
+
+
 def reload(runs):
     """What one new version costs by the functions that it names, and what follows in the calls after it."""
     sizes = (500, 2_000, 6_500, 13_000)
@@ -336,17 +352,19 @@
         for size in sizes:
             old, new = (settings.read("g.kdl", texts[size]) for _ in range(2))
             names = random.Random(size).sample([rule.pattern for rule in old.functions], 40)
-            rows[0].append((size, 1e3 * cost(lambda: settings.read("g.kdl", texts[size]))))
-            rows[1].append((size, 1e3 * cost(lambda: settings_change.changes(old, new))))
-            rows[2].append((size, 1e3 / len(names) * cost(lambda: [old.rule(name) for name in names])))
-        for kept, points in zip((read, compared, looked_up), rows):
+            rows[0].append((size, 1e3 * cost(settings.read, "g.kdl", texts[size])))
+            rows[1].append((size, 1e3 * cost(settings_change.changes, old, new)))
+            rows[2].append((size, 1e3 / len(names) * cost(look_up, old, names)))
+        for kept, points in zip((read, compared, looked_up), rows, strict=True):
             kept.append(points)
     sizes_of = [[(size, len(texts[size])) for size in sizes]] * runs
     return [
         Figure("Settings: bytes of a version", "functions", "bytes", sizes_of),
         Figure("Settings: reading a version", "functions", "ms", read),
         Figure("Settings: comparing it with the one before", "functions", "ms", compared),
-        Figure("Settings: a function's rule, looked up at its first call after it", "functions", "ms", looked_up),
+        Figure(
+            "Settings: a function's rule, looked up at its first call after it", "functions", "ms", looked_up
+        ),
     ]
 
 
@@ -465,7 +483,8 @@
     """Links that are up and carry nothing."""
     core, terms = LinkCore(), settings.read("g.kdl", gateway_text(1)).workers
     links = [
-        WorkerLink("w0", ("127.0.0.1", port), terms, random.Random(1).random, core, None) for _ in range(count)
+        WorkerLink("w0", ("127.0.0.1", port), terms, random.Random(1).random, core, None)
+        for _ in range(count)
     ]
     for start in range(0, count, 50):
         for link in links[start : start + 50]:
@@ -516,7 +535,11 @@
         child.join()
         points.append(run)
         lines.append(f"{sent} bytes")
-    text = f"| Links: bytes sent on {LINKS[-1]} idle ones in {IDLE_LOOKS * 0.05:.0f} s | " + "; ".join(lines) + " |"
+    text = (
+        f"| Links: bytes sent on {LINKS[-1]} idle ones in {IDLE_LOOKS * 0.05:.0f} s | "
+        + "; ".join(lines)
+        + " |"
+    )
     return [text, Figure("Links: memory of the process", "open links", "KB", points)]
 
 
@@ -536,7 +559,9 @@
                 row.append((rate, 100 * (made.cpu() - before) / CALL_SECONDS))
             points.append(row)
             made.close()
-        found.append(Figure(f"Calls: core of a dispatcher with {workers} workers", "calls a second", "%", points))
+        found.append(
+            Figure(f"Calls: core of a dispatcher with {workers} workers", "calls a second", "%", points)
+        )
     return found
 
 
@@ -570,7 +595,9 @@
     """A dispatcher process that has just become ready."""
     with tempfile.TemporaryDirectory() as folder:
         path = pathlib.Path(folder) / "g.kdl"
-        path.write_text(gateway_text(functions).replace('roster "127.0.0.1:1"', f'roster "127.0.0.1:{roster}"'))
+        path.write_text(
+            gateway_text(functions).replace('roster "127.0.0.1:1"', f'roster "127.0.0.1:{roster}"')
+        )
         made = Setup.__new__(Setup)
         made.child = subprocess.Popen(
             [sys.executable, "-m", "petrelwood.cli", "serve", str(path), "--level", "warning"],
@@ -602,224 +629,6 @@
     ]
 
 
-# Calls of functions that one dispatcher sees once in hours: the real module, many of them, in virtual time.
-class Outlet:
-    """One dispatcher's module and what it does, carried out by a `Fleet`."""
-
-    def __init__(self, fleet, number):
-        self.fleet, self.sends = fleet, {}
-        self.brain = Brain(0, fleet.terms(f"zone-{number % ZONES}"), number, self)
-
-    def send(self, act, worker, limit):
-        n = self.sends[act] = self.sends.get(act, -1) + 1
-        self.fleet.counts["sends"] += 1
-        self.fleet.runs(self, act, n, worker)
-
-    def hold(self, worker, fn, copies):
-        self.fleet.counts["orders"] += 1
-        ready = self.fleet.loaded(worker, fn)
-        self.fleet.at(ready, self.brain.stands, worker, fn, ports.COMPLETED, 1)
-
-    def wake(self, mark, wait):
-        self.fleet.at(self.fleet.now + wait, self._ring, mark)
-
-    def _ring(self, now, mark):
-        self.brain.ring(now, mark)
-
-    def reject(self, act, retry_after):
-        self.fleet.ended(self, act, False)
-
-    def abort(self, act):
-        self.fleet.ended(self, act, False)
-
-    def cancel(self, act, n):
-        pass
-
-    def probe(self, worker):
-        self.fleet.counts["probes"] += 1
-        self.fleet.at(self.fleet.now + 1_000_000, self.brain.probed, worker, ports.COMPLETED, {"running": 1})
-
-    def subscribe(self):
-        pass
-
-
-class RareCall(NamedTuple):
-    stood: bool  # a copy stood on some worker when it came
-    found: bool  # and it was sent there
-    completed: bool
-    beyond: float  # s that it took beyond its load and its service; 0 where it was not completed
-
-
-class Fleet:
-    """Workers without limit that load what they lack, in front of which `dispatchers` modules decide. A copy
-    that nobody calls is unloaded after `KEEP`, as early as the terms allow."""
-
-    def __init__(self, dispatchers, workers, rare_every, seed, probes=False):
-        self.now, self.heap, self.count, self.probes = 0, [], 0, probes
-        self.counts = collections.Counter()
-        self.chance, self.dispatchers, self.rare_every = random.Random(seed), dispatchers, rare_every
-        self.copies, self.calls, self.rare = {}, {}, []
-        names = [ports.Listed(f"w-{n:05d}", f"zone-{n % ZONES}", 0, 0, True) for n in range(workers)]
-        self.outlets = [Outlet(self, number) for number in range(dispatchers)]
-        for outlet in self.outlets:
-            outlet.brain.listed(0, names, True)
-
-    def terms(self, zone):
-        return ports.Terms(
-            zone,
-            self.dispatchers,
-            {"call": ports.NamespaceType(SECOND, ports.REPEATABLE, "all", 0)},
-            {},
-            ports.Guarantees(0, 15 * SECOND, 0.2, 2.0, 3 * SECOND),
-            ports.LoadOrders(True, True, KEEP, 0.0, 0.0, 0),
-            ports.Allowed(3, True, True, self.probes, True, 2 * SECOND),
-            False,
-            self.probes,
-            2_000_000,
-        )
-
-    def at(self, when, call, *args):
-        self.count += 1
-        heapq.heappush(self.heap, (when, self.count, call, args))
-
-    def stands(self, worker, fn):
-        """When its copy stands or will; None where it has none."""
-        ready, used = self.copies.get(fn, {}).get(worker, (0, -1))
-        return ready if used >= 0 and self.now - used <= KEEP else None
-
-    def loaded(self, worker, fn):
-        """Begins a load unless a copy stands or comes; when it stands."""
-        ready = self.stands(worker, fn)
-        ready = self.now + LOAD if ready is None else ready
-        self.copies.setdefault(fn, {})[worker] = (ready, max(ready, self.now))
-        return max(ready, self.now)
-
-    def runs(self, outlet, act, n, worker):
-        call = self.calls[outlet, act]
-        warm = (stood := self.stands(worker, call.fn)) is not None and stood <= self.now
-        ready, service = self.loaded(worker, call.fn), int(self.chance.expovariate(1 / SERVICE))
-        call.found = warm if call.found is None else call.found
-        call.least = ready - self.now + service
-        end = ready + service
-        self.copies[call.fn][worker] = (ready, end)
-        note = ports.FOUND_WARM if warm else ports.BEGAN_LOAD
-        self.at(end, self.answered, outlet, act, n, worker, note, ready + service - self.now)
-
-    def answered(self, now, outlet, act, n, worker, note, took):
-        over = self.ended(outlet, act, True)
-        outlet.brain.answer(now, act, n, worker, ports.COMPLETED, note, over, took, None)
-
-    def ended(self, outlet, act, completed):
-        call = self.calls.pop((outlet, act), None)
-        outlet.sends.pop(act, None)
-        if call is not None and call.stood is not None:
-            beyond = (self.now - call.born - call.least) / SECOND if completed else 0.0
-            self.rare.append(RareCall(call.stood, bool(call.found) and call.stood, completed, beyond))
-        return call is not None
-
-    def call(self, fn, rare):
-        self.counts["calls"] += 1
-        outlet = self.outlets[int(self.chance.random() * self.dispatchers)]
-        act = f"a{self.counts['calls']}"
-        stood = None
-        if rare and self.now > WARM_UP:
-            stood = any(
-                ready <= self.now and self.now - used <= KEEP for ready, used in self.copies.get(fn, {}).values()
-            )
-        self.calls[outlet, act] = Called(fn, self.now, stood)
-        outlet.brain.activation(self.now, act, fn, "call", "", self.now + 5 * SECOND, 4, 0, 0)
-
-    def play(self):
-        rares = [f"r{n}" for n in range(int(RARE_RATE * self.dispatchers * self.rare_every / SECOND))]
-        weights = [self.chance.paretovariate(1.1) for _ in range(HOT)]
-        rates = (CALLS - RARE_RATE) * self.dispatchers, RARE_RATE * self.dispatchers
-        hots = iter(())
-        due = [self.chance.expovariate(rate) * SECOND for rate in rates]
-        until = WARM_UP + max(PLAYED, 400 * SECOND // self.dispatchers)
-        while self.now < until:
-            kind = due.index(min(due))
-            if not self.heap or due[kind] <= self.heap[0][0]:
-                self.now = int(due[kind])
-                due[kind] += self.chance.expovariate(rates[kind]) * SECOND
-                if kind:
-                    self.call(self.chance.choice(rares), True)
-                    continue
-                fn = next(hots, None)
-                if fn is None:
-                    hots = iter(self.chance.choices(range(HOT), weights, k=1_000))
-                    fn = next(hots)
-                self.call(f"h{fn}", False)
-                continue
-            self.now, _, call, args = heapq.heappop(self.heap)
-            call(self.now, *args)
-        return self.rare
-
-
-class Called:
-    """A call on its way. `stood`: whether a copy stood when it came; None for one that is not counted."""
-
-    def __init__(self, fn, born, stood):
-        self.fn, self.born, self.stood, self.found, self.least = fn, born, stood, None, 0
-
-
-def cold_starts(runs):
-    """What part of rare calls meets a copy, and what the path takes beyond load and service."""
-    lines = [
-        "| dispatchers | workers | rare function called every | calls | a copy stands | it is found, of those | all "
-        "that meet one | beyond load and service, p50 / p99 | not completed |",
-    ]
-    for every in RARE_EVERY:
-        for dispatchers, workers in COLD_SIZES:
-            plays = [Fleet(dispatchers, workers, every, seed).play() for seed in range(runs)]
-            lines.append(cold_line(dispatchers, workers, every, plays))
-            print(lines[-1], file=sys.stderr, flush=True)
-    return lines
-
-
-def orders(runs):
-    """Sends, load orders and probes for each call; bytes of each message."""
-    frames = {
-        "sends": rpc.request(1, "run", ["a" * 24, 0, "owner-12-01234", "c/m", 1, 4, b"x" * 256]),
-        "orders": rpc.request(1, "hold", ["owner-12-01234", 4, 1]),
-        "probes": rpc.request(1, "probe", []),
-    }
-    lines = []
-    for probes, (dispatchers, workers) in ((False, (10, 25)), (False, (10, 250)), (True, (10, 25)), (True, (10, 250))):
-        fleets = [Fleet(dispatchers, workers, KEEP, seed, probes) for seed in range(runs)]
-        for fleet in fleets:
-            fleet.play()
-        told = "; ".join(
-            f"{name} " + " / ".join(f"{fleet.counts[name] / fleet.counts['calls']:.3f}" for fleet in fleets)
-            for name in frames
-        )
-        lines.append(f"| {dispatchers} dispatchers, {workers} workers, reports by {'probe' if probes else 'answers'}: a call | {told} |")
-    lines.append("| Bytes of a message without TCP's | " + "; ".join(f"{n} {len(f)}" for n, f in frames.items()) + " |")
-    return lines
-
-
-def part(calls, name, of=None):
-    """The part of calls that have `name`, of those that have `of`."""
-    counted = [call for call in calls if of is None or getattr(call, of)]
-    return sum(getattr(call, name) for call in counted) / max(1, len(counted))
-
-
-def over_runs(plays, name, of=None):
-    """Median and range over the runs."""
-    seen = [part(calls, name, of) for calls in plays]
-    return f"{statistics.median(seen):.2f} ({min(seen):.2f} to {max(seen):.2f})"
-
-
-def cold_line(dispatchers, workers, every, plays):
-    all_calls = [call for calls in plays for call in calls]
-    beyond = sorted(call.beyond for call in all_calls if call.completed)
-    p50, p99 = (1e3 * beyond[min(len(beyond) - 1, int(len(beyond) * q))] for q in (0.5, 0.99))
-    return (
-        f"| {dispatchers} | {workers:,} | {every / KEEP:g} x the time that idle copies stay | {len(all_calls):,} "
-        f"| {over_runs(plays, 'stood')} | {over_runs(plays, 'found', 'stood')} | {over_runs(plays, 'found')} "
-        f"| {p50:.0f} / {p99:.0f} ms | {1 - part(all_calls, 'completed'):.1%} |"
-    )
-
-
 ROWS = {
     "dns": dns_list,
     "sse": sse_list,
@@ -832,8 +641,8 @@
     "calls": data_path,
     "idle": idle,
     "start": start,
-    "cold": cold_starts,
-    "orders": orders,
+    "cold": rare_calls.cold_starts,
+    "orders": rare_calls.orders,
 }
 
 
@@ -847,7 +656,9 @@
     seen = [statistics.median(run[n][1] for run in figure.points) for n in range(len(sizes))]
     return (
         f"| {figure.name} | {slope:.4g} {figure.unit} x {figure.size} + {constant:.4g} {figure.unit} "
-        f"| {sizes[0]:,} to {sizes[-1]:,} | {spread:.0%} | " + ", ".join(f"{s:,}: {v:.4g}" for s, v in zip(sizes, seen)) + " |"
+        f"| {sizes[0]:,} to {sizes[-1]:,} | {spread:.0%} | "
+        + ", ".join(f"{s:,}: {v:.4g}" for s, v in zip(sizes, seen, strict=True))
+        + " |"
     )
 
 
--- /dev/null
+++ b/benchmarks/rare_calls.py
@@ -0,0 +1,266 @@
+"""What part of the calls of rarely called functions meets a copy, with many dispatchers that know nothing of
+each other; and the sends, load orders and probes of a call. Rows of `benchmarks/capacity.py`.
+
+The real module, one instance for each dispatcher, in virtual time. Workers are simulated: without limit,
+loading by themselves what they lack. Some functions are called often by all dispatchers, the others once in
+the time that an idle copy stays, so that a dispatcher itself never knows where a copy of one stands.
+"""
+
+import collections
+import heapq
+import random
+import statistics
+import sys
+from typing import NamedTuple
+
+from petrelwood import ports
+from petrelwood.brain import Brain
+from petrelwood.links import rpc
+
+SECOND = 1_000_000_000
+ZONES = 6
+CALLS, RARE_RATE = 92.5, 0.54  # calls a second of one dispatcher; those of rare functions among them
+HOT = 200  # functions that all dispatchers call often
+KEEP = 10 * SECOND  # an idle copy stays so long; only its ratio to the time between calls counts
+LOAD, SERVICE = SECOND // 4, SECOND // 33  # of a copy; of a call, the mean of an exponential
+WARM_UP, PLAYED = 10 * SECOND, 12 * SECOND  # of virtual time; played longer where dispatchers are few
+RARE_EVERY = (KEEP,)  # between two calls of a rare function, all dispatchers together
+COLD_SIZES = (
+    (10, 25),
+    (10, 100),
+    (10, 250),
+    (10, 1_000),
+    (10, 4_000),
+    (50, 250),
+    (100, 250),
+    (50, 1_000),
+)  # dispatchers, workers
+
+
+class Outlet:
+    """One dispatcher's module and what it does, carried out by a `Fleet`."""
+
+    def __init__(self, fleet, number):
+        self.fleet, self.sends = fleet, {}
+        self.brain = Brain(0, fleet.terms(f"zone-{number % ZONES}"), number, self)
+
+    def send(self, act, worker, limit):
+        n = self.sends[act] = self.sends.get(act, -1) + 1
+        self.fleet.counts["sends"] += 1
+        self.fleet.runs(self, act, n, worker)
+
+    def hold(self, worker, fn, copies):
+        self.fleet.counts["orders"] += 1
+        ready = self.fleet.loaded(worker, fn)
+        self.fleet.at(ready, self.brain.stands, worker, fn, ports.COMPLETED, 1)
+
+    def wake(self, mark, wait):
+        self.fleet.at(self.fleet.now + wait, self._ring, mark)
+
+    def _ring(self, now, mark):
+        self.brain.ring(now, mark)
+
+    def reject(self, act, retry_after):
+        self.fleet.ended(self, act, False)
+
+    def abort(self, act):
+        self.fleet.ended(self, act, False)
+
+    def cancel(self, act, n):
+        pass
+
+    def probe(self, worker):
+        self.fleet.counts["probes"] += 1
+        self.fleet.at(self.fleet.now + 1_000_000, self.brain.probed, worker, ports.COMPLETED, {"running": 1})
+
+    def subscribe(self):
+        pass
+
+
+class RareCall(NamedTuple):
+    stood: bool  # a copy stood on some worker when it came
+    found: bool  # and it was sent there
+    completed: bool
+    beyond: float  # s that it took beyond its load and its service; 0 where it was not completed
+
+
+class Fleet:
+    """Workers without limit that load what they lack, in front of which `dispatchers` modules decide. A copy
+    that nobody calls is unloaded after `KEEP`, as early as the terms allow."""
+
+    def __init__(self, dispatchers, workers, rare_every, seed, probes=False):
+        self.now, self.heap, self.count, self.probes = 0, [], 0, probes
+        self.counts = collections.Counter()
+        self.chance, self.dispatchers, self.rare_every = random.Random(seed), dispatchers, rare_every
+        self.copies, self.calls, self.rare = {}, {}, []
+        names = [ports.Listed(f"w-{n:05d}", f"zone-{n % ZONES}", 0, 0, True) for n in range(workers)]
+        self.outlets = [Outlet(self, number) for number in range(dispatchers)]
+        for outlet in self.outlets:
+            outlet.brain.listed(0, names, True)
+
+    def terms(self, zone):
+        return ports.Terms(
+            zone,
+            self.dispatchers,
+            {"call": ports.NamespaceType(SECOND, ports.REPEATABLE, "all", 0)},
+            {},
+            ports.Guarantees(0, 15 * SECOND, 0.2, 2.0, 3 * SECOND),
+            ports.LoadOrders(True, True, KEEP, 0.0, 0.0, 0),
+            ports.Allowed(3, True, True, self.probes, True, 2 * SECOND),
+            False,
+            self.probes,
+            2_000_000,
+        )
+
+    def at(self, when, call, *args):
+        self.count += 1
+        heapq.heappush(self.heap, (when, self.count, call, args))
+
+    def stands(self, worker, fn):
+        """When its copy stands or will; None where it has none."""
+        ready, used = self.copies.get(fn, {}).get(worker, (0, -1))
+        return ready if used >= 0 and self.now - used <= KEEP else None
+
+    def loaded(self, worker, fn):
+        """Begins a load unless a copy stands or comes; when it stands."""
+        ready = self.stands(worker, fn)
+        ready = self.now + LOAD if ready is None else ready
+        self.copies.setdefault(fn, {})[worker] = (ready, max(ready, self.now))
+        return max(ready, self.now)
+
+    def runs(self, outlet, act, n, worker):
+        call = self.calls[outlet, act]
+        warm = (stood := self.stands(worker, call.fn)) is not None and stood <= self.now
+        ready, service = self.loaded(worker, call.fn), int(self.chance.expovariate(1 / SERVICE))
+        call.found = warm if call.found is None else call.found
+        call.least = ready - self.now + service
+        end = ready + service
+        self.copies[call.fn][worker] = (ready, end)
+        note = ports.FOUND_WARM if warm else ports.BEGAN_LOAD
+        self.at(end, self.answered, outlet, act, n, worker, note, ready + service - self.now)
+
+    def answered(self, now, outlet, act, n, worker, note, took):
+        over = self.ended(outlet, act, True)
+        outlet.brain.answer(now, act, n, worker, ports.COMPLETED, note, over, took, None)
+
+    def ended(self, outlet, act, completed):
+        call = self.calls.pop((outlet, act), None)
+        outlet.sends.pop(act, None)
+        if call is not None and call.stood is not None:
+            beyond = (self.now - call.born - call.least) / SECOND if completed else 0.0
+            self.rare.append(RareCall(call.stood, bool(call.found) and call.stood, completed, beyond))
+        return call is not None
+
+    def call(self, fn, rare):
+        self.counts["calls"] += 1
+        outlet = self.outlets[int(self.chance.random() * self.dispatchers)]
+        act = f"a{self.counts['calls']}"
+        stood = None
+        if rare and self.now > WARM_UP:
+            stood = any(
+                ready <= self.now and self.now - used <= KEEP
+                for ready, used in self.copies.get(fn, {}).values()
+            )
+        self.calls[outlet, act] = Called(fn, self.now, stood)
+        outlet.brain.activation(self.now, act, fn, "call", "", self.now + 5 * SECOND, 4, 0, 0)
+
+    def play(self):
+        rares = [f"r{n}" for n in range(int(RARE_RATE * self.dispatchers * self.rare_every / SECOND))]
+        weights = [self.chance.paretovariate(1.1) for _ in range(HOT)]
+        rates = (CALLS - RARE_RATE) * self.dispatchers, RARE_RATE * self.dispatchers
+        hots = iter(())
+        due = [self.chance.expovariate(rate) * SECOND for rate in rates]
+        until = WARM_UP + max(PLAYED, 400 * SECOND // self.dispatchers)
+        while self.now < until:
+            kind = due.index(min(due))
+            if not self.heap or due[kind] <= self.heap[0][0]:
+                self.now = int(due[kind])
+                due[kind] += self.chance.expovariate(rates[kind]) * SECOND
+                if kind:
+                    self.call(self.chance.choice(rares), True)
+                    continue
+                fn = next(hots, None)
+                if fn is None:
+                    hots = iter(self.chance.choices(range(HOT), weights, k=1_000))
+                    fn = next(hots)
+                self.call(f"h{fn}", False)
+                continue
+            self.now, _, call, args = heapq.heappop(self.heap)
+            call(self.now, *args)
+        return self.rare
+
+
+class Called:
+    """A call on its way. `stood`: whether a copy stood when it came; None for one that is not counted."""
+
+    def __init__(self, fn, born, stood):
+        self.fn, self.born, self.stood, self.found, self.least = fn, born, stood, None, 0
+
+
+def cold_starts(runs):
+    """What part of rare calls meets a copy, and what the path takes beyond load and service."""
+    lines = [
+        "| dispatchers | workers | rare function called every | calls | a copy stands | found, of those "
+        "| meet one | beyond load and service, p50 / p99 | not completed |",
+    ]
+    for every in RARE_EVERY:
+        for dispatchers, workers in COLD_SIZES:
+            plays = [Fleet(dispatchers, workers, every, seed).play() for seed in range(runs)]
+            lines.append(cold_line(dispatchers, workers, every, plays))
+            print(lines[-1], file=sys.stderr, flush=True)
+    return lines
+
+
+def orders(runs):
+    """Sends, load orders and probes for each call; bytes of each message."""
+    frames = {
+        "sends": rpc.request(1, "run", ["a" * 24, 0, "owner-12-01234", "c/m", 1, 4, b"x" * 256]),
+        "orders": rpc.request(1, "hold", ["owner-12-01234", 4, 1]),
+        "probes": rpc.request(1, "probe", []),
+    }
+    lines = []
+    for probes, (dispatchers, workers) in (
+        (False, (10, 25)),
+        (False, (10, 250)),
+        (True, (10, 25)),
+        (True, (10, 250)),
+    ):
+        fleets = [Fleet(dispatchers, workers, KEEP, seed, probes) for seed in range(runs)]
+        for fleet in fleets:
+            fleet.play()
+        told = "; ".join(
+            f"{name} " + " / ".join(f"{fleet.counts[name] / fleet.counts['calls']:.3f}" for fleet in fleets)
+            for name in frames
+        )
+        lines.append(
+            f"| {dispatchers} dispatchers, {workers} workers, reports by "
+            f"{'probe' if probes else 'answers'}: a call | {told} |"
+        )
+    lines.append(
+        "| Bytes of a message without TCP's | " + "; ".join(f"{n} {len(f)}" for n, f in frames.items()) + " |"
+    )
+    return lines
+
+
+def part(calls, name, of=None):
+    """The part of calls that have `name`, of those that have `of`."""
+    counted = [call for call in calls if of is None or getattr(call, of)]
+    return sum(getattr(call, name) for call in counted) / max(1, len(counted))
+
+
+def over_runs(plays, name, of=None):
+    """Median and range over the runs."""
+    seen = [part(calls, name, of) for calls in plays]
+    return f"{statistics.median(seen):.2f} ({min(seen):.2f} to {max(seen):.2f})"
+
+
+def cold_line(dispatchers, workers, every, plays):
+    all_calls = [call for calls in plays for call in calls]
+    beyond = sorted(call.beyond for call in all_calls if call.completed)
+    p50, p99 = (1e3 * beyond[min(len(beyond) - 1, int(len(beyond) * q))] for q in (0.5, 0.99))
+    return (
+        f"| {dispatchers} | {workers:,} | {every / KEEP:g} x the time that idle copies stay "
+        f"| {len(all_calls):,} "
+        f"| {over_runs(plays, 'stood')} | {over_runs(plays, 'found', 'stood')} | {over_runs(plays, 'found')} "
+        f"| {p50:.0f} / {p99:.0f} ms | {1 - part(all_calls, 'completed'):.1%} |"
+    )
