--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -45,7 +45,10 @@
 from petrelwood.settings import gateway as settings
 from petrelwood.store import state, versions
 
-sys.path.insert(0, str(pathlib.Path(__file__).parents[1]))
+ROOT = pathlib.Path(__file__).parents[1]
+sys.path[:0] = [str(ROOT), str(ROOT / "tests")]
+import node_site  # noqa: E402
+
 from benchmarks import rare_calls  # noqa: E402
 from benchmarks.dispatcher import Plain, Setup, backend, open_load  # noqa: E402
 
@@ -586,6 +589,57 @@
     ]
 
 
+# A dispatcher process on the platform (`run`), with a roster by DNS.
+class DnsServer(node_site.Roster):
+    """Tells one list of so many workers, whatever happens; counts the bytes of its answers."""
+
+    def __init__(self, workers):
+        super().__init__()
+        self.wire, self.told = dns_answer(workers), 0
+        self.entries = {f"s-{n:08x}": (5000 + n % 50, "Ready", "east", 0) for n in range(workers)}
+
+    def datagram_received(self, data, sender):
+        self.told += len(self.wire)
+        self.transport.sendto(data[:2] + self.wire[2:], sender)
+
+
+class Asked(NamedTuple):
+    """What a dispatcher process on the platform costs, asked nothing by clients."""
+
+    share: float  # of a core, percent
+    bytes: float  # of lists, a second
+    memory: float  # MB
+
+
+async def platform_idle(workers):
+    site = node_site.Site([], sockets=1_024, memory=128)
+    site.roster = DnsServer(workers)
+    async with site:
+        made = Setup.__new__(Setup)
+        made.child = site.process
+        await asyncio.sleep(2)
+        before, told = made.cpu(), site.roster.told
+        await asyncio.sleep(2 * CALL_SECONDS)
+        spent, told = made.cpu() - before, site.roster.told - told
+        return Asked(100 * spent / (2 * CALL_SECONDS), told / (2 * CALL_SECONDS), made.memory() / 1e6)
+
+
+def platform(runs):
+    """Processor time, memory and bytes of lists of a dispatcher process (`run`) that is asked nothing."""
+    sizes, seen = (50, 100, 200, 400), []
+    for _ in range(runs):
+        seen.append([(size, asyncio.run(platform_idle(size))) for size in sizes])
+
+    def points(name):
+        return [[(size, getattr(asked, name)) for size, asked in run] for run in seen]
+
+    return [
+        Figure("Platform: core of a dispatcher process, asked nothing", "workers", "%", points("share")),
+        Figure("Platform: bytes of lists a second", "workers", "bytes", points("bytes")),
+        Figure("Platform: memory of a dispatcher process", "workers", "MB", points("memory")),
+    ]
+
+
 class Started(NamedTuple):
     seconds: float  # processor time until it is ready
     memory: int  # bytes
@@ -640,6 +694,7 @@
     "links": links,
     "calls": data_path,
     "idle": idle,
+    "platform": platform,
     "start": start,
     "cold": rare_calls.cold_starts,
     "orders": rare_calls.orders,
