Scale tests: the size as constants, slopes of single parts and rows of hollow sites

benchmarks/scale/ plays hollow dispatchers (the real core, module, membership, settings and the roster's reader, fed with the roster's own bytes) on the emulator's platform, counts messages, bytes, operations and processor time, and fits slopes: `python -m benchmarks.scale` gives scale.json, scale.md and scale.png. size.py has the size as named constants. What does not fit the machine is refused before anything starts.

Hooks for that, without a change of behaviour: Platform.make_core and make_link; the stand-in roster's list and its last changes are a class (ChangeLog) that the hollow roster uses too; the roster's reader asks its core for the wall clock instead of the system.

--- /dev/null
+++ b/benchmarks/scale/fleet.py
@@ -0,0 +1,319 @@
+"""A hollow fleet: the emulator's platform with dispatchers whose messages, bytes and processor time are
+counted.
+
+Real in it: `dispatch.core.Core` with the module, membership and settings; the roster's reader
+(`links.roster.RosterLink`), fed with the roster's own bytes; the stand-in roster's change log; when links
+connect and
+what an end proves. Hollow: sockets, TLS, HTTP, the loop; a worker computes nothing and a load moves no bytes
+(the
+emulator's model of both); a message between a dispatcher and a worker is written in the real format to be
+counted
+and handed over as an object.
+"""
+
+from benchmarks.scale import site, size
+from benchmarks.scale import traffic as flows
+from petrelwood.dispatch.core import Core
+from petrelwood.emulate.link import Link
+from petrelwood.emulate.platform import Platform
+from petrelwood.links import rpc, sse
+from petrelwood.links.roster import RosterLink
+from petrelwood.standins.roster import BEAT, ChangeLog
+
+SECOND = 1_000_000_000
+CHECK_EVERY = SECOND // 4  # between looks at links that owe something and at the roster's silence
+BODY, ANSWER = b'{"a":1}', b'{"ok":1}'  # of a call and its answer: what stands for them on the wire
+LANES = 4
+REQUEST_HEAD = 140  # bytes of a request for the list, about
+RESPONSE_HEAD = 85  # bytes before its first event
+HEARTBEAT = len(b": alive\n\n")
+HOLLOW = (
+    "sockets, TLS, HTTP and the loop are hollow; workers compute nothing; everything else is the real code"
+)
+
+
+class HollowLink(Link):
+    """The emulator's link; what passes is counted as the bytes of the real format."""
+
+    __slots__ = ("number",)
+
+    def __init__(self, platform, node, core, hall, terms, chance):
+        super().__init__(platform, node, core, hall, terms, chance)
+        self.number = 0
+
+    def _hand(self, call):
+        self.number += 1
+        if call.kind == "run":
+            mark, left, _ = call.args
+            parameters = [call.act, call.n, call.fn, mark, left, LANES, BODY]
+            flow = flows.CALLS_TO_WORKERS
+        elif call.kind == "hold":
+            parameters, flow = [call.fn, LANES, call.n], flows.ORDERS_TO_WORKERS
+        else:
+            parameters, flow = [], flows.PROBES
+        self._count(flow, rpc.request(self.number, call.kind, parameters))
+        self.platform.busy_links[self] = True
+        super()._hand(call)
+
+    def _answered(self, call, word, note, body, gauge, life):
+        if call.kind == "run":
+            good = word == "ok"
+            result = (
+                [call.act, call.n, note, ANSWER, gauge] if good else [word, call.act, call.n, note, gauge]
+            )
+            flow = flows.CALLS_BACK
+        elif call.kind == "hold":
+            result, flow = [word, note], flows.ORDERS_BACK
+        else:
+            result, flow = gauge, flows.PROBES
+        self._count(flow, rpc.response(self.number, None, result))
+        super()._answered(call, word, note, body, gauge, life)
+
+    def _connected(self, attempt):
+        waits = self.state.state
+        super()._connected(attempt)
+        if waits != self.state.state and self.life == self.node.life:
+            self._count(flows.GREETINGS, rpc.notice("hello", [self.core.name]))
+            self._count(flows.GREETINGS, rpc.notice("hello", [self.worker, self.node.booted]))
+
+    def _tell_worker(self, call):
+        if call.stage == "handed":
+            self._count(flows.CALLS_TO_WORKERS, rpc.notice("cancel", [call.act, call.n]))
+        super()._tell_worker(call)
+
+    def _count(self, flow, data):
+        self.platform.traffic.count(flow, self.core.name, len(data))
+
+    def check(self, now):
+        """As `links.worker.WorkerLink.check` does for what is silent; whether it still has to be asked."""
+        verdict = self.state.check(now, bool(self.out))
+        if verdict == "give up":
+            self.give_up("nothing was heard in time")
+        elif verdict == "ping":
+            self.probe()
+        return self.owes()
+
+
+class HollowDispatcher(Core):
+    """The real core; the processor time of what it is told is counted."""
+
+    def __init__(self, fleet, *arguments):
+        self.processor = fleet.processor
+        super().__init__(*arguments)
+
+    def soon(self, call, *arguments):
+        what = flows.TIMERS if call.__name__ == "_ring" else flows.CALLS
+        self.processor.measure(what, super().soon, call, *arguments)
+
+    def _look(self):
+        self.processor.measure(flows.TIMERS, super()._look)
+
+
+class RosterStream:
+    """One dispatcher's stream from the roster, over one life of the dispatcher."""
+
+    def __init__(self, fleet, core):
+        self.fleet, self.core, self.open, self.last_arrival = fleet, core, False, 0
+        self.reader = RosterLink(("roster", 0), core.membership, SECOND, core, fleet.log)
+
+    def alive(self):
+        """Whether its dispatcher still is the one that runs under its name."""
+        return self.fleet.cores.get(self.core.name) is self.core
+
+    def connect(self):
+        """Asks for the list, or for what has been missed; tries again later where the roster can't be
+        reached."""
+        if not self.alive():
+            return
+        fleet, name = self.fleet, self.core.name
+        fleet.traffic.count(flows.LIST_ASKED, name, REQUEST_HEAD)
+        if fleet.closed or name in fleet.stale:
+            self._again()
+            return
+        self.open, self.reader.events = True, sse.Events()
+        told = fleet.list_log.after(self.core.membership.resume or "")
+        data = b"".join(fleet.list_log.event(*one) for one in told)
+        fleet.traffic.count(flows.LIST_TO_DISPATCHERS, name, RESPONSE_HEAD + len(data), len(told))
+        self.core.membership.alive(self.core.now())
+        self.hear(data)
+
+    def _again(self):
+        until = self.core.membership.comeback.failed(self.core.now())
+        self.core.clock.at(until, self.connect)
+
+    def hear(self, data):
+        """Bytes of the stream have arrived."""
+        try:
+            self.fleet.processor.measure(flows.NEWS, self.reader.on_body, data)
+        except ValueError:  # a gap: the whole list is asked for, as the real reader does
+            self.lose()
+
+    def push(self, data):
+        """The roster tells something new, one way's time from here and never before what it told earlier."""
+        self.fleet.traffic.count(flows.LIST_TO_DISPATCHERS, self.core.name, len(data))
+        arrival = self.core.now() + self.fleet.delay_to_roster(self.core.name)
+        self.last_arrival = max(self.last_arrival, arrival)
+        self.core.clock.at(self.last_arrival, self._arrives, data)
+
+    def _arrives(self, data):
+        if self.open:
+            self.core.membership.alive(self.core.now())
+            self.hear(data)
+
+    def lose(self):
+        """The stream has ended; it is opened again after a pause."""
+        if self.open:
+            self.open = False
+            self._again()
+
+    def look(self, now):
+        """What a running dispatcher looks at now and then."""
+        if self.open:
+            self.core.membership.alive(now)
+        if self.core.membership.silent(now):
+            self.core.soon(self.core._tell_brain, "list_lost")
+
+
+class HollowFleet(Platform):
+    """The platform of a `site.SiteSize`, counted. `begin` schedules an event before the day is played."""
+
+    def __init__(self, described, seed):
+        self.described, self.busy_links, self.streams = described, {}, {}
+        self.processor, self.traffic = flows.ProcessorTime(), flows.Traffic(self._virtual_now)
+        self.list_log = ChangeLog("e")
+        super().__init__(site.day(described), seed, keep=False)
+        self.clock.at(CHECK_EVERY, self._check_all)
+        self.clock.at(round(BEAT * SECOND), self._heartbeat)
+
+    def _virtual_now(self):
+        return self.clock.time
+
+    # What is counted.
+    def make_core(self, described, clock, chance, disk):
+        """A hollow dispatcher in the place of the emulator's."""
+
+        def link(worker, address, core):
+            return self.make_link(worker, core, described.workers, chance)
+
+        return HollowDispatcher(self, described, clock, chance, link, self.log, self.policy, disk)
+
+    def make_link(self, worker, core, terms, chance):
+        """A counted link."""
+        return HollowLink(self, self.nodes[worker], core, self.halls[core.name], terms, chance.random)
+
+    def way(self, a, b):
+        """Delay between two zones, ns: longer from region to region."""
+        if region(a) == region(b):
+            return super().way(a, b)
+        return int(size.ASSUMED_REGION_DELAY * 1e9 * (0.9 + 0.2 * self.ways.uniform()))
+
+    # The roster.
+    def _list(self, name, entries):
+        """A dispatcher starts: it knows nothing and asks."""
+        if not self.list_log.entries:
+            for entry in entries:
+                self.list_log.take(_raw(entry))
+        self.known[name] = entries
+        stream = self.streams[name] = RosterStream(self, self.cores[name])
+        stream.connect()
+
+    def _refresh(self, name, life):
+        """A stream that is open hears everything; one that is not comes by itself."""
+
+    def _told(self, entry):
+        number = self.list_log.take(_raw(entry))
+        if self.closed:
+            return
+        data = self.list_log.event("change", [_raw(entry)], number)
+        for name, stream in self.streams.items():
+            if stream.open and name not in self.stale:
+                stream.push(data)
+
+    def delay_to_roster(self, name):
+        """The roster stands in the first region."""
+        return self.way(self.halls[name], self.day.halls[0])
+
+    def _heartbeat(self):
+        for name, stream in self.streams.items():
+            if stream.open and stream.alive() and not self.closed and name not in self.stale:
+                self.traffic.count(flows.LIST_TO_DISPATCHERS, name, HEARTBEAT)
+        self.after(round(BEAT * SECOND), self._heartbeat)
+
+    def _check_all(self):
+        now = self.clock.now()
+        for stream in self.streams.values():
+            if stream.alive():
+                stream.look(now)
+        for link in list(self.busy_links):
+            if link.dead or not link.check(now):
+                del self.busy_links[link]
+        self.after(CHECK_EVERY, self._check_all)
+
+    # Events.
+    def at(self, seconds, call, *arguments):
+        """Schedules `call` at so many seconds of virtual time."""
+        self.clock.at(round(seconds * SECOND), call, *arguments)
+
+    def lose_workers(self, names, down):
+        """Workers are killed and come back cold after `down` seconds."""
+        for name in names:
+            if self.nodes[name].machine is not None:
+                self._restart(name, round(down * SECOND))
+
+    def lose_dispatchers(self, names, down):
+        """Dispatchers are killed and started again after `down` seconds; they know nothing then."""
+        for name in names:
+            self._kill(name, round(down * SECOND))
+
+    def close_roster(self, names=None):
+        """Those dispatchers, or all, lose the roster and can't reach it."""
+        if names is None:
+            self.closed = True
+        else:
+            self.stale.update(names)
+        for name in names or list(self.streams):
+            self.streams[name].lose()
+
+    def open_roster(self):
+        """The roster is there again; dispatchers come back when their pauses end."""
+        self.closed = False
+        self.stale.clear()
+
+    def part_regions(self):
+        """Nothing passes between the regions; the roster is in the first one."""
+        for name, zone in self.halls.items():
+            for other in self.day.halls:
+                if region(zone) != region(other):
+                    self.cuts.add((name, other))
+        self.close_roster([name for name, zone in self.halls.items() if region(zone)])
+
+    def join_regions(self):
+        """They reach each other again."""
+        self.cuts.clear()
+        self.open_roster()
+
+    # What is asked of it.
+    def all_know(self):
+        """Whether each dispatcher that runs has the roster's present list."""
+        return all(core.membership.number == self.list_log.number for core in self.cores.values())
+
+    def dispatcher_seconds(self):
+        """Seconds of all dispatchers' lives, as if none were killed."""
+        return len(self.day.dispatchers) * (self.day.length + self.day.settle) / SECOND
+
+
+def region(zone):
+    """0 or 1: the region of a zone."""
+    return int(zone.rpartition("-")[2]) > size.ZONES_A_REGION
+
+
+def _raw(entry):
+    """An entry as the roster writes it, at an address of a usual length."""
+    return {
+        "worker": entry.worker,
+        "address": f"10.0.{len(entry.worker)}.{entry.worker[1:]}:7000",
+        "zone": entry.zone,
+        "cell": entry.cell,
+        "booted": entry.booted if entry.booted else 0,
+        "state": entry.state,
+    }
--- /dev/null
+++ b/benchmarks/scale/parts.py
@@ -0,0 +1,429 @@
+"""Slopes of single parts: placement, news of workers, memory and the list on the wire, each alone.
+
+The real module, core and membership; nothing is sent anywhere, and there is no traffic but what is measured.
+"""
+
+from random import Random
+from statistics import median
+
+import dns.flags
+import dns.message
+import dns.name
+import dns.rrset
+import orjson
+
+from benchmarks.scale import counting, size
+from benchmarks.scale.figures import Figure, Sample, Target
+from benchmarks.scale.plan import BASE_MEMORY, Job, Outcome
+from benchmarks.scale.site import gateway, zones
+from petrelwood import ports
+from petrelwood.brain import Brain, Function
+from petrelwood.clocks import WALL, VirtualClock
+from petrelwood.decide.cluster import membership
+from petrelwood.decide.overload.intake import Ask
+from petrelwood.dispatch.core import Core
+from petrelwood.emulate.platform import Silent
+from petrelwood.links import sse
+from petrelwood.links.worker import WorkerLink
+from petrelwood.node import roster as dns_roster
+
+SECOND = 1_000_000_000
+REPEATS = 5  # of one measurement within a run; its median counts
+NEW_FUNCTIONS = 15  # first placements that one measurement takes the median of
+PARTS_MEMORY = BASE_MEMORY + 150_000_000  # bytes
+ALONE = "one module alone, no links and no traffic"
+WORKER_TARGETS = tuple(Target(reading.name, reading.workers) for reading in size.FLEET_READINGS)
+
+
+class SilentOutlet:
+    """A `ports.Outlet` that does nothing."""
+
+    def _nothing(self, *arguments):
+        pass
+
+    send = reject = abort = cancel = hold = probe = wake = subscribe = _nothing
+
+
+class SilentLink:
+    """A link that answers nothing; as `dispatch.core.Core` asks of one."""
+
+    def __init__(self, worker, address, core):
+        self.worker, self.address = worker, address
+
+    def _nothing(self, *arguments):
+        pass
+
+    run = hold = probe = cancel = late = withdraw = recall = give_up = _nothing
+
+    def owes(self):
+        """Nothing is ever out."""
+        return False
+
+
+class AnsweringLink(SilentLink):
+    """A link whose worker has answered before the call returns."""
+
+    def __init__(self, worker, address, core):
+        super().__init__(worker, address, core)
+        self.core = core
+
+    def run(self, act, n, fn, mark, left, lanes, body):
+        """Answers at once, as a worker with a warm copy does."""
+        core = self.core
+        core.soon(
+            core.returned, act, n, self.worker, ports.COMPLETED, ports.FOUND_WARM, b"ok", core.now(), None
+        )
+
+
+class IgnoringExchange:
+    """A client that hears its answer and forgets it."""
+
+    act = None
+
+    def answer(self, *arguments, **more):
+        """The final answer."""
+
+
+def worker_name(number):
+    """The name of a hollow worker."""
+    return f"w-{number:06d}"
+
+
+def listed(count, booted=0, restarted=frozenset()):
+    """A whole list for the module; those in `restarted` started at `booted`."""
+    names = zones()
+    return [
+        ports.Listed(worker_name(n), names[n % len(names)], 0, booted if n in restarted else 0, True)
+        for n in range(count)
+    ]
+
+
+def brain(workers, functions=0):
+    """A module with a list of workers and functions that it knows, each with one copy."""
+    made = Brain(0, gateway().terms, 1, SilentOutlet())
+    made.listed(0, listed(workers), True)
+    for number in range(functions):
+        key = f"f-{number}"
+        made.functions[key] = Function(key)
+    return made
+
+
+def entries(count):
+    """A whole list as the roster tells it."""
+    names = zones()
+    return [
+        membership.Entry(
+            worker_name(n),
+            (f"10.{n >> 16 & 255}.{n >> 8 & 255}.{n & 255}", 7000),
+            names[n % len(names)],
+            n // size.ASSUMED_WORKERS_A_RACK,
+            WALL // SECOND * SECOND,
+            membership.USABLE,
+        )
+        for n in range(count)
+    ]
+
+
+def raw(entry):
+    """An entry as it stands in the roster's JSON."""
+    return entry._replace(address=f"{entry.address[0]}:{entry.address[1]}")._asdict()
+
+
+def core(link=SilentLink, **limits):
+    """A dispatcher without links to anywhere, on a virtual clock."""
+    described = gateway()
+    described = described._replace(limits=described.limits._replace(**limits), early=None)
+    return Core(described, VirtualClock(), Random(1), link, Silent())
+
+
+def hear_list(dispatcher, told):
+    """Tells a core a whole list."""
+    now, wall = dispatcher.now(), dispatcher.clock.wall()
+    dispatcher.listed(*dispatcher.membership.whole("e-1", told, now, wall), True)
+
+
+# Placement.
+def place(module, key):
+    """A first call of a function."""
+    module.activation(SECOND, f"act-{key}", key, "call", "caller", 5 * SECOND, 4, 0, 0)
+
+
+def placement_seconds(workers):
+    """Processor time of a function's first placement, the median of several."""
+    module = brain(workers)
+    return median(
+        counting.processor_seconds(place, module, f"new-{number}") for number in range(NEW_FUNCTIONS)
+    )
+
+
+def placement_operations(workers):
+    """Counted operations of a function's first placement."""
+    return counting.operations(place, brain(workers), "new")
+
+
+# News of workers.
+def hear_change(module, number, booted):
+    """One worker has restarted, told as a change."""
+    one = listed(number + 1)[number]._replace(booted=booted)
+    return lambda: module.listed(SECOND, [one], False)
+
+
+def hear_whole(module, workers, restarted, booted):
+    """So many workers have restarted, told by the whole list."""
+    told = listed(workers, booted, frozenset(range(restarted)))
+    return lambda: module.listed(SECOND, told, True)
+
+
+def news_seconds(make_call):
+    """Processor time of news of workers; `make_call(n)` gives the nth call, with other starts in it."""
+    return median(counting.processor_seconds(make_call(1 + n)) for n in range(REPEATS))
+
+
+def change_seconds(workers, functions):
+    """One worker restarted, told as a change."""
+    module = brain(workers, functions)
+    return news_seconds(lambda n: hear_change(module, 0, n))
+
+
+def whole_seconds(workers, functions):
+    """One worker restarted, the whole list told."""
+    module = brain(workers, functions)
+    return news_seconds(lambda n: hear_whole(module, workers, 1, n))
+
+
+def twentieth_seconds(workers, functions):
+    """A twentieth of the workers restarted, the whole list told."""
+    module = brain(workers, functions)
+    return news_seconds(lambda n: hear_whole(module, workers, workers // 20, n))
+
+
+def change_operations(workers, functions):
+    """Counted operations of one worker's restart, told as a change."""
+    return counting.operations(hear_change(brain(workers, functions), 0, 1))
+
+
+def whole_operations(workers, functions):
+    """Counted operations of one worker's restart, told by the whole list."""
+    return counting.operations(hear_whole(brain(workers, functions), workers, 1, 1))
+
+
+# Memory.
+def idle_link(worker, address, core):
+    """The link of a running dispatcher, never connected."""
+    return WorkerLink(worker, address, core.gateway.workers, core.chance.random, core, core.log)
+
+
+def memory_with_workers(workers):
+    """Bytes that a core holds with a list of so many workers: membership, module, links without
+    connections."""
+    dispatcher, data = core(idle_link), event_list(entries(workers))
+    return counting.bytes_kept(lambda: hear_list(dispatcher, read_event_list(data)))[1]
+
+
+def ask(dispatcher, number, function):
+    """A call that is answered at once."""
+    now = dispatcher.now()
+    asked = Ask("caller", f"id-{number}", dispatcher.clock.wall() + SECOND, "call", now, 0)
+    dispatcher.ask(asked, function, dispatcher.rule(function), 0, IgnoringExchange())
+
+
+def memory_with_calls(count, functions):
+    """Bytes that a core holds after so many calls of so many functions, each with an id of its own."""
+    dispatcher = core(AnsweringLink, ledger=max(1000, 2 * count))
+    hear_list(dispatcher, entries(6))
+    ask(dispatcher, -1, "f-warm-up")
+
+    def call_all():
+        for number in range(count):
+            ask(dispatcher, number, f"f-{number % functions}")
+
+    kept = counting.bytes_kept(call_all)[1]
+    if len(dispatcher.ledger.entries) != count + 1:
+        raise RuntimeError(f"{len(dispatcher.ledger.entries)} ids are known of {count + 1}")
+    return kept
+
+
+def memory_with_ids(count):
+    """As many ids of one function."""
+    return memory_with_calls(count, 1)
+
+
+def remembered_ids():
+    """How many ids one dispatcher remembers at the size, by the settings."""
+    longest = max(gateway().remember.values()) / SECOND
+    return size.CALLS_A_SECOND_A_DISPATCHER * longest
+
+
+def memory_with_functions(count):
+    """As many functions called once, less what their ids take."""
+    return memory_with_calls(count, count) - memory_with_ids(count)
+
+
+# The list on the wire.
+def event_list(told):
+    """The whole list as a server-sent event."""
+    return sse.event("list", orjson.dumps([raw(entry) for entry in told]).decode(), "e-1")
+
+
+def read_event_list(data):
+    """The membership's entries of its bytes, as a dispatcher reads them."""
+    ((_, text, _),) = sse.Events().feed(data)
+    return [membership.entry(one) for one in orjson.loads(text)]
+
+
+def dns_list(told):
+    """The whole list as a DNS answer: an SRV, an A and a TXT record for each worker; 64 KB are a datagram's
+    most."""
+    name = dns_roster.NAME
+    message = dns.message.make_response(dns.message.make_query(name, dns.rdatatype.SRV))
+    targets = [f"{entry.worker}.{entry.zone}.{name}" for entry in told]
+    if told:
+        message.answer.append(
+            dns.rrset.from_text(
+                name, 1, "IN", "SRV", *(f"0 0 {e.address[1]} {t}" for e, t in zip(told, targets, strict=True))
+            )
+        )
+    zone = name.parent()
+    message.authority.append(dns.rrset.from_text(zone, 1, "IN", "SOA", f"ns.{zone} admin.{zone} 7 1 1 1 1"))
+    for entry, target in zip(told, targets, strict=True):
+        message.additional.append(dns.rrset.from_text(target, 1, "IN", "A", entry.address[0]))
+        started = f'"started={entry.booted // 1_000_000}" "cell={entry.cell}"'
+        message.additional.append(dns.rrset.from_text(target, 1, "IN", "TXT", started))
+    return message.to_wire(max_size=dns_roster.MOST)
+
+
+def list_seconds(read, data):
+    """Processor time of reading a list."""
+    return median(counting.processor_seconds(read, data) for _ in range(REPEATS))
+
+
+def samples(measure, sizes, run, scale=1.0):
+    """The `Sample`s of `measure(size)` over sizes."""
+    return tuple(Sample(x, measure(x) * scale, run) for x in sizes)
+
+
+def jobs(plan):
+    """One job a run."""
+    return [
+        Job(f"parts, run {run + 1}", __name__, "play", {"run": run, "small": plan.small}, PARTS_MEMORY)
+        for run in range(plan.runs)
+    ]
+
+
+def play(run, small):
+    """All parts once."""
+    return Outcome(tuple(figures(run, small)))
+
+
+def figures(run=0, small=False):
+    """All figures of single parts, with the samples of one run."""
+    fleet = (100, 400) if small else (100, 1_000, 4_000, 10_000)
+    counted = (50, 100, 200) if small else (100, 1_000, 4_000)
+    known = (100, 500) if small else (500, 3_000, 13_000)
+    work = ((100, 100), (200, 200)) if small else ((1_000, 500), (1_000, 3_000), (4_000, 500), (4_000, 3_000))
+    sent = (50, 100, 200) if small else (50, 100, 200, 400)
+    ids = (200, 400) if small else (2_000, 5_000, 10_000)
+    functions = 500
+    function_targets = (Target("13,000 functions", size.FUNCTIONS),)
+    products = tuple(
+        Target(r.name + ", 13,000 functions", r.workers * size.FUNCTIONS) for r in size.FLEET_READINGS
+    )
+
+    def of_workers(name, unit, measure, sizes, scale, hollow=ALONE):
+        return Figure(name, unit, "workers", samples(measure, sizes, run, scale), hollow, WORKER_TARGETS)
+
+    def of_functions(name, unit, measure, sizes, scale, hollow=ALONE):
+        return Figure(name, unit, "functions", samples(measure, sizes, run, scale), hollow, function_targets)
+
+    yield of_workers("a function's first placement, processor time", "ms", placement_seconds, fleet, 1e3)
+    yield of_workers(
+        "a function's first placement, operations", "operations", placement_operations, counted, 1
+    )
+    yield of_workers(
+        f"one worker restarted, told as a change, {functions} functions, processor time",
+        "ms",
+        lambda w: change_seconds(w, functions),
+        fleet,
+        1e3,
+    )
+    yield of_workers(
+        f"one worker restarted, told as a change, {functions} functions, operations",
+        "operations",
+        lambda w: change_operations(w, functions),
+        counted,
+        1,
+    )
+    yield of_functions(
+        "one worker restarted, told as a change, 1,000 workers, processor time",
+        "ms",
+        lambda f: change_seconds(1_000, f),
+        known,
+        1e3,
+    )
+    yield of_workers(
+        f"one worker restarted, whole list, {functions} functions, processor time",
+        "ms",
+        lambda w: whole_seconds(w, functions),
+        fleet,
+        1e3,
+    )
+    yield of_workers(
+        f"one worker restarted, whole list, {functions} functions, operations",
+        "operations",
+        lambda w: whole_operations(w, functions),
+        counted,
+        1,
+    )
+    yield Figure(
+        "a twentieth of the workers restarted, whole list, processor time",
+        "ms",
+        "workers x functions",
+        tuple(Sample(w * f, 1e3 * twentieth_seconds(w, f), run) for w, f in work),
+        ALONE,
+        products,
+    )
+    yield of_workers(
+        "memory of a dispatcher by workers",
+        "KB",
+        memory_with_workers,
+        fleet[:3],
+        1e-3,
+        "links are the real ones, none is connected: a connection adds a socket and its buffers",
+    )
+    yield of_functions(
+        "memory of a dispatcher by functions called once",
+        "KB",
+        memory_with_functions,
+        ids,
+        1e-3,
+        "no early loads; calls are answered at once",
+    )
+    yield Figure(
+        "memory of a dispatcher by ids remembered",
+        "KB",
+        "ids",
+        samples(memory_with_ids, ids, run, 1e-3),
+        "answers of two bytes; calls are answered at once; ids are kept for 600 s, by the settings' tolerance",
+        (Target("ids remembered at the size", remembered_ids()),),
+    )
+    wire = "our own writer of the list; no socket"
+    yield of_workers(
+        "whole list as an event, bytes", "bytes", lambda w: len(event_list(entries(w))), sent, 1, wire
+    )
+    yield of_workers(
+        "whole list as an event, read, processor time",
+        "ms",
+        lambda w: list_seconds(read_event_list, event_list(entries(w))),
+        sent,
+        1e3,
+        wire,
+    )
+    yield of_workers("whole list by DNS, bytes", "bytes", lambda w: len(dns_list(entries(w))), sent, 1, wire)
+    yield of_workers(
+        "whole list by DNS, read, processor time",
+        "ms",
+        lambda w: list_seconds(dns_roster.answer, dns_list(entries(w))),
+        sent,
+        1e3,
+        wire,
+    )
--- a/petrelwood/emulate/platform.py
+++ b/petrelwood/emulate/platform.py
@@ -250,13 +250,8 @@
             seed=self.seed * 1000 + number,
             terms=self.gateway.terms._replace(zone=self.halls[name]),
         )
-        clock, chance = LifeClock(self.clock), Random(described.seed)
-
-        def link(worker, address, core):
-            return Link(self, self.nodes[worker], core, self.halls[name], described.workers, chance.random)
-
-        disk = Disk(self.disks.setdefault(name, []), clock.wall()) if self.day.state else None
-        self.cores[name] = Core(described, clock, chance, link, self.log, self.policy, disk)
+        disk = Disk(self.disks.setdefault(name, []), self.clock.wall()) if self.day.state else None
+        self.cores[name] = self.make_core(described, LifeClock(self.clock), Random(described.seed), disk)
         if self.ends is not None:
             self._account_of(self.cores[name])
         if self.future is not None:
@@ -268,6 +263,18 @@
         if self.day.ask_every:
             self.after(int(self.day.ask_every * self.ways.uniform()), self._asks, name, self.lives[name])
 
+    def make_core(self, described, clock, chance, disk):
+        """A dispatcher of the settings `described`, with links to this platform's workers."""
+
+        def link(worker, address, core):
+            return self.make_link(worker, core, described.workers, chance)
+
+        return Core(described, clock, chance, link, self.log, self.policy, disk)
+
+    def make_link(self, worker, core, terms, chance):
+        """The link of one dispatcher to one worker."""
+        return Link(self, self.nodes[worker], core, self.halls[core.name], terms, chance.random)
+
     def keep_account(self, folder):
         """Writes the ends of all dispatchers' early loads to a folder, as a running dispatcher does."""
         self.ends = Ends(folder)
--- a/petrelwood/links/roster.py
+++ b/petrelwood/links/roster.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import time
 
 import httptools
 import orjson
@@ -92,12 +91,12 @@
     def _event(self, kind, entries, id_, now):
         if kind == "list":
             self.lists += 1
-            listed, leaving = self.membership.whole(id_, entries, now, time.time_ns())
+            listed, leaving = self.membership.whole(id_, entries, now, self.core.clock.wall())
             self.core.listed(listed, leaving, True)
             return
         follows = self.membership.event(id_)
         if follows == "next":
-            listed, leaving = self.membership.change(id_, entries, now, time.time_ns())
+            listed, leaving = self.membership.change(id_, entries, now, self.core.clock.wall())
             self.core.listed(listed, leaving, False)
         elif follows == "gap":
             self.membership.forget()
--- a/petrelwood/standins/roster.py
+++ b/petrelwood/standins/roster.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import time
+from collections import deque
 
 import orjson
 from tornado.iostream import StreamClosedError
@@ -19,16 +20,42 @@
 KEPT, BEAT = 256, 1.0  # changes kept for those that resume; seconds between comments
 
 
+class ChangeLog:
+    """The list of workers and its last changes, from which each reader is told what it lacks. Entries are as
+    `decide.cluster.membership.entry` reads them; a reader names what it has as `EPOCH-NUMBER`."""
+
+    def __init__(self, epoch, kept=KEPT):
+        self.epoch, self.number, self.entries = epoch, 0, {}
+        self.changes = deque(maxlen=kept)  # (number, entry)
+
+    def take(self, entry):
+        """One entry has changed; the number of the change."""
+        self.number += 1
+        self.entries[entry["worker"]] = entry
+        if entry["state"] == "gone":
+            del self.entries[entry["worker"]]
+        self.changes.append((self.number, entry))
+        return self.number
+
+    def after(self, resume):
+        """[(kind, entries, number)]: what a reader that has heard up to `resume` is told first."""
+        epoch, _, number = resume.rpartition("-")
+        if epoch == self.epoch and number.isdigit():
+            missed = [("change", [entry], n) for n, entry in self.changes if n > int(number)]
+            if int(number) == self.number or missed and missed[0][2] == int(number) + 1:
+                return missed
+        return [("list", list(self.entries.values()), self.number)]
+
+    def event(self, kind, entries, number):
+        """The bytes that tell it."""
+        return sse.event(kind, orjson.dumps(entries).decode(), f"{self.epoch}-{number}")
+
+
 class Roster(TCPServer):
     def __init__(self, day, records):
         super().__init__()
-        self.entries, self.changes, self.number, self.streams = {}, [], 0, {}
-        self.epoch, self.late, self.closed, self.records = (
-            f"{time.time_ns():x}",
-            day.roster_late,
-            False,
-            records,
-        )
+        self.log, self.streams = ChangeLog(f"{time.time_ns():x}"), {}
+        self.late, self.closed, self.records = day.roster_late, False, records
 
     async def handle_stream(self, stream, address):
         try:
@@ -55,17 +82,8 @@
                 ),
                 "?",
             )
-            epoch, _, number = after.rpartition("-")
-            missed = [c for c in self.changes if number.isdigit() and c[0] > int(number)]
-            if (
-                epoch == self.epoch
-                and number.isdigit()
-                and (int(number) == self.number or missed and missed[0][0] == int(number) + 1)
-            ):
-                for n, entries in missed:
-                    await self.push(stream, agent, "change", entries, n)
-            else:
-                await self.push(stream, agent, "list", list(self.entries.values()), self.number)
+            for kind, entries, number in self.log.after(after):
+                await self.push(stream, agent, kind, entries, number)
             self.streams[stream] = agent
             while not stream.closed():
                 await stream.write(b": alive\n\n")
@@ -80,21 +98,17 @@
         self.records.put(
             "told", to=to, entries=[(e["worker"], e["state"], e["booted"]) for e in entries], kind=kind
         )
-        return stream.write(sse.event(kind, orjson.dumps(entries).decode(), f"{self.epoch}-{number}"))
+        return stream.write(self.log.event(kind, entries, number))
 
     def news(self, entry):
         asyncio.get_running_loop().call_later(self.late / 1e9, self.change, entry)
 
     def change(self, entry):
-        self.number += 1
-        self.entries[entry["worker"]] = entry
-        if entry["state"] == "gone":
-            del self.entries[entry["worker"]]
-        self.changes = (self.changes + [(self.number, [entry])])[-KEPT:]
+        number = self.log.take(entry)
         for stream, to in list(self.streams.items()):
             # one that was just lost hears nothing, and must not count as told
             if not stream.closed():
-                self.push(stream, to, "change", [entry], self.number).add_done_callback(
+                self.push(stream, to, "change", [entry], number).add_done_callback(
                     lambda done: done.exception()
                 )
 
