A replicated log of settings versions by majority quorum, and what a dispatcher makes of it

Cause: a version of the settings reaches all dispatchers by a folder 'that all read'; what fills it was left open, and its stages take 90 s.

Change, all free of I/O: decide/cluster/replicated_log.py decides each slot of a log by single-decree Paxos (Lamport 2001) on an odd number of servers, without leader or lease; a server that has lost its disk votes again from the second slot after the highest that a majority of the others has voted in. decide/cluster/version_watch.py: whom a dispatcher asks (rendezvous order, one more in turn) and what follows from gaps, duplicates, old answers and versions that are heard of late. rollout.dwell_for derives the time between stages from the time that all of it may take; without it the 30 s stay.

Seen: 24 seeds of troubles (losses, doubles, delays, splits, restarts, with and without lost disks) with no slot decided twice and nothing told lost; a replica that forgets its promises and one that votes at once after the loss of its disk are both found out.

--- a/petrelwood/cli/main.py
+++ b/petrelwood/cli/main.py
@@ -428,12 +428,13 @@
 
 def _later_commands():
     """What needs heavier libraries only when it is used."""
-    from petrelwood.cli import bgp, configs, emulated, kept, past
+    from petrelwood.cli import bgp, configs, configuration, emulated, kept, past
 
     emulated.add(cli, _day, command)
     past.add(cli, command)
     kept.add(cli, command)
     configs.add(cli, command)
+    configuration.add(cli, command, Address())
     bgp.add(cli, command, Address())
 
 
--- a/petrelwood/decide/cluster/rollout.py
+++ b/petrelwood/decide/cluster/rollout.py
@@ -24,9 +24,20 @@
 # answers under the new version that say something; how much smaller a part may be completed
 FEW, WORSE = 30, 0.1
 SURE = 3.5  # deviations that chance may make, as it is looked at again and again
+# What a roll-out that is to end in time leaves for the last dispatchers: a round of questions to the
+# configuration servers, an answer, a look at the folder of versions, and taking it, each of them up to a
+# second.
+RESERVE = 4 * SECOND
+LEAST_WITHIN = 7 * SECOND  # a second for each stage but the last
+DEFAULT_WITHIN = RESERVE + (len(STAGES) - 1) * DWELL
 WATCHED = 2  # stages over which one that took it watches itself
 
 
+def dwell_for(within, stages=STAGES):
+    """The time between two stages, ns, for a version that is to be in force everywhere `within` ns."""
+    return (within - RESERVE) // (len(stages) - 1)
+
+
 class Announced(NamedTuple):
     number: int
     begun: int  # wall-clock ns
--- a/petrelwood/decide/cluster/settings_change.py
+++ b/petrelwood/decide/cluster/settings_change.py
@@ -176,6 +176,7 @@
         ("the roster", old.roster, new.roster),
         ("the control socket", old.control, new.control),
         ("the speaker's socket", old.health, new.health),
+        ("the configuration servers", old.configuration, new.configuration),
         ("where state is kept, and how", old.state, new.state),
         ("the broker's terms", old.mqtt, new.mqtt),
         ("early loads", old.early, new.early),
--- a/petrelwood/dispatch/serve.py
+++ b/petrelwood/dispatch/serve.py
@@ -9,8 +9,9 @@
 
 from petrelwood.brain import Brain
 from petrelwood.decide.cluster import settings_change
-from petrelwood.decide.cluster.rollout import Rollout
+from petrelwood.decide.cluster.rollout import DWELL, Rollout, dwell_for
 from petrelwood.dispatch import handover
+from petrelwood.dispatch.configuration import ConfigurationFollower
 from petrelwood.dispatch.dispatcher import Dispatcher
 from petrelwood.dispatch.health import Health
 from petrelwood.dispatch.stall import StallWatch
@@ -34,7 +35,13 @@
         self.again, self.version = again, 1  # `again(text=None)` reads the settings anew
         # `spawns(handed)`: the command that follows this; what its own file says
         self.spawns, self.own = spawns, own or gateway
-        self.rollout = Rollout.resumed(gateway.name, handed) if handed else Rollout(gateway.name, 0)
+        dwell = dwell_for(self.own.configuration.within) if self.own.configuration else DWELL
+        self.rollout = (
+            Rollout.resumed(gateway.name, handed, dwell=dwell)
+            if handed
+            else Rollout(gateway.name, 0, dwell=dwell)
+        )
+        self.follower = None  # of the configuration servers
         self.gateway, self.log, self.follows, self.failed = gateway, log, follows, None
         self.core = Dispatcher(gateway, log, brain, follows)
         self.front, self.triggers, self.giver, self.taker, self.tasks = (
@@ -155,9 +162,7 @@
             bad_one, why = rollout.calls_off, "it did worse"
             # at once: the others must not wait for what is done here
             if bad_one is not None:
-                await loop.run_in_executor(
-                    None, versions.call_off, folder, bad_one, f"{self.gateway.name}: {why}"
-                )
+                await loop.run_in_executor(None, self._call_off, folder, bad_one, why)
             try:
                 new = (
                     own
@@ -176,9 +181,13 @@
                     taken = self._take(new, True)
             if not taken and what == "take":
                 rollout.could_not()
-                await loop.run_in_executor(
-                    None, versions.call_off, folder, number, f"{self.gateway.name}: {why}"
-                )
+                await loop.run_in_executor(None, self._call_off, folder, number, why)
+
+    def _call_off(self, folder, number, why):
+        """For who reads the same folder, and by the configuration servers for all others."""
+        versions.call_off(folder, number, f"{self.gateway.name}: {why}")
+        if self.follower is not None:
+            self.core.loop.call_soon_threadsafe(self.follower.call_off, number, why)
 
     async def _upgraded(self):
         """Begins a process that takes over with the version that the roll-out has come to, and waits. False
@@ -230,6 +239,7 @@
         if self.gateway.versions and self.again is not None:
             self.rolled = (0, 0) if self.follows else self.core.answered
             self.tasks.append(self.core.loop.create_task(self._roll(self.gateway.versions)))
+            self._follow_configuration()
         if self.gateway.control:
             self.giver = handover.Giver(
                 self.gateway.control,
@@ -242,6 +252,20 @@
             )
             self.giver.open()
 
+    def _follow_configuration(self):
+        """Keeps the folder of versions as the configuration servers have it."""
+        if self.own.configuration is None:
+            return
+        self.follower = ConfigurationFollower(
+            self.own.name,
+            self.own.configuration,
+            self.own.versions,
+            self.core.clock,
+            self.core.chance.random,
+            self.log,
+        )
+        self.tasks.append(self.core.loop.create_task(self.follower.run()))
+
     def open_triggers(self):
         if self.triggers is not None:  # those that had given way
             self.triggers.close_idle()
--- a/petrelwood/settings/gateway.py
+++ b/petrelwood/settings/gateway.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from petrelwood import ports
+from petrelwood.decide.cluster.rollout import DEFAULT_WITHIN, LEAST_WITHIN
 from petrelwood.links.tls import BadIdentity, Identity
 from petrelwood.settings import document as doc
 
@@ -94,6 +95,13 @@
     durability: str  # "process" or "machine": what a kept record survives
 
 
+class ConfigurationTerms(NamedTuple):
+    """How versions of the settings come from the configuration servers."""
+
+    servers: tuple  # addresses
+    within: int  # ns from a version's beginning until it is in force at every dispatcher that can hear of it
+
+
 class Gateway(NamedTuple):
     name: str
     listen: tuple
@@ -114,6 +122,7 @@
     history: object  # HistoryTerms, or None
     state: object  # StateTerms, or None: nothing survives
     versions: str  # folder of versions that are rolled out over all; "": there is none
+    configuration: object  # ConfigurationTerms, or None: others fill that folder
     control: str  # path of the socket for hand-overs; "": there are none
     health: str  # path of the socket of a speaker beside it, that hears its beats; "": there is none
     damps: bool  # whether storms are damped: on unless the file turns it off
@@ -128,6 +137,7 @@
             history=own.history,
             control=own.control,
             versions=own.versions,
+            configuration=own.configuration,
             health=own.health,
             terms=self.terms._replace(zone=own.terms.zone),
         )
@@ -370,6 +380,24 @@
     return made
 
 
+def _configuration(node, versions):
+    if node is None:
+        return None
+    servers = []
+    for one in node.every("server"):
+        servers.append(one.arg(doc.address, "an address"))
+        one.done(1)
+    made = ConfigurationTerms(tuple(servers), node.value("within", doc.duration, DEFAULT_WITHIN))
+    node.done()
+    if not servers:
+        node.wrong("'configuration' needs a 'server' at least")
+    if not versions:
+        node.wrong("'configuration' needs a folder of 'versions' to keep what it hears of")
+    if made.within < LEAST_WITHIN:
+        node.wrong(f"'within' can't be under {LEAST_WITHIN // SECOND} s: versions are taken in stages")
+    return made
+
+
 def _worker_terms(node):
     """(how links behave, the module's guarantees, its load orders, what is allowed)"""
     cold, fall, sends = node.child("cold"), node.child("fall"), node.child("sends")
@@ -474,6 +502,7 @@
     history = _history(file.child("history", None))
     state = _state(file.child("state", None))
     control, versions = file.value("control", doc.text, ""), file.value("versions", doc.text, "")
+    configuration = _configuration(file.child("configuration", None), versions)
     health, damps = file.value("health", doc.text, ""), file.value("damp-storms", doc.yes, True)
     workers, guarantees, orders, allowed, by_probe, worker_tls = _worker_terms(file.child("workers"))
     file.done()
@@ -509,6 +538,7 @@
         history,
         state,
         str(pathlib.Path(file.file).parent / versions) if versions else "",
+        configuration,
         str(pathlib.Path(file.file).parent / control) if control else "",
         str(pathlib.Path(file.file).parent / health) if health else "",
         damps,
--- a/petrelwood/store/snapshot.py
+++ b/petrelwood/store/snapshot.py
@@ -90,16 +90,21 @@
     files.sync_folder(str(path.parent))
 
 
-def put(path, data, mode=None):
+def put(path, data, mode=None, durable=False):
     """Bytes in place of what stood there, whole or not at all: written beside and renamed. They outlive the
-    process; what must
-    outlive the machine goes by `write`."""
+    process, and with `durable` the machine; what has to be checked when it is read goes by `write`."""
     path = pathlib.Path(path)
     part = path.with_name(f".{path.name}.{os.getpid()}.part")
-    part.write_bytes(data)
+    with open(part, "wb") as file:
+        file.write(data)
+        if durable:
+            file.flush()
+            os.fsync(file.fileno())
     if mode is not None:
         part.chmod(mode)
     os.replace(part, path)
+    if durable:
+        Files().sync_folder(str(path.parent))
 
 
 def read(path, kind, newest, oldest=1):
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -110,7 +110,9 @@
         theirs.close()
 
 
-class Processes(unittest.IsolatedAsyncioTestCase):
+class DispatcherCase(unittest.IsolatedAsyncioTestCase):
+    """A real dispatcher process on loopback, with a worker and a roster on this test's loop."""
+
     async def asyncSetUp(self):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
@@ -170,6 +172,8 @@
 
     message = rig.Case.message
 
+
+class Processes(DispatcherCase):
     async def one(self, type_, ends):
         """One request until it has a final outcome: what refuses or breaks before a byte went out is tried
         again."""
--- /dev/null
+++ b/tests/test_replicated_log.py
@@ -0,0 +1,246 @@
+"""The replicated log: no slot decided twice, no record lost or doubled, whatever else is lost or doubled."""
+
+import unittest
+
+from petrelwood.decide.cluster.replicated_log import (
+    CALL_OFF,
+    KEPT,
+    MS,
+    TEXTS,
+    VERSION,
+    Accept,
+    Accepted,
+    Ahead,
+    Ballot,
+    Behind,
+    Extract,
+    Learn,
+    NotVoting,
+    Prepare,
+    Promise,
+    Record,
+    Refused,
+    Replica,
+)
+from petrelwood.emulate.configuration_servers import SECOND, World
+
+SEEDS = 24
+
+
+def version(n, kind=VERSION, number=0):
+    return Record(f"r{n}", kind, number, n, f"text {n}")
+
+
+def filled(records):
+    replica = Replica()
+    for slot, record in enumerate(records, 1):
+        replica.learn(Extract(slot - 1, slot, ((slot, record),)))
+    return replica
+
+
+def troubled(seed, disks, replica=Replica, steps=100):
+    """A world after many troubles and proposals, all mended at the end."""
+    world = World(seed, replica=replica)
+    for _ in range(steps):
+        for _ in range(2):
+            world.propose(world.chance.choice(world.names), world.record())
+        if world.chance.random() < 0.4:
+            world.trouble(disks)
+        world.run(int(world.chance.random() * 200 * MS))
+    world.heal()
+    return world
+
+
+class Forgetful(Replica):
+    """Broken on purpose: it does not keep its promises over a restart."""
+
+    def durable(self):
+        value = super().durable()
+        value[3:] = [[0, ""], [0, ""], None]
+        return value
+
+
+class Hasty(Replica):
+    """Broken on purpose: with its disk it loses the memory that it has lost it, and votes at once."""
+
+    @classmethod
+    def restored(cls, value):
+        replica = super().restored(value)
+        replica.votes_from = replica.votes_from or 1
+        return replica
+
+
+class Agreement(unittest.TestCase):
+    def test_no_slot_is_decided_twice_and_nothing_told_is_lost(self):
+        decided = 0
+        for seed in range(SEEDS):
+            world = troubled(seed, disks=False)
+            self.assertEqual(world.judge(), [], seed)
+            decided += len(world.told)
+        self.assertGreater(decided, 10 * SEEDS)  # it was not quiet
+
+    def test_also_while_disks_are_lost_one_after_the_other(self):
+        for seed in range(SEEDS):
+            world = troubled(seed, disks=True)
+            self.assertEqual(world.judge(), [], seed)
+
+    def test_after_all_of_it_a_record_is_decided_and_all_servers_have_it(self):
+        for seed in range(SEEDS // 3):
+            world = troubled(seed, disks=True)
+            record = world.record()
+            world.propose("c1", record)
+            world.heal(5)
+            slots = {s.replica.slot_of(record.id) for s in world.servers.values()}
+            self.assertEqual(len(slots), 1, seed)
+            self.assertNotIn(None, slots, seed)
+
+    def crossing(self, replica, disk_lost):
+        """Three of five accept a record; the third restarts before it learns that it is decided, and with the
+        two that knew nothing proposes another one for the same slot."""
+        world = World(1, loss=0, twice=0, most_delay=10 * MS, replica=replica)
+        world.crash("c4")
+        world.crash("c5")
+        world.propose("c1", world.record())
+        third = world.servers["c3"]
+        for _ in range(1000):
+            world.run(MS // 10)
+            if third.replica.record is not None:
+                break
+        self.assertEqual(third.replica.chosen, 0)
+        world.sides = {"c1": 1, "c2": 1}  # its own acceptance is on its way; nothing else passes
+        if disk_lost:
+            world.lose_disk("c3")
+        world.start("c3")
+        world.run(SECOND)  # what was on its way to the two finds them down
+        self.assertEqual(world.told, {"r1": 1})
+        world.start("c4")
+        world.start("c5")
+        world.propose("c5", world.record())
+        world.run(6 * SECOND)
+        world.heal(10)
+        return world
+
+    def test_what_was_accepted_is_proposed_again_after_a_restart(self):
+        world = self.crossing(Replica, disk_lost=False)
+        self.assertEqual(world.judge(), [])
+        self.assertEqual(world.told, {"r1": 1, "r2": 2})
+        self.assertNotEqual(self.crossing(Forgetful, disk_lost=False).judge(), [])  # the judge can fail
+
+    def test_a_server_that_lost_its_disk_does_not_vote_where_it_may_have(self):
+        world = self.crossing(Replica, disk_lost=True)
+        self.assertEqual(world.judge(), [])
+        self.assertNotEqual(self.crossing(Hasty, disk_lost=True).judge(), [])  # the judge can fail
+
+
+class Quorum(unittest.TestCase):
+    def append(self, world, name):
+        record = world.record()
+        world.propose(name, record)
+        world.run(6 * SECOND)
+        return record
+
+    def test_a_minority_decides_nothing_and_says_so_and_the_majority_goes_on(self):
+        world = World(3, loss=0)
+        world.sides = {"c1": 1, "c2": 1}
+        lost, found = self.append(world, "c1"), self.append(world, "c3")
+        self.assertNotIn(lost.id, world.told)
+        self.assertEqual(world.told[found.id], 1)
+        world.heal(3)
+        self.assertEqual(world.servers["c1"].replica.slot_of(found.id), 1)
+        self.assertIsNone(world.servers["c1"].append)
+
+    def test_with_servers_lost_one_by_one_two_of_five_may_go(self):
+        world = World(4, loss=0)
+        for gone, decides in (("c5", True), ("c4", True), ("c3", False), ("c2", False)):
+            world.crash(gone)
+            self.assertEqual(self.append(world, "c1").id in world.told, decides, gone)
+        self.assertEqual(world.servers["c1"].replica.chosen, 2)  # what was decided is still told to who asks
+
+    def test_a_record_of_a_minority_that_is_found_later_is_decided_once(self):
+        """Appended again under its id after it was said to have failed."""
+        world = World(5, loss=0)
+        world.sides = {"c1": 1, "c2": 1}
+        record = self.append(world, "c1")
+        world.heal(1)
+        world.propose("c3", record)
+        world.propose("c1", record)
+        world.heal(3)
+        self.assertEqual(len([r for r in world.decided.values() if r == record.id]), 1)
+        self.assertEqual(world.judge(), [])
+
+    def test_two_proposers_at_once_both_come_through(self):
+        for seed in range(10):
+            world = World(seed, loss=0, most_delay=50 * MS)
+            records = [world.record() for _ in world.names]
+            for name, record in zip(world.names, records, strict=True):
+                world.propose(name, record)
+            world.run(6 * SECOND)
+            self.assertEqual(sorted(world.told.values()), [1, 2, 3, 4, 5], seed)
+
+
+class Votes(unittest.TestCase):
+    def test_a_paused_proposer_finds_its_ballot_refused(self):
+        replica, old, new = Replica(), Ballot(1, "a"), Ballot(2, "b")
+        self.assertIsInstance(replica.answer(Prepare(1, old)), Promise)
+        self.assertIsInstance(replica.answer(Prepare(1, new)), Promise)
+        self.assertEqual(replica.answer(Accept(1, old, version(1))), Refused(new))
+        self.assertEqual(replica.answer(Accept(1, new, version(2))), Accepted())
+        self.assertEqual(replica.answer(Prepare(1, Ballot(3, "c"))), Promise(new, version(2)))
+
+    def test_slots_before_and_after_the_first_undecided_one(self):
+        replica = filled([version(1), version(2)])
+        self.assertEqual(replica.answer(Prepare(4, Ballot(1, "a"))), Behind(2))
+        ahead = replica.answer(Prepare(2, Ballot(1, "a")))
+        self.assertEqual(ahead, Ahead(Extract(1, 2, ((2, version(2)),))))
+
+    def test_a_replaced_server_votes_two_slots_after_what_a_majority_of_others_voted_in(self):
+        replica = Replica(votes_from=None)
+        self.assertFalse(replica.rejoin({"b": 7, "c": 6}, 5))
+        self.assertEqual(replica.answer(Prepare(1, Ballot(1, "a"))), NotVoting())
+        self.assertTrue(replica.rejoin({"b": 7, "c": 6, "d": 7}, 5))
+        self.assertEqual(replica.votes_from, 9)
+        self.assertTrue(replica.lacks_slots())
+        replica.learn(Extract(0, 8, ((8, version(8)),)))
+        self.assertIsInstance(replica.answer(Prepare(9, Ballot(1, "a"))), Promise)
+
+    def test_what_is_kept_over_a_restart_is_all_of_it(self):
+        replica = filled([version(1), version(2, CALL_OFF, 1)])
+        replica.answer(Accept(3, Ballot(4, "a"), version(3)))
+        again = Replica.restored(replica.durable())
+        self.assertEqual(again.durable(), replica.durable())
+        self.assertEqual(again.answer(Prepare(3, Ballot(3, "z"))), Refused(Ballot(4, "a")))
+
+
+class Log(unittest.TestCase):
+    def test_a_gap_changes_nothing_and_a_duplicate_neither(self):
+        replica = filled([version(1)])
+        for extract in (Extract(3, 4, ((4, version(4)),)), Extract(0, 1, ((1, version(9)),))):
+            self.assertFalse(replica.learn(extract))
+            self.assertEqual((replica.chosen, replica.records), (1, {1: version(1)}))
+        replica.answer(Learn(Extract(0, 2, ((1, version(1)), (2, version(2))))))
+        self.assertEqual(replica.chosen, 2)
+
+    def test_who_follows_gets_the_newest_version_that_stands_and_all_that_was_called_off(self):
+        replica = filled([version(1), version(2), version(3), version(4, CALL_OFF, 3)])
+        self.assertEqual([slot for slot, _ in replica.extract(0, compact=True).entries], [2, 4])
+        self.assertEqual([slot for slot, _ in replica.extract(2, compact=True).entries], [4])
+        self.assertEqual(replica.extract(0, compact=True).chosen, 4)
+
+    def test_what_is_kept_is_bounded_and_the_version_that_stands_is_never_dropped(self):
+        replica = filled([version(1)] + [version(n, CALL_OFF, 999) for n in range(2, 3 * KEPT)])
+        self.assertEqual(len(replica.records), KEPT + 1)
+        self.assertEqual(replica.records[1].text, "text 1")
+        replica = filled([version(n) for n in range(1, 3 * KEPT)])
+        self.assertEqual(len(replica.records), KEPT)
+        self.assertEqual(len([r for r in replica.records.values() if r.text]), TEXTS)
+
+    def test_the_version_before_many_that_were_called_off_still_has_its_text(self):
+        records = [version(1)]
+        for n in range(2, 2 * KEPT, 2):
+            records += [version(n), version(n + 1, CALL_OFF, n)]
+        replica = filled(records)
+        self.assertEqual(replica.extract(0, compact=True).entries[0], (1, version(1)))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_version_watch.py
@@ -0,0 +1,153 @@
+"""What a dispatcher makes of the answers of configuration servers: gaps, duplicates, order, lost servers."""
+
+import random
+import tempfile
+import unittest
+from collections import Counter
+
+from petrelwood.decide.cluster.replicated_log import CALL_OFF, NO_OPERATION, VERSION, Extract, Record
+from petrelwood.decide.cluster.rollout import STAGES, dwell_for
+from petrelwood.decide.cluster.version_watch import (
+    AGAIN_MOST,
+    JITTER,
+    ROUND,
+    SECOND,
+    CallOff,
+    Version,
+    VersionWatch,
+    preference,
+)
+from petrelwood.store import versions
+
+SERVERS = [f"c{n}" for n in range(1, 6)]
+STAGED = 9 * SECOND
+WALL = 10**18
+
+
+def watch(name="d1", known=0, seed=1):
+    return VersionWatch(name, SERVERS, known, STAGED, random.Random(seed).random)
+
+
+def version(slot, begun=WALL):
+    return slot, Record(f"r{slot}", VERSION, 0, begun, f"text {slot}")
+
+
+def extract(since, *entries):
+    return Extract(since, max([since, *(slot for slot, _ in entries)]), entries)
+
+
+class Answers(unittest.TestCase):
+    def test_what_is_new_comes_once_and_in_order(self):
+        one = watch()
+        off = (3, Record("r3", CALL_OFF, 2, WALL, "d9: it did worse"))
+        found = one.answered("c1", extract(0, version(2), off), 0, WALL)
+        self.assertEqual(found, [Version(2, WALL, "text 2"), CallOff(2, "d9: it did worse")])
+        self.assertEqual(one.answered("c2", extract(0, version(2), off), 0, WALL), [])
+        self.assertEqual(one.known, 3)
+
+    def test_an_older_answer_that_comes_later_changes_nothing(self):
+        one = watch()
+        one.answered("c1", extract(0, version(5)), 0, WALL)
+        self.assertEqual(one.answered("c2", extract(0, version(4)), 1, WALL), [])
+        self.assertEqual((one.known, one.duplicates), (5, 1))
+
+    def test_a_gap_changes_nothing_and_is_asked_for_again(self):
+        one = watch(known=4)
+        self.assertEqual(one.answered("c1", extract(6, version(7)), 0, WALL), [])
+        self.assertEqual((one.known, one.gaps), (4, 1))
+        self.assertEqual([v.number for v in one.answered("c1", extract(4, version(7)), 0, WALL)], [7])
+
+    def test_records_of_other_kinds_are_passed_over(self):
+        one = watch()
+        for kind in (NO_OPERATION, "of a later build"):
+            slot = one.known + 1
+            self.assertEqual(
+                one.answered("c1", extract(one.known, (slot, Record("x", kind, 0, 0, ""))), 0, WALL), []
+            )
+            self.assertEqual(one.known, slot)
+
+    def test_one_that_hears_of_it_within_its_stages_keeps_to_the_common_beginning(self):
+        (found,) = watch().answered("c1", extract(0, version(1, WALL - STAGED)), 0, WALL)
+        self.assertEqual(found.begun, WALL - STAGED)
+
+    def test_one_decided_long_after_it_was_proposed_still_goes_stage_by_stage(self):
+        """Else all would take it together: also one that is heard of after an hour apart."""
+        (found,) = watch().answered("c1", extract(0, version(1, WALL - 3600 * SECOND)), 0, WALL)
+        self.assertEqual(found.begun, WALL)
+
+
+class Questions(unittest.TestCase):
+    def test_two_servers_a_round_and_all_of_them_over_a_few(self):
+        one, now, asked = watch(), 0, Counter()
+        for _ in range(20):
+            servers = one.due(now)
+            self.assertEqual(len(set(servers)), 2)
+            self.assertEqual(one.due(now), ())
+            self.assertGreaterEqual(one.next - now, ROUND * (1 - JITTER))
+            asked.update(servers)
+            now = one.next
+        self.assertEqual(set(asked), set(SERVERS))
+        self.assertEqual(asked[one.order[0]], 20)
+
+    def test_a_server_that_fails_is_left_out_for_longer_each_time_and_comes_back(self):
+        one, now, asked = watch(), 0, []
+        first = one.order[0]
+        for _ in range(300):
+            for server in one.due(now):
+                if server == first:
+                    asked.append(now)
+                    one.failed(server, now)
+                else:
+                    one.answered(server, extract(0), now, WALL)
+            now = one.next
+        waits = [b - a for a, b in zip(asked, asked[1:], strict=False)]
+        self.assertLess(len(asked), 30)
+        self.assertLessEqual(max(waits), AGAIN_MOST + ROUND)
+        one.answered(first, extract(0), now, WALL)
+        self.assertIn(first, one.due(one.next))
+
+    def test_without_any_server_it_goes_on_with_what_it_knows(self):
+        one, now = watch(known=7), 0
+        for _ in range(100):
+            for server in one.due(now):
+                one.failed(server, now)
+            now = one.next
+        self.assertEqual(one.known, 7)
+        self.assertLess(max(b.not_before for b in one.backoff.values()), now + AGAIN_MOST)
+
+    def test_dispatchers_spread_and_a_lost_servers_share_spreads_too(self):
+        names = [f"d{n}" for n in range(400)]
+        first = Counter(preference(name, SERVERS)[0] for name in names)
+        self.assertLess(max(first.values()), 110)  # of 80 each; three and a half deviations
+        rest = [s for s in SERVERS if s != "c1"]
+        moved = {n: preference(n, rest)[0] for n in names if preference(n, SERVERS)[0] == "c1"}
+        self.assertEqual(set(moved.values()), set(rest))
+        kept = [n for n in names if n not in moved]
+        self.assertTrue(all(preference(n, rest)[0] == preference(n, SERVERS)[0] for n in kept))
+
+
+class Folder(unittest.TestCase):
+    def test_versions_and_the_position_outlive_the_process_and_are_bounded(self):
+        with tempfile.TemporaryDirectory() as folder:
+            self.assertEqual(versions.position(folder), 0)
+            for number in range(1, 3 * versions.KEPT):
+                versions.receive(folder, number, f"text {number}", WALL + number)
+            versions.note_position(folder, 200)
+            known = versions.announced(folder)
+            self.assertEqual(len(known), versions.KEPT)
+            self.assertEqual(max(a.number for a in known), 3 * versions.KEPT - 1)
+            self.assertEqual(versions.position(folder), 200)
+            (path := versions.path_of(folder, 0).with_name(versions.POSITION)).write_text("no number")
+            self.assertEqual(versions.position(path.parent), 0)
+
+
+class Stages(unittest.TestCase):
+    def test_the_last_stage_and_the_reserve_fit_into_the_time(self):
+        for within in (7, 13, 30, 94):
+            last = dwell_for(within * SECOND) * (len(STAGES) - 1)
+            self.assertLessEqual(last + 4 * SECOND, within * SECOND)
+        self.assertEqual(dwell_for(13 * SECOND), 3 * SECOND)
+
+
+if __name__ == "__main__":
+    unittest.main()
