--- a/petrelwood/cli/configuration.py
+++ b/petrelwood/cli/configuration.py
@@ -86,7 +86,7 @@
         text = document.read_whole(pathlib.Path(file))
         if len(text.encode("utf-8")) > log.DOCUMENT:
             raise BadFile(file, 0, f"a version has {log.DOCUMENT} bytes at most")
-        record = [id_ or secrets.token_hex(8), log.VERSION, 0, time.time_ns(), text]
+        record = [id_ or secrets.token_hex(8), log.VERSION, 0, time.time_ns(), log.packed(text)]
         click.echo(f"version {_appended(servers, record)} is published")
 
     @command(configuration, "revoke")
@@ -96,7 +96,7 @@
         """Calls version NUMBER off: who has it goes back, nobody else takes it."""
         from petrelwood.decide.cluster import replicated_log as log
 
-        record = [id_ or f"off-{number}", log.CALL_OFF, number, time.time_ns(), "called off by hand"]
+        record = [id_ or f"off-{number}", log.CALL_OFF, number, time.time_ns(), b"called off by hand"]
         _appended(servers, record)
         click.echo(f"version {number} is called off")
 
--- a/petrelwood/control/messages.py
+++ b/petrelwood/control/messages.py
@@ -5,12 +5,12 @@
     catch-up [since]  ->  the same, whole       voted-in []  ->  [slot or nil]
     append [record]  ->  [slot]
 
-A record is [id, kind, number, begun, text]. The replies to the first three are [word, ...]; see `WORDS`.
+A record is [id, kind, number, begun, body]. The replies to the first three are [word, ...]; see `WORDS`.
 """
 
 from petrelwood.decide.cluster import replicated_log as log
 
-MOST = log.DOCUMENT * (log.TEXTS + 1)  # bytes of one message: the texts that a replica keeps, and all else
+MOST = log.DOCUMENT * (log.TEXTS + 1)  # bytes of one message: the versions that a replica keeps, and all else
 ID, KIND = 64, 16  # bytes of a record's id and kind at most
 LARGEST = 1 << 62  # of any number
 WORDS = {
@@ -48,15 +48,17 @@
 
 def record(value):
     """A `Record` of what was sent."""
-    id_, kind, number, begun, text = _list(value, 5, "a record")
+    id_, kind, number, begun, body = _list(value, 5, "a record")
     if not id_:
         raise Malformed("a record needs an id")
+    if not isinstance(body, bytes) or len(body) > log.DOCUMENT:
+        raise Malformed(f"a record's body must be {log.DOCUMENT} bytes at most")
     return log.Record(
         _text(id_, ID, "a record's id"),
         _text(kind, KIND, "a record's kind"),
         _number(number, "a record's number"),
         _number(begun, "a record's beginning"),
-        _text(text, log.DOCUMENT, "a record's text"),
+        body,
     )
 
 
--- a/petrelwood/control/server.py
+++ b/petrelwood/control/server.py
@@ -186,7 +186,7 @@
                 self.keep()
                 if self.replica.lacks_slots():
                     identity = f"{self.proposer.identity}.{self.replica.chosen}"
-                    await self.append(log.Record(identity, log.NO_OPERATION, 0, 0, ""))
+                    await self.append(log.Record(identity, log.NO_OPERATION, 0, 0, b""))
             except (CallFailed, messages.Malformed) as fault:
                 self.log.debug("not caught up", why=str(fault))
 
--- a/petrelwood/decide/cluster/replicated_log.py
+++ b/petrelwood/decide/cluster/replicated_log.py
@@ -9,16 +9,19 @@
 servers, itself not counted, for the highest slot that each has voted in, and votes again from the second slot
 after that one: see `Replica.rejoin`.
 
+A version's settings are kept compressed: what 400 dispatchers ask for at once is then a tenth of it.
+
 Free of I/O. Who drives a `Replica` makes `durable()` outlive a crash before any reply leaves that was given
 while `changed` was true. Times in ns of any clock that does not go back.
 """
 
+import zlib
 from typing import NamedTuple
 
 VERSION, CALL_OFF, NO_OPERATION = "version", "call off", "no operation"
 MS = 1_000_000
 KEPT = 128  # decided records that a replica keeps, the newest ones
-TEXTS = 4  # the newest versions that stand are kept with their text, for when the last is called off
+TEXTS = 4  # the newest versions that stand are kept with their settings, for when the last is called off
 DOCUMENT = 2 << 20  # bytes of one version's text at most; 13,000 functions by name take 831 KB
 ATTEMPT = 1_000 * MS  # for each phase of a ballot to find a majority, before a higher one is tried
 PATIENCE = 4_000 * MS  # for a record to be decided, before its author is told that there is no quorum
@@ -43,7 +46,7 @@
     kind: str  # VERSION, CALL_OFF or NO_OPERATION
     number: int  # CALL_OFF: the version that is called off; a version's own number is its slot
     begun: int  # VERSION: wall-clock ns at which its roll-out begins
-    text: str  # VERSION: the settings, whole; CALL_OFF: who calls it off, and why
+    body: bytes  # VERSION: the settings, whole, by `packed`; CALL_OFF: who calls it off, and why, in UTF-8
 
 
 class Extract(NamedTuple):
@@ -104,6 +107,27 @@
     chosen: int
 
 
+class Damaged(Exception):
+    """A body that is none that `packed` has made."""
+
+
+def packed(text):
+    """The body of a version, of its settings."""
+    return zlib.compress(text.encode("utf-8"))
+
+
+def unpacked(body):
+    """The settings that a version's body holds, `DOCUMENT` bytes at most. Raises `Damaged`."""
+    unpacker = zlib.decompressobj()
+    try:
+        text = unpacker.decompress(body, DOCUMENT + 1).decode("utf-8")
+    except (zlib.error, ValueError) as fault:
+        raise Damaged(str(fault)) from None
+    if len(text) > DOCUMENT or not unpacker.eof:
+        raise Damaged("it is too large, or not whole")
+    return text
+
+
 def majority(servers):
     """How many of `servers` (a number) make a quorum."""
     return servers // 2 + 1
@@ -223,7 +247,7 @@
                 del self.records[slot]
         for slot, record in self.records.items():
             if record.kind == VERSION and slot not in standing:
-                self.records[slot] = record._replace(text="")
+                self.records[slot] = record._replace(body=b"")
 
 
 class Proposer:
--- a/petrelwood/decide/cluster/version_watch.py
+++ b/petrelwood/decide/cluster/version_watch.py
@@ -28,7 +28,7 @@
 
     number: int
     begun: int  # wall-clock ns at which its roll-out begins, for this dispatcher
-    text: str
+    body: bytes  # see `replicated_log.unpacked`
 
 
 class CallOff(NamedTuple):
@@ -86,9 +86,9 @@
 
     def _news(self, slot, record, wall):
         if record.kind == CALL_OFF:
-            return CallOff(record.number, record.text)
+            return CallOff(record.number, record.body.decode("utf-8", "replace"))
         if record.kind == VERSION:
-            return Version(slot, self._begins(record.begun, wall), record.text)
+            return Version(slot, self._begins(record.begun, wall), record.body)
         return None  # of a later build: not ours to act on
 
     def _begins(self, begun, wall):
--- a/petrelwood/dispatch/configuration.py
+++ b/petrelwood/dispatch/configuration.py
@@ -11,7 +11,12 @@
 from petrelwood.control import messages
 from petrelwood.decide.cluster import replicated_log as log
 from petrelwood.decide.cluster.rollout import STAGES, dwell_for
-from petrelwood.decide.cluster.version_watch import ANSWER_WITHIN, SECOND, CallOff, VersionWatch
+from petrelwood.decide.cluster.version_watch import (
+    ANSWER_WITHIN,
+    SECOND,
+    CallOff,
+    VersionWatch,
+)
 from petrelwood.links.rpc_client import CallFailed, RpcClient
 from petrelwood.store import versions
 
@@ -62,13 +67,15 @@
                 if isinstance(news, CallOff):
                     versions.call_off(self.folder, news.number, news.why)
                 else:
-                    versions.receive(self.folder, news.number, news.text, news.begun)
+                    versions.receive(self.folder, news.number, log.unpacked(news.body), news.begun)
                 self.log.info("heard of a version", number=news.number, off=isinstance(news, CallOff))
             if self.watch.known != known:
                 versions.note_position(self.folder, self.watch.known)
+        except log.Damaged as fault:
+            self.log.error("a version can't be read; it is passed over", why=str(fault))
         except OSError as fault:
             self.watch.known = known
-            self.log.error("a version can't be kept", why=str(fault))
+            self.log.error("a version can't be kept; it is asked for again", why=str(fault))
 
     def call_off(self, number, why):
         """Tells the servers that this dispatcher has found a version bad, until one has it decided."""
@@ -78,7 +85,13 @@
         self._spawn(self._append(number, f"{self.name}: {why}"))
 
     async def _append(self, number, why):
-        record = [f"off-{number}-{self.name}"[: messages.ID], log.CALL_OFF, number, self.clock.wall(), why]
+        record = [
+            f"off-{number}-{self.name}"[: messages.ID],
+            log.CALL_OFF,
+            number,
+            self.clock.wall(),
+            why.encode(),
+        ]
         while number in self.unsent:
             for server in self.watch.order:
                 try:
--- a/petrelwood/emulate/configuration_servers.py
+++ b/petrelwood/emulate/configuration_servers.py
@@ -17,6 +17,7 @@
     Record,
     Replica,
     majority,
+    packed,
 )
 
 SECOND = 1000 * MS
@@ -118,7 +119,7 @@
     # Proposals.
     def record(self, kind=VERSION):
         self.records += 1
-        return Record(f"r{self.records}", kind, 0, self.now, f"text {self.records}")
+        return Record(f"r{self.records}", kind, 0, self.now, packed(f"text {self.records}"))
 
     def propose(self, name, record):
         server = self.servers[name]
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -70,6 +70,8 @@
     ("workers {", 'early { slot "2h"; season "1h" }\nworkers {'),
     ("workers {", 'early { event "f" from="soon" for="1h" factor=2 }\nworkers {'),
     ("workers {", "history { keep 9 }\nworkers {"),
+    ("workers {", 'configuration { server 7; within "3s" }\nworkers {'),
+    ("workers {", 'versions "v"\nconfiguration { within "13s" }\nworkers {'),
     ("workers {", 'state { folder "s"; durability "disk" }\nworkers {'),
     ("workers {", "worker {"),
     ("workers {", 'include "none.kdl"\nworkers {'),
--- /dev/null
+++ b/tests/test_configuration_scale.py
@@ -0,0 +1,87 @@
+"""A version of the settings at the size to design for: 400 dispatchers, five servers, in virtual time.
+
+Checked are counted messages, bytes and seconds of virtual time against the budgets, never the wall clock.
+"""
+
+import math
+import unittest
+
+from benchmarks.scale import configuration as scale
+from petrelwood.decide.cluster import rollout, version_watch
+
+WITHIN = scale.WITHIN / scale.SECOND
+# Two servers a round, a question and an answer each; rounds are a fifth shorter at most.
+MOST_MESSAGES = 4 / (1 - version_watch.JITTER)
+
+
+class InForce(unittest.TestCase):
+    def test_a_version_is_in_force_everywhere_in_time(self):
+        for seed in (1, 2):
+            found = scale.one_version(seed=seed)
+            self.assertLessEqual(found.in_force, WITHIN)
+            self.assertLessEqual(found.messages, MOST_MESSAGES)
+
+    def test_the_former_way_is_seen_to_be_too_slow(self):
+        """The check can fail: stages 30 s apart take seven times as long."""
+        found = scale.one_version(dispatchers=100, staged=False)
+        self.assertGreater(found.in_force, 6 * WITHIN)
+
+    def test_what_a_dispatcher_spends_fits_its_budget_and_does_not_grow_with_the_fleet(self):
+        few, many = scale.one_version(dispatchers=50), scale.one_version(dispatchers=400)
+        self.assertAlmostEqual(few.messages, many.messages, delta=0.05 * few.messages)
+        self.assertAlmostEqual(few.bytes, many.bytes, delta=0.05 * few.bytes)
+        # a version of 13,000 functions in 30 s here; at the day's mean it is one in 117 s
+        idle = scale.idle(dispatchers=50)
+        a_version = (many.bytes - idle.bytes) * 30
+        a_day = idle.bytes + a_version * scale.CHANGES_A_DAY / 86_400
+        self.assertLessEqual(a_day, scale.BYTES_A_SECOND)
+
+    def test_one_that_polls_far_more_often_is_seen(self):
+        """The check of messages can fail."""
+        usual = version_watch.ROUND
+        try:
+            version_watch.ROUND = usual // 10
+            self.assertGreater(scale.one_version(dispatchers=20).messages, MOST_MESSAGES)
+        finally:
+            version_watch.ROUND = usual
+
+
+class Events(unittest.TestCase):
+    def test_a_bad_version_reaches_the_first_stages_only(self):
+        for seed in (1, 2, 3):
+            found = scale.bad_version(seed=seed)
+            self.assertEqual(found.in_force, math.inf)
+            self.assertLessEqual(found.reached, rollout.STAGES[1] + 0.03)
+
+    def test_servers_lost_one_by_one_leave_in_force_what_was_and_two_may_go(self):
+        rows = scale.servers_lost(dispatchers=100)
+        for lost, row in enumerate(rows[:-1]):
+            self.assertEqual(row.in_force <= WITHIN, lost <= 2, row)
+            self.assertEqual(
+                row.reached, 1.0, row
+            )  # the last one decided is in force at all, also without any
+        self.assertLessEqual(rows[-1].in_force, WITHIN)
+
+    def test_all_dispatchers_at_once_with_empty_folders_have_it_in_time(self):
+        found = scale.all_started()
+        self.assertEqual(found.reached, 1.0)
+        self.assertLessEqual(found.in_force, WITHIN)
+
+    def test_the_region_with_three_servers_goes_on_and_the_other_has_it_soon_after(self):
+        found = scale.region_lost(dispatchers=20, seconds=600)
+        self.assertLessEqual(found.in_force, WITHIN)
+        # a server that had failed is asked again after 30 s at the latest; then the stages
+        healed = found.decided
+        self.assertLessEqual(healed, version_watch.AGAIN_MOST / scale.SECOND + WITHIN)
+
+    def test_changes_at_random_times_are_in_force_in_time_or_superseded_before(self):
+        for seed in (1, 2):
+            published, within, _ = scale.hour_of_changes(dispatchers=30, seed=seed, seconds=1200)
+            self.assertEqual(within, published)
+        # bursts: one each 30 s
+        published, within, _ = scale.hour_of_changes(dispatchers=30, gap=30, seconds=600)
+        self.assertEqual(within, published)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_configuration_servers.py
+++ b/tests/test_configuration_servers.py
@@ -87,7 +87,7 @@
 
 
 def version(n):
-    return log.Record(f"r{n}", log.VERSION, 0, 0, f"text {n}")
+    return log.Record(f"r{n}", log.VERSION, 0, 0, log.packed(f"text {n}"))
 
 
 class Servers(unittest.IsolatedAsyncioTestCase):
@@ -183,7 +183,7 @@
         self.assertEqual((self.folder / "other" / "1.off").read_text(), "d1: it did worse")
         await self.until(lambda: not one.unsent)
         with self.assertRaisesRegex(CallFailed, "no version 9"):
-            await self.group.append("c1", log.Record("x", log.CALL_OFF, 9, 0, "?"))
+            await self.group.append("c1", log.Record("x", log.CALL_OFF, 9, 0, b"?"))
 
     async def test_what_can_not_be_read_is_an_error_and_the_server_goes_on(self):
         client = RpcClient(self.group.addresses["c1"], messages.MOST)
@@ -194,9 +194,9 @@
             ("read", []),
             ("catch-up", [None]),
             ("append", [["id", "version", 0, 0]]),
-            ("append", [["", "version", 0, 0, ""]]),
-            ("append", [["id", "version", -1, 0, ""]]),
-            ("append", [["id", "version", 0, 0, "x" * (log.DOCUMENT + 1)]]),
+            ("append", [["", "version", 0, 0, b""]]),
+            ("append", [["id", "version", -1, 0, b""]]),
+            ("append", [["id", "version", 0, 0, b"x" * (log.DOCUMENT + 1)]]),
             ("prepare", [1, 1 << 63, "c1"]),
             ("accept", [1, 1, "c1", None]),
             ("learn", [0, 1, [[1]]]),
--- a/tests/test_replicated_log.py
+++ b/tests/test_replicated_log.py
@@ -4,6 +4,7 @@
 
 from petrelwood.decide.cluster.replicated_log import (
     CALL_OFF,
+    DOCUMENT,
     KEPT,
     MS,
     TEXTS,
@@ -13,6 +14,7 @@
     Ahead,
     Ballot,
     Behind,
+    Damaged,
     Extract,
     Learn,
     NotVoting,
@@ -21,6 +23,8 @@
     Record,
     Refused,
     Replica,
+    packed,
+    unpacked,
 )
 from petrelwood.emulate.configuration_servers import SECOND, World
 
@@ -28,7 +32,7 @@
 
 
 def version(n, kind=VERSION, number=0):
-    return Record(f"r{n}", kind, number, n, f"text {n}")
+    return Record(f"r{n}", kind, number, n, f"text {n}".encode())
 
 
 def filled(records):
@@ -229,10 +233,10 @@
     def test_what_is_kept_is_bounded_and_the_version_that_stands_is_never_dropped(self):
         replica = filled([version(1)] + [version(n, CALL_OFF, 999) for n in range(2, 3 * KEPT)])
         self.assertEqual(len(replica.records), KEPT + 1)
-        self.assertEqual(replica.records[1].text, "text 1")
+        self.assertEqual(replica.records[1].body, b"text 1")
         replica = filled([version(n) for n in range(1, 3 * KEPT)])
         self.assertEqual(len(replica.records), KEPT)
-        self.assertEqual(len([r for r in replica.records.values() if r.text]), TEXTS)
+        self.assertEqual(len([r for r in replica.records.values() if r.body]), TEXTS)
 
     def test_the_version_before_many_that_were_called_off_still_has_its_text(self):
         records = [version(1)]
@@ -241,6 +245,13 @@
         replica = filled(records)
         self.assertEqual(replica.extract(0, compact=True).entries[0], (1, version(1)))
 
+    def test_the_settings_of_a_version_come_out_as_they_went_in_and_never_larger_than_they_may_be(self):
+        for text in ("", "a", 'function "f-*" type="t"\n' * 13_000):
+            self.assertEqual(unpacked(packed(text)), text)
+        for body in (b"", b"no", packed("a" * (DOCUMENT + 1)), packed("a" * 99)[:-5]):
+            with self.assertRaises(Damaged):
+                unpacked(body)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_version_watch.py
+++ b/tests/test_version_watch.py
@@ -5,7 +5,13 @@
 import unittest
 from collections import Counter
 
-from petrelwood.decide.cluster.replicated_log import CALL_OFF, NO_OPERATION, VERSION, Extract, Record
+from petrelwood.decide.cluster.replicated_log import (
+    CALL_OFF,
+    NO_OPERATION,
+    VERSION,
+    Extract,
+    Record,
+)
 from petrelwood.decide.cluster.rollout import STAGES, dwell_for
 from petrelwood.decide.cluster.version_watch import (
     AGAIN_MOST,
@@ -29,7 +35,7 @@
 
 
 def version(slot, begun=WALL):
-    return slot, Record(f"r{slot}", VERSION, 0, begun, f"text {slot}")
+    return slot, Record(f"r{slot}", VERSION, 0, begun, b"%d" % slot)
 
 
 def extract(since, *entries):
@@ -39,9 +45,9 @@
 class Answers(unittest.TestCase):
     def test_what_is_new_comes_once_and_in_order(self):
         one = watch()
-        off = (3, Record("r3", CALL_OFF, 2, WALL, "d9: it did worse"))
+        off = (3, Record("r3", CALL_OFF, 2, WALL, b"d9: it did worse"))
         found = one.answered("c1", extract(0, version(2), off), 0, WALL)
-        self.assertEqual(found, [Version(2, WALL, "text 2"), CallOff(2, "d9: it did worse")])
+        self.assertEqual(found, [Version(2, WALL, b"2"), CallOff(2, "d9: it did worse")])
         self.assertEqual(one.answered("c2", extract(0, version(2), off), 0, WALL), [])
         self.assertEqual(one.known, 3)
 
@@ -62,7 +68,7 @@
         for kind in (NO_OPERATION, "of a later build"):
             slot = one.known + 1
             self.assertEqual(
-                one.answered("c1", extract(one.known, (slot, Record("x", kind, 0, 0, ""))), 0, WALL), []
+                one.answered("c1", extract(one.known, (slot, Record("x", kind, 0, 0, b""))), 0, WALL), []
             )
             self.assertEqual(one.known, slot)
 
