--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# `make demo` plays the bad day, `make test` runs all tests; each does its own set-up.
+# `make demo` plays the bad day, `make test` runs ruff and all tests; each does its own set-up.
 PY = .venv/bin/python
 .PHONY: demo test setup
 
@@ -15,4 +15,6 @@
 	.venv/bin/petrelwood day bad
 
 test: .venv/ready
+	$(PY) -m ruff check .
+	$(PY) -m ruff format --check .
 	$(PY) -m unittest discover -s tests -v
