--- a/petrelwood/links/rpc_client.py
+++ b/petrelwood/links/rpc_client.py
@@ -20,6 +20,7 @@
     def __init__(self, address, most):
         self.address, self.most = address, most
         self.stream, self.calls, self.last, self.lock = None, {}, 0, asyncio.Lock()
+        self.messages = self.bytes = 0  # sent and received
 
     async def call(self, method, params, within):
         """The result of a call that is answered `within` seconds. Raises `CallFailed`."""
@@ -40,7 +41,9 @@
         msgid = self.last
         answer = self.calls[msgid] = asyncio.get_running_loop().create_future()
         try:
-            await self.stream.write(rpc.request(msgid, method, params))
+            frame = rpc.request(msgid, method, params)
+            self.messages, self.bytes = self.messages + 1, self.bytes + len(frame)
+            await self.stream.write(frame)
             error, result = await answer
         finally:
             self.calls.pop(msgid, None)
@@ -65,7 +68,10 @@
         reader = rpc.Reader(self.most)
         try:
             while True:
-                for message in reader.feed(await stream.read_bytes(READ, partial=True)):
+                data = await stream.read_bytes(READ, partial=True)
+                self.bytes += len(data)
+                for message in reader.feed(data):
+                    self.messages += 1
                     if message[0] == rpc.RESPONSE:
                         self._answered(*message[1:])
         except (StreamClosedError, rpc.Garbage) as fault:
--- a/petrelwood/store/versions.py
+++ b/petrelwood/store/versions.py
@@ -15,7 +15,7 @@
 from petrelwood.store.snapshot import put
 
 POSITION = "position"
-KEPT = 64  # versions that stay in a folder that the configuration servers fill
+KEPT = 16  # versions that stay in a folder that the configuration servers fill
 
 
 def announced(folder):
