--- a/petrelwood/decide/cluster/handover.py
+++ b/petrelwood/decide/cluster/handover.py
@@ -40,7 +40,7 @@
     return None
 
 
-class Giver:
+class Predecessor:
     """The old one. Each method returns what is to be done: 'offer', 'go', 'resume', 'end' or None."""
 
     def __init__(self):
@@ -110,7 +110,7 @@
         return "resume" if was in (HANDING, WATCHING) else None
 
 
-class Taker:
+class Successor:
     """The new one. `before`: the completed share of answers that the old one had, with how many it was told
     from."""
 
--- a/petrelwood/decide/cluster/link_state.py
+++ b/petrelwood/decide/cluster/link_state.py
@@ -8,7 +8,7 @@
 another start time than before is a new life of the worker, which knows nothing of calls made to the old one.
 """
 
-from petrelwood.decide.overload.backoff import Comeback
+from petrelwood.decide.overload.backoff import Backoff
 
 DOWN, CONNECTING, GREETING, UP = "down", "connecting", "greeting", "up"
 PINGS = 3  # a link that owes something is asked so often before it is given up
@@ -20,7 +20,7 @@
 
     def __init__(self, worker, terms, chance, budget=None):
         self.worker, self.terms, self.state, self.budget = worker, terms, DOWN, budget
-        self.comeback = Comeback(terms.connect_within, 16 * terms.connect_within, chance)
+        self.comeback = Backoff(terms.connect_within, 16 * terms.connect_within, chance)
         self.since, self.heard, self.asked, self.booted, self.lives = 0, 0, 0, None, 0
 
     def wants(self, now):
--- a/petrelwood/decide/cluster/membership.py
+++ b/petrelwood/decide/cluster/membership.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from petrelwood import ports
-from petrelwood.decide.overload.backoff import Comeback
+from petrelwood.decide.overload.backoff import Backoff
 
 USABLE, DRAINING, GONE = "usable", "draining", "gone"
 
@@ -38,7 +38,7 @@
     def __init__(self, lost_after, first_wait, chance):
         self.members, self.epoch, self.number = {}, None, 0
         self.lost_after, self.heard, self.lost = lost_after, 0, False
-        self.comeback = Comeback(first_wait, 64 * first_wait, chance)
+        self.comeback = Backoff(first_wait, 64 * first_wait, chance)
 
     @property
     def resume(self):
--- a/petrelwood/decide/cluster/polling.py
+++ b/petrelwood/decide/cluster/polling.py
@@ -9,7 +9,7 @@
 OPEN = LATE // AGAIN  # questions whose answers are still taken: those of that time
 
 
-class Asking:
+class RosterPolling:
     """`ids`: those that are open, oldest first. `chance()` in [0, 1)."""
 
     def __init__(self, chance):
--- a/petrelwood/decide/cluster/shutdown.py
+++ b/petrelwood/decide/cluster/shutdown.py
@@ -9,7 +9,7 @@
 MARGIN, PART = 400 * MS, 4
 
 
-class Leaving:
+class Shutdown:
     """`longest`: the longest action timeout."""
 
     def __init__(self, now, longest):
--- a/petrelwood/decide/delivery/pending.py
+++ b/petrelwood/decide/delivery/pending.py
@@ -10,7 +10,7 @@
 from petrelwood.decide.delivery import ledger as led
 
 
-class Owed:
+class PendingActivation:
     """One activation. `waiting` are the fronts' exchanges: each one gets the answer. `lanes`, `load_time`,
     `work` (ns): as its
     rule or its client tells them; `mark`: what a worker tells repeats by, where it is not the id."""
@@ -44,7 +44,7 @@
         return self.number < other.number
 
 
-class Duty:
+class PendingActivations:
     """Times in ns. `ledger` may be None: nothing is known of earlier tries. `prefix` None: an activation goes
     under the id that it
     came with, which no other that is open may have."""
@@ -68,7 +68,7 @@
         """A new activation, from an `intake.Ask` whose verdict was TAKE."""
         self.last += 1
         id_ = ask.id if self.prefix is None else f"{self.prefix}{self.last}"
-        act = Owed(id_, key, ask, due, fn, lanes, body, self.last, load_time, work)
+        act = PendingActivation(id_, key, ask, due, fn, lanes, body, self.last, load_time, work)
         act.waiting.append((waiter, due))
         self.acts[act.id] = self.by_key[key] = act
         if self.ledger is not None:
--- a/petrelwood/decide/delivery/recovery.py
+++ b/petrelwood/decide/delivery/recovery.py
@@ -112,7 +112,7 @@
     return len(ledger.entries)
 
 
-class Return:
+class Recovery:
     """The first moments of a life that follows another. Times in ns of our own clock."""
 
     def __init__(self, found, now, wall, guarantees, orders):
--- a/petrelwood/decide/forecasting/account.py
+++ b/petrelwood/decide/forecasting/account.py
@@ -11,7 +11,7 @@
 
 from collections import Counter
 
-from petrelwood.decide.overload.backoff import Comeback
+from petrelwood.decide.overload.backoff import Backoff
 
 IN_TIME, LATE, NEVER, PUSHED, FAILED, STOPPED = (
     "in time",
@@ -26,7 +26,7 @@
 TRUST = 2.0  # seconds of wait a balance may fall before it counts as negative
 
 
-class Early:
+class EarlyLoad:
     """One early load that is under way or stands unused."""
 
     __slots__ = ("function", "hall", "worker", "asked", "stood", "until", "size", "load", "pushed")
@@ -40,7 +40,7 @@
     def __init__(self, first_wait, chance):
         self.seconds, self.ends = 0.0, Counter()
         self.comeback, self.held, self.spent_memory, self.saved = (
-            Comeback(first_wait, 64 * first_wait, chance),
+            Backoff(first_wait, 64 * first_wait, chance),
             False,
             0.0,
             0.0,
@@ -85,7 +85,7 @@
         if len(self.open) >= self.most:
             self.lost += 1
             return
-        self.open[function, worker] = Early(function, hall, worker, now, until, size, load)
+        self.open[function, worker] = EarlyLoad(function, hall, worker, now, until, size, load)
 
     def stands(self, now, function, worker, good, pushed=None):
         """Its order was answered."""
--- a/petrelwood/decide/forecasting/planner.py
+++ b/petrelwood/decide/forecasting/planner.py
@@ -24,7 +24,7 @@
 from petrelwood.decide.forecasting import forecast as fc
 
 
-class Room(NamedTuple):
+class FreeCapacity(NamedTuple):
     """What may be used now. Bytes, ns, and shares."""
 
     memory: int  # free for idle copies, over the workers
--- a/petrelwood/decide/forecasting/prefetch.py
+++ b/petrelwood/decide/forecasting/prefetch.py
@@ -98,7 +98,7 @@
                 models[function] = planner.Model(
                     self.size or 1, known.load, known.work or known.load // 4, len(known.copies)
                 )
-        room = planner.Room(self.memory or 1 << 60, orders, max(0.0, 2 * self.store - 1))
+        room = planner.FreeCapacity(self.memory or 1 << 60, orders, max(0.0, 2 * self.store - 1))
         wishes = planner.plan(
             now,
             models,
--- a/petrelwood/decide/overload/admission.py
+++ b/petrelwood/decide/overload/admission.py
@@ -5,14 +5,14 @@
 part. An address has a pace of its own for connections, and a part of each bound once half of the bound is
 taken; so one crowd
 can't keep the others out, and a lone caller may use all. An address whose signatures fail goes through
-`Comeback`: it is
+`Backoff`: it is
 refused unread for a while that doubles. What is known of addresses is bounded; the one heard of longest ago
 is forgotten.
 """
 
 from collections import OrderedDict
 
-from petrelwood.decide.overload.backoff import Comeback
+from petrelwood.decide.overload.backoff import Backoff
 
 SECOND = 1_000_000_000
 TAKE, PACE, CROWDED, UNFAIR, BAD = "take", "too fast", "crowded", "over its part", "bad signatures"
@@ -30,7 +30,7 @@
 
     def __init__(self, tokens, now, chance):
         self.open, self.bytes, self.tokens, self.seen, self.bad, self.shaking = 0, 0, tokens, now, 0, 0
-        self.comeback = Comeback(FIRST, LONGEST, chance)
+        self.comeback = Backoff(FIRST, LONGEST, chance)
 
 
 class Admission:
--- a/petrelwood/decide/overload/backoff.py
+++ b/petrelwood/decide/overload/backoff.py
@@ -6,7 +6,7 @@
 """
 
 
-class Comeback:
+class Backoff:
     """The waits of one thing that is tried again. Times in ns."""
 
     def __init__(self, first, most, chance, full=False):
--- a/petrelwood/decide/overload/concurrency_limit.py
+++ b/petrelwood/decide/overload/concurrency_limit.py
@@ -19,7 +19,7 @@
 FEW = 8  # answers that a turn must have to say anything
 
 
-class Ramp:
+class ConcurrencyLimit:
     """`most`, `least`: activations held; `turn`: ns. All times in ns."""
 
     def __init__(self, most, least, turn):
--- a/petrelwood/decide/overload/intake.py
+++ b/petrelwood/decide/overload/intake.py
@@ -4,16 +4,16 @@
 
 Every front asks here, so that a case has one decision whichever way it came. A verdict says what the front
 should
-answer; TAKE and JOIN mean that the answer comes later, through `Duty`.
+answer; TAKE and JOIN mean that the answer comes later, through `PendingActivations`.
 """
 
 from typing import NamedTuple
 
 from petrelwood.decide.delivery import ledger as led
 from petrelwood.decide.overload import deadlines, retry_budget
-from petrelwood.decide.overload.concurrency_limit import Ramp
+from petrelwood.decide.overload.concurrency_limit import ConcurrencyLimit
 from petrelwood.decide.overload.storm import Storms
-from petrelwood.decide.overload.throughput import Pace
+from petrelwood.decide.overload.throughput import ThroughputEstimate
 
 TAKE, JOIN, GIVE, REFUSE, CONFLICT, ABORT, SPENT = (
     "take",
@@ -78,8 +78,11 @@
         self.held, self.by_customer, self.closing, self.damps = 0, {}, False, damps
         self.usual = min(timeouts.values()) // 4  # how long an activation stays, by a running mean
         few = max(4, limits.held // 1024)
-        self.pace, self.ramp = Pace(few), Ramp(limits.held, few, min(timeouts.values()) // 2)
-        self.manners, self.storms = retry_budget.Manners(max(64, limits.ledger // 16)), Storms()
+        self.pace, self.ramp = (
+            ThroughputEstimate(few),
+            ConcurrencyLimit(limits.held, few, min(timeouts.values()) // 2),
+        )
+        self.manners, self.storms = retry_budget.RetryPolicy(max(64, limits.ledger // 16)), Storms()
 
     def ask(self, now, wall, ask):
         due, gone = deadlines.due(ask.came, ask.wait, self.timeouts[ask.type])
--- a/petrelwood/decide/overload/resource_limits.py
+++ b/petrelwood/decide/overload/resource_limits.py
@@ -23,7 +23,7 @@
 UNREAD = OPEN * (BODY + TEXT)
 
 
-class Room:
+class ResourceLimits:
     """`sockets`: descriptors; `memory`: bytes."""
 
     def __init__(self, sockets, memory):
@@ -33,7 +33,7 @@
         self.held = max(16, int(memory * BODIES) // (2 * BODY))
 
 
-class Direct:
+class CapacityIntake:
     """The intake of a platform that has its own retries, quotas and ids: room alone is looked at, all else is
     the module's. It has
     the shape of `intake.Intake`. Times in ns."""
--- a/petrelwood/decide/overload/retry_budget.py
+++ b/petrelwood/decide/overload/retry_budget.py
@@ -28,7 +28,7 @@
         self.budget, self.deaf = Budget(PART, KEPT), 0.0
 
 
-class Manners:
+class RetryPolicy:
     """`most`: ids and customers that are remembered. Times in ns."""
 
     def __init__(self, most):
--- a/petrelwood/decide/overload/sliding_window.py
+++ b/petrelwood/decide/overload/sliding_window.py
@@ -1,7 +1,7 @@
 """Counts over time: buckets in a ring, of which the oldest fall out. Times in ns."""
 
 
-class Ring:
+class SlidingWindowCounter:
     def __init__(self, width, count):
         self.width, self.buckets, self.last = width, [0] * count, None
 
--- a/petrelwood/decide/overload/storm.py
+++ b/petrelwood/decide/overload/storm.py
@@ -16,7 +16,7 @@
 
 from collections import Counter
 
-from petrelwood.decide.overload.sliding_window import Ring
+from petrelwood.decide.overload.sliding_window import SlidingWindowCounter
 
 SECOND = 1_000_000_000
 MARKS = {
@@ -68,10 +68,10 @@
 
     def __init__(self):
         self.symptoms = {name: Symptom(*marks) for name, marks in MARKS.items()}
-        self.asks, self.repeats = Ring(SECOND // 4, 9), Ring(SECOND // 4, 9)
-        self.connects, self.sends, self.colds = (Ring(SECOND // 4, 9) for _ in range(3))
+        self.asks, self.repeats = SlidingWindowCounter(SECOND // 4, 9), SlidingWindowCounter(SECOND // 4, 9)
+        self.connects, self.sends, self.colds = (SlidingWindowCounter(SECOND // 4, 9) for _ in range(3))
         self.fine, self.usual, self.second, self.count, self.seen = (
-            Ring(FINE, FINES),
+            SlidingWindowCounter(FINE, FINES),
             None,
             None,
             0,
--- a/petrelwood/decide/overload/throughput.py
+++ b/petrelwood/decide/overload/throughput.py
@@ -5,17 +5,17 @@
 enough is held for it to mean a queue and not a lull.
 """
 
-from petrelwood.decide.overload.sliding_window import Ring
+from petrelwood.decide.overload.sliding_window import SlidingWindowCounter
 
 SECOND = 1_000_000_000
 WINDOW, BUCKETS = SECOND // 4, 17  # four seconds and the one that fills
 
 
-class Pace:
+class ThroughputEstimate:
     """`enough`: activations held from which a queue is believed. Times in ns."""
 
     def __init__(self, enough):
-        self.enough, self.left = max(2, enough), Ring(WINDOW, BUCKETS)
+        self.enough, self.left = max(2, enough), SlidingWindowCounter(WINDOW, BUCKETS)
 
     def ended(self, now):
         """One that was held has its answer, whatever it is."""
--- a/petrelwood/decide/routing/neighbor.py
+++ b/petrelwood/decide/routing/neighbor.py
@@ -8,13 +8,13 @@
 `close(key)`, `up(open)`, `down(why)`, `heard(update)`, `refresh(afi)`. `key` names a
 connection: OURS, which we opened, or THEIRS. Times in ns of our own clock.
 
-What oscillates waits longer each time before it is tried again (a `Comeback`), and forgets that once a
+What oscillates waits longer each time before it is tried again (a `Backoff`), and forgets that once a
 session has held.
 """
 
 import struct
 
-from petrelwood.decide.overload.backoff import Comeback
+from petrelwood.decide.overload.backoff import Backoff
 from petrelwood.wire import bgp
 
 SECOND = 1_000_000_000
@@ -70,7 +70,7 @@
     def __init__(self, terms, out, chance):
         self.terms, self.out, self.chance = terms, out, chance
         self.connections, self.running, self.connecting, self.retry_at, self.routes = {}, False, False, 0, 0
-        self.comeback = Comeback(terms.first, terms.longest, chance)
+        self.comeback = Backoff(terms.first, terms.longest, chance)
         self.counts = {"up": 0, "down": 0, "updates": 0, "notes": 0, "collisions": 0, "refused": 0}
         self.why = ""
 
--- a/petrelwood/decide/routing/routing_table.py
+++ b/petrelwood/decide/routing/routing_table.py
@@ -23,7 +23,7 @@
     return attrs.path[0][1][0] if attrs.path and attrs.path[0][0] == bgp.SEQUENCE else 0
 
 
-class Table:
+class RoutingTable:
     """`peers` are named by anything that sorts; `most`: paths held at all."""
 
     def __init__(self, most=100_000):
--- a/petrelwood/dispatch/core.py
+++ b/petrelwood/dispatch/core.py
@@ -18,14 +18,14 @@
 from petrelwood.decide.delivery import ledger as led
 from petrelwood.decide.delivery import recovery
 from petrelwood.decide.delivery.ledger import Ledger
-from petrelwood.decide.delivery.pending import Duty
+from petrelwood.decide.delivery.pending import PendingActivations
 from petrelwood.decide.forecasting.forecast import Calendar
 from petrelwood.decide.forecasting.planner import Prices
 from petrelwood.decide.forecasting.prefetch import EarlyLoads
 from petrelwood.decide.overload import intake as stage
 from petrelwood.decide.overload.backoff import Budget
 from petrelwood.decide.overload.intake import Intake
-from petrelwood.decide.overload.sliding_window import Ring
+from petrelwood.decide.overload.sliding_window import SlidingWindowCounter
 
 MOST_IN_A_TURN = 10_000  # what follows from what, before the clock is let go on
 KEPT_BODY = 4096  # bytes of an answer that is kept for a retry after a restart
@@ -55,7 +55,7 @@
         self.now, self.limits, self.terms, start = clock.now, gateway.limits, gateway.terms, clock.now()
         self.chance = chance
         self.ledger, self.intake, prefix = self._stages()
-        self.duty = Duty(self.intake, self.ledger, prefix)
+        self.duty = PendingActivations(self.intake, self.ledger, prefix)
         self.membership = Membership(self.terms.orders.keep, gateway.workers.connect_within, chance.random)
         self.links, self.flying, self.inbox, self.telling, self.touched = {}, {}, deque(), False, None
         self.due_timer, self.due_at, self.rules = None, 0, {}
@@ -74,7 +74,7 @@
         )
         # `unsure(now)`: whether another process may own what comes
         self.unsure = None
-        self.goods, self.bads = Ring(WELL, 11), Ring(WELL, 11)
+        self.goods, self.bads = SlidingWindowCounter(WELL, 11), SlidingWindowCounter(WELL, 11)
         if state is not None:
             self.adopt(state)
         self.early, self.note = None, None  # `note(...)` of `store.history`, where one is kept
@@ -113,7 +113,7 @@
             self.gateway.tolerance,
             elsewhere,
         )
-        self.returning = recovery.Return(found, now, wall, self.terms.guarantees, self.terms.orders)
+        self.returning = recovery.Recovery(found, now, wall, self.terms.guarantees, self.terms.orders)
         if self.returning.orders and hasattr(self.brain, "resumed"):
             self.brain.resumed(now, self.returning.orders)
         if self.returning.begins_low and self.gateway.damps and not elsewhere:
--- a/petrelwood/dispatch/handover.py
+++ b/petrelwood/dispatch/handover.py
@@ -106,7 +106,7 @@
             self.sock.close()
 
 
-class Giver:
+class Predecessor:
     """In the process that serves: waits on the control socket for one that follows. `core`: a `Dispatcher`;
     `gives` and
     `takes_back` are called beside the webhooks' own, `over` when this process may end."""
@@ -114,7 +114,7 @@
     def __init__(self, path, core, webhooks, log, gives, takes_back, over):
         self.path, self.core, self.webhooks, self.log = pathlib.Path(path), core, webhooks, log
         self.gives, self.takes_back, self.over = gives, takes_back, over
-        self.machine, self.channel, self.tasks = handover.Giver(), None, set()
+        self.machine, self.channel, self.tasks = handover.Predecessor(), None, set()
 
     def open(self):
         """Takes the path over: one that follows binds it anew, so the newest is always found there."""
@@ -235,7 +235,7 @@
             self.over()
 
 
-class Taker:
+class Successor:
     """In the process that follows."""
 
     def __init__(self, path, loop, name):
@@ -266,7 +266,7 @@
             raise Lost("the old process does not answer") from None
         if kind != "offer":
             raise Lost(f"the old process says no: {fact}")
-        self.machine = handover.Taker(now, fact)
+        self.machine = handover.Successor(now, fact)
         self.listeners, self.channel.fds = [socket.socket(fileno=fd) for fd in self.channel.fds], []
         if not self.listeners:
             raise Lost("the old process passed no listener")
--- a/petrelwood/dispatch/health.py
+++ b/petrelwood/dispatch/health.py
@@ -7,7 +7,7 @@
 import asyncio
 
 from petrelwood.bgp.beats import EVERY, Sender
-from petrelwood.decide.overload.sliding_window import Ring
+from petrelwood.decide.overload.sliding_window import SlidingWindowCounter
 from petrelwood.decide.routing.serving import Facts
 
 SECOND = 1_000_000_000
@@ -21,7 +21,7 @@
             core,
             None,
             core.now(),
-            Ring(*LATELY),
+            SlidingWindowCounter(*LATELY),
         )
 
     def open(self):
--- a/petrelwood/dispatch/serve.py
+++ b/petrelwood/dispatch/serve.py
@@ -60,7 +60,7 @@
             )
         try:
             if self.follows:
-                self.taker = handover.Taker(self.gateway.control, core.loop, self.gateway.name)
+                self.taker = handover.Successor(self.gateway.control, core.loop, self.gateway.name)
                 await self.taker.ask(core.now())
             watch.open()
             core.open()
@@ -231,7 +231,7 @@
             self.rolled = (0, 0) if self.follows else self.core.answered
             self.tasks.append(self.core.loop.create_task(self._roll(self.gateway.versions)))
         if self.gateway.control:
-            self.giver = handover.Giver(
+            self.giver = handover.Predecessor(
                 self.gateway.control,
                 self.core,
                 self.front,
--- a/petrelwood/fronts/mqtt.py
+++ b/petrelwood/fronts/mqtt.py
@@ -16,7 +16,7 @@
 
 from petrelwood.decide.delivery import mqtt_acknowledgement, mqtt_topics
 from petrelwood.decide.overload import deadlines, intake
-from petrelwood.decide.overload.backoff import Comeback
+from petrelwood.decide.overload.backoff import Backoff
 from petrelwood.links import packets as mq
 from petrelwood.links import sockets
 
@@ -88,7 +88,7 @@
         self.terms, self.client = front.terms, f"{core.name}.{customer}"
         self.window = mqtt_acknowledgement.Window(self.terms.window_least, self.terms.window_most)
         self.deliveries = mqtt_acknowledgement.Deliveries(self.window, self)
-        self.comeback = Comeback(
+        self.comeback = Backoff(
             self.terms.comeback_first, self.terms.comeback_most, core.chance.random, full=True
         )
         self.stream, self.up, self.task, self.number, self.stamp = None, False, None, 0, 0
--- a/petrelwood/node/service.py
+++ b/petrelwood/node/service.py
@@ -6,10 +6,10 @@
 from petrelwood.brain import Brain
 from petrelwood.clocks import LoopClock
 from petrelwood.decide.cluster import shutdown
-from petrelwood.decide.cluster.polling import Asking
+from petrelwood.decide.cluster.polling import RosterPolling
 from petrelwood.decide.delivery import ledger
 from petrelwood.decide.overload import intake
-from petrelwood.decide.overload.resource_limits import Direct, Room
+from petrelwood.decide.overload.resource_limits import CapacityIntake, ResourceLimits
 from petrelwood.dispatch.core import Core
 from petrelwood.node import told
 from petrelwood.node.front import Figures, Front
@@ -29,7 +29,7 @@
     """`gateway` is a `told.Told`."""
 
     def __init__(self, gateway, log, brain=Brain):
-        self.loop, self.room = asyncio.get_running_loop(), Room(gateway.sockets, gateway.memory)
+        self.loop, self.room = asyncio.get_running_loop(), ResourceLimits(gateway.sockets, gateway.memory)
         self.busy, self.checks, self.looks, self.tag, self.lines, self.losses, self.began = (
             {},
             None,
@@ -42,11 +42,11 @@
         super().__init__(gateway, LoopClock(), Random(gateway.seed), self._link, log, brain)
         self.beat, self.turns, self.still, self.read, self.rings = self.now(), 0, 0, 0, []
         self.front = Front(self, self.room, log)
-        self.roster = DnsRoster(gateway.names, self.membership, Asking(self.chance.random), self, log)
+        self.roster = DnsRoster(gateway.names, self.membership, RosterPolling(self.chance.random), self, log)
 
     def _stages(self):
         usual = min(t.target_latency for t in self.terms.types.values()) // 4
-        return None, Direct(self.room, usual), None
+        return None, CapacityIntake(self.room, usual), None
 
     def _link(self, worker, address, core):
         return NodeLink(worker, address, self.gateway.workers, core, self.log)
@@ -191,7 +191,7 @@
         to the last: a
         connection that the machine has accepted may have a request in it, which a closed listener would
         lose."""
-        ends = shutdown.Leaving(self.now(), max(self.gateway.timeouts.values()))
+        ends = shutdown.Shutdown(self.now(), max(self.gateway.timeouts.values()))
         self.began = False
         while not ends.over(self.now(), len(self.duty.acts), self.front.quiet()):
             self.intake.closing = ends.closed(self.now())
--- a/petrelwood/standins/router.py
+++ b/petrelwood/standins/router.py
@@ -18,7 +18,7 @@
 from tornado.tcpserver import TCPServer
 
 from petrelwood.decide.routing import neighbor
-from petrelwood.decide.routing.routing_table import Table
+from petrelwood.decide.routing.routing_table import RoutingTable
 from petrelwood.wire import bgp
 
 FAMILIES = ((bgp.IPV4, bgp.UNICAST), (bgp.IPV6, bgp.UNICAST))
@@ -103,7 +103,7 @@
         self.loop, self.chance, self.table, self.sides, self.all = (
             asyncio.get_running_loop(),
             random.Random(seed),
-            Table(most),
+            RoutingTable(most),
             {},
             set(),
         )
--- a/tests/test_bgp.py
+++ b/tests/test_bgp.py
@@ -10,7 +10,7 @@
 from kept import compare
 
 from petrelwood.decide.routing import announce, neighbor, serving
-from petrelwood.decide.routing.routing_table import Table
+from petrelwood.decide.routing.routing_table import RoutingTable
 from petrelwood.wire import bgp
 
 S = 10**9
@@ -456,7 +456,7 @@
             chance, count = random.Random(seed), random.Random(seed).choice((2, 4, 30))
             nodes, table, update = (
                 [serving.Serving(self.BOUNDS, 0) for _ in range(count)],
-                Table(),
+                RoutingTable(),
                 announce.Service(PREFIX, b"\x7f\0\0\1", (), None, 1000, 3),
             )
             told, gone, ill = [None] * count, 0, [False] * count
@@ -487,7 +487,7 @@
 
 class Tables(unittest.TestCase):
     def test_the_best_and_what_shares_with_it(self):
-        table = Table()
+        table = RoutingTable()
 
         def hears(peer, found):
             table.heard(peer, bgp.Update((), (PREFIX,), found, ()))
@@ -504,7 +504,7 @@
         self.assertEqual([p for p, _ in table.best(PREFIX)], [3])
         table.heard(3, bgp.Update((PREFIX,), (), None, ()))
         self.assertEqual([p for p, _ in table.best(PREFIX)], [2])
-        small = Table(most=1)
+        small = RoutingTable(most=1)
         small.heard(1, bgp.Update((), (PREFIX,), attrs(), ()))
         with self.assertRaises(ValueError):
             small.heard(2, bgp.Update((), (PREFIX,), attrs(), ()))
@@ -512,7 +512,7 @@
     def test_resilient_flows_move_only_where_they_must(self):
         moved = {}
         for resilient in (False, True):
-            table = Table()
+            table = RoutingTable()
             for peer in range(8):
                 table.heard(peer, bgp.Update((), (PREFIX,), attrs(), ()))
             before = {flow: table.pick(PREFIX, flow, resilient) for flow in range(2000)}
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -9,11 +9,11 @@
 from petrelwood.decide.cluster import link_state, membership
 from petrelwood.decide.delivery import ledger, send_outcome
 from petrelwood.decide.delivery.ledger import Ledger
-from petrelwood.decide.delivery.pending import Duty
+from petrelwood.decide.delivery.pending import PendingActivations
 from petrelwood.decide.overload import deadlines, intake
-from petrelwood.decide.overload.backoff import Budget, Comeback
+from petrelwood.decide.overload.backoff import Backoff, Budget
 from petrelwood.decide.overload.intake import Ask, Intake
-from petrelwood.decide.overload.resource_limits import Direct, Room
+from petrelwood.decide.overload.resource_limits import CapacityIntake, ResourceLimits
 from petrelwood.settings.gateway import Limits, WorkerTerms
 
 MS, S = 1_000_000, 1_000_000_000
@@ -41,7 +41,7 @@
         self.kept, self.now, self.lines = kept, 0, []
         self.ledger = Ledger(most, bytes_, 300 * S, TYPES, {n: 600 * S for n in TYPES}, began)
         self.intake = Intake(limits, TIMEOUTS, terms, self.ledger, half)
-        self.duty = Duty(self.intake, self.ledger)
+        self.duty = PendingActivations(self.intake, self.ledger)
 
     def say(self, text):
         self.lines.append(f"{self.now / S:6.1f}  {text}")
@@ -205,7 +205,7 @@
     def test_an_id_that_comes_again_has_its_own_time(self):
         """Found on join+mass (sockets): the time of a request that had ended cut short another under its
         id."""
-        duty = Duty(Direct(Room(256, 64 << 20), S), None, None)
+        duty = PendingActivations(CapacityIntake(ResourceLimits(256, 64 << 20), S), None, None)
         for came in (0, 1):
             ask = Ask("x", "m1", 0, "again", came * S, 2 * S, "")
             duty.take(came * S, ("x", "m1"), ask, (2 + came) * S, "f", 1, b"", None)
@@ -276,14 +276,14 @@
 
     def test_waits_double_and_are_drawn(self):
         chance = random.Random(1).random
-        waits = Comeback(100, 1000, chance)
+        waits = Backoff(100, 1000, chance)
         drawn = [waits.failed(0) for _ in range(8)]
         for n, wait in enumerate(drawn):
             whole = min(100 << n, 1000)
             self.assertTrue(whole // 2 <= wait <= whole, (n, wait))
         waits.succeeded()
         self.assertTrue(waits.may(0))
-        full = [Comeback(1000, 1000, chance, full=True).failed(0) for _ in range(400)]
+        full = [Backoff(1000, 1000, chance, full=True).failed(0) for _ in range(400)]
         self.assertTrue(min(full) < 100 and max(full) > 900)
 
     def test_a_budget_bounds_repeats_by_firsts(self):
--- a/tests/test_forecast.py
+++ b/tests/test_forecast.py
@@ -180,7 +180,7 @@
             0,
             functions,
             lambda n: (means[n], 1.2),
-            planner.Room(memory, orders, store),
+            planner.FreeCapacity(memory, orders, store),
             60 * S,
             60 * S,
             PRICES,
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -43,7 +43,7 @@
         }
         lines = []
         for name, steps in stories.items():
-            giver, now, said = handover.Giver(), 0, []
+            giver, now, said = handover.Predecessor(), 0, []
             for step in steps.split():
                 if step.startswith("+"):
                     now += int(step[1:]) * S
@@ -67,7 +67,7 @@
             ("too few to tell", 0, 10, (0.95, 200), 6),
             ("as bad as before", 10, 90, (0.2, 200), 6),
         ):
-            taker = handover.Taker(0)
+            taker = handover.Successor(0)
             said = [taker.can_serve(0), taker.go(S, before)]
             for _ in range(good):
                 taker.ended(True)
@@ -78,9 +78,9 @@
                 f"new one, {name}: {', '.join(map(str, said))}; "
                 f"{taker.state}{', ' + taker.why if taker.why else ''}"
             )
-        taker = handover.Taker(0)
+        taker = handover.Successor(0)
         lines.append(f"new one, no word to go: {taker.can_serve(0)}, {taker.check(20 * S)}, {taker.why}")
-        taker = handover.Taker(0)
+        taker = handover.Successor(0)
         lines.append(f"new one, the old one dies first: {taker.lost(S)}, {taker.why}")
         compare(self, "handover", lines)
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -18,8 +18,8 @@
 
 from petrelwood import ports
 from petrelwood.decide.cluster import connection_pool, membership, shutdown
-from petrelwood.decide.cluster.polling import AGAIN, EVERY, Asking
-from petrelwood.decide.overload.resource_limits import Direct, Room
+from petrelwood.decide.cluster.polling import AGAIN, EVERY, RosterPolling
+from petrelwood.decide.overload.resource_limits import CapacityIntake, ResourceLimits
 from petrelwood.links import rpc
 from petrelwood.node import front, lines, roster, told
 
@@ -246,7 +246,7 @@
 
 class Decisions(unittest.TestCase):
     def test_when_to_ask(self):
-        asking = Asking(random.Random(1).random)
+        asking = RosterPolling(random.Random(1).random)
         first = asking.asks(0)
         self.assertEqual((asking.due(AGAIN - 1), asking.due(AGAIN)), (False, True))
         second = asking.asks(AGAIN)
@@ -298,7 +298,7 @@
             (3000, ((3299, 2), (3300, 2), (3499, 2), (3500, 2))),
             (1000, ((699, 0), (1449, 2), (1450, 2), (1574, 2), (1575, 2))),
         ):
-            ends = shutdown.Leaving(0, longest * MS)
+            ends = shutdown.Shutdown(0, longest * MS)
             said.append(
                 f"longest action timeout {longest} ms: killed {700 + min(longest, 3000)} ms after it at the soonest"
             )
@@ -310,11 +310,11 @@
         compare(self, "node_leaving", said)
 
     def test_room_is_a_part_of_each_limit(self):
-        small, large = Room(256, 32 << 20), Room(1024, 192 << 20)
+        small, large = ResourceLimits(256, 32 << 20), ResourceLimits(1024, 192 << 20)
         self.assertGreater(small.clients, 256 // 3)
         self.assertLess(small.clients + small.workers, 256)
         self.assertLess(small.held, large.held)
-        direct = Direct(small, 100 * MS)
+        direct = CapacityIntake(small, 100 * MS)
         direct.held = small.held
         self.assertEqual(direct.ask(0, 0, None)[0], "refuse")
 
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -250,7 +250,7 @@
             (WALL - 60 * S, 10, S),
         ):
             found, _ = self.story(records, wall)
-            back = recovery.Return(found, 50 * S, wall, guarantees, orders)
+            back = recovery.Recovery(found, 50 * S, wall, guarantees, orders)
             self.assertEqual(
                 (back.orders, back.cold_from - 50 * S, back.begins_low), (count, cold_after, True)
             )
@@ -258,7 +258,7 @@
                 (back.may_send(50 * S, True), back.may_send(50 * S, False)), (cold_after == 0, True)
             )
         found, _ = self.story(records + [["close", WALL + 10 * S]], WALL + 11 * S)
-        self.assertFalse(recovery.Return(found, 0, WALL + 11 * S, guarantees, orders).begins_low)
+        self.assertFalse(recovery.Recovery(found, 0, WALL + 11 * S, guarantees, orders).begins_low)
 
     def test_no_order_of_damage_raises(self):
         chance = random.Random(2)
--- a/tests/test_storms.py
+++ b/tests/test_storms.py
@@ -10,10 +10,10 @@
 from petrelwood.decide.cluster.link_state import LinkState
 from petrelwood.decide.overload import admission, retry_budget
 from petrelwood.decide.overload.backoff import Budget
-from petrelwood.decide.overload.concurrency_limit import Ramp
-from petrelwood.decide.overload.sliding_window import Ring
+from petrelwood.decide.overload.concurrency_limit import ConcurrencyLimit
+from petrelwood.decide.overload.sliding_window import SlidingWindowCounter
 from petrelwood.decide.overload.storm import Storms, dispersion
-from petrelwood.decide.overload.throughput import Pace
+from petrelwood.decide.overload.throughput import ThroughputEstimate
 
 S, MS = 10**9, 10**6
 
@@ -85,7 +85,7 @@
         self.assertEqual(dispersion([0, 0, 0, 12]), 9.0)
 
     def test_a_ring_forgets_what_has_passed(self):
-        ring = Ring(10, 3)
+        ring = SlidingWindowCounter(10, 3)
         for at in (1, 12, 25):
             ring.add(at)
         self.assertEqual((ring.sum(29), ring.whole(29), ring.sum(35), ring.sum(1000)), (3, [1, 1], 2, 0))
@@ -93,7 +93,7 @@
 
 class Hints(unittest.TestCase):
     def test_who_listens_gets_in_and_who_does_not_wears_out_only_his_own(self):
-        manners, lines = retry_budget.Manners(1000), []
+        manners, lines = retry_budget.RetryPolicy(1000), []
         manners.hint(0, "calm", "c1", S, half, 60 * S, False)
         for at in range(12):  # he retries each 100 ms, whatever he is told
             how = manners.comes(at * S // 10, "loud", "l1")
@@ -112,14 +112,14 @@
         compare(self, "storm_manners", lines)
 
     def test_what_is_remembered_is_bounded(self):
-        manners = retry_budget.Manners(50)
+        manners = retry_budget.RetryPolicy(50)
         for i in range(500):
             manners.comes(i, f"c{i}", "x")
             manners.hint(i, f"c{i}", "x", S, half, 60 * S, False)
         self.assertEqual((len(manners.told), len(manners.customers)), (50, 50))
 
     def test_those_refused_together_part(self):
-        chance, manners = random.Random(3).random, retry_budget.Manners(10_000)
+        chance, manners = random.Random(3).random, retry_budget.RetryPolicy(10_000)
         times = sorted(manners.hint(0, "x", str(i), 4 * S, chance, 60 * S, False) for i in range(2000))
         self.assertLess(max(sum(t // S == second for t in times) for second in range(8)), 0.3 * len(times))
 
@@ -180,15 +180,15 @@
         return in_time / seconds, len(todo)
 
     def ramp(self):
-        return Ramp(5000, 8, S // 2)
+        return ConcurrencyLimit(5000, 8, S // 2)
 
     def test_after_a_trigger_it_comes_back_by_itself_where_none_does_not(self):
         """Metastable: 80 a second offered to 100, behind a queue of 800 whose late ones ask again."""
         for more, least, most in (
             ({}, 0, 10),
             ({"ramp": self.ramp()}, 55, 80),
-            ({"pace": Pace(8)}, 64, 80),
-            ({"ramp": self.ramp(), "pace": Pace(8)}, 64, 80),
+            ({"pace": ThroughputEstimate(8)}, 64, 80),
+            ({"ramp": self.ramp(), "pace": ThroughputEstimate(8)}, 64, 80),
         ):
             served, _ = self.serve(60, 80, 100, S, queue=800, repeats=0.9, **more)
             self.assertTrue(least <= served <= most, (sorted(more), served))
@@ -196,7 +196,7 @@
     def test_at_any_load_both_keep_nine_tenths_of_what_can_be_served_and_each_alone_two_thirds(self):
         for offered in (60, 100, 120, 200, 300, 500):
             able = min(offered, 100)
-            both, queue = self.serve(60, offered, 100, S, self.ramp(), Pace(8))
+            both, queue = self.serve(60, offered, 100, S, self.ramp(), ThroughputEstimate(8))
             self.assertGreater(both, 0.9 * able, offered)
             self.assertLess(queue, 150)
             self.assertGreater(self.serve(60, offered, 100, S, ramp=self.ramp())[0], 0.66 * able)
@@ -204,7 +204,7 @@
                 self.assertLess(self.serve(60, offered, 100, S)[0], 20)
 
     def test_it_stays_open_where_answers_are_good_and_begins_low_after_a_start(self):
-        ramp, steps = Ramp(1000, 8, S), []
+        ramp, steps = ConcurrencyLimit(1000, 8, S), []
         ramp.begin(0)
         for second in range(1, 40):
             for _ in range(20):
@@ -219,7 +219,7 @@
         self.assertEqual(int(ramp.limit), 8)
 
     def test_a_queue_is_told_from_a_lull(self):
-        pace = Pace(20)
+        pace = ThroughputEstimate(20)
         for at in range(50):
             pace.ended(at * S // 10)
         self.assertIsNone(pace.stay(5 * S, 5))  # few are held: nothing is believed
