Heartbeats under their name: bgp/heartbeats.py, HeartbeatSender, HeartbeatReceiver

Cause: `beats` was our word for what the field calls heartbeats.

Change, names alone: the module, its classes and the methods that send and take one. The key `beats_wrong`, the file names in settings and their messages stay.

--- a/benchmarks/bgp.py
+++ b/benchmarks/bgp.py
@@ -25,7 +25,7 @@
 
 from tornado.tcpserver import TCPServer
 
-from petrelwood.bgp.beats import Sender
+from petrelwood.bgp.heartbeats import HeartbeatSender
 from petrelwood.decide.routing.serving import Facts
 from petrelwood.standins.router import Router
 from petrelwood.wire import bgp
@@ -116,7 +116,11 @@
 
 
 async def drain(args, folder):
-    setup, sender, facts = Setup(folder, 9, "2s"), Sender(str(pathlib.Path(folder) / "beats")), [FINE]
+    setup, sender, facts = (
+        Setup(folder, 9, "2s"),
+        HeartbeatSender(str(pathlib.Path(folder) / "beats")),
+        [FINE],
+    )
     await setup.open()
 
     async def beat():
@@ -171,7 +175,7 @@
         for number in range(args.runs):
             where = pathlib.Path(folder) / f"{hold}-{number}"
             where.mkdir()
-            setup, sender = Setup(where, hold), Sender(str(where / "beats"))
+            setup, sender = Setup(where, hold), HeartbeatSender(str(where / "beats"))
             await setup.open()
             ends = time.monotonic() + 30
             while not setup.there() and time.monotonic() < ends:
--- a/petrelwood/bgp/beats.py
+++ b/petrelwood/bgp/heartbeats.py
@@ -1,4 +1,4 @@
-"""Beats: what a dispatcher says of itself to the speaker beside it, over a datagram socket on this machine.
+"""Heartbeats: what a dispatcher says of itself to the speaker beside it, over a datagram socket.
 
 They are sent from the dispatcher's own loop, so that one that hangs falls silent; a speaker that is away
 costs it nothing.
@@ -11,10 +11,10 @@
 from petrelwood.decide.routing.serving import Facts
 from petrelwood.links.local import Bound
 
-EVERY = 0.05  # seconds between beats
+EVERY = 0.05  # seconds between heartbeats
 
 
-class Sender:
+class HeartbeatSender:
     """In the dispatcher. `path`: the speaker's socket."""
 
     def __init__(self, path):
@@ -37,8 +37,8 @@
             self.sock = None
 
 
-class Receiver:
-    """In the speaker: `heard(Facts)` for each beat."""
+class HeartbeatReceiver:
+    """In the speaker: `heard(Facts)` for each heartbeat."""
 
     def __init__(self, path, loop, heard):
         self.loop, self.heard, self.wrong = loop, heard, 0
--- a/petrelwood/bgp/speaker.py
+++ b/petrelwood/bgp/speaker.py
@@ -14,7 +14,7 @@
 from tornado.netutil import bind_sockets
 from tornado.tcpserver import TCPServer
 
-from petrelwood.bgp.beats import Receiver
+from petrelwood.bgp.heartbeats import HeartbeatReceiver
 from petrelwood.decide.routing import announce, neighbor, serving
 from petrelwood.wire import bgp
 
@@ -184,14 +184,14 @@
         self.chance = random.Random(described.id if seed is None else seed)
         self.serving = serving.Serving(described.bounds, self.now())
         self.peers = [Peer(self, terms) for terms in described.peers]
-        self.timer, self.server, self.beats = None, None, None
+        self.timer, self.server, self.heartbeats = None, None, None
 
     now = staticmethod(time.monotonic_ns)
 
     def open(self):
         """The address listened on, or None."""
         described, found = self.described, None
-        self.beats = Receiver(described.health, self.loop, self._beat)
+        self.heartbeats = HeartbeatReceiver(described.health, self.loop, self._heartbeat)
         if described.listen is not None:
             self.server = _Listener(self)
             sockets = bind_sockets(described.listen[1], described.listen[0], family=socket.AF_UNSPEC)
@@ -204,8 +204,8 @@
         self.wake()
         return found
 
-    def _beat(self, facts):
-        self.serving.beat(self.now(), facts)
+    def _heartbeat(self, facts):
+        self.serving.heartbeat(self.now(), facts)
         self.look()
 
     def look(self):
@@ -245,7 +245,7 @@
             "level": self.serving.level,
             "why": self.serving.why,
             "flaps": self.serving.flaps,
-            "beats_wrong": self.beats.wrong,
+            "beats_wrong": self.heartbeats.wrong,
             "peers": {
                 p.terms.name: {
                     "state": p.neighbor.state,
@@ -266,7 +266,7 @@
             peer.neighbor.stop(self.now(), bgp.SHUTDOWN, text)
         if self.server is not None:
             self.server.stop()
-        self.beats.close()
+        self.heartbeats.close()
         await asyncio.sleep(0.05)  # the last words go out
         for peer in self.peers:
             if peer.task is not None:
--- a/petrelwood/decide/routing/serving.py
+++ b/petrelwood/decide/routing/serving.py
@@ -30,7 +30,7 @@
 
 
 class Facts(NamedTuple):
-    """What a dispatcher says of itself, at each beat."""
+    """What a dispatcher says of itself, at each heartbeat."""
 
     closing: bool  # it drains, or hands over
     listed: int  # ns since its list of workers was known to be fresh
@@ -42,7 +42,7 @@
 
 
 class Bounds(NamedTuple):
-    silent: int  # ns without a beat after which it is taken to hang
+    silent: int  # ns without a heartbeat after which it is taken to hang
     fresh: int  # ns that a list may be old
     stall: int  # ns that its loop may stand still
     settle: int  # ns that it must be well before it is announced
@@ -79,7 +79,7 @@
         )
         self.well_since, self.fault, self.fault_at, self.poor, self.flaps = None, 0.0, now, False, 0
 
-    def beat(self, now, facts):
+    def heartbeat(self, now, facts):
         self.facts, self.heard = facts, now
 
     def _faults(self, now):
@@ -105,9 +105,8 @@
         return FULL, "", False
 
     def look(self, now, others):
-        """Asked at each beat and a few times a second. `others`: whether another announcement that is not
-        LESS is seen. Whether
-        level or cause has changed."""
+        """Asked at each heartbeat and a few times a second. `others`: whether another announcement that is
+        not LESS is seen. Whether level or cause has changed."""
         level, why, shared = self._verdict(now, others)
         before = self.level, self.why
         if level == FULL:
--- a/petrelwood/dispatch/health.py
+++ b/petrelwood/dispatch/health.py
@@ -6,7 +6,7 @@
 
 import asyncio
 
-from petrelwood.bgp.beats import EVERY, Sender
+from petrelwood.bgp.heartbeats import EVERY, HeartbeatSender
 from petrelwood.decide.overload.sliding_window import SlidingWindowCounter
 from petrelwood.decide.routing.serving import Facts
 
@@ -17,7 +17,7 @@
 class Health:
     def __init__(self, path, core):
         self.sender, self.core, self.task, self.last, self.stalls = (
-            Sender(path),
+            HeartbeatSender(path),
             core,
             None,
             core.now(),
@@ -25,11 +25,11 @@
         )
 
     def open(self):
-        self.task = self.core.loop.create_task(self._beat())
+        self.task = self.core.loop.create_task(self._heartbeats())
 
     def facts(self):
         core, now = self.core, self.core.now()
-        # What it stood still for counts for two seconds: the sum over the ring is at least the longest of
+        # What it stood still for counts for two seconds: the sum over the window is at least the longest of
         # them.
         stalled = max(0, now - self.last - int(EVERY * SECOND))
         if stalled > EVERY * SECOND:
@@ -47,12 +47,12 @@
             core.state is None or core.state.stopped is None,
         )
 
-    async def _beat(self):
+    async def _heartbeats(self):
         while True:
-            self.beat()
+            self.heartbeat()
             await asyncio.sleep(EVERY)
 
-    def beat(self):
+    def heartbeat(self):
         """Now: at the beginning of a drain without waiting for the next."""
         if not self.core.retired:
             self.sender.send(self.facts())
--- a/petrelwood/dispatch/serve.py
+++ b/petrelwood/dispatch/serve.py
@@ -74,7 +74,7 @@
                 self.taker.channel.close()
         core.intake.closing = True
         if self.health is not None:  # before anything else: traffic has to go elsewhere
-            self.health.beat()
+            self.health.heartbeat()
         log.info("closing", owed=len(core.duty.acts), why=self.failed)
         if self.giver is not None:
             self.giver.close()
--- a/petrelwood/settings/speaker.py
+++ b/petrelwood/settings/speaker.py
@@ -1,4 +1,4 @@
-"""What a speaker's file says: who it is, whose beats it hears, what it announces, and to whom."""
+"""What a speaker's file says: who it is, whose heartbeats it hears, what it announces, and to whom."""
 
 import ipaddress
 import pathlib
@@ -34,7 +34,7 @@
     asn: int
     id: int
     listen: object  # (host, port), or None
-    health: str  # path of the socket on which the dispatcher's beats come
+    health: str  # path of the socket on which the dispatcher's heartbeats come
     hold: int  # s
     bounds: Bounds
     peers: tuple
--- a/tests/test_bgp.py
+++ b/tests/test_bgp.py
@@ -399,7 +399,7 @@
             for _ in range(round(seconds * S / every)):
                 now += every
                 if facts is not None:
-                    made.beat(now, facts)
+                    made.heartbeat(now, facts)
                 if made.look(now, others):
                     lines.append(f"{now / S:7.2f}  {made.level:5s} {made.why}")
         return lines, made
@@ -470,7 +470,7 @@
                     )
                 for i in chance.sample(range(count), count):
                     others = any(not announce.is_less(a) for peer, a in table.best(PREFIX)[:1] if peer != i)
-                    nodes[i].beat(now, self.FINE._replace(usable=0 if ill[i] else 5))
+                    nodes[i].heartbeat(now, self.FINE._replace(usable=0 if ill[i] else 5))
                     nodes[i].look(now, others)
                     want = announce.attributes(
                         update._replace(next_hop=bytes((127, 0, 0, i))), nodes[i].level, 65001
--- a/tests/test_speaker.py
+++ b/tests/test_speaker.py
@@ -13,7 +13,7 @@
 from kept import compare
 from rig import KEY, Quiet
 
-from petrelwood.bgp.beats import Sender
+from petrelwood.bgp.heartbeats import HeartbeatSender
 from petrelwood.bgp.speaker import Speaker
 from petrelwood.decide.routing.serving import Facts
 from petrelwood.settings import document, speaker
@@ -67,7 +67,7 @@
 
     def beats(self, one, facts=FINE):
         """Begins to beat for a speaker; what it says can be changed."""
-        box = {"facts": facts, "sender": Sender(one.path)}
+        box = {"facts": facts, "sender": HeartbeatSender(one.path)}
 
         async def beat():
             while True:
@@ -217,7 +217,7 @@
         await self.until(lambda: self.has(router))
         for raw in (b"", b"\xc1", b"\x93\1\2\3", b"\x98\2" + b"\0" * 7, b"x" * 3000):
             box["sender"].sock.send(raw)
-        await self.until(lambda: one.beats.wrong == 5)
+        await self.until(lambda: one.heartbeats.wrong == 5)
         self.assertTrue(self.has(router))
 
 
