--- a/petrelwood/decide/delivery/pending.py
+++ b/petrelwood/decide/delivery/pending.py
@@ -7,7 +7,7 @@
 
 import heapq
 
-from petrelwood.decide.delivery import ledger as led
+from petrelwood.decide.delivery.ledger import ABORTED, COMPLETED, LEFT, REJECTED
 
 
 class PendingActivation:
@@ -54,10 +54,10 @@
         self.ends, self.last = [], 0
         self.counts = {
             "taken": 0,
-            led.COMPLETED: 0,
-            led.REJECTED: 0,
-            led.ABORTED: 0,
-            led.LEFT: 0,
+            COMPLETED: 0,
+            REJECTED: 0,
+            ABORTED: 0,
+            LEFT: 0,
             "overdue": 0,
             "twice": 0,
             "joined": 0,
--- a/petrelwood/decide/delivery/recovery.py
+++ b/petrelwood/decide/delivery/recovery.py
@@ -16,7 +16,7 @@
 from typing import NamedTuple
 
 from petrelwood import ports
-from petrelwood.decide.delivery import ledger as led
+from petrelwood.decide.delivery.ledger import ABORTED, ELSEWHERE, RUNNING
 
 SECOND = 1_000_000_000
 TAKE, END, ORDER, LIFE, CLOSE = "take", "end", "order", "life", "close"  # the kinds of `store.state`
@@ -32,7 +32,7 @@
 
     def __init__(self, key, stamp, type_, first, last, sent):
         self.key, self.stamp, self.type, self.first, self.last = key, stamp, type_, first, last
-        self.outcome, self.sent, self.body = led.RUNNING, sent, None
+        self.outcome, self.sent, self.body = RUNNING, sent, None
 
 
 class Found(NamedTuple):
@@ -62,7 +62,7 @@
             if record[3] != epoch:
                 epoch = record[3]
                 for key in running:
-                    ids[key].outcome, ids[key].sent = led.ABORTED, True
+                    ids[key].outcome, ids[key].sent = ABORTED, True
                 running = set()
             began = at if began is None else began
         elif kind == TAKE:
@@ -99,13 +99,13 @@
         age = 0 if found.clock_back else max(0, wall - known.last)
         until = now - age + max(remember[known.type], known.stamp - known.last + 2 * tolerance)
         here = ledger.entries.get(key)
-        if until > now and (here is None or here.state != led.RUNNING):
+        if until > now and (here is None or here.state != RUNNING):
             rows.append((until, key, known))
     rows.sort(key=operator.itemgetter(0, 1))
     for until, key, known in rows[-ledger.most :]:
-        running = known.outcome == led.RUNNING
+        running = known.outcome == RUNNING
         first = NEVER if found.clock_back else now - (wall - known.first)
-        state = (led.ELSEWHERE if elsewhere else led.ABORTED) if running else known.outcome
+        state = (ELSEWHERE if elsewhere else ABORTED) if running else known.outcome
         ledger.restore(key, known.stamp, known.type, state, first, until, running or known.sent, known.body)
     if found.began:
         ledger.began = min(ledger.began, found.began // SECOND * SECOND)
--- a/petrelwood/decide/forecasting/planner.py
+++ b/petrelwood/decide/forecasting/planner.py
@@ -21,7 +21,7 @@
 
 from typing import NamedTuple
 
-from petrelwood.decide.forecasting import forecast as fc
+from petrelwood.decide.forecasting.forecast import at_least_one
 
 
 class FreeCapacity(NamedTuple):
@@ -54,7 +54,7 @@
 
 def worth(mean, spread, model, slot, keep, prices):
     """Seconds that the first copy saves, net of its costs; what follows saves less."""
-    chance = fc.at_least_one(mean, spread)
+    chance = at_least_one(mean, spread)
     pace = mean / slot  # calls a ns
     # those that come while demand's own load is under way wait too
     waiting = 1 + pace * model.load / 2
--- a/petrelwood/decide/overload/intake.py
+++ b/petrelwood/decide/overload/intake.py
@@ -9,7 +9,7 @@
 
 from typing import NamedTuple
 
-from petrelwood.decide.delivery import ledger as led
+from petrelwood.decide.delivery import ledger as ledger_module
 from petrelwood.decide.overload import deadlines, retry_budget
 from petrelwood.decide.overload.concurrency_limit import ConcurrencyLimit
 from petrelwood.decide.overload.storm import Storms
@@ -87,7 +87,7 @@
     def ask(self, now, wall, ask):
         due, gone = deadlines.due(ask.came, ask.wait, self.timeouts[ask.type])
         known = self.ledger.entries.get((ask.customer, ask.id))
-        joins = known is not None and (known.state != led.REJECTED or ask.stamp <= known.stamp)
+        joins = known is not None and (known.state != ledger_module.REJECTED or ask.stamp <= known.stamp)
         how = retry_budget.FIRST if joins or not self.damps else self.manners.comes(now, ask.customer, ask.id)
         if self.damps:
             self.storms.asked(now, joins or how != retry_budget.FIRST)
@@ -104,32 +104,32 @@
                     retry_after=self.come_back(now, ask.customer, ask.id, early=how == retry_budget.EARLY),
                 )
         verdict, entry = self.ledger.ask(now, wall, (ask.customer, ask.id), ask.stamp, ask.type)
-        if verdict == led.RUN:
+        if verdict == ledger_module.RUN:
             if joins:
                 why = self._room(ask.customer)
                 if why:  # it may run, but there is no room: it stays as it was
-                    self.ledger.ended((ask.customer, ask.id), led.LEFT)
+                    self.ledger.ended((ask.customer, ask.id), ledger_module.LEFT)
                     return Verdict(REFUSE, why, retry_after=self.come_back(now, ask.customer, ask.id))
             if entry.again_until:  # workers drop repeats no longer than that
                 due = min(due, entry.again_until)
             return Verdict(TAKE, due=due, gone=gone)
-        if verdict == led.JOIN:
+        if verdict == ledger_module.JOIN:
             return Verdict(JOIN, due=due, gone=gone)
-        if verdict == led.AGAIN:
+        if verdict == ledger_module.AGAIN:
             return Verdict(GIVE, body=entry.body)
-        if verdict == led.ELSEWHERE:
+        if verdict == ledger_module.ELSEWHERE:
             return Verdict(
                 REFUSE,
                 "the process before this one still finishes it",
                 retry_after=self.come_back(now, ask.customer, ask.id),
             )
-        if verdict == led.REPLAY:
+        if verdict == ledger_module.REPLAY:
             return Verdict(CONFLICT, "this id was already sent with this time or a later one")
-        if verdict == led.SPENT:
+        if verdict == ledger_module.SPENT:
             return Verdict(SPENT, "it was completed, and its result is no longer kept")
-        if verdict == led.UNKNOWN:
+        if verdict == ledger_module.UNKNOWN:
             return Verdict(ABORT, "an earlier try may have run and must not run again")
-        if verdict == led.BEFORE:
+        if verdict == ledger_module.BEFORE:
             return Verdict(
                 REFUSE,
                 BEFORE,
@@ -192,9 +192,9 @@
             del self.by_customer[customer]
         self.usual += (stayed - self.usual) // 64
         self.pace.ended(now)
-        if outcome != led.REJECTED:
+        if outcome != ledger_module.REJECTED:
             patient = max(self.terms.types[type_name].target_latency, self.timeouts[type_name] // 2)
-            self.ramp.ended(outcome == led.COMPLETED and stayed <= patient)
+            self.ramp.ended(outcome == ledger_module.COMPLETED and stayed <= patient)
 
     def look(self, now):
         """Asked a few times a second: the symptoms that have changed, as `storm.Storms.look` tells them."""
--- a/petrelwood/dispatch/core.py
+++ b/petrelwood/dispatch/core.py
@@ -15,9 +15,8 @@
 from petrelwood import ports
 from petrelwood.brain import Brain
 from petrelwood.decide.cluster.membership import Membership
-from petrelwood.decide.delivery import ledger as led
 from petrelwood.decide.delivery import recovery
-from petrelwood.decide.delivery.ledger import Ledger
+from petrelwood.decide.delivery.ledger import ABORTED, COMPLETED, LEFT, REJECTED, Ledger
 from petrelwood.decide.delivery.pending import PendingActivations
 from petrelwood.decide.forecasting.forecast import Calendar
 from petrelwood.decide.forecasting.planner import Prices
@@ -139,7 +138,7 @@
     def answered(self):
         """(completed, not completed) since the start."""
         counts = self.duty.counts
-        return counts[led.COMPLETED], counts[led.ABORTED] + counts[led.REJECTED]
+        return counts[COMPLETED], counts[ABORTED] + counts[REJECTED]
 
     def give_way(self, hears_end):
         """From now on nothing new is taken or loaded here; `hears_end(customer, id, outcome, sent, body)` is
@@ -165,7 +164,7 @@
         self.ledger.nobody_elsewhere()
 
     def _turn_away(self, act):
-        self._finish(act.id, led.REJECTED, retry_after=self.intake.come_back(self.now(), *act.key))
+        self._finish(act.id, REJECTED, retry_after=self.intake.come_back(self.now(), *act.key))
 
     def _keep(self, act):
         """Notes a new activation; whether it may be told to the module at once. What must not run twice waits
@@ -206,11 +205,11 @@
         )
 
     def _ended(self, act, outcome, body):
-        if outcome != led.LEFT:
-            (self.goods if outcome == led.COMPLETED else self.bads).add(self.now())
+        if outcome != LEFT:
+            (self.goods if outcome == COMPLETED else self.bads).add(self.now())
             if self.tells_end is not None:
-                self.tells_end(outcome == led.COMPLETED)
-        kept = body if outcome == led.COMPLETED and body is not None and len(body) <= KEPT_BODY else None
+                self.tells_end(outcome == COMPLETED)
+        kept = body if outcome == COMPLETED and body is not None and len(body) <= KEPT_BODY else None
         if self.hears_end is not None:
             self.hears_end(*act.key, outcome, act.sends > 0, kept)
         if self.state is not None:
@@ -320,7 +319,7 @@
         )
         for act_id in sorted(touched):
             if act_id in self.duty.acts:
-                self._finish(act_id, led.ABORTED, why="a defect in the dispatcher")
+                self._finish(act_id, ABORTED, why="a defect in the dispatcher")
                 try:
                     self.brain.left(self.now(), act_id)
                 except Exception as second:
@@ -348,7 +347,7 @@
             and self.state is not None
             and not recovery.may_take(self.terms.types[ask.type].effect, self.state.stopped is None)
         ):
-            self.ledger.ended(key, led.LEFT)
+            self.ledger.ended(key, LEFT)
             exchange.answer(
                 stage.REFUSE, retry_after=self.intake.come_back(now, *key), why="its id can't be kept now"
             )
@@ -372,8 +371,8 @@
 
     def _left(self, act_id, exchange):
         if self.duty.left(self.now(), act_id, exchange) == "end":
-            act = self.duty.end(self.now(), act_id, led.LEFT)
-            self._ended(act, led.LEFT, None)
+            act = self.duty.end(self.now(), act_id, LEFT)
+            self._ended(act, LEFT, None)
             self._withdraw(act)
             self.brain.left(self.now(), act_id)
 
@@ -412,7 +411,7 @@
             if whole:
                 self.soon(self._out_of_time, act.id)
             for exchange in late:
-                exchange.answer(led.ABORTED, why="the first try still runs", act=act.id)
+                exchange.answer(ABORTED, why="the first try still runs", act=act.id)
         self._arm()
 
     def _out_of_time(self, act_id):
@@ -429,7 +428,7 @@
         if act_id in self.duty.acts:
             self.duty.counts["overdue"] += 1
             self.log.error("overdue", act=act_id, sends=self.duty.acts[act_id].sends)
-            self._finish(act_id, led.ABORTED, why="out of time")
+            self._finish(act_id, ABORTED, why="out of time")
             self.brain.left(self.now(), act_id)
 
     # From the links.
@@ -439,7 +438,7 @@
         owed = self.duty.acts.get(act_id)
         owing = self.duty.returned(act_id, n)
         if owing and code == ports.COMPLETED:
-            self._finish(act_id, led.COMPLETED, body)
+            self._finish(act_id, COMPLETED, body)
         if code == ports.COMPLETED and self.intake.damps:
             self.intake.storms.ran(now, note not in (0, ports.FOUND_WARM))
         if owed is not None and (self.early is not None or self.note is not None):
@@ -543,11 +542,11 @@
             if retry_after and owed is not None
             else 0
         )
-        self._finish(act, led.REJECTED, retry_after=wait)
+        self._finish(act, REJECTED, retry_after=wait)
 
     def abort(self, act):
         self.touched.add(act)
-        self._finish(act, led.ABORTED)
+        self._finish(act, ABORTED)
 
     def cancel(self, act, n):
         link = self.links.get(self.flying.get((act, n)))
--- a/petrelwood/emulate/broker.py
+++ b/petrelwood/emulate/broker.py
@@ -10,7 +10,7 @@
 
 from collections import OrderedDict, deque
 
-from petrelwood.links import packets as mq
+from petrelwood.links import packets as mqtt
 
 SECOND = 1_000_000_000
 QUEUED = 10_000  # messages that wait for one session
@@ -58,7 +58,7 @@
         """The session of a client that connects. `close(code)` ends the connection."""
         session = self.sessions.get(packet.client)
         if session is not None and session.send is not None:
-            session.close(mq.TAKEN_OVER)
+            session.close(mqtt.TAKEN_OVER)
             self._off(session)
         present = session is not None and not packet.clean
         if session is not None and packet.clean:
@@ -70,10 +70,10 @@
         session.expiry = packet.props.get("session_expiry", 0) * SECOND
         session.quota, session.will = packet.props.get("receive_maximum", 65535), packet.will
         self.saw("connected", client=packet.client, present=present)
-        send(mq.Packet(mq.CONNACK, present=int(present), props={}))
+        send(mqtt.Packet(mqtt.CONNACK, present=int(present), props={}))
         for id_, (message, state) in list(session.out.items()):
             if state == "released":
-                send(mq.Packet(mq.PUBREL, id_))
+                send(mqtt.Packet(mqtt.PUBREL, id_))
             else:
                 self._deliver(session, id_, message, 1)
         self._flow(session)
@@ -123,11 +123,11 @@
         for name, options in packet.filters:
             share, bare = _split(name)
             if not self.may(session.user, bare, False):
-                codes.append(mq.NOT_AUTHORIZED)
+                codes.append(mqtt.NOT_AUTHORIZED)
                 continue
             session.filters[name] = options & 3
             codes.append(options & 3)
-        session.send(mq.Packet(mq.SUBACK, packet.id, props={}, codes=codes))
+        session.send(mqtt.Packet(mqtt.SUBACK, packet.id, props={}, codes=codes))
         for name in [n for n in session.filters if _split(n)[0]]:
             self._wake_group(name)
 
@@ -135,53 +135,53 @@
         codes = [0 if session.filters.pop(name, None) is not None else 0x11 for name in packet.filters]
         shared = [m for m in session.queue if m.props.get("_shared") in packet.filters]
         session.queue = deque(m for m in session.queue if m.props.get("_shared") not in packet.filters)
-        session.send(mq.Packet(mq.UNSUBACK, packet.id, props={}, codes=codes))
+        session.send(mqtt.Packet(mqtt.UNSUBACK, packet.id, props={}, codes=codes))
         for message in shared:
             self._route_shared(message, session)
 
     def publish(self, session, packet):
         """A PUBLISH of a client (or its will). It is acknowledged, and goes to who subscribed."""
-        code = mq.SUCCESS
+        code = mqtt.SUCCESS
         if not self.may(session.user, packet.topic, True):
-            code = mq.NOT_AUTHORIZED
+            code = mqtt.NOT_AUTHORIZED
         elif packet.qos == 2 and packet.id in session.received:
             code = session.received[packet.id]  # it came again: it was routed once
         else:
-            code = mq.SUCCESS if self.route(packet, session) else mq.NO_SUBSCRIBERS
+            code = mqtt.SUCCESS if self.route(packet, session) else mqtt.NO_SUBSCRIBERS
         if packet.qos == 2:
             session.received[packet.id] = code
         if packet.qos and session.send is not None:
-            session.send(mq.Packet(mq.PUBACK if packet.qos == 1 else mq.PUBREC, packet.id, code))
+            session.send(mqtt.Packet(mqtt.PUBACK if packet.qos == 1 else mqtt.PUBREC, packet.id, code))
 
     def packet(self, session, packet):
         """What else a connected client sends."""
-        if packet.type == mq.PUBLISH:
+        if packet.type == mqtt.PUBLISH:
             self.publish(session, packet)
-        elif packet.type == mq.SUBSCRIBE:
+        elif packet.type == mqtt.SUBSCRIBE:
             self.subscribe(session, packet)
-        elif packet.type == mq.UNSUBSCRIBE:
+        elif packet.type == mqtt.UNSUBSCRIBE:
             self.unsubscribe(session, packet)
-        elif packet.type == mq.PINGREQ:
-            session.send(mq.Packet(mq.PINGRESP))
-        elif packet.type == mq.PUBREL:
+        elif packet.type == mqtt.PINGREQ:
+            session.send(mqtt.Packet(mqtt.PINGRESP))
+        elif packet.type == mqtt.PUBREL:
             known = session.received.pop(packet.id, None) is not None
-            session.send(mq.Packet(mq.PUBCOMP, packet.id, 0 if known else mq.ID_UNKNOWN))
-        elif packet.type in (mq.PUBACK, mq.PUBREC, mq.PUBCOMP):
+            session.send(mqtt.Packet(mqtt.PUBCOMP, packet.id, 0 if known else mqtt.ID_UNKNOWN))
+        elif packet.type in (mqtt.PUBACK, mqtt.PUBREC, mqtt.PUBCOMP):
             self._acknowledged(session, packet)
-        elif packet.type not in (mq.DISCONNECT, mq.AUTH):
-            raise mq.Wrong(mq.PROTOCOL, f"a {mq.NAMES[packet.type]} from a client")
+        elif packet.type not in (mqtt.DISCONNECT, mqtt.AUTH):
+            raise mqtt.Wrong(mqtt.PROTOCOL, f"a {mqtt.NAMES[packet.type]} from a client")
 
     def _acknowledged(self, session, packet):
         entry = session.out.get(packet.id)
         if entry is None:
-            if packet.type == mq.PUBREC:
-                session.send(mq.Packet(mq.PUBREL, packet.id, mq.ID_UNKNOWN))
+            if packet.type == mqtt.PUBREC:
+                session.send(mqtt.Packet(mqtt.PUBREL, packet.id, mqtt.ID_UNKNOWN))
             return
         message, _ = entry
-        if packet.type == mq.PUBREC and packet.code < 0x80:
+        if packet.type == mqtt.PUBREC and packet.code < 0x80:
             session.out[packet.id] = (message, "released")
             self.saw("received", client=session.client, message=message.number)
-            session.send(mq.Packet(mq.PUBREL, packet.id))
+            session.send(mqtt.Packet(mqtt.PUBREL, packet.id))
             return
         del session.out[packet.id]
         self.saw("acknowledged", client=session.client, message=message.number, code=packet.code)
@@ -217,7 +217,7 @@
         for other in list(self.sessions.values()):
             for name, qos in other.filters.items():
                 share, bare = _split(name)
-                if not mq.matches(bare, packet.topic):
+                if not mqtt.matches(bare, packet.topic):
                     continue
                 if share:
                     groups.add(name)
@@ -295,8 +295,8 @@
             props["message_expiry"] = max(0, -(-(message.ends - self.clock.now()) // SECOND))
         self.saw("delivered", client=session.client, message=message.number, dup=dup, qos=message.qos)
         session.send(
-            mq.Packet(
-                mq.PUBLISH,
+            mqtt.Packet(
+                mqtt.PUBLISH,
                 id_,
                 topic=message.topic,
                 payload=message.payload,
--- a/petrelwood/emulate/script.py
+++ b/petrelwood/emulate/script.py
@@ -13,7 +13,7 @@
 from typing import NamedTuple
 
 from petrelwood.emulate.machine import Build, Model
-from petrelwood.settings import document as doc
+from petrelwood.settings import document
 
 SECOND = 1_000_000_000
 OWN = pathlib.Path(__file__).parent.parent / "lab" / "days"
@@ -21,52 +21,61 @@
 # kind -> (properties it takes besides at=, what it does)
 TROUBLES = {
     "release": (
-        {"part": doc.share},
+        {"part": document.share},
         "so many of the functions are released anew: their copies and images are void",
     ),
-    "roster-late": ({"for": doc.duration, "by": doc.duration}, "the roster runs so much later"),
-    "roster-lost": ({"for": doc.duration}, "the roster closes its streams and takes none"),
+    "roster-late": ({"for": document.duration, "by": document.duration}, "the roster runs so much later"),
+    "roster-lost": ({"for": document.duration}, "the roster closes its streams and takes none"),
     "drain": (
-        {"worker": doc.text, "for": doc.duration},
+        {"worker": document.text, "for": document.duration},
         "a worker is announced as draining, then as usable again",
     ),
-    "hang": ({"worker": doc.text, "for": doc.duration}, "a worker takes calls and answers nothing"),
+    "hang": ({"worker": document.text, "for": document.duration}, "a worker takes calls and answers nothing"),
     "slow": (
-        {"worker": doc.text, "for": doc.duration, "times": doc.number},
+        {"worker": document.text, "for": document.duration, "times": document.number},
         "a worker is so many times slower",
     ),
-    "pause": ({"worker": doc.text, "for": doc.duration}, "a worker stands still"),
-    "reset": ({"worker": doc.text}, "a worker resets its connections in the middle of answers"),
-    "restart": ({"worker": doc.text, "down": doc.duration}, "a worker is killed and comes back cold"),
+    "pause": ({"worker": document.text, "for": document.duration}, "a worker stands still"),
+    "reset": ({"worker": document.text}, "a worker resets its connections in the middle of answers"),
+    "restart": (
+        {"worker": document.text, "down": document.duration},
+        "a worker is killed and comes back cold",
+    ),
     "silent-accept": (
-        {"worker": doc.text, "for": doc.duration},
+        {"worker": document.text, "for": document.duration},
         "a worker accepts connections and says nothing",
     ),
-    "garbage": ({"worker": doc.text}, "a worker sends what is no message, once, on each connection"),
+    "garbage": ({"worker": document.text}, "a worker sends what is no message, once, on each connection"),
     "broker-drop": ({}, "the broker throws out all clients at once"),
-    "broker-lost": ({"for": doc.duration}, "the broker is away; its sessions are kept"),
-    "broker-silent": ({"for": doc.duration}, "the broker accepts connections and says nothing"),
+    "broker-lost": ({"for": document.duration}, "the broker is away; its sessions are kept"),
+    "broker-silent": ({"for": document.duration}, "the broker accepts connections and says nothing"),
     "broker-forgets": ({}, "the broker loses its sessions and what they held"),
-    "store-stop": ({"for": doc.duration}, "the store stops"),
-    "replays": ({"for": doc.duration, "part": doc.share}, "old requests are sent again word for word"),
-    "forgeries": ({"for": doc.duration, "part": doc.share}, "requests come with a wrong signature"),
-    "slow-senders": ({"for": doc.duration, "count": doc.count}, "connections that send a byte now and then"),
+    "store-stop": ({"for": document.duration}, "the store stops"),
+    "replays": (
+        {"for": document.duration, "part": document.share},
+        "old requests are sent again word for word",
+    ),
+    "forgeries": ({"for": document.duration, "part": document.share}, "requests come with a wrong signature"),
+    "slow-senders": (
+        {"for": document.duration, "count": document.count},
+        "connections that send a byte now and then",
+    ),
     "overuse": (
-        {"customer": doc.text, "for": doc.duration, "times": doc.number},
+        {"customer": document.text, "for": document.duration, "times": document.number},
         "a customer asks so many times more",
     ),
-    "burst": ({"for": doc.duration, "times": doc.number}, "all traffic is so many times more"),
+    "burst": ({"for": document.duration, "times": document.number}, "all traffic is so many times more"),
     "kill": (
-        {"dispatcher": doc.text, "down": doc.duration},
+        {"dispatcher": document.text, "down": document.duration},
         "a dispatcher is killed outright and started again",
     ),
     "stop": (
-        {"dispatcher": doc.text, "down": doc.duration},
+        {"dispatcher": document.text, "down": document.duration},
         "a dispatcher is told to end, and started again",
     ),
     "router-reset": ({}, "the router drops all its sessions without a word (where there is one)"),
     "upgrade": (
-        {"dispatcher": doc.text},
+        {"dispatcher": document.text},
         "another process takes over from a dispatcher (in the emulator nothing is seen of it)",
     ),
 }
@@ -75,55 +84,74 @@
 # Those that need the true state of the platform or the clients, so far played in the emulator alone.
 EMULATED = {
     "hot": (
-        {"for": doc.duration, "part": doc.share, "functions": doc.count},
+        {"for": document.duration, "part": document.share, "functions": document.count},
         "functions not seen before draw that part of all traffic",
     ),
     "scan": (
-        {"for": doc.duration, "part": doc.share},
+        {"for": document.duration, "part": document.share},
         "that part of the calls is for functions wanted only once",
     ),
     "heavy": (
-        {"for": doc.duration, "part": doc.share, "times": doc.number},
+        {"for": document.duration, "part": document.share, "times": document.number},
         "that part of the activations costs so many times the usual work",
     ),
     "hurry": (
-        {"for": doc.duration, "part": doc.share, "patience": doc.share},
+        {"for": document.duration, "part": document.share, "patience": document.share},
         "that part of the clients waits only that share of the target latency",
     ),
-    "shift": ({"part": doc.share}, "that part of the traffic moves to one hall, for good"),
+    "shift": ({"part": document.share}, "that part of the traffic moves to one hall, for good"),
     "ageing": (
-        {"part": doc.share, "for": doc.duration, "times": doc.number, "down": doc.duration},
+        {
+            "part": document.share,
+            "for": document.duration,
+            "times": document.number,
+            "down": document.duration,
+        },
         "workers grow slower and slower, die once and come back cold",
     ),
     "pauses": (
-        {"part": doc.share, "for": doc.duration, "length": doc.duration, "every": doc.duration},
+        {
+            "part": document.share,
+            "for": document.duration,
+            "length": document.duration,
+            "every": document.duration,
+        },
         "workers stand still again and again",
     ),
     "cut": (
-        {"dispatcher": doc.text, "hall": doc.text, "for": doc.duration},
+        {"dispatcher": document.text, "hall": document.text, "for": document.duration},
         "nothing passes from that dispatcher to that hall; the other way all does",
     ),
-    "lying": ({"worker": doc.text, "for": doc.duration}, "a worker's load reports say that it is idle"),
-    "wrong-answers": ({"worker": doc.text, "for": doc.duration}, "a worker answers the wrong activation"),
+    "lying": (
+        {"worker": document.text, "for": document.duration},
+        "a worker's load reports say that it is idle",
+    ),
+    "wrong-answers": (
+        {"worker": document.text, "for": document.duration},
+        "a worker answers the wrong activation",
+    ),
     "leak": (
-        {"worker": doc.text, "for": doc.duration, "size": doc.size},
+        {"worker": document.text, "for": document.duration, "size": document.size},
         "a worker's memory is never released: so much is gone each second",
     ),
     "roster-stale": (
-        {"part": doc.share, "for": doc.duration},
+        {"part": document.share, "for": document.duration},
         "that part of the dispatchers hears nothing of the roster",
     ),
-    "clock-step": ({"dispatcher": doc.text, "by": doc.duration}, "a dispatcher's wall clock jumps ahead"),
+    "clock-step": (
+        {"dispatcher": document.text, "by": document.duration},
+        "a dispatcher's wall clock jumps ahead",
+    ),
     "withdrawn": (
-        {"part": doc.share, "for": doc.duration},
+        {"part": document.share, "for": document.duration},
         "the front layer sends that part of the dispatchers nothing; what they have they finish",
     ),
     "crash": (
-        {"part": doc.share, "down": doc.duration},
+        {"part": document.share, "down": document.duration},
         "that part of the dispatchers is killed and started again",
     ),
     "roll": (
-        {"part": doc.share, "for": doc.duration, "down": doc.duration},
+        {"part": document.share, "for": document.duration, "down": document.duration},
         "that part of the dispatchers is restarted, one after another",
     ),
 }
@@ -264,18 +292,21 @@
     own = OWN / f"{name}.kdl"
     if not own.exists():
         names = sorted(p.stem for p in OWN.glob("*.kdl"))
-        raise doc.BadFile(name, 0, f"there is no such day{doc.meant(name, names)}")
+        raise document.BadFile(name, 0, f"there is no such day{document.meant(name, names)}")
     return own
 
 
 def _trouble(node, day_length, workers, dispatchers, customers):
-    kind = node.arg(doc.one_of(*TROUBLES, *EMULATED), "a kind")
+    kind = node.arg(document.one_of(*TROUBLES, *EMULATED), "a kind")
     takes = {**TROUBLES, **EMULATED}[kind][0]
     if kind in WORKERS and "part" in node.props:
-        takes = {**{k: v for k, v in takes.items() if k != "worker"}, "part": doc.share}
-    at, span = node.prop("at", doc.duration), node.prop("for", doc.duration) if "for" in takes else 0
+        takes = {**{k: v for k, v in takes.items() if k != "worker"}, "part": document.share}
+    at, span = (
+        node.prop("at", document.duration),
+        node.prop("for", document.duration) if "for" in takes else 0,
+    )
     what = {name: node.prop(name, read) for name, read in takes.items() if name != "for"}
-    again = node.prop("again", doc.duration, 0)
+    again = node.prop("again", document.duration, 0)
     node.done(1)
     if again and again < span:
         node.wrong(f"'{kind}' comes again before it is over")
@@ -285,27 +316,27 @@
         node.wrong(f"'{kind}' begins after the day's end")
     for name, known in (("worker", workers), ("dispatcher", dispatchers), ("customer", customers)):
         if name in what and known and what[name] not in known:
-            node.wrong(f"there is no {name} '{what[name]}'{doc.meant(what[name], sorted(known))}")
+            node.wrong(f"there is no {name} '{what[name]}'{document.meant(what[name], sorted(known))}")
     times = range(at, max(at, day_length - span) + 1, again) if again else (at,)
     return [Trouble(kind, begins, span, what) for begins in times]
 
 
 def _kind(node):
     made = Kind(
-        node.arg(doc.text, "a prefix"),
-        node.prop("type", doc.text),
-        node.prop("count", doc.count),
-        node.prop("part", doc.share),
-        node.prop("zipf", doc.number, 1.1),
-        node.prop("work", doc.duration),
-        node.prop("lanes", doc.count, 1),
-        node.prop("size", doc.size),
-        node.prop("load-time", doc.duration),
-        tuple(c.arg(doc.text, "a customer") for c in node.every("customer")),
-        node.prop("turning", doc.share, 0.0),
-        node.prop("spell", doc.duration, 0),
-        node.prop("timed", doc.share, 0.0),
-        node.prop("season", doc.duration, 0),
+        node.arg(document.text, "a prefix"),
+        node.prop("type", document.text),
+        node.prop("count", document.count),
+        node.prop("part", document.share),
+        node.prop("zipf", document.number, 1.1),
+        node.prop("work", document.duration),
+        node.prop("lanes", document.count, 1),
+        node.prop("size", document.size),
+        node.prop("load-time", document.duration),
+        tuple(c.arg(document.text, "a customer") for c in node.every("customer")),
+        node.prop("turning", document.share, 0.0),
+        node.prop("spell", document.duration, 0),
+        node.prop("timed", document.share, 0.0),
+        node.prop("season", document.duration, 0),
     )
     node.done(1)
     return made
@@ -313,16 +344,16 @@
 
 def _client(node):
     made = Client(
-        node.arg(doc.text, "a name"),
-        node.prop("part", doc.share),
-        node.prop("share", doc.number, 0),
-        node.prop("patience", doc.count, 0),
-        node.prop("retries", doc.count, 1),
-        node.prop("honours", doc.share, 1.0),
-        node.prop("impatient", doc.share, 0.0),
-        node.prop("by", doc.one_of("webhook", "mqtt"), "webhook"),
-        node.prop("devices", doc.count, 4),
-        node.prop("insists", doc.yes, False),
+        node.arg(document.text, "a name"),
+        node.prop("part", document.share),
+        node.prop("share", document.number, 0),
+        node.prop("patience", document.count, 0),
+        node.prop("retries", document.count, 1),
+        node.prop("honours", document.share, 1.0),
+        node.prop("impatient", document.share, 0.0),
+        node.prop("by", document.one_of("webhook", "mqtt"), "webhook"),
+        node.prop("devices", document.count, 4),
+        node.prop("insists", document.yes, False),
     )
     node.done(1)
     return made
@@ -331,21 +362,21 @@
 def read(path, text=None, problems=None):
     """The day that a file, or a text in its place, describes. Raises `document.BadFile`, or collects what is
     wrong in `problems`."""
-    return described(doc.File(path, text, problems))
+    return described(document.File(path, text, problems))
 
 
 def described(file):
     """The day that a `document.File` describes; what is wrong is raised or collected as the file was opened
     to do."""
     node, fleet, terms = file.child("day"), file.child("fleet"), file.child("terms")
-    length, count = node.value("length", doc.duration), node.value("dispatchers", doc.count)
+    length, count = node.value("length", document.duration), node.value("dispatchers", document.count)
     dispatchers = tuple(f"d{i + 1}" for i in range(count))
     halls = node.child("halls")
-    names = tuple(halls.arg(doc.text, "a hall", at=i) for i in range(len(halls.args)))
+    names = tuple(halls.arg(document.text, "a hall", at=i) for i in range(len(halls.args)))
     if not names:
         halls.wrong("'halls' needs a name")
         names = ("",)
-    many, cell = fleet.value("workers", doc.count), fleet.value("cell", doc.count, 4) or 1
+    many, cell = fleet.value("workers", document.count), fleet.value("cell", document.count, 4) or 1
     workers = tuple(
         (f"w{i + 1}", names[i % len(names)], 1 + i % len(names) * 1000 + i // len(names) // cell)
         for i in range(many)
@@ -353,29 +384,29 @@
     bound = terms.child("workers")
     cold, fall = bound.child("cold"), bound.child("fall")
     build = Build(
-        fleet.value("cores", doc.count),
-        fleet.value("speed", doc.number, 1.0),
-        fleet.value("memory", doc.size),
-        fleet.value("loads", doc.count, 4),
-        fleet.value("queue", doc.count, 60),
-        bound.value("keep", doc.duration),
-        cold.arg(doc.duration, "a time"),
-        cold.prop("from", doc.share),
-        fall.prop("multiple", doc.number),
-        fall.arg(doc.duration, "a time"),
-        fleet.value("thrash", doc.number, 0.02),
-        fleet.value("eager", doc.yes, False),
-        bound.value("on-miss", doc.text) == "load",
-        fleet.value("start-share", doc.share, 0.5),
+        fleet.value("cores", document.count),
+        fleet.value("speed", document.number, 1.0),
+        fleet.value("memory", document.size),
+        fleet.value("loads", document.count, 4),
+        fleet.value("queue", document.count, 60),
+        bound.value("keep", document.duration),
+        cold.arg(document.duration, "a time"),
+        cold.prop("from", document.share),
+        fall.prop("multiple", document.number),
+        fall.arg(document.duration, "a time"),
+        fleet.value("thrash", document.number, 0.02),
+        fleet.value("eager", document.yes, False),
+        bound.value("on-miss", document.text) == "load",
+        fleet.value("start-share", document.share, 0.5),
     )
-    stops_work = fleet.value("cancel-stops-work", doc.yes, False)
-    warm = fleet.value("warm", doc.yes, True)
+    stops_work = fleet.value("cancel-stops-work", document.yes, False)
+    warm = fleet.value("warm", document.yes, True)
     fleet.done()
     shelf = file.child("store")
     store = {
-        "pace": shelf.value("pace", doc.size),
-        "takes": shelf.value("takes", doc.count, 8),
-        "thrash": shelf.value("thrash", doc.number, 0.05),
+        "pace": shelf.value("pace", document.size),
+        "takes": shelf.value("takes", document.count, 8),
+        "thrash": shelf.value("thrash", document.number, 0.05),
     }
     shelf.done()
     kinds = tuple(_kind(n) for n in file.every("functions"))
@@ -390,16 +421,16 @@
     ]
     day = Day(
         file.file,
-        node.arg(doc.text, "a name"),
+        node.arg(document.text, "a name"),
         length,
-        node.value("settle", doc.duration, 6 * SECOND),
-        node.value("rate", doc.number),
+        node.value("settle", document.duration, 6 * SECOND),
+        node.value("rate", document.number),
         dispatchers,
         names,
         workers,
         build,
         store,
-        node.value("roster-late", doc.duration, 0),
+        node.value("roster-late", document.duration, 0),
         stops_work,
         warm,
         kinds,
@@ -407,9 +438,9 @@
         tuple(sorted(troubles, key=lambda t: (t.at, t.kind))),
         terms,
         True,
-        node.value("ask-every", doc.duration, 0),
-        float(node.value("roster-lines", doc.number, 0)),
-        service=node.value("service", doc.text, ""),
+        node.value("ask-every", document.duration, 0),
+        float(node.value("roster-lines", document.number, 0)),
+        service=node.value("service", document.text, ""),
     )
     node.done(1)
     file.done()
@@ -442,4 +473,4 @@
             '    come-back-most "1s"',
             "}",
         ]
-    return "\n".join(rows) + "\n" + doc.render(day.terms.children)
+    return "\n".join(rows) + "\n" + document.render(day.terms.children)
--- a/petrelwood/fronts/mqtt.py
+++ b/petrelwood/fronts/mqtt.py
@@ -17,7 +17,7 @@
 from petrelwood.decide.delivery import mqtt_acknowledgement, mqtt_topics
 from petrelwood.decide.overload import deadlines, intake
 from petrelwood.decide.overload.backoff import Backoff
-from petrelwood.links import packets as mq
+from petrelwood.links import packets as mqtt
 from petrelwood.links import sockets
 
 SECOND = 1_000_000_000
@@ -112,7 +112,7 @@
                 await self._follow()
             except StreamClosedError as fault:
                 why = str(fault.real_error or why)
-            except mq.Wrong as fault:
+            except mqtt.Wrong as fault:
                 why = str(fault)
                 self._leave(fault.code)
             except (TimeoutError, OSError, ValueError) as fault:
@@ -137,7 +137,7 @@
         self.deliveries.lost()
 
     def _leave(self, code):
-        self._write(mq.Packet(mq.DISCONNECT, code=code))
+        self._write(mqtt.Packet(mqtt.DISCONNECT, code=code))
 
     async def _follow(self):
         terms, within = self.terms, self.terms.connect_within / 1e9
@@ -151,10 +151,10 @@
             self.stream = IOStream(sockets.fresh(host))
             await asyncio.wait_for(self.stream.connect(terms.broker), within)
         self.stream.set_nodelay(True)
-        self.aliases, reader = {}, mq.Reader(terms.most)
+        self.aliases, reader = {}, mqtt.Reader(terms.most)
         self._write(
-            mq.Packet(
-                mq.CONNECT,
+            mqtt.Packet(
+                mqtt.CONNECT,
                 client=self.client,
                 clean=0,
                 keep_alive=terms.keep_alive // SECOND,
@@ -168,7 +168,7 @@
             )
         )
         first = await asyncio.wait_for(self._first(reader), within)  # a broker that accepts and is silent
-        if first.type != mq.CONNACK or first.code:
+        if first.type != mqtt.CONNACK or first.code:
             raise ValueError(f"the broker answered {first!r}")
         self.quota = min(first.props.get("receive_maximum", 65535), IDS - 8)
         self.up, self.heard, self.pinged = True, self.front.core.now(), 0
@@ -176,8 +176,8 @@
         self.front.log.info("broker", customer=self.customer, present=bool(first.present))
         if not first.present:
             self._write(
-                mq.Packet(
-                    mq.SUBSCRIBE,
+                mqtt.Packet(
+                    mqtt.SUBSCRIBE,
                     self._id(),
                     props={},
                     filters=[(mqtt_topics.filter_of(terms.group, self.customer), 2)],
@@ -186,7 +186,7 @@
         if self.fresh and not first.present:
             self.fresh = False  # the broker remembers nothing of an earlier life
         elif self.fresh:  # what an earlier life has begun to send is let go
-            self._write(*(mq.Packet(mq.PUBREL, id_) for id_ in range(1, IDS + 1)))
+            self._write(*(mqtt.Packet(mqtt.PUBREL, id_) for id_ in range(1, IDS + 1)))
         self.front.core.soon(self.deliveries.resume, self.front.core.now(), bool(first.present))
         self._resend(bool(first.present))
         while True:
@@ -204,7 +204,7 @@
         if self.stream is None or self.stream.closed():
             # what this means is decided when it is connected again
             return
-        data = b"".join(map(mq.write, packets))
+        data = b"".join(map(mqtt.write, packets))
         self.stream.write(data).add_done_callback(lambda done: done.exception())
 
     def _id(self):
@@ -212,7 +212,7 @@
             self.last_id = self.last_id % IDS + 1
             if self.last_id not in self.answers:
                 return self.last_id
-        raise mq.Wrong(mq.QUOTA, "no packet identifier is free")
+        raise mqtt.Wrong(mqtt.QUOTA, "no packet identifier is free")
 
     def check(self, now):
         """Asked now and then: keep-alive, and what waits too long."""
@@ -225,38 +225,38 @@
         elif now - self.heard > self.terms.keep_alive // 2 and now - self.pinged > self.terms.keep_alive // 4:
             self.pinged = now
             self.deliveries.pings += 1  # its PINGRESP proves nothing more than the others
-            self._write(mq.Packet(mq.PINGREQ))
+            self._write(mqtt.Packet(mqtt.PINGREQ))
 
     # What the broker sends.
     def _packet(self, packet):
         now = self.front.core.now()
-        if packet.type == mq.PUBLISH:
+        if packet.type == mqtt.PUBLISH:
             self.front.core.soon(self._published, packet)
-        elif packet.type == mq.PUBREL:
+        elif packet.type == mqtt.PUBREL:
             self.front.core.soon(self.deliveries.released, now, packet.id)
-        elif packet.type == mq.PINGRESP:
+        elif packet.type == mqtt.PINGRESP:
             self.front.core.soon(self._ponged, now)
-        elif packet.type in (mq.PUBACK, mq.PUBCOMP):
+        elif packet.type in (mqtt.PUBACK, mqtt.PUBCOMP):
             # None: released; a late one of an earlier use means nothing
             answer = self.answers.get(packet.id, self)
             if (
                 answer is None
-                if packet.type == mq.PUBCOMP
+                if packet.type == mqtt.PUBCOMP
                 else answer and answer is not self and answer.qos == 1
             ):
                 self._done(packet.id, packet.code)
-        elif packet.type == mq.PUBREC:
+        elif packet.type == mqtt.PUBREC:
             self._received(packet)
-        elif packet.type == mq.SUBACK:
+        elif packet.type == mqtt.SUBACK:
             if any(code >= 0x80 for code in packet.codes):
                 raise ValueError(f"the broker refused the subscription: {packet.codes[0]:#x}")
-        elif packet.type == mq.UNSUBACK:
+        elif packet.type == mqtt.UNSUBACK:
             if self.draining is not None and not self.draining.done():
                 self.draining.set_result(None)
-        elif packet.type == mq.DISCONNECT:
+        elif packet.type == mqtt.DISCONNECT:
             raise ValueError(f"the broker ended the connection: {packet.code:#x}")
         else:
-            raise mq.Wrong(mq.PROTOCOL, f"a {mq.NAMES[packet.type]} from a broker")
+            raise mqtt.Wrong(mqtt.PROTOCOL, f"a {mqtt.NAMES[packet.type]} from a broker")
 
     def _ponged(self, now):
         if self.fresh:
@@ -270,7 +270,7 @@
             if topic:
                 self.aliases[alias] = topic
             elif alias not in self.aliases:
-                raise mq.Wrong(mq.BAD_ALIAS, "a topic alias that was never given")
+                raise mqtt.Wrong(mqtt.BAD_ALIAS, "a topic alias that was never given")
             topic = self.aliases[alias]
         now, core = self.front.core.now(), self.front.core
         self.counts["messages"] += 1
@@ -285,12 +285,12 @@
             else ""
         )
         code = (
-            mq.NOT_AUTHORIZED
+            mqtt.NOT_AUTHORIZED
             if response is not None and not mqtt_topics.may_answer(response, self.customer)
             else 0
         )
         if why or code:
-            self._refuse(packet, response if not code else None, code or mq.BAD_TOPIC, why)
+            self._refuse(packet, response if not code else None, code or mqtt.BAD_TOPIC, why)
             return
         type_, wait = rule.type, packet.props.get("message_expiry", 0) * SECOND
         if "message_expiry" in packet.props and not wait:
@@ -325,7 +325,7 @@
         """What is no activation is acknowledged with a reason, and answered where that may be."""
         self.counts["refused"] += 1
         if packet.qos:
-            self._write(mq.Packet(mq.PUBACK if packet.qos == 1 else mq.PUBREC, packet.id, code))
+            self._write(mqtt.Packet(mqtt.PUBACK if packet.qos == 1 else mqtt.PUBREC, packet.id, code))
         if response is not None and why:
             self._publish(
                 response,
@@ -336,13 +336,13 @@
 
     # What is decided of deliveries.
     def ack(self, id_, qos):
-        self._write(mq.Packet(mq.PUBACK if qos == 1 else mq.PUBREC, id_))
+        self._write(mqtt.Packet(mqtt.PUBACK if qos == 1 else mqtt.PUBREC, id_))
 
     def comp(self, id_):
-        self._write(mq.Packet(mq.PUBCOMP, id_))
+        self._write(mqtt.Packet(mqtt.PUBCOMP, id_))
 
     def ping(self):
-        self._write(mq.Packet(mq.PINGREQ))
+        self._write(mqtt.Packet(mqtt.PINGREQ))
 
     def begin(self, delivery):
         message = delivery.what
@@ -380,7 +380,7 @@
         if message.response is not None and message.answer_is[1]:
             packets += self._answer(message, 1 if owed else 2)
         if owed and delivery.id is not None:
-            packets.append(mq.Packet(mq.PUBACK if delivery.qos == 1 else mq.PUBREC, delivery.id))
+            packets.append(mqtt.Packet(mqtt.PUBACK if delivery.qos == 1 else mqtt.PUBREC, delivery.id))
         if packets and self.up:
             self._write(*packets)
 
@@ -392,8 +392,8 @@
         props = {"content_type": "application/json", "user": answer[1]}
         if correlation is not None:
             props["correlation_data"] = correlation
-        packet = mq.Packet(
-            mq.PUBLISH, 0, topic=topic, payload=answer[0], qos=qos, dup=0, retain=0, props=props
+        packet = mqtt.Packet(
+            mqtt.PUBLISH, 0, topic=topic, payload=answer[0], qos=qos, dup=0, retain=0, props=props
         )
         self.counts["answers"] += 1
         if not self.up or len(self.answers) >= self.quota or self.fresh and qos == 2:
@@ -415,7 +415,7 @@
         known = packet.id in self.answers
         if known:
             self.answers[packet.id] = None  # from now on only its PUBREL
-        self._write(mq.Packet(mq.PUBREL, packet.id, 0 if known else mq.ID_UNKNOWN))
+        self._write(mqtt.Packet(mqtt.PUBREL, packet.id, 0 if known else mqtt.ID_UNKNOWN))
 
     def _done(self, id_, code):
         self.answers.pop(id_, None)
@@ -437,7 +437,7 @@
             if packet is None:
                 if present:
                     self.answers[id_] = None
-                    self._write(mq.Packet(mq.PUBREL, id_))
+                    self._write(mqtt.Packet(mqtt.PUBREL, id_))
             elif packet.qos == 2:
                 if not present:
                     packet.id = self._id()
@@ -451,8 +451,8 @@
         if self.up:
             self.draining = self.front.core.loop.create_future()
             self._write(
-                mq.Packet(
-                    mq.UNSUBSCRIBE,
+                mqtt.Packet(
+                    mqtt.UNSUBSCRIBE,
                     self._id(),
                     props={},
                     filters=[mqtt_topics.filter_of(self.terms.group, self.customer)],
@@ -505,7 +505,7 @@
     def close_idle(self):
         self.closed = True
         for session in self.sessions:
-            session._leave(mq.SUCCESS)
+            session._leave(mqtt.SUCCESS)
             if session.task is not None:
                 session.task.cancel()
 
--- a/petrelwood/fronts/webhook.py
+++ b/petrelwood/fronts/webhook.py
@@ -18,8 +18,7 @@
 from tornado.netutil import bind_sockets
 from tornado.tcpserver import TCPServer
 
-from petrelwood.decide.overload import admission as adm
-from petrelwood.decide.overload import intake
+from petrelwood.decide.overload import admission, intake
 from petrelwood.fronts import problem
 from petrelwood.fronts.signing import Verifier
 
@@ -181,10 +180,10 @@
 
     def _holds(self, size):
         """Bytes of a request that is not whole yet: where all together hold too many, this one goes."""
-        now, admission = self.now, self.front.admission
+        now = self.now
         if now.reply is not None or now.refused is not None:
             return
-        if admission.reads(self.front.core.now(), self.peer, size):
+        if self.front.admission.reads(self.front.core.now(), self.peer, size):
             now.held += size
         else:
             now.refused = (503, "too much is being sent at a time")
@@ -332,7 +331,7 @@
         super().__init__(max_buffer_size=2 * READ, ssl_options=gateway.tls.server() if gateway.tls else None)
         self.gateway, self.core, self.limits, self.log = gateway, core, gateway.limits, log
         self.tls, limits = gateway.tls is not None, gateway.limits
-        self.admission = adm.Admission(
+        self.admission = admission.Admission(
             limits.connections, limits.handshakes if self.tls else 0, limits.bytes, core.chance.random
         )
         self.verifiers = {name: Verifier(c.keys) for name, c in gateway.customers.items()}
@@ -383,7 +382,7 @@
         now = self.core.now()
         self.core.intake.storms.connected(now)
         verdict = self.admission.connects(now, address[0])
-        if verdict != adm.TAKE:
+        if verdict != admission.TAKE:
             self._count(f"connections refused: {verdict}")
             if self.tls:  # a word would cost the handshake
                 stream.close()
--- a/petrelwood/lab/estimate.py
+++ b/petrelwood/lab/estimate.py
@@ -12,7 +12,7 @@
 
 from petrelwood.emulate import script
 from petrelwood.lab.experiment import interval
-from petrelwood.settings import document as doc
+from petrelwood.settings import document
 
 FIGURES = ("service", "worst customer", "completed", "rejected", "aborted", "p99 ms", "cold starts", "loads")
 CARRIED = ("workers", "limits", "damp-storms")
@@ -29,7 +29,7 @@
 def under(day, path):
     """(the day under a version's terms, what was carried over). Raises `BadFile` where nothing of it means
     anything there."""
-    file = doc.File(path)
+    file = document.File(path)
     named = {(n.name, str(n.args[0])): n for n in file.children if n.args}
     alone = {n.name: n for n in file.children if n.name in CARRIED}
     children, carried = [], []
@@ -52,8 +52,8 @@
     clients = tuple(c._replace(share=shares[c.name]) if c.name in shares else c for c in day.clients)
     carried += [f"share of '{c.name}'" for c in day.clients if c.name in shares]
     if not carried:
-        raise doc.BadFile(path, 0, f"nothing in it has to do with day '{day.name}'")
-    terms = doc.File("terms", doc.render(children))
+        raise document.BadFile(path, 0, f"nothing in it has to do with day '{day.name}'")
+    terms = document.File("terms", document.render(children))
     return day._replace(terms=terms, clients=clients), carried
 
 
--- a/petrelwood/lab/experiment.py
+++ b/petrelwood/lab/experiment.py
@@ -37,19 +37,19 @@
 from hdrh.histogram import HdrHistogram
 
 from petrelwood.emulate import policies, script
-from petrelwood.settings import document as doc
+from petrelwood.settings import document
 from petrelwood.store.snapshot import put
 
 LEVELS = {
-    "rate": doc.number,
-    "dispatchers": doc.count,
-    "workers": doc.count,
-    "store": doc.number,
-    "troubles": doc.yes,
-    "damping": doc.yes,
-    "state": doc.yes,
-    "early": doc.one_of("none", "forecast", "oracle"),
-    "trouble": doc.one_of("none", "all", *script.TROUBLES, *script.EMULATED),
+    "rate": document.number,
+    "dispatchers": document.count,
+    "workers": document.count,
+    "store": document.number,
+    "troubles": document.yes,
+    "damping": document.yes,
+    "state": document.yes,
+    "early": document.one_of("none", "forecast", "oracle"),
+    "trouble": document.one_of("none", "all", *script.TROUBLES, *script.EMULATED),
 }
 HEAT = 60  # seconds of the map of workers
 
@@ -79,37 +79,37 @@
 def read(path, text=None, problems=None):
     """The experiment that a file, or a text in its place, describes. Raises `document.BadFile`, or collects
     what is wrong."""
-    file = doc.File(path, text, problems)
+    file = document.File(path, text, problems)
     return described(file, pathlib.Path(path))
 
 
 def described(file, path):
     """The experiment that a `document.File` describes; `path`: where its days are looked for from."""
     node = file.child("experiment")
-    name, days, seen, factors = node.arg(doc.text, "a name"), [], [], []
+    name, days, seen, factors = node.arg(document.text, "a name"), [], [], []
     for one in node.every("day"):
-        given = one.arg(doc.text, "a script")
+        given = one.arg(document.text, "a script")
         near = path.parent / given
         try:
             days.append(str(script.find(str(near) if near.exists() else given)))
             script.read(days[-1])
-        except doc.BadFile as fault:
+        except document.BadFile as fault:
             one.wrong(
                 f"day '{given}': {fault.what}" + (f" ({fault.file}:{fault.line})" if fault.line else "")
             )
         one.done(1)
     for one in node.every("policy"):
-        seen.append(one.arg(doc.one_of(*policies.named()), "a policy"))
+        seen.append(one.arg(document.one_of(*policies.named()), "a policy"))
         one.done(1)
     seeds = node.child("seeds")
-    first, count = seeds.prop("from", doc.count, 1), seeds.prop("count", doc.count)
+    first, count = seeds.prop("from", document.count, 1), seeds.prop("count", document.count)
     for one in node.every("factor"):
-        factor = one.arg(doc.one_of(*LEVELS), "a factor")
+        factor = one.arg(document.one_of(*LEVELS), "a factor")
         levels = tuple(LEVELS[factor](one, f"a level of '{factor}'", value) for value in one.args[1:])
         if not levels:
             one.wrong(f"factor '{factor}' has no levels")
         factors.append((factor, levels))
-    within = node.value("within", doc.duration, 300 * 10**9) / 1e9
+    within = node.value("within", document.duration, 300 * 10**9) / 1e9
     if not (node.every("day") and seen and count):
         node.wrong("an experiment needs a 'day', a 'policy' and seeds")
     seeds.done()
@@ -249,7 +249,7 @@
         part.unlink()
     kept = out / "experiment.kdl"
     if kept.exists() and kept.read_text() != experiment.text:
-        raise doc.BadFile(kept, 1, "the folder holds runs of another experiment; give an empty one")
+        raise document.BadFile(kept, 1, "the folder holds runs of another experiment; give an empty one")
     kept.write_text(experiment.text)
     wanted = runs(experiment)
     left = [r for r in wanted if not (folder / f"{r.id}.json").exists()]
@@ -307,7 +307,7 @@
 def rows_of(out):
     """(rows that ended, what made them)"""
     if not (out / "results.parquet").exists():
-        raise doc.BadFile(
+        raise document.BadFile(
             out, 0, "its runs have not all ended; start `experiment run` again, it does what is missing"
         )
     table = pyarrow.parquet.read_table(out / "results.parquet")
@@ -328,7 +328,7 @@
 
 
 def first_policy(made):
-    file = doc.File("experiment.kdl", made["experiment"])
+    file = document.File("experiment.kdl", made["experiment"])
     return file.child("experiment").every("policy")[0].args[0]
 
 
@@ -349,7 +349,7 @@
 
 def first_level(made, factor):
     """The level of a factor with which the others are compared, as rows have it. Raises `KeyError`."""
-    for node in doc.File("experiment.kdl", made["experiment"]).child("experiment").every("factor"):
+    for node in document.File("experiment.kdl", made["experiment"]).child("experiment").every("factor"):
         if node.args[0] == factor:
             return node.args[1] if isinstance(node.args[1], str) else float(node.args[1])
     raise KeyError(f"factor {factor}")
--- a/petrelwood/lab/past.py
+++ b/petrelwood/lab/past.py
@@ -4,8 +4,7 @@
 
 import numpy
 
-from petrelwood.decide.forecasting import account as ends_of
-from petrelwood.decide.forecasting import forecast
+from petrelwood.decide.forecasting import account, forecast
 from petrelwood.store import ends, history
 
 SECOND = 10**9
@@ -120,11 +119,11 @@
 
 
 COLORS = {
-    ends_of.IN_TIME: "#3a7d44",
-    ends_of.LATE: "#b5c99a",
-    ends_of.NEVER: "#e9c46a",
-    ends_of.PUSHED: "#9c89b8",
-    ends_of.FAILED: "#e76f51",
+    account.IN_TIME: "#3a7d44",
+    account.LATE: "#b5c99a",
+    account.NEVER: "#e9c46a",
+    account.PUSHED: "#9c89b8",
+    account.FAILED: "#e76f51",
 }
 
 
@@ -152,7 +151,7 @@
     return (
         f"{name:24s} {len(rows):6d} {saved:9.1f} {spent:9.1f} {saved - spent:+9.1f} "
         f"{sum(r['memory'] for r in rows):8.1f}  "
-        + ", ".join(f"{end} {seen[end]}" for end in ends_of.ENDS if seen[end])
+        + ", ".join(f"{end} {seen[end]}" for end in account.ENDS if seen[end])
     )
 
 
--- a/petrelwood/lab/search.py
+++ b/petrelwood/lab/search.py
@@ -6,7 +6,7 @@
 from petrelwood.audit import rules
 from petrelwood.emulate import policies, result, script
 from petrelwood.emulate.platform import Platform
-from petrelwood.settings import document as doc
+from petrelwood.settings import document
 
 SECOND = 1_000_000_000
 # What a drawn trouble may be: property -> (least, most), in the property's own unit as text is made of it.
@@ -78,7 +78,7 @@
 
 def base_text(path):
     """The script without its troubles."""
-    return doc.render([n for n in doc.File(path).children if n.name != "trouble"])
+    return document.render([n for n in document.File(path).children if n.name != "trouble"])
 
 
 def judge(text, seed, where):
--- a/petrelwood/links/roster.py
+++ b/petrelwood/links/roster.py
@@ -13,7 +13,7 @@
 import orjson
 from tornado.iostream import IOStream, StreamClosedError
 
-from petrelwood.decide.cluster import membership as members
+from petrelwood.decide.cluster.membership import entry
 from petrelwood.links import sockets
 from petrelwood.links.sse import Events
 
@@ -84,7 +84,7 @@
         now = self.core.now()
         for kind, data, id_ in self.events.feed(chunk):
             if kind in ("list", "change"):
-                self._event(kind, [members.entry(raw) for raw in orjson.loads(data)], id_, now)
+                self._event(kind, [entry(raw) for raw in orjson.loads(data)], id_, now)
 
     def on_message_complete(self):
         self.drop()
--- a/petrelwood/node/roster.py
+++ b/petrelwood/node/roster.py
@@ -16,13 +16,13 @@
 import dns.rdataclass
 import dns.rdatatype
 
-from petrelwood.decide.cluster import membership as members
+from petrelwood.decide.cluster.membership import DRAINING, USABLE, Entry
 from petrelwood.links import sockets
 from petrelwood.node.told import MS
 
 NAME = dns.name.from_text("_api._tcp.svc.local")
 MOST = 65_535  # bytes of a datagram
-STATES = {0: members.USABLE, 1: members.DRAINING}
+STATES = {0: USABLE, 1: DRAINING}
 
 
 class Unusable(Exception):
@@ -78,7 +78,7 @@
     if one.target not in hosts or text is None or len(labels) < 3 or one.priority not in STATES:
         raise Unusable(f"it does not tell of {one.target}")
     try:
-        return members.Entry(
+        return Entry(
             labels[0].decode(),
             (hosts[one.target], one.port),
             labels[1].decode(),
--- a/petrelwood/settings/gateway.py
+++ b/petrelwood/settings/gateway.py
@@ -10,7 +10,7 @@
 
 from petrelwood import ports
 from petrelwood.links.tls import BadIdentity, Identity
-from petrelwood.settings import document as doc
+from petrelwood.settings import document
 
 SECOND = 1_000_000_000
 HMAC_BYTES, ED25519_BYTES = range(24, 65), (32,)
@@ -147,7 +147,7 @@
 def key(node, where, value):
     """A key as Standard Webhooks writes it: `whsec_` and a base64 secret, or `whpk_` and an Ed25519 public
     key."""
-    prefix, _, rest = doc.text(node, where, value).partition("_")
+    prefix, _, rest = document.text(node, where, value).partition("_")
     schemes = {"whsec": ("v1", HMAC_BYTES), "whpk": ("v1a", ED25519_BYTES)}
     if prefix not in schemes:
         raise node.bad(f"{where} must begin with 'whsec_' or 'whpk_'")
@@ -166,7 +166,7 @@
 
 def _secret(node):
     """A key as it stands, or by reference: `key env="NAME"`, `key file="path"` that nobody else may read."""
-    env, path = node.prop("env", doc.text, ""), node.prop("file", doc.text, "")
+    env, path = node.prop("env", document.text, ""), node.prop("file", document.text, "")
     if not env and not path:
         found = node.arg(key, "a key")
         node.done(1)
@@ -189,7 +189,7 @@
 
 
 def _customer(node):
-    name, share = node.arg(doc.text, "a name"), node.prop("share", doc.number, 0)
+    name, share = node.arg(document.text, "a name"), node.prop("share", document.number, 0)
     keys = []
     for child in node.every("key"):
         keys.append(_secret(child))
@@ -200,15 +200,20 @@
 
 
 def _type(node):
-    name = node.arg(doc.text, "a name")
-    target, timeout = node.value("target-latency", doc.duration), node.value("action-timeout", doc.duration)
+    name = node.arg(document.text, "a name")
+    target, timeout = (
+        node.value("target-latency", document.duration),
+        node.value("action-timeout", document.duration),
+    )
     if target > timeout:
         node.wrong(f"namespace type '{name}': its target latency is over its action timeout")
-    effect = node.value("effect", doc.one_of(ports.REPEATABLE, ports.DEDUPLICATED, ports.ONCE_ONLY))
+    effect = node.value("effect", document.one_of(ports.REPEATABLE, ports.DEDUPLICATED, ports.ONCE_ONLY))
     deduplicated = effect == ports.DEDUPLICATED
-    scope = node.value("scope", doc.one_of("all", "zone", "cell"), doc.REQUIRED if deduplicated else "all")
-    window = node.value("window", doc.duration, doc.REQUIRED if deduplicated else 0)
-    remember = node.value("remember", doc.duration, 0)
+    scope = node.value(
+        "scope", document.one_of("all", "zone", "cell"), document.REQUIRED if deduplicated else "all"
+    )
+    window = node.value("window", document.duration, document.REQUIRED if deduplicated else 0)
+    remember = node.value("remember", document.duration, 0)
     node.done(1)
     return name, ports.NamespaceType(target, effect, scope, window), timeout, remember
 
@@ -226,19 +231,19 @@
 def _limits(node):
     read = node.value if node else lambda name, kind, default: default
     limits = Limits(
-        read("connections", doc.count, 2000),
-        read("header", doc.size, 16_000),
-        read("body", doc.size, 1_000_000),
-        read("head-within", doc.duration, 5 * SECOND),
-        read("body-within", doc.duration, 10 * SECOND),
-        read("idle", doc.duration, 75 * SECOND),
-        read("pipeline", doc.count, 16),
-        read("held", doc.count, 20_000),
-        read("per-customer", doc.share, 0.8),
-        read("ledger", doc.count, 500_000),
-        read("results", doc.size, 64_000_000),
-        read("handshakes", doc.count, 250),
-        read("bytes", doc.size, 256_000_000),
+        read("connections", document.count, 2000),
+        read("header", document.size, 16_000),
+        read("body", document.size, 1_000_000),
+        read("head-within", document.duration, 5 * SECOND),
+        read("body-within", document.duration, 10 * SECOND),
+        read("idle", document.duration, 75 * SECOND),
+        read("pipeline", document.count, 16),
+        read("held", document.count, 20_000),
+        read("per-customer", document.share, 0.8),
+        read("ledger", document.count, 500_000),
+        read("results", document.size, 64_000_000),
+        read("handshakes", document.count, 250),
+        read("bytes", document.size, 256_000_000),
     )
     if node:
         node.done()
@@ -253,9 +258,9 @@
     base = pathlib.Path(node.file).parent
     paths = [
         str(base / value) if value else ""
-        for value in (found.prop(name, doc.text, "") for name in ("cert", "key", "trusts"))
+        for value in (found.prop(name, document.text, "") for name in ("cert", "key", "trusts"))
     ]
-    mutual, name = found.prop("mutual", doc.yes, mutual), found.prop("name", doc.text, "")
+    mutual, name = found.prop("mutual", document.yes, mutual), found.prop("name", document.text, "")
     found.done()
     try:
         return Identity(*paths, mutual, name)
@@ -268,32 +273,32 @@
     if node is None:
         return None
     window, base = node.child("window", None), pathlib.Path(node.file).parent
-    least = window.prop("least", doc.count, 4) if window else 4
-    most = window.prop("most", doc.count, 256) if window else 256
+    least = window.prop("least", document.count, 4) if window else 4
+    most = window.prop("most", document.count, 256) if window else 256
     if not 0 < least <= most <= 65535:
         (window or node).wrong("'window' needs 0 < least <= most <= 65535")
     if window:
         window.done()
-    password, file = node.value("password", doc.text, ""), node.value("password-file", doc.text, "")
+    password, file = node.value("password", document.text, ""), node.value("password-file", document.text, "")
     if file:
         try:
             password = (base / file).read_text().strip()
         except OSError as fault:
             node.wrong(f"'password-file' can't be read: {fault.strerror}")
     made = MqttTerms(
-        node.value("broker", doc.address),
-        node.value("user", doc.text, None),
+        node.value("broker", document.address),
+        node.value("user", document.text, None),
         password.encode() if password else None,
-        node.value("group", doc.text, "petrelwood"),
-        node.value("keep-alive", doc.duration, 20 * SECOND),
-        node.value("session", doc.duration, 30 * SECOND),
+        node.value("group", document.text, "petrelwood"),
+        node.value("keep-alive", document.duration, 20 * SECOND),
+        node.value("session", document.duration, 30 * SECOND),
         least,
         most,
-        node.value("connect-within", doc.duration, 2 * SECOND),
-        node.value("packet", doc.size, 1_000_000),
-        node.value("answers", doc.count, 10_000),
-        node.value("come-back", doc.duration, SECOND // 10),
-        node.value("come-back-most", doc.duration, 10 * SECOND),
+        node.value("connect-within", document.duration, 2 * SECOND),
+        node.value("packet", document.size, 1_000_000),
+        node.value("answers", document.count, 10_000),
+        node.value("come-back", document.duration, SECOND // 10),
+        node.value("come-back-most", document.duration, 10 * SECOND),
         _tls(node),
     )
     node.done()
@@ -307,7 +312,7 @@
 def date(node, where, value):
     """A date and time as ISO 8601 has it, with its offset; wall clock ns."""
     try:
-        found = datetime.datetime.fromisoformat(doc.text(node, where, value))
+        found = datetime.datetime.fromisoformat(document.text(node, where, value))
     except ValueError:
         raise node.bad(f'{where} must be a time like "2026-12-31T08:00+01:00", not {value!r}') from None
     if found.tzinfo is None:
@@ -324,22 +329,22 @@
         events.append(
             (
                 begin,
-                begin + one.prop("for", doc.duration),
-                float(one.prop("factor", doc.number)),
-                one.arg(doc.text, "the beginning of functions' names"),
+                begin + one.prop("for", document.duration),
+                float(one.prop("factor", document.number)),
+                one.arg(document.text, "the beginning of functions' names"),
             )
         )
         one.done(1)
-    season = node.value("season", doc.duration, 86_400 * SECOND)
+    season = node.value("season", document.duration, 86_400 * SECOND)
     made = EarlyTerms(
-        node.value("slot", doc.duration, 60 * SECOND),
+        node.value("slot", document.duration, 60 * SECOND),
         season,
-        7 * season if node.value("weeks", doc.yes, True) else 0,
+        7 * season if node.value("weeks", document.yes, True) else 0,
         tuple(events),
-        node.value("fetch-price", doc.duration, SECOND // 5) / SECOND,
-        float(node.value("memory-price", doc.number, 0.002)),
-        node.value("copy-size", doc.size, 10**9),
-        node.value("memory", doc.size, 0),
+        node.value("fetch-price", document.duration, SECOND // 5) / SECOND,
+        float(node.value("memory-price", document.number, 0.002)),
+        node.value("copy-size", document.size, 10**9),
+        node.value("memory", document.size, 0),
     )
     node.done()
     if not 0 < made.slot <= made.season:
@@ -351,9 +356,9 @@
     if node is None:
         return None
     made = HistoryTerms(
-        str(pathlib.Path(node.file).parent / node.value("folder", doc.text)),
-        node.value("keep", doc.count, 60),
-        node.value("most", doc.size, 1 << 30),
+        str(pathlib.Path(node.file).parent / node.value("folder", document.text)),
+        node.value("keep", document.count, 60),
+        node.value("most", document.size, 1 << 30),
     )
     node.done()
     return made
@@ -363,8 +368,8 @@
     if node is None:
         return None
     made = StateTerms(
-        str(pathlib.Path(node.file).parent / node.value("folder", doc.text)),
-        node.value("durability", doc.one_of("process", "machine"), "process"),
+        str(pathlib.Path(node.file).parent / node.value("folder", document.text)),
+        node.value("durability", document.one_of("process", "machine"), "process"),
     )
     node.done()
     return made
@@ -374,46 +379,49 @@
     """(how links behave, the module's guarantees, its load orders, what is allowed)"""
     cold, fall, sends = node.child("cold"), node.child("fall"), node.child("sends")
     ration = node.child("ration", None)
-    keep, on_miss = node.value("keep", doc.duration), node.value("on-miss", doc.one_of("load", "miss"))
-    within = node.value("connect-within", doc.duration, SECOND // 4)
+    keep, on_miss = (
+        node.value("keep", document.duration),
+        node.value("on-miss", document.one_of("load", "miss")),
+    )
+    within = node.value("connect-within", document.duration, SECOND // 4)
     terms = WorkerTerms(
         within,
-        node.value("queue", doc.size, 4_000_000),
-        node.value("frame", doc.size, 8_000_000),
-        node.value("quiet", doc.duration, 30 * SECOND),
-        node.value("drain-grace", doc.duration, SECOND // 4),
-        node.value("order-within", doc.duration, 10 * SECOND),
+        node.value("queue", document.size, 4_000_000),
+        node.value("frame", document.size, 8_000_000),
+        node.value("quiet", document.duration, 30 * SECOND),
+        node.value("drain-grace", document.duration, SECOND // 4),
+        node.value("order-within", document.duration, 10 * SECOND),
     )
     guarantees = ports.Guarantees(
         0,
-        cold.arg(doc.duration, "a time"),
-        cold.prop("from", doc.share),
-        fall.prop("multiple", doc.number),
-        fall.arg(doc.duration, "a time"),
+        cold.arg(document.duration, "a time"),
+        cold.prop("from", document.share),
+        fall.prop("multiple", document.number),
+        fall.arg(document.duration, "a time"),
     )
     orders = ports.LoadOrders(
-        node.value("orders", doc.yes, True),
+        node.value("orders", document.yes, True),
         on_miss == "load",
         keep,
         *(
             (
-                float(ration.prop("free", doc.number)),
-                ration.prop("part", doc.share),
-                ration.prop("period", doc.duration),
+                float(ration.prop("free", document.number)),
+                ration.prop("part", document.share),
+                ration.prop("period", document.duration),
             )
             if ration
             else (0.0, 0.0, 0)
         ),
     )
     allowed = ports.Allowed(
-        sends.arg(doc.count, "a number"),
-        sends.prop("overlap", doc.yes, True),
-        node.value("cancel", doc.yes, True),
-        node.value("probe", doc.yes, True),
+        sends.arg(document.count, "a number"),
+        sends.prop("overlap", document.yes, True),
+        node.value("cancel", document.yes, True),
+        node.value("probe", document.yes, True),
         True,
-        node.value("most-retry-after", doc.duration, 10 * SECOND),
+        node.value("most-retry-after", document.duration, 10 * SECOND),
     )
-    by_probe = node.value("reports", doc.one_of("answers", "probe"), "answers") == "probe"
+    by_probe = node.value("reports", document.one_of("answers", "probe"), "answers") == "probe"
     tls = _tls(node)
     for part, args in ((cold, 1), (fall, 1), (sends, 1), (ration, 0), (node, 0)):
         if part:
@@ -429,18 +437,18 @@
     thing that is wrong;
     with `problems`, a list, all of it is put there. `reads`, a list, is told of each value: (key, value,
     place or None)."""
-    return described(doc.File(path, text, problems, reads))
+    return described(document.File(path, text, problems, reads))
 
 
 def described(file):
     """The gateway that a `document.File` describes; what is wrong is raised or collected as the file was
     opened to do."""
     node = file.child("gateway")
-    name, zone = node.arg(doc.text, "a name"), node.value("zone", doc.text, "")
-    listen, roster = node.value("listen", doc.address), node.value("roster", doc.address)
-    seed, dispatchers = node.value("seed", doc.count, 0), node.value("dispatchers", doc.count, 1)
-    tick = node.value("tick", doc.duration, SECOND // 500)
-    tolerance = node.value("tolerance", doc.duration, 300 * SECOND)
+    name, zone = node.arg(document.text, "a name"), node.value("zone", document.text, "")
+    listen, roster = node.value("listen", document.address), node.value("roster", document.address)
+    seed, dispatchers = node.value("seed", document.count, 0), node.value("dispatchers", document.count, 1)
+    tick = node.value("tick", document.duration, SECOND // 500)
+    tolerance = node.value("tolerance", document.duration, 300 * SECOND)
     tls = _tls(node)
     node.done(1)
     if not dispatchers:
@@ -456,16 +464,16 @@
         file.wrong("no 'customer' is given")
     functions = []
     for one in _unique(file.every("function"), "function"):
-        type_ = one.prop("type", doc.text)
+        type_ = one.prop("type", document.text)
         if type_ not in types:
             # else one that can't be read may be meant
             if "" not in types and types and not file.partial:
-                one.wrong(f"there is no namespace type '{type_}'{doc.meant(type_, sorted(types))}")
+                one.wrong(f"there is no namespace type '{type_}'{document.meant(type_, sorted(types))}")
         rule = FunctionRule(
-            one.arg(doc.text, "a name"),
+            one.arg(document.text, "a name"),
             type_,
-            one.prop("lanes", doc.count, 1) or 1,
-            one.prop("load-time", doc.duration, 0),
+            one.prop("lanes", document.count, 1) or 1,
+            one.prop("load-time", document.duration, 0),
         )
         one.done(1)
         functions.append(rule)
@@ -473,8 +481,8 @@
     mqtt, early = _mqtt(file.child("mqtt", None)), _early(file.child("early", None))
     history = _history(file.child("history", None))
     state = _state(file.child("state", None))
-    control, versions = file.value("control", doc.text, ""), file.value("versions", doc.text, "")
-    health, damps = file.value("health", doc.text, ""), file.value("damp-storms", doc.yes, True)
+    control, versions = file.value("control", document.text, ""), file.value("versions", document.text, "")
+    health, damps = file.value("health", document.text, ""), file.value("damp-storms", document.yes, True)
     workers, guarantees, orders, allowed, by_probe, worker_tls = _worker_terms(file.child("workers"))
     file.done()
     terms = ports.Terms(
--- a/petrelwood/settings/layout.py
+++ b/petrelwood/settings/layout.py
@@ -5,7 +5,7 @@
 
 import re
 
-from petrelwood.settings import document as doc
+from petrelwood.settings import document
 
 INDENT = "    "
 
@@ -15,7 +15,7 @@
     'word'."""
     i = 0
     while i < len(text):
-        j = doc._skip(text, i)
+        j = document._skip(text, i)
         if j > i:
             kind = (
                 "line comment"
@@ -62,7 +62,7 @@
 def laid_out(text):
     """The text in the one layout. Raises `document.BadFile` where it is no KDL, or would mean something
     else."""
-    before, _ = doc.parse("text", text)
+    before, _ = document.parse("text", text)
     out, depth, line, empty, gap, continued = [], 0, "", 0, False, False
 
     def flush():
@@ -109,8 +109,8 @@
             gap = False
     flush()
     found = "\n".join(out) + "\n" if out else ""
-    if _meaning(doc.parse("text", found)[0].nodes) != _meaning(before.nodes):
-        raise doc.BadFile("text", 0, "it can't be laid out without changing what it means")
+    if _meaning(document.parse("text", found)[0].nodes) != _meaning(before.nodes):
+        raise document.BadFile("text", 0, "it can't be laid out without changing what it means")
     return found
 
 
--- a/petrelwood/settings/reference.py
+++ b/petrelwood/settings/reference.py
@@ -7,18 +7,17 @@
 
 import pathlib
 
-from petrelwood.settings import document as doc
-from petrelwood.settings import gateway
+from petrelwood.settings import document, gateway
 
 WORDS = {
-    doc.text: "text",
-    doc.number: "number",
-    doc.count: "whole number",
-    doc.share: "share, 0 to 1",
-    doc.yes: "#true or #false",
-    doc.duration: 'duration, as "250ms"',
-    doc.size: 'size, as "64MB"',
-    doc.address: 'address, as "127.0.0.1:8080"',
+    document.text: "text",
+    document.number: "number",
+    document.count: "whole number",
+    document.share: "share, 0 to 1",
+    document.yes: "#true or #false",
+    document.duration: 'duration, as "250ms"',
+    document.size: 'size, as "64MB"',
+    document.address: 'address, as "127.0.0.1:8080"',
     gateway.key: "key, `whsec_` or `whpk_`",
     gateway.date: "time with its offset from UTC",
 }
@@ -29,45 +28,45 @@
 
     def __init__(self, kind, default):
         self.kind, self.default = kind, default
-        self.words = getattr(kind, "words", ("#true", "#false") if kind is doc.yes else ())
+        self.words = getattr(kind, "words", ("#true", "#false") if kind is document.yes else ())
 
     def takes(self):
         return (
             " or ".join(f'"{w}"' for w in self.words)
-            if self.words and self.kind is not doc.yes
+            if self.words and self.kind is not document.yes
             else WORDS.get(self.kind, self.kind.__name__)
         )
 
     def shown(self):
         """Its default, as a file would have it; None where it must be given."""
         value = self.default
-        if value is doc.REQUIRED:
+        if value is document.REQUIRED:
             return None
         if value is None or value == "" and not self.words:
             return "none"
-        if self.kind is doc.duration:
+        if self.kind is document.duration:
             return (
                 '"0s"'
                 if not value
                 else next(
                     f'"{value // size}{unit}"'
-                    for unit, size in reversed(doc.UNITS.items())
+                    for unit, size in reversed(document.UNITS.items())
                     if value % size == 0
                 )
             )
-        if self.kind is doc.size:
+        if self.kind is document.size:
             return (
                 '"0s"'
                 if not value
                 else next(
                     f'"{value // size}{unit}"'
-                    for unit, size in reversed(list(doc.SIZES.items())[:4])
+                    for unit, size in reversed(list(document.SIZES.items())[:4])
                     if value % size == 0
                 )
             )
         return (
             f"#{value}".lower()
-            if self.kind is doc.yes
+            if self.kind is document.yes
             else f'"{value}"'
             if isinstance(value, str)
             else f"{value:g}"
@@ -96,7 +95,7 @@
             yield from block.walk()
 
 
-class Probe(doc.Node):
+class Probe(document.Node):
     """Has every child and no property but the defaults; notes what it is asked for in its `Block`."""
 
     def __init__(self, block):
@@ -108,17 +107,17 @@
     def _block(self, name):
         return self.block.blocks.setdefault(name, Block(name, self.block))
 
-    def arg(self, kind, what, default=doc.REQUIRED, at=0):
+    def arg(self, kind, what, default=document.REQUIRED, at=0):
         self.block.args[at] = (what, Item(kind, default))
-        return getattr(kind, "sample", None) if default is doc.REQUIRED else default
+        return getattr(kind, "sample", None) if default is document.REQUIRED else default
 
-    def prop(self, name, kind, default=doc.REQUIRED):
+    def prop(self, name, kind, default=document.REQUIRED):
         self.block.props[name] = Item(kind, default)
-        return getattr(kind, "sample", None) if default is doc.REQUIRED else default
+        return getattr(kind, "sample", None) if default is document.REQUIRED else default
 
-    def child(self, name, default=doc.REQUIRED):
+    def child(self, name, default=document.REQUIRED):
         found = self._block(name)
-        found.required = default is doc.REQUIRED
+        found.required = default is document.REQUIRED
         return Probe(found)
 
     def every(self, name):
@@ -126,10 +125,10 @@
         found.many = True
         return [Probe(found)]
 
-    def value(self, name, kind, default=doc.REQUIRED):
+    def value(self, name, kind, default=document.REQUIRED):
         found = self._block(name)
-        found.value, found.required = Item(kind, default), default is doc.REQUIRED
-        return getattr(kind, "sample", None) if default is doc.REQUIRED else default
+        found.value, found.required = Item(kind, default), default is document.REQUIRED
+        return getattr(kind, "sample", None) if default is document.REQUIRED else default
 
     def wrong(self, what):
         """What samples make no sense of is nobody's fault."""
@@ -207,7 +206,7 @@
     stack, node, at_start, i = [], None, True, 0
     while i < len(text):
         c = text[i]
-        j = doc._skip(text, i) if c in '"#/' else i
+        j = document._skip(text, i) if c in '"#/' else i
         if j > len(text) or j == len(text) and text.startswith(("//", "/*"), i):
             return None, None  # in a string or a comment
         if j > i:
@@ -222,7 +221,7 @@
         elif c.isspace():
             i += 1
         else:
-            word = doc.WORD.match(text, i)
+            word = document.WORD.match(text, i)
             if at_start and word:
                 node, at_start = word[0], False
             i = word.end() if word else i + 1
@@ -232,8 +231,8 @@
 def _referred(file, kind):
     """The names that a file gives to blocks of a kind, for values that refer to them."""
     try:
-        return sorted({str(n.args[0]) for n in doc.File(file, problems=[]).every(kind) if n.args})
-    except doc.BadFile:
+        return sorted({str(n.args[0]) for n in document.File(file, problems=[]).every(kind) if n.args})
+    except document.BadFile:
         return []
 
 
--- a/petrelwood/settings/sense.py
+++ b/petrelwood/settings/sense.py
@@ -4,7 +4,7 @@
 import datetime
 
 from petrelwood import ports
-from petrelwood.settings import document as doc
+from petrelwood.settings import document
 from petrelwood.settings import gateway as settings
 
 SECOND = 1_000_000_000
@@ -125,13 +125,13 @@
     errors.
     `others`: (the name of a node, what decodes a file that has it) for files that are no gateway's."""
     problems = []
-    file = doc.File(path, text, problems)
+    file = document.File(path, text, problems)
     decode = settings.described
     if not any(node.name == "gateway" for node in file.children):
         decode = next((d for name, d in others if any(node.name == name for node in file.children)), decode)
     try:
         described = decode(file)
-    except doc.BadFile as fault:  # what can't be collected ends the reading
+    except document.BadFile as fault:  # what can't be collected ends the reading
         problems.append(fault)
         described = None
     seen, errors = set(), []
--- a/petrelwood/settings/speaker.py
+++ b/petrelwood/settings/speaker.py
@@ -6,7 +6,7 @@
 
 from petrelwood.decide.routing.announce import Service
 from petrelwood.decide.routing.serving import Bounds
-from petrelwood.settings import document as doc
+from petrelwood.settings import document
 from petrelwood.wire import bgp
 
 SECOND = 1_000_000_000
@@ -42,14 +42,14 @@
 
 
 def as_number(node, where, value):
-    if not 0 < doc.count(node, where, value) < 1 << 32:
+    if not 0 < document.count(node, where, value) < 1 << 32:
         raise node.bad(f"{where} must be an AS number, not {value!r}")
     return value
 
 
 def identifier(node, where, value):
     try:
-        found = int(ipaddress.IPv4Address(doc.text(node, where, value)))
+        found = int(ipaddress.IPv4Address(document.text(node, where, value)))
     except ValueError:
         raise node.bad(f"{where} must look like an IPv4 address, not {value!r}") from None
     if not found:
@@ -59,7 +59,7 @@
 
 def prefix(node, where, value):
     try:
-        return bgp.prefix(doc.text(node, where, value))
+        return bgp.prefix(document.text(node, where, value))
     except ValueError:
         raise node.bad(
             f'{where} must be an address or a network like "192.0.2.1/32", not {value!r}'
@@ -68,13 +68,13 @@
 
 def hop(node, where, value):
     try:
-        return ipaddress.ip_address(doc.text(node, where, value)).packed
+        return ipaddress.ip_address(document.text(node, where, value)).packed
     except ValueError:
         raise node.bad(f"{where} must be an address, not {value!r}") from None
 
 
 def community(node, where, value):
-    high, _, low = doc.text(node, where, value).partition(":")
+    high, _, low = document.text(node, where, value).partition(":")
     if not (high.isdigit() and low.isdigit() and int(high) < 65536 and int(low) < 65536):
         raise node.bad(f'{where} must be two numbers under 65536 like "65000:100", not {value!r}')
     return int(high) << 16 | int(low)
@@ -90,15 +90,15 @@
 
 
 def _peer(node):
-    role = node.prop("role", doc.one_of(*ROLES), None)
+    role = node.prop("role", document.one_of(*ROLES), None)
     made = PeerTerms(
-        node.arg(doc.text, "a name"),
-        node.prop("address", doc.address),
+        node.arg(document.text, "a name"),
+        node.prop("address", document.address),
         node.prop("asn", as_number),
-        node.prop("passive", doc.yes, False),
+        node.prop("passive", document.yes, False),
         ROLES.get(role),
-        node.prop("far", doc.yes, False),
-        node.prop("most", doc.count, 10_000),
+        node.prop("far", document.yes, False),
+        node.prop("most", document.count, 10_000),
     )
     node.done(1)
     return made
@@ -108,14 +108,14 @@
     found, next_hop = node.arg(prefix, "an address"), node.prop("next-hop", hop)
     if len(next_hop) != len(found[1]):
         node.wrong("the next hop is of another family than the address")
-    med = node.prop("med", doc.count, None)
+    med = node.prop("med", document.count, None)
     made = Service(
         found,
         next_hop,
         tuple(c.arg(community, "a community") for c in node.every("community")),
         med,
-        node.prop("less-med", doc.count, 1000),
-        node.prop("less-prepend", doc.count, 3),
+        node.prop("less-med", document.count, 1000),
+        node.prop("less-prepend", document.count, 3),
     )
     for child in node.every("community"):
         child.done(1)
@@ -128,7 +128,7 @@
 def read(path, text=None, problems=None):
     """The `Speaker` that a file describes. Raises `document.BadFile`, or collects what is wrong in
     `problems`."""
-    return described(doc.File(path, text, problems))
+    return described(document.File(path, text, problems))
 
 
 def described(file):
@@ -136,14 +136,14 @@
     bounds = node.child("bounds", None)
     read_ = bounds.prop if bounds else lambda name, kind, default: default
     made_bounds = Bounds(
-        read_("silent", doc.duration, SECOND * 3 // 20),
-        read_("fresh", doc.duration, 30 * SECOND),
-        read_("stall", doc.duration, SECOND // 2),
-        read_("settle", doc.duration, SECOND),
+        read_("silent", document.duration, SECOND * 3 // 20),
+        read_("fresh", document.duration, 30 * SECOND),
+        read_("stall", document.duration, SECOND // 2),
+        read_("settle", document.duration, SECOND),
     )
     if bounds:
         bounds.done()
-    hold = node.value("hold", doc.duration, 9 * SECOND)
+    hold = node.value("hold", document.duration, 9 * SECOND)
     if hold and (hold < 3 * SECOND or hold % SECOND or hold >= 65536 * SECOND):
         node.wrong("'hold' must be 0, or whole seconds from 3 to 65535")
     peers, services = tuple(map(_peer, node.every("peer"))), tuple(map(_service, node.every("serve")))
@@ -155,11 +155,11 @@
             node.wrong(f"{what} '{name}' is given twice")
     if not (peers and services or file.partial):
         node.wrong("a speaker needs a 'peer' and a 'serve'")
-    listen, health = node.value("listen", doc.address, None), node.value("health", doc.text)
+    listen, health = node.value("listen", document.address, None), node.value("health", document.text)
     if any(p.passive for p in peers) and listen is None:
         node.wrong("a passive peer connects to us: 'listen' says where")
     made = Speaker(
-        node.arg(doc.text, "a name"),
+        node.arg(document.text, "a name"),
         node.value("asn", as_number),
         node.value("id", identifier),
         listen,
--- a/petrelwood/standins/broker.py
+++ b/petrelwood/standins/broker.py
@@ -8,7 +8,7 @@
 
 from petrelwood.clocks import LoopClock
 from petrelwood.emulate.broker import Broker
-from petrelwood.links import packets as mq
+from petrelwood.links import packets as mqtt
 from petrelwood.standins import host
 from petrelwood.standins.records import Records
 
@@ -32,15 +32,15 @@
             return
         if self.silent:
             await asyncio.sleep(3600)
-        reader, session, life, clean, alive = mq.Reader(), None, 0, False, None
+        reader, session, life, clean, alive = mqtt.Reader(), None, 0, False, None
         self.streams[stream] = None
 
         def send(packet):
             if not stream.closed():
-                stream.write(mq.write(packet)).add_done_callback(lambda done: done.exception())
+                stream.write(mqtt.write(packet)).add_done_callback(lambda done: done.exception())
 
         def close(code):
-            send(mq.Packet(mq.DISCONNECT, code=code))
+            send(mqtt.Packet(mqtt.DISCONNECT, code=code))
             stream.close()
 
         try:
@@ -49,22 +49,22 @@
                 data = await asyncio.wait_for(stream.read_bytes(65536, partial=True), alive or 5)
                 for packet in reader.feed(data):
                     if session is None:
-                        if packet.type != mq.CONNECT:
-                            raise mq.Wrong(mq.PROTOCOL, "it did not connect first")
+                        if packet.type != mqtt.CONNECT:
+                            raise mqtt.Wrong(mqtt.PROTOCOL, "it did not connect first")
                         if self.users is not None and self.users.get(packet.user) != packet.password:
-                            send(mq.Packet(mq.CONNACK, code=mq.BAD_PASSWORD, present=0, props={}))
+                            send(mqtt.Packet(mqtt.CONNACK, code=mqtt.BAD_PASSWORD, present=0, props={}))
                             return
                         session = self.streams[stream] = self.model.connect(packet, send, close)
                         life, alive = session.life, packet.keep_alive * 1.5 or 3600
-                    elif packet.type == mq.DISCONNECT:
+                    elif packet.type == mqtt.DISCONNECT:
                         clean = packet.code != 4
                         break
                     else:
                         self.model.packet(session, packet)
-        except mq.Wrong as fault:
+        except mqtt.Wrong as fault:
             close(fault.code)
         except TimeoutError:
-            close(mq.KEEP_ALIVE)
+            close(mqtt.KEEP_ALIVE)
         except (StreamClosedError, OSError):
             pass
         finally:
--- a/petrelwood/standins/devices.py
+++ b/petrelwood/standins/devices.py
@@ -12,7 +12,7 @@
 import orjson
 from tornado.iostream import IOStream, StreamClosedError
 
-from petrelwood.links import packets as mq
+from petrelwood.links import packets as mqtt
 from petrelwood.standins import host
 from petrelwood.standins.portal import Choice
 from petrelwood.standins.records import Records
@@ -30,19 +30,19 @@
         while True:
             try:
                 await self._follow()
-            except (TimeoutError, StreamClosedError, OSError, mq.Wrong):
+            except (TimeoutError, StreamClosedError, OSError, mqtt.Wrong):
                 pass
             self.up = False
             self.stream.close()
             await asyncio.sleep(0.05 + 0.4 * (chance() if chance else 0.5))
 
     async def _follow(self):
-        self.stream, reader = IOStream(socket.socket()), mq.Reader()
+        self.stream, reader = IOStream(socket.socket()), mqtt.Reader()
         await asyncio.wait_for(self.stream.connect(self.address), 2)
         self.stream.set_nodelay(True)
         self.send(
-            mq.Packet(
-                mq.CONNECT,
+            mqtt.Packet(
+                mqtt.CONNECT,
                 client=self.name,
                 clean=0,
                 keep_alive=30,
@@ -62,40 +62,40 @@
 
     def send(self, packet):
         if not self.stream.closed():
-            self.stream.write(mq.write(packet)).add_done_callback(lambda done: done.exception())
+            self.stream.write(mqtt.write(packet)).add_done_callback(lambda done: done.exception())
 
     def _packet(self, p):
-        if p.type == mq.CONNACK:
+        if p.type == mqtt.CONNACK:
             if p.code:
                 raise ValueError(f"the broker refused the connection: {p.code:#x}")
             self.up = True
             if not p.present:
-                self.send(mq.Packet(mq.SUBSCRIBE, 65535, props={}, filters=[(self.reply, 2)]))
+                self.send(mqtt.Packet(mqtt.SUBSCRIBE, 65535, props={}, filters=[(self.reply, 2)]))
             else:
                 self.ready.set()
             for id_, packet in self.unacked.items():
                 if packet is not None:
                     packet.dup = 1
-                self.send(packet or mq.Packet(mq.PUBREL, id_))
-        elif p.type == mq.SUBACK:
+                self.send(packet or mqtt.Packet(mqtt.PUBREL, id_))
+        elif p.type == mqtt.SUBACK:
             self.ready.set()
-        elif p.type == mq.PUBLISH:
+        elif p.type == mqtt.PUBLISH:
             self.hear(p)
             if p.qos:
-                self.send(mq.Packet(mq.PUBACK if p.qos == 1 else mq.PUBREC, p.id))
-        elif p.type == mq.PUBREL:
-            self.send(mq.Packet(mq.PUBCOMP, p.id))
-        elif p.type == mq.PUBREC and p.code < 0x80:
+                self.send(mqtt.Packet(mqtt.PUBACK if p.qos == 1 else mqtt.PUBREC, p.id))
+        elif p.type == mqtt.PUBREL:
+            self.send(mqtt.Packet(mqtt.PUBCOMP, p.id))
+        elif p.type == mqtt.PUBREC and p.code < 0x80:
             if p.id in self.unacked:
                 self.unacked[p.id] = None
-            self.send(mq.Packet(mq.PUBREL, p.id))
-        elif p.type in (mq.PUBACK, mq.PUBREC, mq.PUBCOMP):
+            self.send(mqtt.Packet(mqtt.PUBREL, p.id))
+        elif p.type in (mqtt.PUBACK, mqtt.PUBREC, mqtt.PUBCOMP):
             self.unacked.pop(p.id, None)
 
     def ask(self, type_, function, body, correlation, qos, expiry):
         self.last = self.last % 60_000 + 1
-        packet = mq.Packet(
-            mq.PUBLISH,
+        packet = mqtt.Packet(
+            mqtt.PUBLISH,
             self.last if qos else 0,
             topic=f"act/{self.user}/{type_}/{function}",
             payload=body,
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -11,7 +11,7 @@
 from petrelwood.clocks import VirtualClock
 from petrelwood.decide.delivery import mqtt_acknowledgement, mqtt_topics
 from petrelwood.emulate.broker import Broker
-from petrelwood.links import packets as mq
+from petrelwood.links import packets as mqtt
 
 S = 1_000_000_000
 IDS = range(1, 41)  # packet identifiers of the walk's answers
@@ -181,8 +181,8 @@
         self.there.clear()
         self.here.clear()
         self.session = self.walk.broker.connect(
-            mq.Packet(
-                mq.CONNECT,
+            mqtt.Packet(
+                mqtt.CONNECT,
                 client=self.name,
                 clean=int(clean),
                 user="gateway",
@@ -196,14 +196,14 @@
         first = self.here.popleft()
         if not first.present:
             self.walk.broker.subscribe(
-                self.session, mq.Packet(mq.SUBSCRIBE, 1, props={}, filters=[("$share/g/act/#", 2)])
+                self.session, mqtt.Packet(mqtt.SUBSCRIBE, 1, props={}, filters=[("$share/g/act/#", 2)])
             )
         if self.fresh:  # what an earlier life has begun to send is let go
-            self.there.append([mq.Packet(mq.PUBREL, id_) for id_ in IDS])
+            self.there.append([mqtt.Packet(mqtt.PUBREL, id_) for id_ in IDS])
         self.deliveries.resume(0, bool(first.present))
         for id_, packet in list(self.answers.items()):
             if packet is None:
-                self.there.append([mq.Packet(mq.PUBREL, id_)])
+                self.there.append([mqtt.Packet(mqtt.PUBREL, id_)])
             elif packet.qos == 2:
                 packet.dup = 1
                 self.there.append([packet])
@@ -234,25 +234,25 @@
         if self.session is None or not self.here:
             return
         p = self.here.popleft()
-        if p.type == mq.PUBLISH:
+        if p.type == mqtt.PUBLISH:
             what = p.topic[4:]
             effect = ports.REPEATABLE if what.startswith("r") else ports.ONCE_ONLY
             self.deliveries.published(0, p.id, p.qos, bool(p.dup), effect, 10**15, what, what)
-        elif p.type == mq.PUBREL:
+        elif p.type == mqtt.PUBREL:
             self.deliveries.released(0, p.id)
-        elif p.type == mq.PINGRESP:
-            while self.here and self.here[0].type == mq.PUBCOMP:
+        elif p.type == mqtt.PINGRESP:
+            while self.here and self.here[0].type == mqtt.PUBCOMP:
                 self.step_here()
             self.fresh = False  # the broker has let go of the numbers
             self.deliveries.ponged(0)
             self.send_unsent()
-        elif p.type == mq.PUBREC:
+        elif p.type == mqtt.PUBREC:
             if p.id in self.answers:
                 self.answers[p.id] = None
-            self.there.append([mq.Packet(mq.PUBREL, p.id)])
-        elif p.type in (mq.PUBACK, mq.PUBCOMP):
+            self.there.append([mqtt.Packet(mqtt.PUBREL, p.id)])
+        elif p.type in (mqtt.PUBACK, mqtt.PUBCOMP):
             waits = self.answers.get(p.id, self)
-            if waits is None if p.type == mq.PUBCOMP else waits and waits is not self and waits.qos == 1:
+            if waits is None if p.type == mqtt.PUBCOMP else waits and waits is not self and waits.qos == 1:
                 del self.answers[p.id]
 
     def step_done(self):
@@ -265,13 +265,13 @@
             self.there.append(list(packets))
 
     def ack(self, id_, qos):
-        self._send(mq.Packet(mq.PUBACK if qos == 1 else mq.PUBREC, id_))
+        self._send(mqtt.Packet(mqtt.PUBACK if qos == 1 else mqtt.PUBREC, id_))
 
     def comp(self, id_):
-        self._send(mq.Packet(mq.PUBCOMP, id_))
+        self._send(mqtt.Packet(mqtt.PUBCOMP, id_))
 
     def ping(self):
-        self._send(mq.Packet(mq.PINGREQ))
+        self._send(mqtt.Packet(mqtt.PINGREQ))
 
     def begin(self, delivery):
         self.walk.begun[delivery.what] += 1
@@ -298,8 +298,8 @@
             self.unsent.append((delivery, owed))
             return
         id_ = next(i for i in IDS if i not in self.answers)
-        answer = mq.Packet(
-            mq.PUBLISH,
+        answer = mqtt.Packet(
+            mqtt.PUBLISH,
             id_,
             topic="r/" + delivery.what,
             payload=b"",
@@ -311,7 +311,7 @@
         self.answers[answer.id] = answer
         packets = [answer]
         if owed and delivery.id is not None:
-            packets.append(mq.Packet(mq.PUBACK if delivery.qos == 1 else mq.PUBREC, delivery.id))
+            packets.append(mqtt.Packet(mqtt.PUBACK if delivery.qos == 1 else mqtt.PUBREC, delivery.id))
         self._send(*packets)
 
 
@@ -325,7 +325,7 @@
         self.broker = Broker(self.clock, lambda *_: True, self.saw)
         self.members = [Member(self, f"d{i}") for i in range(3)]
         self.client = self.broker.connect(
-            mq.Packet(mq.CONNECT, client="c", clean=1, user=None, will=None, props={}),
+            mqtt.Packet(mqtt.CONNECT, client="c", clean=1, user=None, will=None, props={}),
             lambda p: None,
             lambda code: None,
         )
@@ -355,8 +355,8 @@
             qos = {"r": self.chance.choice((1, 2)), "o": 2, "q": 1}[what[0]]
             self.broker.packet(
                 self.client,
-                mq.Packet(
-                    mq.PUBLISH,
+                mqtt.Packet(
+                    mqtt.PUBLISH,
                     len(self.asked),
                     topic="act/" + what,
                     payload=b"",
--- a/tests/test_forecast.py
+++ b/tests/test_forecast.py
@@ -8,8 +8,8 @@
 
 from kept import compare
 
-from petrelwood.decide.forecasting import account as ac
 from petrelwood.decide.forecasting import forecast, planner
+from petrelwood.decide.forecasting.account import IN_TIME, Account
 from petrelwood.decide.forecasting.prefetch import EarlyLoads
 
 S = 10**9
@@ -248,7 +248,7 @@
 
 class Accounts(unittest.TestCase):
     def test_each_early_load_ends_in_one_way(self):
-        account, lines = ac.Account(PRICES, 60 * S, lambda: 0.5), []
+        account, lines = Account(PRICES, 60 * S, lambda: 0.5), []
 
         def say(text, end=None):
             lines.append(f"{text}: {end or '-'}; {account.whole.seconds:+.2f} s, open {len(account.open)}")
@@ -271,7 +271,7 @@
         compare(self, "account", lines + list(account.lines()))
 
     def test_a_negative_balance_holds_back_and_is_tried_again_later_each_time(self):
-        account, tried = ac.Account(planner.Prices(1.0, 0.0), 60 * S, lambda: 0.99), []
+        account, tried = Account(planner.Prices(1.0, 0.0), 60 * S, lambda: 0.99), []
         for minute in range(600):
             now = minute * 60 * S
             if account.may(now, "f", "n"):
@@ -283,13 +283,13 @@
         self.assertGreater(max(gaps), 4 * min(gaps))
 
     def test_what_pays_goes_on(self):
-        account = ac.Account(PRICES, 60 * S, lambda: 0.5)
+        account = Account(PRICES, 60 * S, lambda: 0.5)
         for turn in range(100):
             now = turn * 60 * S
             self.assertTrue(account.may(now, "f", "n"))
             account.ordered(now, "f", "n", "w", now + 60 * S, 1, 2 * S)
             account.stands(now + S, "f", "w", True)
-            self.assertEqual(account.called(now + 5 * S, "f", "w", True), ac.IN_TIME)
+            self.assertEqual(account.called(now + 5 * S, "f", "w", True), IN_TIME)
 
 
 class Early(unittest.TestCase):
--- a/tests/test_mqtt.py
+++ b/tests/test_mqtt.py
@@ -14,7 +14,7 @@
 
 from petrelwood.dispatch.dispatcher import Dispatcher
 from petrelwood.fronts.mqtt import Mqtt
-from petrelwood.links import packets as mq
+from petrelwood.links import packets as mqtt
 from petrelwood.settings import gateway
 from petrelwood.standins.broker import BrokerServer
 
@@ -37,8 +37,8 @@
         self.stream = IOStream(socket.socket())
         await self.stream.connect(("127.0.0.1", self.port))
         self.send(
-            mq.Packet(
-                mq.CONNECT,
+            mqtt.Packet(
+                mqtt.CONNECT,
                 client=self.name,
                 clean=clean,
                 keep_alive=60,
@@ -47,35 +47,39 @@
                 props={"session_expiry": session},
             )
         )
-        self.reader, self.reply, self.connack = mq.Reader(), reply, asyncio.get_running_loop().create_future()
+        self.reader, self.reply, self.connack = (
+            mqtt.Reader(),
+            reply,
+            asyncio.get_running_loop().create_future(),
+        )
         self.task = asyncio.ensure_future(self.read())
         found = await asyncio.wait_for(self.connack, 30)
         if not found.present:
-            self.send(mq.Packet(mq.SUBSCRIBE, 65000, props={}, filters=[(reply, 2)]))
+            self.send(mqtt.Packet(mqtt.SUBSCRIBE, 65000, props={}, filters=[(reply, 2)]))
         return found
 
     def send(self, packet):
-        self.stream.write(mq.write(packet))
+        self.stream.write(mqtt.write(packet))
 
     async def read(self):
         try:
             while True:
                 for p in self.reader.feed(await self.stream.read_bytes(65536, partial=True)):
-                    if p.type == mq.CONNACK:
+                    if p.type == mqtt.CONNACK:
                         self.connack.set_result(p)
-                    elif p.type == mq.PUBLISH:
+                    elif p.type == mqtt.PUBLISH:
                         status = dict(p.props["user"])
                         self.answers.setdefault(p.props["correlation_data"], []).append(
                             (status["status"], p.payload)
                         )
                         if p.qos and not self.mute:
-                            self.send(mq.Packet(mq.PUBACK if p.qos == 1 else mq.PUBREC, p.id))
-                    elif p.type == mq.PUBREL:
-                        self.send(mq.Packet(mq.PUBCOMP, p.id))
-                    elif p.type in (mq.PUBACK, mq.PUBREC):
+                            self.send(mqtt.Packet(mqtt.PUBACK if p.qos == 1 else mqtt.PUBREC, p.id))
+                    elif p.type == mqtt.PUBREL:
+                        self.send(mqtt.Packet(mqtt.PUBCOMP, p.id))
+                    elif p.type in (mqtt.PUBACK, mqtt.PUBREC):
                         self.acks[p.id] = p.code
-                        if p.type == mq.PUBREC and p.code < 0x80:
-                            self.send(mq.Packet(mq.PUBREL, p.id))
+                        if p.type == mqtt.PUBREC and p.code < 0x80:
+                            self.send(mqtt.Packet(mqtt.PUBREL, p.id))
         except StreamClosedError:
             pass
 
@@ -87,8 +91,8 @@
         if expiry is not None:
             props["message_expiry"] = expiry
         self.send(
-            mq.Packet(
-                mq.PUBLISH,
+            mqtt.Packet(
+                mqtt.PUBLISH,
                 self.id if qos else 0,
                 topic=topic or f"act/x/{function.split('-')[0]}/{function}",
                 payload=body,
@@ -193,7 +197,7 @@
         await self.answered(b"act/x/again/unknown", b"act/x/once/again-1")
         self.assertEqual([a[0][0] for a in self.client.answers.values()], ["rejected", "rejected"])
         # the broker takes the first three, which the gateway refuses, and not the fourth
-        codes = {1: 0, 2: 0, 3: 0, 4: mq.NOT_AUTHORIZED}
+        codes = {1: 0, 2: 0, 3: 0, 4: mqtt.NOT_AUTHORIZED}
         await self.until(lambda: self.client.acks == codes)
         self.assertEqual((self.runs(), self.cores[0].fronts[0].figures()["refused"]), (0, 3))
 
@@ -393,9 +397,9 @@
         async def once(number):
             reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
             writer.write(
-                mq.write(
-                    mq.Packet(
-                        mq.CONNECT,
+                mqtt.write(
+                    mqtt.Packet(
+                        mqtt.CONNECT,
                         client=f"many{number}",
                         clean=0,
                         keep_alive=60,
@@ -405,7 +409,7 @@
                     )
                 )
             )
-            packets = mq.Reader()
+            packets = mqtt.Reader()
             while True:
                 data = await reader.read(100)
                 self.assertTrue(data, "the broker closed the connection")
--- a/tests/test_packets.py
+++ b/tests/test_packets.py
@@ -7,14 +7,14 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from petrelwood.links import packets as mq
+from petrelwood.links import packets as mqtt
 from petrelwood.links import rpc, sse
 
-P = mq.Packet
+P = mqtt.Packet
 WORD = st.text(st.characters(exclude_characters="+#\0", exclude_categories=("Cs",)), min_size=1, max_size=20)
 PUBLISHED = st.builds(
     lambda topic, payload, qos, dup, retain, id_, props: P(
-        mq.PUBLISH,
+        mqtt.PUBLISH,
         id_ if qos else 0,
         topic=topic,
         payload=payload,
@@ -44,25 +44,25 @@
 )
 ACK = st.builds(
     lambda type_, id_, code, why: P(type_, id_, code, props={"reason": why} if why else {}),
-    st.sampled_from(mq.ACKS),
+    st.sampled_from(mqtt.ACKS),
     st.integers(1, 65535),
     st.integers(0, 255),
     st.one_of(st.none(), WORD),
 )
 CORPUS = [
     P(
-        mq.CONNECT,
+        mqtt.CONNECT,
         client="c",
         clean=1,
         keep_alive=30,
         user="u",
         password=b"p",
         props={"session_expiry": 9},
-        will=P(mq.PUBLISH, topic="gone", payload=b"x", qos=1, dup=0, retain=1, props={"will_delay": 3}),
+        will=P(mqtt.PUBLISH, topic="gone", payload=b"x", qos=1, dup=0, retain=1, props={"will_delay": 3}),
     ),
-    P(mq.CONNACK, present=1, code=0, props={"receive_maximum": 7, "reason": "well"}),
+    P(mqtt.CONNACK, present=1, code=0, props={"receive_maximum": 7, "reason": "well"}),
     P(
-        mq.PUBLISH,
+        mqtt.PUBLISH,
         3,
         topic="act/x/y",
         payload=b"hi",
@@ -76,58 +76,58 @@
             "user": [("a", "b")],
         },
     ),
-    P(mq.PUBACK, 3, 0x97),
-    P(mq.PUBREL, 3),
-    P(mq.PUBCOMP, 3, 0x92, props={"user": [("a", "b")]}),
-    P(mq.SUBSCRIBE, 2, props={"subscription_id": 5}, filters=[("$share/g/act/+/#", 1)]),
-    P(mq.SUBACK, 2, props={}, codes=[1, 0x87]),
-    P(mq.UNSUBSCRIBE, 2, props={}, filters=["a/#"]),
-    P(mq.PINGREQ),
-    P(mq.PINGRESP),
-    P(mq.DISCONNECT, code=0x8E, props={"reason": "taken over"}),
-    P(mq.AUTH, code=0x18),
+    P(mqtt.PUBACK, 3, 0x97),
+    P(mqtt.PUBREL, 3),
+    P(mqtt.PUBCOMP, 3, 0x92, props={"user": [("a", "b")]}),
+    P(mqtt.SUBSCRIBE, 2, props={"subscription_id": 5}, filters=[("$share/g/act/+/#", 1)]),
+    P(mqtt.SUBACK, 2, props={}, codes=[1, 0x87]),
+    P(mqtt.UNSUBSCRIBE, 2, props={}, filters=["a/#"]),
+    P(mqtt.PINGREQ),
+    P(mqtt.PINGRESP),
+    P(mqtt.DISCONNECT, code=0x8E, props={"reason": "taken over"}),
+    P(mqtt.AUTH, code=0x18),
 ]
 
 
 def read(data, most=10_000):
-    return list(mq.Reader(most).feed(data))
+    return list(mqtt.Reader(most).feed(data))
 
 
 class Codec(unittest.TestCase):
     def test_the_corpus_comes_back(self):
         for packet in CORPUS:
-            self.assertEqual(read(mq.write(packet)), [packet])
+            self.assertEqual(read(mqtt.write(packet)), [packet])
 
     @settings(max_examples=300, deadline=None, derandomize=True)
     @given(st.lists(st.one_of(PUBLISHED, ACK), max_size=5), st.integers(1, 17))
     def test_any_packets_come_back_in_pieces_of_any_size(self, packets, size):
-        data, reader, found = b"".join(map(mq.write, packets)), mq.Reader(), []
+        data, reader, found = b"".join(map(mqtt.write, packets)), mqtt.Reader(), []
         for i in range(0, len(data), size):
             found += reader.feed(data[i : i + size])
         self.assertEqual(found, packets)
 
     def test_every_truncation_waits_or_is_refused(self):
         for packet in CORPUS:
-            whole = mq.write(packet)
+            whole = mqtt.write(packet)
             for size in range(len(whole)):
                 self.assertEqual(read(whole[:size]), [])
                 if size > 2:  # the same, as if that were all of it
                     short = bytes((whole[0], size - 2)) + whole[2:size]
                     try:
                         self.assertEqual(len(read(short)), 1)
-                    except mq.Wrong as fault:
+                    except mqtt.Wrong as fault:
                         self.assertGreaterEqual(fault.code, 0x80)
 
     def test_every_flipped_bit_is_a_packet_or_a_reason(self):
         ends = {"packet": 0, "reason": 0, "waits": 0}
         for packet in CORPUS:
-            whole = mq.write(packet)
+            whole = mqtt.write(packet)
             for bit in range(8 * len(whole)):
                 flipped = bytearray(whole)
                 flipped[bit // 8] ^= 1 << bit % 8
                 try:
                     ends["packet" if read(bytes(flipped)) else "waits"] += 1
-                except mq.Wrong as fault:
+                except mqtt.Wrong as fault:
                     self.assertGreaterEqual(fault.code, 0x80)
                     ends["reason"] += 1
         self.assertTrue(all(ends.values()), ends)
@@ -137,15 +137,15 @@
     def test_any_bytes_end_in_packets_or_a_reason(self, data):
         try:
             for packet in read(data):
-                mq.write(packet)
-        except mq.Wrong as fault:
+                mqtt.write(packet)
+        except mqtt.Wrong as fault:
             self.assertGreaterEqual(fault.code, 0x80)
 
     def test_too_large_is_known_before_it_is_read(self):
-        with self.assertRaises(mq.Wrong) as caught:
+        with self.assertRaises(mqtt.Wrong) as caught:
             read(b"\x30\xff\xff\xff\x7f")
-        self.assertEqual(caught.exception.code, mq.TOO_LARGE)
-        with self.assertRaises(mq.Wrong):
+        self.assertEqual(caught.exception.code, mqtt.TOO_LARGE)
+        with self.assertRaises(mqtt.Wrong):
             read(b"\x30\xff\xff\xff\xff\x01")
 
     def test_topics_and_filters(self):
@@ -160,7 +160,7 @@
             ("$share/+/a", 0),
             ("#", 1),
         ):
-            self.assertEqual(mq.filter_ok(name), bool(good), name)
+            self.assertEqual(mqtt.filter_ok(name), bool(good), name)
         for pattern, topic, good in (
             ("a/+", "a/b", 1),
             ("a/+", "a/b/c", 0),
@@ -171,7 +171,7 @@
             ("a/b", "a", 0),
             ("+/+", "/", 1),
         ):
-            self.assertEqual(mq.matches(pattern, topic), bool(good), (pattern, topic))
+            self.assertEqual(mqtt.matches(pattern, topic), bool(good), (pattern, topic))
 
 
 class OtherReaders(unittest.TestCase):
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -13,8 +13,8 @@
 
 from petrelwood import ports
 from petrelwood.audit import rules
-from petrelwood.decide.delivery import ledger as led
 from petrelwood.decide.delivery import recovery
+from petrelwood.decide.delivery.ledger import ABORTED, AGAIN, COMPLETED, LEFT, REJECTED, RUNNING, Ledger
 from petrelwood.emulate import script
 from petrelwood.emulate.platform import Platform
 from petrelwood.store import state, tail
@@ -90,7 +90,7 @@
         self.written(self.log())
         second = self.log(WALL + S)
         self.assertEqual((second.epoch, len(second.found)), (2, 21))
-        second.add(state.END, WALL + S, "x", "m1", led.COMPLETED, True, b"done")
+        second.add(state.END, WALL + S, "x", "m1", COMPLETED, True, b"done")
         second.flush()
         third = self.log(WALL + 2 * S)
         self.assertEqual([r[0] for r in third.found[21:]], [state.LIFE, state.END])
@@ -144,7 +144,7 @@
 
     def test_the_commands(self):
         log = self.written(self.log(), 3)
-        log.add(state.END, WALL + 9, "x", "m1", led.COMPLETED, True, b"{}")
+        log.add(state.END, WALL + 9, "x", "m1", COMPLETED, True, b"{}")
         log.flush()
 
         def run(*args):
@@ -171,7 +171,7 @@
     def story(self, records, wall, boot="b1", durable=False):
         """What a later life at `wall` makes of an id that comes again with a newer stamp."""
         found = recovery.replay(records, wall, boot, durable)
-        ledger = led.Ledger(100, 1000, 300 * S, TYPES, REMEMBER, wall)
+        ledger = Ledger(100, 1000, 300 * S, TYPES, REMEMBER, wall)
         recovery.fill(ledger, found, 50 * S, wall, TYPES, REMEMBER, 300 * S)
         return found, ledger
 
@@ -180,11 +180,11 @@
         for type_ in TYPES:
             for outcome, sent in (
                 (None, None),
-                (led.COMPLETED, True),
-                (led.REJECTED, False),
-                (led.ABORTED, True),
-                (led.LEFT, True),
-                (led.LEFT, False),
+                (COMPLETED, True),
+                (REJECTED, False),
+                (ABORTED, True),
+                (LEFT, True),
+                (LEFT, False),
             ):
                 id_ = f"{type_}, {outcome or 'no outcome'}{', sent' if sent else ''}"
                 records.append(["take", at, "x", id_, at, type_])
@@ -197,7 +197,7 @@
                             id_,
                             outcome,
                             sent,
-                            b"kept" if outcome == led.COMPLETED else None,
+                            b"kept" if outcome == COMPLETED else None,
                         ]
                     )
         for wall, word in (
@@ -209,16 +209,14 @@
             lines.append(word)
             for (_, id_), entry in list(ledger.entries.items()):
                 verdict, entry = ledger.ask(50 * S, wall, ("x", id_), max(wall, at) + 2 * S, entry.type)
-                lines.append(
-                    f"    {id_}: {verdict}{' ' + entry.body.decode() if verdict == led.AGAIN else ''}"
-                )
+                lines.append(f"    {id_}: {verdict}{' ' + entry.body.decode() if verdict == AGAIN else ''}")
         compare(self, "state_ids", lines)
 
     def test_replays_signed_before_the_restart(self):
         records = [
             self.LIFE,
             ["take", WALL + S, "x", "m1", WALL, "once"],
-            ["end", WALL + 2 * S, "x", "m1", led.COMPLETED, True, b"r"],
+            ["end", WALL + 2 * S, "x", "m1", COMPLETED, True, b"r"],
         ]
         lines = []
         for word, wall, boot, durable in (
@@ -266,7 +264,7 @@
             chance.choice(
                 [
                     ["take", WALL + i, "x", f"m{i % 9}", WALL, chance.choice([*TYPES, "gone"])],
-                    ["end", WALL + i, "x", f"m{i % 9}", led.ABORTED, True, None],
+                    ["end", WALL + i, "x", f"m{i % 9}", ABORTED, True, None],
                     ["order", WALL + i, "w", "f", 1],
                     ["close", WALL + i],
                     self.LIFE,
@@ -278,7 +276,7 @@
             some = [r for r in records if chance.random() < 0.7]
             chance.shuffle(some)
             found, ledger = self.story(some, WALL + chance.randrange(-100, 100) * S)
-            self.assertTrue(all(entry.state != led.RUNNING for entry in ledger.entries.values()))
+            self.assertTrue(all(entry.state != RUNNING for entry in ledger.entries.values()))
 
 
 class Lives(unittest.TestCase):
