--- a/petrelwood/decide/cluster/link_state.py
+++ b/petrelwood/decide/cluster/link_state.py
@@ -15,20 +15,20 @@
 
 
 class LinkState:
-    """Times in ns. `terms` is a `WorkerTerms`; `budget` a `comeback.Budget` that all links share for
+    """Times in ns. `terms` is a `WorkerTerms`; `budget` a `backoff.Budget` that all links share for
     connecting again."""
 
     def __init__(self, worker, terms, chance, budget=None):
         self.worker, self.terms, self.state, self.budget = worker, terms, DOWN, budget
-        self.comeback = Backoff(terms.connect_within, 16 * terms.connect_within, chance)
+        self.backoff = Backoff(terms.connect_within, 16 * terms.connect_within, chance)
         self.since, self.heard, self.asked, self.booted, self.lives = 0, 0, 0, None, 0
 
     def wants(self, now):
         """For a call that has just come: 'wait' (queue it), 'connect' (begin, and queue it) or 'refuse'."""
         if self.state != DOWN:
             return "wait"
-        if not self.comeback.may(now) or (
-            self.comeback.failures and self.budget is not None and not self.budget.spend(now)
+        if not self.backoff.may(now) or (
+            self.backoff.failures and self.budget is not None and not self.budget.spend(now)
         ):
             # it failed before, and so do many others: not all at once
             return "refuse"
@@ -48,7 +48,7 @@
         if booted != self.booted:
             self.booted, self.lives = booted, self.lives + 1
         self.state, self.heard, self.asked = UP, now, 0
-        self.comeback.succeeded()
+        self.backoff.succeeded()
         if self.budget is not None:
             self.budget.first()
         return True
@@ -60,7 +60,7 @@
         """Notes the loss; a connection that was up costs one short wait, each failure to connect a longer
         one."""
         self.state = DOWN
-        return self.comeback.failed(now)
+        return self.backoff.failed(now)
 
     def check(self, now, owing):
         """'give up', 'ping' or None, asked now and then while the link is not down."""
--- a/petrelwood/decide/cluster/membership.py
+++ b/petrelwood/decide/cluster/membership.py
@@ -38,7 +38,7 @@
     def __init__(self, lost_after, first_wait, chance):
         self.members, self.epoch, self.number = {}, None, 0
         self.lost_after, self.heard, self.lost = lost_after, 0, False
-        self.comeback = Backoff(first_wait, 64 * first_wait, chance)
+        self.backoff = Backoff(first_wait, 64 * first_wait, chance)
 
     @property
     def resume(self):
@@ -63,7 +63,7 @@
     def alive(self, now):
         """Bytes came from the roster. Whether this ends a time without it."""
         was, self.heard, self.lost = self.lost, now, False
-        self.comeback.succeeded()
+        self.backoff.succeeded()
         return was
 
     def silent(self, now):
--- a/petrelwood/decide/forecasting/account.py
+++ b/petrelwood/decide/forecasting/account.py
@@ -39,7 +39,7 @@
 class Balance:
     def __init__(self, first_wait, chance):
         self.seconds, self.ends = 0.0, Counter()
-        self.comeback, self.held, self.spent_memory, self.saved = (
+        self.backoff, self.held, self.spent_memory, self.saved = (
             Backoff(first_wait, 64 * first_wait, chance),
             False,
             0.0,
@@ -53,14 +53,14 @@
         self.saved += max(0.0, seconds)
         if self.seconds < -TRUST and not self.held:
             self.held = True
-            self.comeback.failed(now)
+            self.backoff.failed(now)
         elif self.seconds >= 0:
             self.held = False
-            self.comeback.succeeded()
+            self.backoff.succeeded()
 
     def may(self, now):
         """Whether early loads may go on; a held one is tried again when its wait is over."""
-        if self.held and self.comeback.may(now):
+        if self.held and self.backoff.may(now):
             self.held, self.seconds = False, -TRUST / 2  # one more trial, on short credit
         return not self.held
 
--- a/petrelwood/decide/overload/admission.py
+++ b/petrelwood/decide/overload/admission.py
@@ -26,11 +26,11 @@
 
 
 class Address:
-    __slots__ = ("open", "bytes", "tokens", "seen", "bad", "comeback", "shaking")
+    __slots__ = ("open", "bytes", "tokens", "seen", "bad", "backoff", "shaking")
 
     def __init__(self, tokens, now, chance):
         self.open, self.bytes, self.tokens, self.seen, self.bad, self.shaking = 0, 0, tokens, now, 0, 0
-        self.comeback = Backoff(FIRST, LONGEST, chance)
+        self.backoff = Backoff(FIRST, LONGEST, chance)
 
 
 class Admission:
@@ -84,7 +84,7 @@
         one.seen = now
         if self.open >= self.connections or self.handshakes and self.shaking >= self.handshakes:
             verdict = CROWDED
-        elif not one.comeback.may(now):
+        elif not one.backoff.may(now):
             verdict = BAD
         elif (
             self._over_part(one, one.open, self.open, self.connections, "open")
@@ -135,7 +135,7 @@
 
     def may_check(self, now, address):
         """Whether a signature from there is worth checking; else it is refused unread."""
-        if self._address(now, address).comeback.may(now):
+        if self._address(now, address).backoff.may(now):
             return True
         self.counts[BAD] += 1
         return False
@@ -144,16 +144,16 @@
         one = self._address(now, address)
         if good:
             one.bad = 0
-            one.comeback.succeeded()
+            one.backoff.succeeded()
             return
         one.bad += 1
         if one.bad >= BAD_IN_A_ROW:
             one.bad = 0
-            one.comeback.failed(now)
+            one.backoff.failed(now)
 
     def wait(self, address, now):
         """Seconds after which a refused connection may be tried again, for `Retry-After`; drawn, so that a
         crowd parts."""
         one = self.addresses.get(address)
-        ban = max(0, one.comeback.not_before - now) if one is not None else 0
+        ban = max(0, one.backoff.not_before - now) if one is not None else 0
         return 1 + int(ban / SECOND + self.chance() * (4 if self.storm else 2))
--- a/petrelwood/decide/overload/intake.py
+++ b/petrelwood/decide/overload/intake.py
@@ -1,6 +1,6 @@
 """The chain that an activation passes before the module: each stage passes it on, keeps it or ends it.
 
-    customer's room -> retry or replay -> patience -> what can be served -> manners -> the module
+    customer's room -> retry or replay -> patience -> what can be served -> retry policy -> the module
 
 Every front asks here, so that a case has one decision whichever way it came. A verdict says what the front
 should
@@ -78,17 +78,21 @@
         self.held, self.by_customer, self.closing, self.damps = 0, {}, False, damps
         self.usual = min(timeouts.values()) // 4  # how long an activation stays, by a running mean
         few = max(4, limits.held // 1024)
-        self.pace, self.ramp = (
+        self.throughput, self.concurrency_limit = (
             ThroughputEstimate(few),
             ConcurrencyLimit(limits.held, few, min(timeouts.values()) // 2),
         )
-        self.manners, self.storms = retry_budget.RetryPolicy(max(64, limits.ledger // 16)), Storms()
+        self.retry_policy, self.storms = retry_budget.RetryPolicy(max(64, limits.ledger // 16)), Storms()
 
     def ask(self, now, wall, ask):
         due, gone = deadlines.due(ask.came, ask.wait, self.timeouts[ask.type])
         known = self.ledger.entries.get((ask.customer, ask.id))
         joins = known is not None and (known.state != ledger_module.REJECTED or ask.stamp <= known.stamp)
-        how = retry_budget.FIRST if joins or not self.damps else self.manners.comes(now, ask.customer, ask.id)
+        how = (
+            retry_budget.FIRST
+            if joins or not self.damps
+            else self.retry_policy.comes(now, ask.customer, ask.id)
+        )
         if self.damps:
             self.storms.asked(now, joins or how != retry_budget.FIRST)
         if not joins:  # a retry of what is known costs no room
@@ -146,22 +150,27 @@
         """Why one more would do harm, or None. A customer with less than half of an equal part still has room
         over the bound:
         one that storms does not shut out those that are quiet."""
-        quiet = self.by_customer.get(ask.customer, 0) * 2 * max(1, len(self.by_customer)) < self.ramp.limit
-        if not self.ramp.room(self.held) and not (quiet and len(self.by_customer) > 1):
+        quiet = (
+            self.by_customer.get(ask.customer, 0) * 2 * max(1, len(self.by_customer))
+            < self.concurrency_limit.limit
+        )
+        if not self.concurrency_limit.room(self.held) and not (quiet and len(self.by_customer) > 1):
             return TOO_MANY
-        if not quiet and self.pace.too_late(now, self.held, due):
+        if not quiet and self.throughput.too_late(now, self.held, due):
             return TOO_MANY
         if (
             how == retry_budget.EARLY
-            and self.ramp.holds_back
-            and (self.manners.since(now, ask.customer, ask.id) > self.terms.types[ask.type].target_latency)
+            and self.concurrency_limit.holds_back
+            and (
+                self.retry_policy.since(now, ask.customer, ask.id) > self.terms.types[ask.type].target_latency
+            )
         ):
             # it can only be late by now; others can still be in time
             return TOO_EARLY
         if (
             how == retry_budget.EARLY
-            and (self.storms.on("repeats") or self.ramp.holds_back)
-            and not self.manners.may(ask.customer)
+            and (self.storms.on("repeats") or self.concurrency_limit.holds_back)
+            and not self.retry_policy.may(ask.customer)
         ):
             return TOO_EARLY
         return None
@@ -179,7 +188,7 @@
 
     def took(self, customer, id_):
         self.held += 1
-        self.manners.settled(customer, id_)
+        self.retry_policy.settled(customer, id_)
         self.by_customer[customer] = self.by_customer.get(customer, 0) + 1
 
     def ended(self, now, customer, type_name, stayed, outcome):
@@ -191,16 +200,16 @@
         else:
             del self.by_customer[customer]
         self.usual += (stayed - self.usual) // 64
-        self.pace.ended(now)
+        self.throughput.ended(now)
         if outcome != ledger_module.REJECTED:
             patient = max(self.terms.types[type_name].target_latency, self.timeouts[type_name] // 2)
-            self.ramp.ended(outcome == ledger_module.COMPLETED and stayed <= patient)
+            self.concurrency_limit.ended(outcome == ledger_module.COMPLETED and stayed <= patient)
 
     def look(self, now):
         """Asked a few times a second: the symptoms that have changed, as `storm.Storms.look` tells them."""
         if not self.damps:
             return []
-        self.ramp.look(now, self.held)
+        self.concurrency_limit.look(now, self.held)
         return self.storms.look(now)
 
     def figures(self):
@@ -210,9 +219,9 @@
             "ledger": dict(self.ledger.counts),
             "ids": len(self.ledger.entries),
             "storms": self.storms.figures(),
-            "manners": dict(self.manners.counts),
-            "bound": int(self.ramp.limit),
-            "cuts": self.ramp.cuts,
+            "manners": dict(self.retry_policy.counts),
+            "bound": int(self.concurrency_limit.limit),
+            "cuts": self.concurrency_limit.cuts,
         }
 
     def come_back(self, now, customer, id_, least=0, early=False):
@@ -220,7 +229,7 @@
         longer each time for one
         that does not wait so long."""
         most, fullness = self.terms.allowed.max_retry_after, self.held / max(1, self.limits.held)
-        wait = self.pace.come_back(now, self.held, self.ramp.limit) if self.damps else None
+        wait = self.throughput.come_back(now, self.held, self.concurrency_limit.limit) if self.damps else None
         wait = (
             max(least, self.usual) * (1 + min(3.0, 4 * fullness))
             if wait is None
@@ -228,4 +237,6 @@
         )
         if not self.damps:
             return min(int(wait * (0.5 + self.chance())), most)
-        return min(most, max(least, self.manners.hint(now, customer, id_, wait, self.chance, most, early)))
+        return min(
+            most, max(least, self.retry_policy.hint(now, customer, id_, wait, self.chance, most, early))
+        )
--- a/petrelwood/decide/overload/storm.py
+++ b/petrelwood/decide/overload/storm.py
@@ -11,7 +11,7 @@
 under its lower mark
 for a while that grows each time it comes back soon: it does not flap. What follows from a storm is decided
 where it matters
-(`manners`, `admission`, `ramp`, early loads); here is only what there is.
+(`retry_budget`, `admission`, `concurrency_limit`, early loads); here is only what there is.
 """
 
 from collections import Counter
--- a/petrelwood/decide/routing/neighbor.py
+++ b/petrelwood/decide/routing/neighbor.py
@@ -70,7 +70,7 @@
     def __init__(self, terms, out, chance):
         self.terms, self.out, self.chance = terms, out, chance
         self.connections, self.running, self.connecting, self.retry_at, self.routes = {}, False, False, 0, 0
-        self.comeback = Backoff(terms.first, terms.longest, chance)
+        self.backoff = Backoff(terms.first, terms.longest, chance)
         self.counts = {"up": 0, "down": 0, "updates": 0, "notes": 0, "collisions": 0, "refused": 0}
         self.why = ""
 
@@ -114,7 +114,7 @@
     def failed(self, now):
         """Our try to connect came to nothing."""
         self.connecting = False
-        self.retry_at = self.comeback.failed(now)
+        self.retry_at = self.backoff.failed(now)
 
     def lost(self, now, key, why="the connection broke"):
         connection = self.connections.get(key)
@@ -149,11 +149,11 @@
         held = self.established
         if (
             held is not None
-            and self.comeback.failures
+            and self.backoff.failures
             and held.hold
             and now - held.begun > LASTS * held.hold * SECOND
         ):
-            self.comeback.succeeded()
+            self.backoff.succeeded()
         if (
             self.running
             and not self.connections
@@ -271,7 +271,7 @@
         self.connections.pop(connection.key, None)
         self.out.close(connection.key)
         if not quiet and not self.connections:
-            self.retry_at, self.why = self.comeback.failed(now), why
+            self.retry_at, self.why = self.backoff.failed(now), why
         if connection.state == ESTABLISHED:
             self.counts["down"] += 1
             self.out.down(why)
--- a/petrelwood/dispatch/core.py
+++ b/petrelwood/dispatch/core.py
@@ -2,7 +2,8 @@
 what it
 decides. Free of I/O: the clock and the links are handed in, so that the emulator drives this very code.
 
-    front -> signature -> intake (room, retry or replay, patience) -> duty -> module -> link -> worker
+    front -> signature -> intake (room, retry or replay, patience) -> pending activations -> module
+          -> link -> worker
 
 and back. What happens while the module is being told of something is told after that, in order: the module is
 never
@@ -54,7 +55,7 @@
         self.now, self.limits, self.terms, start = clock.now, gateway.limits, gateway.terms, clock.now()
         self.chance = chance
         self.ledger, self.intake, prefix = self._stages()
-        self.duty = PendingActivations(self.intake, self.ledger, prefix)
+        self.pending = PendingActivations(self.intake, self.ledger, prefix)
         self.membership = Membership(self.terms.orders.keep, gateway.workers.connect_within, chance.random)
         self.links, self.flying, self.inbox, self.telling, self.touched = {}, {}, deque(), False, None
         self.due_timer, self.due_at, self.rules = None, 0, {}
@@ -116,7 +117,7 @@
         if self.returning.orders and hasattr(self.brain, "resumed"):
             self.brain.resumed(now, self.returning.orders)
         if self.returning.begins_low and self.gateway.damps and not elsewhere:
-            self.intake.ramp.begin(now)
+            self.intake.concurrency_limit.begin(now)
         self.state.found = []
         if found.last:
             self.log.info(
@@ -137,7 +138,7 @@
     @property
     def answered(self):
         """(completed, not completed) since the start."""
-        counts = self.duty.counts
+        counts = self.pending.counts
         return counts[COMPLETED], counts[ABORTED] + counts[REJECTED]
 
     def give_way(self, hears_end):
@@ -191,7 +192,7 @@
         """The ids of these activations are on the disk, or can't be."""
         for act_id in acts:
             act = self.unkept.pop(act_id, None)
-            if act is None or act_id not in self.duty.acts:
+            if act is None or act_id not in self.pending.acts:
                 continue
             if good:
                 self._begin(act)
@@ -254,7 +255,7 @@
         """For a dispatcher that has fronts."""
 
     def _plan(self):
-        if self.intake.storms.on("cold") or self.intake.ramp.holds_back:
+        if self.intake.storms.on("cold") or self.intake.concurrency_limit.holds_back:
             return  # guesses wait until what is asked for can be served
         orders = self.terms.orders
         self.early.turn(self.now(), self.clock.wall(), 1e9 if not orders.period else orders.free)
@@ -269,7 +270,7 @@
             gateway.limits,
             gateway.limits,
         )
-        self.intake.ramp.bound(gateway.limits.held)
+        self.intake.concurrency_limit.bound(gateway.limits.held)
 
     def rule(self, function):
         """The rule of a function, looked up once."""
@@ -311,14 +312,14 @@
 
     def defect(self, where, fault, args=()):
         """Ends what the failed call had touched, and goes on."""
-        touched = (self.touched or set()) | {a for a in args if isinstance(a, str) and a in self.duty.acts}
+        touched = (self.touched or set()) | {a for a in args if isinstance(a, str) and a in self.pending.acts}
         at = traceback.extract_tb(fault.__traceback__)[-1]
-        self.duty.counts["defects"] += 1
+        self.pending.counts["defects"] += 1
         self.log.error(
             "defect", where=where, at=f"{at.filename}:{at.lineno}", fault=repr(fault), aborted=len(touched)
         )
         for act_id in sorted(touched):
-            if act_id in self.duty.acts:
+            if act_id in self.pending.acts:
                 self._finish(act_id, ABORTED, why="a defect in the dispatcher")
                 try:
                     self.brain.left(self.now(), act_id)
@@ -336,8 +337,8 @@
             return
         verdict = self.intake.ask(now, self.clock.wall(), ask)
         if verdict.what == stage.JOIN:
-            act = self.duty.by_key.get(key)
-            if act is not None and self.duty.join(now, key, verdict.due, exchange):
+            act = self.pending.by_key.get(key)
+            if act is not None and self.pending.join(now, key, verdict.due, exchange):
                 exchange.act = act.id
                 self._arm()
                 return
@@ -352,7 +353,7 @@
                 stage.REFUSE, retry_after=self.intake.come_back(now, *key), why="its id can't be kept now"
             )
         elif verdict.what == stage.TAKE:
-            act = self.duty.take(
+            act = self.pending.take(
                 now, key, ask, verdict.due, function, rule.lanes, body, exchange, rule.load_time, rule.work
             )
             exchange.act = act.id
@@ -370,8 +371,8 @@
         self.soon(self._left, act_id, exchange)
 
     def _left(self, act_id, exchange):
-        if self.duty.left(self.now(), act_id, exchange) == "end":
-            act = self.duty.end(self.now(), act_id, LEFT)
+        if self.pending.left(self.now(), act_id, exchange) == "end":
+            act = self.pending.end(self.now(), act_id, LEFT)
             self._ended(act, LEFT, None)
             self._withdraw(act)
             self.brain.left(self.now(), act_id)
@@ -386,7 +387,7 @@
                 link.withdraw(act.id, n)
 
     def _finish(self, act_id, outcome, body=None, retry_after=0, why=""):
-        act = self.duty.end(self.now(), act_id, outcome, body)
+        act = self.pending.end(self.now(), act_id, outcome, body)
         if act is None:
             self.log.error("a second final answer was held back", act=act_id, outcome=outcome)
             return
@@ -397,7 +398,7 @@
 
     # Deadlines.
     def _arm(self):
-        due = self.duty.next_due()
+        due = self.pending.next_due()
         if due is None or self.due_timer is not None and self.due_at <= due:
             return
         if self.due_timer is not None:
@@ -407,7 +408,7 @@
 
     def _due(self):
         self.due_timer = None
-        for act, late, whole in self.duty.overdue(self.now()):
+        for act, late, whole in self.pending.overdue(self.now()):
             if whole:
                 self.soon(self._out_of_time, act.id)
             for exchange in late:
@@ -417,7 +418,7 @@
     def _out_of_time(self, act_id):
         """Its sends time out, of which the module makes an answer; if it does not, there is one all the
         same."""
-        act = self.duty.acts.get(act_id)
+        act = self.pending.acts.get(act_id)
         if act is None:
             return
         for n in sorted(act.out):
@@ -425,9 +426,9 @@
         self.soon(self._overdue, act_id)
 
     def _overdue(self, act_id):
-        if act_id in self.duty.acts:
-            self.duty.counts["overdue"] += 1
-            self.log.error("overdue", act=act_id, sends=self.duty.acts[act_id].sends)
+        if act_id in self.pending.acts:
+            self.pending.counts["overdue"] += 1
+            self.log.error("overdue", act=act_id, sends=self.pending.acts[act_id].sends)
             self._finish(act_id, ABORTED, why="out of time")
             self.brain.left(self.now(), act_id)
 
@@ -435,8 +436,8 @@
     def returned(self, act_id, n, worker, code, note, body, at, gauge):
         now = self.now()
         self.flying.pop((act_id, n), None)
-        owed = self.duty.acts.get(act_id)
-        owing = self.duty.returned(act_id, n)
+        owed = self.pending.acts.get(act_id)
+        owing = self.pending.returned(act_id, n)
         if owing and code == ports.COMPLETED:
             self._finish(act_id, COMPLETED, body)
         if code == ports.COMPLETED and self.intake.damps:
@@ -444,7 +445,9 @@
         if owed is not None and (self.early is not None or self.note is not None):
             self._learn(now, owed, worker, code, note, now - at)
         self.touched.add(act_id)
-        self.brain.answer(now, act_id, n, worker, code, note, act_id not in self.duty.acts, now - at, gauge)
+        self.brain.answer(
+            now, act_id, n, worker, code, note, act_id not in self.pending.acts, now - at, gauge
+        )
 
     def _learn(self, now, owed, worker, code, note, took):
         """What history and early loads want to know of a send's end."""
@@ -501,8 +504,8 @@
     # The module's outlet.
     def send(self, act, worker, limit):
         self.touched.add(act)
-        owed = self.duty.acts.get(act)
-        n = self.duty.sent(act)
+        owed = self.pending.acts.get(act)
+        n = self.pending.sent(act)
         if n is None:
             self.log.error("a send after the final answer was held back", act=act, worker=worker)
             return
@@ -536,7 +539,7 @@
 
     def reject(self, act, retry_after):
         self.touched.add(act)
-        owed = self.duty.acts.get(act)
+        owed = self.pending.acts.get(act)
         wait = (
             self.intake.come_back(self.now(), *owed.key, retry_after)
             if retry_after and owed is not None
@@ -594,4 +597,4 @@
 
     def figures(self):
         """What is counted, for logs and tests."""
-        return {**self.duty.counts, **self.counts, **self.intake.figures()}
+        return {**self.pending.counts, **self.counts, **self.intake.figures()}
--- a/petrelwood/dispatch/dispatcher.py
+++ b/petrelwood/dispatch/dispatcher.py
@@ -206,7 +206,7 @@
         self.intake.closing = True
         for front in self.fronts:
             front.stop()
-        while self.duty.acts or not all(front.quiet() for front in self.fronts):
+        while self.pending.acts or not all(front.quiet() for front in self.fronts):
             await asyncio.sleep(CHECK / 5)
         for front in self.fronts:
             front.close_idle()
--- a/petrelwood/dispatch/handover.py
+++ b/petrelwood/dispatch/handover.py
@@ -146,7 +146,7 @@
             if (
                 self.machine.state == handover.WATCHING
                 and not self.machine.drained
-                and not self.core.duty.acts
+                and not self.core.pending.acts
                 and all(front.quiet() for front in self.core.fronts)
             ):
                 self.machine.is_drained(self.core.now())
@@ -186,7 +186,7 @@
                         await channel.send("go", *self.core.well())
                 elif message[0] == "owns":
                     self.machine.owns(now())
-                    self.log.info("handed over; finishing what is owed", owed=len(self.core.duty.acts))
+                    self.log.info("handed over; finishing what is owed", owed=len(self.core.pending.acts))
                 elif message[0] == "alive":
                     self.machine.hears(now())
                 elif message[0] == "proven":
--- a/petrelwood/dispatch/serve.py
+++ b/petrelwood/dispatch/serve.py
@@ -37,7 +37,7 @@
         self.rollout = Rollout.resumed(gateway.name, handed) if handed else Rollout(gateway.name, 0)
         self.gateway, self.log, self.follows, self.failed = gateway, log, follows, None
         self.core = Dispatcher(gateway, log, brain, follows)
-        self.front, self.triggers, self.giver, self.taker, self.tasks = (
+        self.front, self.triggers, self.predecessor, self.successor, self.tasks = (
             Webhooks(gateway, self.core, log),
             None,
             None,
@@ -60,8 +60,8 @@
             )
         try:
             if self.follows:
-                self.taker = handover.Successor(self.gateway.control, core.loop, self.gateway.name)
-                await self.taker.ask(core.now())
+                self.successor = handover.Successor(self.gateway.control, core.loop, self.gateway.name)
+                await self.successor.ask(core.now())
             watch.open()
             core.open()
             await self._listed_or_ended()
@@ -70,14 +70,14 @@
                 await self.ends.wait()
         except (handover.Lost, state.Refused) as fault:
             self.failed = str(fault)
-            if self.taker is not None and self.taker.channel is not None:
-                self.taker.channel.close()
+            if self.successor is not None and self.successor.channel is not None:
+                self.successor.channel.close()
         core.intake.closing = True
         if self.health is not None:  # before anything else: traffic has to go elsewhere
             self.health.heartbeat()
-        log.info("closing", owed=len(core.duty.acts), why=self.failed)
-        if self.giver is not None:
-            self.giver.close()
+        log.info("closing", owed=len(core.pending.acts), why=self.failed)
+        if self.predecessor is not None:
+            self.predecessor.close()
         if self.failed and core.checks is None:
             return
         await core.close()
@@ -107,7 +107,7 @@
             when == settings_change.BY_UPGRADE
             and rolls
             and self.spawns is not None
-            and self.giver is not None
+            and self.predecessor is not None
         ):
             self.log.info("a version is taken by an upgrade", changes=[one.what for one in found])
             return settings_change.BY_UPGRADE
@@ -140,7 +140,7 @@
             for _ in range(bad - self.rolled[1]):
                 rollout.ended(False)
             self.rolled = (good, bad)
-            if self.giver is not None and self.giver.machine.busy():
+            if self.predecessor is not None and self.predecessor.machine.busy():
                 # a hand-over is under way: the process that follows goes on with this
                 continue
             verdict = rollout.look(self.core.clock.wall(), told)
@@ -195,7 +195,7 @@
             return False
         while (code := child.poll()) is None:
             await asyncio.sleep(0.1)
-        while self.giver.machine.busy():  # it is gone, and its end is still being seen to
+        while self.predecessor.machine.busy():  # it is gone, and its end is still being seen to
             await asyncio.sleep(0.05)
         self.log.error("the upgrade to a version failed", code=code)
         return False
@@ -210,10 +210,10 @@
         core, front = self.core, self.front
         core.fronts.append(front)
         if self.follows:
-            await self.taker.take(core.now)
+            await self.successor.take(core.now)
             core.open_state(elsewhere=True)
-            host, port = front.follow(self.taker.listeners)
-            core.tells_end = self.taker.machine.ended
+            host, port = front.follow(self.successor.listeners)
+            core.tells_end = self.successor.machine.ended
             self.tasks.append(core.loop.create_task(self._follow()))
         else:
             host, port = front.open(self.gateway.listen)
@@ -231,7 +231,7 @@
             self.rolled = (0, 0) if self.follows else self.core.answered
             self.tasks.append(self.core.loop.create_task(self._roll(self.gateway.versions)))
         if self.gateway.control:
-            self.giver = handover.Predecessor(
+            self.predecessor = handover.Predecessor(
                 self.gateway.control,
                 self.core,
                 self.front,
@@ -240,7 +240,7 @@
                 takes_back=self.open_triggers,
                 over=self.ends.set,
             )
-            self.giver.open()
+            self.predecessor.open()
 
     def open_triggers(self):
         if self.triggers is not None:  # those that had given way
@@ -257,21 +257,21 @@
 
     async def _follow(self):
         """Until the old process is gone; then this one has all."""
-        await self.taker.follow(self.core, self.log, self._gives_back)
+        await self.successor.follow(self.core, self.log, self._gives_back)
         if self.failed is None:
             self.core.tells_end = self.core.unsure = None
             self.core.open_history()
             self._open_rest()
 
     def _gives_back(self):
-        self.failed = self.taker.machine.why
+        self.failed = self.successor.machine.why
         self.front.pause()
         if self.core.state is not None:
             self.core.state.flush()
         self.tasks.append(self.core.loop.create_task(self._told_back()))
 
     async def _told_back(self):
-        await self.taker.give_back(self.failed)
+        await self.successor.give_back(self.failed)
         self.ends.set()
 
 
--- a/petrelwood/emulate/result.py
+++ b/petrelwood/emulate/result.py
@@ -67,7 +67,7 @@
     counts = collections.Counter()
     for core in cores:
         counts.update(core.counts)
-        counts.update({f"duty {k}": v for k, v in core.duty.counts.items()})
+        counts.update({f"pending {k}": v for k, v in core.pending.counts.items()})
     share = [a / b for a, b in windows.values() if b > 0]
     figures = {
         "service": got / asked if asked else 0.0,
@@ -84,8 +84,8 @@
         "sends": counts["sends"],
         "orders": counts["orders"],
         "probes": counts["probes"],
-        "overdue": counts["duty overdue"],
-        "twice": counts["duty twice"],
+        "overdue": counts["pending overdue"],
+        "twice": counts["pending twice"],
         "defects": platform.log.counts["defect"],
         "fetched": platform.store.counts["fetched"],
         "fetches refused": platform.store.counts["refused"],
@@ -108,9 +108,9 @@
     got, asked = (sum(customers[c.name][i] for c in listening) for i in (0, 1))
     figures["service of listeners"] = got / asked if asked else figures["service"]
     figures["recovers s"] = recovery(platform)
-    figures["cuts"] = sum(c.intake.ramp.cuts for c in cores)
+    figures["cuts"] = sum(c.intake.concurrency_limit.cuts for c in cores)
     figures["over budget"] = (
-        sum(c.intake.manners.counts["over budget"] for c in cores) + counts["over_budget"]
+        sum(c.intake.retry_policy.counts["over budget"] for c in cores) + counts["over_budget"]
     )
     for part in (50, 90, 99):
         figures[f"p{part} ms"] = took[min(len(took) - 1, len(took) * part // 100)] / 1e6 if took else 0.0
@@ -143,10 +143,10 @@
         if any(j.left > j.work + 1 for j in machine.at_work.values()):
             wrong.append(f"{node.name}: work grew")
     for name, core in platform.cores.items():
-        counts = core.duty.counts
+        counts = core.pending.counts
         ended = counts["completed"] + counts["rejected"] + counts["aborted"] + counts["left"]
-        if counts["taken"] != ended + len(core.duty.acts):
-            wrong.append(f"{name}: {counts['taken']} taken, {ended} ended, {len(core.duty.acts)} open")
-        if core.intake.held != len(core.duty.acts):
-            wrong.append(f"{name}: {core.intake.held} held, {len(core.duty.acts)} owed")
+        if counts["taken"] != ended + len(core.pending.acts):
+            wrong.append(f"{name}: {counts['taken']} taken, {ended} ended, {len(core.pending.acts)} open")
+        if core.intake.held != len(core.pending.acts):
+            wrong.append(f"{name}: {core.intake.held} held, {len(core.pending.acts)} owed")
     return wrong
--- a/petrelwood/fronts/mqtt.py
+++ b/petrelwood/fronts/mqtt.py
@@ -88,7 +88,7 @@
         self.terms, self.client = front.terms, f"{core.name}.{customer}"
         self.window = mqtt_acknowledgement.Window(self.terms.window_least, self.terms.window_most)
         self.deliveries = mqtt_acknowledgement.Deliveries(self.window, self)
-        self.comeback = Backoff(
+        self.backoff = Backoff(
             self.terms.comeback_first, self.terms.comeback_most, core.chance.random, full=True
         )
         self.stream, self.up, self.task, self.number, self.stamp = None, False, None, 0, 0
@@ -122,7 +122,7 @@
                 self.front.core.defect("mqtt", fault)
             self._lost()
             now = self.front.core.now()
-            until = self.comeback.failed(now)
+            until = self.backoff.failed(now)
             self.front.log.info(
                 "broker lost", customer=self.customer, why=why, again_in_ms=(until - now) // 1_000_000
             )
@@ -172,7 +172,7 @@
             raise ValueError(f"the broker answered {first!r}")
         self.quota = min(first.props.get("receive_maximum", 65535), IDS - 8)
         self.up, self.heard, self.pinged = True, self.front.core.now(), 0
-        self.comeback.succeeded()
+        self.backoff.succeeded()
         self.front.log.info("broker", customer=self.customer, present=bool(first.present))
         if not first.present:
             self._write(
--- a/petrelwood/links/roster.py
+++ b/petrelwood/links/roster.py
@@ -54,7 +54,7 @@
                 why = str(fault) or repr(fault)
             finally:
                 self.drop()
-            until = self.membership.comeback.failed(self.core.now())
+            until = self.membership.backoff.failed(self.core.now())
             self.log.info("roster lost", why=why, again_in_ms=(until - self.core.now()) // 1_000_000)
             await self.core.sleep_until(until)
 
--- a/petrelwood/node/service.py
+++ b/petrelwood/node/service.py
@@ -65,7 +65,7 @@
         """Whether an activation has this id, or a send of one that had it is still out, whose answer would be
         taken for the new
         one's: also another customer's, as workers know no more of it than the id."""
-        return act_id in self.duty.acts or any(
+        return act_id in self.pending.acts or any(
             (act_id, n) in self.flying for n in range(self.terms.allowed.sends)
         )
 
@@ -193,10 +193,10 @@
         lose."""
         ends = shutdown.Shutdown(self.now(), max(self.gateway.timeouts.values()))
         self.began = False
-        while not ends.over(self.now(), len(self.duty.acts), self.front.quiet()):
+        while not ends.over(self.now(), len(self.pending.acts), self.front.quiet()):
             self.intake.closing = ends.closed(self.now())
             if ends.out_of_time(self.now()):
-                for act_id in sorted(self.duty.acts):
+                for act_id in sorted(self.pending.acts):
                     self.soon(self._cut, act_id)
             await asyncio.sleep(CHECK / 5)
         # nothing comes between the look that found it quiet and this
@@ -209,7 +209,7 @@
         """What is believed of load and health, by worker: sends out, connections, what the module makes of
         it. Of hundreds of
         workers only those that have something of ours, or are thought ill."""
-        brain, counts, copies = self.brain, self.duty.counts, {}
+        brain, counts, copies = self.brain, self.pending.counts, {}
         for fn in brain.functions.values():
             for worker in fn.copies:
                 copies[worker] = copies.get(worker, 0) + 1
@@ -248,7 +248,7 @@
     def _cut(self, act_id):
         """Its time ends with the process: the module makes an answer of how its sends end, as it does when it
         is due."""
-        if act_id in self.duty.acts:
+        if act_id in self.pending.acts:
             self.brain.cut(self.now(), act_id)
             self._out_of_time(act_id)
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -248,7 +248,7 @@
                     stays.call(kept)
                     await site.until(lambda: len(site.node.links["s-1"].runs) == 2)
                     gone.close(how)
-                    await site.until(lambda: site.node.duty.counts["left"] == 1)
+                    await site.until(lambda: site.node.pending.counts["left"] == 1)
                     worker.opens()
                     await site.until(worker.runs)
                     await site.turns()
@@ -270,7 +270,7 @@
                     stays.call(kept)
                     await site.until(lambda: site.node.intake.held == 3)
                     gone.close(how)
-                    await site.until(lambda: site.node.duty.counts["left"] == 1)
+                    await site.until(lambda: site.node.pending.counts["left"] == 1)
                     worker.answer(worker.runs()[0])
                     await site.until(lambda: len(worker.runs()) == 2)
                     self.assertEqual(worker.runs()[1][1]["req"], kept["call"])
@@ -293,7 +293,7 @@
                         worker.answer(worker.runs()[0], type=code)
                         gone.close(how)
                         held_up()
-                        await site.until(lambda: site.node.duty.counts["left"] == 1)
+                        await site.until(lambda: site.node.pending.counts["left"] == 1)
                         await site.turns()
                         stays.call(ask(fn=1, facts=facts))
                         await site.until(lambda: len(worker.runs()) > 1)
@@ -316,7 +316,7 @@
                 gone.call(ask(fn=1, facts=facts), body=b"y" * 12_000)
             gone.close("cancel")
             held_up()
-            await site.until(lambda: site.node.duty.counts["left"] == 21)
+            await site.until(lambda: site.node.pending.counts["left"] == 21)
             await site.turns()
             self.assertEqual(len(worker.runs()), 1)
             first.close(), gone.sock.close()
@@ -331,7 +331,7 @@
             await site.until(lambda: first.runs() or second.runs())
             worker = first if first.runs() else second
             client.close()
-            await site.until(lambda: site.node.duty.counts["left"] == 1)
+            await site.until(lambda: site.node.pending.counts["left"] == 1)
             worker.answer(worker.runs()[0], type="SHED")
             await site.until(lambda: not site.node.links[worker.name].owes())
             await site.turns()
@@ -345,7 +345,7 @@
             worker.answer(worker.runs()[-1], type="SHED")
             client.close()
             held_up()
-            await site.until(lambda: site.node.duty.counts["left"] == 2)
+            await site.until(lambda: site.node.pending.counts["left"] == 2)
             await site.turns()
             self.assertEqual(len(first.runs()) + len(second.runs()), 2)
 
@@ -395,7 +395,7 @@
                     )
                 )
                 gone.close()
-                await site.until(lambda: site.node.duty.counts["left"] == 1)
+                await site.until(lambda: site.node.pending.counts["left"] == 1)
                 await site.turns()
                 held_up(0.02)
                 stays = Caller(site.address)
@@ -567,7 +567,7 @@
                     with contextlib.suppress(BlockingIOError):
                         data = data[client.sock.send(data) :]
                     await asyncio.sleep(0)
-            await site.until(lambda: site.node.duty.counts["completed"] == len(bodies) + 1)
+            await site.until(lambda: site.node.pending.counts["completed"] == len(bodies) + 1)
             looks = site.node.looks
             # nothing of it is open, and its answers have not gone out
             with mock.patch.object(resource_limits, "IDLE", 1):
@@ -622,7 +622,7 @@
             one.call(fields, b"of acme")
             await site.until(worker.runs)
             one.close()
-            await site.until(lambda: site.node.duty.counts["left"] == 1)
+            await site.until(lambda: site.node.pending.counts["left"] == 1)
             number = two.call({**fields, "org": "bolt"}, b"of bolt")
             await site.turns()
             worker.answer(worker.runs()[0])
@@ -839,7 +839,7 @@
             client.call(ask(fn=1, ttl=300))
             await site.until(silent.runs)
             client.close()
-            await site.until(lambda: site.node.duty.counts["left"] == 1)
+            await site.until(lambda: site.node.pending.counts["left"] == 1)
             link = site.node.links["s-1"]
             self.assertTrue(link.owes())
             await loud.open()
@@ -1053,7 +1053,9 @@
             with no_descriptors():
                 number = client.call(ask(fn=1, ttl=600), type_="single")
                 await site.until(client.read)
-            self.assertEqual((client.answers[number][0], site.node.duty.counts["defects"]), ("Throttled", 0))
+            self.assertEqual(
+                (client.answers[number][0], site.node.pending.counts["defects"]), ("Throttled", 0)
+            )
             client.close()
 
 
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -78,7 +78,7 @@
         self.assertGreaterEqual(
             sum(n for what, n in self.front.counts.items() if what.startswith("answers not read")), 6
         )
-        self.assertEqual(self.core.duty.counts["overdue"], 0)
+        self.assertEqual(self.core.pending.counts["overdue"], 0)
         for stream in streams:
             stream.close()
 
@@ -131,7 +131,7 @@
         fresh = await other.call(self.message("again-2"), 30)
         self.assertGreater(told[-1], 4 * told[0])
         self.assertLess(int(fresh.headers[b"retry-after"]), told[-1])
-        self.assertEqual(self.core.intake.manners.counts["early"], 4)
+        self.assertEqual(self.core.intake.retry_policy.counts["early"], 4)
         await first
 
     async def test_a_storm_is_told_in_the_log_and_ends_there(self):
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -32,7 +32,7 @@
 
 
 class Book:
-    """A ledger, an intake and a duty on one clock, and what they said."""
+    """A ledger, an intake and the pending activations on one clock, and what they said."""
 
     def __init__(self, kept, most=100, held=10, part=0.8, bytes_=1000, began=WALL):
         limits = Limits(10, 1000, 1000, S, S, S, 4, held, part, most, bytes_, 8, 10_000)
@@ -41,7 +41,7 @@
         self.kept, self.now, self.lines = kept, 0, []
         self.ledger = Ledger(most, bytes_, 300 * S, TYPES, {n: 600 * S for n in TYPES}, began)
         self.intake = Intake(limits, TIMEOUTS, terms, self.ledger, half)
-        self.duty = PendingActivations(self.intake, self.ledger)
+        self.pending = PendingActivations(self.intake, self.ledger)
 
     def say(self, text):
         self.lines.append(f"{self.now / S:6.1f}  {text}")
@@ -52,11 +52,11 @@
         verdict = self.intake.ask(self.now, WALL + self.now, ask)
         key, more = (customer, id_), f" due {verdict.due / S:.2f}" if verdict.due else ""
         if verdict.what == intake.TAKE:
-            act = self.duty.take(self.now, key, ask, verdict.due, "f", 1, b"", f"{id_}@{stamp}")
+            act = self.pending.take(self.now, key, ask, verdict.due, "f", 1, b"", f"{id_}@{stamp}")
             for _ in range(sends):
-                self.duty.sent(act.id)
+                self.pending.sent(act.id)
         elif verdict.what == intake.JOIN:
-            self.duty.join(self.now, key, verdict.due, f"{id_}@{stamp}")
+            self.pending.join(self.now, key, verdict.due, f"{id_}@{stamp}")
         elif verdict.retry_after:
             more = f" back after {verdict.retry_after / S:.2f}"
         self.say(
@@ -64,8 +64,8 @@
         )
 
     def end(self, id_, outcome, body=None, customer="x"):
-        act = self.duty.by_key.get((customer, id_))
-        ended = self.duty.end(self.now, act.id, outcome, body) if act else None
+        act = self.pending.by_key.get((customer, id_))
+        ended = self.pending.end(self.now, act.id, outcome, body) if act else None
         self.say(f"    {id_} {outcome}, told to {[w for w, _ in ended.waiting] if ended else 'nobody'}")
 
     def compare(self, test):
@@ -186,34 +186,36 @@
 
 class DutyCases(unittest.TestCase):
     def test_one_final_answer_whoever_asks(self):
-        b = Book("duty")
+        b = Book("pending")
         b.ask("m1", "again", 10)
-        act = b.duty.by_key["x", "m1"]
+        act = b.pending.by_key["x", "m1"]
         b.end("m1", ledger.COMPLETED, b"=1")
-        b.say(f"again: {b.duty.end(b.now, act.id, ledger.ABORTED)}, sent after it: {b.duty.sent(act.id)}")
+        b.say(
+            f"again: {b.pending.end(b.now, act.id, ledger.ABORTED)}, sent after it: {b.pending.sent(act.id)}"
+        )
         b.ask("m2", "again", 10)
         b.ask("m3", "once", 10)
         for id_ in ("m2", "m3"):
-            act = b.duty.by_key["x", id_]
-            b.say(f"the client of {id_} goes: {b.duty.left(b.now, act.id, act.waiting[0][0])}")
+            act = b.pending.by_key["x", id_]
+            b.say(f"the client of {id_} goes: {b.pending.left(b.now, act.id, act.waiting[0][0])}")
         b.now = 5 * S
-        for act, late, whole in b.duty.overdue(b.now):
+        for act, late, whole in b.pending.overdue(b.now):
             b.say(f"overdue {act.key[1]}, whole {whole}, waiters apart {late}")
-        b.say(f"counted twice: {b.duty.counts['twice']}")
+        b.say(f"counted twice: {b.pending.counts['twice']}")
         b.compare(self)
 
     def test_an_id_that_comes_again_has_its_own_time(self):
         """Found on join+mass (sockets): the time of a request that had ended cut short another under its
         id."""
-        duty = PendingActivations(CapacityIntake(ResourceLimits(256, 64 << 20), S), None, None)
+        pending = PendingActivations(CapacityIntake(ResourceLimits(256, 64 << 20), S), None, None)
         for came in (0, 1):
             ask = Ask("x", "m1", 0, "again", came * S, 2 * S, "")
-            duty.take(came * S, ("x", "m1"), ask, (2 + came) * S, "f", 1, b"", None)
+            pending.take(came * S, ("x", "m1"), ask, (2 + came) * S, "f", 1, b"", None)
             if not came:
-                duty.end(S // 2, "m1", ledger.COMPLETED)
-        self.assertEqual(duty.overdue(2 * S), [])
-        self.assertEqual(duty.next_due(), 3 * S)
-        self.assertEqual([whole for _, _, whole in duty.overdue(3 * S)], [True])
+                pending.end(S // 2, "m1", ledger.COMPLETED)
+        self.assertEqual(pending.overdue(2 * S), [])
+        self.assertEqual(pending.next_due(), 3 * S)
+        self.assertEqual([whole for _, _, whole in pending.overdue(3 * S)], [True])
 
     def test_a_joined_retry_with_less_patience_is_answered_apart(self):
         b = Book("apart")
@@ -221,7 +223,7 @@
         b.now = S // 2
         b.ask("m1", "once", 11, wait=1)
         for b.now in (S, 2 * S, 4 * S):
-            for act, late, whole in b.duty.overdue(b.now):
+            for act, late, whole in b.pending.overdue(b.now):
                 b.say(f"overdue {act.key[1]}, whole {whole}, waiters apart {late}")
         b.compare(self)
 
@@ -272,7 +274,7 @@
         for word in ("full", "missing", "draining", "error", "cancelled", "late", "nonsense"):
             code = send_outcome.of_error(word)
             lines.append(f"the worker says {word}: {code}, never ran {code in ports.NEVER_RAN}")
-        compare(self, "fate", lines)
+        compare(self, "send_outcome", lines)
 
     def test_waits_double_and_are_drawn(self):
         chance = random.Random(1).random
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -43,45 +43,48 @@
         }
         lines = []
         for name, steps in stories.items():
-            giver, now, said = handover.Predecessor(), 0, []
+            predecessor, now, said = handover.Predecessor(), 0, []
             for step in steps.split():
                 if step.startswith("+"):
                     now += int(step[1:]) * S
-                    what = giver.check(now)
+                    what = predecessor.check(now)
                 elif step == "lost":
-                    what = giver.lost(now, "it died")
+                    what = predecessor.lost(now, "it died")
                 elif step == "owns":
-                    what = giver.owns(now)
+                    what = predecessor.owns(now)
                 else:
                     what = {
-                        "asked": giver.asked,
-                        "ready": giver.ready,
-                        "proven": giver.is_proven,
-                        "drained": giver.is_drained,
+                        "asked": predecessor.asked,
+                        "ready": predecessor.ready,
+                        "proven": predecessor.is_proven,
+                        "drained": predecessor.is_drained,
                     }[step](now)
                 said.append(f"{step}{' -> ' + what if what else ''}")
-            lines.append(f"{name}: {', '.join(said)}; {giver.state}{', ' + giver.why if giver.why else ''}")
+            why = f", {predecessor.why}" if predecessor.why else ""
+            lines.append(f"{name}: {', '.join(said)}; {predecessor.state}{why}")
         for name, good, bad, before, end in (
             ("as good as before", 90, 10, (0.95, 200), 6),
             ("worse", 60, 40, (0.95, 200), 1),
             ("too few to tell", 0, 10, (0.95, 200), 6),
             ("as bad as before", 10, 90, (0.2, 200), 6),
         ):
-            taker = handover.Successor(0)
-            said = [taker.can_serve(0), taker.go(S, before)]
+            successor = handover.Successor(0)
+            said = [successor.can_serve(0), successor.go(S, before)]
             for _ in range(good):
-                taker.ended(True)
+                successor.ended(True)
             for _ in range(bad):
-                taker.ended(False)
-            said.append(taker.check(S + end * S))
+                successor.ended(False)
+            said.append(successor.check(S + end * S))
             lines.append(
                 f"new one, {name}: {', '.join(map(str, said))}; "
-                f"{taker.state}{', ' + taker.why if taker.why else ''}"
+                f"{successor.state}{', ' + successor.why if successor.why else ''}"
             )
-        taker = handover.Successor(0)
-        lines.append(f"new one, no word to go: {taker.can_serve(0)}, {taker.check(20 * S)}, {taker.why}")
-        taker = handover.Successor(0)
-        lines.append(f"new one, the old one dies first: {taker.lost(S)}, {taker.why}")
+        successor = handover.Successor(0)
+        lines.append(
+            f"new one, no word to go: {successor.can_serve(0)}, {successor.check(20 * S)}, {successor.why}"
+        )
+        successor = handover.Successor(0)
+        lines.append(f"new one, the old one dies first: {successor.lost(S)}, {successor.why}")
         compare(self, "handover", lines)
 
     def test_who_may_take_over(self):
--- a/tests/test_mqtt.py
+++ b/tests/test_mqtt.py
@@ -267,7 +267,7 @@
         await asyncio.sleep(0.3)
         marks = [p[3] for p in w.runs]
         self.assertEqual(len(marks), len(set(marks)))
-        self.assertFalse(held & set(self.client.answers))  # the killed one's duty has ended with it
+        self.assertFalse(held & set(self.client.answers))  # what the killed one owed has ended with it
 
     async def test_a_broker_that_throws_all_out(self):
         await self.begin(w := Worker("w1", later(0.3)), dispatchers=2)
@@ -304,8 +304,8 @@
         session = self.cores[0].fronts[0].sessions[0]
         self.broker.silence(True)
         await self.until(lambda: not session.up)
-        waited = session.comeback.failures
-        await self.until(lambda: session.comeback.failures >= waited + 1)
+        waited = session.backoff.failures
+        await self.until(lambda: session.backoff.failures >= waited + 1)
         self.broker.silence(False)
         await self.until(lambda: session.up, 10)
         self.client.close()
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -136,7 +136,7 @@
         tries = [asyncio.ensure_future(self.post("once-1", "m", self.stamp + n)) for n in range(3)]
         replies = [await t for t in tries]
         self.assertEqual([status for status, _ in replies], [200] * 3)
-        self.assertEqual((len(w.runs), self.core.duty.counts["joined"]), (1, 2))
+        self.assertEqual((len(w.runs), self.core.pending.counts["joined"]), (1, 2))
         status, reply = await self.post("once-1", "m", self.stamp + 4)
         self.assertEqual((status, reply.body, len(w.runs)), (200, b'{"ok":1}', 1))
 
@@ -152,7 +152,7 @@
         with self.assertRaises(asyncio.TimeoutError):
             await self.caller.call(self.message("again-1", "m"), 0.1)
         await self.until(lambda: w.cancels)
-        self.assertEqual(self.core.duty.acts, {})
+        self.assertEqual(self.core.pending.acts, {})
 
     async def test_an_answer_and_the_hang_up_in_the_same_turn(self):
         await self.begin(w := Worker("w1", never))
@@ -166,11 +166,11 @@
         self.front.core.left(exchange.act, exchange)
         line.stream.close()
         await asyncio.gather(asked, return_exceptions=True)  # it may still have got the bytes
-        counts = self.core.duty.counts
+        counts = self.core.pending.counts
         self.assertEqual(
             (counts["completed"], counts["left"], counts["twice"], counts["defects"]), (1, 0, 0, 0)
         )
-        self.assertEqual(self.core.duty.acts, {})
+        self.assertEqual(self.core.pending.acts, {})
 
     async def test_the_hang_up_first_and_the_answer_in_the_same_turn(self):
         await self.begin(w := Worker("w1", never))
@@ -183,7 +183,7 @@
         with self.assertRaises(asyncio.TimeoutError):  # nothing may be written for what was left
             await asyncio.wait_for(asyncio.shield(asked), 0.2)
         asked.cancel()
-        counts = self.core.duty.counts
+        counts = self.core.pending.counts
         self.assertEqual(
             (counts["completed"], counts["left"], counts["twice"], counts["defects"]), (0, 1, 0, 0)
         )
@@ -265,7 +265,7 @@
         ends = [await a for a in asks]
         self.assertLessEqual(max(link.waiting_bytes for link in self.core.links.values()), 8_000_000)
         self.assertEqual({status for status, _ in ends} - {200, 503, 504}, set())
-        self.assertEqual(self.core.duty.counts["overdue"], 0)
+        self.assertEqual(self.core.pending.counts["overdue"], 0)
 
     async def test_garbage_and_wrong_answers_end_the_connection(self):
         for name, bad in (
@@ -315,7 +315,7 @@
         asked = asyncio.ensure_future(self.post("again-1"))
         await self.until(lambda: w.runs)
         self.assertEqual((await asked)[0], 503)  # repeatable: it may come back
-        self.assertEqual(self.core.duty.counts["overdue"], 0)
+        self.assertEqual(self.core.pending.counts["overdue"], 0)
 
     async def test_another_life_on_the_same_address(self):
         await self.begin(w := Worker("w1", never))
@@ -388,7 +388,7 @@
         await self.begin(Worker("w1"), brain=Forgetful)
         begun = time.monotonic()
         status, _ = await self.post("again-1", Prefer="wait=1")
-        self.assertEqual((status, self.core.duty.counts["overdue"]), (504, 1))
+        self.assertEqual((status, self.core.pending.counts["overdue"]), (504, 1))
         self.assertLess(time.monotonic() - begun, 1)
 
     async def test_a_send_after_the_final_answer_is_held_back(self):
--- a/tests/test_storms.py
+++ b/tests/test_storms.py
@@ -1,4 +1,4 @@
-"""Storms: symptoms on and off, manners, the bound on what is held, admission by address, budgets; on a
+"""Storms: symptoms on and off, retry policy, the bound on what is held, admission by address, budgets; on a
 virtual clock."""
 
 import itertools
@@ -93,34 +93,34 @@
 
 class Hints(unittest.TestCase):
     def test_who_listens_gets_in_and_who_does_not_wears_out_only_his_own(self):
-        manners, lines = retry_budget.RetryPolicy(1000), []
-        manners.hint(0, "calm", "c1", S, half, 60 * S, False)
+        policy, lines = retry_budget.RetryPolicy(1000), []
+        policy.hint(0, "calm", "c1", S, half, 60 * S, False)
         for at in range(12):  # he retries each 100 ms, whatever he is told
-            how = manners.comes(at * S // 10, "loud", "l1")
-            may = how != retry_budget.EARLY or manners.may("loud")
-            wait = manners.hint(at * S // 10, "loud", "l1", S, half, 60 * S, how == retry_budget.EARLY)
+            how = policy.comes(at * S // 10, "loud", "l1")
+            may = how != retry_budget.EARLY or policy.may("loud")
+            wait = policy.hint(at * S // 10, "loud", "l1", S, half, 60 * S, how == retry_budget.EARLY)
             lines.append(
                 f"{at / 10:4.1f}  loud {how} {'goes on' if may else 'is over his budget'}, "
                 f"told {wait / S:.0f} s"
             )
         lines.append(
-            f" 1.0  calm {manners.comes(S, 'calm', 'c1')}; deaf {manners.deaf('calm'):.2f} against "
-            f"{manners.deaf('loud'):.2f}"
+            f" 1.0  calm {policy.comes(S, 'calm', 'c1')}; deaf {policy.deaf('calm'):.2f} against "
+            f"{policy.deaf('loud'):.2f}"
         )
-        manners.settled("loud", "l1")
-        lines.append(f" 1.2  loud, once taken, {manners.comes(12 * S // 10, 'loud', 'l1')}")
-        compare(self, "storm_manners", lines)
+        policy.settled("loud", "l1")
+        lines.append(f" 1.2  loud, once taken, {policy.comes(12 * S // 10, 'loud', 'l1')}")
+        compare(self, "storm_policy", lines)
 
     def test_what_is_remembered_is_bounded(self):
-        manners = retry_budget.RetryPolicy(50)
+        policy = retry_budget.RetryPolicy(50)
         for i in range(500):
-            manners.comes(i, f"c{i}", "x")
-            manners.hint(i, f"c{i}", "x", S, half, 60 * S, False)
-        self.assertEqual((len(manners.told), len(manners.customers)), (50, 50))
+            policy.comes(i, f"c{i}", "x")
+            policy.hint(i, f"c{i}", "x", S, half, 60 * S, False)
+        self.assertEqual((len(policy.told), len(policy.customers)), (50, 50))
 
     def test_those_refused_together_part(self):
-        chance, manners = random.Random(3).random, retry_budget.RetryPolicy(10_000)
-        times = sorted(manners.hint(0, "x", str(i), 4 * S, chance, 60 * S, False) for i in range(2000))
+        chance, policy = random.Random(3).random, retry_budget.RetryPolicy(10_000)
+        times = sorted(policy.hint(0, "x", str(i), 4 * S, chance, 60 * S, False) for i in range(2000))
         self.assertLess(max(sum(t // S == second for t in times) for second in range(8)), 0.3 * len(times))
 
     def test_a_budget_is_earned_by_firsts_or_by_time(self):
@@ -153,14 +153,14 @@
 
 
 class Bound(unittest.TestCase):
-    def serve(self, seconds, offered, able, patience, ramp=None, pace=None, queue=0, repeats=0):
+    def serve(self, seconds, offered, able, patience, limit=None, pace=None, queue=0, repeats=0):
         """A server that does `able` a second in order; (answers in time a second, queue at the end). Late
         ones ask again."""
         now, in_time, step, back, todo, work = 0, 0, S // 20, 0.0, [0] * queue, 0.0
         while now < seconds * S:
             back_now, back = int(back), back - int(back)
             for _ in range(int(offered / 20) + back_now):
-                if (ramp is None or ramp.room(len(todo))) and not (
+                if (limit is None or limit.room(len(todo))) and not (
                     pace and pace.too_late(now, len(todo), now + patience)
                 ):
                     todo.append(now)
@@ -169,26 +169,26 @@
                 good, work = now - todo.pop(0) <= patience, work - 1
                 in_time += good
                 back += 0 if good else repeats
-                if ramp is not None:
-                    ramp.ended(good)
+                if limit is not None:
+                    limit.ended(good)
                 if pace is not None:
                     pace.ended(now)
             work = min(work, 1.0)
-            if ramp is not None:
-                ramp.look(now, len(todo))
+            if limit is not None:
+                limit.look(now, len(todo))
             now += step
         return in_time / seconds, len(todo)
 
-    def ramp(self):
+    def limit(self):
         return ConcurrencyLimit(5000, 8, S // 2)
 
     def test_after_a_trigger_it_comes_back_by_itself_where_none_does_not(self):
         """Metastable: 80 a second offered to 100, behind a queue of 800 whose late ones ask again."""
         for more, least, most in (
             ({}, 0, 10),
-            ({"ramp": self.ramp()}, 55, 80),
+            ({"limit": self.limit()}, 55, 80),
             ({"pace": ThroughputEstimate(8)}, 64, 80),
-            ({"ramp": self.ramp(), "pace": ThroughputEstimate(8)}, 64, 80),
+            ({"limit": self.limit(), "pace": ThroughputEstimate(8)}, 64, 80),
         ):
             served, _ = self.serve(60, 80, 100, S, queue=800, repeats=0.9, **more)
             self.assertTrue(least <= served <= most, (sorted(more), served))
@@ -196,27 +196,27 @@
     def test_at_any_load_both_keep_nine_tenths_of_what_can_be_served_and_each_alone_two_thirds(self):
         for offered in (60, 100, 120, 200, 300, 500):
             able = min(offered, 100)
-            both, queue = self.serve(60, offered, 100, S, self.ramp(), ThroughputEstimate(8))
+            both, queue = self.serve(60, offered, 100, S, self.limit(), ThroughputEstimate(8))
             self.assertGreater(both, 0.9 * able, offered)
             self.assertLess(queue, 150)
-            self.assertGreater(self.serve(60, offered, 100, S, ramp=self.ramp())[0], 0.66 * able)
+            self.assertGreater(self.serve(60, offered, 100, S, limit=self.limit())[0], 0.66 * able)
             if offered > 100:
                 self.assertLess(self.serve(60, offered, 100, S)[0], 20)
 
     def test_it_stays_open_where_answers_are_good_and_begins_low_after_a_start(self):
-        ramp, steps = ConcurrencyLimit(1000, 8, S), []
-        ramp.begin(0)
+        limit, steps = ConcurrencyLimit(1000, 8, S), []
+        limit.begin(0)
         for second in range(1, 40):
             for _ in range(20):
-                ramp.ended(True)
-            ramp.look(second * S, 5)
-            steps.append(int(ramp.limit))
-        self.assertEqual((steps[0], steps[-1], ramp.holds_back), (78, 1000, False), steps)
+                limit.ended(True)
+            limit.look(second * S, 5)
+            steps.append(int(limit.limit))
+        self.assertEqual((steps[0], steps[-1], limit.holds_back), (78, 1000, False), steps)
         for second in range(40, 160):
             for _ in range(20):
-                ramp.ended(False)
-            ramp.look(second * S, 500)
-        self.assertEqual(int(ramp.limit), 8)
+                limit.ended(False)
+            limit.look(second * S, 500)
+        self.assertEqual(int(limit.limit), 8)
 
     def test_a_queue_is_told_from_a_lull(self):
         pace = ThroughputEstimate(20)
@@ -261,7 +261,7 @@
                 self.assertTrue(door.may_check(at, "a"))
                 door.checked(at, "a", False)
             self.assertFalse(door.may_check(at, "a"))
-            bans.append((at, door.addresses["a"].comeback.not_before))
+            bans.append((at, door.addresses["a"].backoff.not_before))
         lengths = [end - begin for begin, end in bans]
         self.assertEqual([round(b / a, 2) for a, b in itertools.pairwise(lengths)], [2.0, 2.0])
         self.assertTrue(door.may_check(bans[-1][1], "a") and door.may_check(0, "b"))
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -183,7 +183,7 @@
         self.broker.ssl_options = place.identity("good", mutual=True).server()
         session.terms = session.terms._replace(tls=place.identity("foreign"))
         self.broker.drop_all()
-        await self.until(lambda: session.comeback.failures >= 2)
+        await self.until(lambda: session.backoff.failures >= 2)
         self.assertFalse(session.up)
         session.terms = session.terms._replace(tls=place.identity("good"))
         await self.until(lambda: session.up)
