--- a/benchmarks/bgp.py
+++ b/benchmarks/bgp.py
@@ -25,7 +25,7 @@
 
 from tornado.tcpserver import TCPServer
 
-from petrelwood.bgp.beats import Sender
+from petrelwood.bgp.heartbeats import HeartbeatSender
 from petrelwood.decide.routing.serving import Facts
 from petrelwood.standins.router import Router
 from petrelwood.wire import bgp
@@ -55,7 +55,8 @@
         entry = '[{"worker":"w1","address":"127.0.0.1:9","zone":"n","cell":1,"state":"usable","booted":0}]'
         await stream.write(
             (
-                f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: e-1\nevent: list\ndata: {entry}\n\n"
+                "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: e-1\nevent: list\ndata: "
+                f"{entry}\n\n"
             ).encode()
         )
         while not stream.closed():
@@ -66,7 +67,8 @@
 def told(name, times):
     times = sorted(t * 1000 for t in times)
     print(
-        f"{name}: {len(times)} runs, median {statistics.median(times):.1f} ms, p99 {times[min(len(times) - 1, int(len(times) * 0.99))]:.1f}, "
+        f"{name}: {len(times)} runs, median {statistics.median(times):.1f} ms, "
+        f"p99 {times[min(len(times) - 1, int(len(times) * 0.99))]:.1f}, "
         f"most {times[-1]:.1f}"
     )
 
@@ -79,7 +81,8 @@
         self.router = Router(hold=self.hold)
         host, port = self.router.open()
         (self.folder / "s.kdl").write_text(
-            f'speaker "s" {{ asn 65001; id "10.0.0.1"; health "beats"; hold "{self.hold}s"; bounds settle="20ms" silent="{self.silent}"\n'
+            f'speaker "s" {{ asn 65001; id "10.0.0.1"; health "beats"; hold "{self.hold}s"; '
+            f'bounds settle="20ms" silent="{self.silent}"\n'
             f'peer "r" address="{host}:{port}" asn=65000\nserve "192.0.2.1/32" next-hop="127.0.2.1"\n}}\n'
         )
         self.speaker = await asyncio.create_subprocess_exec(
@@ -113,7 +116,11 @@
 
 
 async def drain(args, folder):
-    setup, sender, facts = Setup(folder, 9, "2s"), Sender(str(pathlib.Path(folder) / "beats")), [FINE]
+    setup, sender, facts = (
+        Setup(folder, 9, "2s"),
+        HeartbeatSender(str(pathlib.Path(folder) / "beats")),
+        [FINE],
+    )
     await setup.open()
 
     async def beat():
@@ -168,7 +175,7 @@
         for number in range(args.runs):
             where = pathlib.Path(folder) / f"{hold}-{number}"
             where.mkdir()
-            setup, sender = Setup(where, hold), Sender(str(where / "beats"))
+            setup, sender = Setup(where, hold), HeartbeatSender(str(where / "beats"))
             await setup.open()
             ends = time.monotonic() + 30
             while not setup.there() and time.monotonic() < ends:
--- a/petrelwood/decide/cluster/version_watch.py
+++ b/petrelwood/decide/cluster/version_watch.py
@@ -12,7 +12,7 @@
 from typing import NamedTuple
 
 from petrelwood.decide.cluster.replicated_log import CALL_OFF, VERSION
-from petrelwood.decide.overload.backoff import Comeback
+from petrelwood.decide.overload.backoff import Backoff
 
 SECOND = 1_000_000_000
 ROUND = SECOND  # between two rounds of questions
@@ -51,7 +51,7 @@
 
     def __init__(self, name, servers, known, staged, chance):
         self.order, self.known, self.staged, self.chance = preference(name, servers), known, staged, chance
-        self.backoff = {server: Comeback(AGAIN, AGAIN_MOST, chance) for server in self.order}
+        self.backoff = {server: Backoff(AGAIN, AGAIN_MOST, chance) for server in self.order}
         self.next, self.turn, self.heard = 0, 0, None
         self.gaps = self.duplicates = 0
 
--- a/petrelwood/dispatch/handover.py
+++ b/petrelwood/dispatch/handover.py
@@ -74,18 +74,22 @@
                     return message
             await self._read()
 
+    async def _readable(self):
+        """Waits until the socket can be read."""
+        ready = self.loop.create_future()
+        self.loop.add_reader(self.sock.fileno(), lambda: ready.done() or ready.set_result(None))
+        try:
+            await ready
+        finally:
+            self.loop.remove_reader(self.sock.fileno())
+
     async def _read(self):
         while True:
             try:
                 data, fds, _, _ = socket.recv_fds(self.sock, 65_536, 16)
                 break
             except BlockingIOError:
-                ready = self.loop.create_future()
-                self.loop.add_reader(self.sock.fileno(), lambda: ready.done() or ready.set_result(None))
-                try:
-                    await ready
-                finally:
-                    self.loop.remove_reader(self.sock.fileno())
+                await self._readable()
             except OSError as fault:
                 raise Lost(str(fault)) from None
         self.fds += fds
@@ -102,7 +106,7 @@
             self.sock.close()
 
 
-class Giver:
+class Predecessor:
     """In the process that serves: waits on the control socket for one that follows. `core`: a `Dispatcher`;
     `gives` and
     `takes_back` are called beside the webhooks' own, `over` when this process may end."""
@@ -110,7 +114,7 @@
     def __init__(self, path, core, webhooks, log, gives, takes_back, over):
         self.path, self.core, self.webhooks, self.log = pathlib.Path(path), core, webhooks, log
         self.gives, self.takes_back, self.over = gives, takes_back, over
-        self.machine, self.channel, self.tasks = handover.Giver(), None, set()
+        self.machine, self.channel, self.tasks = handover.Predecessor(), None, set()
 
     def open(self):
         """Takes the path over: one that follows binds it anew, so the newest is always found there."""
@@ -142,7 +146,7 @@
             if (
                 self.machine.state == handover.WATCHING
                 and not self.machine.drained
-                and not self.core.duty.acts
+                and not self.core.pending.acts
                 and all(front.quiet() for front in self.core.fronts)
             ):
                 self.machine.is_drained(self.core.now())
@@ -182,7 +186,7 @@
                         await channel.send("go", *self.core.well())
                 elif message[0] == "owns":
                     self.machine.owns(now())
-                    self.log.info("handed over; finishing what is owed", owed=len(self.core.duty.acts))
+                    self.log.info("handed over; finishing what is owed", owed=len(self.core.pending.acts))
                 elif message[0] == "alive":
                     self.machine.hears(now())
                 elif message[0] == "proven":
@@ -231,7 +235,7 @@
             self.over()
 
 
-class Taker:
+class Successor:
     """In the process that follows."""
 
     def __init__(self, path, loop, name):
@@ -262,7 +266,7 @@
             raise Lost("the old process does not answer") from None
         if kind != "offer":
             raise Lost(f"the old process says no: {fact}")
-        self.machine = handover.Taker(now, fact)
+        self.machine = handover.Successor(now, fact)
         self.listeners, self.channel.fds = [socket.socket(fileno=fd) for fd in self.channel.fds], []
         if not self.listeners:
             raise Lost("the old process passed no listener")
--- a/petrelwood/lab/past.py
+++ b/petrelwood/lab/past.py
@@ -4,8 +4,7 @@
 
 import numpy
 
-from petrelwood.decide.forecasting import account as ends_of
-from petrelwood.decide.forecasting import forecast
+from petrelwood.decide.forecasting import account, forecast
 from petrelwood.store import ends, history
 
 SECOND = 10**9
@@ -120,11 +119,11 @@
 
 
 COLORS = {
-    ends_of.IN_TIME: "#3a7d44",
-    ends_of.LATE: "#b5c99a",
-    ends_of.NEVER: "#e9c46a",
-    ends_of.PUSHED: "#9c89b8",
-    ends_of.FAILED: "#e76f51",
+    account.IN_TIME: "#3a7d44",
+    account.LATE: "#b5c99a",
+    account.NEVER: "#e9c46a",
+    account.PUSHED: "#9c89b8",
+    account.FAILED: "#e76f51",
 }
 
 
@@ -134,7 +133,9 @@
     for row in rows:
         key = f"{row['asked'] // (3600 * SECOND) % 24:02d}h" if by == "hour" else row[by]
         groups[key].append(row)
-    yield f"{'':24s} {'loads':>6s} {'saved s':>9s} {'spent s':>9s} {'balance':>9s} {'GB s':>8s}  how they ended"
+    yield (
+        f"{'':24s} {'loads':>6s} {'saved s':>9s} {'spent s':>9s} {'balance':>9s} {'GB s':>8s}  how they ended"
+    )
     yield _sum("all", rows)
     for key, some in sorted(groups.items(), key=lambda g: sum(r["seconds"] for r in g[1]))[:most]:
         yield _sum(key, some)
@@ -148,8 +149,9 @@
     saved = sum(max(0.0, row["seconds"]) for row in rows)
     spent = sum(max(0.0, -row["seconds"]) for row in rows)
     return (
-        f"{name:24s} {len(rows):6d} {saved:9.1f} {spent:9.1f} {saved - spent:+9.1f} {sum(r['memory'] for r in rows):8.1f}  "
-        + ", ".join(f"{end} {seen[end]}" for end in ends_of.ENDS if seen[end])
+        f"{name:24s} {len(rows):6d} {saved:9.1f} {spent:9.1f} {saved - spent:+9.1f} "
+        f"{sum(r['memory'] for r in rows):8.1f}  "
+        + ", ".join(f"{end} {seen[end]}" for end in account.ENDS if seen[end])
     )
 
 
