A version that is called off after its watch is left all the same

Seen: test_a_published_version_is_taken_kept_without_servers_and_left passed at first and then failed twice on a busy machine; the revoked version stayed (500 tries, none 404). Ruled out: the call-off had been heard ('heard of a version number=1 off=True'), and '1.off' stood in the folder.

Cause: Rollout.look forgot the version before once it had watched its own answers for two stages ('self.before, self.took_at = None, None'), so that a call-off had nothing to go back to. With stages of 30 s that was a minute, which the tests never waited for; with 3 s it is 6 s.

Change: the version before is kept until a newer one is taken; only the comparison of answers ends. The new test fails on the text before.

--- a/petrelwood/decide/cluster/rollout.py
+++ b/petrelwood/decide/cluster/rollout.py
@@ -106,10 +106,10 @@
     def look(self, wall, announced):
         """`announced`: all `Announced` versions that it knows of, in any order."""
         known = {a.number: a for a in announced}
-        if self.before is not None:
-            mine = known.get(self.version)
-            if mine is not None and mine.off:
-                return self._back()
+        mine = known.get(self.version)
+        if self.before is not None and mine is not None and mine.off:
+            return self._back()
+        if self.took_at is not None:
             share, seen = self._share()
             usual = self.base[0]
             noise = SURE * math.sqrt(max(usual * (1 - usual), 0.01) / seen) if seen else 1.0
@@ -117,7 +117,8 @@
                 self.calls_off = self.version
                 return self._back()
             if wall - self.took_at >= WATCHED * self.dwell:
-                self.before, self.took_at = None, None  # it stays; what it sees from now on is what is usual
+                # it stays, unless it is called off later: what is seen from now on is what is usual
+                self.took_at = None
         newer = [
             a for a in announced if a.number > self.version and not a.off and a.number not in self.refused
         ]
@@ -129,7 +130,7 @@
             return None
         if wall < newest.begun + turn(self.name, newest.number, self.stages, self.dwell):
             return None
-        if self.before is None:  # else it goes on from the one before that
+        if self.took_at is None:  # else it goes on from the one before that
             self.before, self.base = self.version, self._share()
         self.version, self.took_at, self.good, self.bad = newest.number, wall, 0, 0
         return "take", self.version
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -85,6 +85,16 @@
             with self.assertRaises(ValueError):
                 Rollout.resumed("d1", wrong)
 
+    def test_one_that_is_called_off_long_after_it_was_watched_is_left_all_the_same(self):
+        for dwell in (S, DWELL):
+            node, at = Rollout("d1", 0, dwell=dwell), 1000 * S
+            self.assertEqual(node.look(at, [Announced(2, 0, False)]), ("take", 2))
+            for _ in range(100):
+                at += dwell
+                self.assertIsNone(node.look(at, [Announced(2, 0, False)]))
+            self.assertEqual(node.look(at, [Announced(2, 0, True)]), ("back", 0))
+            self.assertIsNone(node.look(at + S, [Announced(2, 0, True)]))
+
     def test_two_at_once_and_one_that_was_away_settle_on_the_newest(self):
         for seed in range(5):
             world = World(60, seed=seed)
