--- a/petrelwood/decide/cluster/rollout.py
+++ b/petrelwood/decide/cluster/rollout.py
@@ -24,9 +24,20 @@
 # answers under the new version that say something; how much smaller a part may be completed
 FEW, WORSE = 30, 0.1
 SURE = 3.5  # deviations that chance may make, as it is looked at again and again
+# What a roll-out that is to end in time leaves for the last dispatchers: a round of questions to the
+# configuration servers, an answer, a look at the folder of versions, and taking it, each of them up to a
+# second.
+RESERVE = 4 * SECOND
+LEAST_WITHIN = 7 * SECOND  # a second for each stage but the last
+DEFAULT_WITHIN = RESERVE + (len(STAGES) - 1) * DWELL
 WATCHED = 2  # stages over which one that took it watches itself
 
 
+def dwell_for(within, stages=STAGES):
+    """The time between two stages, ns, for a version that is to be in force everywhere `within` ns."""
+    return (within - RESERVE) // (len(stages) - 1)
+
+
 class Announced(NamedTuple):
     number: int
     begun: int  # wall-clock ns
@@ -95,10 +106,10 @@
     def look(self, wall, announced):
         """`announced`: all `Announced` versions that it knows of, in any order."""
         known = {a.number: a for a in announced}
-        if self.before is not None:
-            mine = known.get(self.version)
-            if mine is not None and mine.off:
-                return self._back()
+        mine = known.get(self.version)
+        if self.before is not None and mine is not None and mine.off:
+            return self._back()
+        if self.took_at is not None:
             share, seen = self._share()
             usual = self.base[0]
             noise = SURE * math.sqrt(max(usual * (1 - usual), 0.01) / seen) if seen else 1.0
@@ -106,7 +117,8 @@
                 self.calls_off = self.version
                 return self._back()
             if wall - self.took_at >= WATCHED * self.dwell:
-                self.before, self.took_at = None, None  # it stays; what it sees from now on is what is usual
+                # it stays, unless it is called off later: what is seen from now on is what is usual
+                self.took_at = None
         newer = [
             a for a in announced if a.number > self.version and not a.off and a.number not in self.refused
         ]
@@ -118,7 +130,7 @@
             return None
         if wall < newest.begun + turn(self.name, newest.number, self.stages, self.dwell):
             return None
-        if self.before is None:  # else it goes on from the one before that
+        if self.took_at is None:  # else it goes on from the one before that
             self.before, self.base = self.version, self._share()
         self.version, self.took_at, self.good, self.bad = newest.number, wall, 0, 0
         return "take", self.version
--- a/petrelwood/decide/forecasting/account.py
+++ b/petrelwood/decide/forecasting/account.py
@@ -11,7 +11,7 @@
 
 from collections import Counter
 
-from petrelwood.decide.overload.backoff import Comeback
+from petrelwood.decide.overload.backoff import Backoff
 
 IN_TIME, LATE, NEVER, PUSHED, FAILED, STOPPED = (
     "in time",
@@ -26,7 +26,7 @@
 TRUST = 2.0  # seconds of wait a balance may fall before it counts as negative
 
 
-class Early:
+class EarlyLoad:
     """One early load that is under way or stands unused."""
 
     __slots__ = ("function", "hall", "worker", "asked", "stood", "until", "size", "load", "pushed")
@@ -39,8 +39,8 @@
 class Balance:
     def __init__(self, first_wait, chance):
         self.seconds, self.ends = 0.0, Counter()
-        self.comeback, self.held, self.spent_memory, self.saved = (
-            Comeback(first_wait, 64 * first_wait, chance),
+        self.backoff, self.held, self.spent_memory, self.saved = (
+            Backoff(first_wait, 64 * first_wait, chance),
             False,
             0.0,
             0.0,
@@ -53,14 +53,14 @@
         self.saved += max(0.0, seconds)
         if self.seconds < -TRUST and not self.held:
             self.held = True
-            self.comeback.failed(now)
+            self.backoff.failed(now)
         elif self.seconds >= 0:
             self.held = False
-            self.comeback.succeeded()
+            self.backoff.succeeded()
 
     def may(self, now):
         """Whether early loads may go on; a held one is tried again when its wait is over."""
-        if self.held and self.comeback.may(now):
+        if self.held and self.backoff.may(now):
             self.held, self.seconds = False, -TRUST / 2  # one more trial, on short credit
         return not self.held
 
@@ -85,7 +85,7 @@
         if len(self.open) >= self.most:
             self.lost += 1
             return
-        self.open[function, worker] = Early(function, hall, worker, now, until, size, load)
+        self.open[function, worker] = EarlyLoad(function, hall, worker, now, until, size, load)
 
     def stands(self, now, function, worker, good, pushed=None):
         """Its order was answered."""
@@ -150,4 +150,7 @@
         rows += sorted(self.functions.items(), key=lambda p: p[1].seconds)[:10]
         for name, balance in rows:
             ends = ", ".join(f"{end} {balance.ends[end]}" for end in ENDS if balance.ends[end])
-            yield f"{name}: {balance.seconds:+.1f} s, {'held back' if balance.held else 'goes on'}; {ends or 'nothing yet'}"
+            yield (
+                f"{name}: {balance.seconds:+.1f} s, {'held back' if balance.held else 'goes on'}; "
+                f"{ends or 'nothing yet'}"
+            )
--- a/petrelwood/decide/overload/intake.py
+++ b/petrelwood/decide/overload/intake.py
@@ -1,19 +1,19 @@
 """The chain that an activation passes before the module: each stage passes it on, keeps it or ends it.
 
-    customer's room -> retry or replay -> patience -> what can be served -> manners -> the module
+    customer's room -> retry or replay -> patience -> what can be served -> retry policy -> the module
 
 Every front asks here, so that a case has one decision whichever way it came. A verdict says what the front
 should
-answer; TAKE and JOIN mean that the answer comes later, through `Duty`.
+answer; TAKE and JOIN mean that the answer comes later, through `PendingActivations`.
 """
 
 from typing import NamedTuple
 
-from petrelwood.decide.delivery import ledger as led
+from petrelwood.decide.delivery import ledger as ledger_module
 from petrelwood.decide.overload import deadlines, retry_budget
-from petrelwood.decide.overload.concurrency_limit import Ramp
+from petrelwood.decide.overload.concurrency_limit import ConcurrencyLimit
 from petrelwood.decide.overload.storm import Storms
-from petrelwood.decide.overload.throughput import Pace
+from petrelwood.decide.overload.throughput import ThroughputEstimate
 
 TAKE, JOIN, GIVE, REFUSE, CONFLICT, ABORT, SPENT = (
     "take",
@@ -78,14 +78,21 @@
         self.held, self.by_customer, self.closing, self.damps = 0, {}, False, damps
         self.usual = min(timeouts.values()) // 4  # how long an activation stays, by a running mean
         few = max(4, limits.held // 1024)
-        self.pace, self.ramp = Pace(few), Ramp(limits.held, few, min(timeouts.values()) // 2)
-        self.manners, self.storms = retry_budget.Manners(max(64, limits.ledger // 16)), Storms()
+        self.throughput, self.concurrency_limit = (
+            ThroughputEstimate(few),
+            ConcurrencyLimit(limits.held, few, min(timeouts.values()) // 2),
+        )
+        self.retry_policy, self.storms = retry_budget.RetryPolicy(max(64, limits.ledger // 16)), Storms()
 
     def ask(self, now, wall, ask):
         due, gone = deadlines.due(ask.came, ask.wait, self.timeouts[ask.type])
         known = self.ledger.entries.get((ask.customer, ask.id))
-        joins = known is not None and (known.state != led.REJECTED or ask.stamp <= known.stamp)
-        how = retry_budget.FIRST if joins or not self.damps else self.manners.comes(now, ask.customer, ask.id)
+        joins = known is not None and (known.state != ledger_module.REJECTED or ask.stamp <= known.stamp)
+        how = (
+            retry_budget.FIRST
+            if joins or not self.damps
+            else self.retry_policy.comes(now, ask.customer, ask.id)
+        )
         if self.damps:
             self.storms.asked(now, joins or how != retry_budget.FIRST)
         if not joins:  # a retry of what is known costs no room
@@ -101,32 +108,32 @@
                     retry_after=self.come_back(now, ask.customer, ask.id, early=how == retry_budget.EARLY),
                 )
         verdict, entry = self.ledger.ask(now, wall, (ask.customer, ask.id), ask.stamp, ask.type)
-        if verdict == led.RUN:
+        if verdict == ledger_module.RUN:
             if joins:
                 why = self._room(ask.customer)
                 if why:  # it may run, but there is no room: it stays as it was
-                    self.ledger.ended((ask.customer, ask.id), led.LEFT)
+                    self.ledger.ended((ask.customer, ask.id), ledger_module.LEFT)
                     return Verdict(REFUSE, why, retry_after=self.come_back(now, ask.customer, ask.id))
             if entry.again_until:  # workers drop repeats no longer than that
                 due = min(due, entry.again_until)
             return Verdict(TAKE, due=due, gone=gone)
-        if verdict == led.JOIN:
+        if verdict == ledger_module.JOIN:
             return Verdict(JOIN, due=due, gone=gone)
-        if verdict == led.AGAIN:
+        if verdict == ledger_module.AGAIN:
             return Verdict(GIVE, body=entry.body)
-        if verdict == led.ELSEWHERE:
+        if verdict == ledger_module.ELSEWHERE:
             return Verdict(
                 REFUSE,
                 "the process before this one still finishes it",
                 retry_after=self.come_back(now, ask.customer, ask.id),
             )
-        if verdict == led.REPLAY:
+        if verdict == ledger_module.REPLAY:
             return Verdict(CONFLICT, "this id was already sent with this time or a later one")
-        if verdict == led.SPENT:
+        if verdict == ledger_module.SPENT:
             return Verdict(SPENT, "it was completed, and its result is no longer kept")
-        if verdict == led.UNKNOWN:
+        if verdict == ledger_module.UNKNOWN:
             return Verdict(ABORT, "an earlier try may have run and must not run again")
-        if verdict == led.BEFORE:
+        if verdict == ledger_module.BEFORE:
             return Verdict(
                 REFUSE,
                 BEFORE,
@@ -143,22 +150,27 @@
         """Why one more would do harm, or None. A customer with less than half of an equal part still has room
         over the bound:
         one that storms does not shut out those that are quiet."""
-        quiet = self.by_customer.get(ask.customer, 0) * 2 * max(1, len(self.by_customer)) < self.ramp.limit
-        if not self.ramp.room(self.held) and not (quiet and len(self.by_customer) > 1):
+        quiet = (
+            self.by_customer.get(ask.customer, 0) * 2 * max(1, len(self.by_customer))
+            < self.concurrency_limit.limit
+        )
+        if not self.concurrency_limit.room(self.held) and not (quiet and len(self.by_customer) > 1):
             return TOO_MANY
-        if not quiet and self.pace.too_late(now, self.held, due):
+        if not quiet and self.throughput.too_late(now, self.held, due):
             return TOO_MANY
         if (
             how == retry_budget.EARLY
-            and self.ramp.holds_back
-            and (self.manners.since(now, ask.customer, ask.id) > self.terms.types[ask.type].target_latency)
+            and self.concurrency_limit.holds_back
+            and (
+                self.retry_policy.since(now, ask.customer, ask.id) > self.terms.types[ask.type].target_latency
+            )
         ):
             # it can only be late by now; others can still be in time
             return TOO_EARLY
         if (
             how == retry_budget.EARLY
-            and (self.storms.on("repeats") or self.ramp.holds_back)
-            and not self.manners.may(ask.customer)
+            and (self.storms.on("repeats") or self.concurrency_limit.holds_back)
+            and not self.retry_policy.may(ask.customer)
         ):
             return TOO_EARLY
         return None
@@ -176,7 +188,7 @@
 
     def took(self, customer, id_):
         self.held += 1
-        self.manners.settled(customer, id_)
+        self.retry_policy.settled(customer, id_)
         self.by_customer[customer] = self.by_customer.get(customer, 0) + 1
 
     def ended(self, now, customer, type_name, stayed, outcome):
@@ -188,16 +200,16 @@
         else:
             del self.by_customer[customer]
         self.usual += (stayed - self.usual) // 64
-        self.pace.ended(now)
-        if outcome != led.REJECTED:
+        self.throughput.ended(now)
+        if outcome != ledger_module.REJECTED:
             patient = max(self.terms.types[type_name].target_latency, self.timeouts[type_name] // 2)
-            self.ramp.ended(outcome == led.COMPLETED and stayed <= patient)
+            self.concurrency_limit.ended(outcome == ledger_module.COMPLETED and stayed <= patient)
 
     def look(self, now):
         """Asked a few times a second: the symptoms that have changed, as `storm.Storms.look` tells them."""
         if not self.damps:
             return []
-        self.ramp.look(now, self.held)
+        self.concurrency_limit.look(now, self.held)
         return self.storms.look(now)
 
     def figures(self):
@@ -207,9 +219,9 @@
             "ledger": dict(self.ledger.counts),
             "ids": len(self.ledger.entries),
             "storms": self.storms.figures(),
-            "manners": dict(self.manners.counts),
-            "bound": int(self.ramp.limit),
-            "cuts": self.ramp.cuts,
+            "manners": dict(self.retry_policy.counts),
+            "bound": int(self.concurrency_limit.limit),
+            "cuts": self.concurrency_limit.cuts,
         }
 
     def come_back(self, now, customer, id_, least=0, early=False):
@@ -217,7 +229,7 @@
         longer each time for one
         that does not wait so long."""
         most, fullness = self.terms.allowed.max_retry_after, self.held / max(1, self.limits.held)
-        wait = self.pace.come_back(now, self.held, self.ramp.limit) if self.damps else None
+        wait = self.throughput.come_back(now, self.held, self.concurrency_limit.limit) if self.damps else None
         wait = (
             max(least, self.usual) * (1 + min(3.0, 4 * fullness))
             if wait is None
@@ -225,4 +237,6 @@
         )
         if not self.damps:
             return min(int(wait * (0.5 + self.chance())), most)
-        return min(most, max(least, self.manners.hint(now, customer, id_, wait, self.chance, most, early)))
+        return min(
+            most, max(least, self.retry_policy.hint(now, customer, id_, wait, self.chance, most, early))
+        )
--- a/petrelwood/dispatch/core.py
+++ b/petrelwood/dispatch/core.py
@@ -2,7 +2,8 @@
 what it
 decides. Free of I/O: the clock and the links are handed in, so that the emulator drives this very code.
 
-    front -> signature -> intake (room, retry or replay, patience) -> duty -> module -> link -> worker
+    front -> signature -> intake (room, retry or replay, patience) -> pending activations -> module
+          -> link -> worker
 
 and back. What happens while the module is being told of something is told after that, in order: the module is
 never
@@ -15,17 +16,16 @@
 from petrelwood import ports
 from petrelwood.brain import Brain
 from petrelwood.decide.cluster.membership import Membership
-from petrelwood.decide.delivery import ledger as led
 from petrelwood.decide.delivery import recovery
-from petrelwood.decide.delivery.ledger import Ledger
-from petrelwood.decide.delivery.pending import Duty
+from petrelwood.decide.delivery.ledger import ABORTED, COMPLETED, LEFT, REJECTED, Ledger
+from petrelwood.decide.delivery.pending import PendingActivations
 from petrelwood.decide.forecasting.forecast import Calendar
 from petrelwood.decide.forecasting.planner import Prices
 from petrelwood.decide.forecasting.prefetch import EarlyLoads
 from petrelwood.decide.overload import intake as stage
 from petrelwood.decide.overload.backoff import Budget
 from petrelwood.decide.overload.intake import Intake
-from petrelwood.decide.overload.sliding_window import Ring
+from petrelwood.decide.overload.sliding_window import SlidingWindowCounter
 
 MOST_IN_A_TURN = 10_000  # what follows from what, before the clock is let go on
 KEPT_BODY = 4096  # bytes of an answer that is kept for a retry after a restart
@@ -55,7 +55,7 @@
         self.now, self.limits, self.terms, start = clock.now, gateway.limits, gateway.terms, clock.now()
         self.chance = chance
         self.ledger, self.intake, prefix = self._stages()
-        self.duty = Duty(self.intake, self.ledger, prefix)
+        self.pending = PendingActivations(self.intake, self.ledger, prefix)
         self.membership = Membership(self.terms.orders.keep, gateway.workers.connect_within, chance.random)
         self.links, self.flying, self.inbox, self.telling, self.touched = {}, {}, deque(), False, None
         self.due_timer, self.due_at, self.rules = None, 0, {}
@@ -74,7 +74,7 @@
         )
         # `unsure(now)`: whether another process may own what comes
         self.unsure = None
-        self.goods, self.bads = Ring(WELL, 11), Ring(WELL, 11)
+        self.goods, self.bads = SlidingWindowCounter(WELL, 11), SlidingWindowCounter(WELL, 11)
         if state is not None:
             self.adopt(state)
         self.early, self.note = None, None  # `note(...)` of `store.history`, where one is kept
@@ -113,11 +113,11 @@
             self.gateway.tolerance,
             elsewhere,
         )
-        self.returning = recovery.Return(found, now, wall, self.terms.guarantees, self.terms.orders)
+        self.returning = recovery.Recovery(found, now, wall, self.terms.guarantees, self.terms.orders)
         if self.returning.orders and hasattr(self.brain, "resumed"):
             self.brain.resumed(now, self.returning.orders)
         if self.returning.begins_low and self.gateway.damps and not elsewhere:
-            self.intake.ramp.begin(now)
+            self.intake.concurrency_limit.begin(now)
         self.state.found = []
         if found.last:
             self.log.info(
@@ -138,8 +138,8 @@
     @property
     def answered(self):
         """(completed, not completed) since the start."""
-        counts = self.duty.counts
-        return counts[led.COMPLETED], counts[led.ABORTED] + counts[led.REJECTED]
+        counts = self.pending.counts
+        return counts[COMPLETED], counts[ABORTED] + counts[REJECTED]
 
     def give_way(self, hears_end):
         """From now on nothing new is taken or loaded here; `hears_end(customer, id, outcome, sent, body)` is
@@ -165,7 +165,7 @@
         self.ledger.nobody_elsewhere()
 
     def _turn_away(self, act):
-        self._finish(act.id, led.REJECTED, retry_after=self.intake.come_back(self.now(), *act.key))
+        self._finish(act.id, REJECTED, retry_after=self.intake.come_back(self.now(), *act.key))
 
     def _keep(self, act):
         """Notes a new activation; whether it may be told to the module at once. What must not run twice waits
@@ -192,7 +192,7 @@
         """The ids of these activations are on the disk, or can't be."""
         for act_id in acts:
             act = self.unkept.pop(act_id, None)
-            if act is None or act_id not in self.duty.acts:
+            if act is None or act_id not in self.pending.acts:
                 continue
             if good:
                 self._begin(act)
@@ -206,11 +206,11 @@
         )
 
     def _ended(self, act, outcome, body):
-        if outcome != led.LEFT:
-            (self.goods if outcome == led.COMPLETED else self.bads).add(self.now())
+        if outcome != LEFT:
+            (self.goods if outcome == COMPLETED else self.bads).add(self.now())
             if self.tells_end is not None:
-                self.tells_end(outcome == led.COMPLETED)
-        kept = body if outcome == led.COMPLETED and body is not None and len(body) <= KEPT_BODY else None
+                self.tells_end(outcome == COMPLETED)
+        kept = body if outcome == COMPLETED and body is not None and len(body) <= KEPT_BODY else None
         if self.hears_end is not None:
             self.hears_end(*act.key, outcome, act.sends > 0, kept)
         if self.state is not None:
@@ -255,7 +255,7 @@
         """For a dispatcher that has fronts."""
 
     def _plan(self):
-        if self.intake.storms.on("cold") or self.intake.ramp.holds_back:
+        if self.intake.storms.on("cold") or self.intake.concurrency_limit.holds_back:
             return  # guesses wait until what is asked for can be served
         orders = self.terms.orders
         self.early.turn(self.now(), self.clock.wall(), 1e9 if not orders.period else orders.free)
@@ -270,7 +270,7 @@
             gateway.limits,
             gateway.limits,
         )
-        self.intake.ramp.bound(gateway.limits.held)
+        self.intake.concurrency_limit.bound(gateway.limits.held)
 
     def rule(self, function):
         """The rule of a function, looked up once."""
@@ -312,15 +312,15 @@
 
     def defect(self, where, fault, args=()):
         """Ends what the failed call had touched, and goes on."""
-        touched = (self.touched or set()) | {a for a in args if isinstance(a, str) and a in self.duty.acts}
+        touched = (self.touched or set()) | {a for a in args if isinstance(a, str) and a in self.pending.acts}
         at = traceback.extract_tb(fault.__traceback__)[-1]
-        self.duty.counts["defects"] += 1
+        self.pending.counts["defects"] += 1
         self.log.error(
             "defect", where=where, at=f"{at.filename}:{at.lineno}", fault=repr(fault), aborted=len(touched)
         )
         for act_id in sorted(touched):
-            if act_id in self.duty.acts:
-                self._finish(act_id, led.ABORTED, why="a defect in the dispatcher")
+            if act_id in self.pending.acts:
+                self._finish(act_id, ABORTED, why="a defect in the dispatcher")
                 try:
                     self.brain.left(self.now(), act_id)
                 except Exception as second:
@@ -337,8 +337,8 @@
             return
         verdict = self.intake.ask(now, self.clock.wall(), ask)
         if verdict.what == stage.JOIN:
-            act = self.duty.by_key.get(key)
-            if act is not None and self.duty.join(now, key, verdict.due, exchange):
+            act = self.pending.by_key.get(key)
+            if act is not None and self.pending.join(now, key, verdict.due, exchange):
                 exchange.act = act.id
                 self._arm()
                 return
@@ -348,12 +348,12 @@
             and self.state is not None
             and not recovery.may_take(self.terms.types[ask.type].effect, self.state.stopped is None)
         ):
-            self.ledger.ended(key, led.LEFT)
+            self.ledger.ended(key, LEFT)
             exchange.answer(
                 stage.REFUSE, retry_after=self.intake.come_back(now, *key), why="its id can't be kept now"
             )
         elif verdict.what == stage.TAKE:
-            act = self.duty.take(
+            act = self.pending.take(
                 now, key, ask, verdict.due, function, rule.lanes, body, exchange, rule.load_time, rule.work
             )
             exchange.act = act.id
@@ -371,9 +371,9 @@
         self.soon(self._left, act_id, exchange)
 
     def _left(self, act_id, exchange):
-        if self.duty.left(self.now(), act_id, exchange) == "end":
-            act = self.duty.end(self.now(), act_id, led.LEFT)
-            self._ended(act, led.LEFT, None)
+        if self.pending.left(self.now(), act_id, exchange) == "end":
+            act = self.pending.end(self.now(), act_id, LEFT)
+            self._ended(act, LEFT, None)
             self._withdraw(act)
             self.brain.left(self.now(), act_id)
 
@@ -387,7 +387,7 @@
                 link.withdraw(act.id, n)
 
     def _finish(self, act_id, outcome, body=None, retry_after=0, why=""):
-        act = self.duty.end(self.now(), act_id, outcome, body)
+        act = self.pending.end(self.now(), act_id, outcome, body)
         if act is None:
             self.log.error("a second final answer was held back", act=act_id, outcome=outcome)
             return
@@ -398,7 +398,7 @@
 
     # Deadlines.
     def _arm(self):
-        due = self.duty.next_due()
+        due = self.pending.next_due()
         if due is None or self.due_timer is not None and self.due_at <= due:
             return
         if self.due_timer is not None:
@@ -408,17 +408,17 @@
 
     def _due(self):
         self.due_timer = None
-        for act, late, whole in self.duty.overdue(self.now()):
+        for act, late, whole in self.pending.overdue(self.now()):
             if whole:
                 self.soon(self._out_of_time, act.id)
             for exchange in late:
-                exchange.answer(led.ABORTED, why="the first try still runs", act=act.id)
+                exchange.answer(ABORTED, why="the first try still runs", act=act.id)
         self._arm()
 
     def _out_of_time(self, act_id):
         """Its sends time out, of which the module makes an answer; if it does not, there is one all the
         same."""
-        act = self.duty.acts.get(act_id)
+        act = self.pending.acts.get(act_id)
         if act is None:
             return
         for n in sorted(act.out):
@@ -426,26 +426,28 @@
         self.soon(self._overdue, act_id)
 
     def _overdue(self, act_id):
-        if act_id in self.duty.acts:
-            self.duty.counts["overdue"] += 1
-            self.log.error("overdue", act=act_id, sends=self.duty.acts[act_id].sends)
-            self._finish(act_id, led.ABORTED, why="out of time")
+        if act_id in self.pending.acts:
+            self.pending.counts["overdue"] += 1
+            self.log.error("overdue", act=act_id, sends=self.pending.acts[act_id].sends)
+            self._finish(act_id, ABORTED, why="out of time")
             self.brain.left(self.now(), act_id)
 
     # From the links.
     def returned(self, act_id, n, worker, code, note, body, at, gauge):
         now = self.now()
         self.flying.pop((act_id, n), None)
-        owed = self.duty.acts.get(act_id)
-        owing = self.duty.returned(act_id, n)
+        owed = self.pending.acts.get(act_id)
+        owing = self.pending.returned(act_id, n)
         if owing and code == ports.COMPLETED:
-            self._finish(act_id, led.COMPLETED, body)
+            self._finish(act_id, COMPLETED, body)
         if code == ports.COMPLETED and self.intake.damps:
             self.intake.storms.ran(now, note not in (0, ports.FOUND_WARM))
         if owed is not None and (self.early is not None or self.note is not None):
             self._learn(now, owed, worker, code, note, now - at)
         self.touched.add(act_id)
-        self.brain.answer(now, act_id, n, worker, code, note, act_id not in self.duty.acts, now - at, gauge)
+        self.brain.answer(
+            now, act_id, n, worker, code, note, act_id not in self.pending.acts, now - at, gauge
+        )
 
     def _learn(self, now, owed, worker, code, note, took):
         """What history and early loads want to know of a send's end."""
@@ -502,8 +504,8 @@
     # The module's outlet.
     def send(self, act, worker, limit):
         self.touched.add(act)
-        owed = self.duty.acts.get(act)
-        n = self.duty.sent(act)
+        owed = self.pending.acts.get(act)
+        n = self.pending.sent(act)
         if n is None:
             self.log.error("a send after the final answer was held back", act=act, worker=worker)
             return
@@ -537,17 +539,17 @@
 
     def reject(self, act, retry_after):
         self.touched.add(act)
-        owed = self.duty.acts.get(act)
+        owed = self.pending.acts.get(act)
         wait = (
             self.intake.come_back(self.now(), *owed.key, retry_after)
             if retry_after and owed is not None
             else 0
         )
-        self._finish(act, led.REJECTED, retry_after=wait)
+        self._finish(act, REJECTED, retry_after=wait)
 
     def abort(self, act):
         self.touched.add(act)
-        self._finish(act, led.ABORTED)
+        self._finish(act, ABORTED)
 
     def cancel(self, act, n):
         link = self.links.get(self.flying.get((act, n)))
@@ -595,4 +597,4 @@
 
     def figures(self):
         """What is counted, for logs and tests."""
-        return {**self.duty.counts, **self.counts, **self.intake.figures()}
+        return {**self.pending.counts, **self.counts, **self.intake.figures()}
--- a/petrelwood/links/roster.py
+++ b/petrelwood/links/roster.py
@@ -12,7 +12,7 @@
 import orjson
 from tornado.iostream import IOStream, StreamClosedError
 
-from petrelwood.decide.cluster import membership as members
+from petrelwood.decide.cluster.membership import entry
 from petrelwood.links import sockets
 from petrelwood.links.sse import Events
 
@@ -53,7 +53,7 @@
                 why = str(fault) or repr(fault)
             finally:
                 self.drop()
-            until = self.membership.comeback.failed(self.core.now())
+            until = self.membership.backoff.failed(self.core.now())
             self.log.info("roster lost", why=why, again_in_ms=(until - self.core.now()) // 1_000_000)
             await self.core.sleep_until(until)
 
@@ -83,7 +83,7 @@
         now = self.core.now()
         for kind, data, id_ in self.events.feed(chunk):
             if kind in ("list", "change"):
-                self._event(kind, [members.entry(raw) for raw in orjson.loads(data)], id_, now)
+                self._event(kind, [entry(raw) for raw in orjson.loads(data)], id_, now)
 
     def on_message_complete(self):
         self.drop()
--- a/petrelwood/standins/router.py
+++ b/petrelwood/standins/router.py
@@ -18,7 +18,7 @@
 from tornado.tcpserver import TCPServer
 
 from petrelwood.decide.routing import neighbor
-from petrelwood.decide.routing.routing_table import Table
+from petrelwood.decide.routing.routing_table import RoutingTable
 from petrelwood.wire import bgp
 
 FAMILIES = ((bgp.IPV4, bgp.UNICAST), (bgp.IPV6, bgp.UNICAST))
@@ -103,7 +103,7 @@
         self.loop, self.chance, self.table, self.sides, self.all = (
             asyncio.get_running_loop(),
             random.Random(seed),
-            Table(most),
+            RoutingTable(most),
             {},
             set(),
         )
@@ -267,7 +267,8 @@
         watching = Watch(router)
         sockets = bind_sockets(watch[1], watch[0])
         watching.add_sockets(sockets)
-        ready["watch"] = "%s:%d" % sockets[0].getsockname()[:2]
+        watch_host, watch_port = sockets[0].getsockname()[:2]
+        ready["watch"] = f"{watch_host}:{watch_port}"
     print(json.dumps(ready), flush=True)
     loop, ends = asyncio.get_running_loop(), asyncio.Event()
     for name in (signal.SIGTERM, signal.SIGINT):
--- a/tests/test_bgp.py
+++ b/tests/test_bgp.py
@@ -10,7 +10,7 @@
 from kept import compare
 
 from petrelwood.decide.routing import announce, neighbor, serving
-from petrelwood.decide.routing.routing_table import Table
+from petrelwood.decide.routing.routing_table import RoutingTable
 from petrelwood.wire import bgp
 
 S = 10**9
@@ -115,7 +115,7 @@
                 [bgp.prefix("2001:db8::/32")], attrs(hop="00" * 16), [bgp.prefix("2001:db8::1/128")], True
             ),
         ]
-        for turn in range(20_000):
+        for _ in range(20_000):
             data = bytearray(chance.choice(seeds))
             for _ in range(chance.randrange(4)):
                 how, at = chance.randrange(4), chance.randrange(len(data))
@@ -348,7 +348,8 @@
             why = next((line[9:] for line in wire.lines if "NOTIFICATION" in line), "")
             up = wire.ends["A"].neighbor.established
             lines.append(
-                f"{name}: {f'up, hold {up.hold}' if up else why}; {'once' if tries == 1 else 'again and again'}"
+                f"{name}: {f'up, hold {up.hold}' if up else why}; "
+                f"{'once' if tries == 1 else 'again and again'}"
             )
             self.assertEqual(bool(up), tries == 1)
             self.assertLess(tries, 12)
@@ -398,7 +399,7 @@
             for _ in range(round(seconds * S / every)):
                 now += every
                 if facts is not None:
-                    made.beat(now, facts)
+                    made.heartbeat(now, facts)
                 if made.look(now, others):
                     lines.append(f"{now / S:7.2f}  {made.level:5s} {made.why}")
         return lines, made
@@ -455,7 +456,7 @@
             chance, count = random.Random(seed), random.Random(seed).choice((2, 4, 30))
             nodes, table, update = (
                 [serving.Serving(self.BOUNDS, 0) for _ in range(count)],
-                Table(),
+                RoutingTable(),
                 announce.Service(PREFIX, b"\x7f\0\0\1", (), None, 1000, 3),
             )
             told, gone, ill = [None] * count, 0, [False] * count
@@ -469,7 +470,7 @@
                     )
                 for i in chance.sample(range(count), count):
                     others = any(not announce.is_less(a) for peer, a in table.best(PREFIX)[:1] if peer != i)
-                    nodes[i].beat(now, self.FINE._replace(usable=0 if ill[i] else 5))
+                    nodes[i].heartbeat(now, self.FINE._replace(usable=0 if ill[i] else 5))
                     nodes[i].look(now, others)
                     want = announce.attributes(
                         update._replace(next_hop=bytes((127, 0, 0, i))), nodes[i].level, 65001
@@ -486,7 +487,7 @@
 
 class Tables(unittest.TestCase):
     def test_the_best_and_what_shares_with_it(self):
-        table = Table()
+        table = RoutingTable()
 
         def hears(peer, found):
             table.heard(peer, bgp.Update((), (PREFIX,), found, ()))
@@ -503,7 +504,7 @@
         self.assertEqual([p for p, _ in table.best(PREFIX)], [3])
         table.heard(3, bgp.Update((PREFIX,), (), None, ()))
         self.assertEqual([p for p, _ in table.best(PREFIX)], [2])
-        small = Table(most=1)
+        small = RoutingTable(most=1)
         small.heard(1, bgp.Update((), (PREFIX,), attrs(), ()))
         with self.assertRaises(ValueError):
             small.heard(2, bgp.Update((), (PREFIX,), attrs(), ()))
@@ -511,7 +512,7 @@
     def test_resilient_flows_move_only_where_they_must(self):
         moved = {}
         for resilient in (False, True):
-            table = Table()
+            table = RoutingTable()
             for peer in range(8):
                 table.heard(peer, bgp.Update((), (PREFIX,), attrs(), ()))
             before = {flow: table.pick(PREFIX, flow, resilient) for flow in range(2000)}
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -70,6 +70,8 @@
     ("workers {", 'early { slot "2h"; season "1h" }\nworkers {'),
     ("workers {", 'early { event "f" from="soon" for="1h" factor=2 }\nworkers {'),
     ("workers {", "history { keep 9 }\nworkers {"),
+    ("workers {", 'configuration { server 7; within "3s" }\nworkers {'),
+    ("workers {", 'versions "v"\nconfiguration { within "13s" }\nworkers {'),
     ("workers {", 'state { folder "s"; durability "disk" }\nworkers {'),
     ("workers {", "worker {"),
     ("workers {", 'include "none.kdl"\nworkers {'),
@@ -153,7 +155,8 @@
         for old, new in (
             (
                 'function "f-*"',
-                'namespace-type "u" { target-latency "1s"; action-timeout "2s"; effect "once-only" }\nfunction "f-*"',
+                'namespace-type "u" { target-latency "1s"; action-timeout "2s"; effect "once-only" }\n'
+                'function "f-*"',
             ),
             ('"repeatable"', '"deduplicated"\n    scope "all"\n    window "1s"'),
             ('"repeatable"', '"once-only"\n    window "1s"'),
@@ -289,7 +292,8 @@
 class Layout(unittest.TestCase):
     def test_comments_strings_and_order_stay(self):
         text = (
-            '// first\n\n\n/* two\n   lines */ a   1  x=2 // why\n  b {c 1;d "  two  spaces // "\n\n\n}\ne """\n   raw\n   """\n/-f 3 {\n g\n}\n'
+            '// first\n\n\n/* two\n   lines */ a   1  x=2 // why\n  b {c 1;d "  two  spaces // "\n\n\n}\n'
+            'e """\n   raw\n   """\n/-f 3 {\n g\n}\n'
             'long 1 \\\n   2 \\ // more\n 3\n(type)h #"a " b"# { }\n'
         )
         compare(self, "config_layout", layout.laid_out(text).splitlines())
--- a/tests/test_forecast.py
+++ b/tests/test_forecast.py
@@ -8,8 +8,8 @@
 
 from kept import compare
 
-from petrelwood.decide.forecasting import account as ac
 from petrelwood.decide.forecasting import forecast, planner
+from petrelwood.decide.forecasting.account import IN_TIME, Account
 from petrelwood.decide.forecasting.prefetch import EarlyLoads
 
 S = 10**9
@@ -180,7 +180,7 @@
             0,
             functions,
             lambda n: (means[n], 1.2),
-            planner.Room(memory, orders, store),
+            planner.FreeCapacity(memory, orders, store),
             60 * S,
             60 * S,
             PRICES,
@@ -248,7 +248,7 @@
 
 class Accounts(unittest.TestCase):
     def test_each_early_load_ends_in_one_way(self):
-        account, lines = ac.Account(PRICES, 60 * S, lambda: 0.5), []
+        account, lines = Account(PRICES, 60 * S, lambda: 0.5), []
 
         def say(text, end=None):
             lines.append(f"{text}: {end or '-'}; {account.whole.seconds:+.2f} s, open {len(account.open)}")
@@ -271,25 +271,25 @@
         compare(self, "account", lines + list(account.lines()))
 
     def test_a_negative_balance_holds_back_and_is_tried_again_later_each_time(self):
-        account, tried = ac.Account(planner.Prices(1.0, 0.0), 60 * S, lambda: 0.99), []
+        account, tried = Account(planner.Prices(1.0, 0.0), 60 * S, lambda: 0.99), []
         for minute in range(600):
             now = minute * 60 * S
             if account.may(now, "f", "n"):
                 tried.append(minute)
                 account.ordered(now, "f", "n", "w", now + 30 * S, 1, S)
                 account.sweep(now + 31 * S)
-        gaps = [b - a for a, b in zip(tried, tried[1:])]
+        gaps = [b - a for a, b in itertools.pairwise(tried)]
         self.assertLess(len(tried), 40)
         self.assertGreater(max(gaps), 4 * min(gaps))
 
     def test_what_pays_goes_on(self):
-        account = ac.Account(PRICES, 60 * S, lambda: 0.5)
+        account = Account(PRICES, 60 * S, lambda: 0.5)
         for turn in range(100):
             now = turn * 60 * S
             self.assertTrue(account.may(now, "f", "n"))
             account.ordered(now, "f", "n", "w", now + 60 * S, 1, 2 * S)
             account.stands(now + S, "f", "w", True)
-            self.assertEqual(account.called(now + 5 * S, "f", "w", True), ac.IN_TIME)
+            self.assertEqual(account.called(now + 5 * S, "f", "w", True), IN_TIME)
 
 
 class Early(unittest.TestCase):
@@ -328,8 +328,7 @@
         wished = []
         early = self.made(lambda fn, lanes, load: wished.append(fn))
         self.assertEqual(early.turn(S, S, 10), 0)
-        for now in self.play(early, 30):
-            pass
+        now = list(self.play(early, 30))[-1]
         early.known["a"].copies.clear()
         self.assertEqual(early.turn(now + 3600 * S, now + 3600 * S, 10), 0)
         early.forecast.calendar.events = [(0, 1 << 62, 10_000.0, "")]
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -43,44 +43,48 @@
         }
         lines = []
         for name, steps in stories.items():
-            giver, now, said = handover.Giver(), 0, []
+            predecessor, now, said = handover.Predecessor(), 0, []
             for step in steps.split():
                 if step.startswith("+"):
                     now += int(step[1:]) * S
-                    what = giver.check(now)
+                    what = predecessor.check(now)
                 elif step == "lost":
-                    what = giver.lost(now, "it died")
+                    what = predecessor.lost(now, "it died")
                 elif step == "owns":
-                    what = giver.owns(now)
+                    what = predecessor.owns(now)
                 else:
                     what = {
-                        "asked": giver.asked,
-                        "ready": giver.ready,
-                        "proven": giver.is_proven,
-                        "drained": giver.is_drained,
+                        "asked": predecessor.asked,
+                        "ready": predecessor.ready,
+                        "proven": predecessor.is_proven,
+                        "drained": predecessor.is_drained,
                     }[step](now)
                 said.append(f"{step}{' -> ' + what if what else ''}")
-            lines.append(f"{name}: {', '.join(said)}; {giver.state}{', ' + giver.why if giver.why else ''}")
+            why = f", {predecessor.why}" if predecessor.why else ""
+            lines.append(f"{name}: {', '.join(said)}; {predecessor.state}{why}")
         for name, good, bad, before, end in (
             ("as good as before", 90, 10, (0.95, 200), 6),
             ("worse", 60, 40, (0.95, 200), 1),
             ("too few to tell", 0, 10, (0.95, 200), 6),
             ("as bad as before", 10, 90, (0.2, 200), 6),
         ):
-            taker = handover.Taker(0)
-            said = [taker.can_serve(0), taker.go(S, before)]
+            successor = handover.Successor(0)
+            said = [successor.can_serve(0), successor.go(S, before)]
             for _ in range(good):
-                taker.ended(True)
+                successor.ended(True)
             for _ in range(bad):
-                taker.ended(False)
-            said.append(taker.check(S + end * S))
+                successor.ended(False)
+            said.append(successor.check(S + end * S))
             lines.append(
-                f"new one, {name}: {', '.join(map(str, said))}; {taker.state}{', ' + taker.why if taker.why else ''}"
+                f"new one, {name}: {', '.join(map(str, said))}; "
+                f"{successor.state}{', ' + successor.why if successor.why else ''}"
             )
-        taker = handover.Taker(0)
-        lines.append(f"new one, no word to go: {taker.can_serve(0)}, {taker.check(20 * S)}, {taker.why}")
-        taker = handover.Taker(0)
-        lines.append(f"new one, the old one dies first: {taker.lost(S)}, {taker.why}")
+        successor = handover.Successor(0)
+        lines.append(
+            f"new one, no word to go: {successor.can_serve(0)}, {successor.check(20 * S)}, {successor.why}"
+        )
+        successor = handover.Successor(0)
+        lines.append(f"new one, the old one dies first: {successor.lost(S)}, {successor.why}")
         compare(self, "handover", lines)
 
     def test_who_may_take_over(self):
@@ -110,7 +114,9 @@
         theirs.close()
 
 
-class Processes(unittest.IsolatedAsyncioTestCase):
+class DispatcherCase(unittest.IsolatedAsyncioTestCase):
+    """A real dispatcher process on loopback, with a worker and a roster on this test's loop."""
+
     async def asyncSetUp(self):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
@@ -170,6 +176,8 @@
 
     message = rig.Case.message
 
+
+class Processes(DispatcherCase):
     async def one(self, type_, ends):
         """One request until it has a final outcome: what refuses or breaks before a byte went out is tried
         again."""
@@ -246,7 +254,8 @@
             return False
 
     async def test_a_new_one_that_is_killed_after_it_took_over_is_taken_back_from(self):
-        old, ends, stop = await self.start(), collections.Counter(), asyncio.Event()
+        await self.start()
+        ends, stop = collections.Counter(), asyncio.Event()
         load = asyncio.ensure_future(self.load(stop, ends))
         for how in (signal.SIGKILL, signal.SIGSTOP):
             new = await self.start("upgrade")
