--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -1,6 +1,6 @@
 """What control costs a dispatcher, as slope x size + constant: the figures of `docs/CAPACITY.md`.
 
-    .venv/bin/python benchmarks/capacity.py [ROW ...] [--runs 3]
+    .venv/bin/python -m benchmarks.capacity [ROW ...] [--runs 3]
 
 Without a row all are measured, one after the other, and printed as rows of a Markdown table. Costs are
 processor time, so that they hold on a busy machine; bytes are counted. Each figure is fitted over its sizes
@@ -33,10 +33,18 @@
 from tornado.iostream import StreamClosedError
 from tornado.netutil import bind_sockets
 
-from petrelwood.bgp.beats import EVERY
+from benchmarks import rare_calls
+from benchmarks.dispatcher import Plain, Setup, backend, open_load
+from benchmarks.scale.size import (
+    CALLS_A_SECOND_A_DISPATCHER,
+    CONFIGURATION_CHANGES_A_DAY,
+    CONFIGURATION_IN_FORCE_WITHIN,
+    DISPATCHERS,
+)
+from petrelwood.bgp.heartbeats import EVERY
 from petrelwood.decide.cluster import link_state, membership, settings_change
-from petrelwood.decide.cluster.rollout import DWELL, STAGES, Announced, Rollout
-from petrelwood.decide.overload.sliding_window import Ring
+from petrelwood.decide.cluster.rollout import DWELL, STAGES, Announced, Rollout, dwell_for
+from petrelwood.decide.overload.sliding_window import SlidingWindowCounter
 from petrelwood.dispatch.health import Health
 from petrelwood.links import rpc, sse
 from petrelwood.links.roster import READ, RosterLink
@@ -45,19 +53,14 @@
 from petrelwood.settings import gateway as settings
 from petrelwood.store import state, versions
 
-ROOT = pathlib.Path(__file__).parents[1]
-sys.path[:0] = [str(ROOT), str(ROOT / "tests")]
-import node_site  # noqa: E402
-
-from benchmarks import rare_calls  # noqa: E402
-from benchmarks.dispatcher import Plain, Setup, backend, open_load  # noqa: E402
-
+TESTS = pathlib.Path(__file__).parents[1] / "tests"
 SECOND = 1_000_000_000
 WALL = 1_764_547_200 * SECOND  # any wall-clock time
+CONFIGURATION_WITHIN = int(CONFIGURATION_IN_FORCE_WITHIN * SECOND)
 LEAST = 0.03  # seconds of processor time over which one point is taken at least
 LINKS = (100, 200, 400, 800)  # open links to workers
 IDLE_LOOKS = 100  # 20 a second, as a dispatcher looks
-CALL_RATES = (0, 46, 92.5, 185, 370)  # calls a second; 92.5 is one dispatcher's part
+CALL_RATES = tuple(part * CALLS_A_SECOND_A_DISPATCHER for part in (0, 0.5, 1, 2, 4))  # a second
 CALL_SECONDS = 5.0  # of each
 PERIOD = 60 * SECOND  # after which a membership that is silent counts as lost; no row comes to it
 
@@ -277,11 +280,11 @@
     longest: float  # seconds for which some dispatcher ran another version than the newest, at one stretch
 
 
-def rolled_day(begins, dispatchers):
+def rolled_day(begins, dispatchers, dwell):
     """Plays versions that begin at `begins` (s) over dispatchers that look at each moment a stage turns."""
-    nodes = [Rollout(f"d{n}", 0) for n in range(dispatchers)]
+    nodes = [Rollout(f"d{n}", 0, dwell=dwell) for n in range(dispatchers)]
     looks = sorted(
-        {begun + stage * DWELL // SECOND + 0.5 for begun in begins for stage in range(len(STAGES))}
+        {begun + stage * dwell // SECOND + 0.5 for begun in begins for stage in range(len(STAGES))}
     )
     reached, behind, longest = set(), None, 0.0
     announced, number = [], 0
@@ -313,14 +316,20 @@
 
 
 def rollouts(runs):
-    """Parts of a day's 740 versions that reached all dispatchers, by the stages."""
+    """Parts of a day's versions that reached all dispatchers, by the stages; 30 s apart, and shorter."""
     lines = []
-    for name, make in (("Poisson", poisson_day), ("bursts of 20 in ten minutes", burst_day)):
-        days = [rolled_day(make(random.Random(f"{name}/{seed}"), 740), 100) for seed in range(runs)]
-        lines.append(
-            f"| 740 versions a day, {name}: reached all of 100 dispatchers; longest time in which not "
-            f"all had the newest | " + "; ".join(f"{d.reached_all}, {d.longest:.0f} s" for d in days) + " |"
-        )
+    for within, dwell in (("", DWELL), (", within 13 s", dwell_for(CONFIGURATION_WITHIN))):
+        for name, make in (("Poisson", poisson_day), ("bursts of 20 in ten minutes", burst_day)):
+            days = [
+                rolled_day(make(random.Random(f"{name}/{seed}"), CONFIGURATION_CHANGES_A_DAY), 100, dwell)
+                for seed in range(runs)
+            ]
+            lines.append(
+                f"| {CONFIGURATION_CHANGES_A_DAY} versions a day, {name}{within}: reached all of 100 "
+                f"dispatchers; longest time in which not all had the newest | "
+                + "; ".join(f"{day.reached_all}, {day.longest:.0f} s" for day in days)
+                + " |"
+            )
     return lines
 
 
@@ -332,7 +341,7 @@
         for n in range(functions)
     )
     return f"""
-gateway "d" {{ listen "127.0.0.1:0"; roster "127.0.0.1:1"; zone "n"; seed 1; dispatchers 400 }}
+gateway "d" {{ listen "127.0.0.1:0"; roster "127.0.0.1:1"; zone "n"; seed 1; dispatchers {DISPATCHERS} }}
 customer "x" {{ key "whsec_{"A" * 43}=" }}
 namespace-type "call" {{ target-latency "1s"; action-timeout "5s"; effect "repeatable" }}
 {rules}
@@ -380,7 +389,7 @@
         entries = [membership.entry(roster_entry(n)) for n in range(workers)]
         self.membership.whole("e-1", entries, SECOND, WALL)
         self.intake = Intake(False)
-        self.goods = self.bads = Ring(SECOND, 11)
+        self.goods = self.bads = SlidingWindowCounter(SECOND, 11)
         self.state, self.retired = None, False
 
     def now(self):
@@ -590,14 +599,19 @@
 
 
 # A dispatcher process on the platform (`run`), with a roster by DNS.
-class DnsServer(node_site.Roster):
-    """Tells one list of so many workers, whatever happens; counts the bytes of its answers."""
+class DnsServer(asyncio.DatagramProtocol):
+    """A roster that tells one list of so many workers, whatever happens; counts the bytes of its answers. It
+    has what `tests/node_site.py` asks of a roster."""
 
     def __init__(self, workers):
-        super().__init__()
-        self.wire, self.told = dns_answer(workers), 0
+        self.wire, self.told, self.serial, self.port, self.transport = dns_answer(workers), 0, 1, None, None
         self.entries = {f"s-{n:08x}": (5000 + n % 50, "Ready", "east", 0) for n in range(workers)}
 
+    async def open(self):
+        loop = asyncio.get_running_loop()
+        self.transport, _ = await loop.create_datagram_endpoint(lambda: self, ("127.0.0.1", 0))
+        self.port = self.transport.get_extra_info("sockname")[1]
+
     def datagram_received(self, data, sender):
         self.told += len(self.wire)
         self.transport.sendto(data[:2] + self.wire[2:], sender)
@@ -612,6 +626,10 @@
 
 
 async def platform_idle(workers):
+    """One dispatcher process with a roster of so many workers."""
+    sys.path.insert(0, str(TESTS))
+    import node_site
+
     site = node_site.Site([], sockets=1_024, memory=128)
     site.roster = DnsServer(workers)
     async with site:
--- a/benchmarks/rare_calls.py
+++ b/benchmarks/rare_calls.py
@@ -13,13 +13,15 @@
 import sys
 from typing import NamedTuple
 
+from benchmarks.scale import size
 from petrelwood import ports
 from petrelwood.brain import Brain
 from petrelwood.links import rpc
 
 SECOND = 1_000_000_000
-ZONES = 6
-CALLS, RARE_RATE = 92.5, 0.54  # calls a second of one dispatcher; those of rare functions among them
+CALLS = size.CALLS_A_SECOND_A_DISPATCHER
+# calls of rare functions among them, if all functions were called as often as rare ones may be
+RARE_RATE = round(size.FUNCTIONS / size.RARE_CALL_EVERY / size.DISPATCHERS, 2)
 HOT = 200  # functions that all dispatchers call often
 KEEP = 10 * SECOND  # an idle copy stays so long; only its ratio to the time between calls counts
 LOAD, SERVICE = SECOND // 4, SECOND // 33  # of a copy; of a call, the mean of an exponential
@@ -42,7 +44,7 @@
 
     def __init__(self, fleet, number):
         self.fleet, self.sends = fleet, {}
-        self.brain = Brain(0, fleet.terms(f"zone-{number % ZONES}"), number, self)
+        self.brain = Brain(0, fleet.terms(f"zone-{number % size.ZONES}"), number, self)
 
     def send(self, act, worker, limit):
         n = self.sends[act] = self.sends.get(act, -1) + 1
@@ -93,7 +95,7 @@
         self.counts = collections.Counter()
         self.chance, self.dispatchers, self.rare_every = random.Random(seed), dispatchers, rare_every
         self.copies, self.calls, self.rare = {}, {}, []
-        names = [ports.Listed(f"w-{n:05d}", f"zone-{n % ZONES}", 0, 0, True) for n in range(workers)]
+        names = [ports.Listed(f"w-{n:05d}", f"zone-{n % size.ZONES}", 0, 0, True) for n in range(workers)]
         self.outlets = [Outlet(self, number) for number in range(dispatchers)]
         for outlet in self.outlets:
             outlet.brain.listed(0, names, True)
