--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -181,11 +181,14 @@
     """Stands in for the core: hears of lists and does nothing with them."""
 
     def __init__(self):
-        self.heard = 0
+        self.heard, self.clock = 0, self
 
     def now(self):
         return SECOND
 
+    def wall(self):
+        return WALL
+
     def listed(self, entries, leaving, whole):
         self.heard += len(entries)
 
