--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -544,7 +544,10 @@
     points, lines = [], []
     for _ in range(runs):
         here, there = multiprocessing.Pipe()
-        child = multiprocessing.Process(target=link_memory, args=(there,))
+        fresh = multiprocessing.get_context(
+            "spawn"
+        )  # a fork would share the pages of what was measured before
+        child = fresh.Process(target=link_memory, args=(there,))
         child.start()
         run, sent, spent = here.recv()
         child.join()
