--- a/benchmarks/scale/configuration.py
+++ b/benchmarks/scale/configuration.py
@@ -1,62 +1,20 @@
-"""How a version of the settings comes into force at a whole fleet: five servers and hundreds of dispatchers
-in
-virtual time.
-
-Real here: the replicas and proposers (`decide.cluster.replicated_log`), each dispatcher's `VersionWatch` and
-`Rollout`, and the encoding of what they send, whose bytes are counted. Hollow: sockets (a message takes up to
-80 ms and none is lost unless a side of a split asks the other), disks, reading and applying the settings (an
-allowance, `APPLY`), answers of activations (drawn), and a look at the folder of versions each second.
-"""
+"""What becomes of a version of the settings at a whole fleet, event by event; see `configuration_fleet`."""
 
 import math
 import time
 from random import Random
 from typing import NamedTuple
 
-from petrelwood.control import messages
-from petrelwood.decide.cluster.replicated_log import CALL_OFF, VERSION, Record, packed
-from petrelwood.decide.cluster.rollout import DWELL, Announced, Rollout, dwell_for
-from petrelwood.decide.cluster.version_watch import SECOND, CallOff, VersionWatch
-from petrelwood.emulate.configuration_servers import World
-from petrelwood.links import rpc
-
-SERVERS = 5  # machines set aside for control
-WITHIN = 13 * SECOND  # a change is in force everywhere
-CHANGES_A_DAY = 740
-BYTES_A_SECOND = 21_000  # that a dispatcher may spend on control
-DISPATCHERS = 400
-CALLS_A_DISPATCHER = 92  # a second: 37,000 over 400
-FIRST_REGION = ("c1", "c2", "c3")  # of the two regions, the one with three of the five servers
-FEW_FUNCTIONS, ALL_FUNCTIONS = 300, 13_000  # that a version names one by one
-DELAY = 80_000_000  # ns that a message takes at most
-APPLY = 1_700_000_000  # ns of reading and taking a version with 13,000 functions (docs/CAPACITY.md)
-USUAL, BAD = 0.97, 0.5  # of answers completed; of those under a bad version
-
-
-def settings_text(functions):
-    """Lines as a version has them: names that do not repeat, and figures that do."""
-    draws = Random(functions)
-    lines = []
-    for n in range(functions):
-        name, figures = f"{draws.getrandbits(64):016x}", f'lanes={1 + n % 4} load-time="{n % 900}ms"'
-        lines.append(f'function "{name}" type="type-{n % 7}" {figures}\n')
-    return "".join(lines)
-
-
-class Dispatcher:
-    """One hollow dispatcher: what it asks, what it knows, which version it runs."""
-
-    def __init__(self, fleet, number):
-        self.fleet, self.name, self.region = fleet, f"d{number}", number % 2
-        self.announced, self.messages, self.bytes, self.peak = {}, 0, 0, 0
-        self.force = {}  # version -> when it came into force here, ns
-        self.restart(0)
-
-    def restart(self, known):
-        """The process begins; `known`: the position in its folder, 0 for an empty one."""
-        dwell = self.fleet.dwell
-        self.watch = VersionWatch(self.name, self.fleet.world.names, known, 3 * dwell, self.fleet.chance)
-        self.rollout = Rollout(self.name, 0, dwell=dwell)
+from benchmarks.scale import size
+from benchmarks.scale.configuration_fleet import ALL_FUNCTIONS, DISPATCHERS, WITHIN, Fleet
+from benchmarks.scale.figures import Event, Figure, Sample, Target
+from benchmarks.scale.plan import BASE_MEMORY, Job, Outcome
+from petrelwood.decide.cluster.version_watch import SECOND
+
+HOLLOW = (
+    "sockets (up to 80 ms a message), disks, reading and taking a version (1.7 s), answers of calls; "
+    "bytes are those of the messages, without headers of TCP and IP"
+)
 
 
 class Result(NamedTuple):
@@ -73,144 +31,6 @@
     cpu: float  # seconds of processor time of all replicas, watches and roll-outs together
 
 
-class Fleet:
-    """`staged`: False for the former way, a folder that all read at once and stages 30 s apart."""
-
-    def __init__(
-        self,
-        dispatchers=DISPATCHERS,
-        seed=1,
-        staged=True,
-        functions=FEW_FUNCTIONS,
-        calls=CALLS_A_DISPATCHER,
-    ):
-        self.world = World(seed, servers=SERVERS, loss=0, twice=0, most_delay=DELAY)
-        self.chance, self.drawn = Random(seed + 1).random, Random(seed + 2)
-        self.dwell = dwell_for(WITHIN) if staged else DWELL
-        self.shared = None if staged else {}  # number -> Announced, of the folder that all read
-        self.body = packed(settings_text(functions))
-        self.calls = calls  # answers a second of each dispatcher
-        self.split, self.bad, self.sizes, self.by_server = False, set(), {}, {}
-        self.published, self.decided = {}, {}  # record id -> when; version -> when
-        self.dispatchers = [Dispatcher(self, number) for number in range(dispatchers)]
-        for one in self.dispatchers:
-            self.world.later(int(self.chance() * SECOND), self._ask, one)
-            self.world.later(int(self.chance() * SECOND), self._look, one)
-        for name in self.world.names:
-            self.world.later(int(self.chance() * SECOND), self._catch_up, name)
-
-    # What happens by itself.
-    def _reaches(self, one, server):
-        return self.world.servers[server].up and (
-            not self.split or (one.region == 0) == (server in FIRST_REGION)
-        )
-
-    def _ask(self, one):
-        now = self.world.now
-        for server in one.watch.due(now):
-            self.world.later(int(self.chance() * DELAY), self._asked, one, server, one.watch.known)
-        self.world.later(max(1, one.watch.next - now), self._ask, one)
-
-    def _asked(self, one, server, known):
-        if not self._reaches(one, server):
-            self.world.later(SECOND, one.watch.failed, server, self.world.now + SECOND)
-            return
-        extract = self.world.servers[server].replica.extract(known, compact=True)
-        size = self._size(extract)
-        one.messages, one.bytes = one.messages + 2, one.bytes + size
-        second = (server, self.world.now // SECOND)
-        self.by_server[second] = self.by_server.get(second, 0) + size
-        self.world.later(int(self.chance() * DELAY), self._answered, one, server, extract)
-
-    def _size(self, extract):
-        key = (extract.since, extract.chosen, len(extract.entries))
-        if key not in self.sizes:
-            request = rpc.request(1 << 16, "read", [extract.since])
-            self.sizes[key] = len(request) + len(rpc.response(1 << 16, None, messages.plain(extract)))
-        return self.sizes[key]
-
-    def _answered(self, one, server, extract):
-        wall = self.world.now
-        for news in one.watch.answered(server, extract, self.world.now, wall):
-            if isinstance(news, CallOff):
-                if news.number in one.announced:
-                    one.announced[news.number] = one.announced[news.number]._replace(off=True)
-            else:
-                one.announced[news.number] = Announced(news.number, news.begun, False)
-
-    def _look(self, one):
-        """Each second, as `dispatch.serve` does: answers counted, then what is announced."""
-        share = BAD if one.rollout.version in self.bad else USUAL
-        good = sum(self.drawn.random() < share for _ in range(self.calls))
-        for completed in (True,) * good + (False,) * (self.calls - good):
-            one.rollout.ended(completed)
-        known = one.announced if self.shared is None else self.shared
-        verdict = one.rollout.look(self.world.now, list(known.values()))
-        if verdict is not None:
-            self.world.later(APPLY, self._in_force, one, verdict[1])
-            if one.rollout.calls_off is not None:
-                self._call_off(one, one.rollout.calls_off)
-        self.world.later(SECOND, self._look, one)
-
-    def _in_force(self, one, number):
-        one.force.setdefault(number, self.world.now)
-
-    def _call_off(self, one, number):
-        if self.shared is not None:
-            self.shared[number] = self.shared[number]._replace(off=True)
-            return
-        up = [server for server in one.watch.order if self._reaches(one, server)]
-        if up and not self.world.servers[up[0]].replica.is_off(number):
-            record = Record(f"off-{number}-{one.name}", CALL_OFF, number, self.world.now, one.name.encode())
-            self.world.propose(up[0], record)
-
-    def _catch_up(self, name):
-        self.world.catch_up(name, self.world.chance.choice(self.world.names))
-        self.world.later(SECOND, self._catch_up, name)
-
-    # What a scenario does.
-    def publish(self, server="c1", bad=False):
-        """A version on its way; its number once it is decided, None where there is no quorum."""
-        now = self.world.now
-        if self.shared is not None:
-            number = len(self.shared) + 1
-            self.shared[number] = Announced(number, now, False)
-        else:
-            record = Record(f"v{now}", VERSION, 0, now, self.body)
-            self.world.propose(server, record)
-            while record.id not in self.world.told and self.world.now < now + 5 * SECOND:
-                self.world.run(SECOND // 100)
-            number = self.world.told.get(record.id)
-        if number is not None:
-            self.published[number], self.decided[number] = now, self.world.now
-            if bad:
-                self.bad.add(number)
-        return number
-
-    def run(self, seconds):
-        self.world.run(int(seconds * SECOND))
-
-    def in_force(self, number, among=None):
-        """Seconds from publishing until the last dispatcher had it."""
-        times = [one.force.get(number, math.inf) for one in among or self.dispatchers]
-        return (max(times) - self.published[number]) / SECOND
-
-    def running(self, number):
-        """The part of dispatchers that run a version now."""
-        return sum(one.rollout.version == number for one in self.dispatchers) / len(self.dispatchers)
-
-    def forget_counts(self):
-        """Messages and bytes are counted from here on."""
-        self.by_server.clear()
-        for one in self.dispatchers:
-            one.messages = one.bytes = 0
-
-    def set_split(self, split):
-        """The regions lose each other, or find each other again."""
-        self.split = split
-        self.world.sides = dict.fromkeys(FIRST_REGION, 1) if split else {}
-
-
 def measured(name, fleet, number, seconds, since, reached=0.0):
     """A `Result` of what a fleet has just played."""
     count = len(fleet.dispatchers)
@@ -260,10 +80,10 @@
     since, fleet, rows = time.process_time(), Fleet(dispatchers, seed), []
     fleet.run(5)
     last = None
-    for lost in range(SERVERS + 1):
+    for lost in range(size.CONTROL_MACHINES + 1):
         if lost:
-            fleet.world.crash(f"c{SERVERS + 1 - lost}")
-        number = fleet.publish() if lost < SERVERS else None
+            fleet.world.crash(f"c{size.CONTROL_MACHINES + 1 - lost}")
+        number = fleet.publish() if lost < size.CONTROL_MACHINES else None
         begun = fleet.world.now
         fleet.forget_counts()
         fleet.run(25)
@@ -313,7 +133,7 @@
     return result._replace(in_force=first, decided=healed)
 
 
-def hour_of_changes(dispatchers=100, seed=1, staged=True, gap=86_400 / CHANGES_A_DAY, seconds=3600):
+def hour_of_changes(dispatchers=100, seed=1, staged=True, gap=size.CONFIGURATION_CHANGE_EVERY, seconds=3600):
     """Changes at random times; the part that was in force everywhere within the time, or was superseded
     before its time was up, and of all the part that ever was in force everywhere."""
     fleet, draws = Fleet(dispatchers, seed, staged, calls=1), Random(seed)
@@ -329,3 +149,98 @@
         soon = after is not None and (fleet.published[after] - fleet.published[number]) / SECOND < limit
         within, ever = within + (took <= limit or soon), ever + (took < math.inf)
     return len(numbers), within, ever
+
+
+# What `python -m benchmarks.scale` plays of it.
+def jobs(plan):
+    """One job for each size and event and run."""
+    sizes = (10, 20, 40) if plan.small else (50, 100, 200, 400)
+    events = () if plan.small else tuple(EVENTS)
+    made = [
+        Job(
+            f"configuration: {count} dispatchers, run {run + 1}",
+            __name__,
+            "play",
+            {"count": count, "run": run},
+            BASE_MEMORY,
+        )
+        for count in sizes
+        for run in range(plan.runs)
+    ]
+    for name in events:
+        for run in range(plan.runs):
+            arguments = {"name": name, "run": run}
+            made.append(
+                Job(f"configuration: {name}, run {run + 1}", __name__, "play_event", arguments, BASE_MEMORY)
+            )
+    return made
+
+
+def play(count, run):
+    """A version with all functions at so many dispatchers, as figures against their number."""
+    found, quiet = one_version(count, run + 1), idle(count, run + 1)
+    values = {
+        "configuration: a version in force everywhere": ("s", found.in_force),
+        "configuration: messages of a dispatcher": ("a second", quiet.messages),
+        "configuration: bytes of a dispatcher, nothing changes": ("bytes a second", quiet.bytes),
+        "configuration: bytes of a dispatcher for a version": ("bytes", (found.bytes - quiet.bytes) * 30),
+        "configuration: bytes of a server, busiest second": ("bytes", found.peak_server_bytes),
+        "configuration: messages of a server, nothing changes": (
+            "a second",
+            quiet.messages * count / size.CONTROL_MACHINES,
+        ),
+    }
+    target = (Target("400 dispatchers", size.DISPATCHERS),)
+    return Outcome(
+        tuple(
+            Figure(name, unit, "dispatchers", (Sample(count, value, run),), HOLLOW, target)
+            for name, (unit, value) in values.items()
+        )
+    )
+
+
+def _named(result):
+    return {
+        "in force everywhere, s": result.in_force,
+        "decided, s": result.decided,
+        "largest part that ran it": result.reached,
+        "messages of a dispatcher, a second": result.messages,
+        "bytes of a dispatcher, a second": result.bytes,
+        "bytes of a server, busiest second": result.peak_server_bytes,
+    }
+
+
+def _changes(seed, staged, **more):
+    published, within, ever = hour_of_changes(100, seed, staged, **more)
+    return {
+        "published": published,
+        "in force or superseded in time": within,
+        "ever in force everywhere": ever,
+    }
+
+
+BURST = {"gap": 30.0, "seconds": 600}  # twenty in ten minutes
+EVENTS = {
+    "a version, by the folder's stages": lambda seed: _named(one_version(seed=seed, staged=False)),
+    "a bad version": lambda seed: _named(bad_version(seed=seed)),
+    "a bad version, by the folder's stages": lambda seed: _named(bad_version(seed=seed, staged=False)),
+    "all dispatchers started at once": lambda seed: _named(all_started(seed=seed)),
+    "an hour without the other region, 40 dispatchers": lambda seed: {
+        **_named(region_lost(seed=seed)),
+        "decided, s": 0.0,
+        "as before after it, s": region_lost(seed=seed, seconds=600).decided,
+    },
+    "an hour of 740 changes a day, 100 dispatchers": lambda seed: _changes(seed, True),
+    "the same, by the folder's stages": lambda seed: _changes(seed, False),
+    "a burst of changes, 100 dispatchers": lambda seed: _changes(seed, True, **BURST),
+    "the same burst, by the folder's stages": lambda seed: _changes(seed, False, **BURST),
+    "servers lost one by one": None,
+}
+
+
+def play_event(name, run):
+    """One event, as rows of the second table."""
+    if name == "servers lost one by one":
+        rows = servers_lost(seed=run + 1)
+        return Outcome(events=tuple(Event(f"configuration: {r.name}", run, _named(r), HOLLOW) for r in rows))
+    return Outcome(events=(Event(f"configuration: {name}", run, EVENTS[name](run + 1), HOLLOW),))
--- /dev/null
+++ b/benchmarks/scale/configuration_fleet.py
@@ -0,0 +1,193 @@
+"""How a version of the settings comes into force at a whole fleet: five servers and hundreds of dispatchers
+in
+virtual time.
+
+Real here: the replicas and proposers (`decide.cluster.replicated_log`), each dispatcher's `VersionWatch` and
+`Rollout`, and the encoding of what they send, whose bytes are counted. Hollow: sockets (a message takes up to
+80 ms and none is lost unless a side of a split asks the other), disks, reading and applying the settings (an
+allowance, `APPLY`), answers of activations (drawn), and a look at the folder of versions each second.
+"""
+
+import math
+from random import Random
+
+from benchmarks.scale import size
+from petrelwood.control import messages
+from petrelwood.decide.cluster.replicated_log import CALL_OFF, VERSION, Record, packed
+from petrelwood.decide.cluster.rollout import DWELL, Announced, Rollout, dwell_for
+from petrelwood.decide.cluster.version_watch import SECOND, CallOff, VersionWatch
+from petrelwood.emulate.configuration_servers import World
+from petrelwood.links import rpc
+
+WITHIN = int(size.CONFIGURATION_IN_FORCE_WITHIN * SECOND)
+DISPATCHERS = size.DISPATCHERS
+CALLS_A_DISPATCHER = int(size.CALLS_A_SECOND_A_DISPATCHER)
+FIRST_REGION = ("c1", "c2", "c3")  # of the two regions, the one with three of the five servers
+FEW_FUNCTIONS, ALL_FUNCTIONS = 300, size.FUNCTIONS  # that a version names one by one
+DELAY = 80_000_000  # ns that a message takes at most
+APPLY = 1_700_000_000  # ns of reading and taking a version with 13,000 functions (docs/CAPACITY.md)
+USUAL, BAD = 0.97, 0.5  # of answers completed; of those under a bad version
+
+
+def settings_text(functions):
+    """Lines as a version has them: names that do not repeat, and figures that do."""
+    draws = Random(functions)
+    lines = []
+    for n in range(functions):
+        name, figures = f"{draws.getrandbits(64):016x}", f'lanes={1 + n % 4} load-time="{n % 900}ms"'
+        lines.append(f'function "{name}" type="type-{n % 7}" {figures}\n')
+    return "".join(lines)
+
+
+class Dispatcher:
+    """One hollow dispatcher: what it asks, what it knows, which version it runs."""
+
+    def __init__(self, fleet, number):
+        self.fleet, self.name, self.region = fleet, f"d{number}", number % 2
+        self.announced, self.messages, self.bytes, self.peak = {}, 0, 0, 0
+        self.force = {}  # version -> when it came into force here, ns
+        self.restart(0)
+
+    def restart(self, known):
+        """The process begins; `known`: the position in its folder, 0 for an empty one."""
+        dwell = self.fleet.dwell
+        self.watch = VersionWatch(self.name, self.fleet.world.names, known, 3 * dwell, self.fleet.chance)
+        self.rollout = Rollout(self.name, 0, dwell=dwell)
+
+
+class Fleet:
+    """`staged`: False for the former way, a folder that all read at once and stages 30 s apart."""
+
+    def __init__(
+        self,
+        dispatchers=DISPATCHERS,
+        seed=1,
+        staged=True,
+        functions=FEW_FUNCTIONS,
+        calls=CALLS_A_DISPATCHER,
+    ):
+        self.world = World(seed, servers=size.CONTROL_MACHINES, loss=0, twice=0, most_delay=DELAY)
+        self.chance, self.drawn = Random(seed + 1).random, Random(seed + 2)
+        self.dwell = dwell_for(WITHIN) if staged else DWELL
+        self.shared = None if staged else {}  # number -> Announced, of the folder that all read
+        self.body = packed(settings_text(functions))
+        self.calls = calls  # answers a second of each dispatcher
+        self.split, self.bad, self.sizes, self.by_server = False, set(), {}, {}
+        self.published, self.decided = {}, {}  # record id -> when; version -> when
+        self.dispatchers = [Dispatcher(self, number) for number in range(dispatchers)]
+        for one in self.dispatchers:
+            self.world.later(int(self.chance() * SECOND), self._ask, one)
+            self.world.later(int(self.chance() * SECOND), self._look, one)
+        for name in self.world.names:
+            self.world.later(int(self.chance() * SECOND), self._catch_up, name)
+
+    # What happens by itself.
+    def _reaches(self, one, server):
+        return self.world.servers[server].up and (
+            not self.split or (one.region == 0) == (server in FIRST_REGION)
+        )
+
+    def _ask(self, one):
+        now = self.world.now
+        for server in one.watch.due(now):
+            self.world.later(int(self.chance() * DELAY), self._asked, one, server, one.watch.known)
+        self.world.later(max(1, one.watch.next - now), self._ask, one)
+
+    def _asked(self, one, server, known):
+        if not self._reaches(one, server):
+            self.world.later(SECOND, one.watch.failed, server, self.world.now + SECOND)
+            return
+        extract = self.world.servers[server].replica.extract(known, compact=True)
+        size = self._size(extract)
+        one.messages, one.bytes = one.messages + 2, one.bytes + size
+        second = (server, self.world.now // SECOND)
+        self.by_server[second] = self.by_server.get(second, 0) + size
+        self.world.later(int(self.chance() * DELAY), self._answered, one, server, extract)
+
+    def _size(self, extract):
+        key = (extract.since, extract.chosen, len(extract.entries))
+        if key not in self.sizes:
+            request = rpc.request(1 << 16, "read", [extract.since])
+            self.sizes[key] = len(request) + len(rpc.response(1 << 16, None, messages.plain(extract)))
+        return self.sizes[key]
+
+    def _answered(self, one, server, extract):
+        wall = self.world.now
+        for news in one.watch.answered(server, extract, self.world.now, wall):
+            if isinstance(news, CallOff):
+                if news.number in one.announced:
+                    one.announced[news.number] = one.announced[news.number]._replace(off=True)
+            else:
+                one.announced[news.number] = Announced(news.number, news.begun, False)
+
+    def _look(self, one):
+        """Each second, as `dispatch.serve` does: answers counted, then what is announced."""
+        share = BAD if one.rollout.version in self.bad else USUAL
+        good = sum(self.drawn.random() < share for _ in range(self.calls))
+        for completed in (True,) * good + (False,) * (self.calls - good):
+            one.rollout.ended(completed)
+        known = one.announced if self.shared is None else self.shared
+        verdict = one.rollout.look(self.world.now, list(known.values()))
+        if verdict is not None:
+            self.world.later(APPLY, self._in_force, one, verdict[1])
+            if one.rollout.calls_off is not None:
+                self._call_off(one, one.rollout.calls_off)
+        self.world.later(SECOND, self._look, one)
+
+    def _in_force(self, one, number):
+        one.force.setdefault(number, self.world.now)
+
+    def _call_off(self, one, number):
+        if self.shared is not None:
+            self.shared[number] = self.shared[number]._replace(off=True)
+            return
+        up = [server for server in one.watch.order if self._reaches(one, server)]
+        if up and not self.world.servers[up[0]].replica.is_off(number):
+            record = Record(f"off-{number}-{one.name}", CALL_OFF, number, self.world.now, one.name.encode())
+            self.world.propose(up[0], record)
+
+    def _catch_up(self, name):
+        self.world.catch_up(name, self.world.chance.choice(self.world.names))
+        self.world.later(SECOND, self._catch_up, name)
+
+    # What a scenario does.
+    def publish(self, server="c1", bad=False):
+        """A version on its way; its number once it is decided, None where there is no quorum."""
+        now = self.world.now
+        if self.shared is not None:
+            number = len(self.shared) + 1
+            self.shared[number] = Announced(number, now, False)
+        else:
+            record = Record(f"v{now}", VERSION, 0, now, self.body)
+            self.world.propose(server, record)
+            while record.id not in self.world.told and self.world.now < now + 5 * SECOND:
+                self.world.run(SECOND // 100)
+            number = self.world.told.get(record.id)
+        if number is not None:
+            self.published[number], self.decided[number] = now, self.world.now
+            if bad:
+                self.bad.add(number)
+        return number
+
+    def run(self, seconds):
+        self.world.run(int(seconds * SECOND))
+
+    def in_force(self, number, among=None):
+        """Seconds from publishing until the last dispatcher had it."""
+        times = [one.force.get(number, math.inf) for one in among or self.dispatchers]
+        return (max(times) - self.published[number]) / SECOND
+
+    def running(self, number):
+        """The part of dispatchers that run a version now."""
+        return sum(one.rollout.version == number for one in self.dispatchers) / len(self.dispatchers)
+
+    def forget_counts(self):
+        """Messages and bytes are counted from here on."""
+        self.by_server.clear()
+        for one in self.dispatchers:
+            one.messages = one.bytes = 0
+
+    def set_split(self, split):
+        """The regions lose each other, or find each other again."""
+        self.split = split
+        self.world.sides = dict.fromkeys(FIRST_REGION, 1) if split else {}
--- a/benchmarks/scale/configuration_real.py
+++ b/benchmarks/scale/configuration_real.py
@@ -1,5 +1,5 @@
 """Real configuration servers as processes and real followers on loopback, beside the hollow ones of
-`configuration`: messages and bytes of both, and the processor time that only the real ones have.
+`configuration_fleet`: messages and bytes of both, and the processor time that only the real ones have.
 
     python -m benchmarks.scale.configuration_real [--followers 20] [--seconds 30]
 
@@ -20,7 +20,8 @@
 import structlog
 from tornado.testing import bind_unused_port
 
-from benchmarks.scale import configuration as hollow
+from benchmarks.scale import configuration_fleet as hollow
+from benchmarks.scale import size
 from petrelwood.clocks import LoopClock
 from petrelwood.control import messages
 from petrelwood.decide.cluster.replicated_log import VERSION, packed
@@ -65,7 +66,7 @@
 async def measure(count, seconds):
     """(one row a side) of messages and bytes a second and a follower, and processor time."""
     addresses = {}
-    for n in range(1, hollow.SERVERS + 1):
+    for n in range(1, size.CONTROL_MACHINES + 1):
         sock, port = bind_unused_port()
         sock.close()
         addresses[f"c{n}"] = ("127.0.0.1", port)
--- a/benchmarks/scale/parts.py
+++ b/benchmarks/scale/parts.py
@@ -403,7 +403,7 @@
         "KB",
         "ids",
         samples(memory_with_ids, ids, run, 1e-3),
-        "answers of two bytes; calls are answered at once; ids are kept for 600 s, by the settings' tolerance",
+        "answers of two bytes; calls are answered at once; ids are kept for 600 s, the settings' tolerance",
         (Target("ids remembered at the size", remembered_ids()),),
     )
     wire = "our own writer of the list; no socket"
--- a/tests/test_configuration_scale.py
+++ b/tests/test_configuration_scale.py
@@ -7,9 +7,11 @@
 import unittest
 
 from benchmarks.scale import configuration as scale
+from benchmarks.scale import size
 from petrelwood.decide.cluster import rollout, version_watch
+from petrelwood.decide.cluster.version_watch import SECOND
 
-WITHIN = scale.WITHIN / scale.SECOND
+WITHIN = size.CONFIGURATION_IN_FORCE_WITHIN
 # Two servers a round, a question and an answer each; rounds are a fifth shorter at most.
 MOST_MESSAGES = 4 / (1 - version_watch.JITTER)
 
@@ -33,8 +35,8 @@
         # a version of 13,000 functions in 30 s here; at the day's mean it is one in 117 s
         idle = scale.idle(dispatchers=50)
         a_version = (many.bytes - idle.bytes) * 30
-        a_day = idle.bytes + a_version * scale.CHANGES_A_DAY / 86_400
-        self.assertLessEqual(a_day, scale.BYTES_A_SECOND)
+        a_day = idle.bytes + a_version * size.CONFIGURATION_CHANGES_A_DAY / size.SECONDS_A_DAY
+        self.assertLessEqual(a_day, size.CONTROL_BYTES_A_SECOND)
 
     def test_one_that_polls_far_more_often_is_seen(self):
         """The check of messages can fail."""
@@ -72,7 +74,7 @@
         self.assertLessEqual(found.in_force, WITHIN)
         # a server that had failed is asked again after 30 s at the latest; then the stages
         healed = found.decided
-        self.assertLessEqual(healed, version_watch.AGAIN_MOST / scale.SECOND + WITHIN)
+        self.assertLessEqual(healed, version_watch.AGAIN_MOST / SECOND + WITHIN)
 
     def test_changes_at_random_times_are_in_force_in_time_or_superseded_before(self):
         for seed in (1, 2):
