Half of a version is no version: each file that can't be written, and a damaged body, tested

Seen while writing the test: a damaged version ended the reading of its answer, so that call-offs behind it were passed over and the position was not noted. Each piece of news is now kept by itself. Before: one list of news in one 'try' (dispatch/configuration.py, _take).

--- a/petrelwood/dispatch/configuration.py
+++ b/petrelwood/dispatch/configuration.py
@@ -64,19 +64,28 @@
         known = self.watch.known
         try:
             for news in self.watch.answered(server, found, self.clock.now(), self.clock.wall()):
-                if isinstance(news, CallOff):
-                    versions.call_off(self.folder, news.number, news.why)
-                else:
-                    versions.receive(self.folder, news.number, log.unpacked(news.body), news.begun)
-                self.log.info("heard of a version", number=news.number, off=isinstance(news, CallOff))
+                self._keep(news)
             if self.watch.known != known:
                 versions.note_position(self.folder, self.watch.known)
-        except log.Damaged as fault:
-            self.log.error("a version can't be read; it is passed over", why=str(fault))
         except OSError as fault:
             self.watch.known = known
             self.log.error("a version can't be kept; it is asked for again", why=str(fault))
 
+    def _keep(self, news):
+        """Puts one piece of news into the folder. Raises OSError."""
+        if isinstance(news, CallOff):
+            versions.call_off(self.folder, news.number, news.why)
+        else:
+            try:
+                text = log.unpacked(news.body)
+            except log.Damaged as fault:
+                self.log.error(
+                    "a version can't be read; it is passed over", number=news.number, why=str(fault)
+                )
+                return
+            versions.receive(self.folder, news.number, text, news.begun)
+        self.log.info("heard of a version", number=news.number, off=isinstance(news, CallOff))
+
     def call_off(self, number, why):
         """Tells the servers that this dispatcher has found a version bad, until one has it decided."""
         if number in self.unsent or len(self.unsent) >= UNSENT:
--- a/tests/test_version_watch.py
+++ b/tests/test_version_watch.py
@@ -4,13 +4,16 @@
 import tempfile
 import unittest
 from collections import Counter
+from unittest.mock import Mock, patch
 
+from petrelwood.clocks import VirtualClock
 from petrelwood.decide.cluster.replicated_log import (
     CALL_OFF,
     NO_OPERATION,
     VERSION,
     Extract,
     Record,
+    packed,
 )
 from petrelwood.decide.cluster.rollout import STAGES, dwell_for
 from petrelwood.decide.cluster.version_watch import (
@@ -23,7 +26,9 @@
     VersionWatch,
     preference,
 )
-from petrelwood.store import versions
+from petrelwood.dispatch.configuration import ConfigurationFollower
+from petrelwood.settings.gateway import ConfigurationTerms
+from petrelwood.store import snapshot, versions
 
 SERVERS = [f"c{n}" for n in range(1, 6)]
 STAGED = 9 * SECOND
@@ -147,6 +152,46 @@
             self.assertEqual(versions.position(path.parent), 0)
 
 
+class HalfApplied(unittest.IsolatedAsyncioTestCase):
+    """A version that is only partly in the folder is no version, and all of an answer is read again."""
+
+    async def test_what_a_full_disk_or_a_kill_cuts_off_is_taken_again_as_a_whole(self):
+        with tempfile.TemporaryDirectory() as folder:
+            terms = ConfigurationTerms((("127.0.0.1", 1),), 13 * SECOND)
+            follower = ConfigurationFollower("d1", terms, folder, VirtualClock(), random.random, Mock())
+            body = packed("settings")
+            off = (2, Record("r2", CALL_OFF, 1, WALL, b"d9: it did worse"))
+            answer = extract(0, (1, Record("r1", VERSION, 0, WALL, body)), off)
+            for fails_at in range(4):  # each file of it in turn can't be written
+                calls = [0]
+
+                def put(path, data, mode=None, durable=False, calls=calls, fails_at=fails_at):
+                    calls[0] += 1
+                    if calls[0] > fails_at:
+                        raise OSError("no space left")
+                    snapshot.put(path, data, mode, durable)
+
+                with patch.object(versions, "put", put):
+                    follower._take("127.0.0.1:1", answer)
+                self.assertEqual((follower.watch.known, versions.position(folder)), (0, 0), fails_at)
+                self.assertEqual(len(versions.announced(folder)), int(fails_at >= 2))
+            follower._take("127.0.0.1:1", answer)
+            self.assertEqual((follower.watch.known, versions.position(folder)), (2, 2))
+            self.assertEqual([(a.number, a.off) for a in versions.announced(folder)], [(1, True)])
+            self.assertEqual(versions.path_of(folder, 1).read_text(), "settings")
+
+    async def test_a_version_that_is_damaged_is_passed_over_and_not_called_off(self):
+        with tempfile.TemporaryDirectory() as folder:
+            terms = ConfigurationTerms((("127.0.0.1", 1),), 13 * SECOND)
+            follower = ConfigurationFollower("d1", terms, folder, VirtualClock(), random.random, Mock())
+            good = Record("r2", VERSION, 0, WALL, packed("settings"))
+            answer = extract(0, (1, Record("r1", VERSION, 0, WALL, b"damaged")), (2, good))
+            follower._take("127.0.0.1:1", answer)
+            self.assertEqual((follower.watch.known, versions.position(folder)), (2, 2))
+            self.assertEqual([a.number for a in versions.announced(folder)], [2])
+            self.assertEqual(follower.unsent, {})
+
+
 class Stages(unittest.TestCase):
     def test_the_last_stage_and_the_reserve_fit_into_the_time(self):
         for within in (7, 13, 30, 94):
