A client's end or cancel is looked for as its send leaves, not guessed from the time

Cause: `Node.behind` doubts what is known of clients after 0.1 s without a look. That bounds a send only by twice the time: a look may come just before its 0.1 s are over and count although nothing was read since, and the loop may be held up again between being told of an end and reading it.

Else it stays at the end of its link's queue, and the link is pumped once the client was read. A client that never stops sending holds its own sends up only until what it had sent at the first look is read: two readings that left nothing, a look counting for half of the rule's 0.1 s. No timer, no shorter beat. Two more ways on which a send began late: behind the unsent rest of another on a shared connection whose worker does not read (such a connection carries nothing more now, the send waits where it can be taken back), and for a client that is being closed for its faults, of which nothing is read any more (what it has open is taken back at once; its connection was closed over it anyway).

--- a/petrelwood/node/front.py
+++ b/petrelwood/node/front.py
@@ -27,6 +27,10 @@
 ACCEPTS = 32  # connections taken in one turn of the loop
 REJECTED, ABORTED, WRONG = "Throttled", "Broken", "Invalid"
 HEX, TEXT = frozenset("0123456789abcdef"), frozenset((str,))
+# ns after a client's end or cancel in which a send for it may begin, as the operators' rules have it; a look
+# at what has come of it counts for half of that
+DEPARTURE = 100_000_000
+LOOKED = DEPARTURE // 2
 FACTS = 512  # texts of further figures whose reading is kept
 PARTS = rpc.Parts(resource_limits.BODY, resource_limits.TEXT, resource_limits.MEMBERS)
 
@@ -110,15 +114,31 @@
 class Exchange:
     """One request and the room for its one answer."""
 
-    __slots__ = ("client", "msgid", "act")
+    __slots__ = ("client", "msgid", "act", "looked")
 
     def __init__(self, client, msgid):
-        self.client, self.msgid, self.act = client, msgid, None
+        # `looked`: since when a send waits for its client to be read (ns), and its readings until then
+        self.client, self.msgid, self.act, self.looked = client, msgid, None, None
 
     def waits(self):
         """Whether its client still wants the answer."""
         return self.client.open.get(self.msgid) is self
 
+    def may_send(self, link):
+        """Whether its client is known to want it still. If not, `link` is pumped once the client was read.
+        What it had sent at the first look has been read after two readings that left nothing, however much it
+        sends."""
+        client, now = self.client, self.client.front.core.now()
+        if client.unread():
+            at, readings = self.looked or (0, 0)
+            if now - at > LOOKED:
+                at, readings = self.looked = now, client.readings
+            if client.readings - readings < 2:
+                client.deferred[link] = True
+                return False
+        self.looked = None
+        return True
+
     def answer(self, what, body=b"", retry_after=0, why="", act=None):
         """The final answer, from the core: 'completed', 'rejected', 'aborted' or a verdict of the intake."""
         # taken back, its number used again perhaps; or its client is gone
@@ -135,19 +155,35 @@
 
 
 class Client:
-    """One connection. `open`: exchanges by message id; `coming`: what its next bytes resolve."""
-
-    __slots__ = ("front", "stream", "open", "reader", "coming", "since", "asked", "part", "faults", "ending")
+    """One connection. `open`: exchanges by message id; `coming`: what its next bytes resolve; `readings`:
+    those that left nothing unread; `deferred`: links with sends that wait until it was read."""
+
+    __slots__ = (
+        "front",
+        "stream",
+        "open",
+        "reader",
+        "coming",
+        "since",
+        "asked",
+        "part",
+        "faults",
+        "ending",
+        "readings",
+        "deferred",
+    )
 
     def __init__(self, front, stream, now):
         self.front, self.stream, self.open, self.reader, self.coming = front, stream, {}, None, None
         self.since, self.asked, self.part, self.faults, self.ending = now, False, 0, 0, False
+        self.readings, self.deferred = 0, {}
 
     async def serve(self):
         front = self.front
         try:
             while not self.ending:
                 self.coming = self.stream.read_bytes(READ, partial=True)
+                self._pump_deferred()
                 data = await self.coming
                 now = front.core.now()
                 front.reads += 1
@@ -168,9 +204,13 @@
                 for message in messages:
                     self._message(message, now)
                     if self.ending:
-                        # once what was written has gone out; see `Front.check`
+                        # once what was written has gone out; see `Front.check`. Its cancels and its end
+                        # are not read any more: nothing is sent on for it
                         self.since = now
+                        self._take_back()
                         return
+                if len(data) < READ:
+                    self.readings += 1
         except StreamClosedError:
             pass
         except rpc.Garbage as fault:
@@ -179,6 +219,12 @@
             front.core.defect("front", fault)
         self.close()
 
+    def _pump_deferred(self):
+        if self.deferred:
+            links, self.deferred = self.deferred, {}
+            for link in links:
+                self.front.core.soon(link.pump)
+
     def unread(self):
         """Whether anything of it has come that it was not served for yet, here or in the machine's hands:
         whoever closes over that
@@ -203,10 +249,15 @@
         self.front.idle.pop(self, None)
         self.reader = None
         self.stream.close()
-        for exchange in list(self.open.values()):
+        self._take_back()
+
+    def _take_back(self):
+        """Nobody waits any more for what it has open."""
+        exchanges = list(self.open.values())
+        self.open.clear()
+        for exchange in exchanges:
             if exchange.act is not None:
                 self.front.core.left(exchange.act, exchange)
-        self.open.clear()
 
     def rests(self):
         """It has no open request any more."""
--- a/petrelwood/node/service.py
+++ b/petrelwood/node/service.py
@@ -69,6 +69,12 @@
             (act_id, n) in self.flying for n in range(self.terms.allowed.sends)
         )
 
+    def may_send(self, act_id, link):
+        """Whether a send may leave now: not while the end or a cancel of its client may lie unread. Then the
+        link is pumped again once the client was read."""
+        owed = self.duty.acts.get(act_id)
+        return owed is None or all(exchange.may_send(link) for exchange, _ in owed.waiting)
+
     def _ask(self, ask, function, rule, body, exchange):
         if not exchange.waits():  # its client left between its reading and its turn
             return
--- a/petrelwood/node/worker.py
+++ b/petrelwood/node/worker.py
@@ -73,15 +73,20 @@
         # a connection that makes room, or is lost, comes back here
         if self.pumping or self.core.behind():
             return
-        self.pumping = True
+        self.pumping, deferred = True, 0  # the deferred ones stand at the end
         try:
-            while self.waiting:
+            while len(self.waiting) > deferred:
+                # a send behind the unsent rest of another would begin whenever its worker reads again
+                ready = [line for line in self.lines if not line.stream.writing()]
                 line = connection_pool.pick(
-                    self.lines, self.waiting[0].act, self.terms.streams, self.core.may_open()
+                    ready, self.waiting[0].act, self.terms.streams, self.core.may_open()
                 )
                 if line is not None:
                     if line.stream.closed() or self._rested(line, self.core.now()):
                         self._lost(line, "closed or idle")  # known before anything of the send has left
+                    elif self.waiting[0].kind == "run" and not self.core.may_send(self.waiting[0].act, self):
+                        self.waiting.rotate(-1)  # the core pumps again
+                        deferred += 1
                     elif self._may_leave(self.waiting[0]):
                         self._put(line, self.waiting.popleft())
                 elif (
@@ -104,9 +109,12 @@
         self.lines.remove(line)  # the last used stands at the end
         self.lines.append(line)
         try:
-            line.stream.write(frame)
+            written = line.stream.write(frame)
         except (StreamClosedError, StreamBufferFullError):
             self.core.loop.call_soon(self._lost, line, "closed under a call")
+            return
+        if line.stream.writing():
+            written.add_done_callback(lambda _: self.pump())
 
     def _notice_end(self, call):
         line = call.line
@@ -211,7 +219,7 @@
 
     def tidy(self, now):
         """Lets connections go that have rested too long."""
-        for line in [l for l in self.lines if self._rested(l, now)]:
+        for line in [each for each in self.lines if self._rested(each, now)]:
             self._lost(line, "idle")
 
     def _rested(self, line, now):
