--- a/petrelwood/node/service.py
+++ b/petrelwood/node/service.py
@@ -72,7 +72,7 @@
     def may_send(self, act_id, link):
         """Whether a send may leave now: not while the end or a cancel of its client may lie unread. Then the
         link is pumped again once the client was read."""
-        owed = self.duty.acts.get(act_id)
+        owed = self.pending.acts.get(act_id)
         return owed is None or all(exchange.may_send(link) for exchange, _ in owed.waiting)
 
     def _ask(self, ask, function, rule, body, exchange):
