Idle clients may hold all descriptors: read, reload, room and start without one to spare

- The first answer of the roster that comes with no descriptor left is never read, at each answer again: "Exception in callback DnsRoster._read()", "OSError: [Errno 24] Too many open files: .../dns/rdtypes/IN/__init__.py".
The library imports a record type at its first record (`dns.rdata.get_rdata_class`); discovery that is silent from the start puts this off until clients hold all.
The types are now loaded with node/roster.py.
- The first connection needs a second descriptor: "OSError: [Errno 24] Too many open files: .../tornado/platform/__init__.py" out of `Front._accept`; its client had no answer (9 of 9 descriptors held).
The module is now imported before the first stream is made.
- SIGHUP while the file can't be opened: read 30 times, given up after 3 s, the old address asked for good.
`read` told a missing descriptor as a spoilt file.
It is now told apart (`NoDescriptor`) and read again until it can be opened.
- Where RLIMIT_NOFILE is lower than the `sockets` told (96 against 256), idle clients held 92 to 93 of 96 descriptors, and nothing was kept for workers: `Room` was made of what was told alone.
The line "listening" says it.
- A roster that no way leads to at the start ended the process with status 2, "can't listen on 127.0.0.1:54153: Permission denied": `DnsRoster.open` raised there what it bore at SIGHUP.
It is now tried again at the next question; one log line a time of failure in place of one every 80 ms.

--- a/petrelwood/node/__main__.py
+++ b/petrelwood/node/__main__.py
@@ -14,11 +14,15 @@
 import os
 import sys
 
+# a stream imports it at its first use, when no descriptor may be left
+import tornado.platform.asyncio  # noqa: F401
+
 from petrelwood.node import told
 from petrelwood.node.log import Log
 from petrelwood.node.service import Node
 
-# seconds until a file that can't be used is read again; so often, as the platform waits 4 s for it
+# seconds until a file that can't be used is read again; so often, as the platform waits 4 s for it, but
+# without end while no descriptor is left to open it
 AGAIN, TRIES = 0.1, 30
 
 
@@ -34,11 +38,15 @@
             self.later.cancel()
         self._read(TRIES)
 
-    def _read(self, tries):
+    def _read(self, tries, waits=False):
         """The file may be half written when its signal comes: it is read again for a while."""
         self.later = None
         try:
             self.node.reload(told.read(os.environ))
+        except told.NoDescriptor as fault:
+            if not waits:
+                self.log.warning("the new configuration has to wait", why=str(fault))
+            self.later = self.node.loop.call_later(AGAIN, self._read, tries, True)
         except told.Bad as fault:
             if tries == TRIES:
                 self.log.error("the new configuration is wrong; nothing changes", why=str(fault))
@@ -61,7 +69,11 @@
     # what stays for good is not looked through again and again
     gc.freeze()
     log.info(
-        "listening", host=gateway.listen[0], port=gateway.listen[1], workers=len(node.membership.members)
+        "listening",
+        host=gateway.listen[0],
+        port=gateway.listen[1],
+        workers=len(node.membership.members),
+        descriptors=gateway.sockets,
     )
     await ends.wait()
     await node.close()
--- a/petrelwood/node/roster.py
+++ b/petrelwood/node/roster.py
@@ -13,6 +13,7 @@
 import dns.name
 import dns.opcode
 import dns.rcode
+import dns.rdata
 import dns.rdataclass
 import dns.rdatatype
 
@@ -24,6 +25,11 @@
 MOST = 65_535  # bytes of a datagram
 STATES = {0: members.USABLE, 1: members.DRAINING}
 
+# The library imports a record type's module when the first record of it comes, when no descriptor may be left
+# to open the module's file.
+for _type in (dns.rdatatype.SRV, dns.rdatatype.SOA, dns.rdatatype.A, dns.rdatatype.TXT):
+    dns.rdata.get_rdata_class(dns.rdataclass.IN, _type)
+
 
 class Unusable(Exception):
     """An answer that says nothing."""
@@ -107,9 +113,24 @@
             None,
             {"asked": 0, "good": 0, "unusable": 0, "old": 0},
         )
-        self.failed = False  # it was to be opened anew, and could not be
+        self.failed = False  # it was to be opened, and could not be
 
     def open(self):
+        """Where that can't be done now, it is tried again when the roster is next to be asked."""
+        failed_before, self.failed = self.failed, False
+        try:
+            self._connect()
+        except OSError as fault:
+            self.close()
+            self.failed = True
+            if not failed_before:
+                self.log.warning(
+                    "the roster can't be asked",
+                    address=f"{self.address[0]}:{self.address[1]}",
+                    why=str(fault),
+                )
+
+    def _connect(self):
         self.close()
         self.sock = sockets.fresh(self.address[0], socket.SOCK_DGRAM)
         self.sock.setblocking(False)
@@ -126,26 +147,14 @@
         """The roster is at another address from now on; its numbers go on."""
         self.address = address
         self.asking.anew(self.core.now())
-        self._reopen()
-
-    def _reopen(self):
-        """Against a list that is never asked for again, as no descriptor was left at SIGHUP or its address
-        can't be reached now."""
         self.failed = False
-        try:
-            self.open()
-        except OSError as fault:
-            self.close()
-            self.failed = True
-            self.log.warning(
-                "the roster can't be asked", address=f"{self.address[0]}:{self.address[1]}", why=str(fault)
-            )
+        self.open()
 
     def check(self, now):
         if self.sock is None and not self.failed or not self.asking.due(now):
             return
         if self.failed:
-            self._reopen()
+            self.open()
         self.counts["asked"] += 1
         asked = self.asking.asks(now).to_bytes(2, "big") + self.question
         if self.sock is not None:
--- a/petrelwood/node/told.py
+++ b/petrelwood/node/told.py
@@ -5,8 +5,10 @@
 too.
 """
 
+import errno
 import json
 import math
+import resource
 from typing import NamedTuple
 
 from petrelwood import ports
@@ -34,6 +36,10 @@
     """What the dispatcher was told can't be used; the text names what."""
 
 
+class NoDescriptor(Bad):
+    """The file could not be opened for lack of a descriptor, of the process or of the machine."""
+
+
 class Part:
     """One object of what is told. Each value is taken by its name; one of an unknown shape is named with the
     way there. Null is
@@ -242,8 +248,15 @@
     )
 
 
+def _most_descriptors(sockets):
+    """Descriptors that this process may really hold, of `sockets` told: a lower limit of its own counts."""
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return sockets if limit == resource.RLIM_INFINITY else min(sockets, limit)
+
+
 def read(environ):
-    """What the environment's variables and the file they name tell. Raises `Bad`."""
+    """What the environment's variables and the file they name tell, within the process's own limits. Raises
+    `Bad`, and `NoDescriptor` where the file may well be good."""
     for variable in (NAME, LISTEN, FILE):
         if not environ.get(variable):
             raise Bad(f"the variable {variable} is not set")
@@ -252,7 +265,8 @@
         with open(path, "rb") as file:
             told = decode(json.load(file))
     except OSError as fault:
-        raise Bad(f"can't read {path}: {fault.strerror}") from None
+        kind = NoDescriptor if fault.errno in (errno.EMFILE, errno.ENFILE) else Bad
+        raise kind(f"can't read {path}: {fault.strerror}") from None
     except Bad as fault:
         raise Bad(f"{path}: {fault}") from None
     except KeyError as fault:
@@ -260,6 +274,10 @@
     except (ValueError, TypeError, AttributeError, IndexError) as fault:
         raise Bad(f"{path} can't be used: {fault}") from None
     try:
-        return told._replace(name=environ[NAME], listen=address(environ[LISTEN]))
+        return told._replace(
+            name=environ[NAME],
+            listen=address(environ[LISTEN]),
+            sockets=_most_descriptors(told.sockets),
+        )
     except ValueError:
         raise Bad(f"{LISTEN} must be HOST:PORT, not {environ[LISTEN]!r}") from None
