--- a/benchmarks/dispatcher.py
+++ b/benchmarks/dispatcher.py
@@ -122,6 +122,8 @@
 class Setup:
     """A dispatcher process in front of plain workers."""
 
+    customer, prefix = "x", "f"  # whose calls `message` makes, and how its functions' names begin
+
     def __init__(self, workers, took, lanes=64, timeout="10s", functions=200, profile=None):
         here, there = multiprocessing.Pipe()
         self.backend = multiprocessing.Process(target=backend, args=(there, workers, took), daemon=True)
@@ -139,6 +141,10 @@
 workers {{ cold "5s" from=0.2; fall "1s" multiple=3.0; sends 3; keep "60s"; on-miss "load"; probe #false }}
 limits {{ connections 20000; held 20000; per-customer 1.0 }}
 ''')
+        self._serve(path, profile)
+
+    def _serve(self, path, profile=None):
+        """Starts the dispatcher of a gateway's file and waits until it takes calls."""
         command = [sys.executable, "-m", "petrelwood.cli", "serve", str(path), "--level", "warning"]
         if profile:
             command = [sys.executable, "-m", "cProfile", "-o", profile, *command[1:]]
@@ -150,9 +156,9 @@
     def message(self, function=None):
         self.number += 1
         id_, body = f"m{os.getpid()}-{self.number}", b'{"a":1}'
-        function = function or f"f{self.number % self.functions}"
+        function = function or f"{self.prefix}{self.number % self.functions}"
         return request(
-            f"/hooks/x/{function}",
+            f"/hooks/{self.customer}/{function}",
             {
                 "Content-Type": "application/json",
                 "webhook-id": id_,
--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -12,7 +12,7 @@
 from benchmarks.scale.plan import Plan
 from benchmarks.scale.runner import MOST_SECONDS, Runner, TooLarge, check_fits
 
-SCENARIOS = ("parts", "rows")  # modules of this package, each with `jobs(plan)`
+SCENARIOS = ("parts", "rows", "events", "real")  # modules of this package, each with `jobs(plan)`
 OUT = pathlib.Path(__file__).parent / "results"
 STATUS_TOO_LARGE, STATUS_PARTIAL, STATUS_FAILED = 2, 3, 1
 
--- /dev/null
+++ b/benchmarks/scale/real.py
@@ -0,0 +1,343 @@
+"""A real dispatcher process on loopback beside a hollow one: what each costs and sends for the same work.
+
+The real one is `petrelwood serve` with the settings of a hollow site, in front of stand-in workers and a
+stand-in
+roster that count what passes. Sockets, HTTP and the loop are what the hollow one lacks: processor time of
+calls and
+of an idle second is shown beside the real one's without a claim that they agree.
+"""
+
+import asyncio
+import multiprocessing
+import pathlib
+import tempfile
+import time
+from collections import Counter
+from random import Random
+from types import SimpleNamespace
+
+from tornado.netutil import bind_sockets
+
+from benchmarks import dispatcher as bench
+from benchmarks.scale import counting, parts, site
+from benchmarks.scale import traffic as flows
+from benchmarks.scale.figures import Comparison
+from benchmarks.scale.fleet import HollowFleet
+from benchmarks.scale.plan import BASE_MEMORY, Job, Outcome
+from petrelwood.clocks import VirtualClock
+from petrelwood.dispatch.core import Core
+from petrelwood.emulate import script
+from petrelwood.emulate.platform import KEY, Silent
+from petrelwood.links import rpc, sse
+from petrelwood.links.roster import RosterLink
+from petrelwood.standins.roster import ChangeLog, Roster
+
+SITE = site.SiteSize(1, 12, 20, 40.0, 8)
+LISTED = 1_000  # workers on the list that are never called, for what a list costs
+CHANGES, LISTS = 200, 20
+EPOCH = f"{1_700_000_000 * 10**9:x}"  # as long as the stand-in roster's
+BOOTED = 1_700_000_000 * 10**9  # wall clock, ns
+TOOK = 0.02  # seconds that a stand-in worker takes for a call
+SETTLE = 1.0  # seconds of quiet before a measurement
+REAL_PROCESSES = 4  # the job itself, the stand-ins, the dispatcher, and one that Python starts beside
+
+# By how much a hollow figure may differ from the real one, as a part of it. Messages and bytes are made by the
+# same code and differ by the length of names; processor time for the list lacks the socket, the HTTP chunks and
+# the loop's turn; memory lacks the allocator's rounding.
+MESSAGES_TOLERANCE, BYTES_TOLERANCE, TIME_TOLERANCE, MEMORY_TOLERANCE = 0.05, 0.10, 0.50, 0.30
+IDLE = ("an idle second", "ms of processor time, not claimed to agree")
+
+
+class CountedStream:
+    """A worker's end of a connection; counts what the dispatcher sends."""
+
+    def __init__(self, stream, counts):
+        self.stream, self.counts, self.reader = stream, counts, rpc.Reader(1 << 24)
+
+    async def read_bytes(self, most, partial):
+        """Bytes of the dispatcher, counted by method."""
+        data = await self.stream.read_bytes(most, partial=partial)
+        for message in self.reader.feed(data):
+            method = message[2] if message[0] == rpc.REQUEST else message[1]
+            self.counts[f"{method} messages"] += 1
+            self.counts[f"{method} bytes"] += len(
+                rpc.request(*message[1:]) if message[0] == rpc.REQUEST else b""
+            )
+        self.counts["bytes"] += len(data)
+        return data
+
+    def __getattr__(self, name):
+        return getattr(self.stream, name)
+
+
+class CountedWorker(bench.Plain):
+    """The bench's plain worker, counted."""
+
+    counts = Counter()
+
+    async def handle_stream(self, stream, address):
+        await super().handle_stream(CountedStream(stream, self.counts), address)
+
+
+class CountedRoster(Roster):
+    """The stand-in roster, counted."""
+
+    def __init__(self):
+        super().__init__(SimpleNamespace(roster_late=0), SimpleNamespace(put=lambda *facts, **more: None))
+        self.counts = Counter()
+
+    def push(self, stream, to, kind, entries, number):
+        self.counts[f"{kind} messages"] += 1
+        self.counts[f"{kind} bytes"] += len(self.log.event(kind, entries, number))
+        return super().push(stream, to, kind, entries, number)
+
+    def tell_whole(self):
+        """The whole list once more, to all."""
+        for stream, to in list(self.streams.items()):
+            self.push(stream, to, "list", list(self.log.entries.values()), self.log.number)
+
+
+def stand_ins(pipe, workers):
+    """The process of all stand-ins; it does what the pipe says until that closes."""
+    asyncio.run(_stand_ins(pipe, workers))
+
+
+async def _stand_ins(pipe, workers):
+    roster, loop, over = CountedRoster(), asyncio.get_running_loop(), asyncio.Event()
+    names = site.zones()
+    for number in range(workers):
+        sockets = bind_sockets(0, "127.0.0.1")
+        CountedWorker(f"w{number + 1}", TOOK).add_sockets(sockets)
+        port = sockets[0].getsockname()[1]
+        roster.log.take(entry(f"w{number + 1}", f"127.0.0.1:{port}", names[number % len(names)], 0))
+    sockets = bind_sockets(0, "127.0.0.1")
+    roster.add_sockets(sockets)
+
+    def told():
+        try:
+            what, *arguments = pipe.recv()
+        except EOFError:
+            loop.remove_reader(pipe.fileno())
+            over.set()
+            return
+        if what == "change":
+            roster.change(*arguments)
+        elif what == "take":
+            for one in arguments[0]:
+                roster.log.take(one)
+        elif what == "whole":
+            roster.tell_whole()
+        pipe.send((dict(CountedWorker.counts), dict(roster.counts)))
+
+    loop.add_reader(pipe.fileno(), told)
+    pipe.send(sockets[0].getsockname()[1])
+    await over.wait()
+
+
+def entry(worker, address, zone, booted):
+    """An entry of the roster's JSON."""
+    return {
+        "worker": worker,
+        "address": address,
+        "zone": zone,
+        "cell": 0,
+        "booted": booted,
+        "state": "usable",
+    }
+
+
+def more_entries(count):
+    """Entries that are listed and never called."""
+    names = site.zones()
+    return [entry(f"idle-{n:05d}", f"127.0.0.1:{1 + n}", names[n % len(names)], 0) for n in range(count)]
+
+
+class RealSite(bench.Setup):
+    """A real dispatcher with the settings of a hollow site's."""
+
+    customer, prefix = "caller", "f-"
+
+    def __init__(self, described):
+        day = site.day(described)
+        self.pipe, there = multiprocessing.Pipe()
+        self.backend = multiprocessing.Process(target=stand_ins, args=(there, described.workers), daemon=True)
+        self.backend.start()
+        there.close()
+        roster, self.functions = self.pipe.recv(), described.functions
+        self.folder = tempfile.TemporaryDirectory()
+        path = pathlib.Path(self.folder.name) / "gateway.kdl"
+        path.write_text(
+            script.gateway_text(day, "d1", 1, "127.0.0.1:0", f"127.0.0.1:{roster}", {"caller": [KEY]}, 1)
+        )
+        self.number = 0
+        self._serve(path)
+
+    def tell(self, *what):
+        """Has the stand-ins do something; what they have counted so far: (of workers, of the roster)."""
+        self.pipe.send(what)
+        workers, roster = self.pipe.recv()
+        return Counter(workers), Counter(roster)
+
+    def processor_seconds(self):
+        """Processor time of the dispatcher so far, in seconds, finer than the clock tick of
+        /proc/PID/stat."""
+        with open(f"/proc/{self.child.pid}/schedstat", encoding="ascii") as file:
+            return int(file.read().split()[0]) / 1e9
+
+    def settled(self):
+        """Processor time once the dispatcher has done what it was told: it grows no faster than when idle."""
+        before = self.processor_seconds()
+        while True:
+            time.sleep(SETTLE / 4)
+            now = self.processor_seconds()
+            if now - before < SETTLE / 4 / 10:
+                return now
+            before = now
+
+
+def jobs(plan):
+    """One job a run."""
+    memory = 2 * BASE_MEMORY + 300_000_000
+    return [
+        Job(f"a real dispatcher, run {run + 1}", __name__, "play", {"run": run}, memory, REAL_PROCESSES)
+        for run in range(plan.runs)
+    ]
+
+
+def play(run):
+    """Both, side by side."""
+    real, hollow = measure_real(), measure_hollow(run)
+    tolerances = {  # by unit; what has another unit is shown and not claimed to agree
+        "messages": MESSAGES_TOLERANCE,
+        "bytes": BYTES_TOLERANCE,
+        "ms": TIME_TOLERANCE,
+        "KB": MEMORY_TOLERANCE,
+    }
+    return Outcome(
+        comparisons=tuple(
+            Comparison(name, unit, hollow[name, unit], real[name, unit], tolerances.get(unit), run)
+            for name, unit in real
+        )
+    )
+
+
+def measure_real():
+    """{(quantity, unit): value} of a real dispatcher."""
+    setup = RealSite(SITE)
+    try:
+        calls, idle = _real_calls(setup), _real_idle(setup)
+        return {**calls, IDLE: 1e3 * idle, **_real_lists(setup, idle)}
+    finally:
+        setup.close()
+
+
+def _real_calls(setup):
+    setup.stamp = int(time.time()) + 2
+    before, cpu = setup.tell("counts")[0], setup.settled()
+    took, statuses = asyncio.run(bench.open_load(setup, SITE.calls_a_second, SITE.seconds))
+    spent, counts = setup.processor_seconds() - cpu, setup.tell("counts")[0] - before
+    if statuses != {200: len(took)}:
+        raise RuntimeError(f"calls were answered {statuses}")
+    return {
+        ("sends to workers, a call", "messages"): counts["run messages"] / len(took),
+        ("bytes of a send to a worker", "bytes"): counts["run bytes"] / counts["run messages"],
+        ("processor time of a call", "ms, not claimed to agree"): 1e3 * spent / len(took),
+    }
+
+
+def _real_idle(setup):
+    """Processor seconds of the dispatcher in a second without calls or news."""
+    setup.settled()
+    cpu, begun = setup.processor_seconds(), time.monotonic()
+    time.sleep(3 * SETTLE)
+    return (setup.processor_seconds() - cpu) / (time.monotonic() - begun)
+
+
+def _real_work(setup, idle, work):
+    """(processor seconds beyond the idle ones that `work()` makes the dispatcher spend, what the roster
+    told)."""
+    before, cpu, begun = setup.tell("counts")[1], setup.settled(), time.monotonic()
+    work()
+    spent = setup.settled() - cpu - idle * (time.monotonic() - begun)
+    return spent, setup.tell("counts")[1] - before
+
+
+def _real_lists(setup, idle):
+    added = more_entries(LISTED)
+    memory = setup.memory()
+    setup.tell("take", added)
+    setup.tell("whole")
+    setup.settled()
+    grown = setup.memory() - memory
+
+    def change_some():
+        for number in range(CHANGES):
+            setup.tell("change", restarted(added[number], number))
+
+    def tell_lists():
+        for _ in range(LISTS):
+            setup.tell("whole")
+
+    change, changes = _real_work(setup, idle, change_some)
+    whole, lists = _real_work(setup, idle, tell_lists)
+    return {
+        ("a change of a worker", "bytes"): changes["change bytes"] / changes["change messages"],
+        ("a change of a worker, 1,000 listed", "ms"): 1e3 * change / CHANGES,
+        ("a whole list of 1,000", "bytes"): lists["list bytes"] / lists["list messages"],
+        ("a whole list of 1,000", "ms"): 1e3 * whole / LISTS,
+        ("memory for a listed worker", "KB"): grown / LISTED / 1e3,
+    }
+
+
+def restarted(one, number):
+    """An entry with another start."""
+    return {**one, "booted": BOOTED + number}
+
+
+def measure_hollow(run):
+    """The same of a hollow dispatcher."""
+    return {**_hollow_calls(run), **_hollow_lists()}
+
+
+def _hollow_calls(run):
+    fleet = HollowFleet(SITE, run + 1)
+    fleet.run()
+    wishes, runs = len(fleet.clients.wishes), fleet.traffic.flows[flows.CALLS_TO_WORKERS]
+    idle = HollowFleet(SITE._replace(calls_a_second=0.001), run + 1)
+    idle.run()
+    return {
+        ("sends to workers, a call", "messages"): runs.messages / wishes,
+        ("bytes of a send to a worker", "bytes"): runs.bytes / runs.messages,
+        ("processor time of a call", "ms, not claimed to agree"): 1e3
+        * fleet.processor.seconds(flows.CALLS)
+        / wishes,
+        IDLE: 1e3 * idle.processor.seconds(flows.TIMERS) / idle.dispatcher_seconds(),
+    }
+
+
+def _hollow_lists():
+    described = site.gateway(1)
+    dispatcher = Core(described, VirtualClock(), Random(1), parts.idle_link, Silent())
+    reader, log = RosterLink(("roster", 0), dispatcher.membership, 1, dispatcher, Silent()), ChangeLog(EPOCH)
+    reader.events = sse.Events()
+    added = more_entries(LISTED)
+    for one in added:
+        log.take(one)
+    reader.on_body(log.event("list", added, log.number))
+    changes = [restarted(added[number], number) for number in range(CHANGES)]
+    events = [log.event("change", [one], log.take(one)) for one in changes]
+    whole = log.event("list", list(log.entries.values()), log.number)
+
+    def hear(told):
+        for data in told:
+            reader.on_body(data)
+
+    change = counting.processor_seconds(hear, events)
+    lists = counting.processor_seconds(hear, [whole] * LISTS)
+    return {
+        ("a change of a worker", "bytes"): sum(map(len, events)) / CHANGES,
+        ("a change of a worker, 1,000 listed", "ms"): 1e3 * change / CHANGES,
+        ("a whole list of 1,000", "bytes"): len(whole),
+        ("a whole list of 1,000", "ms"): 1e3 * lists / LISTS,
+        ("memory for a listed worker", "KB"): parts.memory_with_workers(LISTED) / LISTED / 1e3,
+    }
--- a/benchmarks/scale/size.py
+++ b/benchmarks/scale/size.py
@@ -72,3 +72,5 @@
 ASSUMED_CALL_WORK = 0.030  # of a worker's core, for one call
 ASSUMED_REGION_DELAY = 0.010  # one way, from one region to the other
 ASSUMED_ZONE_DELAY = 0.0006  # one way, between zones of a region
+ASSUMED_OPERATIONS_A_CORE_SECOND = 20_000_000  # byte-code instructions that one core executes in a second
+CONTROL_OPERATIONS_A_SECOND = CONTROL_CORE_SHARE * ASSUMED_OPERATIONS_A_CORE_SECOND
