--- /dev/null
+++ b/benchmarks/scale/budget.py
@@ -0,0 +1,224 @@
+"""The fitted lines against the budgets of the size, for each reading of how many workers there are."""
+
+from statistics import median
+from typing import NamedTuple
+
+from benchmarks.scale import size
+from benchmarks.scale.figures import number
+from petrelwood.decide.cluster import polling
+
+CARRIED, UP_TO, MISSING = "carried", "carried up to {most:,} workers", "missing"
+OVER = "over in that second: {seconds:.0f} s of the budget"  # what is no steady cost
+EVENTS_A_SECOND = size.MEMBER_CHANGES_A_DAY * size.ASSUMED_EVENTS_A_RESTART / size.SECONDS_A_DAY
+SWITCH = size.ASSUMED_WORKERS_A_RACK * size.ASSUMED_RACKS_A_SWITCH
+KNOWN_FUNCTIONS = 500  # that the line of changes against workers was measured with
+IDLE = "an idle second"
+SECOND = 1_000_000_000
+COLUMNS = (
+    "quantity",
+    "reading",
+    "at the size",
+    "budget",
+    "need / budget",
+    "verdict",
+    "beyond the range",
+    "worked out from",
+)
+
+
+class Row(NamedTuple):
+    """One quantity at the size against its budget."""
+
+    quantity: str
+    reading: str
+    value: float
+    budget: float
+    unit: str
+    verdict: str
+    extrapolation: float  # of the workers beyond what was measured
+    worked_out: str
+
+    @property
+    def ratio(self):
+        """Need to budget."""
+        return self.value / self.budget
+
+
+class Quantity(NamedTuple):
+    """`value = fixed + each * workers`."""
+
+    name: str
+    unit: str
+    budget: float
+    fixed: float
+    each: float
+    high: float  # the most workers that were measured
+    worked_out: str
+    peak: bool = False  # whether it is what one event costs in its busiest second
+
+    def row(self, reading):
+        """What it comes to with the workers of a reading."""
+        value = self.fixed + self.each * reading.workers
+        beyond = max(1.0, reading.workers / self.high)
+        verdict = self._verdict(value)
+        return Row(self.name, reading.name, value, self.budget, self.unit, verdict, beyond, self.worked_out)
+
+    def _verdict(self, value):
+        if value <= self.budget:
+            return CARRIED
+        if self.peak:
+            return OVER.format(seconds=value / self.budget)
+        most = int((self.budget - self.fixed) / self.each) if self.each > 0 else 0
+        return UP_TO.format(most=most) if most > 0 else MISSING
+
+
+def rows(figures, comparisons):
+    """All rows that the figures of a run allow; none where one of them was not measured."""
+    lines = {one.name: one.line() for one in figures}
+    idle = [one.real for one in comparisons if one.name == IDLE]
+    try:
+        quantities = [*_control(lines, median(idle) if idle else 0.0, bool(idle)), *_calls(lines)]
+    except KeyError:
+        return []
+    return [quantity.row(reading) for quantity in quantities for reading in size.FLEET_READINGS]
+
+
+def _control(lines, idle, measured):
+    """Processor time, memory and bytes that a dispatcher spends on control. `idle`: ms a second of a real
+    one."""
+    timers = lines["a module's timers while nothing happens, a second"]
+    change = lines[f"one worker restarted, told as a change, {KNOWN_FUNCTIONS} functions, processor time"]
+    functions = lines["one worker restarted, told as a change, 1,000 workers, processor time"]
+    beyond = change.constant + functions.slope * (size.FUNCTIONS - KNOWN_FUNCTIONS)
+    yield Quantity(
+        "control, processor time, ordinary day",
+        "ms a second",
+        size.CONTROL_CORE_SHARE * 1e3,
+        idle + timers.constant + EVENTS_A_SECOND * beyond,
+        timers.slope + EVENTS_A_SECOND * change.slope,
+        timers.high,
+        ("an idle real dispatcher, the module's" if measured else "the module's")
+        + f" timers, {EVENTS_A_SECOND:.4f} changes a second with 13,000 functions known",
+    )
+    yield Quantity(
+        "control, processor time, the second in which a switch is lost",
+        "ms a second",
+        size.CONTROL_CORE_SHARE * 1e3,
+        idle + timers.constant + SWITCH * beyond,
+        timers.slope + SWITCH * change.slope,
+        timers.high,
+        f"as above, with {SWITCH} changes in one second",
+        peak=True,
+    )
+    workers = lines["memory of a dispatcher by workers"]
+    known = lines["memory of a dispatcher by functions called once"]
+    yield Quantity(
+        "control, memory of workers and functions",
+        "MB",
+        size.CONTROL_MEMORY / size.MB,
+        (workers.constant + known.at(size.FUNCTIONS)) / 1e3,
+        workers.slope / 1e3,
+        workers.high,
+        "workers with a link each, not connected, and 13,000 functions; without the process itself and ids",
+    )
+    one = lines["whole list as an event, bytes"]
+    yield Quantity(
+        "control, bytes, the second in which a switch is lost",
+        "KB a second",
+        size.CONTROL_BYTES_A_SECOND / size.KB,
+        SWITCH * one.slope / size.KB,
+        0.0,
+        one.high,
+        f"{SWITCH} changes told one by one, each about as large as an entry of the list",
+        peak=True,
+    )
+    yield Quantity(
+        "control, bytes, the second in which a zone is lost",
+        "KB a second",
+        size.CONTROL_BYTES_A_SECOND / size.KB,
+        0.0,
+        one.slope / size.ZONES / size.KB,
+        one.high,
+        "a sixth of the workers told one by one",
+        peak=True,
+    )
+    yield Quantity(
+        "control, bytes, a whole list in one second",
+        "KB a second",
+        size.CONTROL_BYTES_A_SECOND / size.KB,
+        one.constant / size.KB,
+        one.slope / size.KB,
+        one.high,
+        "at a start or after a gap, as an event",
+        peak=True,
+    )
+    dns = lines["whole list by DNS, bytes"]
+    yield Quantity(
+        "a whole list by DNS in one datagram",
+        "KB",
+        65.535,
+        dns.constant / 1e3,
+        dns.slope / 1e3,
+        dns.high,
+        "a datagram's most",
+    )
+    asked = SECOND / polling.EVERY
+    yield Quantity(
+        "control, bytes, the list by DNS",
+        "KB a second",
+        size.CONTROL_BYTES_A_SECOND / size.KB,
+        asked * dns.constant / size.KB,
+        asked * dns.slope / size.KB,
+        dns.high,
+        f"the whole list {asked:g} times a second, changed or not",
+    )
+    read = lines["whole list by DNS, read, processor time"]
+    yield Quantity(
+        "control, processor time, one change by DNS",
+        "ms a second",
+        size.CONTROL_CORE_SHARE * 1e3,
+        read.constant,
+        read.slope,
+        read.high,
+        "the whole list is read anew; the module's own part comes on top",
+        peak=True,
+    )
+
+
+def _calls(lines):
+    """What grows with the fleet in the data path."""
+    place = lines["a function's first placement, processor time"]
+    yield Quantity(
+        "first placement of a function",
+        "ms",
+        size.COLD_START_WITHIN * 1e3,
+        place.constant,
+        place.slope,
+        place.high,
+        "against the whole time of a cold start",
+    )
+    yield Quantity(
+        "first placements, if each call in a hundred is one",
+        "ms a second",
+        1e3,
+        place.constant * size.CALLS_A_SECOND_A_DISPATCHER / 100,
+        place.slope * size.CALLS_A_SECOND_A_DISPATCHER / 100,
+        place.high,
+        f"{size.CALLS_A_SECOND_A_DISPATCHER:g} calls a second at a dispatcher, against a whole core",
+    )
+
+
+def markdown(found):
+    """The table."""
+    lines = [
+        "## Against the budgets, worked out from the lines",
+        "",
+        "| " + " | ".join(COLUMNS) + " |",
+        "|" + " --- |" * len(COLUMNS),
+    ]
+    for row in found:
+        lines.append(
+            f"| {row.quantity} | {row.reading} | {number(row.value)} {row.unit} | {number(row.budget)} "
+            f"| {number(row.ratio)} | {row.verdict} | x {row.extrapolation:.3g} | {row.worked_out} |"
+        )
+    return lines
--- a/benchmarks/scale/figures.py
+++ b/benchmarks/scale/figures.py
@@ -107,6 +107,11 @@
         """How far the hollow figure is from the real one, as a part of that."""
         return self.hollow / self.real - 1 if self.real else 0.0
 
+    @property
+    def within(self):
+        """Whether it lies within the tolerance, where there is one."""
+        return self.tolerance is None or abs(self.difference) <= self.tolerance
+
 
 def merged(parts):
     """Figures of several runs as one each, by name."""
--- a/benchmarks/scale/real.py
+++ b/benchmarks/scale/real.py
@@ -15,6 +15,7 @@
 from collections import Counter
 from random import Random
 from types import SimpleNamespace
+from typing import NamedTuple
 
 from tornado.netutil import bind_sockets
 
@@ -32,9 +33,18 @@
 from petrelwood.links.roster import RosterLink
 from petrelwood.standins.roster import ChangeLog, Roster
 
-SITE = site.SiteSize(1, 12, 20, 40.0, 8)
-LISTED = 1_000  # workers on the list that are never called, for what a list costs
-CHANGES, LISTS = 200, 20
+
+class Amount(NamedTuple):
+    """How much is measured."""
+
+    site: site.SiteSize
+    listed: int  # workers on the list that are never called, for what a list costs
+    changes: int
+    lists: int
+
+
+FULL = Amount(site.SiteSize(1, 12, 20, 40.0, 8), 1_000, 200, 20)
+SMALL = Amount(site.SiteSize(1, 12, 10, 20.0, 3), 100, 20, 5)
 EPOCH = f"{1_700_000_000 * 10**9:x}"  # as long as the stand-in roster's
 BOOTED = 1_700_000_000 * 10**9  # wall clock, ns
 TOOK = 0.02  # seconds that a stand-in worker takes for a call
@@ -152,6 +162,12 @@
     return [entry(f"idle-{n:05d}", f"127.0.0.1:{1 + n}", names[n % len(names)], 0) for n in range(count)]
 
 
+def called_entries(count):
+    """Entries of the workers that are called, at ports of the usual length."""
+    names = site.zones()
+    return [entry(f"w{n + 1}", f"127.0.0.1:{40_000 + n}", names[n % len(names)], 0) for n in range(count)]
+
+
 class RealSite(bench.Setup):
     """A real dispatcher with the settings of a hollow site's."""
 
@@ -172,6 +188,13 @@
         self.number = 0
         self._serve(path)
 
+    def close(self):
+        """Ends the dispatcher and the stand-ins."""
+        super().close()
+        self.child.stdout.close()
+        self.pipe.close()
+        self.backend.join()
+
     def tell(self, *what):
         """Has the stand-ins do something; what they have counted so far: (of workers, of the roster)."""
         self.pipe.send(what)
@@ -199,42 +222,52 @@
     """One job a run."""
     memory = 2 * BASE_MEMORY + 300_000_000
     return [
-        Job(f"a real dispatcher, run {run + 1}", __name__, "play", {"run": run}, memory, REAL_PROCESSES)
+        Job(
+            f"a real dispatcher, run {run + 1}",
+            __name__,
+            "play",
+            {"run": run, "small": plan.small},
+            memory,
+            REAL_PROCESSES,
+        )
         for run in range(plan.runs)
     ]
 
 
-def play(run):
+def play(run, small):
     """Both, side by side."""
-    real, hollow = measure_real(), measure_hollow(run)
+    amount = SMALL if small else FULL
+    return Outcome(comparisons=compared(measure_hollow(amount, run), measure_real(amount), run))
+
+
+def compared(hollow, real, run):
+    """The `Comparison`s of what was measured of both."""
     tolerances = {  # by unit; what has another unit is shown and not claimed to agree
         "messages": MESSAGES_TOLERANCE,
         "bytes": BYTES_TOLERANCE,
         "ms": TIME_TOLERANCE,
         "KB": MEMORY_TOLERANCE,
     }
-    return Outcome(
-        comparisons=tuple(
-            Comparison(name, unit, hollow[name, unit], real[name, unit], tolerances.get(unit), run)
-            for name, unit in real
-        )
+    return tuple(
+        Comparison(name, unit, hollow[name, unit], real[name, unit], tolerances.get(unit), run)
+        for name, unit in real
     )
 
 
-def measure_real():
+def measure_real(amount):
     """{(quantity, unit): value} of a real dispatcher."""
-    setup = RealSite(SITE)
+    setup = RealSite(amount.site)
     try:
-        calls, idle = _real_calls(setup), _real_idle(setup)
-        return {**calls, IDLE: 1e3 * idle, **_real_lists(setup, idle)}
+        calls, idle = _real_calls(setup, amount.site), _real_idle(setup)
+        return {**calls, IDLE: 1e3 * idle, **_real_lists(setup, amount, idle)}
     finally:
         setup.close()
 
 
-def _real_calls(setup):
+def _real_calls(setup, described):
     setup.stamp = int(time.time()) + 2
     before, cpu = setup.tell("counts")[0], setup.settled()
-    took, statuses = asyncio.run(bench.open_load(setup, SITE.calls_a_second, SITE.seconds))
+    took, statuses = asyncio.run(bench.open_load(setup, described.calls_a_second, described.seconds))
     spent, counts = setup.processor_seconds() - cpu, setup.tell("counts")[0] - before
     if statuses != {200: len(took)}:
         raise RuntimeError(f"calls were answered {statuses}")
@@ -262,8 +295,8 @@
     return spent, setup.tell("counts")[1] - before
 
 
-def _real_lists(setup, idle):
-    added = more_entries(LISTED)
+def _real_lists(setup, amount, idle):
+    added = more_entries(amount.listed)
     memory = setup.memory()
     setup.tell("take", added)
     setup.tell("whole")
@@ -271,21 +304,21 @@
     grown = setup.memory() - memory
 
     def change_some():
-        for number in range(CHANGES):
+        for number in range(amount.changes):
             setup.tell("change", restarted(added[number], number))
 
     def tell_lists():
-        for _ in range(LISTS):
+        for _ in range(amount.lists):
             setup.tell("whole")
 
     change, changes = _real_work(setup, idle, change_some)
     whole, lists = _real_work(setup, idle, tell_lists)
     return {
         ("a change of a worker", "bytes"): changes["change bytes"] / changes["change messages"],
-        ("a change of a worker, 1,000 listed", "ms"): 1e3 * change / CHANGES,
-        ("a whole list of 1,000", "bytes"): lists["list bytes"] / lists["list messages"],
-        ("a whole list of 1,000", "ms"): 1e3 * whole / LISTS,
-        ("memory for a listed worker", "KB"): grown / LISTED / 1e3,
+        ("a change of a worker", "ms"): 1e3 * change / amount.changes,
+        ("a whole list", "bytes"): lists["list bytes"] / lists["list messages"],
+        ("a whole list", "ms"): 1e3 * whole / amount.lists,
+        ("memory for a listed worker", "KB"): grown / amount.listed / 1e3,
     }
 
 
@@ -294,16 +327,16 @@
     return {**one, "booted": BOOTED + number}
 
 
-def measure_hollow(run):
+def measure_hollow(amount, run):
     """The same of a hollow dispatcher."""
-    return {**_hollow_calls(run), **_hollow_lists()}
+    return {**_hollow_calls(amount.site, run), **_hollow_lists(amount)}
 
 
-def _hollow_calls(run):
-    fleet = HollowFleet(SITE, run + 1)
+def _hollow_calls(described, run):
+    fleet = HollowFleet(described, run + 1)
     fleet.run()
     wishes, runs = len(fleet.clients.wishes), fleet.traffic.flows[flows.CALLS_TO_WORKERS]
-    idle = HollowFleet(SITE._replace(calls_a_second=0.001), run + 1)
+    idle = HollowFleet(described._replace(calls_a_second=0.001), run + 1)
     idle.run()
     return {
         ("sends to workers, a call", "messages"): runs.messages / wishes,
@@ -315,16 +348,16 @@
     }
 
 
-def _hollow_lists():
+def _hollow_lists(amount):
     described = site.gateway(1)
     dispatcher = Core(described, VirtualClock(), Random(1), parts.idle_link, Silent())
     reader, log = RosterLink(("roster", 0), dispatcher.membership, 1, dispatcher, Silent()), ChangeLog(EPOCH)
     reader.events = sse.Events()
-    added = more_entries(LISTED)
-    for one in added:
+    added = more_entries(amount.listed)
+    for one in added + called_entries(amount.site.workers):
         log.take(one)
-    reader.on_body(log.event("list", added, log.number))
-    changes = [restarted(added[number], number) for number in range(CHANGES)]
+    reader.on_body(log.event("list", list(log.entries.values()), log.number))
+    changes = [restarted(added[number], number) for number in range(amount.changes)]
     events = [log.event("change", [one], log.take(one)) for one in changes]
     whole = log.event("list", list(log.entries.values()), log.number)
 
@@ -333,11 +366,11 @@
             reader.on_body(data)
 
     change = counting.processor_seconds(hear, events)
-    lists = counting.processor_seconds(hear, [whole] * LISTS)
+    lists = counting.processor_seconds(hear, [whole] * amount.lists)
     return {
-        ("a change of a worker", "bytes"): sum(map(len, events)) / CHANGES,
-        ("a change of a worker, 1,000 listed", "ms"): 1e3 * change / CHANGES,
-        ("a whole list of 1,000", "bytes"): len(whole),
-        ("a whole list of 1,000", "ms"): 1e3 * lists / LISTS,
-        ("memory for a listed worker", "KB"): parts.memory_with_workers(LISTED) / LISTED / 1e3,
+        ("a change of a worker", "bytes"): sum(map(len, events)) / amount.changes,
+        ("a change of a worker", "ms"): 1e3 * change / amount.changes,
+        ("a whole list", "bytes"): len(whole),
+        ("a whole list", "ms"): 1e3 * lists / amount.lists,
+        ("memory for a listed worker", "KB"): parts.memory_with_workers(amount.listed) / amount.listed / 1e3,
     }
--- a/benchmarks/scale/report.py
+++ b/benchmarks/scale/report.py
@@ -8,7 +8,7 @@
 
 import orjson
 
-from benchmarks.scale import figures, runner
+from benchmarks.scale import budget, figures, runner
 
 SLOPE_COLUMNS = (
     "quantity",
@@ -31,19 +31,20 @@
     found.sort(key=lambda figure: figure.name)
     events = [event for outcome in finished.outcomes.values() for event in outcome.events]
     comparisons = [one for outcome in finished.outcomes.values() for one in outcome.comparisons]
-    head = heading(plan, finished, took)
+    head, budgets = heading(plan, finished, took), budget.rows(found, comparisons)
     (out / "scale.json").write_bytes(
         orjson.dumps(
             {
                 **head,
                 "figures": [_figure(one) for one in found],
+                "budgets": [{**row._asdict(), "ratio": row.ratio} for row in budgets],
                 "events": [event._asdict() for event in events],
                 "comparisons": [{**c._asdict(), "difference": c.difference} for c in comparisons],
             },
             option=orjson.OPT_INDENT_2 | orjson.OPT_SORT_KEYS,
         )
     )
-    (out / "scale.md").write_text(markdown(head, found, events, comparisons), encoding="utf-8")
+    (out / "scale.md").write_text(markdown(head, found, events, comparisons, budgets), encoding="utf-8")
     chart(out / "scale.png", found, bool(finished.stopped))
 
 
@@ -88,7 +89,7 @@
     }
 
 
-def markdown(head, found, events, comparisons):
+def markdown(head, found, events, comparisons, budgets):
     """The tables."""
     lines = ["# Scale run", ""]
     if head["complete"]:
@@ -99,6 +100,8 @@
         ]
     lines += [f"- failed: {name}: {why}" for name, why in head["failed"].items()]
     lines += [f"- not run: {name}" for name in head["not run"]]
+    if budgets:
+        lines += ["", *budget.markdown(budgets)]
     for against in sorted({one.against for one in found if len({s.x for s in one.samples}) > 1}):
         lines += ["", *_slopes([one for one in found if one.against == against], against)]
     singles = [one for one in found if len({s.x for s in one.samples}) == 1]
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -13,7 +13,7 @@
 import unittest
 from unittest import mock
 
-from benchmarks.scale import counting, events, parts, runner, size
+from benchmarks.scale import counting, events, parts, real, runner, size
 from benchmarks.scale import traffic as flows
 from benchmarks.scale.figures import Figure, Sample
 from benchmarks.scale.fleet import HollowFleet
@@ -223,6 +223,23 @@
             self.check_flat(AsksEverybody)
 
 
+class Real(unittest.TestCase):
+    """A dispatcher process on loopback sends what a hollow dispatcher does."""
+
+    def check(self, hollow, found):
+        counted = [one for one in real.compared(hollow, found, 0) if one.unit in ("messages", "bytes")]
+        self.assertEqual(len(counted), 4)
+        for one in counted:
+            self.assertTrue(one.within, one)
+
+    def test_it_sends_as_many_messages_and_bytes(self):
+        found = real.measure_real(real.SMALL)
+        self.check(real.measure_hollow(real.SMALL, 0), found)
+        longer = mock.patch("benchmarks.scale.fleet.BODY", bytes(200))
+        with longer, self.assertRaises(AssertionError):
+            self.check(real.measure_hollow(real.SMALL, 0), found)
+
+
 class Fits(unittest.TestCase):
     def test_a_line_is_found_again(self):
         samples = tuple(Sample(x, 3.0 * x + 7.0, run) for run in (0, 1, 2) for x in (10, 20, 40))
