--- a/benchmarks/scale/report.py
+++ b/benchmarks/scale/report.py
@@ -20,6 +20,7 @@
     "off the line",
     "at the size",
     "beyond the range",
+    "hollow",
 )
 ROOT = pathlib.Path(__file__).parents[2]
 
@@ -102,22 +103,21 @@
     lines += [f"- not run: {name}" for name in head["not run"]]
     if budgets:
         lines += ["", *budget.markdown(budgets)]
+    notes = list(dict.fromkeys(one.hollow for one in (*found, *events)))
     for against in sorted({one.against for one in found if len({s.x for s in one.samples}) > 1}):
-        lines += ["", *_slopes([one for one in found if one.against == against], against)]
+        lines += ["", *_slopes([one for one in found if one.against == against], against, notes)]
     singles = [one for one in found if len({s.x for s in one.samples}) == 1]
     if singles:
-        lines += ["", *_singles(singles)]
+        lines += ["", *_singles(singles, notes)]
     if events:
-        lines += ["", *_events(events)]
+        lines += ["", *_events(events, notes)]
     if comparisons:
         lines += ["", *_comparisons(comparisons)]
-    notes = sorted({one.hollow for one in (*found, *events)})
     lines += ["", "## What is hollow", "", *(f"{n + 1}. {note}." for n, note in enumerate(notes)), ""]
     return "\n".join(lines)
 
 
-def _slopes(found, against):
-    notes = sorted({one.hollow for one in found})
+def _slopes(found, against, notes):
     rows = [
         f"## Against {against}",
         "",
@@ -132,12 +132,18 @@
         beyond = "; ".join(f"x {line.extrapolation(target.x):.3g}" for target in one.targets)
         rows.append(
             f"| {one.name} | {one.unit} | {line.slope:.3g} | {figures.number(line.constant)} "
-            f"| {line.spread:.0%} | {line.low:g} to {line.high:g} | {line.error:.0%} | {targets} | {beyond} |"
+            f"| {line.spread:.0%} | {line.low:g} to {line.high:g} | {line.error:.0%} | {targets} | {beyond} "
+            f"| {_note(one, notes)} |"
         )
-    return [*rows, "", *(f"Hollow: {note}." for note in notes)]
+    return rows
+
+
+def _note(one, notes):
+    """The number of the note that says what is hollow in it."""
+    return f"({notes.index(one.hollow) + 1})"
 
 
-def _singles(found):
+def _singles(found, notes):
     rows = [
         "## The largest site",
         "",
@@ -148,21 +154,27 @@
         values = [sample.y for sample in one.samples]
         rows.append(
             f"| {one.name} | {one.unit} | {figures.number(median(values))} "
-            f"| {figures.number(min(values))} to {figures.number(max(values))} |"
+            f"| {figures.number(min(values))} to {figures.number(max(values))} | {_note(one, notes)} |"
         )
     return rows
 
 
-def _events(events):
+def _events(events, notes):
     names = list(dict.fromkeys(event.name for event in events))
-    rows = ["## Events", "", "| event | quantity | median | least to most |", "| --- | --- | --- | --- |"]
+    rows = [
+        "## Events",
+        "",
+        "| event | quantity | median | least to most | hollow |",
+        "| --- | --- | --- | --- | --- |",
+    ]
     for name in names:
         mine = [event.values for event in events if event.name == name]
+        note = _note(next(event for event in events if event.name == name), notes)
         for quantity in dict.fromkeys(q for values in mine for q in values):
             values = [v[quantity] for v in mine if quantity in v]
             rows.append(
                 f"| {name} | {quantity} | {figures.number(median(values))} "
-                f"| {figures.number(min(values))} to {figures.number(max(values))} |"
+                f"| {figures.number(min(values))} to {figures.number(max(values))} | {note} |"
             )
     return rows
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -286,6 +286,20 @@
             with self.assertRaises(runner.TooLarge):
                 runner.check_fits(jobs, at_once, memory)
 
+    def test_it_stops_by_itself_when_its_time_is_up(self):
+        with tempfile.TemporaryDirectory() as folder:
+            ended = subprocess.run(
+                self.command(folder, "--small", "--only", "events", "--runs", "40", "--seconds", "1"),
+                cwd=ROOT,
+                capture_output=True,
+                text=True,
+                check=False,
+            )
+            found = json.loads(pathlib.Path(folder, "scale.json").read_bytes())
+        self.assertEqual(ended.returncode, 3)
+        self.assertIn("PARTIAL: out of time", ended.stderr)
+        self.assertEqual((found["complete"], found["stopped"]), (False, "out of time"))
+
     def test_an_interrupted_run_leaves_no_process_and_a_partial_result(self):
         for number in (signal.SIGINT, signal.SIGTERM):
             with self.subTest(number.name), tempfile.TemporaryDirectory() as folder:
