--- a/benchmarks/scale/report.py
+++ b/benchmarks/scale/report.py
@@ -8,7 +8,7 @@
 
 import orjson
 
-from benchmarks.scale import figures, runner
+from benchmarks.scale import budget, figures, runner
 
 SLOPE_COLUMNS = (
     "quantity",
@@ -20,6 +20,7 @@
     "off the line",
     "at the size",
     "beyond the range",
+    "hollow",
 )
 ROOT = pathlib.Path(__file__).parents[2]
 
@@ -31,19 +32,20 @@
     found.sort(key=lambda figure: figure.name)
     events = [event for outcome in finished.outcomes.values() for event in outcome.events]
     comparisons = [one for outcome in finished.outcomes.values() for one in outcome.comparisons]
-    head = heading(plan, finished, took)
+    head, budgets = heading(plan, finished, took), budget.rows(found, comparisons)
     (out / "scale.json").write_bytes(
         orjson.dumps(
             {
                 **head,
                 "figures": [_figure(one) for one in found],
+                "budgets": [{**row._asdict(), "ratio": row.ratio} for row in budgets],
                 "events": [event._asdict() for event in events],
                 "comparisons": [{**c._asdict(), "difference": c.difference} for c in comparisons],
             },
             option=orjson.OPT_INDENT_2 | orjson.OPT_SORT_KEYS,
         )
     )
-    (out / "scale.md").write_text(markdown(head, found, events, comparisons), encoding="utf-8")
+    (out / "scale.md").write_text(markdown(head, found, events, comparisons, budgets), encoding="utf-8")
     chart(out / "scale.png", found, bool(finished.stopped))
 
 
@@ -88,7 +90,7 @@
     }
 
 
-def markdown(head, found, events, comparisons):
+def markdown(head, found, events, comparisons, budgets):
     """The tables."""
     lines = ["# Scale run", ""]
     if head["complete"]:
@@ -99,22 +101,23 @@
         ]
     lines += [f"- failed: {name}: {why}" for name, why in head["failed"].items()]
     lines += [f"- not run: {name}" for name in head["not run"]]
+    if budgets:
+        lines += ["", *budget.markdown(budgets)]
+    notes = list(dict.fromkeys(one.hollow for one in (*found, *events)))
     for against in sorted({one.against for one in found if len({s.x for s in one.samples}) > 1}):
-        lines += ["", *_slopes([one for one in found if one.against == against], against)]
+        lines += ["", *_slopes([one for one in found if one.against == against], against, notes)]
     singles = [one for one in found if len({s.x for s in one.samples}) == 1]
     if singles:
-        lines += ["", *_singles(singles)]
+        lines += ["", *_singles(singles, notes)]
     if events:
-        lines += ["", *_events(events)]
+        lines += ["", *_events(events, notes)]
     if comparisons:
         lines += ["", *_comparisons(comparisons)]
-    notes = sorted({one.hollow for one in (*found, *events)})
     lines += ["", "## What is hollow", "", *(f"{n + 1}. {note}." for n, note in enumerate(notes)), ""]
     return "\n".join(lines)
 
 
-def _slopes(found, against):
-    notes = sorted({one.hollow for one in found})
+def _slopes(found, against, notes):
     rows = [
         f"## Against {against}",
         "",
@@ -129,12 +132,18 @@
         beyond = "; ".join(f"x {line.extrapolation(target.x):.3g}" for target in one.targets)
         rows.append(
             f"| {one.name} | {one.unit} | {line.slope:.3g} | {figures.number(line.constant)} "
-            f"| {line.spread:.0%} | {line.low:g} to {line.high:g} | {line.error:.0%} | {targets} | {beyond} |"
+            f"| {line.spread:.0%} | {line.low:g} to {line.high:g} | {line.error:.0%} | {targets} | {beyond} "
+            f"| {_note(one, notes)} |"
         )
-    return [*rows, "", *(f"Hollow: {note}." for note in notes)]
+    return rows
+
+
+def _note(one, notes):
+    """The number of the note that says what is hollow in it."""
+    return f"({notes.index(one.hollow) + 1})"
 
 
-def _singles(found):
+def _singles(found, notes):
     rows = [
         "## The largest site",
         "",
@@ -145,21 +154,27 @@
         values = [sample.y for sample in one.samples]
         rows.append(
             f"| {one.name} | {one.unit} | {figures.number(median(values))} "
-            f"| {figures.number(min(values))} to {figures.number(max(values))} |"
+            f"| {figures.number(min(values))} to {figures.number(max(values))} | {_note(one, notes)} |"
         )
     return rows
 
 
-def _events(events):
+def _events(events, notes):
     names = list(dict.fromkeys(event.name for event in events))
-    rows = ["## Events", "", "| event | quantity | median | least to most |", "| --- | --- | --- | --- |"]
+    rows = [
+        "## Events",
+        "",
+        "| event | quantity | median | least to most | hollow |",
+        "| --- | --- | --- | --- | --- |",
+    ]
     for name in names:
         mine = [event.values for event in events if event.name == name]
+        note = _note(next(event for event in events if event.name == name), notes)
         for quantity in dict.fromkeys(q for values in mine for q in values):
             values = [v[quantity] for v in mine if quantity in v]
             rows.append(
                 f"| {name} | {quantity} | {figures.number(median(values))} "
-                f"| {figures.number(min(values))} to {figures.number(max(values))} |"
+                f"| {figures.number(min(values))} to {figures.number(max(values))} | {note} |"
             )
     return rows
 
@@ -171,13 +186,14 @@
         "| quantity | unit | hollow | real | difference | tolerance | |",
         "| --- | --- | --- | --- | --- | --- | --- |",
     ]
-    for name in dict.fromkeys(one.name for one in comparisons):
-        mine = [one for one in comparisons if one.name == name]
+    for name, unit in dict.fromkeys((one.name, one.unit) for one in comparisons):
+        mine = [one for one in comparisons if (one.name, one.unit) == (name, unit)]
         hollow, real = median(one.hollow for one in mine), median(one.real for one in mine)
-        off = median(one.difference for one in mine)
+        off, allowed = median(one.difference for one in mine), mine[0].tolerance
+        verdict = "no claim" if allowed is None else "within" if abs(off) <= allowed else "OUTSIDE"
         rows.append(
             f"| {name} | {mine[0].unit} | {figures.number(hollow)} | {figures.number(real)} | {off:+.0%} "
-            f"| {mine[0].tolerance:.0%} | {'within' if abs(off) <= mine[0].tolerance else 'OUTSIDE'} |"
+            f"| {'' if allowed is None else f'{allowed:.0%}'} | {verdict} |"
         )
     return rows
 
