--- a/benchmarks/scale/fleet.py
+++ b/benchmarks/scale/fleet.py
@@ -139,7 +139,7 @@
         self.hear(data)
 
     def _again(self):
-        until = self.core.membership.comeback.failed(self.core.now())
+        until = self.core.membership.backoff.failed(self.core.now())
         self.core.clock.at(until, self.connect)
 
     def hear(self, data):
--- a/tests/test_descriptor_exhaustion.py
+++ b/tests/test_descriptor_exhaustion.py
@@ -20,7 +20,7 @@
 import msgpack
 from node_site import Roster, Site, Worker, ask
 
-from petrelwood.decide.overload.resource_limits import Room
+from petrelwood.decide.overload.resource_limits import ResourceLimits
 
 SLOW = 30  # s that anything may take on a busy machine before it is called lost
 DESCRIPTORS = 96  # RLIMIT_NOFILE of the dispatcher
@@ -182,7 +182,7 @@
         """Its crowd, which has filled all that clients may hold and is kept up until the test ends."""
         crowd = Crowd(site)
         self.addAsyncCleanup(crowd.leave)
-        room = Room(DESCRIPTORS, 64)
+        room = ResourceLimits(DESCRIPTORS, 64)
         await site.until(lambda: crowd.opened >= IDLE and site.figures()[1] >= room.clients, SLOW)
         return crowd
 
@@ -202,7 +202,7 @@
         # a look that finds a question without an answer 80 ms old puts the next one
         self.assertGreater(roster.asked - asked, looks // 4)
         clients = site.figures()[1] - len(self.old.streams)
-        self.assertLessEqual(clients, DESCRIPTORS - Room(DESCRIPTORS, 64).workers)
+        self.assertLessEqual(clients, DESCRIPTORS - ResourceLimits(DESCRIPTORS, 64).workers)
 
     async def check_that_it_hears(self, site, roster):
         """Discovery comes back, and tells of another worker in the place of the one that is known."""
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -20,7 +20,7 @@
 from benchmarks.scale.plan import Job
 from benchmarks.scale.site import SiteSize
 from petrelwood.brain import Brain
-from petrelwood.decide.overload.backoff import Comeback
+from petrelwood.decide.overload.backoff import Backoff
 from petrelwood.standins.roster import ChangeLog
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -142,7 +142,7 @@
     def test_calls_go_on_without_the_roster_and_it_is_not_besieged(self):
         self.check_roster_lost()
         with (
-            mock.patch.object(Comeback, "failed", lambda self, now: now + 50_000_000),
+            mock.patch.object(Backoff, "failed", lambda self, now: now + 50_000_000),
             self.assertRaises(AssertionError),
         ):
             self.check_roster_lost()
