More classes under plain names: HealthReport, PastActivation, PlannedLoad, ...

Change, names alone: Facts is HealthReport, the recovery's Known and Found are PastActivation and RecoveredState, prefetch's Known is ModelEstimate, the planner's Wish PlannedLoad, mqtt_topics' Asked TopicRequest, the settings' Ghost MissingNode (`ghost` is missing).

--- a/benchmarks/bgp.py
+++ b/benchmarks/bgp.py
@@ -26,12 +26,12 @@
 from tornado.tcpserver import TCPServer
 
 from petrelwood.bgp.heartbeats import HeartbeatSender
-from petrelwood.decide.routing.serving import Facts
+from petrelwood.decide.routing.serving import HealthReport
 from petrelwood.standins.router import Router
 from petrelwood.wire import bgp
 
 PREFIX = bgp.prefix("192.0.2.1/32")
-FINE = Facts(False, 0, 9, 100, 0, 0, True)
+FINE = HealthReport(False, 0, 9, 100, 0, 0, True)
 CLI = [sys.executable, "-m", "petrelwood.cli"]
 GATEWAY = """gateway "d" {{ listen "127.0.0.1:0"; roster "127.0.0.1:{port}"; seed 1 }}
 customer "x" {{ key "{key}" }}
--- a/petrelwood/bgp/heartbeats.py
+++ b/petrelwood/bgp/heartbeats.py
@@ -8,7 +8,7 @@
 
 import msgpack
 
-from petrelwood.decide.routing.serving import Facts
+from petrelwood.decide.routing.serving import HealthReport
 from petrelwood.links.local import Bound
 
 EVERY = 0.05  # seconds between heartbeats
@@ -38,7 +38,7 @@
 
 
 class HeartbeatReceiver:
-    """In the speaker: `heard(Facts)` for each heartbeat."""
+    """In the speaker: `heard(HealthReport)` for each heartbeat."""
 
     def __init__(self, path, loop, heard):
         self.loop, self.heard, self.wrong = loop, heard, 0
@@ -58,14 +58,14 @@
                 version, *facts = msgpack.unpackb(data)
                 if (
                     version != 1
-                    or len(facts) != len(Facts._fields)
+                    or len(facts) != len(HealthReport._fields)
                     or not all(isinstance(f, (int, bool)) for f in facts)
                 ):
                     raise ValueError
             except (ValueError, TypeError, msgpack.UnpackException):
                 self.wrong += 1
                 continue
-            self.heard(Facts(*facts))
+            self.heard(HealthReport(*facts))
 
     def close(self):
         self.loop.remove_reader(self.sock.fileno())
--- a/petrelwood/decide/delivery/mqtt_topics.py
+++ b/petrelwood/decide/delivery/mqtt_topics.py
@@ -12,7 +12,7 @@
 ACT, REPLY = "act", "reply"
 
 
-class Asked(NamedTuple):
+class TopicRequest(NamedTuple):
     """What a topic and its properties say; `why` where it can't be an activation."""
 
     customer: str
@@ -28,8 +28,8 @@
 def asked(topic, customer):
     parts = topic.split("/")
     if len(parts) != 4 or parts[0] != ACT or parts[1] != customer or not parts[2] or not parts[3]:
-        return Asked(customer, "", "", f"activations are published to {ACT}/{customer}/TYPE/FUNCTION")
-    return Asked(customer, parts[2], parts[3])
+        return TopicRequest(customer, "", "", f"activations are published to {ACT}/{customer}/TYPE/FUNCTION")
+    return TopicRequest(customer, parts[2], parts[3])
 
 
 def may_answer(topic, customer):
--- a/petrelwood/decide/delivery/recovery.py
+++ b/petrelwood/decide/delivery/recovery.py
@@ -24,7 +24,7 @@
 BACK = SECOND  # a wall clock this much behind the last record has gone back
 
 
-class Known:
+class PastActivation:
     """One id that an earlier life had. Times are wall-clock ns; `outcome` of `ledger`, or RUNNING: none was
     kept."""
 
@@ -35,10 +35,10 @@
         self.outcome, self.sent, self.body = RUNNING, sent, None
 
 
-class Found(NamedTuple):
+class RecoveredState(NamedTuple):
     """What the records come to."""
 
-    ids: dict  # key -> Known
+    ids: dict  # key -> PastActivation
     orders: list  # wall-clock ns, the newest last
     began: int  # from when on nothing can be missing; 0: this life's own start
     last: int  # the newest record's time
@@ -69,7 +69,7 @@
             _, _, customer, id_, stamp, type_ = record
             key = (customer, id_)
             old = ids.get(key)
-            ids[key] = Known(
+            ids[key] = PastActivation(
                 key, stamp, type_, old.first if old and old.sent else at, at, old.sent if old else False
             )
             running.add(key)
@@ -85,7 +85,7 @@
     back = bool(last) and wall < last - BACK
     # After the machine itself fell, the last records may be gone unless each was on the disk first.
     whole = began is not None and (same or durable) and not back
-    return Found(ids, orders, began if whole else 0, last, closed, back, same)
+    return RecoveredState(ids, orders, began if whole else 0, last, closed, back, same)
 
 
 def fill(ledger, found, now, wall, types, remember, tolerance, elsewhere=False):
--- a/petrelwood/decide/forecasting/planner.py
+++ b/petrelwood/decide/forecasting/planner.py
@@ -39,7 +39,7 @@
     copies: int  # that are known to stand
 
 
-class Wish(NamedTuple):
+class PlannedLoad(NamedTuple):
     function: str
     worth: float  # seconds of cold wait that it should save, net
     until: int  # when it is of no use any more
@@ -84,5 +84,5 @@
         if model.size > memory:
             continue
         memory, orders, pace = memory - model.size, orders - 1, pace - 1 / most
-        wishes.append(Wish(name, value, now + keep))
+        wishes.append(PlannedLoad(name, value, now + keep))
     return wishes
--- a/petrelwood/decide/forecasting/prefetch.py
+++ b/petrelwood/decide/forecasting/prefetch.py
@@ -17,7 +17,7 @@
 STORE_LEARNS = 0.1
 
 
-class Known:
+class ModelEstimate:
     """What this dispatcher has learnt of a function's model."""
 
     __slots__ = ("lanes", "load", "work", "size", "copies", "type")
@@ -53,7 +53,7 @@
     def called(self, now, wall, function, lanes, load, type_):
         known = self.known.get(function)
         if known is None:
-            known = self.known[function] = Known(lanes, load, type_)
+            known = self.known[function] = ModelEstimate(lanes, load, type_)
         self.now_counts += 1
         if self.forecast.called(wall, function):
             self.busiest, self.now_counts = max(self.busiest * 0.999, self.now_counts), 0
--- a/petrelwood/decide/routing/serving.py
+++ b/petrelwood/decide/routing/serving.py
@@ -29,7 +29,7 @@
 DOUBLES = 6  # times at most that `settle` is doubled
 
 
-class Facts(NamedTuple):
+class HealthReport(NamedTuple):
     """What a dispatcher says of itself, at each heartbeat."""
 
     closing: bool  # it drains, or hands over
--- a/petrelwood/dispatch/health.py
+++ b/petrelwood/dispatch/health.py
@@ -8,7 +8,7 @@
 
 from petrelwood.bgp.heartbeats import EVERY, HeartbeatSender
 from petrelwood.decide.overload.sliding_window import SlidingWindowCounter
-from petrelwood.decide.routing.serving import Facts
+from petrelwood.decide.routing.serving import HealthReport
 
 SECOND = 1_000_000_000
 LATELY = SECOND // 2, 5  # buckets in which a stall is remembered
@@ -37,7 +37,7 @@
         self.last = now
         listed = now - core.membership.heard if core.membership.lost else 0
         usable = sum(1 for worker in core.membership.members if core.membership.usable(worker))
-        return Facts(
+        return HealthReport(
             core.intake.closing,
             listed,
             usable,
--- a/petrelwood/emulate/foresight.py
+++ b/petrelwood/emulate/foresight.py
@@ -7,7 +7,7 @@
 
 import collections
 
-from petrelwood.decide.forecasting.prefetch import Known
+from petrelwood.decide.forecasting.prefetch import ModelEstimate
 
 CERTAIN = 1.0  # the spread of a forecast that can't be wrong beyond chance
 
@@ -39,4 +39,4 @@
         early.expected = self.ahead
         for function, kind in self.types.items():
             rule = core.rule(function)
-            early.known[function] = Known(rule.lanes, rule.load_time, kind)
+            early.known[function] = ModelEstimate(rule.lanes, rule.load_time, kind)
--- a/petrelwood/settings/document.py
+++ b/petrelwood/settings/document.py
@@ -183,7 +183,7 @@
         ]
 
     def _begin(self, path, problems, reads):
-        self.path, self.problems, self.reads, self.tainted, self.ghost = path, problems, reads, False, False
+        self.path, self.problems, self.reads, self.tainted, self.missing = path, problems, reads, False, False
         # (what stands there and may be meant, what is missing then)
         self.maybes = []
         # a part of it could not be found: what it lacks may be there
@@ -198,13 +198,13 @@
         problem is not told."""
         if self.problems is None:
             raise self.bad(what)
-        if not self.tainted and not self.ghost:
+        if not self.tainted and not self.missing:
             self.problems.append(self.bad(what))
 
     def _taint(self, fault):
         if self.problems is None:
             raise fault
-        if not self.ghost:
+        if not self.missing:
             self.problems.append(fault)
         self.tainted = True
 
@@ -265,7 +265,7 @@
                 self._missing(
                     name, [c.name for c in self.children], self.bad(f"'{self.name}' needs a '{name}'")
                 )
-            return Ghost(self, name)
+            return MissingNode(self, name)
         return found[0] if found else default
 
     def place(self, seen_from=None):
@@ -322,7 +322,7 @@
         self.problems.append(fault)
 
 
-class Ghost(Node):
+class MissingNode(Node):
     """Stands in for a node that should be there, and says nothing more about it."""
 
     def __init__(self, parent, name):
@@ -335,7 +335,7 @@
             parent.column,
         )
         self._begin(f"{parent.path} > {name}", parent.problems, None)
-        self.ghost = self.tainted = True
+        self.missing = self.tainted = True
 
 
 DEEPEST = 64  # blocks within blocks, includes within includes, templates within templates
--- a/tests/test_bgp.py
+++ b/tests/test_bgp.py
@@ -389,7 +389,7 @@
 
 
 class Serves(unittest.TestCase):
-    FINE = serving.Facts(False, 0, 9, 100, 0, 0, True)
+    FINE = serving.HealthReport(False, 0, 9, 100, 0, 0, True)
     BOUNDS = serving.Bounds(S * 3 // 20, 30 * S, S // 2, S)
 
     def play(self, steps, every=S // 20):
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -416,7 +416,7 @@
             self.assertEqual(mqtt_topics.may_answer(topic, "x"), bool(good), topic)
 
     def test_what_a_topic_asks(self):
-        self.assertEqual(mqtt_topics.asked("act/x/t/f", "x"), mqtt_topics.Asked("x", "t", "f"))
+        self.assertEqual(mqtt_topics.asked("act/x/t/f", "x"), mqtt_topics.TopicRequest("x", "t", "f"))
         for topic in ("act/y/t/f", "act/x/t", "act/x//f", "act/x/t/f/g", "reply/x/t/f"):
             self.assertTrue(mqtt_topics.asked(topic, "x").why, topic)
         self.assertEqual(mqtt_topics.identity("r", b"1", "s", 4), mqtt_topics.identity("r", b"1", "other", 9))
--- a/tests/test_speaker.py
+++ b/tests/test_speaker.py
@@ -15,13 +15,13 @@
 
 from petrelwood.bgp.heartbeats import HeartbeatSender
 from petrelwood.bgp.speaker import Speaker
-from petrelwood.decide.routing.serving import Facts
+from petrelwood.decide.routing.serving import HealthReport
 from petrelwood.settings import document, speaker
 from petrelwood.standins.router import Router
 from petrelwood.wire import bgp
 
 S = 10**9
-FINE = Facts(False, 0, 9, 100, 0, 0, True)
+FINE = HealthReport(False, 0, 9, 100, 0, 0, True)
 FOUR, SIX = "192.0.2.1/32", "2001:db8::1/128"
 FILE = """speaker "s1" {{ asn 65001; id "10.0.0.{number}"; health "{number}.sock"; hold "{hold}"; {more}
 {peers}
