--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -591,9 +591,13 @@
             await site.until(lambda: site.node.front.clients)
             there = next(iter(site.node.front.clients))
             there.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-            for _ in range(4):
+            # until what it does not read has filled both buffers: a busy machine turns some away in few bytes
+            for _ in range(100):
                 bad.call(ask(fn=1), b"z" * resource_limits.BODY)
                 await site.until(lambda: not there.open and there.asked)
+                await asyncio.sleep(0.05)
+                if there.stream.writing():
+                    break
             for _ in range(resource_limits.FAULTS):
                 bad.call(ask(fn=1), type_="nothing")
             await site.until(lambda: there.ending)
