--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -544,9 +544,8 @@
     points, lines = [], []
     for _ in range(runs):
         here, there = multiprocessing.Pipe()
-        fresh = multiprocessing.get_context(
-            "spawn"
-        )  # a fork would share the pages of what was measured before
+        # a fork would share the pages of what was measured before
+        fresh = multiprocessing.get_context("spawn")
         child = fresh.Process(target=link_memory, args=(there,))
         child.start()
         run, sent, spent = here.recv()
