--- a/petrelwood/node/__main__.py
+++ b/petrelwood/node/__main__.py
@@ -11,16 +11,17 @@
 
 import asyncio
 import gc
+import importlib
 import os
 import sys
 
-# a stream imports it at its first use, when no descriptor may be left
-import tornado.platform.asyncio  # noqa: F401
-
 from petrelwood.node import told
 from petrelwood.node.log import Log
 from petrelwood.node.service import Node
 
+# a stream imports it at its first use, when no descriptor may be left
+importlib.import_module("tornado.platform.asyncio")
+
 # seconds until a file that can't be used is read again; so often, as the platform waits 4 s for it, but
 # without end while no descriptor is left to open it
 AGAIN, TRIES = 0.1, 30
