What a client that is being closed for its faults has open keeps its answers

Not needed: such a client is not read any more, so something of it lies unread from then on and nothing is sent on for it until its connection is closed, at most 1.5 s later. And it cost answers that were on their way.

--- a/petrelwood/node/front.py
+++ b/petrelwood/node/front.py
@@ -204,10 +204,9 @@
                 for message in messages:
                     self._message(message, now)
                     if self.ending:
-                        # once what was written has gone out; see `Front.check`. Its cancels and its end
-                        # are not read any more: nothing is sent on for it
+                        # once what was written has gone out; see `Front.check`. Until then what it sent
+                        # stays unread, and so nothing is sent on for it
                         self.since = now
-                        self._take_back()
                         return
                 if len(data) < READ:
                     self.readings += 1
@@ -249,15 +248,10 @@
         self.front.idle.pop(self, None)
         self.reader = None
         self.stream.close()
-        self._take_back()
-
-    def _take_back(self):
-        """Nobody waits any more for what it has open."""
-        exchanges = list(self.open.values())
-        self.open.clear()
-        for exchange in exchanges:
+        for exchange in list(self.open.values()):
             if exchange.act is not None:
                 self.front.core.left(exchange.act, exchange)
+        self.open.clear()
 
     def rests(self):
         """It has no open request any more."""
