A dispatcher starts and serves when its roster can't be asked; tests that nobody is left

Cause: `Node.begin` opened the roster's socket and let its error out. Where there is no way to the address, or no descriptor, the process ended with "can't listen on ...: Network is unreachable" and status 2, although the file tells it the workers. After a SIGHUP the same error was already tried again at each look. Now at the start too (`DnsRoster.moves`).

`tests/test_always_answered.py`: a list that never comes, comes whole after a silence, or names only others; a roster that can't be asked; SIGKILL after an accept (nothing sent, half a request, one that is out, one unread, one in the listen queue; the next process on the same port); requests byte by byte from three clients in turn; pieces across a drain (the rest in time, late, never); SIGHUP and SIGTERM at once (file whole, half written, gone). All but the roster at the start passed on the text before. Each was run on a dispatcher broken for it, and failed there: no deadline and no rejection; no asking after the list is lost; workers forgotten then; no list taken after the first; no SO_REUSEADDR; a reader given away with a part in it; idle clients closed when nothing is taken any more; the listener closed at SIGTERM.

--- a/petrelwood/node/service.py
+++ b/petrelwood/node/service.py
@@ -161,7 +161,8 @@
         self.membership.alive(now)
         self.listed(*listed, True)
         self.front.open(self.gateway.listen)
-        self.roster.open()
+        # asked again where it can't be asked now: what is known serves without it
+        self.roster.moves(self.gateway.names)
         self.began = True
         self._check()
 
--- /dev/null
+++ b/tests/test_always_answered.py
@@ -0,0 +1,304 @@
+"""No request is left with no answer, and no dispatcher that runs serves nobody: with a list that comes whole
+after a silence or never, with a KILL, with requests that come in pieces, with a reload and an end at once.
+
+Each test names the broken dispatcher that it was shown to fail on, where the text before (d60e4e0) passed it.
+"""
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+import unittest
+from unittest import mock
+
+import msgpack
+from node_site import Roster, Site, Worker, ask
+from test_crossings import SLOW, Caller, Inside, Raw, settings
+
+from petrelwood.decide.overload import resource_limits
+from petrelwood.links import sockets
+from petrelwood.node import roster as names
+from petrelwood.node import service
+
+KINDS = ("plain", "marked", "single")
+LONG = {"classes": {"deadline": SLOW * 1_000_000}}  # no machine is so busy that an activation's time is up
+WORDS = ("completed", "Throttled", "Broken")
+
+
+class Steps:
+    """`shutdown.Leaving` that the test takes on by itself, however long the machine is held up."""
+
+    def __init__(self, now, longest):
+        self.taking = True
+
+    def closed(self, now):
+        return not self.taking
+
+    def out_of_time(self, now):
+        return False
+
+    def over(self, now, owed, quiet):
+        return not self.taking and not owed and quiet
+
+
+class Patient(Site):
+    """A dispatcher in its own process, on a machine where all may take long."""
+
+    # neither is its end cut short by the 3 s that the platform may give it, nor are slow clients closed
+    COMMAND = (
+        sys.executable,
+        "-c",
+        "import sys; from petrelwood.node import __main__ as node; "
+        "from petrelwood.decide.cluster import shutdown; "
+        "from petrelwood.decide.overload import resource_limits as limits; "
+        f"shutdown.LONGEST = limits.SILENT = limits.PART = {SLOW}_000_000_000; sys.exit(node.main())",
+    )
+
+    def __init__(self, workers):
+        super().__init__(workers, **settings(classes={"deadline": SLOW * 1_000_000}))
+
+    async def start(self):
+        await super().start(self.COMMAND)
+
+    async def until(self, what, within=SLOW):
+        await super().until(what, within)
+
+
+def silent(wire):
+    """`Roster.spoil` of one that never answers."""
+    return None
+
+
+async def health(site, client):
+    """What the dispatcher says of itself."""
+    client.last += 1
+    client.sock.sendall(msgpack.packb([0, client.last, "health", [{}]]))
+    await site.until(lambda: client.last in client.read())
+    return client.answers[client.last]
+
+
+async def word(site, client, number):
+    """The answer's first word, or how the connection ended."""
+    await site.until(lambda: number in client.read() or client.ended)
+    return client.answers.get(number, (client.ended,))[0]
+
+
+class Discovery(unittest.IsolatedAsyncioTestCase):
+    async def test_a_list_that_never_comes(self):
+        """No worker is known: all is turned away in its time, of every type, and health goes on. Fails on a
+        dispatcher where neither the module's rejection nor the core's own deadline answers."""
+        async with Inside([]) as site:
+            site.roster.spoil = silent
+            client, numbers = Caller(site.address), []
+            for _ in range(3):
+                numbers += [client.call(ask(fn=n, ttl=600), type_=kind) for n, kind in enumerate(KINDS)]
+                self.assertEqual(await health(site, client), ("completed", True))
+            for number in numbers:
+                self.assertEqual(await word(site, client, number), "Throttled")
+            self.assertEqual(site.node.duty.counts["defects"], 0)
+            self.assertFalse(site.node.duty.acts)
+            client.close()
+
+    async def test_a_list_that_comes_whole_after_a_silence(self):
+        """What is held then goes to its workers, and so does what comes. Fails on a dispatcher that stops
+        asking when the list is lost."""
+        worker = Worker("s-1")
+        async with Inside([], **LONG, familyInfo={"keep": 300_000}) as site:
+            site.roster.spoil = silent
+            await site.until(lambda: any("list of workers is lost" in line for line in site.log))
+            client = Caller(site.address)
+            early = client.call(ask(fn=1, ttl=600))
+            self.assertEqual(await word(site, client, early), "Throttled")
+            held = client.call(ask(fn=1, ttl=30_000))
+            await site.until(lambda: site.node.intake.held)
+            await worker.open()
+            site.workers.append(worker)
+            site.roster.tell(worker)
+            site.roster.spoil = None
+            self.assertEqual(await word(site, client, held), "completed")
+            later = client.call(ask(fn=1, ttl=30_000))
+            self.assertEqual(await word(site, client, later), "completed")
+            client.close()
+
+    async def test_all_workers_are_others_after_a_silence(self):
+        """Those of the start have gone under it, so nothing can be served: each request is answered, and from
+        the new list on all are. Fails on a dispatcher that takes no list after its first."""
+        old, new = Worker("s-1"), Worker("s-2")
+        async with Inside([old], **LONG) as site:
+            client = Caller(site.address)
+            self.assertEqual(await word(site, client, client.call(ask(fn=1, ttl=30_000))), "completed")
+            site.roster.spoil = silent
+            await old.close()
+            for kind in KINDS:
+                self.assertIn(await word(site, client, client.call(ask(fn=1, ttl=600), type_=kind)), WORDS)
+            await new.open()
+            site.workers.append(new)
+            site.roster.tell(old, "Gone")
+            site.roster.tell(new)
+            site.roster.spoil = None
+            await site.until(lambda: site.node.membership.usable("s-2"))
+            self.assertEqual(await word(site, client, client.call(ask(fn=1, ttl=30_000))), "completed")
+            client.close()
+
+    async def test_a_silence_that_lasts_leaves_what_is_known(self):
+        """The list is lost for good; its workers are there and go on serving. Fails on a dispatcher that forgets
+        its workers when the list is lost."""
+        async with Inside([Worker("s-1")], **LONG, familyInfo={"keep": 300_000}) as site:
+            site.roster.spoil = silent
+            await site.until(lambda: any("list of workers is lost" in line for line in site.log))
+            client = Caller(site.address)
+            for _ in range(3):
+                self.assertEqual(await word(site, client, client.call(ask(fn=1, ttl=30_000))), "completed")
+            client.close()
+
+    async def test_a_roster_that_can_not_be_asked_at_the_start(self):
+        """No way to its address, or no descriptor: the dispatcher serves by the list that it was given, and
+        asks when it can. The text before did not start: 'can't listen on ...', status 2."""
+        fresh, fails = sockets.fresh, [True]
+
+        def failing(host, kind=socket.SOCK_STREAM):
+            if kind == socket.SOCK_DGRAM and fails[0]:
+                raise OSError(101, "Network is unreachable")
+            return fresh(host, kind)
+
+        with mock.patch.object(names.sockets, "fresh", failing):
+            async with Inside([Worker("s-1")], **LONG) as site:
+                client = Caller(site.address)
+                self.assertEqual(await word(site, client, client.call(ask(fn=1, ttl=30_000))), "completed")
+                self.assertEqual(site.roster.asked, 0)
+                fails[0] = False
+                await site.until(lambda: site.node.roster.counts["good"])
+                client.close()
+
+
+class Killed(unittest.IsolatedAsyncioTestCase):
+    async def test_right_after_an_accept(self):
+        """Clients see a close, whatever of them was taken; the next process serves on the same port at once.
+
+        Fails on a listener that does not reuse its address."""
+        slow = Worker("s-1", lambda *_: b"")
+        async with Patient([slow]) as site:
+            nothing, half, whole, unread, last = (Caller(site.address) for _ in range(5))
+            # it was accepted, and so were those before it
+            self.assertEqual(await health(site, last), ("completed", True))
+            whole.call(ask(fn=1, ttl=30_000))
+            await site.until(lambda: slow.runs)
+            half.call(ask(fn=1), part=slice(None, 40))
+            site.process.send_signal(signal.SIGSTOP)
+            unread.call(ask(fn=1))
+            queued = Caller(site.address)  # the machine has accepted it, the process never will
+            queued.call(ask(fn=1))
+            site.process.kill()
+            await site.process.wait()
+            last.answers.clear()
+            for client in (nothing, half, whole, unread, last, queued):
+                while client.read() is not None and client.ended is None:
+                    await asyncio.sleep(0.01)
+                self.assertEqual(client.answers, {})
+            slow.script = None
+            site.log.clear()
+            await site.start()
+            client = await site.client()
+            self.assertEqual((await client.call(ttl=30_000, within=SLOW))[0], "completed")
+            client.close()
+
+
+class Pieces(unittest.IsolatedAsyncioTestCase):
+    async def test_requests_that_come_byte_by_byte(self):
+        """Those of three clients in turn, each with another one behind it. Fails on a dispatcher that gives a
+        reader away which still has a part."""
+        async with Inside([Worker("s-1")], **LONG) as site:
+            clients = [Caller(site.address) for _ in range(3)]
+            parts = [
+                b"".join(
+                    msgpack.packb([0, n, "plain", [ask(fn=1, ttl=30_000), bytes([65 + client])]])
+                    for n in (1, 2)
+                )
+                for client in range(3)
+            ]
+            for at in range(max(map(len, parts))):
+                for client, data in zip(clients, parts, strict=True):
+                    client.sock.sendall(data[at : at + 1])
+                    await site.turns(4)
+            for client, body in zip(clients, (b"A", b"B", b"C"), strict=True):
+                for number in (1, 2):
+                    self.assertEqual(await word(site, client, number), "completed")
+                    self.assertEqual(client.answers[number][1], body)
+                client.close()
+
+    async def test_across_a_drain(self):
+        """The rest comes while requests are still taken, and when none is taken any more but something is
+        still owed; or it never comes. Fails on a dispatcher that closes its idle clients when it stops
+        taking."""
+        worker, steps = Raw("s-1"), Steps(0, 0)
+        with (
+            mock.patch.object(service.shutdown, "Leaving", lambda *_: steps),
+            mock.patch.object(resource_limits, "PART", SLOW * 1_000_000_000),
+        ):
+            await self._pieces_across_a_drain(worker, steps)
+
+    async def _pieces_across_a_drain(self, worker, steps):
+        async with Inside([worker], **LONG) as site:
+            busy, soon, late, never = (Caller(site.address) for _ in range(4))
+            out = busy.call(ask(fn=1, ttl=30_000), type_="single")
+            await site.until(worker.runs)
+            requests = {client: ask(fn=1, ttl=30_000) for client in (soon, late, never)}
+            for client, fields in requests.items():
+                client.call(fields, part=slice(None, 40))
+            await site.until(lambda: sum(bool(client.part) for client in site.node.front.clients) == 3)
+            ending = asyncio.ensure_future(site.node.close())
+            await site.turns()
+            soon.call(requests[soon], part=slice(40, None))
+            await site.until(lambda: len(worker.runs()) == 2)
+            worker.answer(worker.runs()[1])
+            self.assertEqual(await word(site, soon, 1), "completed")
+            steps.taking = False
+            await site.until(lambda: site.node.intake.closing)
+            late.call(requests[late], part=slice(40, None))
+            self.assertEqual(await word(site, late, 1), "Throttled")
+            self.assertFalse(ending.done())
+            worker.answer(worker.runs()[0])
+            self.assertEqual(await word(site, busy, out), "completed")
+            await asyncio.wait_for(ending, SLOW)
+            self.assertEqual(await word(site, never, 1), "end")
+
+
+class ReloadAndEnd(unittest.IsolatedAsyncioTestCase):
+    async def test_a_reload_followed_at_once_by_a_drain(self):
+        """The new file is whole, half written or gone, and the roster that it names says nothing. What is out
+        and what still comes on open and new connections is answered; status 0. Fails on a dispatcher that
+        stops listening at SIGTERM."""
+        for file in ("whole", "half written", "gone"):
+            with self.subTest(file):
+                goes_on = asyncio.Event()
+
+                async def waits(worker, said, writer, goes_on=goes_on):
+                    if said["meta"]["sort"] == "single":
+                        await goes_on.wait()
+
+                async with Patient([Worker("s-1", waits)]) as site:
+                    mute = Roster()
+                    await mute.open()
+                    mute.spoil = silent
+                    opened = await site.client()
+                    await opened.call(ttl=30_000, within=SLOW)
+                    out = opened.begin(ask(fn=1, ttl=30_000), type_="single")
+                    await site.until(lambda worker=site.workers[0]: len(worker.runs) == 2)
+                    path = site.write(names=f"127.0.0.1:{mute.port}")
+                    if file == "half written":
+                        path.write_text(path.read_text()[:200])
+                    elif file == "gone":
+                        path.unlink()
+                    os.kill(site.process.pid, signal.SIGHUP)
+                    site.process.terminate()
+                    while await opened.health():
+                        pass
+                    fresh = await site.client()
+                    for client in (opened, fresh):
+                        answer = await client.call(ttl=30_000, within=SLOW)
+                        self.assertIn(answer[0], ("completed", "Throttled"))
+                    goes_on.set()
+                    self.assertEqual((await asyncio.wait_for(out, SLOW))[0], "completed")
+                    self.assertEqual(await asyncio.wait_for(site.process.wait(), SLOW), 0)
+                    mute.transport.close()
