--- a/petrelwood/node/service.py
+++ b/petrelwood/node/service.py
@@ -162,7 +162,7 @@
         self.listed(*listed, True)
         self.front.open(self.gateway.listen)
         # asked again where it can't be asked now: what is known serves without it
-        self.roster.moves(self.gateway.names)
+        self.roster.open()
         self.began = True
         self._check()
 
--- a/tests/test_always_answered.py
+++ b/tests/test_always_answered.py
@@ -96,8 +96,8 @@
                 self.assertEqual(await health(site, client), ("completed", True))
             for number in numbers:
                 self.assertEqual(await word(site, client, number), "Throttled")
-            self.assertEqual(site.node.duty.counts["defects"], 0)
-            self.assertFalse(site.node.duty.acts)
+            self.assertEqual(site.node.pending.counts["defects"], 0)
+            self.assertFalse(site.node.pending.acts)
             client.close()
 
     async def test_a_list_that_comes_whole_after_a_silence(self):
@@ -142,7 +142,8 @@
             client.close()
 
     async def test_a_silence_that_lasts_leaves_what_is_known(self):
-        """The list is lost for good; its workers are there and go on serving. Fails on a dispatcher that forgets
+        """The list is lost for good; its workers are there and go on serving. Fails on a dispatcher that
+        forgets
         its workers when the list is lost."""
         async with Inside([Worker("s-1")], **LONG, familyInfo={"keep": 300_000}) as site:
             site.roster.spoil = silent
