--- a/tests/test_always_answered.py
+++ b/tests/test_always_answered.py
@@ -27,7 +27,7 @@
 
 
 class Steps:
-    """`shutdown.Leaving` that the test takes on by itself, however long the machine is held up."""
+    """`shutdown.Shutdown` that the test takes on by itself, however long the machine is held up."""
 
     def __init__(self, now, longest):
         self.taking = True
@@ -234,7 +234,7 @@
         taking."""
         worker, steps = Raw("s-1"), Steps(0, 0)
         with (
-            mock.patch.object(service.shutdown, "Leaving", lambda *_: steps),
+            mock.patch.object(service.shutdown, "Shutdown", lambda *_: steps),
             mock.patch.object(resource_limits, "PART", SLOW * 1_000_000_000),
         ):
             await self._pieces_across_a_drain(worker, steps)
