--- a/benchmarks/scale/real.py
+++ b/benchmarks/scale/real.py
@@ -258,8 +258,23 @@
     )
 
 
-def measure_real(amount):
-    """{(quantity, unit): value} of a real dispatcher."""
+class Disturbed(Exception):
+    """The machine was too busy for a dispatcher to serve all calls."""
+
+
+def measure_real(amount, tries=5):
+    """{(quantity, unit): value} of a real dispatcher that has served all calls. Raises `Disturbed` where
+    none of
+    so many tries could."""
+    for _ in range(tries - 1):
+        try:
+            return _measure_once(amount)
+        except Disturbed:
+            pass
+    return _measure_once(amount)
+
+
+def _measure_once(amount):
     setup = RealSite(amount.site)
     try:
         calls, idle = _real_calls(setup, amount.site), _real_idle(setup)
@@ -274,7 +289,7 @@
     took, statuses = asyncio.run(bench.open_load(setup, described.calls_a_second, described.seconds))
     spent, counts = setup.processor_seconds() - cpu, setup.tell("counts")[0] - before
     if statuses != {200: len(took)}:
-        raise RuntimeError(f"calls were answered {statuses}")
+        raise Disturbed(f"calls were answered {statuses}")
     return {
         ("sends to workers, a call", "messages"): counts["run messages"] / len(took),
         ("bytes of a send to a worker", "bytes"): counts["run bytes"] / counts["run messages"],
