Cold workers' budget kept in sum through mass restarts, with a judge of rule 4

Cause, seen with the new judge (real modules, scripted workers, virtual clock): `_cold_room` divided the answers of the last `cold` by the workers that are warm now. Where most or all of a fleet had just restarted, a few or none were warm, and each cold worker was granted the throughput of the whole former fleet. Besides, our part of one core followed `usual`, which a new life guesses as a quarter of the shortest target latency: far below the work where that target is short, and learnt from 1/64 of each answer only.

Change: answers of warm workers are divided by the time for which workers were warm, over the same ring (`warm_time`; as before where the number of warm ones has not fallen). The part of one core follows the larger of `usual` and the mean hint of the last calls. No constant changes.

--- a/petrelwood/brain.py
+++ b/petrelwood/brain.py
@@ -136,15 +136,15 @@
         self.look = min(self.target, terms.guarantees.ask_within) if terms.asks else self.target
         self.sweep = max(terms.tick, self.look // 50)
         self.usual, self.mean, self.mean_report = self.target // 4, 1.0, None
-        self.told = self.took = self.target / 8          # mean hint of cost, mean time taken
-        self.done, period = Ring(terms.guarantees.cold), terms.orders.period or 1
+        self.hint, self.told, self.took = 0, self.target / 8, self.target / 8
+        cold, period = terms.guarantees.cold, terms.orders.period or 1
+        self.done, self.warm_time = Ring(cold), Ring(cold)    # of warm workers: answers, their time in all
         self.taken, self.loads, self.ripe = Ring(period), Ring(period), deque()
         self.buckets = {} if terms.beyond >= 1 else {
             c: [1, now, SLACK / 1e9 / terms.dispatchers * q] for c, q in terms.quotas.items()}
         self.fleet, self.hashes, self.warm, self.owing, self.out_now, self.spreading = [], [], 1, {}, 0, []
-        self.turned = 0.0                                # the part of what comes that is turned away at once
-        self.cap, self.slow, self.pace, self.asked = Cap(), 0.0, 1.0, now - LONG
-        self.salt = int(self.chance() * MASK)
+        self.turned = self.slow = 0.0                    # the part that is turned away at once; of answers
+        self.salt, self.cap, self.asked, self.pace = int(self.chance() * MASK), Cap(), now - LONG, 1.0
         self.next_wake, self.spread_after, self.next_look, self.next_tidy = LONG << 12, now, now, now
         self._wake(now, self.sweep)
 
@@ -180,6 +180,7 @@
             self.recent.popleft().recent -= 1
         act = self.acts[act_id] = Act(act_id, fn, self.terms.types[type_name], due, now, work, lanes)
         act.beyond = self._beyond_share(customer, now)
+        self.hint += (work - self.hint) / len(self.recent)   # mean hint of what comes, as far as one is told
         self._hold(act, now)
         # Overload: a part of what finds no free lane is told at once to come back. What would wait here and
         # then at a crowded worker comes late or in vain and makes the rest late, and no cap of many
@@ -224,7 +225,6 @@
         act = self.acts.pop(act_id)
         act.fn.drop(act)
         self._drop_sends(act)
-        self._parted(act)
 
     def begun(self, now, act_id, n, worker_id):
         if act_id in self.acts:
@@ -234,6 +234,7 @@
         for send in act.sends:                           # no client waits for it any more
             if send.open and self.terms.allowed.cancel:
                 self.out.cancel(act.id, send.n)
+        self._parted(act)
 
     def _parted(self, act):          # act and sends name each other: left to the collector, thousands pile up
         if not act.out:
@@ -254,7 +255,6 @@
         else:
             self.out.abort(act.id)
         self._drop_sends(act)
-        self._parted(act)
 
     def _may_send(self, act, now):
         """Whether the rules and what is allowed leave the activation another send anywhere."""
@@ -271,8 +271,7 @@
             return False
         if act.bound is None or act.type.effect == ports.REPEATABLE or act.type.scope == "all":
             return True
-        group = "zone" if act.type.scope == "zone" else "cell"
-        return getattr(worker, group) == getattr(act.bound.worker, group)
+        return getattr(worker, act.type.scope) == getattr(act.bound.worker, act.type.scope)
 
     def _hold(self, act, now, front=False):
         fn = act.fn = self.functions.setdefault(act.fn.key, act.fn)
@@ -470,16 +469,19 @@
         return (worker.usable and not worker.silent and now >= worker.rest
                 and not worker.cap.full(len(worker.out)) and self._cold_room(worker, now) > 0)
 
+    def _warm(self, worker, now):
+        return not worker.booted or max(0, now - worker.booted) >= self.terms.guarantees.cold
+
     def _cold_room(self, worker, now):
         """Our part of what a cold worker bears, in each `fall` since its start: as much as we make a warm one
         do, or our part of one core. A part under one send is drawn, so that all together keep the budget."""
-        g, age = self.terms.guarantees, max(0, now - worker.booted)
-        if not worker.booted or age >= g.cold or not g.fall:
+        if self._warm(worker, now) or not (g := self.terms.guarantees).fall:
             return 1
-        slot = age // g.fall
+        slot = max(0, now - worker.booted) // g.fall
         if slot != worker.slot:
             part = g.cold_from + (1 - g.cold_from) * slot * g.fall / g.cold
-            rate = max(self.done.least(now) / max(1, self.warm) / g.cold, 1 / self.usual / self.dispatchers)
+            warm_time = max(self.warm_time.least(now), max(1, self.warm) * g.cold)
+            rate = max(self.done.least(now) / warm_time, 1 / max(self.usual, self.hint) / self.dispatchers)
             worker.slot, worker.room = slot, int(g.fall_multiple / 3 * part * rate * g.fall + self.chance())
         return worker.room
 
@@ -489,9 +491,8 @@
         self._ripen(now, act)
         act.out, act.bound = act.out + 1, act.bound or send
         copy.busy, copy.seen = copy.busy + 1, now
-        worker.out[act.id, send.n] = send
+        worker.out[act.id, send.n], self.owing[worker.id], self.out_now = send, worker, self.out_now + 1
         worker.loading, worker.room = worker.loading + send.cold, worker.room - 1
-        self.owing[worker.id], self.out_now = worker, self.out_now + 1
         self.out.send(act.id, worker.id, 0)
 
     def _ripen(self, now, act=None):     # what was sent for what exists, and stayed, gives its right
@@ -537,8 +538,7 @@
             elif "cores" in report:
                 worker.report = report["cores"]
             if worker.report is not None:
-                self.mean_report = self.mean_report or worker.report
-                self.mean_report += (worker.report - self.mean_report) / 16
+                self.mean_report = (15 * (self.mean_report or worker.report) + worker.report) / 16
 
     def _need(self, act):                                # its usual time, by its own hint where there is one
         return int(act.work * self.took / self.told) if act.work else (act.fn.service or self.usual)
@@ -587,7 +587,7 @@
     def _completed(self, now, send, note, took):
         fn, copy, worker = send.act.fn, send.copy, send.worker
         worker.latest = max(worker.latest, send.at)
-        self.done.add(now)
+        self.done.add(now, self._warm(worker, now))
         if worker.usable:
             copy = fn.copies.setdefault(worker.id, copy)
         copy.loading, copy.seen, copy.errors, worker.silences = 0, now, 0, 0
@@ -691,9 +691,10 @@
 
     def _look(self, now):
         """What is due now and then, and must cost little on a large fleet."""
+        self.warm_time.add(now, self.warm * (now - self.next_look + self.look // 8))     # since the last one
         g, self.next_look = self.terms.guarantees, now + self.look // 8
         self.mean += (self.out_now * self.dispatchers / max(1, len(self.fleet)) - self.mean) / 16
-        self.warm = sum(not w.booted or now - w.booted >= g.cold for w in self.fleet)
+        self.warm = sum(self._warm(w, now) for w in self.fleet)
         for worker in list(self.owing.values()):
             self._watch(worker, now)
         if self.terms.asks and now - self.asked > g.ask_within // 2:
--- /dev/null
+++ b/tests/test_cold_budget.py
@@ -0,0 +1,159 @@
+"""Rule 4, what a worker that has just started bears from all dispatchers together: see `cold_budget` for the
+judge."""
+
+import unittest
+from unittest import mock
+
+import cold_budget
+from cold_budget import MS, SECOND, Book, Case, World
+
+from petrelwood.brain import Brain
+
+HALF = {"used": 0.9, "restarted": 0.5}
+ALL = {"used": 0.7, "restarted": 1}
+IN_STEPS = {"used": 0.7, "restarted": 1, "steps": 8, "apart": 1000}
+MOST = {"used": 0.7, "restarted": 15 / 16, "workers": 16}
+# The usual time is guessed from the target latency, which is far below it here, and each core counts alone.
+LONG_WORK = {"target": 200, "stretch": 4.0, "cores": 1, "workers": 16, "fresh": True}
+ONE_BY_ONE = {**LONG_WORK, "used": 0.7, "restarted": 1, "steps": 16, "apart": 500}
+TWO_TYPES = {**LONG_WORK, "works": (20, 780), **HALF}
+CASES = {
+    "1, half at once": {"dispatchers": 1, **HALF},
+    "1, all in steps": {"dispatchers": 1, **IN_STEPS},
+    "1, all started anew, two types": {"dispatchers": 1, **TWO_TYPES},
+    "25, half at once": {"dispatchers": 25, **HALF},
+    "25, all at once": {"dispatchers": 25, **ALL},
+    "25, all in steps": {"dispatchers": 25, **IN_STEPS},
+    "25, all started anew, long work, one by one": {"dispatchers": 25, "seed": 2, **ONE_BY_ONE},
+    "25, half at once, slower than the others": {"dispatchers": 25, "slow": 0.6, **HALF},
+    "25 unequal, all in steps": {"dispatchers": 25, "unequal": 8, **IN_STEPS},
+    "25 unequal, most at once": {"dispatchers": 25, "unequal": 8, **MOST},
+    "25 unequal, one core each": {"dispatchers": 25, "unequal": 8, "cores": 1, "workers": 16, **HALF},
+    "200, half at once": {"dispatchers": 200, **HALF},
+    "200 unequal, all at once": {"dispatchers": 200, "unequal": 8, **ALL},
+}
+
+
+class Judged(unittest.TestCase):
+    def test_no_cold_worker_falls_under_what_all_dispatchers_send_together(self):
+        for name, figures in CASES.items():
+            with self.subTest(name):
+                world = cold_budget.play(**figures)
+                self.assertGreater(world.completed, 300)
+                self.assertGreater(sum(book.total for book in world.books), len(world.books))
+                self.assertEqual([book.falls[0] for book in world.books if book.broken()], [])
+
+
+class Broken(unittest.TestCase):
+    """The judge sees a module that is broken on purpose."""
+
+    def falls(self, cold_room, *cases):
+        """Under this budget a worker falls in each case, and those that were told answer for it."""
+        for name in cases:
+            with self.subTest(name), mock.patch.object(Brain, "_cold_room", cold_room):
+                world = cold_budget.play(**CASES[name])
+                self.assertTrue(any(book.broken() for book in world.books))
+
+    def test_no_budget(self):
+        self.falls(lambda brain, worker, now: 1, "25, all at once", "25 unequal, all in steps")
+
+    def test_each_dispatcher_takes_all_dispatchers_part(self):
+        honest = Brain._cold_room
+
+        def cold_room(brain, worker, now):
+            with mock.patch.object(brain, "dispatchers", 1):
+                return honest(brain, worker, now)
+
+        self.falls(cold_room, "25, all started anew, long work, one by one")
+
+    def test_answers_are_divided_by_the_workers_that_are_warm_now(self):
+        """As it was: all answers of a while ago count for the few that are still warm."""
+
+        def cold_room(brain, worker, now):
+            g, age = brain.terms.guarantees, max(0, now - worker.booted)
+            if not worker.booted or age >= g.cold:
+                return 1
+            slot = age // g.fall
+            if slot != worker.slot:
+                part = g.cold_from + (1 - g.cold_from) * slot * g.fall / g.cold
+                rate = max(
+                    brain.done.least(now) / max(1, brain.warm) / g.cold,
+                    1 / brain.usual / brain.dispatchers,
+                )
+                worker.room = int(g.fall_multiple / 3 * part * rate * g.fall + brain.chance())
+                worker.slot = slot
+            return worker.room
+
+        self.falls(cold_room, "25, all in steps", "25 unequal, most at once")
+
+    def test_the_hints_of_what_comes_are_passed_over(self):
+        """As it was: a new life's guess of the usual time, a quarter of the target latency."""
+        honest = Brain._cold_room
+
+        def cold_room(brain, worker, now):
+            with mock.patch.object(brain, "hint", 0):
+                return honest(brain, worker, now)
+
+        self.falls(cold_room, "25, all started anew, long work, one by one")
+
+
+class Books(unittest.TestCase):
+    """N is 16 at the start and 80 when warm; 26 are borne at the start."""
+
+    def setUp(self):
+        self.terms = World(Case(cold=8000, cold_part=0.2, multiple=2.0, fall=1000)).terms
+        self.book = Book(self.terms, 40, 5 * SECOND)
+        self.book.told["a"] = 5 * SECOND
+
+    def arrive(self, count, at, dispatcher="a", weight=1.0):
+        for _ in range(count):
+            self.book.arrives(5 * SECOND + at * MS, dispatcher, weight)
+
+    def test_what_is_put_down_to_chance_and_one_more(self):
+        self.assertAlmostEqual(self.book.budget(0), 16)
+        self.assertAlmostEqual(self.book.budget(4 * SECOND), 48)
+        self.arrive(26, 0)
+        self.assertFalse(self.book.broken())
+        self.assertAlmostEqual(self.book.largest, 1)
+        self.arrive(1, 0)
+        self.assertTrue(self.book.broken())
+
+    def test_a_window_slides(self):
+        self.arrive(10, 0)
+        self.arrive(16, 600)
+        self.assertFalse(self.book.broken())
+        self.arrive(10, 1001)
+        self.assertFalse(self.book.broken())
+        self.arrive(14, 1500)  # N is 28 then: 40 are borne, and the first 10 are out of the window
+        self.assertFalse(self.book.broken())
+        self.arrive(1, 1500)
+        self.assertTrue(self.book.broken())
+
+    def test_the_first_fall_is_what_counts_and_two_thirds_of_it(self):
+        self.arrive(10, 0, "not told")
+        self.arrive(17, 0)
+        self.assertTrue(self.book.falls)
+        self.assertFalse(self.book.broken())
+        self.arrive(20, 0)
+        self.assertFalse(self.book.broken())
+
+    def test_who_is_told_later_answers_for_what_it_sends_then(self):
+        self.book.told["b"] = 5 * SECOND + 500 * MS
+        self.arrive(10, 499, "b")
+        self.arrive(21, 500, "b")
+        self.assertAlmostEqual(self.book.falls[0].told, 21 / 31)
+        self.assertTrue(self.book.broken())
+
+    def test_an_arrival_weighs_as_its_type(self):
+        self.arrive(13, 0, weight=2.0)
+        self.assertFalse(self.book.broken())
+        self.arrive(1, 0, weight=0.5)
+        self.assertTrue(self.book.broken())
+
+    def test_a_warm_worker_bears_whatever_comes(self):
+        self.arrive(200, 8000)
+        self.assertFalse(self.book.broken())
+
+
+if __name__ == "__main__":
+    unittest.main()
