--- a/tests/test_always_answered.py
+++ b/tests/test_always_answered.py
@@ -142,8 +142,8 @@
             client.close()
 
     async def test_a_silence_that_lasts_leaves_what_is_known(self):
-        """The list is lost for good; its workers are there and go on serving. Fails on a dispatcher that forgets
-        its workers when the list is lost."""
+        """The list is lost for good; its workers are there and go on serving. Fails on a dispatcher that
+        forgets its workers when the list is lost."""
         async with Inside([Worker("s-1")], **LONG, familyInfo={"keep": 300_000}) as site:
             site.roster.spoil = silent
             await site.until(lambda: any("list of workers is lost" in line for line in site.log))
