--- a/benchmarks/bgp.py
+++ b/benchmarks/bgp.py
@@ -8,8 +8,7 @@
     by hold time
 
 `--busy`: so many processes that do nothing but count, beside it. The speaker is a process of its own; the
-router is a stand-in in this one.
-"""
+router is a stand-in in this one."""
 
 import argparse
 import asyncio
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -6,8 +6,7 @@
 processor time, so that they hold on a busy machine; bytes are counted. Each figure is fitted over its sizes
 once a run (least squares with relative weights); slope and constant are medians over the runs, and the spread
 is the largest less the smallest slope as a part of the median. Rows that play processes or days print lines
-of their own.
-"""
+of their own."""
 
 import argparse
 import asyncio
--- a/benchmarks/dispatcher.py
+++ b/benchmarks/dispatcher.py
@@ -8,9 +8,7 @@
 fleet       CPU an activation at 10, 100 and 500 workers
 
 All servers are stand-ins on loopback. Workers answer after a fixed time without any model, so that the
-dispatcher is
-what is measured. Medians over the runs.
-"""
+dispatcher is what is measured. Medians over the runs."""
 
 import argparse
 import asyncio
--- a/benchmarks/handover.py
+++ b/benchmarks/handover.py
@@ -1,12 +1,11 @@
 """What upgrades and kills of a played day cost: latency while they go on, the longest gap of accepting, their
 number.
 
-    .venv/bin/petrelwood day upgrades --folder runs/upgrades
-    .venv/bin/python benchmarks/handover.py runs/upgrades
+    .venv/bin/petrelwood day upgrades --folder runs/upgrades .venv/bin/python benchmarks/handover.py
+    runs/upgrades
 
 All from the stand-ins' records: `ask` and `answer` of the portal, the operator's `upgraded`, `old ended` and
-`killed`.
-"""
+`killed`."""
 
 import itertools
 import pathlib
--- a/benchmarks/module_pace.py
+++ b/benchmarks/module_pace.py
@@ -3,10 +3,8 @@
     .venv/bin/python benchmarks/module_pace.py [--workers 100] [--rate 900] [--seconds 50] [--seed 1]
 
 One instance; simulated answers of 20 ms + an exponential 200 ms, workers without limit, a load of 300 ms,
-functions
-with Pareto popularity of shape 1.1, one lane a copy. Prints CPU an activation and how activations ended; with
-`--top` also the rejections of the hottest function, whose copies the design limits.
-"""
+functions with Pareto popularity of shape 1.1, one lane a copy. Prints CPU an activation and how activations
+ended; with `--top` also the rejections of the hottest function, whose copies the design limits."""
 
 import argparse
 import collections
--- a/benchmarks/mqtt.py
+++ b/benchmarks/mqtt.py
@@ -9,8 +9,7 @@
 killed    how long until the messages of a killed dispatcher are answered by another
 
 All servers are stand-ins on loopback; the stand-in broker is a Python process and bears its part of each
-figure.
-"""
+figure."""
 
 import argparse
 import asyncio
--- a/benchmarks/parallel.py
+++ b/benchmarks/parallel.py
@@ -4,9 +4,7 @@
     python benchmarks/parallel.py [--runs 8] [--rounds 3]
 
 Each round measures one alone and all at once, first of a plain loop, then of a day in the emulator, so that
-both meet the
-same machine. Prints the ratio of each round and the medians.
-"""
+both meet the same machine. Prints the ratio of each round and the medians."""
 
 import argparse
 import multiprocessing
--- a/benchmarks/refusal.py
+++ b/benchmarks/refusal.py
@@ -4,9 +4,7 @@
     python benchmarks/refusal.py [--count 2000]
 
 Everything runs in one process, so the caller's own cost is in all of them alike; a request that is answered
-404 at the path is the
-floor that the others are seen over.
-"""
+404 at the path is the floor that the others are seen over."""
 
 import argparse
 import asyncio
--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -32,8 +32,7 @@
 @click.option("--small", is_flag=True, help="a few seconds, to see that it works")
 def main(out, only, jobs, runs, seconds, dispatchers, workers, functions, calls, small):
     """Measures what each role costs against the size of the fleet. DISPATCHERS, WORKERS, FUNCTIONS and CALLS
-    (a
-    second) are those of the largest hollow site."""
+    (a second) are those of the largest hollow site."""
     plan = Plan(runs, dispatchers, workers, functions, calls, small=small)
     made = [
         job
--- a/benchmarks/scale/configuration_fleet.py
+++ b/benchmarks/scale/configuration_fleet.py
@@ -1,6 +1,5 @@
 """How a version of the settings comes into force at a whole fleet: five servers and hundreds of dispatchers
-in
-virtual time.
+in virtual time.
 
 Real here: the replicas and proposers (`decide.cluster.replicated_log`), each dispatcher's `VersionWatch` and
 `Rollout`, and the encoding of what they send, whose bytes are counted. Hollow: sockets (a message takes up to
--- a/benchmarks/scale/configuration_real.py
+++ b/benchmarks/scale/configuration_real.py
@@ -4,8 +4,7 @@
     python -m benchmarks.scale.configuration_real [--followers 20] [--seconds 30]
 
 A few processes and connections on loopback, ended by itself; half of the time is before a version with 13,000
-functions is published, half after it.
-"""
+functions is published, half after it."""
 
 import asyncio
 import json
--- a/benchmarks/scale/counting.py
+++ b/benchmarks/scale/counting.py
@@ -12,9 +12,7 @@
     """Counts the byte-code instructions that Python executes while it is on, in all frames below the caller.
 
     Loops inside C functions (`heapify`, `sorted`) count as one call. The count is the same on every run of
-    the same
-    work. Source: `sys.settrace` with `f_trace_opcodes`.
-    """
+    the same work. Source: `sys.settrace` with `f_trace_opcodes`."""
 
     def __init__(self):
         self.operations = 0
--- a/benchmarks/scale/fleet.py
+++ b/benchmarks/scale/fleet.py
@@ -3,13 +3,9 @@
 
 Real in it: `dispatch.core.Core` with the module, membership and settings; the roster's reader
 (`links.roster.RosterLink`), fed with the roster's own bytes; the stand-in roster's change log; when links
-connect and
-what an end proves. Hollow: sockets, TLS, HTTP, the loop; a worker computes nothing and a load moves no bytes
-(the
-emulator's model of both); a message between a dispatcher and a worker is written in the real format to be
-counted
-and handed over as an object.
-"""
+connect and what an end proves. Hollow: sockets, TLS, HTTP, the loop; a worker computes nothing and a load
+moves no bytes (the emulator's model of both); a message between a dispatcher and a worker is written in the
+real format to be counted and handed over as an object."""
 
 from benchmarks.scale import site, size
 from benchmarks.scale import traffic as flows
--- a/benchmarks/scale/real.py
+++ b/benchmarks/scale/real.py
@@ -1,11 +1,8 @@
 """A real dispatcher process on loopback beside a hollow one: what each costs and sends for the same work.
 
 The real one is `petrelwood serve` with the settings of a hollow site, in front of stand-in workers and a
-stand-in
-roster that count what passes. Sockets, HTTP and the loop are what the hollow one lacks: processor time of
-calls and
-of an idle second is shown beside the real one's without a claim that they agree.
-"""
+stand-in roster that count what passes. Sockets, HTTP and the loop are what the hollow one lacks: processor
+time of calls and of an idle second is shown beside the real one's without a claim that they agree."""
 
 import asyncio
 import multiprocessing
@@ -263,9 +260,8 @@
 
 
 def measure_real(amount, tries=5):
-    """{(quantity, unit): value} of a real dispatcher that has served all calls. Raises `Disturbed` where
-    none of
-    so many tries could."""
+    """{(quantity, unit): value} of a real dispatcher that has served all calls. Raises `Disturbed` where none
+    of so many tries could."""
     for _ in range(tries - 1):
         try:
             return _measure_once(amount)
--- a/benchmarks/scale/runner.py
+++ b/benchmarks/scale/runner.py
@@ -1,9 +1,7 @@
 """Plays the jobs of a scale run, each in a process of its own, within bounds on memory, processes and time.
 
-What does not fit the machine is refused before anything starts. A run that is interrupted or out of time
-ends its
-jobs and keeps what is done.
-"""
+What does not fit the machine is refused before anything starts. A run that is interrupted or out of time ends
+its jobs and keeps what is done."""
 
 import importlib
 import multiprocessing
--- a/benchmarks/scale/size.py
+++ b/benchmarks/scale/size.py
@@ -1,11 +1,8 @@
 """The size that the project is designed for, written once: tests, the scale tests and the page read it.
 
 Times are in seconds, memory and messages in bytes, rates a second, unless a name says otherwise. What is
-given is
-under "the size"; what is ours, because the size does not tell it, is under "assumptions" and is named so
-wherever
-it changes a verdict.
-"""
+given is under "the size"; what is ours, because the size does not tell it, is under "assumptions" and is
+named so wherever it changes a verdict."""
 
 from typing import NamedTuple
 
--- a/benchmarks/state.py
+++ b/benchmarks/state.py
@@ -1,8 +1,7 @@
 """What keeping state costs: the log's pace, a start by size of log, and the whole dispatcher with it and
 without.
 
-    python benchmarks/state.py pace|start|whole
-"""
+    python benchmarks/state.py pace|start|whole"""
 
 import argparse
 import asyncio
--- a/petrelwood/audit/rules.py
+++ b/petrelwood/audit/rules.py
@@ -1,10 +1,8 @@
 """The five rules, judged from what the stand-ins saw. No dispatcher's own word is read.
 
 Records (one JSON line each): the portal's `ask`, `answer`, `left`, `broken`, `replayed`; a worker's `up`,
-`run`
-(a send arrived), `ran` (how it ended there), `hold`, `counts`; the roster's `told`; the operator's `killed`.
-Times are
-one monotonic clock in ns. `SLACK` is what a busy machine may take between two processes.
+`run` (a send arrived), `ran` (how it ended there), `hold`, `counts`; the roster's `told`; the operator's
+`killed`. Times are one monotonic clock in ns. `SLACK` is what a busy machine may take between two processes.
 """
 
 import bisect
@@ -135,11 +133,9 @@
 
 def _one_answer_by_mqtt(case, found):
     """Each message that a dispatcher took has one answer in time. None is owed where the dispatcher that had
-    it was
-    killed, or where the broker was away when its time was up; never two. Two are two that dispatchers have
-    published:
-    one of QoS 1 the broker may deliver to a device again, marked DUP, when the device's own connection
-    breaks."""
+    it was killed, or where the broker was away when its time was up; never two. Two are two that dispatchers
+    have published: one of QoS 1 the broker may deliver to a device again, marked DUP, when the device's own
+    connection breaks."""
     given = collections.Counter(
         r["correlation"] for r in case.by["published"] if r["topic"].startswith("reply/")
     )
--- a/petrelwood/bgp/heartbeats.py
+++ b/petrelwood/bgp/heartbeats.py
@@ -1,8 +1,7 @@
 """Heartbeats: what a dispatcher says of itself to the speaker beside it, over a datagram socket.
 
 They are sent from the dispatcher's own loop, so that one that hangs falls silent; a speaker that is away
-costs it nothing.
-"""
+costs it nothing."""
 
 import socket
 
--- a/petrelwood/bgp/speaker.py
+++ b/petrelwood/bgp/speaker.py
@@ -2,8 +2,7 @@
 out because of it.
 
 Its loop does nothing else, so that KEEPALIVEs leave in time however busy the dispatcher is. It never touches
-a kernel's routes.
-"""
+a kernel's routes."""
 
 import asyncio
 import random
--- a/petrelwood/control/server.py
+++ b/petrelwood/control/server.py
@@ -2,9 +2,7 @@
 
 What is decided is in `decide.cluster.replicated_log`. A reply leaves only once what it depends on is on the
 disk. A server that finds no log where it should be, and was not told to begin a new one, has lost its disk:
-it
-learns from the others and votes again when `Replica.rejoin` allows it.
-"""
+it learns from the others and votes again when `Replica.rejoin` allows it."""
 
 import asyncio
 import pathlib
--- a/petrelwood/decide/cluster/handover.py
+++ b/petrelwood/decide/cluster/handover.py
@@ -4,14 +4,10 @@
     the one that follows: checking -> waiting -> owning -> proven
 
 Every activation belongs to the process that took it, and only that one sends or answers for it. There is one
-moment at which new
-ones change hands: when the old one has stopped accepting, flushed its state, and says go. Before that,
-whatever happens, the old
-one goes on as if nothing had been asked. After it the old one keeps the listeners, without accepting, until
-the new one has
-proven itself; if that dies, says back, or is silent too long, the old one accepts again.
-Times in ns of each process's own clock.
-"""
+moment at which new ones change hands: when the old one has stopped accepting, flushed its state, and says go.
+Before that, whatever happens, the old one goes on as if nothing had been asked. After it the old one keeps
+the listeners, without accepting, until the new one has proven itself; if that dies, says back, or is silent
+too long, the old one accepts again. Times in ns of each process's own clock."""
 
 SECOND = 1_000_000_000
 SERVING, OFFERING, HANDING, WATCHING, OVER = "serving", "offering", "handing", "watching", "over"
--- a/petrelwood/decide/cluster/link_state.py
+++ b/petrelwood/decide/cluster/link_state.py
@@ -4,9 +4,8 @@
 
 A connection counts only once the worker has greeted with its id and start time: a peer that accepts and stays
 silent was never up, so what waited for it provably never ran. A greeting with another id is a wrong peer; one
-with
-another start time than before is a new life of the worker, which knows nothing of calls made to the old one.
-"""
+with another start time than before is a new life of the worker, which knows nothing of calls made to the old
+one."""
 
 from petrelwood.decide.overload.backoff import Backoff
 
--- a/petrelwood/decide/cluster/membership.py
+++ b/petrelwood/decide/cluster/membership.py
@@ -1,11 +1,9 @@
 """What this dispatcher has been told of workers: the list, its gaps, and each worker's lives.
 
 The roster sends a whole list or changes, each with an id that grows. A change that does not follow the one
-before
-means that something was missed: the list is then asked for anew. A worker's start is told as wall-clock time
-and
-turned into this dispatcher's own clock once a life, so that a stepped clock makes no new life of it.
-"""
+before means that something was missed: the list is then asked for anew. A worker's start is told as
+wall-clock time and turned into this dispatcher's own clock once a life, so that a stepped clock makes no new
+life of it."""
 
 from typing import NamedTuple
 
--- a/petrelwood/decide/cluster/replicated_log.py
+++ b/petrelwood/decide/cluster/replicated_log.py
@@ -12,8 +12,7 @@
 A version's settings are kept compressed: what 400 dispatchers ask for at once is then a tenth of it.
 
 Free of I/O. Who drives a `Replica` makes `durable()` outlive a crash before any reply leaves that was given
-while `changed` was true. Times in ns of any clock that does not go back.
-"""
+while `changed` was true. Times in ns of any clock that does not go back."""
 
 import zlib
 from typing import NamedTuple
--- a/petrelwood/decide/cluster/rollout.py
+++ b/petrelwood/decide/cluster/rollout.py
@@ -2,16 +2,12 @@
 goes back.
 
 A version is announced to all (how is not ours: a folder that all read, a push): its number, when it began,
-and whether anyone has called
-it off. Each dispatcher has a place in the order, drawn by a hash of its name and the version, so that no one
-is always first; stage
-by stage a larger part takes it. One that took it compares its answers with those before; where a smaller part
-completes it goes back
-by itself and says so, after which those whose turn has not come do not take it, and those that have it go
-back too. Of two
-versions at once the newer number counts for everyone, whatever came first; one that missed some goes to the
-newest at its turn.
-Times are wall-clock ns, since all have to mean the same by them; a version from the future waits.
+and whether anyone has called it off. Each dispatcher has a place in the order, drawn by a hash of its name
+and the version, so that no one is always first; stage by stage a larger part takes it. One that took it
+compares its answers with those before; where a smaller part completes it goes back by itself and says so,
+after which those whose turn has not come do not take it, and those that have it go back too. Of two versions
+at once the newer number counts for everyone, whatever came first; one that missed some goes to the newest at
+its turn. Times are wall-clock ns, since all have to mean the same by them; a version from the future waits.
 """
 
 import hashlib
@@ -54,8 +50,7 @@
 
 class Rollout:
     """One dispatcher's part. `version`: what it runs. Ask `look`; it says 'take' N, 'back' N or None, and
-    `calls_off` names the
-    version that this dispatcher has found bad."""
+    `calls_off` names the version that this dispatcher has found bad."""
 
     def __init__(self, name, version, stages=STAGES, dwell=DWELL):
         self.name, self.version, self.before, self.stages, self.dwell = name, version, None, stages, dwell
@@ -69,8 +64,7 @@
     @classmethod
     def resumed(cls, name, handed, stages=STAGES, dwell=DWELL):
         """The same dispatcher's part in a process that an upgrade has begun: it watches from here on what it
-        took over with.
-        Raises `ValueError` for what `handed` can't have said."""
+        took over with. Raises `ValueError` for what `handed` can't have said."""
         try:
             version, before, (share, seen), took_at, refused = handed
             made = cls(name, int(version), stages, dwell)
@@ -83,8 +77,7 @@
 
     def could_not(self):
         """What it said to do could not be done: the version that it was to take is refused here; one to go
-        back from stays, and is
-        called off all the same. Returns the version that it is of now."""
+        back from stays, and is called off all the same. Returns the version that it is of now."""
         if self.before is not None:
             self.refused.add(self.version)
             self.version, self.before, self.took_at = self.before, None, None
--- a/petrelwood/decide/cluster/settings_change.py
+++ b/petrelwood/decide/cluster/settings_change.py
@@ -2,9 +2,7 @@
 whether it is risky.
 
 A version is taken as a whole: at once only where each of its changes can be, else all of it by an upgrade,
-which loses nothing
-(`docs/state.md`). Activations on hand keep the times that they came in with.
-"""
+which loses nothing (`docs/state.md`). Activations on hand keep the times that they came in with."""
 
 from typing import NamedTuple
 
--- a/petrelwood/decide/delivery/ledger.py
+++ b/petrelwood/decide/delivery/ledger.py
@@ -1,23 +1,17 @@
 """The ledger of ids: first try, retry or replay, and what a retry is told.
 
 An id is a customer's own. Its newest timestamp is kept: an older or equal one is a replay and never an
-activation,
-a newer one is a retry. A retry while the first try runs joins it; a known completed answer is given again;
-after a
-rejection it may run; after an abort, or a client that left, it runs again only where its namespace type
-allows that:
-repeatable always, deduplicated where every worker drops repeats and the window is open, once-only never.
+activation, a newer one is a retry. A retry while the first try runs joins it; a known completed answer is
+given again; after a rejection it may run; after an abort, or a client that left, it runs again only where its
+namespace type allows that: repeatable always, deduplicated where every worker drops repeats and the window is
+open, once-only never.
 
 An id is remembered as long as any timestamp that it came with would still be taken, and as long as its
-namespace
-type says. A full ledger refuses new ids; it never forgets one early. Bodies of answers have a bound of their
-own:
-the oldest are dropped first, and then only the fact is known.
+namespace type says. A full ledger refuses new ids; it never forgets one early. Bodies of answers have a bound
+of their own: the oldest are dropped first, and then only the fact is known.
 
 A ledger that began empty can't tell a replay of what an earlier life answered. It takes only what was signed
-since
-it began: a client that is told to come back signs anew.
-"""
+since it began: a client that is told to come back signs anew."""
 
 from collections import OrderedDict, deque
 
--- a/petrelwood/decide/delivery/mqtt_acknowledgement.py
+++ b/petrelwood/decide/delivery/mqtt_acknowledgement.py
@@ -1,8 +1,7 @@
 """When a message is acknowledged, when its activation begins, and what a lost session means. Free of I/O.
 
 An acknowledgement tells the broker that it will never have to deliver the message again. What that must prove
-depends
-on what may happen if two dispatchers get the same message:
+depends on what may happen if two dispatchers get the same message:
 
 - **Repeatable**: acknowledged last, together with the answer. If this dispatcher dies before that, the broker
 delivers the
@@ -24,8 +23,7 @@
 - **QoS 0** is never delivered again: it begins at once.
 
 Deliveries beyond the window (`Window`) wait unacknowledged and not begun: the broker holds what is behind
-them.
-"""
+them."""
 
 from collections import OrderedDict, deque
 
@@ -57,8 +55,7 @@
 
 class Window:
     """How many activations of one session may be under way: it grows by one for each window of answers in
-    time, and
-    is cut by a fifth, once for each usual answer's time, when one is late or turned away."""
+    time, and is cut by a fifth, once for each usual answer's time, when one is late or turned away."""
 
     def __init__(self, least, most):
         self.least, self.most, self.size, self.cut_at = least, most, float(min(most, 4 * least)), 0
@@ -75,10 +72,9 @@
 
 class Deliveries:
     """The messages of one session. `out` acts on what is decided, in the same turn: `ack(id, qos)`,
-    `comp(id)`,
-    `ping()`, `begin(delivery)`, `turn_away(delivery)` (rejected, it never ran), `owes_abort(delivery)`,
-    `give(delivery)`
-    (the answer that was kept for it) and `moved(delivery)` (another has it: no answer from here)."""
+    `comp(id)`, `ping()`, `begin(delivery)`, `turn_away(delivery)` (rejected, it never ran),
+    `owes_abort(delivery)`, `give(delivery)` (the answer that was kept for it) and `moved(delivery)` (another
+    has it: no answer from here)."""
 
     def __init__(self, window, out):
         self.window, self.out = window, out
@@ -90,8 +86,7 @@
     # From the broker.
     def published(self, now, id_, qos, dup, effect, due, mark, what):
         """A message has come; `what` is the caller's own, `mark` the same for the same message. Returns its
-        delivery,
-        or None where it is known."""
+        delivery, or None where it is known."""
         old = self.known.get(id_) if qos else None
         if old is not None and old.mark != mark:  # the broker gives its number to another message
             self._forgotten(now, old)
@@ -209,12 +204,9 @@
 
     def resume(self, now, present):
         """Connected again. Where the broker has kept the session it first delivers again what is still ours
-        and not
-        acknowledged; a PINGREQ after that tells when it is through. What did not come again may be with
-        another
-        dispatcher: what runs here ends without an answer, and for what waited for proof an abort is owed. The
-        same
-        holds for all where the broker has not kept the session."""
+        and not acknowledged; a PINGREQ after that tells when it is through. What did not come again may be
+        with another dispatcher: what runs here ends without an answer, and for what waited for proof an abort
+        is owed. The same holds for all where the broker has not kept the session."""
         self.resumed, self.connected, self.connection = False, True, self.connection + 1
         proving = [d for d in self.known.values() if d.state == PROVING]
         if present:
--- a/petrelwood/decide/delivery/mqtt_topics.py
+++ b/petrelwood/decide/delivery/mqtt_topics.py
@@ -1,11 +1,8 @@
 """What an MQTT message asks: which customer, function and patience, and where its answer may go.
 
 Topics are `act/CUSTOMER/TYPE/FUNCTION`; the broker lets a customer's session publish under its own name only.
-An
-answer may go under `reply/CUSTOMER/` only, to a topic without wildcards: nobody's message makes this
-dispatcher publish
-where its sender may not.
-"""
+An answer may go under `reply/CUSTOMER/` only, to a topic without wildcards: nobody's message makes this
+dispatcher publish where its sender may not."""
 
 from typing import NamedTuple
 
@@ -43,8 +40,7 @@
 
 def identity(response_topic, correlation, session, number):
     """The id of a message in the ledger: the same for a client that asks again with the same Correlation
-    Data. A
-    message without any has none, and each is an activation of its own."""
+    Data. A message without any has none, and each is an activation of its own."""
     if correlation is None:
         return f"mqtt:{session}:{number}"
     return f"mqtt:{response_topic or ''}:{correlation.hex()}"
--- a/petrelwood/decide/delivery/pending.py
+++ b/petrelwood/decide/delivery/pending.py
@@ -2,8 +2,7 @@
 
 It knows the sends of each activation that are still out, who waits for the answer, and when it is due. The
 dispatcher tells it what happened; it says what follows. What it closes can't be closed again, whoever asks: a
-second answer for the same activation is counted as a fault and goes nowhere.
-"""
+second answer for the same activation is counted as a fault and goes nowhere."""
 
 import heapq
 
@@ -12,8 +11,8 @@
 
 class PendingActivation:
     """One activation. `waiting` are the fronts' exchanges: each one gets the answer. `lanes`, `load_time`,
-    `work` (ns): as its
-    rule or its client tells them; `mark`: what a worker tells repeats by, where it is not the id."""
+    `work` (ns): as its rule or its client tells them; `mark`: what a worker tells repeats by, where it is not
+    the id."""
 
     __slots__ = (
         "id",
@@ -46,8 +45,7 @@
 
 class PendingActivations:
     """Times in ns. `ledger` may be None: nothing is known of earlier tries. `prefix` None: an activation goes
-    under the id that it
-    came with, which no other that is open may have."""
+    under the id that it came with, which no other that is open may have."""
 
     def __init__(self, intake, ledger, prefix=""):
         self.intake, self.ledger, self.prefix, self.acts, self.by_key = intake, ledger, prefix, {}, {}
--- a/petrelwood/decide/delivery/recovery.py
+++ b/petrelwood/decide/delivery/recovery.py
@@ -2,15 +2,12 @@
 out.
 
 Derived rule by rule (`docs/state.md`): before the first send of an activation that must not run twice its id
-must be kept; nothing
-else has to be. An id without an outcome may have run. Orders of the last window count against the ration of
-this life. What a cold
-worker was sent in the window that the restart fell into is not known, so it gets nothing for one window.
+must be kept; nothing else has to be. An id without an outcome may have run. Orders of the last window count
+against the ration of this life. What a cold worker was sent in the window that the restart fell into is not
+known, so it gets nothing for one window.
 
 Wall clocks are doubted: a clock that went back, or records from ahead of it, close every window of
-deduplication and keep ids for
-their whole time from now on.
-"""
+deduplication and keep ids for their whole time from now on."""
 
 import operator
 from typing import NamedTuple
@@ -49,8 +46,7 @@
 
 def replay(records, wall, boot, durable):
     """`records` as `store.state` has them, `boot` the machine's present start, `durable` whether each was on
-    the disk before its
-    effect went out."""
+    the disk before its effect went out."""
     ids, orders, began, last, closed, boots = {}, [], None, 0, True, set()
     epoch, running = None, set()
     for record in records:
@@ -90,8 +86,8 @@
 
 def fill(ledger, found, now, wall, types, remember, tolerance, elsewhere=False):
     """Puts what was found into a ledger; how many ids it holds then. What had no outcome counts as sent:
-    nobody can tell; or, with
-    `elsewhere`, another process still finishes it. What runs here stays as it is."""
+    nobody can tell; or, with `elsewhere`, another process still finishes it. What runs here stays as it
+    is."""
     rows = []
     for key, known in found.ids.items():
         if known.type not in types:
--- a/petrelwood/decide/delivery/send_outcome.py
+++ b/petrelwood/decide/delivery/send_outcome.py
@@ -1,13 +1,9 @@
 """What the end of a send proves. Rule 2 hangs on it.
 
 A call passes three stages on its way out: WAITING in our own queue, HANDED to the socket, and ANSWERED. Only
-a call
-that never left our queue, or that the worker itself says it did not begin, provably never ran. Bytes that
-were
-handed over count as read, whatever became of the connection: half a frame on the wire may have been completed
-by
-bytes that are still in the kernel's hands.
-"""
+a call that never left our queue, or that the worker itself says it did not begin, provably never ran. Bytes
+that were handed over count as read, whatever became of the connection: half a frame on the wire may have been
+completed by bytes that are still in the kernel's hands."""
 
 from petrelwood import ports
 
--- a/petrelwood/decide/forecasting/account.py
+++ b/petrelwood/decide/forecasting/account.py
@@ -2,12 +2,9 @@
 itself.
 
 An early load ends in one of: used in time, used late (called while it was still loading), never used, pushed
-another out, failed,
-stopped by a rule. The balance of a function, a hall and the whole is in seconds of cold wait, with what has
-been spent priced
-in; it forgets slowly. Where it turns negative early loads are held back, and tried again after a wait that
-doubles.
-"""
+another out, failed, stopped by a rule. The balance of a function, a hall and the whole is in seconds of cold
+wait, with what has been spent priced in; it forgets slowly. Where it turns negative early loads are held
+back, and tried again after a wait that doubles."""
 
 from collections import Counter
 
--- a/petrelwood/decide/forecasting/forecast.py
+++ b/petrelwood/decide/forecasting/forecast.py
@@ -2,14 +2,10 @@
 called.
 
 Counts in slots of a stated width. Three methods are weighed for each function by back-test on its own past,
-by the ranked
-probability score of the whole distribution; the plain one (the same slot of earlier seasons) stays unless
-another has
-been better by a tenth for long enough. A forecast is a mean and a spread, read as a negative binomial: counts
-are more
-spread than Poisson's. What has no history borrows from its kind; what is suddenly hot is seen from its last
-slots.
-"""
+by the ranked probability score of the whole distribution; the plain one (the same slot of earlier seasons)
+stays unless another has been better by a tenth for long enough. A forecast is a mean and a spread, read as a
+negative binomial: counts are more spread than Poisson's. What has no history borrows from its kind; what is
+suddenly hot is seen from its last slots."""
 
 import math
 from collections import deque
@@ -239,8 +235,8 @@
 
 class Forecast:
     """All functions of one dispatcher. `kin(function)` names what it is like, for those without history;
-    `calendar` a
-    `Calendar`. Times are wall-clock ns; a clock that steps back, or a gap, ends the slot that was open."""
+    `calendar` a `Calendar`. Times are wall-clock ns; a clock that steps back, or a gap, ends the slot that
+    was open."""
 
     def __init__(self, calendar, kin, most=20_000, sliced=False):
         self.calendar, self.kin, self.most, self.sliced = calendar, kin, most, sliced
@@ -297,8 +293,7 @@
 
     def work(self, count):
         """Learns the next so many functions of the slots that have ended; whether more are left. A caller
-        that must not
-        stand still (`sliced`) does this a few at a time."""
+        that must not stand still (`sliced`) does this a few at a time."""
         while self.jobs and count > 0:
             keys, counts, names = self.jobs[0]
             while names and count > 0:
@@ -319,13 +314,11 @@
 
     def ahead(self, at, function, slots=1, times=1):
         """(mean, spread) of calls in the next `slots` slots from `at` on, of `times` as many as this
-        dispatcher sees; (0, 2) of
-        what nothing is known of.
+        dispatcher sees; (0, 2) of what nothing is known of.
 
         What was seen is weighed against what its kind does, as a Poisson count against a gamma prior: a call
-        or two of one's own,
-        times hundreds of dispatchers, must not pass for a busy function. The spread holds how little was
-        seen."""
+        or two of one's own, times hundreds of dispatchers, must not pass for a busy function. The spread
+        holds how little was seen."""
         series, kind = self.series.get(function), self.kinds.get(self.kin(function))
         total, worst, least = 0.0, 1.05, math.inf
         for ahead in range(slots):
@@ -353,9 +346,8 @@
 
     def restore(self, parts):
         """Takes a state that `dump` gave; how many functions it holds, 0 where its slots are of another width
-        or it makes no
-        sense: then all is learnt anew. The slots that passed meanwhile are learnt as a gap when the next call
-        comes."""
+        or it makes no sense: then all is learnt anew. The slots that passed meanwhile are learnt as a gap
+        when the next call comes."""
         try:
             head, *rest = parts
             if head[:3] != [self.calendar.slot, self.calendar.day, self.calendar.week]:
--- a/petrelwood/decide/forecasting/planner.py
+++ b/petrelwood/decide/forecasting/planner.py
@@ -1,23 +1,19 @@
 """Which copies to load ahead, where and when: what is expected to be saved, against what it costs.
 
 A wish is worth the cold waits it should save (calls that would come before the copy that demand loads stands,
-times the load's
-time, times how sure it is that any comes), less the fetch, the memory it holds idle, and what it pushes out.
-Wishes are made in
-the order of worth for each byte until room, ration and the store's present pace are used up: greedy, which is
-within one
-wish of the best for a knapsack whose items are small against it, and never exceeds a bound (both are tested).
+times the load's time, times how sure it is that any comes), less the fetch, the memory it holds idle, and
+what it pushes out. Wishes are made in the order of worth for each byte until room, ration and the store's
+present pace are used up: greedy, which is within one wish of the best for a knapsack whose items are small
+against it, and never exceeds a bound (both are tested).
 
 Only a first copy is wished, where none is known to stand: further ones are demand's, which knows what it
-needs. Guessed ones went to
-workers that nobody asked after, and cost most of the fetches that many dispatchers spent for nothing.
+needs. Guessed ones went to workers that nobody asked after, and cost most of the fetches that many
+dispatchers spent for nothing.
 
 Hundreds of dispatchers plan alone. Each wants its own part: it draws for each copy with the chance of one in
-as many as there
-are, so that about one of them wishes it; since all name the same workers in a function's hash order, two that
-draw the same
-copy find it standing, which costs an order and no load. The planner only wishes; the module's guard decides.
-"""
+as many as there are, so that about one of them wishes it; since all name the same workers in a function's
+hash order, two that draw the same copy find it standing, which costs an order and no load. The planner only
+wishes; the module's guard decides."""
 
 from typing import NamedTuple
 
--- a/petrelwood/decide/forecasting/prefetch.py
+++ b/petrelwood/decide/forecasting/prefetch.py
@@ -2,12 +2,9 @@
 I/O.
 
 The core tells it of calls, ends and answered orders; each slot it makes a plan and hands wishes to the module
-one by one. Real
-activations always go first: the module refuses a wish while anything waits, and what it refuses is not asked
-again.
-Without forecasts, or with stale or absurd ones, nothing is wished and the dispatcher goes on as if there were
-none.
-"""
+one by one. Real activations always go first: the module refuses a wish while anything waits, and what it
+refuses is not asked again. Without forecasts, or with stale or absurd ones, nothing is wished and the
+dispatcher goes on as if there were none."""
 
 from petrelwood.decide.forecasting import planner
 from petrelwood.decide.forecasting.account import Account
@@ -28,8 +25,7 @@
 
 class EarlyLoads:
     """`wish(function, lanes, load_time)` is the module's, and returns the worker or None. `share`: this
-    dispatcher's
-    part of all calls, 1 / dispatchers where nothing better is known."""
+    dispatcher's part of all calls, 1 / dispatchers where nothing better is known."""
 
     def __init__(
         self, calendar, prices, keep, dispatchers, chance, wish, hall, size=0, memory=0, most=64, sliced=False
--- a/petrelwood/decide/overload/admission.py
+++ b/petrelwood/decide/overload/admission.py
@@ -1,14 +1,10 @@
 """Who may open a connection, shake hands, be read and have a signature checked, before any of it costs much.
 
 All by address: what a request says of its customer is not believed before its signature holds, or anyone
-could wear out another's
-part. An address has a pace of its own for connections, and a part of each bound once half of the bound is
-taken; so one crowd
-can't keep the others out, and a lone caller may use all. An address whose signatures fail goes through
-`Backoff`: it is
-refused unread for a while that doubles. What is known of addresses is bounded; the one heard of longest ago
-is forgotten.
-"""
+could wear out another's part. An address has a pace of its own for connections, and a part of each bound once
+half of the bound is taken; so one crowd can't keep the others out, and a lone caller may use all. An address
+whose signatures fail goes through `Backoff`: it is refused unread for a while that doubles. What is known of
+addresses is bounded; the one heard of longest ago is forgotten."""
 
 from collections import OrderedDict
 
@@ -67,8 +63,7 @@
 
     def _over_part(self, one, mine, used, bound, what):
         """Whether an address has its part of a bound that is half used. A lone one may take all but an
-        eighth, which is kept
-        for whoever comes next."""
+        eighth, which is kept for whoever comes next."""
         if used <= bound * HALF:
             return False
         others = self._active(what) - (1 if getattr(one, what) else 0)
--- a/petrelwood/decide/overload/backoff.py
+++ b/petrelwood/decide/overload/backoff.py
@@ -1,9 +1,7 @@
 """When to try again: one piece for links, the roster and whatever else repeats.
 
 Waits double from `first` to `most`, each drawn from its upper half, or with `full` from all of it, so that
-those that
-failed together do not come back together. A budget in `Budget` bounds repeats by firsts.
-"""
+those that failed together do not come back together. A budget in `Budget` bounds repeats by firsts."""
 
 
 class Backoff:
@@ -30,8 +28,7 @@
 
 class Budget:
     """So many repeats for so many firsts: each first earns a part of a repeat, up to a few kept. With `every`
-    (ns) time earns
-    one too, so that what has had no firsts for long is tried all the same."""
+    (ns) time earns one too, so that what has had no firsts for long is tried all the same."""
 
     def __init__(self, part, kept, every=0):
         self.part, self.kept, self.left, self.every, self.since, self.refused = part, kept, kept, every, 0, 0
--- a/petrelwood/decide/overload/concurrency_limit.py
+++ b/petrelwood/decide/overload/concurrency_limit.py
@@ -2,14 +2,10 @@
 in time.
 
 A queue that is longer than what can be answered in time makes all of it late, and the repeats of what was
-late keep it long after
-what began it is gone. So the bound on what is held follows the answers: at the end of each turn, where most
-were late or
-aborted, it falls under what is held now; where nearly all are good it rises by a part, and by less once it is
-near where it was
-cut last. Between the two it stays. It never falls under `least`, so that there are always answers to learn
-from.
-"""
+late keep it long after what began it is gone. So the bound on what is held follows the answers: at the end of
+each turn, where most were late or aborted, it falls under what is held now; where nearly all are good it
+rises by a part, and by less once it is near where it was cut last. Between the two it stays. It never falls
+under `least`, so that there are always answers to learn from."""
 
 BAD, GOOD = 0.3, 0.1  # share of answers that were not in time: cut over the one, rise under the other
 CUT, RISE, FEEL = 0.75, 1.25, 1.02
--- a/petrelwood/decide/overload/deadlines.py
+++ b/petrelwood/decide/overload/deadlines.py
@@ -1,9 +1,7 @@
 """How long an activation may take, and when its answer must leave.
 
 The client's patience never lengthens the namespace type's action timeout. A part of it is kept for the way
-back:
-an answer counts when the client has it, not when it is written.
-"""
+back: an answer counts when the client has it, not when it is written."""
 
 WAY_BACK = 1 / 16  # of the patience, for the answer's way to the client
 LEAST = 1 / 50  # of the action timeout; with less left nothing can be done in time
--- a/petrelwood/decide/overload/intake.py
+++ b/petrelwood/decide/overload/intake.py
@@ -3,9 +3,7 @@
     customer's room -> retry or replay -> patience -> what can be served -> retry policy -> the module
 
 Every front asks here, so that a case has one decision whichever way it came. A verdict says what the front
-should
-answer; TAKE and JOIN mean that the answer comes later, through `PendingActivations`.
-"""
+should answer; TAKE and JOIN mean that the answer comes later, through `PendingActivations`."""
 
 from typing import NamedTuple
 
@@ -64,8 +62,7 @@
 
 class Intake:
     """Times in ns. `damps`: whether storms are damped here: hints that grow, a budget for early repeats, a
-    bound that follows
-    what can be answered in time; else a full house alone turns away."""
+    bound that follows what can be answered in time; else a full house alone turns away."""
 
     def __init__(self, limits, timeouts, terms, ledger, chance, damps=True):
         self.limits, self.timeouts, self.terms, self.ledger, self.chance = (
@@ -148,8 +145,7 @@
 
     def _more_than_can_be(self, now, ask, due, how):
         """Why one more would do harm, or None. A customer with less than half of an equal part still has room
-        over the bound:
-        one that storms does not shut out those that are quiet."""
+        over the bound: one that storms does not shut out those that are quiet."""
         quiet = (
             self.by_customer.get(ask.customer, 0) * 2 * max(1, len(self.by_customer))
             < self.concurrency_limit.limit
@@ -226,8 +222,7 @@
 
     def come_back(self, now, customer, id_, least=0, early=False):
         """When one that was turned away should come back: drawn over as long as what is held will take;
-        longer each time for one
-        that does not wait so long."""
+        longer each time for one that does not wait so long."""
         most, fullness = self.terms.allowed.max_retry_after, self.held / max(1, self.limits.held)
         wait = self.throughput.come_back(now, self.held, self.concurrency_limit.limit) if self.damps else None
         wait = (
--- a/petrelwood/decide/overload/resource_limits.py
+++ b/petrelwood/decide/overload/resource_limits.py
@@ -35,8 +35,7 @@
 
 class CapacityIntake:
     """The intake of a platform that has its own retries, quotas and ids: room alone is looked at, all else is
-    the module's. It has
-    the shape of `intake.Intake`. Times in ns."""
+    the module's. It has the shape of `intake.Intake`. Times in ns."""
 
     damps = False
 
--- a/petrelwood/decide/overload/retry_budget.py
+++ b/petrelwood/decide/overload/retry_budget.py
@@ -1,14 +1,10 @@
 """Who comes back when: hints that grow for those who do not listen, and a budget for those who do not wait.
 
 What was turned away is remembered by its id, with the time it was told to stay away. It may come back at that
-time or later:
-then it has listened, and is treated as a first. Before that it is early. Early ones live on a budget: a part
-of a repeat for each
-first of the same customer, so that a customer who retries at once can only wear out his own. The hint doubles
-each time
-an id comes early, and is drawn over its whole width, so that those refused together do not come back
-together.
-"""
+time or later: then it has listened, and is treated as a first. Before that it is early. Early ones live on a
+budget: a part of a repeat for each first of the same customer, so that a customer who retries at once can
+only wear out his own. The hint doubles each time an id comes early, and is drawn over its whole width, so
+that those refused together do not come back together."""
 
 from collections import OrderedDict
 
--- a/petrelwood/decide/overload/storm.py
+++ b/petrelwood/decide/overload/storm.py
@@ -8,11 +8,9 @@
     cold        the share of ended sends that had to wait for a load
 
 Each symptom goes on when it has been over its upper mark at two looks in a row and off when it has stayed
-under its lower mark
-for a while that grows each time it comes back soon: it does not flap. What follows from a storm is decided
-where it matters
-(`retry_budget`, `admission`, `concurrency_limit`, early loads); here is only what there is.
-"""
+under its lower mark for a while that grows each time it comes back soon: it does not flap. What follows from
+a storm is decided where it matters (`retry_budget`, `admission`, `concurrency_limit`, early loads); here is
+only what there is."""
 
 from collections import Counter
 
--- a/petrelwood/decide/overload/throughput.py
+++ b/petrelwood/decide/overload/throughput.py
@@ -1,9 +1,7 @@
 """What can be served: how long what is held will take, and when those turned away should come back.
 
 By Little's law what is held, over the pace at which answers leave, is the time that one more will stay. It is
-believed only where
-enough is held for it to mean a queue and not a lull.
-"""
+believed only where enough is held for it to mean a queue and not a lull."""
 
 from petrelwood.decide.overload.sliding_window import SlidingWindowCounter
 
@@ -35,7 +33,6 @@
 
     def come_back(self, now, held, limit):
         """How long until there should be room again, ns: until what is over three quarters of the bound has
-        left; None where
-        nothing is known."""
+        left; None where nothing is known."""
         stay = self.stay(now, held)
         return None if stay is None else int(stay * max(0.25, 1 - 0.75 * min(limit, held) / held))
--- a/petrelwood/decide/routing/announce.py
+++ b/petrelwood/decide/routing/announce.py
@@ -2,10 +2,8 @@
 changes goes out.
 
 An address that serves less carries a higher MED, our own AS number more often, and the graceful-shutdown
-community of RFC 8326, so that
-routers that follow any of them prefer another; a router that follows none still has it while there is nothing
-else.
-"""
+community of RFC 8326, so that routers that follow any of them prefer another; a router that follows none
+still has it while there is nothing else."""
 
 from typing import NamedTuple
 
@@ -76,8 +74,7 @@
 
 class Inbox:
     """Routes heard from one peer, for our own addresses only: the rest is counted and let go, so that a full
-    table costs nothing.
-    `ours`: (prefix, our next hop)."""
+    table costs nothing. `ours`: (prefix, our next hop)."""
 
     def __init__(self, services, most):
         self.ours, self.most = {s.prefix: s.next_hop for s in services}, most
--- a/petrelwood/decide/routing/neighbor.py
+++ b/petrelwood/decide/routing/neighbor.py
@@ -4,13 +4,11 @@
     idle -> connect -> (open sent -> open confirm) of each connection -> established
 
 Who drives it tells it what happens and, at `due()` or later, calls `check`. It does through `out`:
-`connect()`, `write(key, bytes)`,
-`close(key)`, `up(open)`, `down(why)`, `heard(update)`, `refresh(afi)`. `key` names a
-connection: OURS, which we opened, or THEIRS. Times in ns of our own clock.
+`connect()`, `write(key, bytes)`, `close(key)`, `up(open)`, `down(why)`, `heard(update)`, `refresh(afi)`.
+`key` names a connection: OURS, which we opened, or THEIRS. Times in ns of our own clock.
 
-What oscillates waits longer each time before it is tried again (a `Backoff`), and forgets that once a
-session has held.
-"""
+What oscillates waits longer each time before it is tried again (a `Backoff`), and forgets that once a session
+has held."""
 
 import struct
 
@@ -32,8 +30,8 @@
 
 class Terms:
     """`asn`, `peer_asn` (0: any), `id` (a number), `hold` in s, `families`, `role` or None, `passive`: never
-    connects itself;
-    `most`: routes that are taken from the peer; `first`, `longest`: ns between tries to connect."""
+    connects itself; `most`: routes that are taken from the peer; `first`, `longest`: ns between tries to
+    connect."""
 
     def __init__(
         self,
--- a/petrelwood/decide/routing/routing_table.py
+++ b/petrelwood/decide/routing/routing_table.py
@@ -2,11 +2,8 @@
 4271, 9.1, in parts).
 
 Shorter AS path, lower origin, lower MED among paths of the same neighbouring AS, then the lower identifier;
-paths that differ in the last
-only share the traffic. The graceful-shutdown community makes a path the last choice (RFC 8326). Flows are
-spread by hash, or
-resiliently: a bucket keeps its path until that path goes.
-"""
+paths that differ in the last only share the traffic. The graceful-shutdown community makes a path the last
+choice (RFC 8326). Flows are spread by hash, or resiliently: a bucket keeps its path until that path goes."""
 
 import hashlib
 
--- a/petrelwood/decide/routing/serving.py
+++ b/petrelwood/decide/routing/serving.py
@@ -5,19 +5,14 @@
     NONE    not announced
 
 What is wrong is either its own (it drains or hands over, stands still, says nothing, knows no fresh list,
-can't keep what must be kept)
-or may be everyone's (no usable worker, answers that do not come in time). For its own causes it goes at once.
-For those that may be
-everyone's it goes to LESS, and to NONE only while it sees another announcement of the address that is not
-LESS: if all are ill all stay
-at LESS, and the last one can't go, without a word between them. Who went by this comes back to LESS at once
-when no such other is
-seen any more.
+can't keep what must be kept) or may be everyone's (no usable worker, answers that do not come in time). For
+its own causes it goes at once. For those that may be everyone's it goes to LESS, and to NONE only while it
+sees another announcement of the address that is not LESS: if all are ill all stay at LESS, and the last one
+can't go, without a word between them. Who went by this comes back to LESS at once when no such other is seen
+any more.
 
 It comes back late: after it was well for `settle`, doubled by each time that it went lately; that is
-forgotten by half each minute. A drain
-is meant, and does not count. Times in ns.
-"""
+forgotten by half each minute. A drain is meant, and does not count. Times in ns."""
 
 from typing import NamedTuple
 
--- a/petrelwood/dispatch/configuration.py
+++ b/petrelwood/dispatch/configuration.py
@@ -1,10 +1,8 @@
 """Keeps a dispatcher's folder of versions as the configuration servers have them, and tells them what it
-calls
-off.
+calls off.
 
 Whom it asks and what follows is decided in `decide.cluster.version_watch`. The folder outlives the servers: a
-dispatcher that restarts while none of them answers has the versions that it had.
-"""
+dispatcher that restarts while none of them answers has the versions that it had."""
 
 import asyncio
 
--- a/petrelwood/dispatch/core.py
+++ b/petrelwood/dispatch/core.py
@@ -1,14 +1,12 @@
 """What a dispatcher does between its fronts and its links: it tells the module what happens and carries out
-what it
-decides. Free of I/O: the clock and the links are handed in, so that the emulator drives this very code.
+what it decides. Free of I/O: the clock and the links are handed in, so that the emulator drives this very
+code.
 
     front -> signature -> intake (room, retry or replay, patience) -> pending activations -> module
           -> link -> worker
 
 and back. What happens while the module is being told of something is told after that, in order: the module is
-never
-entered twice. A defect ends the activations it touched with an abort, never the others.
-"""
+never entered twice. A defect ends the activations it touched with an abort, never the others."""
 
 import traceback
 from collections import deque
@@ -37,10 +35,9 @@
 
 class Core:
     """One dispatcher. It is the module's `ports.Outlet`. `clock` as in `clocks`; `chance` a seeded
-    `random.Random`;
-    `link(worker, address, core)` makes a link: `run`, `hold`, `probe`, `cancel`, `late`, `withdraw`,
-    `recall`, `owes`, `give_up`,
-    which hear nothing but tells us `returned`, `held`, `probed` through `soon`."""
+    `random.Random`; `link(worker, address, core)` makes a link: `run`, `hold`, `probe`, `cancel`, `late`,
+    `withdraw`, `recall`, `owes`, `give_up`, which hear nothing but tells us `returned`, `held`, `probed`
+    through `soon`."""
 
     slices = False  # whether forecasts are learnt a few functions at a time
 
@@ -99,8 +96,7 @@
     # What an earlier life left, and what is kept of this one.
     def adopt(self, state, elsewhere=False):
         """Goes on from what earlier lives left. `state` as `store.state.StateLog`: `found`, `add`, `flush`,
-        `stopped`, `durability`,
-        `boot`. `elsewhere`: the life before still finishes what it took."""
+        `stopped`, `durability`, `boot`. `elsewhere`: the life before still finishes what it took."""
         now, wall, self.state = self.now(), self.clock.wall(), state
         found = recovery.replay(self.state.found, wall, self.state.boot, self.state.durability == "machine")
         known = recovery.fill(
@@ -143,8 +139,7 @@
 
     def give_way(self, hears_end):
         """From now on nothing new is taken or loaded here; `hears_end(customer, id, outcome, sent, body)` is
-        told how what is on
-        hand ends."""
+        told how what is on hand ends."""
         self.intake.closing, self.retired, self.hears_end = True, True, hears_end
         if self.state is not None:
             self.state.flush()
@@ -169,8 +164,7 @@
 
     def _keep(self, act):
         """Notes a new activation; whether it may be told to the module at once. What must not run twice waits
-        until its id is
-        kept, and is turned away where it can't be."""
+        until its id is kept, and is turned away where it can't be."""
         self.state.add(
             recovery.TAKE, self.clock.wall(), *act.key, self.ledger.entries[act.key].stamp, act.type
         )
@@ -262,8 +256,7 @@
 
     def apply(self, gateway):
         """A new version of the settings, of which all can act at once: customers' keys, functions, limits.
-        What is on hand keeps
-        its times, and its customer until it has its answer."""
+        What is on hand keeps its times, and its customer until it has its answer."""
         self.gateway, self.rules, self.limits, self.intake.limits = (
             gateway,
             {},
@@ -379,8 +372,7 @@
 
     def _withdraw(self, act):
         """It has ended: a send of it that waits in a link for a connection never leaves. Against sends after
-        the end, also where
-        nothing may be cancelled."""
+        the end, also where nothing may be cancelled."""
         for n in sorted(act.out):
             link = self.links.get(self.flying.get((act.id, n)))
             if link is not None:
--- a/petrelwood/dispatch/handover.py
+++ b/petrelwood/dispatch/handover.py
@@ -108,8 +108,7 @@
 
 class Predecessor:
     """In the process that serves: waits on the control socket for one that follows. `core`: a `Dispatcher`;
-    `gives` and
-    `takes_back` are called beside the webhooks' own, `over` when this process may end."""
+    `gives` and `takes_back` are called beside the webhooks' own, `over` when this process may end."""
 
     def __init__(self, path, core, webhooks, log, gives, takes_back, over):
         self.path, self.core, self.webhooks, self.log = pathlib.Path(path), core, webhooks, log
--- a/petrelwood/dispatch/serve.py
+++ b/petrelwood/dispatch/serve.py
@@ -106,8 +106,7 @@
 
     def _take(self, new, rolls=False):
         """Takes new settings if all of them can act at once; whether it did, or there was nothing to do.
-        `BY_UPGRADE` where a roll-out
-        asks for it and it can be done by one."""
+        `BY_UPGRADE` where a roll-out asks for it and it can be done by one."""
         found = settings_change.changes(self.gateway, new)
         when = settings_change.plan(found)
         if (
@@ -191,9 +190,8 @@
 
     async def _upgraded(self):
         """Begins a process that takes over with the version that the roll-out has come to, and waits. False
-        if this process serves on;
-        where it does not, this never returns. The other lives on when this one ends, so no asyncio transport
-        may own it."""
+        if this process serves on; where it does not, this never returns. The other lives on when this one
+        ends, so no asyncio transport may own it."""
         command = self.spawns(json.dumps(self.rollout.handed()))
         try:
             child = await self.core.loop.run_in_executor(
--- a/petrelwood/emulate/broker.py
+++ b/petrelwood/emulate/broker.py
@@ -2,11 +2,9 @@
 redelivery.
 
 It keeps to the standard as far as the platform needs it: sessions with expiry, QoS 0, 1 and 2 both ways,
-redelivery with
-DUP, Receive Maximum, message expiry, shared subscriptions whose QoS 1 messages go to another member when one
-is lost
-(those of QoS 2 stay with their session), wills, takeover. Retained messages are not kept.
-"""
+redelivery with DUP, Receive Maximum, message expiry, shared subscriptions whose QoS 1 messages go to another
+member when one is lost (those of QoS 2 stay with their session), wills, takeover. Retained messages are not
+kept."""
 
 from collections import OrderedDict, deque
 
--- a/petrelwood/emulate/foresight.py
+++ b/petrelwood/emulate/foresight.py
@@ -2,8 +2,7 @@
 can.
 
 Arrivals are drawn apart from all answers, so a day played without early loads has the same calls as one with
-them.
-"""
+them."""
 
 import collections
 
--- a/petrelwood/emulate/link.py
+++ b/petrelwood/emulate/link.py
@@ -1,9 +1,8 @@
 """Links and workers of the emulator: the model of a worker at the end of a network with distances and cuts.
 
 A link keeps to the same rules as the one on sockets: `decide.cluster.link_state` tells when to connect,
-`decide.delivery.send_outcome` what an
-end proves. A call is handed over once the connection has greeted; it arrives one way's time later.
-"""
+`decide.delivery.send_outcome` what an end proves. A call is handed over once the connection has greeted; it
+arrives one way's time later."""
 
 from collections import deque
 
--- a/petrelwood/emulate/machine.py
+++ b/petrelwood/emulate/machine.py
@@ -2,11 +2,8 @@
 behaviour.
 
 Activations at work share the cores; more than the cores bear make it less efficient. A worker that has just
-started
-does part of its work, rising evenly, and falls over when it is sent too much for too long. Times in ns, sizes
-in
-bytes, work in ns of one core at speed 1.
-"""
+started does part of its work, rising evenly, and falls over when it is sent too much for too long. Times in
+ns, sizes in bytes, work in ns of one core at speed 1."""
 
 from collections import OrderedDict, deque
 from typing import NamedTuple
--- a/petrelwood/emulate/platform.py
+++ b/petrelwood/emulate/platform.py
@@ -2,9 +2,7 @@
 wrong.
 
 It drives the code that serves: `dispatch.core.Core` with the module and all of `decide`. Deterministic from a
-seed. What
-passes is recorded as the stand-ins record it, so that the same audit judges both.
-"""
+seed. What passes is recorded as the stand-ins record it, so that the same audit judges both."""
 
 import collections
 from random import Random
--- a/petrelwood/emulate/policies.py
+++ b/petrelwood/emulate/policies.py
@@ -1,11 +1,8 @@
 """Baselines in place of the module, for comparison only: none of them is a way that the program decides.
 
 They keep the rules by the same means (no send to whom is leaving, no second send where it may have run) and
-place each
-activation at once on some worker, which loads what it lacks. `Oracle` sees the true state of all workers,
-which nobody
-can; it is held to be an upper bound, though greedy.
-"""
+place each activation at once on some worker, which loads what it lacks. `Oracle` sees the true state of all
+workers, which nobody can; it is held to be an upper bound, though greedy."""
 
 from random import Random
 from zlib import crc32
--- a/petrelwood/emulate/result.py
+++ b/petrelwood/emulate/result.py
@@ -20,8 +20,7 @@
 
 def recovery(platform):
     """Seconds from the end of the last trouble until the service of three seconds in a row is at nine tenths
-    of what it was
-    before the first; as long as the day goes on, where it never is. 0 without troubles."""
+    of what it was before the first; as long as the day goes on, where it never is. 0 without troubles."""
     troubles = [t for t in platform.day.troubles if t.at >= 3 * SECOND]
     if not troubles:
         return 0.0
--- a/petrelwood/emulate/script.py
+++ b/petrelwood/emulate/script.py
@@ -4,8 +4,7 @@
     terms { ... }                                  what each gateway's file says, word for word
     trouble "KIND" at="5s" ...                     one trouble each
 
-`TROUBLES` names every kind, what it takes and what it does.
-"""
+`TROUBLES` names every kind, what it takes and what it does."""
 
 import hashlib
 import math
@@ -261,8 +260,8 @@
 
     def standing(self, seed):
         """{worker: [function]}: what stands loaded when the day begins, as if the traffic had gone on for
-        long: copies
-        for what each function has at work on average, where it is called at all within a keep-alive."""
+        long: copies for what each function has at work on average, where it is called at all within a
+        keep-alive."""
         names, found = [w[0] for w in self.workers], {w[0]: [] for w in self.workers}
         for kind in self.kinds if self.warm else ():
             weights = [(i + 1) ** -kind.zipf for i in range(kind.count)]
--- a/petrelwood/emulate/store.py
+++ b/petrelwood/emulate/store.py
@@ -3,10 +3,8 @@
 
 class Store:
     """Fetches share its pace; beyond `takes` in hand each further one makes it less efficient by `thrash`,
-    beyond
-    twice that it turns fetches away. Pushed to `fall` times its pace for `fall_for`, it stops for `down`.
-    Sizes in
-    bytes, pace in bytes a second, times in ns."""
+    beyond twice that it turns fetches away. Pushed to `fall` times its pace for `fall_for`, it stops for
+    `down`. Sizes in bytes, pace in bytes a second, times in ns."""
 
     def __init__(self, clock, pace, takes=8, thrash=0.05, fall=0.0, fall_for=0, down=0):
         self.clock, self.pace, self.takes, self.thrash = clock, pace, takes, thrash
--- a/petrelwood/fronts/mqtt.py
+++ b/petrelwood/fronts/mqtt.py
@@ -1,11 +1,9 @@
 """The MQTT front: activations from a broker, answers by request/response, on the same core as the webhooks.
 
 One session for each customer, so that the broker tells them apart and each has a window of its own;
-dispatchers share the
-work by a shared subscription. What is acknowledged when, and what a lost connection means, is decided in
-`decide.delivery.mqtt_acknowledgement`; topics in `decide.delivery.mqtt_topics`; whether it runs, in the
-intake that all fronts share.
-"""
+dispatchers share the work by a shared subscription. What is acknowledged when, and what a lost connection
+means, is decided in `decide.delivery.mqtt_acknowledgement`; topics in `decide.delivery.mqtt_topics`; whether
+it runs, in the intake that all fronts share."""
 
 import asyncio
 import time
@@ -374,8 +372,7 @@
 
     def give(self, delivery, owed):
         """The answer, and in the same write the acknowledgement that is owed with it: the broker has both or,
-        where
-        the connection breaks, at most the first."""
+        where the connection breaks, at most the first."""
         message, packets = delivery.what, []
         if message.response is not None and message.answer_is[1]:
             packets += self._answer(message, 1 if owed else 2)
@@ -429,9 +426,8 @@
 
     def _resend(self, present):
         """After a reconnect. Answers of QoS 1 left with their acknowledgement: what came of both is seen from
-        what the
-        broker delivers again, so they are not sent again here. Those of QoS 2 go on where the session has
-        been kept."""
+        what the broker delivers again, so they are not sent again here. Those of QoS 2 go on where the
+        session has been kept."""
         answers, self.answers = self.answers, OrderedDict()
         for id_, packet in answers.items():
             if packet is None:
--- a/petrelwood/fronts/signing.py
+++ b/petrelwood/fronts/signing.py
@@ -1,10 +1,8 @@
 """Signatures as the Standard Webhooks specification has them: https://www.standardwebhooks.com, version 1.
 
 What is signed is `id.timestamp.body`, the body as its raw bytes. `v1` is HMAC-SHA256 with a shared secret,
-`v1a`
-Ed25519. A header may carry several signatures, apart by spaces; one that holds under one of the keys is
-enough.
-"""
+`v1a` Ed25519. A header may carry several signatures, apart by spaces; one that holds under one of the keys is
+enough."""
 
 import base64
 import binascii
@@ -42,8 +40,7 @@
 
     def holds(self, header, id_, stamp, body):
         """Whether one of the header's signatures holds under one of the keys. Every candidate of a scheme
-        costs
-        the same, whether it is near or far from right."""
+        costs the same, whether it is near or far from right."""
         what, made, held = content(id_, stamp, body), None, False
         for signature in header.split()[:MOST_SIGNATURES]:
             scheme, _, text = signature.partition(",")
--- a/petrelwood/fronts/webhook.py
+++ b/petrelwood/fronts/webhook.py
@@ -1,11 +1,9 @@
 """The webhook front: Standard Webhooks on HTTP/1.1, `POST /hooks/CUSTOMER/FUNCTION`.
 
 A connection reads ahead a few requests (pipelining); each begins at once, answers leave in the order of the
-requests.
-Wrong requests end here with a problem document; rightly signed ones go to the core, whose answer comes back
-through
-`Exchange.answer`, once. `Prefer: wait=N` (RFC 7240) tells the client's patience in seconds.
-"""
+requests. Wrong requests end here with a problem document; rightly signed ones go to the core, whose answer
+comes back through `Exchange.answer`, once. `Prefer: wait=N` (RFC 7240) tells the client's patience in
+seconds."""
 
 import socket
 import ssl
@@ -361,8 +359,8 @@
 
     def pause(self):
         """Accepts nothing more; the sockets stay open. Lines stay too: a request that is on its way is
-        answered, and told that it
-        was the line's last; those that send nothing are closed with the process."""
+        answered, and told that it was the line's last; those that send nothing are closed with the
+        process."""
         self.paused = list(self._sockets.values())
         for fd in list(self._sockets):
             self._handlers.pop(fd)()
--- a/petrelwood/lab/day.py
+++ b/petrelwood/lab/day.py
@@ -1,9 +1,8 @@
 """Plays a day with real processes on loopback: a store, workers, a roster, dispatchers, a portal.
 
 The runner is the day's operator: it starts and kills processes, tells the roster, and hands the records to
-the audit.
-Each process listens on a loopback address of its own, so that one that comes back finds its port free.
-"""
+the audit. Each process listens on a loopback address of its own, so that one that comes back finds its port
+free."""
 
 import asyncio
 import base64
--- a/petrelwood/lab/estimate.py
+++ b/petrelwood/lab/estimate.py
@@ -1,9 +1,7 @@
 """What a change of settings would make of a day: both versions played in the emulator, paired by seed.
 
 A version's terms take the place of the day's where they mean something there; what the day is (traffic,
-workers as they really are,
-troubles) stays. Simulated servers.
-"""
+workers as they really are, troubles) stays. Simulated servers."""
 
 import concurrent.futures
 import multiprocessing
--- a/petrelwood/lab/experiment.py
+++ b/petrelwood/lab/experiment.py
@@ -13,9 +13,7 @@
     }
 
 Each run is a process of its own and leaves one file, written beside and then renamed: what stands is whole,
-and a second
-start does only what is missing. `results.parquet` holds all rows with what made them.
-"""
+and a second start does only what is missing. `results.parquet` holds all rows with what made them."""
 
 import base64
 import collections
@@ -357,10 +355,8 @@
 
 def differences(out, figure, factor=None):
     """[(setting, policy or level, pairs, mean of the first, mean difference, lower, upper, corrected p)]:
-    policies, or the
-    levels of a factor under the first policy, against the first of them; paired by seed, with the sign-flip
-    test and Holm's
-    correction over the whole table."""
+    policies, or the levels of a factor under the first policy, against the first of them; paired by seed,
+    with the sign-flip test and Holm's correction over the whole table."""
     import numpy
     from scipy import stats
 
--- a/petrelwood/lab/soak.py
+++ b/petrelwood/lab/soak.py
@@ -1,10 +1,8 @@
 """Memory and descriptors of a long day's processes, looked at again and again, and whether they grow.
 
 A process's figures are judged over its life without the first part, in which caches and rings fill: the slope
-between any two looks,
-its median (Theil and Sen), over the whole watched time, against the median figure. Figures come from /proc of
-this day's own children.
-"""
+between any two looks, its median (Theil and Sen), over the whole watched time, against the median figure.
+Figures come from /proc of this day's own children."""
 
 import asyncio
 import csv
--- a/petrelwood/lab/walk.py
+++ b/petrelwood/lab/walk.py
@@ -2,18 +2,14 @@
 worker.
 
 Breadth first over all interleavings of: the client asks, asks again signed anew, plays an old request back;
-the dispatcher's log gets
-its records, the disk has them, an activation goes out; it arrives, runs, or is lost; its answer arrives or is
-lost; it times out or is
-rejected unsent; the process is killed, or the machine falls, and a new life reads what is left. What is asked
-and what comes back
-is decided by the serving code: `decide.delivery.ledger`, `decide.delivery.recovery`. Two orders that come to
-the same state are one.
+the dispatcher's log gets its records, the disk has them, an activation goes out; it arrives, runs, or is
+lost; its answer arrives or is lost; it times out or is rejected unsent; the process is killed, or the machine
+falls, and a new life reads what is left. What is asked and what comes back is decided by the serving code:
+`decide.delivery.ledger`, `decide.delivery.recovery`. Two orders that come to the same state are one.
 
 What must hold in each state: what is once-only has run at most once; what is deduplicated ran as often as
-workers that drop repeats
-allow; each try has one answer in a life; nothing is told to be completed that did not run.
-"""
+workers that drop repeats allow; each try has one answer in a life; nothing is told to be completed that did
+not run."""
 
 import collections
 import copy
@@ -41,9 +37,8 @@
 
 class World:
     """`effect` of the activation, `durability` of the log; `flaw`: 'no log', 'late log' (the record after the
-    send), 'forgets' (a
-    life that reads nothing) or 'falls' (the machine falls, where the log is only to outlive the process): the
-    search must find them."""
+    send), 'forgets' (a life that reads nothing) or 'falls' (the machine falls, where the log is only to
+    outlive the process): the search must find them."""
 
     def __init__(self, effect, durability, asks, kills, flaw=""):
         self.effect, self.durability, self.asks, self.kills, self.flaw = effect, durability, asks, kills, flaw
--- a/petrelwood/links/calls.py
+++ b/petrelwood/links/calls.py
@@ -1,9 +1,8 @@
 """What a link to a worker has been asked and has not ended yet: the queue, the stages and how each call ends.
 
 Shared by the links of all protocols. What an end proves is decided in `decide.delivery.send_outcome`. `core`
-hears of each end, through `soon`:
-`returned`, `held`, `probed`; never from within a method that it has called itself.
-"""
+hears of each end, through `soon`: `returned`, `held`, `probed`; never from within a method that it has called
+itself."""
 
 from collections import deque
 
@@ -12,8 +11,8 @@
 
 class Call:
     """One send, order or probe. `tag` names it among those that are out; `line` is the connection that has
-    it, where there are
-    several; `until` (ns) is when a send's time is up, whether its activation still lives or not."""
+    it, where there are several; `until` (ns) is when a send's time is up, whether its activation still lives
+    or not."""
 
     __slots__ = ("kind", "act", "n", "fn", "at", "frame", "stage", "tag", "line", "until")
 
@@ -78,8 +77,7 @@
 
     def _may_leave(self, call):
         """Whether the first that waits may still be handed over; what may not is ended. An order that has
-        waited is held against
-        the ration as it is now: it counts when it arrives, not when it was given."""
+        waited is held against the ration as it is now: it counts when it arrives, not when it was given."""
         if call.kind != "hold" or self.core.leaves(call.at):
             return True
         self.counts["recalled"] += 1
@@ -92,8 +90,7 @@
 
     def _expired(self, now):
         """Sends whose time is up. Those of activations that have ended have no other end on a connection that
-        says nothing: they
-        would keep their lane, their connection and their link."""
+        says nothing: they would keep their lane, their connection and their link."""
         return [c for c in self.out.values() if c.until is not None and now > c.until]
 
     def _notice_end(self, call):
--- a/petrelwood/links/packets.py
+++ b/petrelwood/links/packets.py
@@ -1,10 +1,8 @@
 """MQTT 5 packets (OASIS standard, version 5.0) to bytes and back, for both ends, free of I/O.
 
 A packet is a `Packet`: its type, the fields of its variable header, its properties by name, its payload.
-`Reader` takes
-bytes as they come; whatever is not the standard's raises `Wrong` with the reason code that the peer should be
-told.
-"""
+`Reader` takes bytes as they come; whatever is not the standard's raises `Wrong` with the reason code that the
+peer should be told."""
 
 import struct
 
@@ -111,11 +109,9 @@
     """`type`; `id` where it has one; `code` of acknowledgements; `props` by name ('user': pairs). The rest by
     type:
 
-    CONNECT client, user, password (bytes), clean, keep_alive, will (a PUBLISH) | CONNACK present
-    PUBLISH topic, payload, qos, dup, retain | SUBSCRIBE filters [(filter, options)] | UNSUBSCRIBE filters
-    [filter]
-    SUBACK, UNSUBACK codes
-    """
+    CONNECT client, user, password (bytes), clean, keep_alive, will (a PUBLISH) | CONNACK present PUBLISH
+    topic, payload, qos, dup, retain | SUBSCRIBE filters [(filter, options)] | UNSUBSCRIBE filters [filter]
+    SUBACK, UNSUBACK codes"""
 
     def __init__(self, type_, id_=0, code=SUCCESS, **more):
         self.type, self.id, self.code, self.props = type_, id_, code, more.pop("props", {})
--- a/petrelwood/links/roster.py
+++ b/petrelwood/links/roster.py
@@ -2,9 +2,8 @@
 
 `GET /workers` answers with an endless stream: `list` with all entries, `change` with some, each with an id
 `EPOCH-NUMBER` that grows by one; comments keep it alive. `Last-Event-ID` resumes after a break. What is
-believed
-of the list is decided in `decide.cluster.membership`; 'told' counts from the moment the bytes are here.
-"""
+believed of the list is decided in `decide.cluster.membership`; 'told' counts from the moment the bytes are
+here."""
 
 import asyncio
 
--- a/petrelwood/links/rpc.py
+++ b/petrelwood/links/rpc.py
@@ -63,8 +63,7 @@
 
 class Lengths:
     """Reads what a message that is not whole yet announces, as its bytes come: msgpack itself tells a text or
-    a body that is too
-    long only once it is there."""
+    a body that is too long only once it is there."""
 
     def __init__(self, parts):
         self.parts, self.skip, self.rest = parts, 0, b""
@@ -97,8 +96,7 @@
 
 class Reader:
     """Bytes to messages. `most`: bytes of one message. `parts`: bounds on what a message may hold (`Parts`),
-    so that one that is
-    too large is told from the lengths that it announces, before it is here."""
+    so that one that is too large is told from the lengths that it announces, before it is here."""
 
     def __init__(self, most, parts=None):
         self.fed, self.ended, self.parts, self.lengths = 0, 0, parts, None
--- a/petrelwood/links/tls.py
+++ b/petrelwood/links/tls.py
@@ -2,11 +2,8 @@
 place.
 
 A context is made once and its certificate loaded anew when the files change: connections that stand keep
-theirs, new
-handshakes get the new one. What is wrong with the files is one clear error at the start; later it is logged
-and the last
-good certificate stays.
-"""
+theirs, new handshakes get the new one. What is wrong with the files is one clear error at the start; later it
+is logged and the last good certificate stays."""
 
 import datetime
 import pathlib
@@ -23,8 +20,7 @@
 
 class Identity:
     """`cert`, `key`, `trusts`: paths, `trusts` empty for the system's; `mutual`: whether the other side must
-    show a
-    certificate that `trusts` has signed."""
+    show a certificate that `trusts` has signed."""
 
     def __init__(self, cert, key, trusts="", mutual=False, name=""):
         self.cert, self.key, self.trusts, self.mutual, self.name = cert, key, trusts, mutual, name
--- a/petrelwood/links/worker.py
+++ b/petrelwood/links/worker.py
@@ -9,8 +9,7 @@
     hello [worker, its start time]  (its first notification; ours is hello [dispatcher])
 
 What is decided about a link is in `decide.cluster.link_state`, what an end proves in
-`decide.delivery.send_outcome`.
-"""
+`decide.delivery.send_outcome`."""
 
 from tornado.iostream import IOStream, SSLIOStream, StreamClosedError
 
--- a/petrelwood/node/front.py
+++ b/petrelwood/node/front.py
@@ -1,10 +1,8 @@
 """Clients: MessagePack-RPC over TCP; the namespace type is the method, beside `cancel` and `health`.
 
 What is wrong with a request ends here, with an error; what can't be read ends its connection. Rightly asked
-ones go to the core, whose
-answer comes back through `Exchange.answer`, once. How much fits is decided in
-`decide.overload.resource_limits`.
-"""
+ones go to the core, whose answer comes back through `Exchange.answer`, once. How much fits is decided in
+`decide.overload.resource_limits`."""
 
 import errno
 import functools
@@ -226,8 +224,7 @@
 
     def unread(self):
         """Whether anything of it has come that it was not served for yet, here or in the machine's hands:
-        whoever closes over that
-        loses a request, and the reset that follows overtakes what was written."""
+        whoever closes over that loses a request, and the reset that follows overtakes what was written."""
         return (
             self.coming is None
             or self.coming.done()
--- a/petrelwood/node/roster.py
+++ b/petrelwood/node/roster.py
@@ -1,9 +1,8 @@
 """The roster by DNS over UDP: the SRV records of one name are the whole list, the SOA's serial its number.
 
 What is believed of the list is decided in `decide.cluster.membership`, when to ask in
-`decide.cluster.polling`. An answer counts if its sender, its id
-and its question are those that were asked, and it is whole and good; an older list changes nothing.
-"""
+`decide.cluster.polling`. An answer counts if its sender, its id and its question are those that were asked,
+and it is whole and good; an older list changes nothing."""
 
 import socket
 
--- a/petrelwood/node/service.py
+++ b/petrelwood/node/service.py
@@ -63,8 +63,7 @@
 
     def is_open(self, act_id):
         """Whether an activation has this id, or a send of one that had it is still out, whose answer would be
-        taken for the new
-        one's: also another customer's, as workers know no more of it than the id."""
+        taken for the new one's: also another customer's, as workers know no more of it than the id."""
         return act_id in self.pending.acts or any(
             (act_id, n) in self.flying for n in range(self.terms.allowed.sends)
         )
@@ -86,8 +85,7 @@
     # After the loop was held up.
     def behind(self):
         """Whether what came while the loop was held up may still lie unread: a client's end or cancel, news
-        of workers. Nothing
-        leaves for a worker until it is read; what it takes back is then still here."""
+        of workers. Nothing leaves for a worker until it is read; what it takes back is then still here."""
         if not self.turns and self.now() - self.beat > BEHIND:
             self.turns, self.still, self.read = TURNS, QUIET, self.front.reads
             self.loop.call_soon(self._turn)
@@ -195,9 +193,8 @@
 
     async def close(self):
         """SIGTERM: takes what still comes, then turns it away, answers all that it owes, and ends. It listens
-        to the last: a
-        connection that the machine has accepted may have a request in it, which a closed listener would
-        lose."""
+        to the last: a connection that the machine has accepted may have a request in it, which a closed
+        listener would lose."""
         ends = shutdown.Shutdown(self.now(), max(self.gateway.timeouts.values()))
         self.began = False
         while not ends.over(self.now(), len(self.pending.acts), self.front.quiet()):
@@ -214,8 +211,7 @@
 
     def standing(self):
         """What is believed of load and health, by worker: sends out, connections, what the module makes of
-        it. Of hundreds of
-        workers only those that have something of ours, or are thought ill."""
+        it. Of hundreds of workers only those that have something of ours, or are thought ill."""
         brain, counts, copies = self.brain, self.pending.counts, {}
         for fn in brain.functions.values():
             for worker in fn.copies:
--- a/petrelwood/node/told.py
+++ b/petrelwood/node/told.py
@@ -2,8 +2,7 @@
 told.
 
 The settings are those of the simulator's first message, in microseconds; `drill.py` takes its terms from here
-too.
-"""
+too."""
 
 import errno
 import json
@@ -42,8 +41,7 @@
 
 class Part:
     """One object of what is told. Each value is taken by its name; one of an unknown shape is named with the
-    way there. Null is
-    absent, and what nobody asks for is passed over."""
+    way there. Null is absent, and what nobody asks for is passed over."""
 
     def __init__(self, raw, way):
         if not isinstance(raw, dict):
@@ -219,8 +217,7 @@
 
 def decode(raw):
     """A `Told` of the file's object. Raises `Bad`, and KeyError, TypeError, ValueError, AttributeError where
-    lists of workers or
-    addresses do not fit."""
+    lists of workers or addresses do not fit."""
     file = Part(raw, "the file")
     settings, limits = file.part("settings"), file.part("limits")
     settings.way = "settings"
--- a/petrelwood/node/worker.py
+++ b/petrelwood/node/worker.py
@@ -1,9 +1,8 @@
 """The link to one worker in JSON lines, over a few connections that are kept.
 
 Queue, stages and ends are those of `links.calls`; which connection carries a call is decided in
-`decide.cluster.connection_pool`. A connection that has
-once carried what can't be read is closed: what was handed to it may have run.
-"""
+`decide.cluster.connection_pool`. A connection that has once carried what can't be read is closed: what was
+handed to it may have run."""
 
 from tornado.iostream import StreamBufferFullError, StreamClosedError
 
@@ -224,8 +223,7 @@
 
     def _rested(self, line, now):
         """Whether it has been idle for half of what the settings give it, and so is ours to close: against a
-        send into one that its
-        worker closes at that moment, which then may have run."""
+        send into one that its worker closes at that moment, which then may have run."""
         return line.up and not line.open and 0 < self.terms.idle < 2 * (now - line.heard)
 
     def rests(self):
--- a/petrelwood/ports.py
+++ b/petrelwood/ports.py
@@ -1,8 +1,7 @@
 """The interface of the decision module: what it is told at start, and what it may do.
 
-All times are whole nanoseconds on the caller's clock; ids are opaque and handed back as they came.
-What the module is asked, call by call, is listed at the head of `brain.py`.
-"""
+All times are whole nanoseconds on the caller's clock; ids are opaque and handed back as they came. What the
+module is asked, call by call, is listed at the head of `brain.py`."""
 
 from typing import NamedTuple, Protocol
 
--- a/petrelwood/settings/document.py
+++ b/petrelwood/settings/document.py
@@ -1,9 +1,7 @@
 """KDL 2 text to nodes that know their place.
 
 The parser is ckdl, which tells neither the place of a node nor that of an error. A scan of the text finds
-where
-each node begins, in document order, and the first line whose addition makes the text unreadable.
-"""
+where each node begins, in document order, and the first line whose addition makes the text unreadable."""
 
 import difflib
 import json
@@ -164,9 +162,8 @@
 
 class Node:
     """A node with its place. Reading marks what was read, so that `done` can name what nobody knows. With
-    `problems`, a list, what
-    is wrong is collected there in place of being raised, and a value that makes sense of the kind stands in
-    for it."""
+    `problems`, a list, what is wrong is collected there in place of being raised, and a value that makes
+    sense of the kind stands in for it."""
 
     def __init__(self, file, raw, places, path="", problems=None, reads=None):
         self.file, self.name, self.args, self.props = (
@@ -346,9 +343,8 @@
     """A whole file with what it includes: a node without a name or place.
 
     `include "halls.kdl"` or `include "routes/"` (all *.kdl of a folder, by name) at the top takes what stands
-    there in its place;
-    `template "NAME" { ... }` at the top and `use "NAME"` in a block give what the block does not say
-    itself."""
+    there in its place; `template "NAME" { ... }` at the top and `use "NAME"` in a block give what the block
+    does not say itself."""
 
     def __init__(self, path, text=None, problems=None, reads=None):
         path = pathlib.Path(path)
--- a/petrelwood/settings/gateway.py
+++ b/petrelwood/settings/gateway.py
@@ -462,9 +462,8 @@
 
 def read(path, text=None, problems=None, reads=None):
     """The gateway that a file, or a text in its place, describes. Raises `document.BadFile` with the first
-    thing that is wrong;
-    with `problems`, a list, all of it is put there. `reads`, a list, is told of each value: (key, value,
-    place or None)."""
+    thing that is wrong; with `problems`, a list, all of it is put there. `reads`, a list, is told of each
+    value: (key, value, place or None)."""
     return described(document.File(path, text, problems, reads))
 
 
--- a/petrelwood/settings/layout.py
+++ b/petrelwood/settings/layout.py
@@ -1,7 +1,6 @@
 """The one layout of a KDL file: four spaces a block, one space between words, no more than one empty line.
-Comments, strings and
-the order of things stay; a file laid out twice is the same as once, and means the same as before (which is
-checked)."""
+Comments, strings and the order of things stay; a file laid out twice is the same as once, and means the same
+as before (which is checked)."""
 
 import re
 
--- a/petrelwood/settings/reference.py
+++ b/petrelwood/settings/reference.py
@@ -2,8 +2,7 @@
 for notes what that was.
 
 So there is one description, the decoding; the reference page and completion are read off it and can't say
-anything else.
-"""
+anything else."""
 
 import pathlib
 
@@ -201,8 +200,7 @@
 
 def _open_blocks(text):
     """The names of the blocks that are open at the end of a text, and the node that is being written there,
-    or None; None in place of
-    the names in a string or a comment."""
+    or None; None in place of the names in a string or a comment."""
     stack, node, at_start, i = [], None, True, 0
     while i < len(text):
         c = text[i]
@@ -238,8 +236,7 @@
 
 def completions(text, line, column, file=None):
     """What may come at a place of a text (line and column from 1): [(word, what it is)]. `file`: where names
-    that are referred
-    to are looked up. Works on a text that is not whole yet."""
+    that are referred to are looked up. Works on a text that is not whole yet."""
     rows = text.split("\n")
     if not 0 < line <= len(rows):
         return []
--- a/petrelwood/settings/sense.py
+++ b/petrelwood/settings/sense.py
@@ -122,8 +122,8 @@
 
 def check(path, text=None, others=()):
     """(errors, warnings, texts by file) of a file and all it includes; warnings only where there are no
-    errors.
-    `others`: (the name of a node, what decodes a file that has it) for files that are no gateway's."""
+    errors. `others`: (the name of a node, what decodes a file that has it) for files that are no
+    gateway's."""
     problems = []
     file = document.File(path, text, problems)
     decode = settings.described
--- a/petrelwood/standins/devices.py
+++ b/petrelwood/standins/devices.py
@@ -1,9 +1,8 @@
 """Stand-in devices: customers' MQTT sessions that publish activations and wait for their answers.
 
 What must not run twice is published with QoS 2, the rest with QoS 1. Each message has a Response Topic,
-Correlation Data
-and its patience as Message Expiry Interval. What is asked and each answer that comes is recorded.
-"""
+Correlation Data and its patience as Message Expiry Interval. What is asked and each answer that comes is
+recorded."""
 
 import asyncio
 import socket
--- a/petrelwood/standins/portal.py
+++ b/petrelwood/standins/portal.py
@@ -1,9 +1,8 @@
 """A stand-in portal: many customers' clients that sign webhooks, retry, replay, forge, dawdle and hang up.
 
 It records each try and its answer as seen on its sockets. Once-only activations are asked for again only
-after a
-rejection or where no byte went out, deduplicated ones too; repeatable ones also after a broken connection.
-"""
+after a rejection or where no byte went out, deduplicated ones too; repeatable ones also after a broken
+connection."""
 
 import asyncio
 import base64
--- a/petrelwood/standins/roster.py
+++ b/petrelwood/standins/roster.py
@@ -1,8 +1,7 @@
 """A stand-in roster: pushes who is usable, draining or gone by server-sent events, late by script.
 
 News of workers comes on standard input, a JSON object a line: an entry as `decide.cluster.membership.entry`
-reads it.
-"""
+reads it."""
 
 import asyncio
 import time
--- a/petrelwood/standins/router.py
+++ b/petrelwood/standins/router.py
@@ -2,8 +2,7 @@
 to.
 
 It speaks with the same codec and state machine as the speaker, from the other side; what it knows of a
-session it has from the wire alone.
-"""
+session it has from the wire alone."""
 
 import asyncio
 import json
--- a/petrelwood/store/ends.py
+++ b/petrelwood/store/ends.py
@@ -1,9 +1,7 @@
 """How early loads ended: a log of rows beside the history, for the account that people read.
 
 A full or failing disk ends the log, never the early loads. When it is as large as its bound it begins anew,
-and the one before
-is kept as `early-old.log`.
-"""
+and the one before is kept as `early-old.log`."""
 
 import pathlib
 
--- a/petrelwood/store/history.py
+++ b/petrelwood/store/history.py
@@ -1,16 +1,12 @@
 """The history of use: what was called, when, cold or warm, how long it waited. Columns, by day, compressed.
 
 Rows are noted in memory and written to a tail (`store.tail`) in groups; when a group of `ROLL` rows or a new
-day is full, a
-Parquet file of it is written beside, renamed, and only then the tail begins anew. So a kill at any byte loses
-no more than
-what was noted since the last flush, and what was dropped is said. A file that is renamed while its tail still
-stands is
-known by the tail's number, so no row counts twice.
+day is full, a Parquet file of it is written beside, renamed, and only then the tail begins anew. So a kill at
+any byte loses no more than what was noted since the last flush, and what was dropped is said. A file that is
+renamed while its tail still stands is known by the tail's number, so no row counts twice.
 
 A full or failing disk stops the history, never the dispatching: `note` then does nothing and `stopped` tells
-why.
-"""
+why."""
 
 import datetime
 import pathlib
--- a/petrelwood/store/snapshot.py
+++ b/petrelwood/store/snapshot.py
@@ -2,11 +2,9 @@
 after.
 
 The file is a mark, a kind, a version, a length, a CRC-32 over all of it, and the value in msgpack. It is
-written beside, made
-durable, and renamed over the old one; then the folder is made durable, so that the rename is not lost either.
-What can't be
-read is refused with a reason and left where it is, for people to look at.
-"""
+written beside, made durable, and renamed over the old one; then the folder is made durable, so that the
+rename is not lost either. What can't be read is refused with a reason and left where it is, for people to
+look at."""
 
 import os
 import pathlib
--- a/petrelwood/store/state.py
+++ b/petrelwood/store/state.py
@@ -1,10 +1,9 @@
 """The state that survives a dispatcher: a log of what it took, how it ended, and which loads it ordered.
 
 Segments follow each other; each is a `store.tail` log, which opens again after a kill at any byte. A segment
-begins with the life
-that wrote it. What is remembered for a time is forgotten with its segment: one is removed once all in it is
-older than that, so
-nothing is ever rewritten, and what a start has to read is bounded by what one memory's time wrote.
+begins with the life that wrote it. What is remembered for a time is forgotten with its segment: one is
+removed once all in it is older than that, so nothing is ever rewritten, and what a start has to read is
+bounded by what one memory's time wrote.
 
     folder/state-EPOCH-NUMBER.log      records in msgpack:
       ["life", wall, boot, epoch, format]            the first of a segment
@@ -14,10 +13,8 @@
       ["close", wall]                                the process ended in order, owing nothing
 
 Durability says when a record counts as kept: "process" once the system has it (it survives a kill of the
-process), "machine"
-once the disk has it. A failing disk stops the log, and its owner decides what it may still do
-(`decide.delivery.recovery`).
-"""
+process), "machine" once the disk has it. A failing disk stops the log, and its owner decides what it may
+still do (`decide.delivery.recovery`)."""
 
 import pathlib
 
--- a/petrelwood/store/tail.py
+++ b/petrelwood/store/tail.py
@@ -1,13 +1,10 @@
 """An append-only log that opens again after a kill at any byte.
 
 A file begins with a mark and its format; each record is its length, a CRC-32 of length and payload, and the
-payload. A
-record that is not whole, or whose sum is off, ends what is believed: the file is cut there when it is opened,
-and what was
-dropped is said. Records go to the disk in groups: `flush` writes what is waiting, `sync` makes it durable. A
-failing disk
-raises `Failed` once; the log then takes nothing more, and its owner goes on without it.
-"""
+payload. A record that is not whole, or whose sum is off, ends what is believed: the file is cut there when it
+is opened, and what was dropped is said. Records go to the disk in groups: `flush` writes what is waiting,
+`sync` makes it durable. A failing disk raises `Failed` once; the log then takes nothing more, and its owner
+goes on without it."""
 
 import os
 import pathlib
--- a/petrelwood/store/versions.py
+++ b/petrelwood/store/versions.py
@@ -5,8 +5,7 @@
     folder/7.off     somebody has called it off; what is in it says who and why
     folder/position  how far the log of the configuration servers has been read, where versions come from them
 
-Files are written beside and renamed. Numbers only grow.
-"""
+Files are written beside and renamed. Numbers only grow."""
 
 import json
 import pathlib
--- a/petrelwood/wire/bgp.py
+++ b/petrelwood/wire/bgp.py
@@ -1,8 +1,7 @@
 """BGP-4 messages, free of I/O: RFC 4271, 4760 (IPv6), 5492 (capabilities), 6793 (four-octet AS numbers), 1997
-(communities), 2918
-(route refresh), 4724 and 8538 (graceful restart, read only), 8654 (extended messages), 9003 (shutdown text),
-9234 (roles), and 7606:
-an update whose attributes are wrong takes its routes back in place of ending the session.
+(communities), 2918 (route refresh), 4724 and 8538 (graceful restart, read only), 8654 (extended messages),
+9003 (shutdown text), 9234 (roles), and 7606: an update whose attributes are wrong takes its routes back in
+place of ending the session.
 
 A prefix is (afi, network bytes, length). What can't be gone on from raises `Wrong`, which is a NOTIFICATION.
 """
--- a/tests/cold_budget.py
+++ b/tests/cold_budget.py
@@ -10,8 +10,7 @@
 settings vouch for at that age, rising evenly from the cold part to the whole. An arrival weighs as the mean
 work of its type does against that of all types, whatever becomes of it. Over N + 2 x root of N + 2 the worker
 falls, and the rule is broken where over two thirds of that window came from dispatchers that had been told of
-the start.
-"""
+the start."""
 
 import heapq
 import itertools
--- a/tests/node_site.py
+++ b/tests/node_site.py
@@ -82,8 +82,7 @@
 
 class Worker:
     """Answers at once what it is told to; `runs` are the ids that it has run, in order. `script(worker,
-    line)` may return
-    bytes, None (the usual answer) or b"" (none); it may be async."""
+    line)` may return bytes, None (the usual answer) or b"" (none); it may be async."""
 
     def __init__(self, name, script=None):
         self.name, self.script, self.runs, self.meta, self.kills, self.orders, self.probes = (
--- a/tests/ration.py
+++ b/tests/ration.py
@@ -2,13 +2,10 @@
 then.
 
 A written run of the dispatcher's core, module and links on `virtual`: connections that come up late, never or
-are refused, answers that
-are lost, workers that hang or are replaced, loads that fail, clients that give up, floods that are taken back
-or that ask for what nobody
-has, and a load of work that falls off steeply. An order counts when it has arrived whole, an activation when
-its last byte was
-sent; what a bad client sends counts for nothing.
-"""
+are refused, answers that are lost, workers that hang or are replaced, loads that fail, clients that give up,
+floods that are taken back or that ask for what nobody has, and a load of work that falls off steeply. An
+order counts when it has arrived whole, an activation when its last byte was sent; what a bad client sends
+counts for nothing."""
 
 import bisect
 import copy
@@ -300,8 +297,7 @@
 
     def flood(self):
         """Hundreds at once, half of them under one id: for what nobody has, taken back at once, a little
-        later or never, or for what
-        somebody has, taken back."""
+        later or never, or for what somebody has, taken back."""
         self.floods += 1
         size, fn = 200, f"{self.chance.getrandbits(63) | 1 << 63:016x}"
         known = self.chance.random() < 0.3 and self.real
--- a/tests/test_client_departure.py
+++ b/tests/test_client_departure.py
@@ -4,8 +4,7 @@
 The crossing is forced as in `test_crossings`: the end lies unread behind what lets the send go, and the loop
 is held up. No time is measured: what its client's end precedes never leaves. Each test was shown to fail on
 the text before (d60e4e0), which went by the time since its last look, or on the broken dispatcher that it
-names.
-"""
+names."""
 
 import asyncio
 import contextlib
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -1,10 +1,8 @@
 """Rare moments on real sockets, each crossing made and not hoped for.
 
 The dispatcher runs in the test's own loop (`Inside`), its peers are plain sockets that the test reads and
-writes itself: what it does
-between two awaits has come when the loop goes on, in that order. `held_up` keeps the loop from going on, as a
-stopped process does.
-"""
+writes itself: what it does between two awaits has come when the loop goes on, in that order. `held_up` keeps
+the loop from going on, as a stopped process does."""
 
 import asyncio
 import contextlib
--- a/tests/test_descriptor_exhaustion.py
+++ b/tests/test_descriptor_exhaustion.py
@@ -3,8 +3,7 @@
 The dispatcher is a process of its own under a limit of descriptors (RLIMIT_NOFILE) that several hundred idle
 connections exceed, or that is lowered to what it already holds. It counts the turns of its loop, its looks,
 its calls of `accept` and the answers of the roster that it could use, and tells them at SIGUSR1: that nothing
-spins is judged by these counts and not by a clock.
-"""
+spins is judged by these counts and not by a clock."""
 
 import asyncio
 import contextlib
@@ -68,8 +67,7 @@
 class Limited(Site):
     """A dispatcher that may hold `DESCRIPTORS` descriptors and is told that it may hold `sockets`.
 
-    `lost` counts the clients of `served` whose connection ended with no answer.
-    """
+    `lost` counts the clients of `served` whose connection ended with no answer."""
 
     lost = 0
 
@@ -126,8 +124,7 @@
     """`IDLE` connections to the dispatcher that rest; each is opened again half a second after it was closed.
 
     Each third of them says nothing, asks for health, or asks for one activation, and then keeps its
-    connection. `opened` counts all connections.
-    """
+    connection. `opened` counts all connections."""
 
     def __init__(self, site):
         self.site, self.opened = site, 0
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -40,8 +40,8 @@
 
     def test_waits_of_m_m_c(self):
         """Four lanes on four cores, exponential work. On the same draws the mean wait is that of Kiefer and
-        Wolfowitz's
-        recursion within 0.1%; the recursion itself, over two million draws, is Erlang's C within 3%."""
+        Wolfowitz's recursion within 0.1%; the recursion itself, over two million draws, is Erlang's C within
+        3%."""
         rate, mean = 30.0, 0.1
 
         def recursion(seed, count):
--- a/tests/test_mqtt.py
+++ b/tests/test_mqtt.py
@@ -431,8 +431,8 @@
         self.client.close()
         await self.client.open()
         # What is published while nobody has subscribed is lost, as the standard has it, and on a machine that
-        # stands still
-        # the dispatcher's own session may have run out: as a device would, ask again until an answer comes.
+        # stands still the dispatcher's own session may have run out: as a device would, ask again until an
+        # answer comes.
         for attempt in range(60):
             self.client.ask("again-1", b"after-%d" % attempt, 1)
             try:
--- a/tests/test_restart_readiness.py
+++ b/tests/test_restart_readiness.py
@@ -3,10 +3,9 @@
 Ready is who answers `health` with true. A machine that others keep busy adds the time that a process stands
 in line for a core; the kernel counts it (/proc/PID/schedstat), and it is taken off. What is left is the
 processor time that the start needs and all that it waits for otherwise, on any machine: so little that a
-quarter of a core is enough for the ten seconds. Besides, each dispatcher tells how often its loop has
-waited before it was ready (never: what it needs is in its configuration), and what a longer list costs is
-counted in calls of functions.
-"""
+quarter of a core is enough for the ten seconds. Besides, each dispatcher tells how often its loop has waited
+before it was ready (never: what it needs is in its configuration), and what a longer list costs is counted in
+calls of functions."""
 
 import asyncio
 import contextlib
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -1,6 +1,6 @@
 """The budgets of `benchmarks/scale/size.py` and the slopes of the capacity page, in counted operations,
-messages and
-bytes on hollow fleets; that each check can fail; and what a scale run refuses and leaves behind."""
+messages and bytes on hollow fleets; that each check can fail; and what a scale run refuses and leaves
+behind."""
 
 import json
 import os
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -57,8 +57,8 @@
 
 class Stream:
     """What the link uses of `node.stream.Stream`. `net(address)` gives the host there: `joins(stream)`
-    (seconds until the connection is
-    up, None for never, or an OSError), `transit()` (seconds) and `line(stream, said)`."""
+    (seconds until the connection is up, None for never, or an OSError), `transit()` (seconds) and
+    `line(stream, said)`."""
 
     def __init__(self, net):
         self.net, self.host, self.up, self.ended, self.rest = net, None, False, False, b""
