The audit's proof of rule 2 plays until a connection was lost under a once-only send

Seen: 'a dispatcher that repeats was not caught' in one whole run of the suite of two on four cores, and twice in other work; six of six runs of the file alone passed.

--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -9,6 +9,7 @@
 
 from tornado.testing import bind_unused_port
 
+from petrelwood import ports
 from petrelwood.audit import rules
 from petrelwood.emulate import script
 from petrelwood.lab import day as lab
@@ -20,17 +21,38 @@
 HOW = ("nothing", "forgets", "chases", "repeats", "ignores drains", "floods", "orders")
 
 
+SEEDS = range(1, 5)
+
+
+def has_run_twice(case):
+    """Whether a once-only activation was sent on after it may have run, by the workers' own records."""
+    once_only = {name for name, type_ in case.terms.types.items() if type_.effect == ports.ONCE_ONLY}
+    for runs in case.runs.values():
+        earlier = sorted(runs, key=lambda run: run["at"])[:-1]
+        if runs[0]["type"] in once_only and any(map(case.may_have_run, earlier)):
+            return True
+    return False
+
+
 async def play_all():
-    """A short day with each kind of dispatcher, a few at a time: {how: (findings by rule, ends)}."""
+    """A short day with each kind of dispatcher, a few at a time: {how: (findings by rule, ends)}.
+
+    Whether a connection is lost under a once-only send is chance, and on a busy machine none may be: the day
+    of the dispatcher that repeats those is played until one was, a few times at most.
+    """
     described, room, played = script.read(HERE / "days" / "small.kdl"), asyncio.Semaphore(3), {}
 
     async def play(how):
-        with tempfile.TemporaryDirectory() as folder:
-            async with room:
-                run = lab.Run(described, 1, folder, dispatcher=[sys.executable, str(HERE / "broken.py"), how])
-                await run.play()
-            case = run.case()
-            played[how] = {f.rule: f for f in rules.judge(case)}, rules.outcomes(case)
+        for seed in SEEDS:
+            with tempfile.TemporaryDirectory() as folder:
+                async with room:
+                    spoilt = [sys.executable, str(HERE / "broken.py"), how]
+                    run = lab.Run(described, seed, folder, dispatcher=spoilt)
+                    await run.play()
+                case = run.case()
+                played[how] = {f.rule: f for f in rules.judge(case)}, rules.outcomes(case)
+            if how != "repeats" or has_run_twice(case):
+                return
 
     await asyncio.gather(*map(play, HOW))
     return played
