A client beyond the limit is no longer admitted because another one could be closed

Cause: Front.take_connection closed one idle connection and took the newcomer as within the limit without counting again. Where the closed one was itself beyond the limit, no room had been made.

The new test forces the crossing (a rejected connection at rest when the next is accepted): before, it failed at the second newcomer in every run (3 sends for 2); so did the one that wants several idle connections closed for one newcomer (3 connections left for a limit of 2).

Why it works: room is counted after it was made. As many idle connections as are needed are closed, and none where that would not suffice.

--- a/petrelwood/node/front.py
+++ b/petrelwood/node/front.py
@@ -4,6 +4,7 @@
 `node.call_request` decodes them. The limits are set in `decide.overload.resource_limits`.
 """
 
+import itertools
 import socket
 from collections import OrderedDict
 
@@ -89,17 +90,27 @@
 
         None is closed that has an open request, an unsent answer or unread input.
         """
-        client = next((each for each in self.idle if each.is_quiescent()), None)
-        if client is None:
+        return self._evict_idle_connections(1)
+
+    def _make_capacity(self) -> bool:
+        """Close idle connections if one more is then within the capacity; return whether it is."""
+        return self._evict_idle_connections(len(self.clients) + 1 - self.limits.clients)
+
+    def _evict_idle_connections(self, count: int) -> bool:
+        """Close the `count` connections that have been idle longest; none if there are fewer."""
+        quiescent = (each for each in self.idle if each.is_quiescent())
+        evicted = list(itertools.islice(quiescent, max(0, count)))
+        if len(evicted) < count:
             return False
-        self.counts["evicted"] += 1
-        client.close()
+        for client in evicted:
+            self.counts["evicted"] += 1
+            client.close()
         return True
 
     def take_connection(self, sock: socket.socket) -> None:
         """Serve an accepted connection."""
         self.counts["connections"] += 1
-        over_capacity = self.is_full() and not self.evict_idle()
+        over_capacity = not self._make_capacity()
         try:
             self._serve(sock, over_capacity)
         except OSError:  # it can't be set up: nothing of it was read
--- a/tests/test_final_answers.py
+++ b/tests/test_final_answers.py
@@ -142,6 +142,70 @@
                 self.assertEqual(client.answers[1][0], "completed")
                 client.close()
 
+    async def test_a_newcomer_for_which_a_rejected_client_could_be_closed(self):
+        """Guards against a client beyond the limit that is admitted as another one beyond it was closed."""
+        worker = Raw("s-1")
+        async with Inside([worker]) as site:
+            busy = await self.fill(site, worker, 2)
+            guests = []
+            for _ in range(3 * node_front.CONNECTIONS_OVER_CAPACITY):
+                guests.append(await self.rejected(site, worker))
+            for client in (*busy, *guests):
+                client.close()
+
+    async def test_several_idle_clients_make_room_together(self):
+        """Guards against a client that is rejected though enough idle connections could be closed for it."""
+        worker = Raw("s-1")
+        async with Inside([worker]) as site:
+            busy = await self.fill(site, worker, 2)
+            guest = Caller(site.address)
+            guest.call(ask(fn=1, ttl=3900))
+            await site.until(lambda: 1 in guest.read() or guest.ended)
+            for run in worker.runs():
+                worker.answer(run)
+            for client in busy:
+                await site.until(lambda client=client: 1 in client.read())
+            await self.all_at_rest(site, 0)
+            late = Caller(site.address)
+            late.call(ask(fn=1, ttl=3900))
+            await site.until(lambda: len(worker.runs()) == 3)
+            worker.answer(worker.runs()[2])
+            await site.until(lambda: 1 in late.read() or late.ended)
+            self.assertEqual(late.answers[1][0], "completed")
+            self.assertEqual(len(site.node.front.clients), 2)
+            for client in (*busy, guest, late):
+                client.close()
+
+    async def fill(self, site, worker, limit):
+        """Let as many clients as the limit allows have a request open at the worker."""
+        site.node.resource_limits.clients = limit
+        busy = [Caller(site.address) for _ in range(limit)]
+        for client in busy:
+            client.call(ask(fn=1, ttl=3900))
+        await site.until(lambda: len(worker.runs()) == limit)
+        return busy
+
+    async def rejected(self, site, worker):
+        """Return a client that came beyond the limit, once it was rejected and its connection is at rest."""
+        runs = len(worker.runs())
+        client = Caller(site.address)
+        client.call(ask(fn=1, ttl=3900))
+        await site.until(lambda: client.read() or client.ended or len(worker.runs()) > runs)
+        self.assertEqual(len(worker.runs()), runs)
+        self.assertEqual(client.answers[1][0], "Throttled")
+        await self.all_at_rest(site, runs)
+        return client
+
+    async def all_at_rest(self, site, busy):
+        """Wait until each connection but the busy ones could be closed without loss."""
+        front = site.node.front
+        await site.until(
+            lambda: (
+                len(front.clients) - len(front.idle) == busy
+                and all(each.is_quiescent() for each in front.idle)
+            )
+        )
+
     async def test_room_is_made_only_for_who_has_come(self):
         """As many as there is room for: none of them is closed. Fails on a front that makes room before it
         accepts, as the one of 1a9d409 did."""
