--- a/petrelwood/node/client_listener.py
+++ b/petrelwood/node/client_listener.py
@@ -95,9 +95,12 @@
         connection_errors = 0  # in a row
         evicted = False  # for a connection that could not be accepted yet
         for _ in range(SHORT_BACKLOG if self.shedding else ACCEPTS_PER_TURN):
-            if not self.owner.has_capacity() and not self.owner.evict_idle():
-                self._pause(listening)
-                return
+            if not self.owner.has_capacity():
+                if not sockets.readable((listening,)):  # nobody has come for whom to close another
+                    return
+                if not self.owner.evict_idle():
+                    self._pause(listening)
+                    return
             try:
                 sock, _ = listening.accept()
             except OSError as error:
--- a/tests/test_final_answers.py
+++ b/tests/test_final_answers.py
@@ -150,6 +150,22 @@
             guests = []
             for _ in range(3 * node_front.CONNECTIONS_OVER_CAPACITY):
                 guests.append(await self.rejected(site, worker))
+            self.assertEqual(len(site.node.front.clients), 2 + node_front.CONNECTIONS_OVER_CAPACITY)
+            for client in (*busy, *guests):
+                client.close()
+
+    async def test_a_rejected_client_stays_connected_while_closing_it_would_not_help(self):
+        """Guards against an idle connection that is closed though the newcomer is rejected all the same."""
+        worker = Raw("s-1")
+        async with Inside([worker]) as site:
+            busy = await self.fill(site, worker, 2)
+            guests = []
+            for _ in range(node_front.CONNECTIONS_OVER_CAPACITY):
+                guests.append(await self.rejected(site, worker))
+            self.assertEqual(site.node.front.counts["evicted"], 0)
+            for client in guests:
+                client.read()
+                self.assertIsNone(client.ended)
             for client in (*busy, *guests):
                 client.close()
 
