A client beyond the limit is admitted again as soon as the limit holds it

What callers saw: a client that had come beyond the limit stayed rejected although another one had left and the connections were within the limit.

Cause: ClientConnection asked whether all connections were in use, and counted itself among them: only when one less than the limit was open was it admitted.

Why it works: the front now says whether there are more connections than the limit holds, and the one that asks is one of those.

--- a/petrelwood/node/client_connection.py
+++ b/petrelwood/node/client_connection.py
@@ -42,8 +42,8 @@
     reader_pool: list[rpc.Reader]
     reads: int  # of all connections
 
-    def is_full(self) -> bool:
-        """Return whether there are as many connections as there is capacity for."""
+    def is_over_capacity(self) -> bool:
+        """Return whether there are more connections than there is capacity for."""
 
     def note_fault(self, kind: str, reason: str) -> None:
         """Count and log a client's fault."""
@@ -218,7 +218,7 @@
     def _has_capacity(self) -> bool:
         """Return whether one more call may be open on this connection."""
         if self.over_capacity:
-            self.over_capacity = self.front.is_full()
+            self.over_capacity = self.front.is_over_capacity()
             if self.over_capacity:
                 return False
         calls = len(self.open)
--- a/petrelwood/node/front.py
+++ b/petrelwood/node/front.py
@@ -77,9 +77,9 @@
             self.log.info("connections are shed" if late else "connections are no longer shed")
 
     # New connections.
-    def is_full(self) -> bool:
-        """Return whether there are as many connections as there is capacity for."""
-        return len(self.clients) >= self.limits.clients
+    def is_over_capacity(self) -> bool:
+        """Return whether there are more connections than there is capacity for."""
+        return len(self.clients) > self.limits.clients
 
     def has_capacity(self) -> bool:
         """Return whether one more may be accepted, if only to reject what it asks."""
--- a/tests/test_final_answers.py
+++ b/tests/test_final_answers.py
@@ -222,6 +222,22 @@
             )
         )
 
+    async def test_a_client_beyond_the_limit_is_admitted_once_the_limit_holds_it(self):
+        """Guards against a connection that counts itself as another one that takes its place."""
+        worker = Raw("s-1")
+        async with Inside([worker]) as site:
+            leaves, stays = await self.fill(site, worker, 2)
+            guest = await self.rejected(site, worker)
+            leaves.close()
+            await site.until(lambda: len(site.node.front.clients) == 2)
+            number = guest.call(ask(fn=1, ttl=3900))
+            await site.until(lambda: number in guest.read() or len(worker.runs()) == 3)
+            self.assertEqual(len(worker.runs()), 3)
+            worker.answer(worker.runs()[2])
+            await site.until(lambda: number in guest.read() or guest.ended)
+            self.assertEqual(guest.answers[number][0], "completed")
+            stays.close(), guest.close()
+
     async def test_room_is_made_only_for_who_has_come(self):
         """As many as there is room for: none of them is closed. Fails on a front that makes room before it
         accepts, as the one of 1a9d409 did."""
