Connections to workers stay within their limit when an idle one is closed for another

What callers saw: nothing by itself; each time took one more of the descriptors that the process keeps for its listener, its roster and new clients.

Cause: Node.makes_room closed an idle connection of some link and took it as room. That link, with an attempt queued that may not leave yet, opened another connection at once, and the one that asked opened its own beside it. The count stayed over the limit, as the next call closed one and opened one.

Why it works: the connections are counted again after one was closed, and as many idle ones are closed as that takes; where none is left, the call waits.

--- a/petrelwood/node/service.py
+++ b/petrelwood/node/service.py
@@ -161,9 +161,12 @@
         return has_capacity or any(link.idle_connection() for link in self.node_links.values())
 
     def makes_room(self) -> bool:
-        """Return whether a link may open another connection; an idle one is closed for it if need be."""
-        has_capacity = self.worker_connections < self.resource_limits.workers
-        return has_capacity or any(link.close_idle() for link in self.node_links.values())
+        """Return whether a link may open another connection; idle ones are closed for it if need be."""
+        while self.worker_connections >= self.resource_limits.workers:
+            # the link that closes one may open another at once, for what it has queued
+            if not any(link.close_idle() for link in self.node_links.values()):
+                return False
+        return True
 
     def next_tag(self) -> str:
         """Return the tag of a new load order or health check."""
--- /dev/null
+++ b/tests/test_worker_connections.py
@@ -0,0 +1,37 @@
+"""The limit of connections to all workers together, on real sockets."""
+
+import unittest
+from unittest import mock
+
+from node_site import ask
+from test_crossings import Caller, Inside, Raw
+
+
+class LimitOfConnections(unittest.IsolatedAsyncioTestCase):
+    async def test_the_link_that_gives_up_its_connection_takes_the_descriptor_back(self):
+        """Guards against one connection too many whenever an idle one is closed for another link."""
+        first, second = Raw("s-1"), Raw("s-2")
+        async with Inside([first, second]) as site:
+            client = Caller(site.address)
+            client.call(ask(fn=1))
+            await site.until(lambda: first.runs() or second.runs())
+            chosen, other = (first, second) if first.runs() else (second, first)
+            chosen.answer(chosen.runs()[0])
+            await site.until(client.read)
+            node = site.node
+            loser, taker = node.node_links[chosen.name], node.node_links[other.name]
+            await site.until(loser.idle_connection)
+            node.resource_limits.workers = node.worker_connections
+            self.assertIsNone(taker.idle_connection())
+            with mock.patch.object(node, "may_send", lambda activation, link: False):
+                client.call(ask(fn=1, ttl=3900))
+                await site.until(lambda: loser.waiting)  # beside its idle connection
+                taker.order_load(f"{2:016x}", 1, 1)
+                self.assertLessEqual(node.worker_connections, node.resource_limits.workers)
+            await site.until(lambda: other.orders() or len(chosen.runs()) == 2)
+            self.assertLessEqual(node.worker_connections, node.resource_limits.workers)
+            client.close()
+
+
+if __name__ == "__main__":
+    unittest.main()
