A soak of shutdowns over many seeds: python -m benchmarks.soak

A seed draws deadlines, limits, load and signals: SIGHUP in quick succession and just around SIGTERM, SIGTERM twice, SIGTERM before the process is ready, a crowd beyond the limits in one run of four, workers that hang or close their connections in one of four, a worker that drains.

Whether a request without an answer was read is told by how its connection ended (a reset follows unread bytes), not by a clock.

The stand-in's configuration file is replaced whole now: one run read it half written and logged so.

--- /dev/null
+++ b/benchmarks/soak/judge.py
@@ -0,0 +1,110 @@
+"""Holds what one play showed against the rules of the platform's protocol.
+
+A client's or a worker's moment is taken by a loop that may itself stand still on a busy machine. Bounds that
+follow from the order of events need no clock; the others are widened by what the loop was late meanwhile.
+"""
+
+import signal
+from collections import Counter, defaultdict
+from collections.abc import Iterator
+
+from benchmarks.soak.peers import levels
+from benchmarks.soak.plan import DRAIN_GRACE, Plan
+from benchmarks.soak.records import Arrival, ConnectionEnd, Play, Request
+
+ANSWER_SLACK = 0.5  # s after its time in which an answer only earns nothing
+CROSSING = 0.05  # s in which a request may cross the end of its connection
+LEAVING_SLACK = 0.1  # s after its client's end in which an attempt may still begin
+PROTOCOL_SLACK = 0.05  # s by which each limit is longer on sockets
+DEDUPLICATION_WINDOW = 4.0  # s, of the settings
+SPARE_DESCRIPTORS = 1  # a roster's socket may be replaced at the moment of the look
+
+
+def judge(plan: Plan, play: Play) -> list[str]:
+    """Return what is wrong, a line each."""
+    arrivals: dict[str, list[Arrival]] = defaultdict(list)
+    for arrival in play.arrivals:
+        arrivals[arrival.id].append(arrival)
+    found = [
+        *_process(plan, play),
+        *play.unexpected_answers,
+        *_descriptors(play),
+        *_drained_workers(play),
+    ]
+    for request in play.requests:
+        found += _final_answer(play, request)
+        found += _effects(request, arrivals[request.id])
+        found += _sends_after_the_end(play, request, arrivals[request.id])
+    return found
+
+
+def _process(plan: Plan, play: Play) -> Iterator[str]:
+    if play.ended_at is None:
+        yield f"it had not ended {plan.kill_after:.2f} s after SIGTERM, and was killed"
+    elif play.exit_code != 0 and (play.catches_sigterm or play.exit_code != -signal.SIGTERM):
+        yield f"it ended with {play.exit_code}"
+    yield from (f"its log: {line.strip()}" for line in levels(play.log))
+
+
+def _final_answer(play: Play, request: Request) -> Iterator[str]:
+    """One final answer, in time; none is owed to who has left, or whose request crossed a close unread."""
+    told = f"{request.effect} {request.id}"
+    after = f"sent {request.sent_at - play.terminated_at:+.3f} s after SIGTERM"
+    if len(request.answers) > 1:
+        yield f"{told}: {len(request.answers)} answers"
+    elif request.answers:
+        at, word = request.answers[0]
+        took = at - request.sent_at
+        if took > request.time_allowed + ANSWER_SLACK + play.lag(request.sent_at, at):
+            yield f"{told}: {word} after {took:.3f} s, allowed {request.time_allowed:.3f} s, {after}"
+    elif request.left_at is None and request.end is not ConnectionEnd.REFUSED:
+        if request.ended_at is None:
+            yield f"{told}: no answer, its connection is open, {after}"
+            return
+        open_for = request.ended_at - request.sent_at
+        was_unread = request.end is ConnectionEnd.RESET
+        if was_unread and open_for <= CROSSING + play.lag(request.sent_at, request.ended_at):
+            return
+        yield f"{told}: no answer, connection {request.end.name.lower()} {open_for:.3f} s later, {after}"
+
+
+def _effects(request: Request, arrivals: list[Arrival]) -> Iterator[str]:
+    """No effect twice: once-only runs once; deduplicated is sent again only in its window."""
+    executed = [arrival for arrival in arrivals if arrival.executed]
+    if request.effect == "once" and len(executed) > 1:
+        yield f"once {request.id}: ran {len(executed)} times"
+    if request.effect == "by_key" and executed:
+        between = executed[-1].at - executed[0].at
+        if between > DEDUPLICATION_WINDOW + PROTOCOL_SLACK:
+            yield f"by_key {request.id}: sent again {between:.3f} s later"
+    is_twice = Counter((arrival.worker, arrival.at) for arrival in arrivals).most_common(1)
+    if is_twice and is_twice[0][1] > 1:
+        yield f"{request.effect} {request.id}: arrived twice at once"
+
+
+def _sends_after_the_end(play: Play, request: Request, arrivals: list[Arrival]) -> Iterator[str]:
+    """No attempt begins after the final answer, or after the client has left."""
+    ends = [at for at, _ in request.answers] + ([request.left_at] if request.left_at is not None else [])
+    if not ends:
+        return
+    end = min(ends)
+    for arrival in arrivals:
+        late = arrival.at - end
+        if late > LEAVING_SLACK + play.lag(end, arrival.at):
+            yield f"{request.effect} {request.id}: reached {arrival.worker} {late:.3f} s after its end"
+
+
+def _drained_workers(play: Play) -> Iterator[str]:
+    for arrival in play.arrivals:
+        told_at = play.drains.get(arrival.worker)
+        if told_at is None:
+            continue
+        late = arrival.at - told_at
+        if late > DRAIN_GRACE + PROTOCOL_SLACK + play.lag(told_at, arrival.at):
+            yield f"{arrival.id}: reached {arrival.worker} {late:.3f} s after it was told to be draining"
+
+
+def _descriptors(play: Play) -> Iterator[str]:
+    first, last = play.first_descriptors, play.last_descriptors
+    if first is not None and last is not None and last.own > first.own + SPARE_DESCRIPTORS:
+        yield f"{last.own} descriptors beside its connections, {first.own} at the start"
--- /dev/null
+++ b/benchmarks/soak/peers.py
@@ -0,0 +1,83 @@
+"""The workers and rosters of a soak, on the stand-ins of the tests."""
+
+import asyncio
+import json
+import pathlib
+import random
+import sys
+import time
+
+from benchmarks.soak.plan import WorkerTrouble
+from benchmarks.soak.records import Arrival
+
+sys.path.insert(0, str(pathlib.Path(__file__).parents[2] / "tests"))
+import node_site
+
+CLOSE_INTERVAL = 0.1  # s between two moments at which a worker closes its connections
+NEVER_RAN = ("NONE", "SHED", "LATE")
+
+
+class SoakWorker(node_site.Worker):
+    """A worker that records what arrives, and makes the trouble that it is told to."""
+
+    def __init__(self, name: str, seed: int, service_time: float, arrivals: list[Arrival]) -> None:
+        super().__init__(name, self._answer)
+        self.service_time = service_time
+        self.arrivals = arrivals
+        self.chance = random.Random(f"soak/{seed}/{name}")
+        self.trouble = WorkerTrouble.NONE
+
+    async def _line(self, said, writer):
+        if said["type"] == "FN":
+            executed = said["meta"]["asset"] in self.copies
+            self.arrivals.append(Arrival(said["req"], self.name, time.monotonic(), executed))
+        if self.trouble is WorkerTrouble.HANG and said["type"] != "FN":
+            return
+        await super()._line(said, writer)
+
+    async def _answer(self, worker, said, writer):
+        if self.trouble is WorkerTrouble.HANG:
+            return b""
+        await asyncio.sleep(self.chance.expovariate(1 / self.service_time))
+        return b"" if self.trouble is WorkerTrouble.HANG else None
+
+    async def make_trouble(self, trouble: WorkerTrouble) -> None:
+        """Make trouble until cancelled."""
+        self.trouble = trouble
+        while trouble is WorkerTrouble.CLOSE:
+            for stream in list(self.streams):
+                stream.close()
+            await asyncio.sleep(CLOSE_INTERVAL)
+
+    async def close(self) -> None:
+        """Stop listening, and end what is open."""
+        self.trouble = WorkerTrouble.HANG
+        await super().close()
+
+
+class SoakRoster(node_site.Roster):
+    """A roster that notes when it first told that a worker is draining."""
+
+    def __init__(self, drains: dict[str, float]) -> None:
+        super().__init__()
+        self.drains = drains
+
+    def datagram_received(self, data, sender):
+        super().datagram_received(data, sender)
+        for worker, (_, state, _, _) in self.entries.items():
+            if state != "Ready":
+                self.drains.setdefault(worker, time.monotonic())
+
+
+def levels(log: list[str]) -> list[str]:
+    """Return the lines of a log that tell of an error, or that are not of its form."""
+    found = []
+    for line in log:
+        try:
+            level = json.loads(line)["level"]
+        except (ValueError, KeyError, TypeError):
+            found.append(line)
+            continue
+        if level == "error":
+            found.append(line)
+    return found
--- /dev/null
+++ b/benchmarks/soak/plan.py
@@ -0,0 +1,118 @@
+"""What one seed plays: settings, load, and the signals of a shutdown. The same seed gives the same plan."""
+
+import random
+import signal
+from dataclasses import dataclass
+from enum import StrEnum
+
+STILL_ARRIVING = 0.7  # s after SIGTERM in which requests still come, as the protocol says
+LONGEST_COUNTED_DEADLINE = 3.0  # s; a longer deadline does not put off the kill
+FIRST_HANGUP = 1.0  # s after the start before which the platform sends no SIGHUP
+DEADLINES = (0.3, 0.5, 1.0, 2.0, 3.0, 4.0)  # s
+EFFECTS = ("repeatable", "by_key", "once")
+DRAIN_GRACE = 2.0  # s, of the settings
+DRAIN_AFTER = 0.3  # s after the readiness at which a worker is told to be draining
+CONNECT_TIMEOUTS = (0.1, 0.25, 0.5)  # s
+DESCRIPTOR_LIMITS = (96, 128, 256)
+CROWDED_DESCRIPTOR_LIMIT = 64
+
+
+class WorkerTrouble(StrEnum):
+    """What the workers do while the dispatcher shuts down."""
+
+    NONE = "none"
+    HANG = "hang"  # they answer nothing
+    CLOSE = "close"  # they close their connections, again and again
+
+
+@dataclass(frozen=True, slots=True)
+class PlannedSignal:
+    """A signal to the dispatcher; `at` in s after the first SIGTERM, negative before it."""
+
+    at: float
+    number: signal.Signals
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """One play. Times in s."""
+
+    seed: int
+    deadlines: tuple[float, ...]  # of the types with the effects of EFFECTS
+    connect_timeout: float
+    descriptors: int
+    workers: int
+    clients: int
+    request_interval: float  # of each client
+    service_time: float  # of a worker, the median
+    serving: float  # from the readiness to SIGTERM; with `early`, from the start
+    early: bool  # SIGTERM comes before the dispatcher is ready
+    signals: tuple[PlannedSignal, ...]
+    trouble: WorkerTrouble
+    drains: bool  # one worker is told to be draining before SIGTERM
+    crowd: int  # connections beyond the limits, each with a request
+
+    @property
+    def kill_after(self) -> float:
+        """The earliest moment of SIGKILL, in s after SIGTERM."""
+        return min(max(self.deadlines), LONGEST_COUNTED_DEADLINE) + STILL_ARRIVING
+
+    def describe(self) -> str:
+        """Return the plan in one line."""
+        signals = " ".join(f"{each.number.name}{each.at:+.3f}" for each in self.signals)
+        deadlines = "/".join(f"{each:g}" for each in self.deadlines)
+        return (
+            f"deadlines {deadlines} s, {self.workers} workers ({self.trouble}), {self.clients} clients,"
+            f" crowd {self.crowd}, descriptors {self.descriptors}, {'early' if self.early else 'serving'}"
+            f" {self.serving:.2f} s, {'drain, ' if self.drains else ''}{signals}"
+        )
+
+
+def draw(seed: int) -> Plan:
+    """Return the plan of a seed."""
+    chance = random.Random(f"soak/{seed}")
+    crowded = chance.random() < 1 / 4
+    trouble = chance.choices(list(WorkerTrouble), (6, 1, 1))[0]
+    early = chance.random() < 1 / 10
+    drains = not early and chance.random() < 1 / 3
+    serving = chance.uniform(*_serving_range(early, drains))
+    return Plan(
+        seed=seed,
+        deadlines=tuple(chance.choice(DEADLINES) for _ in EFFECTS),
+        connect_timeout=chance.choice(CONNECT_TIMEOUTS),
+        descriptors=CROWDED_DESCRIPTOR_LIMIT if crowded else chance.choice(DESCRIPTOR_LIMITS),
+        workers=chance.randint(2, 5),
+        clients=chance.randint(3, 8),
+        request_interval=chance.uniform(0.02, 0.08),
+        service_time=chance.uniform(0.002, 0.08),
+        serving=serving,
+        early=early,
+        signals=_signals(chance, early),
+        trouble=trouble,
+        drains=drains,
+        crowd=chance.randint(60, 150) if crowded and not early else 0,
+    )
+
+
+def _serving_range(early: bool, drains: bool) -> tuple[float, float]:
+    if early:
+        return 0.0, 0.6
+    if drains:  # it goes on after the grace of the worker that drains
+        return DRAIN_AFTER + DRAIN_GRACE, DRAIN_AFTER + DRAIN_GRACE + 1.0
+    return FIRST_HANGUP + 0.2, 2.5
+
+
+def _signals(chance: random.Random, early: bool) -> tuple[PlannedSignal, ...]:
+    """Return SIGTERM and what comes around it, in the order of their moments."""
+    signals = [PlannedSignal(0.0, signal.SIGTERM)]
+    if not early:  # none before the dispatcher is ready
+        if chance.random() < 1 / 2:  # in quick succession
+            first = chance.uniform(-0.2, -0.05)
+            signals += [PlannedSignal(first + n * 0.004, signal.SIGHUP) for n in range(chance.randint(2, 5))]
+        if chance.random() < 1 / 2:
+            signals.append(PlannedSignal(-chance.uniform(0.0, 0.01), signal.SIGHUP))
+        if chance.random() < 1 / 2:
+            signals.append(PlannedSignal(chance.uniform(0.0, 0.01), signal.SIGHUP))
+    if chance.random() < 1 / 2:
+        signals.append(PlannedSignal(chance.choice((0.001, 0.05, 0.5, 0.75)), signal.SIGTERM))
+    return tuple(sorted(signals, key=lambda each: each.at))
--- a/tests/node_site.py
+++ b/tests/node_site.py
@@ -345,8 +345,9 @@
             **changes,
         }
         path = pathlib.Path(self.folder.name) / "config.json"
-        path.write_text(json.dumps(told))
-        return path
+        part = path.with_suffix(".part")
+        part.write_text(json.dumps(told))
+        return part.replace(path)  # whole at any moment: who reads it may do so now
 
     def environ(self, path):
         return {
--- a/tests/schedule.py
+++ b/tests/schedule.py
@@ -6,6 +6,7 @@
 ALONE = {
     "test_deploy.py": "holds that nothing in petrelwood/ is written; a process beside it may write byte code",
     "test_shutdown.py": "kills a process by real time, 0.7 s after its longest timeout, held up or not",
+    "test_soak.py": "kills processes by real time, as test_shutdown.py does",
     "test_larger_fleet.py": "thousands of connections; judges the share served by real time on all cores",
 }
 # Seconds of the longest files, measured with five side by side on ten busy cores. They begin first, so that
