A process that has handed its listeners over closes its copies when it ends

Cause: Webhooks.pause sets the listening sockets aside but keeps them open, so that the process can serve again. At its end only the others were closed. The kernel accepts for as long as any process has the socket open: after the new process had closed its own, it went on accepting for the old one until that had finished what was in flight.

Why it works: at its end such a process accepts nothing more for good, so its copies are closed before it waits for anything.

--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -1,6 +1,7 @@
 """`python -m benchmarks.soak`: shutdowns over many seeds, a line each; exit code 1 if one breaks a rule."""
 
 import asyncio
+import itertools
 import pathlib
 import sys
 from collections import Counter
@@ -10,7 +11,7 @@
 import click
 
 from benchmarks.soak.judge import judge
-from benchmarks.soak.plan import draw
+from benchmarks.soak.plan import Front, draw
 from benchmarks.soak.play import play
 
 FINDINGS_SHOWN = 5  # of a seed; the rest is in its log
@@ -29,9 +30,9 @@
     log: list[str]
 
 
-def run_seed(seed: int) -> SeedResult:
+def run_seed(seed: int, front: Front) -> SeedResult:
     """Play one seed and judge it."""
-    plan = draw(seed)
+    plan = draw(seed, front)
     seen = asyncio.run(play(plan))
     words = Counter(word for request in seen.requests for _, word in request.answers)
     told = ", ".join(f"{word} {count}" for word, count in sorted(words.items()))
@@ -42,9 +43,12 @@
 @click.option("--seeds", type=click.IntRange(1), default=50, show_default=True, help="how many")
 @click.option("--first", type=click.IntRange(0), default=1, show_default=True, help="the first of them")
 @click.option("--jobs", type=click.IntRange(1), default=1, show_default=True, help="seeds side by side")
+@click.option(
+    "--front", type=click.Choice([each.value for each in Front]), default=Front.NODE.value, show_default=True
+)
 @click.option("--plans", is_flag=True, help="print the plans, play nothing")
 @click.option("--logs", type=click.Path(path_type=pathlib.Path), default=LOGS, show_default=True)
-def main(seeds: int, first: int, jobs: int, plans: bool, logs: pathlib.Path) -> None:
+def main(seeds: int, first: int, jobs: int, front: str, plans: bool, logs: pathlib.Path) -> None:
     """End dispatchers under load and judge what their clients and workers saw.
 
     The log of a seed that breaks a rule is kept in LOGS.
@@ -52,19 +56,19 @@
     numbers = range(first, first + seeds)
     if plans:
         for seed in numbers:
-            click.echo(f"seed {seed}: {draw(seed).describe()}")
+            click.echo(f"seed {seed}: {draw(seed, Front(front)).describe()}")
         return
     failed = []
     requests = 0
     with ProcessPoolExecutor(jobs) as pool:
-        for result in pool.map(run_seed, numbers):
+        for result in pool.map(run_seed, numbers, itertools.repeat(Front(front))):
             requests += result.requests
             _show(result, logs)
             if result.findings:
                 failed.append(result.seed)
     click.echo(f"{seeds - len(failed)} of {seeds} seeds kept all rules, {requests} requests")
     for seed in failed:
-        click.echo(f"again: python -m benchmarks.soak --seeds 1 --first {seed}")
+        click.echo(f"again: python -m benchmarks.soak --front {front} --seeds 1 --first {seed}")
     sys.exit(1 if failed else 0)
 
 
--- a/benchmarks/soak/clients.py
+++ b/benchmarks/soak/clients.py
@@ -14,6 +14,7 @@
 from benchmarks.soak.plan import EFFECTS, Plan
 from benchmarks.soak.records import ConnectionEnd, Play, Request
 
+COMPLETED = "completed"
 TYPES = ("plain", "marked", "single")  # of the stand-in's settings, in the order of EFFECTS
 FUNCTIONS = 6
 LEAVING_SHARE = 0.1  # of the requests, whose client does not wait for the answer
@@ -40,16 +41,18 @@
         self.transport = transport
 
     def data_received(self, data):
-        now = time.monotonic()
         self.unpacker.feed(data)
         for _, message_id, error, _ in self.unpacker:
-            self.open.pop(message_id, None)
-            word = "completed" if error is None else error[0]
-            request = self.requests.get(message_id)
-            if request is not None:
-                request.answers.append((now, word))
-            else:
-                self.play.unexpected_answers.append(f"connection {self.number}, {message_id}: {word}")
+            self.answered(message_id, COMPLETED if error is None else error[0])
+
+    def answered(self, message_id: int, word: str) -> None:
+        """Note an answer."""
+        self.open.pop(message_id, None)
+        request = self.requests.get(message_id)
+        if request is not None:
+            request.answers.append((time.monotonic(), word))
+        else:
+            self.play.unexpected_answers.append(f"connection {self.number}, {message_id}: {word}")
 
     def eof_received(self):
         self.end_seen_at = time.monotonic()
@@ -80,14 +83,19 @@
         """Return whether neither side has ended it."""
         return not self.ended.done() and not self.is_own_end and self.end_seen_at is None
 
-    def send(self, message_id: int, request: Request, type_name: str, function: int) -> None:
+    def send(self, message_id: int, request: Request, function: int) -> None:
         """Write one request."""
-        fields = node_site.ask(fn=function, ttl=int(request.time_allowed * 1000), call=request.id)
         request.connection = self.number
         request.sent_at = time.monotonic()
         self.open[message_id] = self.requests[message_id] = request
         self.play.requests.append(request)
-        self.transport.write(msgpack.packb([0, message_id, type_name, [fields, b"x"]]))
+        self.transport.write(self.encode(message_id, request, function))
+
+    def encode(self, message_id: int, request: Request, function: int) -> bytes:
+        """Return the bytes of a request."""
+        fields = node_site.ask(fn=function, ttl=int(request.time_allowed * 1000), call=request.id)
+        type_name = TYPES[EFFECTS.index(request.effect)]
+        return msgpack.packb([0, message_id, type_name, [fields, b"x"]])
 
     def cancel(self, message_id: int) -> None:
         """Take one request back, if it has no answer yet."""
@@ -113,6 +121,9 @@
 class Client:
     """Asks again and again on an open connection, and on a new one where that was closed."""
 
+    connection_class = ClientConnection
+    ways_to_leave = ("cancel", "cancel", "close", "reset")
+
     def __init__(self, play: Play, plan: Plan, address: tuple[str, int], name: str) -> None:
         self.play = play
         self.plan = plan
@@ -128,7 +139,7 @@
         loop = asyncio.get_running_loop()
         try:
             _, self.connection = await loop.create_connection(
-                lambda: ClientConnection(self.play), *self.address
+                lambda: self.connection_class(self.play), *self.address
             )
         except OSError:  # nobody listens: what is not taken is not lost
             self.connection = None
@@ -149,14 +160,17 @@
         connection = self.connection
         number = self.chance.randrange(len(EFFECTS))
         message_id = next(self.message_ids)
-        time_allowed = min(self.plan.deadlines[number], self.chance.uniform(0.2, 5.0))
+        time_allowed = self._time_allowed(number)
         request = Request(self._id(), EFFECTS[number], time_allowed, 0.0, 0)
-        connection.send(message_id, request, TYPES[number], self.chance.randint(1, FUNCTIONS))
+        connection.send(message_id, request, self.chance.randint(1, FUNCTIONS))
         if self.chance.random() < LEAVING_SHARE:
             after = self.chance.uniform(0.0, 0.1)
-            how = self.chance.choice(("cancel", "cancel", "close", "reset"))
+            how = self.chance.choice(self.ways_to_leave)
             asyncio.get_running_loop().call_later(after, self._leave, connection, message_id, how)
 
+    def _time_allowed(self, number: int) -> float:
+        return min(self.plan.deadlines[number], self.chance.uniform(0.2, 5.0))
+
     def _id(self) -> str:
         return f"{self.chance.getrandbits(64):016x}"
 
--- a/benchmarks/soak/peers.py
+++ b/benchmarks/soak/peers.py
@@ -12,7 +12,10 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).parents[2] / "tests"))
 import node_site
+import rig
+from free_ports import free_port
 
+__all__ = ["SoakRoster", "SoakWorker", "free_port", "levels", "node_site", "rig"]
 CLOSE_INTERVAL = 0.1  # s between two moments at which a worker closes its connections
 NEVER_RAN = ("NONE", "SHED", "LATE")
 
--- a/benchmarks/soak/plan.py
+++ b/benchmarks/soak/plan.py
@@ -25,6 +25,13 @@
     CLOSE = "close"  # they close their connections, again and again
 
 
+class Front(StrEnum):
+    """How the dispatcher is met."""
+
+    NODE = "node"  # as on the platform of its operators
+    SERVE = "serve"  # `petrelwood serve`, by webhooks
+
+
 @dataclass(frozen=True, slots=True)
 class PlannedSignal:
     """A signal to the dispatcher; `at` in s after the first SIGTERM, negative before it."""
@@ -38,6 +45,7 @@
     """One play. Times in s."""
 
     seed: int
+    front: Front
     deadlines: tuple[float, ...]  # of the types with the effects of EFFECTS
     connect_timeout: float
     descriptors: int
@@ -51,6 +59,7 @@
     trouble: WorkerTrouble
     drains: bool  # one worker is told to be draining before SIGTERM
     crowd: int  # connections beyond the limits, each with a request
+    upgrades: bool  # another process takes over before SIGTERM, which goes to both
 
     @property
     def kill_after(self) -> float:
@@ -61,14 +70,15 @@
         """Return the plan in one line."""
         signals = " ".join(f"{each.number.name}{each.at:+.3f}" for each in self.signals)
         deadlines = "/".join(f"{each:g}" for each in self.deadlines)
+        also = ("drain, " if self.drains else "") + ("upgrade, " if self.upgrades else "")
         return (
             f"deadlines {deadlines} s, {self.workers} workers ({self.trouble}), {self.clients} clients,"
             f" crowd {self.crowd}, descriptors {self.descriptors}, {'early' if self.early else 'serving'}"
-            f" {self.serving:.2f} s, {'drain, ' if self.drains else ''}{signals}"
+            f" {self.serving:.2f} s, {also}{signals}"
         )
 
 
-def draw(seed: int) -> Plan:
+def draw(seed: int, front: Front = Front.NODE) -> Plan:
     """Return the plan of a seed."""
     chance = random.Random(f"soak/{seed}")
     crowded = chance.random() < 1 / 4
@@ -78,6 +88,7 @@
     serving = chance.uniform(*_serving_range(early, drains))
     return Plan(
         seed=seed,
+        front=front,
         deadlines=tuple(chance.choice(DEADLINES) for _ in EFFECTS),
         connect_timeout=chance.choice(CONNECT_TIMEOUTS),
         descriptors=CROWDED_DESCRIPTOR_LIMIT if crowded else chance.choice(DESCRIPTOR_LIMITS),
@@ -91,6 +102,7 @@
         trouble=trouble,
         drains=drains,
         crowd=chance.randint(60, 150) if crowded and not early else 0,
+        upgrades=front is Front.SERVE and not early and chance.random() < 1 / 4,
     )
 
 
--- a/petrelwood/fronts/webhook.py
+++ b/petrelwood/fronts/webhook.py
@@ -96,11 +96,12 @@
             stop_accepting = self._handlers.pop(descriptor)
             stop_accepting()
         self._sockets.clear()
-        self.drain()
+        self._drain_connections()
 
     def resume(self) -> None:
         """Accept again after a pause."""
         self.add_sockets(self._paused)
+        self._paused = []
         for connection in self.connections:
             connection.is_draining = False
 
@@ -174,8 +175,15 @@
         """Make each further answer the last of its connection, as the process ends.
 
         The front listens until `close_idle`: a connection that the machine has accepted may have a request
-        in it, which is rejected.
+        in it, which is rejected. Sockets that another process listens on since a pause are closed at once:
+        the machine would go on accepting for as long as any process has them open.
         """
+        self._drain_connections()
+        for sock in self._paused:
+            sock.close()
+        self._paused = []
+
+    def _drain_connections(self) -> None:
         for connection in self.connections:
             connection.is_draining = True
 
--- a/tests/test_serve_shutdown.py
+++ b/tests/test_serve_shutdown.py
@@ -5,6 +5,7 @@
 before it closed it, or names the broken dispatcher that it fails on."""
 
 import asyncio
+import os
 import socket
 import time
 import unittest
@@ -87,6 +88,24 @@
         self.assertEqual(client.read(), [200, 503, 503, 503])
         self.assertEqual(client.data.count(b"Connection: close"), 1)
 
+    async def test_the_listeners_of_a_successor_are_not_kept_open(self):
+        """Guards against connections that the machine accepts for a process that reads none of them."""
+        await self.begin(Worker("w1", later(0.3)))
+        (busy,) = self.clients(1)
+        busy.send(self.message())
+        await self.until(lambda: self.core.pending.activations)
+        successors = [socket.socket(fileno=os.dup(each)) for each in self.front.descriptors()]
+        self.front.pause()  # as at a hand-over
+        ending = asyncio.ensure_future(self.core.close())
+        await asyncio.sleep(0)
+        for sock in successors:  # the successor ends, too
+            sock.close()
+        with self.assertRaises(ConnectionRefusedError):
+            self.clients(1)
+        await asyncio.wait_for(ending, 30)
+        await self._all_end(busy)
+        self.assertEqual(busy.read(), [200])
+
     async def test_a_worker_that_hangs_while_clients_go_on_sending(self):
         """It ends by itself within the longest action timeout and 0.7 s: the earliest kill. Fails where what
         is pending is waited for without a deadline."""
