serve ends with status 0 also if one more signal comes as its loop is closed

What operators saw: a second SIGTERM, SIGINT or SIGHUP in the last moments of a shutdown ended the process by the signal's default action (-15, -1), which a supervisor takes for a crash. Nothing that was owed was lost.

Cause: asyncio takes its signal handlers away when the loop is closed; from then on until the interpreter has ended the defaults hold. To block them in the main thread, as the platform's program does, was tried and is not enough: threads of the libraries take them (the test stayed red).

Why it works: handlers are replaced by SIG_IGN before the loop is closed. A gap of some microseconds is left between the two calls that do it.

--- a/petrelwood/dispatch/serve.py
+++ b/petrelwood/dispatch/serve.py
@@ -30,6 +30,9 @@
 from petrelwood.settings.gateway import Gateway
 from petrelwood.store.errors import StateUnreadableError
 
+SHUTDOWN_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+HANDLED_SIGNALS = (*SHUTDOWN_SIGNALS, signal.SIGHUP)
+
 
 @dataclass(frozen=True, slots=True)
 class ServeOptions:
@@ -110,7 +113,7 @@
 
     def _handle_signals(self) -> None:
         loop = self.core.loop
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in SHUTDOWN_SIGNALS:
             loop.add_signal_handler(number, self.shutdown.set)
         if self.options.read_settings is not None:
             loop.add_signal_handler(signal.SIGHUP, lambda: self._start(self._reload()))
@@ -252,9 +255,20 @@
 async def _serve(gateway: Gateway, log: Logger, options: ServeOptions) -> str | None:
     process = DispatcherProcess(gateway, log, options)
     await process.run()
+    _ignore_signals(process.core.loop)
     return process.failed
 
 
+def _ignore_signals(loop: asyncio.AbstractEventLoop) -> None:
+    """Ignore further signals: the loop would leave them to their default action once it is closed.
+
+    To block them is not enough, as the libraries' threads would take them.
+    """
+    for number in HANDLED_SIGNALS:
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
+
+
 def run(gateway: Gateway, log: Logger, options: ServeOptions | None = None) -> int:
     """Serve until the end of the process; return the exit code.
 
--- a/tests/test_serve_shutdown.py
+++ b/tests/test_serve_shutdown.py
@@ -6,11 +6,22 @@
 
 import asyncio
 import os
+import pathlib
+import signal
 import socket
+import sys
+import tempfile
 import time
 import unittest
 
-from rig import Case, Worker, later, never
+from rig import FILE, KEY, Case, Roster, Worker, bind_unused_port, later, never
+
+SIGNALLED_AT_EXIT = """
+import atexit, os
+atexit.register(os.kill, os.getpid(), {})
+from petrelwood.cli.main import cli
+cli()
+"""
 
 
 class Client:
@@ -132,5 +143,35 @@
         self.assertGreater(len(senders), 20)
 
 
+class LastSignals(unittest.IsolatedAsyncioTestCase):
+    async def test_one_more_signal_as_the_process_ends(self):
+        """Guards against an end by the default action of a signal that comes after the loop was closed."""
+        for last in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            with self.subTest(last):
+                roster = Roster()
+                sock, port = bind_unused_port()
+                roster.add_sockets([sock])
+                self.addCleanup(roster.stop)
+                with tempfile.TemporaryDirectory() as folder:
+                    path = pathlib.Path(folder) / "g.kdl"
+                    path.write_text(FILE.format(roster=port, key=KEY, limits='body "20KB"', workers=""))
+                    self.assertEqual(await self._exit_code(path, last), 0)
+
+    async def _exit_code(self, path, last):
+        """Of a dispatcher that gets SIGTERM, and the signal `last` as its interpreter ends."""
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-c",
+            SIGNALLED_AT_EXIT.format(last.value),
+            "serve",
+            str(path),
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.DEVNULL,
+        )
+        self.assertIn(b"ready", await asyncio.wait_for(process.stdout.readline(), 60))
+        process.terminate()
+        return await asyncio.wait_for(process.wait(), 60)
+
+
 if __name__ == "__main__":
     unittest.main()
