A request that waited in the listen queue has as much less time left

Cause: a request's time ran from its reading, less what the loop's own checks were late. A connection may lie in the listen queue for longer while the loop is in time, as only some are accepted in a turn. Its worker was told too much time, and its client answered after it.

Why it works: at the first request of a connection the kernel is asked how long its last bytes have been there, and the earlier of the two moments counts. It costs one getsockopt a connection. Where the kernel does not tell, nothing changes.

--- a/petrelwood/links/sockets.py
+++ b/petrelwood/links/sockets.py
@@ -3,10 +3,16 @@
 import contextlib
 import select
 import socket
+import struct
 from collections.abc import Iterable
 
 from tornado.iostream import IOStream
 
+# linux/tcp.h, struct tcp_info: the field tcpi_last_data_recv, in ms
+TCP_INFO_SIZE = 104
+LAST_DATA_RECEIVED_OFFSET = 52
+LAST_DATA_RECEIVED = struct.Struct("=I")
+
 
 def fresh(host: str, kind: socket.SocketKind = socket.SOCK_STREAM) -> socket.socket:
     """A socket, neither bound nor connected, of the family that `host` is an address of. Raises OSError."""
@@ -28,6 +34,19 @@
     return bool(poll.poll(0))
 
 
+def time_since_last_data(sock: socket.socket) -> int:
+    """For how long the last bytes from the peer have been in the kernel's hands, in ns (whole ms).
+
+    0 where the kernel does not tell (tcp(7), TCP_INFO).
+    """
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_SIZE)
+        (milliseconds,) = LAST_DATA_RECEIVED.unpack_from(info, LAST_DATA_RECEIVED_OFFSET)
+    except (OSError, struct.error):
+        return 0
+    return int(milliseconds) * 1_000_000
+
+
 def bytes_written(stream: IOStream) -> int:
     """Bytes that were written on a stream so far, whether the kernel took them or not."""
     written: int = stream._total_write_index
--- a/petrelwood/node/client_connection.py
+++ b/petrelwood/node/client_connection.py
@@ -200,7 +200,12 @@
             if len(params) != CALL_PARAMETERS:
                 raise InvalidRequestError("a call has a map and a body")
             call = call_request.decode_call(
-                namespace_type, params[0], params[1], core.arrived(now), gateway.customers, gateway.timeouts
+                namespace_type,
+                params[0],
+                params[1],
+                self._arrival_time(now),
+                gateway.customers,
+                gateway.timeouts,
             )
             if core.is_open(call.activation.id):
                 raise InvalidRequestError("an id that is open")
@@ -215,6 +220,16 @@
         self.front.connection_busy(self)
         core.admit(call.activation, call.function, call.figures, call.body, exchange)
 
+    def _arrival_time(self, now: int) -> int:
+        """Return when what was read at `now` came at the earliest.
+
+        A first request may have waited in the listen queue, which the loop's own lag does not show.
+        """
+        arrived = self.front.core.arrived(now)
+        if self.requested or self.stream.closed():
+            return arrived
+        return min(arrived, now - sockets.time_since_last_data(self.stream.socket))
+
     def _has_capacity(self) -> bool:
         """Return whether one more call may be open on this connection."""
         if self.over_capacity:
--- a/tests/test_time_left.py
+++ b/tests/test_time_left.py
@@ -24,6 +24,7 @@
 MS = 1_000_000
 SLACK = 150  # ms
 TTL = 3900  # ms
+CLOCK_RESOLUTION = 15  # ms, of the kernel's ticks and of what it rounds
 CONNECTS = {"cancelling": False, "connectTimeout": 20_000_000}
 
 
@@ -140,6 +141,47 @@
                     client.close()
 
 
+class WaitsInTheListenQueue(unittest.IsolatedAsyncioTestCase):
+    async def test_a_request_that_lay_there_unread_has_as_much_less_time(self):
+        """Guards against a wait in the kernel that is not counted, as the loop itself is in time."""
+        worker = Raw("s-1")
+        async with Inside([worker]) as site:
+            site.node.loop.remove_reader(site.node.front.listener.sock)
+            client = Caller(site.address)
+            number = client.call(fields := ask(fn=1, ttl=TTL))
+            sent_at = site.node.now()
+            await site.until(lambda: site.node.now() - sent_at > 400 * MS)
+            looks = site.node.check_count
+            await site.until(lambda: site.node.check_count > looks + 1)  # the loop counts as in time
+            waited = (site.node.now() - sent_at) // MS
+            site.node.loop.add_reader(site.node.front.listener.sock, site.node.front.listener._accept)
+            await site.until(worker.runs)
+            self.assertLessEqual(patience(worker, fields), TTL - waited + CLOCK_RESOLUTION)
+            worker.answer(worker.runs()[0])
+            await site.until(lambda: number in client.read())
+            client.close()
+
+    async def test_one_whose_time_was_up_there_is_answered_at_once(self):
+        """Guards against a client that is answered only after its time, counted anew from the reading."""
+        worker = Raw("s-1")
+        async with Inside([worker]) as site:
+            site.node.loop.remove_reader(site.node.front.listener.sock)
+            client = Caller(site.address)
+            client.call(ask(fn=1, ttl=150))
+            sent_at = site.node.now()
+            await site.until(lambda: site.node.now() - sent_at > 400 * MS)
+            site.node.loop.add_reader(site.node.front.listener.sock, site.node.front.listener._accept)
+            await site.until(lambda: client.read() or client.ended)
+            self.assertEqual(client.answers[1][0], "Throttled")
+            self.assertEqual(worker.runs(), [])
+            client.close()
+
+    async def test_a_kernel_that_does_not_tell(self):
+        """Guards against a request that is lost where the wait can't be asked for."""
+        with socket.socket(socket.AF_UNIX) as sock:
+            self.assertEqual(sockets.time_since_last_data(sock), 0)
+
+
 class WaitsBehindAnother(unittest.IsolatedAsyncioTestCase):
     async def _two(self, site, worker):
         """A send whose rest has not left, and one behind it on the only connection."""
