An event of the roster whose data is no list no longer empties the list of workers

What callers saw: a roster that sent `{}` or `""` as its list left a dispatcher without workers; all that came was rejected until the next good event.

Cause: the link went through whatever JSON came as if it were a list; an empty object or text has no entries.

A number out of the range of an integer (1e999) was and is refused.

Why it works: the data is asked to be a list before it is gone through, and of an error that the HTTP parser reports the one behind it is logged.

--- a/petrelwood/links/roster.py
+++ b/petrelwood/links/roster.py
@@ -98,7 +98,7 @@
             try:
                 await self._follow()
             except CONNECTION_ERRORS as error:
-                reason = str(error) or repr(error)
+                reason = _reason(error)
             finally:
                 self.drop()
             now = self.core.now()
@@ -146,7 +146,7 @@
         now = self.core.now()
         for event in self.events.feed(chunk):
             if event.name in (LIST, CHANGE):
-                endpoints = [decode_endpoint(raw) for raw in orjson.loads(event.data)]
+                endpoints = _decode_endpoints(event.data)
                 if event.name == LIST:
                     self._apply_list(event.id, endpoints, now)
                 else:
@@ -171,3 +171,19 @@
         elif order is EventOrder.GAP:
             self.membership.forget_position()
             raise EndpointListError(f"a gap in the list before {event_id}")
+
+
+def _decode_endpoints(data: str) -> list[Endpoint]:
+    """Return the endpoints in an event's data. Raises ProtocolError and ValueError."""
+    entries = orjson.loads(data)
+    if not isinstance(entries, list):  # an empty object is no empty list: all workers would be gone
+        raise EndpointListError("the data of an event must be a list of endpoints")
+    return [decode_endpoint(raw) for raw in entries]
+
+
+def _reason(error: Exception) -> str:
+    """Return what to log of an error; where the parser reports one of `on_body`, that one."""
+    if isinstance(error, httptools.HttpParserCallbackError):
+        reported: BaseException = error.__cause__ or error.__context__ or error
+        return str(reported) or repr(reported)
+    return str(error) or repr(error)
