A version whose beginning is out of range no longer keeps a dispatcher from all others

What operators saw: `{"begun": 1e999}` in one version's file ended the reading of the folder; no later version was found.

Cause: JSON's 1e999 is an infinite float, and int() of it an OverflowError, which was not among the errors that leave one version out.

Evidence: the new test writes seven kinds of damage: before, 1e999 and -1e999 raised; now each leaves version 1 out and finds version 2. The other numbers that are read from JSON were looked through: orjson refuses 1e999 by itself.

--- a/petrelwood/store/versions.py
+++ b/petrelwood/store/versions.py
@@ -38,7 +38,7 @@
                 rollout_start = int(json.loads((folder / f"{number}{BEGINNING}").read_text())["begun"])
                 called_off = (folder / f"{number}{CALL_OFF}").exists()
                 found.append(Announcement(number, rollout_start, called_off))
-        except (OSError, ValueError, KeyError, TypeError):
+        except (OSError, ValueError, KeyError, TypeError, OverflowError):
             continue
     return found
 
--- a/tests/test_version_watch.py
+++ b/tests/test_version_watch.py
@@ -144,6 +144,17 @@
             (path := versions.path_of(folder, 0).with_name(versions.POSITION)).write_text("no number")
             self.assertEqual(versions.position(path.parent), 0)
 
+    def test_a_beginning_that_is_no_number_leaves_its_version_out(self):
+        """Guards against one damaged file that keeps a dispatcher from every version."""
+        with tempfile.TemporaryDirectory() as folder:
+            for number in (1, 2):
+                versions.receive(folder, number, f"text {number}", WALL)
+            for begun in ("1e999", "-1e999", "NaN", "null", "[]", '"soon"', "{}"):
+                with self.subTest(begun):
+                    path = versions.path_of(folder, 1).with_suffix(versions.BEGINNING)
+                    path.write_text(f'{{"begun": {begun}}}')
+                    self.assertEqual([each.number for each in versions.announced(folder)], [2])
+
 
 class HalfApplied(unittest.IsolatedAsyncioTestCase):
     """A version that is only partly in the folder is no version, and all of an answer is read again."""
