A worker that is gone by the time its entry is handled gets no link

What operators saw: a defect in the log ("the address of w is not known"), and the activations it touched aborted, when a worker was listed and gone within one batch of changes.

Cause: changes of the list wait in the event queue while the membership is already ahead, so a usable entry may be of a worker that has no address any more. It got a link without one, whose first call can't connect.

Evidence: the new test lists such a worker; before, it had a link with address None, now none. Without a link its health check ends as "no connection" and a send as never sent.

--- a/petrelwood/dispatch/worker_links.py
+++ b/petrelwood/dispatch/worker_links.py
@@ -65,12 +65,15 @@
                 self[worker].recall()
 
     def connect(self, entries: Iterable[Listed], membership: Membership) -> None:
-        """Make links to workers that are new and usable, and move those whose address has changed."""
+        """Make links to workers that are new and usable, and move those whose address has changed.
+
+        `membership` may be ahead of the entries: a worker that is gone by now has no address, and gets none.
+        """
         for entry in entries:
             link = self.get(entry.worker)
             address = membership.address_of(entry.worker)
             if link is None:
-                if entry.usable:
+                if entry.usable and address is not None:
                     self[entry.worker] = self.make_link(entry.worker, address)
             elif address is not None and link.address != address:
                 link.address = address  # first: what is lost makes room for new connections
