A task that is cancelled as what it waits for comes ends: MQTT, BGP, hand-over

What operators saw: a session of a front that was closed, or a hand-over in a process that was told to end, could go on, as its cancellation was lost.

Cause: asyncio.wait_for of Python 3.11 returns the result, and drops the cancellation, where both come in one turn of the loop.

Why it works: asyncio.timeout cancels the task itself and tells its own cancellation from another's.

--- a/petrelwood/bgp/run.py
+++ b/petrelwood/bgp/run.py
@@ -1,6 +1,7 @@
 """Runs one speaker until SIGTERM: takes its announcements back, says goodbye, exits 0."""
 
 import asyncio
+import contextlib
 import json
 import signal
 import sys
@@ -8,6 +9,8 @@
 from petrelwood.bgp.speaker import Speaker
 from petrelwood.store.snapshot import put
 
+STATUS_INTERVAL = 1.0  # seconds between two writes of the figures
+
 
 async def _run(described, log, status):
     loop, ends = asyncio.get_running_loop(), asyncio.Event()
@@ -19,10 +22,9 @@
     while not ends.is_set():
         if status:
             put(status, json.dumps(speaker.figures()).encode())
-        try:
-            await asyncio.wait_for(ends.wait(), 1)
-        except TimeoutError:
-            pass
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(STATUS_INTERVAL):
+                await ends.wait()
     await speaker.close()
     log.info("closed", **speaker.figures())
 
--- a/petrelwood/bgp/speaker.py
+++ b/petrelwood/bgp/speaker.py
@@ -77,7 +77,9 @@
             sock = sockets.fresh(host)
             guard(sock, self.terms.far)
             stream = IOStream(sock)
-            await asyncio.wait_for(stream.connect((host, port)), CONNECT)
+            # not `wait_for`, which loses a cancellation that comes as the connection is made
+            async with asyncio.timeout(CONNECT):
+                await stream.connect((host, port))
         except (TimeoutError, OSError):
             if stream is not None:
                 stream.close()
--- a/petrelwood/dispatch/handover/predecessor.py
+++ b/petrelwood/dispatch/handover/predecessor.py
@@ -186,7 +186,9 @@
 
     async def _serve(self, channel: Channel) -> None:
         try:
-            hello = await asyncio.wait_for(channel.receive(), GREETING_TIMEOUT)
+            # not `wait_for`, which loses a cancellation that comes as the message does
+            async with asyncio.timeout(GREETING_TIMEOUT):
+                hello = await channel.receive()
             reason = self._reason_to_reject(hello)
             if reason:
                 self.log.warning("upgrade rejected", why=reason)
@@ -251,7 +253,8 @@
 
     async def _dismiss(self, channel: Channel) -> None:
         with contextlib.suppress(TimeoutError, HandoverError):
-            await asyncio.wait_for(channel.send(TakenBack()), DISMISSAL_TIMEOUT)
+            async with asyncio.timeout(DISMISSAL_TIMEOUT):
+                await channel.send(TakenBack())
         channel.close()
 
     def _carry_out(self, action: PredecessorAction | None) -> None:
--- a/petrelwood/dispatch/handover/successor.py
+++ b/petrelwood/dispatch/handover/successor.py
@@ -38,6 +38,7 @@
 CHECK_INTERVAL = 0.05  # seconds
 CHECKS_PER_HEARTBEAT = 5
 OFFER_TIMEOUT = 10.0  # seconds
+SECOND = 1_000_000_000  # ns
 # ns without a check, after which this process asks itself whether it was superseded meanwhile
 STALL = 1_000_000_000
 CATCH_UP = 4 * CHECK_INTERVAL  # seconds in which is heard what came during a stall
@@ -93,7 +94,9 @@
         request = TakeoverRequest(self.name, handover.PROTOCOL_VERSION, formats, os.getpid())
         await self.channel.send(Hello(request))
         try:
-            offer = await asyncio.wait_for(self.channel.receive(), OFFER_TIMEOUT)
+            # not `wait_for`, which loses a cancellation that comes as the message does
+            async with asyncio.timeout(OFFER_TIMEOUT):
+                offer = await self.channel.receive()
         except TimeoutError as fault:
             raise PeerTimeoutError("the old process does not answer") from fault
         if not isinstance(offer, Offer):
@@ -122,7 +125,8 @@
         self.machine.on_ready_to_serve(now())
         await self.channel.send(Ready())
         try:
-            go = await asyncio.wait_for(self.channel.receive(), handover.READY_TIMEOUT / 1e9)
+            async with asyncio.timeout(handover.READY_TIMEOUT / SECOND):
+                go = await self.channel.receive()
         except TimeoutError as fault:
             raise PeerTimeoutError("the old process did not give way in time") from fault
         if not isinstance(go, Go):
--- a/petrelwood/fronts/mqtt_connection.py
+++ b/petrelwood/fronts/mqtt_connection.py
@@ -60,7 +60,8 @@
         self._reader = packets.Reader(self.terms.most)
         self.write(self._connect_packet())
         # a broker may accept a connection and say nothing
-        accepted = await asyncio.wait_for(self._first_packet(stream), self.timeout)
+        async with asyncio.timeout(self.timeout):
+            accepted = await self._first_packet(stream)
         if accepted.type != packets.CONNACK or accepted.code:
             raise BrokerError(f"the broker answered {accepted!r}")
         self.is_up = True
@@ -77,7 +78,9 @@
         else:
             self.stream = SSLIOStream(sockets.fresh(host), ssl_options=terms.tls.client())
             name = terms.tls.server_name(host)
-        await asyncio.wait_for(self.stream.connect(terms.broker, server_hostname=name), self.timeout)
+        # not `wait_for`, which loses a cancellation that comes as the connection is made
+        async with asyncio.timeout(self.timeout):
+            await self.stream.connect(terms.broker, server_hostname=name)
         return self.stream
 
     def _connect_packet(self) -> packets.Packet:
--- a/petrelwood/fronts/mqtt_session.py
+++ b/petrelwood/fronts/mqtt_session.py
@@ -288,7 +288,8 @@
                 )
             )
             with contextlib.suppress(TimeoutError):  # a broker that does not answer is left all the same
-                await asyncio.wait_for(self._unsubscribed, self.connection.timeout)
+                async with asyncio.timeout(self.connection.timeout):
+                    await self._unsubscribed
         self.core.submit(self.deliveries.close)
 
     def is_idle(self) -> bool:
