A recovery of the state log that a defect ends is tried again

What callers saw: after a failed disk had come back, what must not run twice stayed rejected until the process was restarted.

Cause: the recovery writes in slices, each a call of its own. A defect of ours in one is logged and ends the chain, while the attempt still counts as going on: `check` waited for it, as the log itself had not failed.

Evidence: the new test has a defect in the first slice, and before it; before, the log was still stopped 50 s later in both, now it takes work again.

Why it works: an attempt that neither writes a slice nor syncs for 5 s counts as failed, like any other, and the next begins after the backoff. A sync that lasts longer is no stall.

--- a/petrelwood/dispatch/state_recovery.py
+++ b/petrelwood/dispatch/state_recovery.py
@@ -27,6 +27,7 @@
 
 SLICE = 250  # ids that are written before the loop goes on
 PAUSE = 4 * MILLISECOND  # between two slices
+STALLED_AFTER = 5_000 * MILLISECOND  # without progress, an attempt counts as failed
 LONGEST_BODY = 4096  # bytes of an answer that is kept for a retry after a restart
 
 
@@ -86,19 +87,24 @@
         self.schedule = RecoverySchedule(core.chance.random)
         self.recent_orders = RecentOrders(core.terms.orders.period)
         self.unwritten: Iterator[tuple[str, str]] | None = None  # ids that wait for their slice
+        self.progressed_at = 0  # ns, when the present attempt began or wrote a slice
         self.rejected = 0  # activations that were rejected in this outage
 
     def check(self) -> None:
         """Notice a failure, and begin the log anew when that is due; called a few times a second."""
         log = self.state.log
         now = self.core.now()
-        if log.stopped is None or self.unwritten is not None and not log.failed:
+        if log.stopped is None or (self.unwritten is not None and not log.failed and not self._stalled(now)):
             return
         if not self.schedule.in_outage or self.unwritten is not None:
             self._failed(now)
         elif not log.syncing and self.schedule.attempt_due(now):
             self._attempt(now)
 
+    def _stalled(self, now: int) -> bool:
+        """Return whether the present attempt goes no further: a defect of ours has ended it."""
+        return not self.state.log.syncing and now - self.progressed_at > STALLED_AFTER
+
     def rejected_for(self, now: int) -> int:
         """Count an activation that is rejected for the outage; return the ns until that may be over."""
         self.rejected += 1
@@ -136,6 +142,7 @@
             self._failed(now)
             return
         self.unwritten = iter(list(self.state.ledger.entries))
+        self.progressed_at = now
         forgotten = forgotten_record(
             self.state.ledger.newest_forgotten,
             core.record_time(),
@@ -153,6 +160,7 @@
         wall = core.record_time()
         if self.unwritten is None or self.state.log.failed:
             return
+        self.progressed_at = now
         keys = list(islice(self.unwritten, SLICE))
         for key in keys:
             entry = self.state.ledger.entries.get(key)
--- a/tests/test_store_faults.py
+++ b/tests/test_store_faults.py
@@ -7,6 +7,7 @@
 import tempfile
 import unittest
 from random import Random
+from unittest.mock import patch
 
 import rig
 
@@ -328,6 +329,27 @@
         self.assertIn(self.ask().act, self.core.scheduler.began)
         self.assert_owed(self.after_a_kill())
 
+    def test_an_attempt_that_a_defect_ends_counts_as_failed(self):
+        """Guards against an outage without end, in which what must not run twice stays rejected."""
+        for broken in ("entry_records", "forgotten_record"):
+            with self.subTest(broken):
+                failing = [True]
+                self.start(
+                    FaultyFiles(lambda name, on=failing: errno.ENOSPC if on[0] and name == "write" else None),
+                    folder=self.folder / broken,
+                )
+                for _ in range(3):
+                    self.ask()
+                self.assertIsNotNone(self.state.stopped)
+                failing[0] = False
+                with patch.object(state_recovery, broken, side_effect=RuntimeError("a defect")) as defect:
+                    self.until(lambda defect=defect: defect.called)
+                for _ in range(100):
+                    self.wait(0.5)
+                    self.core.durable_state.check()
+                self.assertIsNone(self.state.stopped)
+                self.assertIn(self.ask().act, self.core.scheduler.began)
+
     def test_attempts_back_off_and_begin_again_early_only_after_a_quiet_minute(self):
         failing = [True]
         self.start(FaultyFiles(lambda name: errno.ENOSPC if failing[0] and name == "write" else None))
