A topic alias that was never given ends the MQTT session with reason 0x94

What operators saw: a defect in the log for a fault of the broker's, and a session that went on; the message was neither answered nor acknowledged.

Cause: the alias was looked up within a call of the event queue, which logs any error as a defect, and not where the packets are read, whose MqttError ends the connection with its reason code (MQTT 5, 3.3.2.3.4 and 4.13).

test_mqtt_bytes.test_what_is_rejected held the wrong behaviour ("found so: no answer, and the session goes on"). Before the change it fails (no such DISCONNECT). The three files of MQTT pass.

--- a/petrelwood/fronts/mqtt_session.py
+++ b/petrelwood/fronts/mqtt_session.py
@@ -143,7 +143,8 @@
         handler(packet)
 
     def _on_publish(self, packet: packets.Packet) -> None:
-        self.core.submit(self._message_arrived, packet)
+        topic = self.decoder.topic_of(packet)  # here, where an error ends the connection
+        self.core.submit(self._message_arrived, packet, topic)
 
     def _on_pubrel(self, packet: packets.Packet) -> None:
         self.core.submit(self.deliveries.on_pubrel, packet.id)
@@ -166,8 +167,7 @@
         self.answers.earlier_released()
         self.deliveries.on_pingresp()
 
-    def _message_arrived(self, packet: packets.Packet) -> None:
-        topic = self.decoder.topic_of(packet)
+    def _message_arrived(self, packet: packets.Packet, topic: str) -> None:
         core = self.core
         now = core.now()
         self.counts.messages += 1
--- a/tests/test_mqtt_bytes.py
+++ b/tests/test_mqtt_bytes.py
@@ -167,11 +167,14 @@
         await self.until_answered(count - 2)
         self.broker.lines.append("== an alias that was not given")
         self.broker.publish(31, 1, "again-1", b"alias", topic="", topic_alias=4)
-        await self.until(lambda: self.log.said("defect"))  # found so: no answer, and the session goes on
+        await self.noted("-- closed", 1)  # after a DISCONNECT with the reason
+        await self.noted("CONNECT", 2)
+        self.assertEqual(self.log.said("defect"), [])
+        await self.until(lambda: self.session.connection.is_up)
         self.broker.lines.append("== a packet that no broker sends")
         self.broker.send(mqtt.Packet(mqtt.AUTH))
-        await self.noted("-- closed", 1)
-        await self.noted("CONNECT", 2)
+        await self.noted("-- closed", 2)
+        await self.noted("CONNECT", 3)
         compare(self, "mqtt_rejected", self.broker.lines)
 
     async def test_a_break_with_and_without_a_session(self):
