A test of a forgetful module no longer fails because its own process stood still

What disturbs it: the answer is due after 15/16 of the client's second, so 62 ms of standstill of the test's own process are enough.

The bound is now one second and what the loop was late meanwhile, as a task beside it measures.

--- a/tests/rig.py
+++ b/tests/rig.py
@@ -52,6 +52,28 @@
         return [more for e, more in self.lines if e == event]
 
 
+class LoopLag:
+    """The longest time, in s, by which the running loop woke a task too late, while this is entered."""
+
+    INTERVAL = 0.005  # s
+
+    def __init__(self):
+        self.longest = 0.0
+
+    async def __aenter__(self):
+        self.task = asyncio.ensure_future(self._watch())
+        return self
+
+    async def __aexit__(self, *_):
+        self.task.cancel()
+
+    async def _watch(self):
+        while True:
+            due = time.monotonic() + self.INTERVAL
+            await asyncio.sleep(self.INTERVAL)
+            self.longest = max(self.longest, time.monotonic() - due)
+
+
 class Roster(TCPServer):
     def __init__(self):
         super().__init__()
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -11,7 +11,7 @@
 import time
 
 import orjson
-from rig import FILE, KEY, Case, IOStream, Quiet, Worker, answer, later, never, says
+from rig import FILE, KEY, Case, IOStream, LoopLag, Quiet, Worker, answer, later, never, says
 
 from petrelwood import ports
 from petrelwood.decide.scheduling.scheduler import Scheduler
@@ -387,9 +387,12 @@
 
         await self.begin(Worker("w1"), scheduler=Forgetful)
         begun = time.monotonic()
-        status, _ = await self.post("again-1", Prefer="wait=1")
+        async with LoopLag() as lag:
+            status, _ = await self.post("again-1", Prefer="wait=1")
+            took = time.monotonic() - begun
         self.assertEqual((status, self.core.pending.counts["overdue"]), (504, 1))
-        self.assertLess(time.monotonic() - begun, 1)
+        # this process may have stood still meanwhile: in time but for that
+        self.assertLess(took, 1 + lag.longest)
 
     async def test_a_send_after_the_final_answer_is_held_back(self):
         class Late(Scheduler):
