A webhook that waited in the listen queue has as much less time left, too

A second request on the connection has its own time.

Why it works: at a connection's first read the kernel is asked for how long the last bytes have been there (one getsockopt a connection).

--- a/petrelwood/fronts/http_connection.py
+++ b/petrelwood/fronts/http_connection.py
@@ -73,6 +73,7 @@
         self._parser = RequestParser(self, owner.limits, owner.admission, owner.now, owner.handle)
         self._unread = UnreadAnswers(owner.admission, owner.now, peer, owner.limits.body_within)
         self._is_handshaking = is_handshaking
+        self._has_read = False  # some bytes of a request
         self._is_parsing = False  # answers wait until all that was read is parsed
         self._is_paused = False  # nothing is read until answers have left
         self._is_closing = False  # nothing more is read; closed once all answers are written
@@ -100,14 +101,22 @@
 
     def _feed(self, data: bytes) -> None:
         self._handshake_done()
+        waited = self._time_unread()
         self._is_parsing = True
         try:
-            self._parser.feed(data)
+            self._parser.feed(data, waited)
         except HttpSyntaxError as error:
             self._end_with(HttpStatus.BAD_REQUEST, str(error))
         finally:
             self._is_parsing = False
 
+    def _time_unread(self) -> int:
+        """Return how long the first bytes waited to be read, in ns: perhaps in the listen queue."""
+        if self._has_read or self.stream.closed():
+            return 0
+        self._has_read = True
+        return sockets.time_since_last_data(self.stream.socket)
+
     def _handshake_done(self) -> None:
         """Note the end of the handshake: the first bytes were read, or the connection has ended."""
         if self._is_handshaking:
--- a/petrelwood/fronts/http_parsing.py
+++ b/petrelwood/fronts/http_parsing.py
@@ -57,14 +57,16 @@
         self._now = now
         self._handle = handle
         self._request = HttpRequest(connection, 0)  # the one that has begun last
+        self._waited = 0  # ns that what is parsed now waited to be read
         self._parser = httptools.HttpRequestParser(self)
 
-    def feed(self, data: bytes) -> None:
-        """Parse the next bytes.
+    def feed(self, data: bytes, waited: int = 0) -> None:
+        """Parse the next bytes, which were there for `waited` ns before they were read.
 
         Raises:
             HttpSyntaxError: They are not HTTP/1.1, or request another protocol.
         """
+        self._waited = waited
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
@@ -86,7 +88,7 @@
     def on_message_begin(self) -> None:
         """Begin a request."""
         now = time.monotonic_ns()
-        self._begin(now)
+        self._begin(now - self._waited)
         self.deadline = now + self._limits.head_within
 
     def on_url(self, url: bytes) -> None:
