A link to a worker no longer takes a log that it does not use

NodeLink.log was never read: the core logs what its links tell it. Behaviour stays as it was; the tests of the node and its log line pass.

Tried and taken back: reasons of ends kept as members of the enum, so that only node/log.py turns them into words. test_standing_log wants plain words in the line's fields, and any writer then takes them.

--- a/petrelwood/node/service.py
+++ b/petrelwood/node/service.py
@@ -81,7 +81,7 @@
         return NodeActivations(self)
 
     def _make_link(self, worker: str, address: Address | None, core: Core) -> NodeLink:
-        return NodeLink(worker, address, self.configuration.workers, self, self.log)
+        return NodeLink(worker, address, self.configuration.workers, self)
 
     def rule(self, function: str) -> "FunctionRule":
         """Return what is known of a function without a request."""
--- a/petrelwood/node/worker.py
+++ b/petrelwood/node/worker.py
@@ -17,7 +17,7 @@
 from petrelwood.links import sockets
 from petrelwood.links.calls import HEALTH_CHECK, LOAD_ORDER, QUEUED, RUN, Call, Calls
 from petrelwood.links.connection_end import reason_of_end
-from petrelwood.links.interfaces import Address, Gauge, LinkCore, Logger, LoopOwner
+from petrelwood.links.interfaces import Address, Gauge, LinkCore, LoopOwner
 from petrelwood.node import worker_protocol
 from petrelwood.node.configuration import WorkerTerms
 from petrelwood.node.stream import Stream
@@ -83,12 +83,9 @@
 
     core: NodeLinkCore
 
-    def __init__(
-        self, worker: str, address: Address | None, terms: WorkerTerms, core: NodeLinkCore, log: Logger
-    ) -> None:
+    def __init__(self, worker: str, address: Address | None, terms: WorkerTerms, core: NodeLinkCore) -> None:
         super().__init__(worker, address, core)
         self.terms = terms
-        self.log = log
         self.ends: dict[str, int] = {}  # answers other than completed, by reason, since they were last logged
         self.lines: list[WorkerConnection] = []  # made or coming up, the last used at the end
         self.connecting = 0  # how many of them are coming up
