Nodes after one that is commented out keep their lines in messages

What operators saw: errors at line 0, or at another node's line, in a file with `/-` before a node that has no block.

Cause: the scan that finds where nodes begin went on leaving nodes out until the next block, as only a block's beginning or end took the mark back.

Why it works: the mark ends with the line or `;` that ends its node; a line between `/-` and its node keeps it.

--- a/petrelwood/settings/kdl_scan.py
+++ b/petrelwood/settings/kdl_scan.py
@@ -124,6 +124,8 @@
             self._advance_to(_end_after(text, "\n", index))
         elif character in "\n;":
             self._advance_to(index + 1)
+            if not self._at_node_start:  # what `/-` comments out ends with its node
+                self._omits_next = False
             self._at_node_start = True
         elif character == "{":
             self._open_block()
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -117,6 +117,23 @@
         walk(document.File(self.path))
         self.assertEqual(found, [("one", 3), ("four", 5), ("five", 5), ("six", 6), ("nine", 11)])
 
+    def test_places_survive_a_node_without_a_block_that_is_commented_out(self):
+        """Guards against errors that are reported at line 0."""
+        self.path.write_text(
+            "/- one 1\ntwo 2\n/- three; four\n/- five { six }\nseven\n/-\neight\nnine /- 9\n"
+        )
+        found = [(child.name, child.line) for child in document.File(self.path).children]
+        self.assertEqual(found, [("two", 2), ("four", 3), ("seven", 5), ("nine", 8)])
+
+    def test_a_password_file_that_is_no_text_is_reported_at_its_line(self):
+        """Guards against a traceback in place of a message."""
+        (self.path.parent / "password").write_bytes(b"\xff\xfe")
+        mqtt = '\nmqtt { broker "127.0.0.1:1883"; user "u"; password-file "password" }\n'
+        with self.assertRaises(SettingsError) as caught:
+            self.read(GOOD + mqtt)
+        self.assertIn("'password-file' can't be read: it is not UTF-8", str(caught.exception))
+        self.assertEqual(caught.exception.line, GOOD.count("\n") + 2)
+
     def test_what_is_rendered_reads_the_same(self):
         self.path.write_text(GOOD)
         once = document.render(document.File(self.path).children)
