--- a/petrelwood/settings/mqtt.py
+++ b/petrelwood/settings/mqtt.py
@@ -54,6 +54,8 @@
             password = (node.folder / file).read_text().strip()
         except OSError as error:
             node.report(f"'password-file' can't be read: {error.strerror}")
+        except UnicodeDecodeError:
+            node.report("'password-file' can't be read: it is not UTF-8")
     return password.encode() if password else None
 
 
