The report and some charts of an experiment are written again

Cause: lab/report.py still reached the file's reader by a name that script.py no longer has. No test ran it.

Evidence: the new test writes a report of twelve runs, four kinds of charts, and asks for two that can't be drawn: before, AttributeError at the first call; now all are there, and the two messages.

--- a/petrelwood/lab/report.py
+++ b/petrelwood/lab/report.py
@@ -12,6 +12,8 @@
 
 from petrelwood.emulate import script
 from petrelwood.lab import experiment as lab
+from petrelwood.settings import document
+from petrelwood.settings.errors import SettingsError
 
 matplotlib.use("Agg")
 ENDS = (
@@ -174,7 +176,7 @@
 def write(out, to, figures, factor=None):
     rows, made = lab.rows_of(out)
     first = lab.first_policy(made)
-    name = script.doc.File("experiment.kdl", made["experiment"]).child("experiment").args[0]
+    name = document.File("experiment.kdl", made["experiment"]).child("experiment").args[0]
     parts = [
         HEAD % (html.escape(name), html.escape(name)),
         f"<p>{len(rows)} runs of the emulator: all servers are simulated. "
@@ -240,11 +242,11 @@
         r for r in rows if r["policy"] == (policy or lab.first_policy(made)) and seed in (None, r["seed"])
     ]
     if not shown:
-        raise script.doc.BadFile(out, 0, "it has no run of that policy and seed")
+        raise SettingsError(out, 0, "it has no run of that policy and seed")
     one = min(shown, key=lambda r: r["seed"])
     if kind == "curves":
         if factor is None or isinstance(one.get(f"factor {factor}"), (str, type(None))):
-            raise script.doc.BadFile(out, 0, "curves need a factor of numbers that was varied")
+            raise SettingsError(out, 0, "curves need a factor of numbers that was varied")
         drawn, _ = _curves(rows, figure, f"factor {factor}")
     elif kind in ("course", "heat"):
         drawn, _ = (
@@ -262,7 +264,7 @@
 
 def _path(made, stem):
     """The script of a day by its name: one that the project brings, or as the experiment gave it."""
-    for node in script.doc.File("experiment.kdl", made["experiment"]).child("experiment").every("day"):
+    for node in document.File("experiment.kdl", made["experiment"]).child("experiment").every("day"):
         if pathlib.Path(node.args[0]).stem == stem:
             return node.args[0]
     return stem
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -24,7 +24,8 @@
 from petrelwood.emulate.machine import Build, Machine, Model
 from petrelwood.emulate.platform import Platform
 from petrelwood.emulate.store import Store
-from petrelwood.lab import experiment, search
+from petrelwood.lab import experiment, report, search
+from petrelwood.settings.errors import SettingsError
 
 HERE, S = pathlib.Path(__file__).parent, 1_000_000_000
 BUILD = Build(4, 1.0, 10**9, 2, 10**6, 60 * S, 0, 0.0, 0.0, 0, 0.0, False, True, 0.5)
@@ -334,6 +335,21 @@
         lines = list(experiment.table_lines(out, "service"))
         self.assertEqual(sum("round-robin" in line for line in lines), 2)
 
+    def test_its_report_and_charts_are_written(self):
+        """Guards against a report that ends with a traceback."""
+        described, out = experiment.read(self.path / "e.kdl"), self.path / "out"
+        self.assertEqual(experiment.run(described, out, 4, lambda text: None), (12, 0))
+        report.write(out, self.path / "report.html", ["service"], "rate")
+        self.assertIn("12 runs of the emulator", (self.path / "report.html").read_text())
+        for kind in ("bars", "curves", "course", "heat"):
+            with self.subTest(kind):
+                chart = self.path / f"{kind}.svg"
+                report.chart(out, str(chart), kind, "service", factor="rate")
+                self.assertGreater(chart.stat().st_size, 1000)
+        for more, words in (({"policy": "none"}, "no run of that policy"), ({}, "curves need a factor")):
+            with self.assertRaisesRegex(SettingsError, words):
+                report.chart(out, str(self.path / "none.svg"), "curves", "service", **more)
+
     def test_a_run_that_fails_and_one_that_never_ends_are_kept_as_such(self):
         described = experiment.read(self.path / "e.kdl")._replace(seeds=(1,), factors=(), within=1.0)
         play = experiment.play
