--- a/benchmarks/scale/plan.py
+++ b/benchmarks/scale/plan.py
@@ -36,7 +36,7 @@
 
 
 BASE_MEMORY = 120_000_000  # bytes of a Python process with the libraries
-PAIR_MEMORY = 3_400  # bytes that a hollow dispatcher holds for one worker; measured 3.1 KB
+PAIR_MEMORY = 3_400  # bytes that a hollow dispatcher holds for one worker
 DISPATCHER_MEMORY = 60_000  # and without any
 CALL_MEMORY = 2_600  # bytes that a hollow call leaves behind: its client's record and its id
 
--- a/tests/test_final_answers.py
+++ b/tests/test_final_answers.py
@@ -1,8 +1,7 @@
 """Every request that was read gets its final answer, whatever becomes of its connection or of its neighbours:
 faults of its own client, too many clients, answers that nobody reads, a loop that is held up again and again.
 
-Moments are forced as in `test_crossings`. Each test failed on the text before (668305e), or names the broken
-dispatcher that it fails on."""
+Moments are forced as in `test_crossings`."""
 
 import asyncio
 import base64
@@ -36,7 +35,7 @@
 class BadNeighboursOnTheSameConnection(unittest.IsolatedAsyncioTestCase):
     async def test_good_requests_open_when_the_faults_are_too_many(self):
         """One is at its worker, one is held, one comes with the last fault, and one behind it.
-        The text before closed the connection at its next look: no answer to any."""
+        Guards against a connection that is closed for its faults while requests are open."""
         worker = Raw("s-1")
         async with Inside([worker]) as site:
             client = Caller(site.address)
@@ -60,7 +59,7 @@
             self.assertEqual(client.ended, "end")
 
     async def test_good_requests_open_when_something_can_not_be_read(self):
-        """Noise, or a second request under an open number: the text before closed it at once."""
+        """Guards against a connection that is closed at once for noise or a second request of one number."""
         noise = b"\xc1\xc1\xc1" + b"\x00" * 40_000
         for what, data in (("noise", noise), ("an open number", call(1, ask(fn=5)))):
             with self.subTest(what):
@@ -86,7 +85,7 @@
             self.assertLessEqual(site.node.check_count, looks + 1)
 
     async def test_a_request_that_stays_half_beside_good_ones(self):
-        """The text before closed it as too slow, with an open request."""
+        """Guards against a connection that is closed as too slow while another request is open."""
         worker = Raw("s-1")
         with mock.patch.object(resource_limits, "REQUEST_TIMEOUT", 100_000_000):
             async with Inside([worker]) as site:
@@ -102,7 +101,7 @@
                 await site.until(lambda: client.read() and client.ended)
 
     async def test_a_defect_in_reading_one_request(self):
-        """It alone is answered as failed; the text before closed the connection with the others open."""
+        """Guards against a defect in one request that costs the others on its connection."""
         worker = Raw("s-1")
         async with Inside([worker]) as site:
             client = Caller(site.address)
@@ -239,8 +238,7 @@
             stays.close(), guest.close()
 
     async def test_room_is_made_only_for_who_has_come(self):
-        """As many as there is room for: none of them is closed. Fails on a front that makes room before it
-        accepts, as the one of 1a9d409 did."""
+        """Guards against a front that closes a connection for a client before one has come."""
         async with Inside([]) as site:
             site.node.resource_limits.clients = 2
             clients = []
@@ -253,8 +251,7 @@
                 client.close()
 
     async def test_more_than_room_and_guests_wait_to_be_accepted(self):
-        """Guests that say nothing fill what is spare; who comes then is answered when one of them is closed.
-        The text before closed it. The loop does not come back to the listener meanwhile."""
+        """Guards against a newcomer that is closed, or polled for, while silent guests fill what is spare."""
         worker = Raw("s-1")
         async with Inside([worker]) as site:
             site.node.resource_limits.clients = 1
@@ -276,8 +273,7 @@
 
 class AnswersThatNobodyReads(unittest.IsolatedAsyncioTestCase):
     async def test_a_client_that_asks_on_and_reads_nothing(self):
-        """More answers than a client's room for them: what it asks beyond is turned away or stays unread, and
-        it has all its answers once it reads. The text before closed it with requests open."""
+        """Guards against a client with requests open that is closed as it reads its answers late."""
         worker = Raw("s-1")
         async with Inside([worker]) as site:
             client = Caller(site.address)
@@ -344,8 +340,7 @@
         return stop
 
     async def test_requests_still_leave_for_their_workers(self):
-        """Something is read in each turn. The text before let nothing leave for 64 turns of the loop, longer
-        than a request's time."""
+        """Guards against sends that wait for as long as something is read in each turn of the loop."""
         worker = Raw("s-1")
         async with Inside([worker]) as site:
             client, chatty = Caller(site.address), Caller(site.address)
@@ -376,8 +371,7 @@
             client.close(), chatty.close()
 
     async def test_what_is_due_is_answered_before_anything_new_is_taken(self):
-        """Its time is up while the requests of others, which lay unread together, are read one after the
-        other. The text before read them all first."""
+        """Guards against an answer that waits until all requests that lay unread are read."""
         worker = Raw("s-1")
         async with Inside([worker]) as site:
             waits = Caller(site.address)
@@ -409,8 +403,7 @@
                 client.close()
 
     async def test_connections_that_would_wait_too_long_are_not_accepted(self):
-        """While the loop is late over and over the machine accepts few ahead of us, and all again once it is
-        not. The text before had 1,024 wait in its queue, with their requests."""
+        """Guards against a long listen queue while the loop is late over and over, and a short one after."""
 
         def connected(socks):
             poll = select.poll()
@@ -437,7 +430,7 @@
             self.assertEqual(connected(connect(site)), 100)
 
     async def test_accepting_does_not_keep_answers_waiting(self):
-        """Connections that take long to accept: few of them in one turn. The text before took 32."""
+        """Guards against answers that wait for connections which take long to accept."""
         async with Inside([]) as site:
             made, most, turn = node_front.Stream, 0, []
 
