--- a/petrelwood/dispatch/forecast_storage.py
+++ b/petrelwood/dispatch/forecast_storage.py
@@ -1,6 +1,7 @@
 """Keeps forecasts over a restart, and the account of early loads that people read."""
 
 import asyncio
+import threading
 from collections.abc import Iterator
 
 from petrelwood.decide.forecasting.account import EarlyLoad, LoadEnd
@@ -38,6 +39,8 @@
         self.next_snapshot = clock.now() + SLOTS_PER_SNAPSHOT * forecasts.slot
         self.unsaved: Iterator[object] | None = None  # what is not in the snapshot yet that is being made
         self.parts: list[object] = []
+        self._writing = threading.Lock()  # one writer of the file at a time
+        self._is_closed = False  # the file has what was known at the end
         self.early.account.on_end = self._record_end
         self._load()
 
@@ -80,11 +83,17 @@
             part = next(self.unsaved, None)
             if part is None:
                 self.unsaved = None
-                self.loop.run_in_executor(None, self._write, self.parts)
+                self.loop.run_in_executor(None, self._write_unless_closed, self.parts)
                 self.parts = []
                 return
             self.parts.append(part)
 
+    def _write_unless_closed(self, parts: list[object]) -> None:
+        """Write a snapshot, in a thread; what is older than that of the end is not written any more."""
+        with self._writing:
+            if not self._is_closed:
+                self._write(parts)
+
     def _write(self, parts: list[object]) -> None:
         try:
             snapshot.write(self.file, SNAPSHOT_KIND, SNAPSHOT_VERSION, parts)
@@ -98,4 +107,6 @@
     def close(self) -> None:
         """Close the account, and save the forecasts as they are."""
         self.account.close()
-        self._write(list(self.early.forecast.dump()))
+        with self._writing:
+            self._is_closed = True
+            self._write(list(self.early.forecast.dump()))
