The soak names its types and intervals once; a constant that nothing read is gone

Found on a last reading: the names of the webhook types and the interval of closing workers stood twice, NEVER_RAN was never used.

--- a/benchmarks/soak/peers.py
+++ b/benchmarks/soak/peers.py
@@ -15,9 +15,8 @@
 import rig
 from free_ports import free_port
 
-__all__ = ["SoakRoster", "SoakWorker", "free_port", "levels", "node_site", "rig"]
+__all__ = ["CLOSE_INTERVAL", "SoakRoster", "SoakWorker", "free_port", "levels", "node_site", "rig"]
 CLOSE_INTERVAL = 0.1  # s between two moments at which a worker closes its connections
-NEVER_RAN = ("NONE", "SHED", "LATE")
 
 
 class SoakWorker(node_site.Worker):
--- a/benchmarks/soak/serve_site.py
+++ b/benchmarks/soak/serve_site.py
@@ -8,16 +8,14 @@
 import tempfile
 import time
 
-from benchmarks.soak.peers import free_port, rig
+from benchmarks.soak.peers import CLOSE_INTERVAL, free_port, rig
 from benchmarks.soak.plan import Plan, WorkerTrouble
 from benchmarks.soak.records import Arrival, Play
-from benchmarks.soak.webhook_clients import WebhookClient
+from benchmarks.soak.webhook_clients import TYPES, WebhookClient
 
 ROOT = pathlib.Path(__file__).parents[2]
 START_TIMEOUT = 60  # s
-CLOSE_INTERVAL = 0.1  # s between two moments at which a worker closes its connections
 COMMAND = (sys.executable, "-m", "petrelwood.cli")
-NAMES = ("again", "hall", "once")  # of the types, in the order of EFFECTS
 USUAL_TIMES = 'target-latency "500ms"; action-timeout "2s"'  # of each type in the stand-in's file
 
 
@@ -128,7 +126,7 @@
             limits=f'body "20KB"; connections {plan.descriptors}',
             workers="",
         ).replace("127.0.0.1:0", "{}:{}".format(*self.address))
-        for name, deadline in zip(NAMES, plan.deadlines, strict=True):
+        for name, deadline in zip(TYPES, plan.deadlines, strict=True):
             milliseconds = int(deadline * 1000)
             target_latency = min(500, milliseconds // 2)
             times = f'target-latency "{target_latency}ms"; action-timeout "{milliseconds}ms"'
