--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,30 +1,21 @@
-"""A worker that has vanished and returns cold gets, at once, all that was queued for it while it was warm."""
+"""A retry of a deduplicated request leaves for its worker after the time for which workers know repeats."""
 
 import asyncio
-import math
 import pathlib
-import random
 import sys
-import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 
 import standins
 
-CLASS = "ausstellen"
-RUNNERS = 4
-WORK = 0.05  # s, of every request
-CAPACITY = 80.0  # requests of mean work a second of a warm worker: four cores
-RATE = 280.0  # requests a second of all clients, 88% of what the workers can do
-FUNCTIONS = 160
-LOAD = 0.8  # s
-GONE_FOR = 2.1  # s; the pages: a zone, or three in ten runners, lost for 5 s
-STARTED_AFTER = 1.7  # s; its new process starts then, and the directory can tell so
-WARM_UP = 14.0
-COLD, START, MULTIPLE, FALL = 17.0, 0.18, 2.5, 1.5
+SLACK = 0.05  # each time limit is 50 ms longer on sockets
+WINDOW = 4.0
+HEAVY = 3.7  # one heavy request: twenty times the usual work
+PLAIN, KEYED = "abfrage", "ausstellen"
+KEY = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
 SETTINGS = {
     "zone": "north",
-    "azs": ["north"],
+    "azs": ["north", "east", "west"],
     "balancers": 1,
     "tier": 0,
     "myNumber": 0,
@@ -35,9 +26,17 @@
     "weights": "nominal",
     "overShareWorth": 0.1,
     "classes": [
-        {"name": CLASS, "slo": 2000000, "deadline": 6000000, "effect": "repeatable", "keyScope": "all"},
+        {"name": PLAIN, "slo": 1000000, "deadline": 4000000, "effect": "repeatable", "keyScope": "all"},
+        {
+            "name": KEYED,
+            "slo": 2000000,
+            "deadline": 6000000,
+            "effect": "by_key",
+            "keyScope": "zone",
+            "window": int(WINDOW * 1e6),
+        },
     ],
-    "tenants": [{"name": "acme", "quotaRps": 400.0, "share": 1.0}],
+    "tenants": [{"name": "acme", "quotaRps": 200.0, "share": 1.0}],
     "familyInfo": {
         "mayOrder": True,
         "onMiss": "miss",
@@ -51,20 +50,20 @@
     "guarantees": {
         "askWithin": 10000000,
         "graceToAnswer": 16000,
-        "cold": int(COLD * 1e6),
-        "startCapacity": START,
-        "fallMultiple": MULTIPLE,
-        "fall": int(FALL * 1e6),
+        "cold": 17000000,
+        "startCapacity": 0.18,
+        "fallMultiple": 2.5,
+        "fall": 1500000,
         "drainGrace": 2000000,
     },
     "permissions": {
         "maxAttempts": 3,
-        "secondCopies": True,
+        "secondCopies": False,
         "cancelling": True,
         "probes": True,
         "retryAfter": True,
         "maxRetryAfter": 500000,
-        "connectTimeout": 2500000,
+        "connectTimeout": 1200000,
         "connIdle": 5000000,
         "multiplex": 32,
         "peers": False,
@@ -74,99 +73,105 @@
 }
 
 
-class Machine(standins.Runner):
-    """A worker that can vanish with its machine and return as a new, cold process."""
-
-    def __init__(self, *arguments, **more):
-        super().__init__(*arguments, **more)
-        self.silent = False
-        self.starts_at = None
-        self.arrivals = []  # times of FN since its last start
-
-    async def _line(self, said, writer):
-        if self.silent:
-            return
-        if said["type"] == "FN":
-            self.arrivals.append(self.record.now())
-        await super()._line(said, writer)
-
-    def vanish(self):
-        self.silent = True
-        self.cut_off()
-        self.record.note("platform", "vanished", worker=self.name)
-
-    def start_cold(self):
-        self.copies.clear()
-        self.arrivals.clear()
-        self.started_ms = int(time.time() * 1000)
-        self.starts_at = self.record.now()
-        self.record.note("platform", "started cold", worker=self.name)
-
-    def join_again(self):
-        for writer in list(self.writers):  # connections of the process before it
-            writer.transport.abort()
-        self.silent = False
-        super().join_again()
-        self.record.note("platform", "reachable again", worker=self.name)
-
-
-async def serve(runner, request):
-    await asyncio.sleep(WORK)
-    if runner.silent:
-        return None
-    return "HIT", {"n": "warm"}, request["body"]
-
-
-async def traffic(client, until, counts):
-    chance = random.Random(7)
-    number, tasks = 0, set()
-    while time.monotonic() < until:
-        number += 1
-        fields = {
-            "call": f"{0x6000000000000000 + number:016x}",
-            "org": "acme",
-            "ttl": "6000",
-            "row": f"{1 + chance.randrange(FUNCTIONS):016x}",
-            "work": "50",
-            "facts": "memory_mb:2800;lanes:8",
-        }
-        task = asyncio.ensure_future(client[number % len(client)].call(CLASS, fields, within=8))
-        task.add_done_callback(lambda done: counts.append(done.result()[0]))
-        tasks.add(task)
-        task.add_done_callback(tasks.discard)
-        await asyncio.sleep(chance.expovariate(RATE))
-    await asyncio.gather(*tasks)
+class Zone:
+    """What the workers of the zone know together: the keys of the last 4 s, and every run of a key."""
+
+    def __init__(self, record):
+        self.record = record
+        self.first = None  # (time, worker) of the first attempt for KEY
+        self.arrivals = []  # (time, worker) of each attempt for KEY
+        self.effects = []  # (time, worker) of each run for KEY
+
+    async def serve(self, runner, request):
+        if request["op"] != KEY:
+            await asyncio.sleep(0.15)
+            return "HIT", {"n": "warm"}, request["body"]
+        now = self.record.now()
+        self.arrivals.append((now, runner))
+        if self.effects and now - self.effects[-1][0] <= WINDOW + SLACK:
+            self.record.note(runner.name, "repeat dropped", op=request["op"])
+            return "HIT", {"n": "warm"}, request["body"]
+        self.effects.append((now, runner))
+        self.record.note(runner.name, "RUNS", op=request["op"])
+        if len(self.effects) == 1:
+            await asyncio.sleep(HEAVY)
+            return "FAULT", {}, b""
+        return "HIT", {"n": "warm"}, request["body"]
+
+
+def fields(number, function, **more):
+    return {
+        "call": f"{0x5000000000000000 + number:016x}",
+        "org": "acme",
+        "row": f"{function:016x}",
+        "facts": "memory_mb:2800;lanes:4",
+        **more,
+    }
+
+
+async def function_in_zone(client, near):
+    """Send usual traffic until one function has copies on both workers of the zone, and return it."""
+    number = 0
+    for function in range(1, 9):
+        key = f"{function:016x}"
+        for burst in (1, 14, 14, 2):  # it is loaded, then a backlog asks for further copies
+            calls = []
+            for _ in range(burst):
+                number += 1
+                calls.append(client.call(PLAIN, fields(number, function, ttl="4000", work="150"), within=6))
+            await asyncio.gather(*calls)
+            await asyncio.sleep(0.1)
+        await asyncio.sleep(0.3)  # a load that was ordered has ended
+        if all(key in each.copies for each in near):
+            return function
+    raise standins.CannotRun("no function has copies on both workers of the zone")
 
 
 async def case(record, trouble):
-    runners = [Machine(f"s-{each}", record, serve, load=LOAD) for each in range(RUNNERS)]
+    zone = Zone(record)
+    runners = [
+        standins.Runner(f"{name}-{each}", record, zone.serve, zone=name)
+        for name in ("north", "east", "west")
+        for each in range(2)
+    ]
+    near = runners[:2]
     roster = standins.Roster(runners, record)
     await roster.open()
     for runner in runners:
         runner.open()
-    dispatcher = standins.Dispatcher(roster, runners, SETTINGS, sockets=1024, memory_mb=128)
-    clients, counts = [], []
+    dispatcher = standins.Dispatcher(roster, runners, SETTINGS)
+    client = None
     try:
         await dispatcher.start(record)
-        for each in range(16):
-            clients.append(await standins.Client(dispatcher.address, record, f"client-{each}").open())
-        flow = asyncio.ensure_future(traffic(clients, time.monotonic() + WARM_UP + 8, counts))
-        await asyncio.sleep(WARM_UP)
-        lost = max(runners, key=lambda each: len(each.copies))
+        client = await standins.Client(dispatcher.address, record).open()
+        function = await function_in_zone(client, near)
+        asked = asyncio.ensure_future(
+            client.call(KEYED, fields(9999, function, ttl="6000", work="300", dedupe=KEY), within=7)
+        )
+        await asyncio.sleep(0.3)
+        if not zone.arrivals:
+            raise standins.CannotRun("the first attempt did not come")
+        first = zone.arrivals[0][1]
+        if first not in near:
+            raise standins.CannotRun("the first attempt left the zone")
+        other = near[1 - near.index(first)]
+        await asyncio.sleep(HEAVY - 0.5)
         if trouble:
-            lost.vanish()
-            await asyncio.sleep(STARTED_AFTER)
-            lost.start_cold()
-            roster.happened("started", worker=lost.name)
-            await asyncio.sleep(GONE_FOR - STARTED_AFTER)
-            lost.join_again()
-        await flow
-        record.note("clients", "answers", **{each: counts.count(each) for each in set(counts)})
+            other.cut_off()
+            record.note("platform", "cut off", worker=other.name)
+        await asyncio.sleep(0.5)
+        if trouble:
+            other.join_again()
+            record.note("platform", "joined again", worker=other.name)
+        await asked
+        await asyncio.sleep(0.3)
         if dispatcher.has_ended():
             raise standins.CannotRun("the dispatcher has ended")
-        return judge(record, roster, lost) if trouble else []
+        if len(zone.arrivals) < 2:
+            raise standins.CannotRun("there was no second attempt")
+        return judge(zone)
     finally:
-        for client in clients:
+        if client is not None:
             client.close()
         await dispatcher.close()
         roster.close()
@@ -174,28 +179,17 @@
             runner.close()
 
 
-def bound(at):
-    """Return how many requests a worker bears in `FALL` s that end `at` s after its start."""
-    most = MULTIPLE * CAPACITY * min(1.0, START + (1 - START) * at / COLD) * FALL
-    return most + (2 * math.sqrt(most) + 2 if most >= 30 else 3 * math.sqrt(most) + 3)
-
-
-def judge(record, roster, worker):
-    told = roster.told.get(roster.serial)
-    most = max((sum(at - FALL < each <= at for each in worker.arrivals) for at in worker.arrivals), default=0)
-    record.note("judge", "requests to the worker since its start", most_in_a_window=most, told=told)
-    for number, at in enumerate(worker.arrivals):
-        window = [each for each in worker.arrivals[: number + 1] if at - FALL < each <= at]
-        if len(window) > bound(at - worker.starts_at):
-            after = sum(each > told for each in window) if told is not None else 0
-            if 3 * after > 2 * len(window):
-                return [
-                    f"failback: {worker.name} got {len(window)} requests of mean work in {FALL:g} s,"
-                    f" {at - worker.starts_at:.3f} s after its start; it bears"
-                    f" {bound(at - worker.starts_at):.1f}; {after} of them came after the dispatcher was told"
-                ]
-            return []
-    return []
+def judge(zone):
+    began = zone.arrivals[0][0]
+    breaks = [
+        f"duplicate: attempt {number} of one keyed request reached {runner.name} {at - began:.3f} s after the"
+        f" first attempt reached {zone.arrivals[0][1].name}; the window is {WINDOW:g} s, with 0.05 s of slack"
+        for number, (at, runner) in enumerate(zone.arrivals[1:], 1)
+        if at - began > WINDOW + SLACK
+    ]
+    if breaks:
+        breaks.append(f"duplicate: the effect of the key was applied {len(zone.effects)} times")
+    return breaks
 
 
 if __name__ == "__main__":
