--- a/review/standins.py
+++ b/review/standins.py
@@ -55,9 +55,9 @@
     no answer. `FN` for a function without a copy is answered NONE; SPAWN loads a copy in `load` seconds.
     """
 
-    def __init__(self, name, record, serve, load=0.1, zone="north", started_ms=0):
+    def __init__(self, name, record, serve, load=0.1, zone="north", cell=1, started_ms=0):
         self.name, self.record, self.serve, self.load, self.zone = name, record, serve, load, zone
-        self.started_ms = started_ms
+        self.cell, self.started_ms = cell, started_ms
         self.state = "Ready"
         self.copies = set()
         self.held = 0
@@ -70,8 +70,10 @@
         self.sock.bind((HOST, 0))
         self.port = self.sock.getsockname()[1]
         self.accepting = None
+        self.reachable = asyncio.Event()
 
     def open(self):
+        self.reachable.set()
         self.sock.listen(512)
         self.accepting = self._task(self._accept())
 
@@ -89,7 +91,11 @@
             self._task(self._connection(reader, writer))
 
     def cut_off(self):
-        """No new connection comes up: the accept queue is full, so the kernel drops what asks for one."""
+        """Say nothing on open connections, and let no new one come up.
+
+        The accept queue is full then, so the kernel drops what asks for a connection.
+        """
+        self.reachable.clear()
         self.accepting.cancel()
         self.sock.listen(0)
         for _ in range(3):
@@ -109,6 +115,7 @@
         self.writers.add(writer)
         try:
             while line := await reader.readline():
+                await self.reachable.wait()
                 self._task(self._line(json.loads(line), writer))
         except (ConnectionError, ValueError):
             pass
@@ -134,6 +141,7 @@
             self.copies.discard(tag)
         elif kind == "FN":
             answer = await self._run(tag, meta, said)
+        await self.reachable.wait()
         if answer is not None and not writer.is_closing():
             writer.write(json.dumps(answer).encode() + b"\n")
 
@@ -200,7 +208,7 @@
                 dns.rrset.from_text(SERVICE, 5, "IN", "SRV", f"{priority} 10 {runner.port} {host}")
             )
             reply.additional.append(dns.rrset.from_text(host, 5, "IN", "A", HOST))
-            text = f'"kind=std" "cell=1" "started={runner.started_ms}"'
+            text = f'"kind=std" "cell={runner.cell}" "started={runner.started_ms}"'
             reply.additional.append(dns.rrset.from_text(host, 5, "IN", "TXT", text))
         soa = f"ns.svc.local. ops.svc.local. {self.serial} 1 1 1 1"
         reply.authority.append(dns.rrset.from_text("svc.local.", 5, "IN", "SOA", soa))
@@ -298,7 +306,7 @@
             "address": f"{HOST}:{runner.port}",
             "zone": runner.zone,
             "type": "std",
-            "group": 1,
+            "group": runner.cell,
             "status": runner.state,
             "weight": 1,
             "since_ms": runner.started_ms,
@@ -364,13 +372,21 @@
         self.folder.cleanup()
 
 
+async def _within_time(case, record, trouble):
+    """Play a case; a signal to the script ends it as well, so that no process is left behind."""
+    task = asyncio.ensure_future(asyncio.wait_for(case(record, trouble), 100))
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+    return await task
+
+
 def play(folder, case):
     """Run `case(record, trouble)`, which returns a list of breaks; return the exit status of the script."""
     record = Record(folder)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
-        breaks = asyncio.run(asyncio.wait_for(case(record, trouble), 110))
-    except (CannotRun, TimeoutError, OSError) as error:
+        breaks = asyncio.run(_within_time(case, record, trouble))
+    except (Exception, asyncio.CancelledError) as error:  # whatever fails here shows nothing of the rule
         record.note("judge", "could not run", why=repr(error))
         print("could not run:", repr(error))
         return 2
--- a/review/webhooks.py
+++ b/review/webhooks.py
@@ -26,7 +26,7 @@
     listen "127.0.0.1:{listen}"; roster "127.0.0.1:{roster}"; zone "north"; seed 1; tolerance "{tolerance}s"
 }}
 customer "acme" {{ key "{key}" }}
-namespace-type "book" {{ target-latency "1s"; action-timeout "8s"; effect "once-only" }}
+namespace-type "book" {{ target-latency "1s"; action-timeout "{timeout}s"; effect "once-only" }}
 function "book-*" type="book" lanes=4
 workers {{ cold "8s" from=0.25; fall "1s" multiple=2.5; sends 3; keep "8s"; on-miss "load" }}
 limits {{ held 200; ledger 10000 }}
@@ -36,12 +36,12 @@
 
 
 class Worker:
-    """A worker by MessagePack-RPC that completes each run at once."""
+    """A worker by MessagePack-RPC that completes each run, at once unless its function has a gate."""
 
     def __init__(self, record):
         self.record, self.runs, self.server, self.port, self.writers = record, [], None, 0, []
         self.tasks = set()
-        self.takes = {}  # function -> seconds of a run; others take none
+        self.gates = {}  # function -> event until which its runs last; others take no time
 
     async def open(self):
         self.server = await asyncio.start_server(self._serve, standins.HOST, 0)
@@ -78,7 +78,8 @@
             activation, attempt, function, mark, *_ = params
             self.runs.append(mark)
             self.record.note("w1", "RUNS", mark=mark, activation=activation, attempt=attempt)
-            await asyncio.sleep(self.takes.get(function, 0))
+            if function in self.gates:
+                await self.gates[function].wait()
             result = [activation, attempt, 1, b'{"booked":true}', {"running": 1}]
         elif method == "hold":
             result = ["ok", params[2]]
@@ -86,6 +87,8 @@
             writer.write(rpc.response(msgid, None, result))
 
     def close(self):
+        for task in list(self.tasks):
+            task.cancel()
         self.server.close()
         for writer in self.writers:
             writer.transport.abort()
@@ -127,7 +130,7 @@
 class Gateway:
     """The dispatcher behind webhooks: `petrelwood serve`."""
 
-    def __init__(self, roster, record, tolerance):
+    def __init__(self, roster, record, tolerance, timeout):
         self.folder = tempfile.TemporaryDirectory()
         self.record, self.process, self.processes = record, None, []
         probe = socket.socket()
@@ -135,7 +138,9 @@
         self.address = probe.getsockname()
         probe.close()
         key = "whsec_" + base64.b64encode(SECRET).decode()
-        text = FILE.format(listen=self.address[1], roster=roster.port, key=key, tolerance=tolerance)
+        text = FILE.format(
+            listen=self.address[1], roster=roster.port, key=key, tolerance=tolerance, timeout=timeout
+        )
         (pathlib.Path(self.folder.name) / "gateway.kdl").write_text(text)
 
     async def start(self, command="serve"):
