--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$here/../.." || exit 2
 [ -x .venv/bin/python ] || exit 2
-exec .venv/bin/python -B "review/$(basename "$here")/case.py"
+exec .venv/bin/python -B review/play.py "$here"
