Ask the decision module again before a queued attempt is written

The zone had forgotten the key, and the effect was applied twice.

Cause: the window was held against the time of the decision only. The retry then waited in the link for a connection that came up late, and the link wrote it after a look at its deadline alone.

Evidence: two trace lines on a scratch copy: decided at 3.702 s with no connection to the worker, written at 4.728 s, at once when the connection was there. A late decision or a frame that waits in the kernel would show otherwise.

Change: Scheduler.may_attempt_leave holds the window and the group of each other attempt that may have run, the once-only rule and the final answer; links.calls asks it as it writes, for both dispatchers; the emulator's link as well. The links also ask at each check (50 ms), so that the client is answered when its request can't be sent any more.

Two stand-ins of a dispatcher in tests got the new method.

--- a/petrelwood/decide/scheduling/scheduler.py
+++ b/petrelwood/decide/scheduling/scheduler.py
@@ -85,6 +85,7 @@
         self.order = order
         self.estimates = estimates
         self.load_orders = load_orders
+        self.send_rules = rules
         self.slow_start = slow_start
         self.outliers = outliers
         self.placement = placement
@@ -132,6 +133,17 @@
         """Record the end of an attempt, and retry or end its activation."""
         self.attempts.handle_end(end, now)
 
+    def may_attempt_leave(self, now: int, activation_id: str, attempt: int, worker_id: str) -> bool:
+        """Return whether an attempt that was queued for its worker may be written now.
+
+        The caller asks this before it writes an attempt, and ends an attempt that may not leave.
+        """
+        activation = self.activations.get(activation_id)
+        worker = self.fleet.workers.get(worker_id)
+        if activation is None or worker is None:
+            return False  # the final answer was given, or the worker is not known any more
+        return self.send_rules.may_leave(activation, attempt, worker, now)
+
     def stream_started(self, now: int, activation_id: str, attempt: int, worker_id: str) -> None:
         """Remove the deadline of an activation, as its streamed answer has begun."""
         activation = self.activations.get(activation_id)
--- a/petrelwood/decide/scheduling/send_rules.py
+++ b/petrelwood/decide/scheduling/send_rules.py
@@ -2,6 +2,7 @@
 
 `SendRules.may_send` is the only place that allows a second attempt, for a retry or a hedged request. It uses
 `Activation.first_attempt` to detect that an earlier attempt may have run; `outcomes` clears that field.
+An attempt may be queued after that decision: `SendRules.may_leave` is asked again when it is written.
 """
 
 from petrelwood.decide.scheduling.estimates import Estimates
@@ -56,6 +57,26 @@
             return True
         return worker.is_in_group_of(first.worker, type_.scope)
 
+    def may_leave(self, activation: Activation, attempt: int, worker: Worker, now: int) -> bool:
+        """Return whether an attempt that was queued since it was decided may be written to its worker now.
+
+        It may not if another attempt may have run, and the activation is once-only, or the window of that
+        attempt is over, or its worker is in another group. The first attempt counts as long as any attempt
+        may have run, as in `may_send`.
+        """
+        type_ = activation.type
+        if type_.effect == REPEATABLE:
+            return True
+        for other in activation.attempts:
+            counts = other.may_have_run or other is activation.first_attempt
+            if other.number == attempt or not counts:
+                continue
+            if type_.effect != DEDUPLICATED or now >= other.sent_at + type_.window:
+                return False
+            if type_.scope != Scope.ALL and not worker.is_in_group_of(other.worker, type_.scope):
+                return False
+        return True
+
     def may_reject(self, activation: Activation) -> bool:
         """Return whether the activation may be rejected: its client may retry it, and it may run again.
 
--- a/petrelwood/dispatch/core.py
+++ b/petrelwood/dispatch/core.py
@@ -346,6 +346,10 @@
         mark = f"{act.key[0]}/{act.key[1]}"
         link.run(act.id, attempt, act.function, mark, remaining, act.lanes, act.body or b"")
 
+    def may_attempt_leave(self, activation_id: str, attempt: int, worker: str) -> bool:
+        """Return whether an attempt that was queued for its worker may be written now."""
+        return self.scheduler.may_attempt_leave(self.now(), activation_id, attempt, worker)
+
     def may_send_order(self, given_at: int) -> bool:
         """Return whether a load order that was issued at `given_at` may be sent now."""
         return self.scheduler.may_load_order_leave(self.now(), given_at)
--- a/petrelwood/dispatch/interfaces.py
+++ b/petrelwood/dispatch/interfaces.py
@@ -97,6 +97,9 @@
     ) -> object:
         """Handle the end of a load order; `copies`: the copies of the function that the worker has now."""
 
+    def may_attempt_leave(self, now: int, activation_id: str, attempt: int, worker_id: str, /) -> bool:
+        """Return whether an attempt that was queued for its worker may be written now."""
+
     def may_load_order_leave(self, now: int, given_at: int, /) -> bool:
         """Return whether a queued load order that was issued at `given_at` may be sent now."""
 
--- a/petrelwood/emulate/link.py
+++ b/petrelwood/emulate/link.py
@@ -189,6 +189,10 @@
                 self._end(call, send_outcome.of_recall(call.stage))
             elif call.kind == "run" and call.args[1] <= self.core.now():
                 self._end(call, send_outcome.of_timeout(call.stage))
+            elif call.kind == "run" and not self.core.may_attempt_leave(
+                call.activation_id, call.n, self.worker
+            ):
+                self._end(call, send_outcome.of_recall(call.stage))
             else:
                 self._write(self.waiting.popleft())
 
--- a/petrelwood/emulate/policies.py
+++ b/petrelwood/emulate/policies.py
@@ -81,6 +81,9 @@
     def load_order_ended(self, now, worker_id, key, code, copies):
         pass
 
+    def may_attempt_leave(self, now, act_id, n, worker_id):
+        return True
+
     def may_load_order_leave(self, now, given_at):
         return True
 
--- a/petrelwood/links/calls.py
+++ b/petrelwood/links/calls.py
@@ -163,21 +163,32 @@
         """Request the worker to stop an attempt that was written."""
 
     def _may_leave(self, call: Call[ContentT, ConnectionT]) -> bool:
-        """Return whether the first call of the queue may be written; end the call if not.
+        """Return whether a queued call may be written; end the call if not.
 
-        An attempt whose deadline has passed is never written, which proves that it never ran. A load order
-        that was queued is checked again against the rate limit of load orders, which counts it at the present
-        time from then on.
+        An attempt whose deadline has passed is never written, which proves that it never ran. The decisions
+        to send an attempt or a load order are checked again, because they may be outdated. The rate limit of
+        load orders counts an order at the present time from then on.
         """
         if call.kind == RUN:
             if call.deadline is not None and call.deadline - self.core.now() < self.MIN_TIME_LEFT:
                 self._end(call, send_outcome.of_timeout(call.stage))
                 return False
+            if not self.core.may_attempt_leave(call.activation, call.number, self.worker):
+                self._end_recalled(call)
+                return False
         elif call.kind == LOAD_ORDER and not self.core.may_send_order(call.made_at):
             self._end_recalled(call)
             return False
         return True
 
+    def _end_outdated(self) -> None:
+        """End the queued attempts that may no longer be written, so that they don't delay an answer."""
+        may_leave = self.core.may_attempt_leave
+        attempts = [call for call in self.waiting if call.kind == RUN]
+        for call in attempts:
+            if not may_leave(call.activation, call.number, self.worker):
+                self._end_recalled(call)
+
     def _end_recalled(self, call: Call[ContentT, ConnectionT]) -> None:
         reason = send_outcome.of_recall(call.stage)
         if reason is not None:
--- a/petrelwood/links/worker.py
+++ b/petrelwood/links/worker.py
@@ -293,6 +293,7 @@
             self.give_up("nothing was received from the worker in time")
         elif verdict == LinkCheck.PING:
             self.check_health()
+        self._end_outdated()
         for call in self._overdue_calls(now, self.terms.order_within):
             self._end(call, send_outcome.of_timeout(call.stage))
         for call in self._expired_attempts(now):
--- a/petrelwood/node/worker.py
+++ b/petrelwood/node/worker.py
@@ -292,6 +292,7 @@
 
     def check(self, now: int) -> bool:
         """End calls that are overdue at `now` (ns); return whether this must be called again."""
+        self._end_outdated()
         for connection in [each for each in self.connections if each.has_stalled(now, WRITE_TIMEOUT)]:
             if not self.core.is_behind():  # otherwise this side may not have written
                 self._lost(connection, "it does not read")
--- a/tests/test_time_left.py
+++ b/tests/test_time_left.py
@@ -297,6 +297,9 @@
     def still_wanted(self, act):
         return True
 
+    def may_attempt_leave(self, act, n, worker):
+        return True
+
 
 class OtherLinks(unittest.TestCase):
     TERMS = types.SimpleNamespace(
