Break the dispatchers of the audit's and the soak's tests past the new check as well

Two dispatchers that are broken on purpose send after the final answer, or for a client that has left.

--- a/tests/broken.py
+++ b/tests/broken.py
@@ -77,8 +77,9 @@
         Activations._abort_overdue = lambda self, act_id: None
         return Drops
     if name == "chases":
-        # a link checks this again before each send, and would drop activations that have ended
+        # a link checks both again before each send, and would drop activations that have ended
         Dispatcher.still_wanted = lambda self, activation_id: True
+        Dispatcher.may_attempt_leave = lambda self, activation_id, attempt, worker: True
         return Chases
     if name == "repeats":
         # reports every lost send as one that never ran
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -103,6 +103,7 @@
     link.core.loop.call_later(0.4, inner, link, act, attempt, remaining)
 NodeLink.run = run
 Node.detach_client = lambda *_: None
+Node.may_attempt_leave = lambda *_: True
 NodeLink.withdraw = lambda *_: None
 """,
         "after its end",
