test_ration: twenty activations are credited after the orders that must fail, not beside them

Two timers of the virtual loop were due at 2.0 s exactly, and asyncio does not promise their order. With one more timer in the program it turned round ([4, 2, 0] for [4, 0, 2]).

--- a/tests/test_ration.py
+++ b/tests/test_ration.py
@@ -117,7 +117,7 @@
             world.node.scheduler.load_orders.credited.add(world.node.now(), 40)
             world.later(0.5, lambda: ordered.append(self.order_loads(world, 9)))
             world.later(2.0, lambda: ordered.append(self.order_loads(world, 9)))
-            world.later(2.0, world.node.scheduler.load_orders.credited.add, world.node.now() + 2000 * MS, 20)
+            world.later(2.05, world.node.scheduler.load_orders.credited.add, world.node.now() + 2050 * MS, 20)
             world.later(2.1, lambda: ordered.append(self.order_loads(world, 9)))
 
         world = self.play(0.9, script)
