Begin a backup connection to a worker when the first one takes over 250 ms

Cause: a first packet that is lost is repeated by the kernel after one second, and a link begins no other connection for a call whose connection is on its way.

Change: a connection attempt that is not through after 250 ms, the Connection Attempt Delay of RFC 8305, gets one backup. It counts for the limits of connections and descriptors; its failure ends no call.

--- a/petrelwood/decide/cluster/connection_pool.py
+++ b/petrelwood/decide/cluster/connection_pool.py
@@ -11,6 +11,9 @@
 # Recent call ids remembered per connection, so that a late answer is not matched to another call with its id.
 MAX_REMEMBERED_IDS = 8
 MAX_CONNECTING = 4  # concurrent connection attempts per worker
+# A backup connection attempt begins if the first one has taken this long (ns): the Connection Attempt Delay
+# that RFC 8305 recommends. The kernel repeats a lost first packet only after a second.
+CONNECTION_ATTEMPT_DELAY = 250_000_000
 
 
 class Connection(Protocol):
@@ -31,6 +34,22 @@
         del connection.recent_call_ids[next(iter(connection.recent_call_ids))]
 
 
+def needs_backup(timeout: int) -> bool:
+    """Return whether a slow connection attempt gets a backup; `timeout`: of connecting, in ns."""
+    return timeout > CONNECTION_ATTEMPT_DELAY
+
+
+def wants_connection(waiting: int, connecting: int, backups: int) -> bool:
+    """Return whether another connection attempt may begin for the queued calls.
+
+    Args:
+        waiting: the number of queued calls.
+        connecting: the number of connection attempts in progress.
+        backups: how many of them are backups, which are not counted for a call.
+    """
+    return connecting < MAX_CONNECTING and connecting - backups < waiting
+
+
 def choose_connection(
     connections: Sequence[AnyConnection], call_id: str, most_in_flight: int, may_open: bool
 ) -> AnyConnection | None:
--- a/petrelwood/node/worker.py
+++ b/petrelwood/node/worker.py
@@ -90,6 +90,7 @@
         self.ends: dict[str, int] = {}  # answers other than completed, by reason, since they were last logged
         self.connections: list[WorkerConnection] = []  # established or connecting, the last used at the end
         self.connecting = 0  # the number of them that are connecting
+        self.connecting_backups = 0  # the number of these that are backups
         self.pumping = False  # whether `pump` is running
 
     # For the dispatcher
@@ -177,8 +178,8 @@
             self.pumping = False
 
     def _wants_connection(self) -> bool:
-        """Return whether more calls are queued than connections are connecting, and another may connect."""
-        return self.connecting < min(len(self.waiting), connection_pool.MAX_CONNECTING)
+        """Return whether another connection may be opened for the queued calls."""
+        return connection_pool.wants_connection(len(self.waiting), self.connecting, self.connecting_backups)
 
     def _encode(self, call: NodeCall) -> bytes:
         content = call.content
@@ -216,7 +217,8 @@
             connection.stream.write(worker_protocol.encode_cancel(call.activation))
 
     # Connections
-    def _connect(self) -> None:
+    def _connect(self, is_backup: bool = False) -> None:
+        """Begin a connection attempt; the failure of a backup ends no call."""
         if self.address is None:
             raise TypeError(f"can't connect to {self.worker}: its address is unknown")
         buffer_size = resource_limits.FRAME * READ_BUFFER_FRAMES
@@ -225,16 +227,31 @@
                 sockets.new_socket(self.address[0]), max_buffer_size=buffer_size, read_chunk_size=READ_SIZE
             )
         except OSError:  # no descriptor is left after all; nothing was sent
-            self._end(self.waiting[0], send_outcome.of_full_queue())
+            if not is_backup:
+                self._end(self.waiting[0], send_outcome.of_full_queue())
             return
-        connection = WorkerConnection(stream, self.core.now())
+        connection = WorkerConnection(stream, self.core.now(), is_backup)
         self.connections.append(connection)
         self.connecting += 1
+        self.connecting_backups += is_backup
         self.core.connection_opened()
+        self._start_connect_timers(connection)
+        self.core.loop.create_task(self._serve(connection, self.address))
+
+    def _start_connect_timers(self, connection: WorkerConnection) -> None:
+        timeout = self.terms.connect_within
         connection.connect_timer = self.core.loop.call_later(
-            self.terms.connect_within / SECOND, self._lost, connection, "not made in time"
+            timeout / SECOND, self._lost, connection, "not made in time"
         )
-        self.core.loop.create_task(self._serve(connection, self.address))
+        if not connection.is_backup and connection_pool.needs_backup(timeout):
+            delay = connection_pool.CONNECTION_ATTEMPT_DELAY
+            connection.backup_timer = self.core.loop.call_later(delay / SECOND, self._connect_backup)
+
+    def _connect_backup(self) -> None:
+        """Begin a backup of a connection attempt that is slow, if calls still wait."""
+        may_connect = self.connecting < connection_pool.MAX_CONNECTING
+        if self.waiting and may_connect and not self.core.is_behind() and self.core.make_room():
+            self._connect(is_backup=True)
 
     async def _serve(self, connection: WorkerConnection, address: Address) -> None:
         reason = await reason_of_end(self._read(connection, address), self.core.defect)
@@ -254,17 +271,21 @@
                 self._on_answer(connection, answer)
 
     def _on_connected(self, connection: WorkerConnection) -> None:
-        self._stop_connect_timer(connection)
+        self._stop_connect_timers(connection)
         connection.up = True
         connection.stream.set_nodelay(True)
         self.pump()
 
-    def _stop_connect_timer(self, connection: WorkerConnection) -> None:
+    def _stop_connect_timers(self, connection: WorkerConnection) -> None:
         """Note that a connection is no longer connecting."""
+        if connection.backup_timer is not None:
+            connection.backup_timer.cancel()
+            connection.backup_timer = None
         if connection.connect_timer is not None:
             connection.connect_timer.cancel()
             connection.connect_timer = None
             self.connecting -= 1
+            self.connecting_backups -= connection.is_backup
 
     def _lost(self, connection: WorkerConnection, why: str) -> None:
         """Close a connection and end the calls in flight on it; has no effect on a closed one."""
@@ -274,8 +295,9 @@
         connection.stream.close()
         self.core.connection_closed()
         if not connection.up:
-            self._stop_connect_timer(connection)
-            if self.waiting:  # one call ends for each connection that was not established
+            self._stop_connect_timers(connection)
+            # one call ends for each connection that was not established, besides backups
+            if self.waiting and not connection.is_backup:
                 self._end(self.waiting[0], send_outcome.of_loss(QUEUED))
         if connection.in_flight or not connection.up:
             self.counts.lost += 1
--- a/petrelwood/node/worker_connection.py
+++ b/petrelwood/node/worker_connection.py
@@ -28,7 +28,9 @@
         in_flight: The calls in flight, by their ids on the wire.
         recent_call_ids: The ids of the last calls, oldest first.
         last_read_at: When data was last read, initially when connecting began (ns).
+        is_backup: Whether it was begun because an earlier connection attempt was slow.
         connect_timer: Gives up connecting after a timeout; None once that has succeeded or failed.
+        backup_timer: Begins a backup connection attempt while this one is in progress, or None.
         last_call: The call that was written last.
         last_write_at: When it was written, initially when connecting began (ns).
     """
@@ -39,13 +41,16 @@
         "in_flight",
         "recent_call_ids",
         "last_read_at",
+        "is_backup",
         "connect_timer",
+        "backup_timer",
         "last_call",
         "last_write_at",
     )
 
-    def __init__(self, stream: Stream, now: int) -> None:
+    def __init__(self, stream: Stream, now: int, is_backup: bool) -> None:
         self.stream = stream
+        self.is_backup = is_backup
         self.up = False
         # values are `NodeCall`s; `connection_pool.Connection` has values of type object, and dict is
         # invariant
@@ -53,6 +58,7 @@
         self.recent_call_ids: dict[str, bool] = {}
         self.last_read_at = now
         self.connect_timer: asyncio.TimerHandle | None = None
+        self.backup_timer: asyncio.TimerHandle | None = None
         self.last_call: NodeCall | None = None
         self.last_write_at = now
 
