Record what a retry adds to its id before the retry is answered

The id must be remembered as long as the second try's timestamp would be taken, and the replay gets 409.

Cause: a try that begins no activation moved the newest timestamp of its id and the end of its memory in the ledger alone; the log had admissions and ends only.

Change: RetryReceived (timestamp, type, state) is handed to the system before such a try is answered. Segments that have one are of format 3. The same fault elsewhere: a process that has handed over answered known ids, of which the new one never heard (it now leaves all requests to it, as docs/state.md says); an upgrade given back replaced what the old process knew of an id; a rewritten log lost what a joined retry had added; an id retried for long outlived its segments. docs/dispatcher.md says that a request turned away before the ledger was never a try.

At most one record a second and id.

Open: with durability "machine" the fsync of a retry's record is not waited for.

--- a/benchmarks/state.py
+++ b/benchmarks/state.py
@@ -1,9 +1,10 @@
 """Measures the cost of durable state: log throughput, start time, recovery of a failed log, and throughput.
 
-`pace` measures the log's throughput, `start` the time to start by size of the log, `recovery` the recovery of
-a log whose write failed, and `whole` the throughput of a dispatcher with durable state and without.
+`pace` measures the log's throughput, `retries` the cost of a retry of a completed activation, `start` the
+time to start by size of the log, `recovery` the recovery of a log whose write failed, and `whole` the
+throughput of a dispatcher with durable state and without.
 
-    python benchmarks/state.py pace|start|recovery|whole"""
+    python benchmarks/state.py pace|retries|start|recovery|whole"""
 
 import argparse
 import asyncio
@@ -17,10 +18,11 @@
 import time
 
 from petrelwood import ports
-from petrelwood.clocks import LoopClock
+from petrelwood.clocks import LoopClock, VirtualClock
 from petrelwood.decide.delivery import recovery
 from petrelwood.decide.delivery.ledger import ActivationState, Ledger, LedgerEntry
 from petrelwood.decide.delivery.state_records import ActivationAdmitted, ActivationEnded
+from petrelwood.decide.overload.intake import ActivationRequest
 from petrelwood.dispatch.core import Core
 from petrelwood.store import state_segments
 from petrelwood.store.files import Files
@@ -51,6 +53,43 @@
             log.close(WALL)
 
 
+def retries():
+    """Measure the time, and the bytes in the log, of a retry that gets its result; signed a second later."""
+    sys.path.insert(0, str(pathlib.Path(__file__).parents[1] / "tests"))
+    from test_store_faults import GATEWAY, Exchange, Log, Recorded
+
+    ids, tries = 2_000, 5
+    clock = VirtualClock()
+    core = Core(GATEWAY, clock, random.Random(1), None, Log(), Recorded)
+    with tempfile.TemporaryDirectory() as folder:
+        core.adopt(StateLog(folder, clock.wall(), "b", 1200 * S, now=clock.now))
+        rule = core.rule("once-1")
+
+        def send(number):
+            exchange, now = Exchange(), clock.now()
+            request = ActivationRequest("x", f"msg_{number:026d}", clock.wall(), "once", now, 0)
+            core.admit(request, "once-1", rule, b"{}", exchange)
+            return exchange.activation_id
+
+        for number in range(ids):
+            attempt = core.pending.begin_attempt(act := send(number))
+            completed = (act, attempt, "w", ports.EndReason.COMPLETED, 0, b'{"ok":1}', clock.now(), None)
+            core.submit(core.send_ended, *completed)
+        size = _folder_size(folder)
+        begun = time.perf_counter()
+        for _ in range(tries):
+            clock.run(clock.now() + S)
+            for number in range(ids):
+                send(number)
+        took = time.perf_counter() - begun
+        grown = _folder_size(folder) - size
+        print(f"{took / ids / tries * 1e6:6.1f} us and {grown / ids / tries:5.1f} bytes a retry")
+
+
+def _folder_size(folder):
+    return sum(path.stat().st_size for path in pathlib.Path(folder).iterdir())
+
+
 def start():
     """Measure the seconds from reading the files to a filled ledger."""
     for count in (1_000, 10_000, 100_000, 400_000):
@@ -64,7 +103,7 @@
                 if not i % 64:
                     log.flush()
             log.close(WALL + count)
-            size = sum(p.stat().st_size for p in pathlib.Path(folder).iterdir())
+            size = _folder_size(folder)
             gc.disable()  # as `Dispatcher.open_state` does
             begun = time.perf_counter()
             records, _ = state_segments.read(folder)
@@ -128,7 +167,7 @@
                 longest = max(longest, at - seen)
             seen = at
         took = time.perf_counter() - begun
-        size = sum(path.stat().st_size for path in pathlib.Path(folder).iterdir())
+        size = _folder_size(folder)
         found = recovery.replay(state_segments.read(folder)[0], clock.wall(), "b", False)
         assert len(found.activations) == count
         core.durable_state.log.close(clock.wall())
@@ -193,8 +232,10 @@
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
-    parser.add_argument("what", choices=["pace", "start", "recovery", "whole"])
-    {"pace": pace, "start": start, "recovery": recovered, "whole": whole}[parser.parse_args().what]()
+    parser.add_argument("what", choices=["pace", "retries", "start", "recovery", "whole"])
+    {"pace": pace, "retries": retries, "start": start, "recovery": recovered, "whole": whole}[
+        parser.parse_args().what
+    ]()
 
 
 if __name__ == "__main__":
--- a/petrelwood/decide/delivery/ledger.py
+++ b/petrelwood/decide/delivery/ledger.py
@@ -78,6 +78,15 @@
     attempts: int = 1  # accepted requests with the id, the first one included
     may_have_run: bool = False
     retry_until: int = 0  # by when a retry that may run again must be answered; 0 if there is no bound
+    recorded_timestamp: int = 0  # the newest that the state log has
+
+    def needs_record(self) -> bool:
+        """Return whether the state log lacks the newest timestamp.
+
+        Signed timestamps are whole seconds. Others, which are assigned on arrival and never replayed, need
+        one record a second, so that a flood of retries does not flood the log.
+        """
+        return self.timestamp // SECOND > self.recorded_timestamp // SECOND
 
 
 class Ledger:
@@ -243,7 +252,16 @@
 
     # Earlier processes
     def restore(self, key: Key, entry: LedgerEntry) -> None:
-        """Insert an id of an earlier process, with its times converted to this process's clock."""
+        """Insert an id of another process, with its times converted to this process's clock.
+
+        What this process knows of the id already is kept: its newest timestamp, that it may have run, its
+        result, and how long it is remembered.
+        """
+        present = self.entries.get(key)
+        if present is not None:
+            _merge(entry, present)
+            self._drop_result(key, present)
+        entry.recorded_timestamp = entry.timestamp
         self.entries[key] = entry
         result, entry.result = entry.result, None
         fits = result is not None and self._result_bytes + len(result) <= self.max_result_bytes
@@ -290,6 +308,17 @@
         self.note_forgotten(entry.timestamp)
 
 
+def _merge(entry: LedgerEntry, earlier: LedgerEntry) -> None:
+    """Add to an entry what an earlier entry of the same id has."""
+    entry.timestamp = max(entry.timestamp, earlier.timestamp)
+    entry.remembered_until = max(entry.remembered_until, earlier.remembered_until)
+    if earlier.may_have_run:
+        entry.first_at = earlier.first_at
+        entry.may_have_run = True
+    if entry.result is None:
+        entry.result = earlier.result
+
+
 def _is_deduplicated_everywhere(type_: ports.NamespaceType) -> bool:
     """Return whether repeats of such activations are dropped across all workers."""
     return type_.effect == ports.Effect.DEDUPLICATED and type_.scope == ports.Scope.ALL
--- a/petrelwood/decide/delivery/recovery.py
+++ b/petrelwood/decide/delivery/recovery.py
@@ -31,6 +31,7 @@
     IncarnationStarted,
     LoadOrdered,
     Record,
+    RetryReceived,
 )
 
 SECOND = 1_000_000_000
@@ -170,6 +171,8 @@
                 self._activation_admitted(record, at, block)
             elif isinstance(record, ActivationEnded):
                 self._activation_ended(record, at)
+            elif isinstance(record, RetryReceived):
+                self._retry_received(record, at)
             elif isinstance(record, LoadOrdered):
                 state.order_times += [at] * record.copies
             elif isinstance(record, IncarnationStarted):
@@ -211,6 +214,30 @@
         self.state.activations[key] = made
         self._running.add(key)
 
+    def _retry_received(self, record: RetryReceived, at: int) -> None:
+        key = (record.customer, record.id)
+        ahead = record.timestamp - record.time
+        known = self.state.activations.get(key)
+        if known is not None:
+            known.timestamp = max(known.timestamp, record.timestamp)
+            known.ahead = ahead
+            known.last_at = at
+            return
+        # its earlier records have expired, or are those of a process that has read them itself
+        state = _OUTCOMES.get(record.state, ActivationState.ABORTED)
+        self.state.activations[key] = RecoveredActivation(
+            key=key,
+            timestamp=record.timestamp,
+            ahead=ahead,
+            type_name=record.type,
+            first_at=LONG_AGO,
+            last_at=at,
+            outcome=state,
+            may_have_run=record.may_have_run or record.state not in _OUTCOMES,
+        )
+        if state == ActivationState.RUNNING:
+            self._running.add(key)
+
     def _activation_ended(self, record: ActivationEnded, at: int) -> None:
         known = self.state.activations.get((record.customer, record.id))
         if known is None:
--- a/petrelwood/decide/delivery/state_records.py
+++ b/petrelwood/decide/delivery/state_records.py
@@ -37,6 +37,21 @@
     body: bytes | None  # the answer, if it is short enough to be stored
 
 
+class RetryReceived(NamedTuple):
+    """A later request with a known id was received, and did not begin the activation again.
+
+    It has all that a later incarnation must know if the earlier records of the id have expired.
+    """
+
+    time: int
+    customer: str
+    id: str
+    timestamp: int  # ns of the sender's wall clock; newer than those of all earlier records of the id
+    type: str  # namespace type
+    state: str  # a `ledger.ActivationState`
+    may_have_run: bool
+
+
 class LoadOrdered(NamedTuple):
     """A load order is about to be sent."""
 
@@ -62,5 +77,11 @@
 
 
 Record = (
-    IncarnationStarted | ActivationAdmitted | ActivationEnded | LoadOrdered | IncarnationEnded | OutageEnded
+    IncarnationStarted
+    | ActivationAdmitted
+    | ActivationEnded
+    | RetryReceived
+    | LoadOrdered
+    | IncarnationEnded
+    | OutageEnded
 )
--- a/petrelwood/decide/delivery/state_rewrite.py
+++ b/petrelwood/decide/delivery/state_rewrite.py
@@ -19,6 +19,7 @@
     LoadOrdered,
     OutageEnded,
     Record,
+    RetryReceived,
 )
 from petrelwood.decide.overload.backoff import Backoff
 
@@ -125,9 +126,17 @@
     if entry.state not in (ActivationState.RUNNING, ActivationState.RUNNING_ELSEWHERE):
         body = entry.result if entry.result is not None and len(entry.result) <= max_body_size else None
         yield ActivationEnded(last, *key, entry.state, entry.may_have_run, body)
-    elif entry.may_have_run:
+        return
+    if entry.may_have_run:
         yield ActivationEnded(last, *key, ActivationState.ABORTED, True, None)
         yield ActivationAdmitted(last, *key, entry.timestamp, entry.type_name)
+    elif entry.attempts > 1:  # a retry waits for its answer, and has extended how long the id is remembered
+        yield retry_record(key, entry, last)
+
+
+def retry_record(key: tuple[str, str], entry: LedgerEntry, time: int) -> RetryReceived:
+    """Return the record of an id's newest timestamp; `time`: the wall-clock time of the record, ns."""
+    return RetryReceived(time, *key, entry.timestamp, entry.type_name, entry.state, entry.may_have_run)
 
 
 def forgotten_record(
--- a/petrelwood/dispatch/activations.py
+++ b/petrelwood/dispatch/activations.py
@@ -110,8 +110,7 @@
         core = self.core
         now = self.now()
         key = (request.customer, request.id)
-        hooks = core.handover
-        if hooks.may_be_superseded is not None and hooks.may_be_superseded(now):
+        if core.handover.is_fenced(now):
             retry_after = self.intake.retry_after(now, *key)
             exchange.answer(
                 intake_stage.REJECT,
@@ -120,8 +119,10 @@
             )
             return
         verdict = self.intake.decide(now, core.clock.wall(), request)
+        state = core.durable_state
+        if state is not None and verdict.outcome != intake_stage.ADMIT:
+            state.record_retry(key)
         if verdict.outcome == intake_stage.ADMIT:
-            state = core.durable_state
             if state is not None and not state.can_admit(request.type):
                 self._reject_for_outage(now, key, state, exchange)
             else:
--- a/petrelwood/dispatch/durable_state.py
+++ b/petrelwood/dispatch/durable_state.py
@@ -12,6 +12,7 @@
 from petrelwood.decide.delivery.ledger import ActivationState, Ledger
 from petrelwood.decide.delivery.pending import PendingActivation, PendingActivations
 from petrelwood.decide.delivery.state_records import ActivationAdmitted, ActivationEnded, LoadOrdered
+from petrelwood.decide.delivery.state_rewrite import retry_record
 from petrelwood.decide.overload.intake import Intake
 from petrelwood.dispatch.interfaces import DecisionModule
 from petrelwood.dispatch.state_recovery import RecoveryCore, RecoverySettings, StateRecovery
@@ -137,8 +138,9 @@
         """
         core = self.core
         customer, id_ = act.key
-        timestamp = self.ledger.entries[act.key].timestamp
-        self.log.add(ActivationAdmitted(core.record_time(), customer, id_, timestamp, act.type))
+        entry = self.ledger.entries[act.key]
+        entry.recorded_timestamp = entry.timestamp
+        self.log.add(ActivationAdmitted(core.record_time(), customer, id_, entry.timestamp, act.type))
         if not recovery.is_recorded_first(core.terms.types[act.type].effect):
             return True
         if self.log.durability == SURVIVES_MACHINE:
@@ -150,6 +152,21 @@
         self.activations.reject(act, self.reject(core.now()))
         return False
 
+    def record_retry(self, key: tuple[str, str]) -> None:
+        """Record the newest timestamp of an id, if a request that began no activation has brought it.
+
+        To be called before that request is answered: an id is remembered as long as the timestamp of any
+        request that was answered is accepted. In an outage nothing can be recorded; the recovery of the log
+        then writes the newest timestamp of each id.
+        """
+        entry = self.ledger.entries.get(key)
+        if entry is None or not entry.needs_record():
+            return
+        if self.log.add(retry_record(key, entry, self.core.record_time())):
+            entry.recorded_timestamp = entry.timestamp
+            if recovery.is_recorded_first(self.core.terms.types[entry.type_name].effect):
+                self.log.flush()
+
     def _sync(self) -> None:
         """Sync the log unless a sync is in progress; records added meanwhile are left to the next sync."""
         if self.syncing or not self.unsynced:
--- a/petrelwood/dispatch/handover/hooks.py
+++ b/petrelwood/dispatch/handover/hooks.py
@@ -18,3 +18,10 @@
     may_be_superseded: Callable[[int], bool] | None = None
     on_activation_end: ActivationEndHandler | None = None
     on_answer: Callable[[bool], object] | None = None  # called with whether the activation completed
+
+    def is_fenced(self, now: int) -> bool:
+        """Return whether requests must be left to another process, also those with known ids.
+
+        What this process would note of them, as the newest timestamp of an id, the other one would not know.
+        """
+        return self.retired or (self.may_be_superseded is not None and self.may_be_superseded(now))
--- a/petrelwood/store/state_codec.py
+++ b/petrelwood/store/state_codec.py
@@ -3,6 +3,7 @@
 ["life", time, boot, epoch, format]                 ["order", time, worker, function, copies]
 ["take", time, customer, id, timestamp, type]       ["close", time]
 ["end", time, customer, id, outcome, sent, body]    ["outage", time, failed at, cause, attempts]
+["retry", time, customer, id, timestamp, type, state, may have run]
 """
 
 from typing import Final
@@ -17,6 +18,7 @@
     LoadOrdered,
     OutageEnded,
     Record,
+    RetryReceived,
 )
 from petrelwood.store.errors import RecordError
 
@@ -24,6 +26,7 @@
     IncarnationStarted: "life",
     ActivationAdmitted: "take",
     ActivationEnded: "end",
+    RetryReceived: "retry",
     LoadOrdered: "order",
     IncarnationEnded: "close",
     OutageEnded: "outage",
--- a/petrelwood/store/state_log.py
+++ b/petrelwood/store/state_log.py
@@ -23,7 +23,12 @@
 from time import monotonic_ns
 
 from petrelwood.decide.delivery.recovery import min_age
-from petrelwood.decide.delivery.state_records import IncarnationEnded, IncarnationStarted, Record
+from petrelwood.decide.delivery.state_records import (
+    IncarnationEnded,
+    IncarnationStarted,
+    Record,
+    RetryReceived,
+)
 from petrelwood.store.append_log import AppendLog
 from petrelwood.store.errors import LogFormatError, LogWriteError, StateUnreadableError
 from petrelwood.store.files import Files
@@ -31,6 +36,7 @@
 from petrelwood.store.state_segments import (
     OUTAGE_FORMAT,
     PLAIN_FORMAT,
+    RETRY_FORMAT,
     scan,
     segment_path,
     segments,
@@ -85,6 +91,7 @@
         self._attempt: set[pathlib.Path] = set()  # own segments begun since the last `reopen`
         self._superseded: set[pathlib.Path] = set()  # own segments that are not needed any more
         self._successor_unread = False  # a successor took over, and its segments could not be read yet
+        self._has_retries = False  # whether this incarnation has recorded a retry
         self._formats: dict[pathlib.Path, int] = {}
         self._sealed_at: dict[pathlib.Path, int] = {}  # monotonic ns, by sealed segment
         self._lock = threading.Lock()
@@ -126,6 +133,8 @@
         """Buffer a record for the next `flush`; return whether it was accepted."""
         if self.failed or self.log is None:
             return False
+        if isinstance(record, RetryReceived) and not self._begin_retry_format(record.time):
+            return False
         payload = encode(record)
         if self.log.append(payload):
             return True
@@ -135,6 +144,13 @@
             return False
         return True
 
+    def _begin_retry_format(self, time: int) -> bool:
+        """Begin a segment that may have records of retries, if this one may not; return whether one may."""
+        self._has_retries = True
+        if self.log is not None and self._formats[self.log.path] < RETRY_FORMAT:
+            self.begin_next_segment(time)
+        return not self.failed
+
     def flush(self) -> bool:
         """Hand the buffered records to the operating system; return whether it has all records needed."""
         if not self.failed and self.log is not None:
@@ -208,6 +224,8 @@
         self.number += 1
         path = segment_path(self.folder, self.epoch, self.number)
         segment_format = OUTAGE_FORMAT if self.rewriting else PLAIN_FORMAT
+        if self._has_retries:
+            segment_format = RETRY_FORMAT
         self._own.add(path)
         if self.rewriting:
             self._attempt.add(path)
--- a/petrelwood/store/state_segments.py
+++ b/petrelwood/store/state_segments.py
@@ -3,8 +3,9 @@
     folder/state-EPOCH-NUMBER.log
 
 Each is a `store.append_log` with records in the format of `store.state_codec`. The first record of a segment
-is `IncarnationStarted`, with the segment's format. Only segments begun after an outage have `OUTAGE_FORMAT`:
-older builds, which do not know outage records, can still read all other segments.
+is `IncarnationStarted`, with the segment's format. Only segments begun after an outage have `OUTAGE_FORMAT`,
+and only those with records of retries `RETRY_FORMAT`: older builds, which do not know these records, can
+still read all other segments.
 """
 
 import os
@@ -18,8 +19,9 @@
 
 PLAIN_FORMAT = 1
 OUTAGE_FORMAT = 2
+RETRY_FORMAT = 3
 OLDEST_FORMAT = PLAIN_FORMAT
-NEWEST_FORMAT = OUTAGE_FORMAT
+NEWEST_FORMAT = RETRY_FORMAT
 
 Folder = str | os.PathLike[str]
 
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -181,7 +181,7 @@
         path.write_bytes(append_log.MARK + append_log.frame(msgpack.packb(["life", WALL, "b", 1, 9])))
         with self.assertRaises(StateUnreadableError) as caught:
             state_segments.read(self.folder)
-        self.assertIn("its format is 9; this build reads 1 to 2", str(caught.exception))
+        self.assertIn("its format is 9; this build reads 1 to 3", str(caught.exception))
         path.write_bytes(append_log.MARK + append_log.frame(msgpack.packb(["new kind", 1, 2])))
         with self.assertRaises(StateUnreadableError):
             state_segments.read(self.folder)
