A process that is told to end during an upgrade never serves again

Cause: PredecessorProcess.close closed the channel, but left it and the phase in place. The next outcome was sent on the closed socket, and EBADF counted as the death of the new process: RESUME.

Change: a final phase, closing, entered at the signal. The channel to a process that owns new activations stays until the old one has drained, so that it hears all outcomes. A new process on probation that is told to end gives back at once, rather than prove itself while it drains. After a standstill the old process reads heartbeats before it judges them. The control socket's path is removed once, not twice.

--- a/petrelwood/decide/cluster/handover.py
+++ b/petrelwood/decide/cluster/handover.py
@@ -1,14 +1,14 @@
 """The handover from a serving process to its successor: who serves when, and when the predecessor resumes.
 
-    the predecessor: serving -> offering -> handing -> watching -> over
+    the predecessor: serving -> offering -> handing -> watching -> over; from any phase -> closing
     the successor:   checking -> waiting -> owning -> proven
 
 Every activation belongs to the process that admitted it; only this process sends it to workers or answers it.
 New activations switch to the successor at one moment: when the predecessor has stopped accepting, has flushed
 its state, and sends "go". Until then the predecessor continues to serve, whatever the successor does. After
 that, the predecessor keeps the listeners open without accepting until the successor has proven itself. If the
-successor dies, hands back, or misses its heartbeats before that, the predecessor accepts again. Times in ns
-of each process's own clock.
+successor dies, hands back, or misses its heartbeats before that, the predecessor accepts again, unless it was
+told to end: closing is final. Times in ns of each process's own clock.
 """
 
 from collections.abc import Mapping
@@ -25,6 +25,8 @@
 MIN_ANSWERS = 20  # required on both sides before completion rates are compared
 MAX_RATE_DROP = 0.2  # tolerated drop of the completed share, as a difference of shares
 PROTOCOL_VERSION = 1
+STALL = SECOND  # time without a check, after which a process may have missed messages, or been superseded
+CATCH_UP = SECOND // 5  # time in which the messages that arrived during a stall are read
 
 
 class PredecessorPhase(StrEnum):
@@ -35,6 +37,7 @@
     HANDING = "handing"
     WATCHING = "watching"
     OVER = "over"
+    CLOSING = "closing"
 
 
 class SuccessorPhase(StrEnum):
@@ -172,11 +175,20 @@
     def on_successor_lost(self, reason: str) -> PredecessorAction | None:
         """Handle that the successor is gone or hands back; return RESUME if accepting had stopped."""
         is_proven = self.phase == PredecessorPhase.WATCHING and self.has_proven_successor
-        if is_proven or self.phase == PredecessorPhase.OVER:
-            # The successor has proven itself, so this process does not serve again.
+        if is_proven or self.phase in (PredecessorPhase.OVER, PredecessorPhase.CLOSING):
+            # The successor has proven itself, or this process ends: it does not serve again.
             return None
         return self._resume(reason)
 
+    def on_closing(self) -> bool:
+        """Handle that this process was told to end; return whether a successor owns new activations.
+
+        This process never accepts again afterwards, whatever becomes of the successor.
+        """
+        has_successor = self.phase in (PredecessorPhase.HANDING, PredecessorPhase.WATCHING)
+        self.phase = PredecessorPhase.CLOSING
+        return has_successor
+
     def check(self, now: int) -> PredecessorAction | None:
         """Return RESUME if the successor timed out or missed its heartbeats; call it periodically."""
         reason = self.TIMEOUT_REASONS.get(self.phase)
@@ -258,6 +270,13 @@
             self.phase = SuccessorPhase.PROVEN
         return None
 
+    def on_closing(self) -> SuccessorAction | None:
+        """Handle that this process was told to end; it must not prove itself while it drains."""
+        if self.phase != SuccessorPhase.OWNING:
+            return None
+        self.fail("the new process was told to end")
+        return SuccessorAction.HAND_BACK
+
     def fail(self, reason: str) -> None:
         """Mark the handover as failed, so that the predecessor continues to serve."""
         self.phase = SuccessorPhase.FAILED
--- a/petrelwood/dispatch/handover/predecessor.py
+++ b/petrelwood/dispatch/handover/predecessor.py
@@ -133,21 +133,36 @@
     def open(self) -> None:
         """Listen at the path; a successor rebinds it, so the newest process is always reachable there."""
         self.server = UnixSocket(self.path, socket.SOCK_STREAM)
-        self._start(self._accept())
+        self.accepting = self._start(self._accept())
         self._start(self._watch())
 
-    def _start(self, work: Coroutine[object, object, None]) -> None:
+    def _start(self, work: Coroutine[object, object, None]) -> asyncio.Task[None]:
         task = self.core.loop.create_task(work)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
+        return task
+
+    def stop(self) -> None:
+        """Give up the place for good, as this process was told to end; call `close` once it has drained.
+
+        A successor that has taken over is still told how the activations end that this process has in flight.
+        One that waits to take over learns from the closed connection that it can't.
+        """
+        if not self.machine.on_closing():
+            self.close()
+            return
+        self.accepting.cancel()
+        self.server.close()
 
     def close(self) -> None:
         """Close the control socket and the connection to the successor."""
         for task in list(self.tasks):
             task.cancel()
         self.server.close()
-        if self.channel is not None:
-            self.channel.close()
+        channel = self.channel
+        self.channel = None
+        if channel is not None:
+            channel.close()
 
     async def _accept(self) -> None:
         while True:
@@ -161,9 +176,14 @@
             self._start(self._serve(Channel(sock, self.core.loop)))
 
     async def _watch(self) -> None:
+        last_check = self.core.now()
         while True:
             await asyncio.sleep(CHECK_INTERVAL)
-            self._carry_out(self.machine.check(self.core.now()))
+            if self.core.now() - last_check > handover.STALL:
+                # heartbeats that arrived during a stall are read before the check
+                await asyncio.sleep(handover.CATCH_UP / handover.SECOND)
+            last_check = self.core.now()
+            self._carry_out(self.machine.check(last_check))
             if self._just_drained():
                 self.machine.on_drained()
                 await self._send(Drained())
@@ -172,7 +192,7 @@
 
     def _just_drained(self) -> bool:
         return (
-            self.machine.phase == PredecessorPhase.WATCHING
+            self.machine.phase in (PredecessorPhase.WATCHING, PredecessorPhase.CLOSING)
             and not self.machine.has_drained
             and not self.core.pending.activations
             and all(front.is_drained() for front in self.core.fronts)
--- a/petrelwood/dispatch/handover/successor.py
+++ b/petrelwood/dispatch/handover/successor.py
@@ -40,8 +40,6 @@
 CHECKS_PER_HEARTBEAT = 5
 OFFER_TIMEOUT = 10.0  # seconds for the predecessor's answer to the greeting
 SECOND = 1_000_000_000  # ns
-STALL = 1_000_000_000  # ns without a check after which this process may have been superseded
-CATCH_UP = 4 * CHECK_INTERVAL  # seconds to process the messages that arrived during a stall
 
 NowFunction = Callable[[], int]
 
@@ -75,6 +73,7 @@
         self.listeners: list[socket.socket] = []
         self.predecessor_drained = asyncio.Event()
         self.connection: Channel | None = None
+        self.machine = handover.Successor(0)  # `request` begins it anew
 
     @property
     def channel(self) -> Channel:
@@ -160,8 +159,8 @@
         while not outcomes.done():
             await asyncio.sleep(CHECK_INTERVAL)
             # After a stall, the messages that arrived meanwhile are processed before the check.
-            if core.now() - self.last_check > STALL:
-                await asyncio.sleep(CATCH_UP)
+            if core.now() - self.last_check > handover.STALL:
+                await asyncio.sleep(handover.CATCH_UP / SECOND)
             self.last_check = core.now()
             checks += 1
             if checks % CHECKS_PER_HEARTBEAT == 0 and self.machine.phase == SuccessorPhase.OWNING:
@@ -179,7 +178,7 @@
 
     def _may_be_superseded(self, now: int) -> bool:
         """Return whether the predecessor may have resumed: it has, or this process stalled for too long."""
-        stalled = now - self.last_check > STALL
+        stalled = now - self.last_check > handover.STALL
         phase = self.machine.phase
         return phase == SuccessorPhase.FAILED or phase == SuccessorPhase.OWNING and stalled
 
@@ -209,6 +208,11 @@
             await self.channel.send(GiveBack(why))
         self.close()
 
+    async def stop(self) -> None:
+        """Give back, if this process was told to end before it has proven itself."""
+        if self.machine.on_closing() == SuccessorAction.HAND_BACK:
+            await self.give_back(self.machine.reason)
+
     def close(self) -> None:
         """Close the connection, if there is one."""
         if self.connection is not None:
--- a/petrelwood/dispatch/serve.py
+++ b/petrelwood/dispatch/serve.py
@@ -99,11 +99,17 @@
         self.log.info(
             "graceful shutdown started", in_flight=len(self.core.pending.activations), why=self.failed
         )
+        if self.successor is not None:
+            if self.core.durable_state is not None:
+                self.core.durable_state.log.flush()
+            await self.successor.stop()
         if self.predecessor is not None:
-            self.predecessor.close()
+            self.predecessor.stop()
         if self.failed and self.core.checks is None:
             return
         await self.core.close()
+        if self.predecessor is not None:
+            self.predecessor.close()
         if self.health is not None:
             self.health.close()
         for task in self.tasks:
@@ -234,7 +240,7 @@
     async def _follow(self, successor: SuccessorProcess) -> None:
         """Serve beside the predecessor until it has ended; then open the exclusive resources."""
         await successor.follow(self.core, self.log, lambda: self._give_back(successor))
-        if self.failed is None:
+        if self.failed is None and not self.shutdown.is_set():
             self.core.handover.on_answer = None
             self.core.handover.may_be_superseded = None
             self.core.open_history()
--- a/petrelwood/links/unix_socket.py
+++ b/petrelwood/links/unix_socket.py
@@ -33,7 +33,12 @@
         self._inode = os.stat(self.path).st_ino
 
     def close(self) -> None:
-        """Close the socket and remove its path, unless another process has taken over the path."""
+        """Close the socket and remove its path, unless another process has taken over the path.
+
+        A second call does nothing: another process's socket may have the same inode number by then.
+        """
+        if self.sock.fileno() < 0:
+            return
         self.sock.close()
         with contextlib.suppress(OSError):
             if os.stat(self.path).st_ino == self._inode:
