Hold a queued attempt against its worker's slow start when the worker has restarted

Cause: the slow start budget is charged when an attempt is decided, and a warm worker's is unlimited. Nobody asked again when the connection came up.

Change: an attempt knows for which process of its worker it was decided. is_attempt_outdated, asked while it waits, and may_attempt_leave, asked when it is written, hold it against the worker as it is now: it takes a place in the present budget or goes back to its queue. They also refuse a worker that drains.

--- a/petrelwood/decide/scheduling/actions.py
+++ b/petrelwood/decide/scheduling/actions.py
@@ -72,6 +72,7 @@
             worker=worker,
             copy=copy,
             sent_at=now,
+            booted=worker.booted,
             is_cold=copy.loading_since != 0,
             ahead=len(worker.in_flight),
         )
--- a/petrelwood/decide/scheduling/records.py
+++ b/petrelwood/decide/scheduling/records.py
@@ -253,6 +253,7 @@
         worker: the worker that it was sent to.
         copy: the copy that it is to run on.
         sent_at: when it was sent, ns.
+        booted: when the process of the worker started for which it was decided, ns; 0: long ago.
         is_cold: the copy was not loaded when it was sent.
         ahead: this dispatcher's attempts that were in flight at the worker when it was sent.
         is_in_flight: it has not ended.
@@ -264,6 +265,7 @@
     worker: Worker
     copy: Copy
     sent_at: int
+    booted: int
     is_cold: bool
     ahead: int
     is_in_flight: bool = True
--- a/petrelwood/decide/scheduling/scheduler.py
+++ b/petrelwood/decide/scheduling/scheduler.py
@@ -133,16 +133,32 @@
         """Record the end of an attempt, and retry or end its activation."""
         self.attempts.handle_end(end, now)
 
-    def may_attempt_leave(self, now: int, activation_id: str, attempt: int, worker_id: str) -> bool:
-        """Return whether an attempt that was queued for its worker may be written now.
+    def is_attempt_outdated(self, now: int, activation_id: str, attempt: int, worker_id: str) -> bool:
+        """Return whether an attempt that is queued for its worker may no longer be written.
 
-        The caller asks this before it writes an attempt, and ends an attempt that may not leave.
+        What its decision rested on may have changed since: the time, the other attempts of its activation,
+        and the worker, which may drain, have left its group, or have restarted.
         """
         activation = self.activations.get(activation_id)
         worker = self.fleet.workers.get(worker_id)
-        if activation is None or worker is None:
-            return False  # the final answer was given, or the worker is not known any more
-        return self.send_rules.may_leave(activation, attempt, worker, now)
+        if activation is None or worker is None or not worker.is_usable:
+            return True  # the final answer was given, or the worker drains or is gone
+        if not self.send_rules.may_leave(activation, attempt, worker, now):
+            return True
+        queued = worker.in_flight.get((activation_id, attempt))
+        return queued is not None and not self.slow_start.may_leave(queued, now)
+
+    def may_attempt_leave(self, now: int, activation_id: str, attempt: int, worker_id: str) -> bool:
+        """Return whether an attempt may be written now; if so, it is counted in its worker's slow start.
+
+        The caller asks this before it writes an attempt, and ends an attempt that may not leave.
+        """
+        if self.is_attempt_outdated(now, activation_id, attempt, worker_id):
+            return False
+        queued = self.fleet.workers[worker_id].in_flight.get((activation_id, attempt))
+        if queued is not None:
+            self.slow_start.record_leaving(queued)
+        return True
 
     def stream_started(self, now: int, activation_id: str, attempt: int, worker_id: str) -> None:
         """Remove the deadline of an activation, as its streamed answer has begun."""
--- a/petrelwood/decide/scheduling/slow_start.py
+++ b/petrelwood/decide/scheduling/slow_start.py
@@ -10,7 +10,7 @@
 
 from petrelwood.decide.scheduling.estimates import Estimates
 from petrelwood.decide.scheduling.parameters import Parameters
-from petrelwood.decide.scheduling.records import Worker
+from petrelwood.decide.scheduling.records import Attempt, Worker
 from petrelwood.decide.scheduling.window_counter import BackdatedCounter
 
 # All dispatchers together plan for the load that crashes a worker, divided by this, because the random
@@ -56,6 +56,21 @@
             worker.slow_start_step = step
         return worker.slow_start_budget
 
+    def may_leave(self, attempt: Attempt, now: int) -> bool:
+        """Return whether an attempt that was queued for its worker may still be written to it.
+
+        An attempt that was decided before the worker restarted is not counted in the present budget.
+        """
+        worker = attempt.worker
+        return attempt.booted == worker.booted or self.budget(worker, now) > 0
+
+    def record_leaving(self, attempt: Attempt) -> None:
+        """Count an attempt that is written now in the budget of its worker, unless it is counted already."""
+        worker = attempt.worker
+        if attempt.booted != worker.booted:
+            attempt.booted = worker.booted
+            worker.slow_start_budget -= 1
+
     def record_answer(self, worker: Worker, now: int) -> None:
         """Count an answer, if its worker is warm."""
         self.warm_answers.add(now, int(self.is_warm(worker, now)))
--- a/petrelwood/dispatch/core.py
+++ b/petrelwood/dispatch/core.py
@@ -346,6 +346,10 @@
         mark = f"{act.key[0]}/{act.key[1]}"
         link.run(act.id, attempt, act.function, mark, remaining, act.lanes, act.body or b"")
 
+    def is_attempt_outdated(self, activation_id: str, attempt: int, worker: str) -> bool:
+        """Return whether an attempt that is queued for its worker may no longer be written."""
+        return self.scheduler.is_attempt_outdated(self.now(), activation_id, attempt, worker)
+
     def may_attempt_leave(self, activation_id: str, attempt: int, worker: str) -> bool:
         """Return whether an attempt that was queued for its worker may be written now."""
         return self.scheduler.may_attempt_leave(self.now(), activation_id, attempt, worker)
--- a/petrelwood/dispatch/interfaces.py
+++ b/petrelwood/dispatch/interfaces.py
@@ -97,6 +97,9 @@
     ) -> object:
         """Handle the end of a load order; `copies`: the copies of the function that the worker has now."""
 
+    def is_attempt_outdated(self, now: int, activation_id: str, attempt: int, worker_id: str, /) -> bool:
+        """Return whether an attempt that is queued for its worker may no longer be written."""
+
     def may_attempt_leave(self, now: int, activation_id: str, attempt: int, worker_id: str, /) -> bool:
         """Return whether an attempt that was queued for its worker may be written now."""
 
--- a/petrelwood/emulate/policies.py
+++ b/petrelwood/emulate/policies.py
@@ -81,6 +81,9 @@
     def load_order_ended(self, now, worker_id, key, code, copies):
         pass
 
+    def is_attempt_outdated(self, now, act_id, n, worker_id):
+        return False
+
     def may_attempt_leave(self, now, act_id, n, worker_id):
         return True
 
--- a/petrelwood/links/calls.py
+++ b/petrelwood/links/calls.py
@@ -183,10 +183,10 @@
 
     def _end_outdated(self) -> None:
         """End the queued attempts that may no longer be written, so that they don't delay an answer."""
-        may_leave = self.core.may_attempt_leave
+        is_outdated = self.core.is_attempt_outdated
         attempts = [call for call in self.waiting if call.kind == RUN]
         for call in attempts:
-            if not may_leave(call.activation, call.number, self.worker):
+            if is_outdated(call.activation, call.number, self.worker):
                 self._end_recalled(call)
 
     def _end_recalled(self, call: Call[ContentT, ConnectionT]) -> None:
--- a/petrelwood/links/interfaces.py
+++ b/petrelwood/links/interfaces.py
@@ -55,6 +55,9 @@
     def health_check_ended(self, worker: str, reason: EndReason, load_report: LoadReport | None, /) -> object:
         """Handle the end of a health check."""
 
+    def is_attempt_outdated(self, activation: str, attempt: int, worker: str, /) -> bool:
+        """Return whether an attempt that is queued for its worker may no longer be written."""
+
     def may_attempt_leave(self, activation: str, attempt: int, worker: str, /) -> bool:
         """Return whether an attempt that was queued for its worker may be written now."""
 
--- a/tests/test_outdated_attempts.py
+++ b/tests/test_outdated_attempts.py
@@ -1,6 +1,7 @@
 """Guards against an attempt that waits in a link and is written although its decision no longer holds."""
 
 import contextlib
+import time
 import types
 import unittest
 
@@ -18,6 +19,8 @@
 WINDOW = 20_000  # ms, longer than the test takes on a busy machine
 PATIENCE = 60_000  # ms of the client
 ONE_LANE = "memory_mb:64;lanes:1;load_ms:20"
+# by `SlowStart`, with 5 ms of work: 2.5 / 3 x 0.001 x 200 a second x 10 s, and one for the rounding
+MOST_AT_A_COLD_WORKER = 2
 KEYED_CALL = 9  # the message id of the keyed request, after eight others
 SITE = {
     "classes": {"deadline": PATIENCE * 1000, "window": WINDOW * 1000},
@@ -150,12 +153,75 @@
         driver, first = self.driver(ports.Effect.REPEATABLE)
         self.assertTrue(self.may_leave(driver, 2900, 1, "b" if first == "a" else "a"))
 
+    def queued_at(self, count, **restart):
+        """Return a scheduler with `count` attempts queued at one worker, which is told to have restarted."""
+        driver = SchedulerDriver(None, workers="a", warm_up_time=60_000, slow_start_window=10_000)
+        driver.arrive(*[f"x{number}" for number in range(count)], slots=count)
+        self.assertEqual(sum(" send " in line for line in driver.lines), count)
+        driver.scheduler.endpoints_changed(0, [endpoint("a", **restart)], False)
+        return driver.scheduler
+
+    def test_a_worker_that_has_restarted_gets_its_slow_start_budget(self):
+        scheduler = self.queued_at(30, booted=-1)
+        budget = scheduler.slow_start.budget(scheduler.fleet.workers["a"], 0)
+        self.assertLess(budget, 30)
+        attempts = [f"x{number}" for number in range(30)]
+        self.assertFalse(any(scheduler.is_attempt_outdated(0, id_, 0, "a") for id_ in attempts[:budget]))
+        left = [id_ for id_ in attempts if scheduler.may_attempt_leave(0, id_, 0, "a")]
+        self.assertEqual(left, attempts[:budget])
+        self.assertTrue(scheduler.is_attempt_outdated(0, attempts[-1], 0, "a"))
+        self.assertEqual(scheduler.slow_start.budget(scheduler.fleet.workers["a"], 0), 0)
+
+    def test_a_worker_that_is_warm_again_by_now_gets_all(self):
+        scheduler = self.queued_at(30, booted=-61_000)
+        self.assertTrue(all(scheduler.may_attempt_leave(0, f"x{number}", 0, "a") for number in range(30)))
+
+    def test_a_worker_that_drains(self):
+        """Rule 3, also where a link still has a call for it."""
+        scheduler = self.queued_at(1, usable=False)
+        self.assertFalse(scheduler.may_attempt_leave(0, "x0", 0, "a"))
+
     def test_an_activation_that_was_answered(self):
         driver, first = self.driver(ports.Effect.REPEATABLE)
         driver.scheduler.client_departed(0, "x1")
         self.assertFalse(self.may_leave(driver, 100, 0, first))
 
 
+class RestartOnSockets(unittest.IsolatedAsyncioTestCase):
+    """Requests wait for connections to a worker, which returns as a new process."""
+
+    CALLS = 30
+
+    async def runs_after_a_restart(self, **roster):
+        """Return how many requests are written to the worker, of which the roster tells `roster`."""
+        worker, late = ManualWorker("s-1"), LateConnections()
+        guarantees = {"cold": 600_000_000, "fall": 10_000_000, "startCapacity": 0.001}
+        async with InProcessSite([worker], guarantees=guarantees, **SITE) as site:
+            client, node = Caller(site.address), site.node
+            with late.hold():
+                for _ in range(self.CALLS):
+                    client.call(ask(fn=1, ttl=PATIENCE, facts="memory_mb:64;lanes:100;load_ms:20"))
+                link = node.links_by_worker["s-1"]
+                await site.until(lambda: len(link.runs) == self.CALLS)
+                site.roster.tell(worker, **roster)
+                told = site.roster.asked
+                await site.until(lambda: site.roster.asked > told + 2)
+            late.establish()
+            await site.until(lambda: not link.waiting)
+            await site.turns()
+            runs = len(worker.runs())
+            client.close()
+            return runs
+
+    async def test_a_warm_one_gets_what_was_queued(self):
+        self.assertEqual(await self.runs_after_a_restart(zone="north"), self.CALLS)
+
+    async def test_a_cold_one_gets_no_more_than_its_budget(self):
+        """Rule 4: what was decided for a warm worker would push a cold one over."""
+        now = int(time.time() * 1e6)
+        self.assertLessEqual(await self.runs_after_a_restart(started=now), MOST_AT_A_COLD_WORKER)
+
+
 class Core:
     """The parts of a dispatcher that a link needs. `outdated`: the attempts that may not leave any more."""
 
@@ -180,6 +246,9 @@
     def still_wanted(self, activation):
         return True
 
+    def is_attempt_outdated(self, activation, attempt, worker_):
+        return (activation, attempt, worker_) in self.outdated
+
     def may_attempt_leave(self, activation, attempt, worker_):
         return (activation, attempt, worker_) not in self.outdated
 
