Fence a superseded process by the epochs of the state log

Cause: an old process that takes back read the new one's log first and began its own epoch afterwards, and a new process that stood still relied on its clock and the channel alone. What it recorded between the reading and the epoch would have begun, unknown to the old one.

Change: whoever takes over begins its first segment before it reads the others. An activation that must not run twice begins only if, after its record was flushed (or synced), no later epoch has begun. So its record is read by the follower, or it does not begin.

Evidence: tests/test_retry_memory.py, Fenced: a new process that was superseded without its knowledge rejects once-only work and goes on with repeatable work, in both durabilities; the fence stands when its records are read.

--- a/petrelwood/dispatch/durable_state.py
+++ b/petrelwood/dispatch/durable_state.py
@@ -134,7 +134,8 @@
     def record_admitted(self, act: PendingActivation) -> bool:
         """Record a new activation; return whether it may begin at once.
 
-        An activation that must not run twice waits until its record is durable; it is rejected if that fails.
+        An activation that must not run twice waits until its record is durable; it is rejected if that fails,
+        or if another process has taken over.
         """
         core = self.core
         customer, id_ = act.key
@@ -147,7 +148,7 @@
             self.unsynced[act.id] = act
             self._sync()
             return False
-        if self.log.flush():
+        if self.log.flush() and not self.log.is_superseded():
             return True
         self.activations.reject(act, self.reject(core.now()))
         return False
@@ -178,7 +179,8 @@
 
     def _synced(self, waiting: list[str], durable: bool) -> None:
         try:
-            self._begin_recorded(waiting, durable and self.log.stopped is None)
+            may_begin = durable and self.log.stopped is None and not self.log.is_superseded()
+            self._begin_recorded(waiting, may_begin)
         finally:
             self.syncing = False
             self._sync()
--- a/petrelwood/emulate/disk.py
+++ b/petrelwood/emulate/disk.py
@@ -16,6 +16,9 @@
         self.records.append(record)
         return True
 
+    def is_superseded(self):
+        return False
+
     def flush(self):
         return True
 
--- a/petrelwood/store/state_log.py
+++ b/petrelwood/store/state_log.py
@@ -90,7 +90,8 @@
         self._own: set[pathlib.Path] = set()  # the segments written by this incarnation
         self._attempt: set[pathlib.Path] = set()  # own segments begun since the last `reopen`
         self._superseded: set[pathlib.Path] = set()  # own segments that are not needed any more
-        self._successor_unread = False  # a successor took over, and its segments could not be read yet
+        # the epoch in which this incarnation handed over, while its successor's segments are not read yet
+        self._unread_after: int | None = None
         self._has_retries = False  # whether this incarnation has recorded a retry
         self._formats: dict[pathlib.Path, int] = {}
         self._sealed_at: dict[pathlib.Path, int] = {}  # monotonic ns, by sealed segment
@@ -223,6 +224,7 @@
     def _begin_segment(self, time: int) -> None:
         self.number += 1
         path = segment_path(self.folder, self.epoch, self.number)
+        self._next_epoch_path = str(segment_path(self.folder, self.epoch + 1, 1))
         segment_format = OUTAGE_FORMAT if self.rewriting else PLAIN_FORMAT
         if self._has_retries:
             segment_format = RETRY_FORMAT
@@ -282,30 +284,47 @@
         self._own.discard(path)
         self._superseded.discard(path)
 
-    # Resuming after a failed successor
+    # Processes that follow each other
+    def is_superseded(self) -> bool:
+        """Return whether another process has begun to write after this one.
+
+        A process that stood still may not know this yet. Whoever takes over begins its first segment before
+        it reads the others, so a record that is flushed before this returns False is read by all followers.
+        """
+        return os.path.exists(self._next_epoch_path)
+
     def take_over_again(self, time: int) -> None:
         """Resume as the writing incarnation after a successor; `found` becomes the successor's records.
 
         If they can't be read the log stops, and `reopen` reads them first: until then it is unknown which
         activations the successor admitted.
         """
-        self._successor_unread = True
-        if self._read_successor(time) and self._seal():
-            self._begin_segment(time)
+        self._unread_after = self.epoch
+        if self._seal() and self._begin_epoch():
+            self._begin_segment(time)  # before the reading: it tells the successor that it is superseded
+            self._read_successor(time)
+
+    def _begin_epoch(self) -> bool:
+        """Begin an epoch after those of all other processes; return whether the folder could be read."""
+        try:
+            self.epoch = max([self.epoch, *(segment.epoch for segment in segments(self.folder))]) + 1
+        except OSError as error:
+            self._fail(str(error))
+            return False
+        self.number = 0
+        return True
 
     def _read_successor(self, time: int) -> bool:
+        """Read the segments that other processes wrote after this one had handed over."""
         self.found = []
         try:
-            found = segments(self.folder)
-            for segment in found:
-                if segment.epoch > self.epoch:
+            for segment in segments(self.folder):
+                if self._unread_after is not None and self._unread_after < segment.epoch < self.epoch:
                     self._read_segment(segment.path, time)
         except (StateUnreadableError, OSError) as error:
             self._fail(str(error))
             return False
-        self._successor_unread = False
-        self.epoch = max([self.epoch, *(segment.epoch for segment in found)]) + 1
-        self.number = 0
+        self._unread_after = None
         return True
 
     # Recovery after a failure
@@ -326,10 +345,12 @@
             self._remove(path)
         self.rewriting = True
         self._attempt = set()
-        if self._successor_unread and not self._read_successor(time):
+        if self._unread_after == self.epoch and not self._begin_epoch():
             return False
         self.failed = False
         self._begin_segment(time)
+        if self._unread_after is not None and not self._read_successor(time):
+            return False
         return not self.failed
 
     def resume(self) -> None:
--- a/tests/test_retry_memory.py
+++ b/tests/test_retry_memory.py
@@ -3,6 +3,7 @@
 import errno
 import shutil
 import unittest
+from unittest.mock import patch
 
 from test_store_faults import SECOND, Exchange, FaultyFiles, Gateway
 
@@ -12,7 +13,7 @@
 from petrelwood.decide.delivery.state_records import ActivationAdmitted, ActivationEnded, RetryReceived
 from petrelwood.decide.overload import intake as stage
 from petrelwood.decide.overload.intake import ActivationRequest
-from petrelwood.store import state_segments
+from petrelwood.store import state_log, state_segments
 from petrelwood.store.state_codec import decode, encode
 
 CONFLICT = stage.Outcome.CONFLICT
@@ -251,6 +252,53 @@
         self.assertEqual((after.may_have_run, after.first_at), (True, first_at))
 
 
+class Fenced(Tries):
+    """A new process that stood still while the old one took back."""
+
+    def superseded(self, durability):
+        """Return the new process's core, after the old one has taken back without its knowledge."""
+        self.start(clock=VirtualClock(), durability=durability)
+        old, old_log = self.core, self.state
+        old.stop_admitting(None)
+        new = self.start(clock=self.clock, durability=durability)
+        self.assertIn(self.send("before")[0].activation_id, new.scheduler.began)
+        self.assertTrue(old_log.is_superseded())
+        old.resume_admitting()
+        self.assertFalse(old_log.is_superseded())
+        self.assertIn(("x", "before"), old.ledger.entries)
+        return new, old
+
+    def test_it_begins_nothing_that_must_not_run_twice(self):
+        """Rule 2: the old process doesn't know the ids that the new one takes from now on."""
+        for durability in ("process", "machine"):
+            with self.subTest(durability):
+                new, old = self.superseded(durability)
+                began = dict(new.scheduler.began)
+                self.assertEqual(self.send("late")[0].verdict, ActivationState.REJECTED)
+                self.assertEqual(new.scheduler.began, began)
+                self.send("harmless", "again")
+                self.assertEqual(len(new.scheduler.began), len(began) + 1)
+                self.core = old
+                self.assertIn(self.send("late")[0].activation_id, old.scheduler.began)
+                shutil.rmtree(self.folder / "state")
+
+    def test_it_is_fenced_before_its_records_are_read(self):
+        """Otherwise it could begin what it records between the reading and the fence."""
+        self.start(clock=VirtualClock())
+        old = self.core
+        old.stop_admitting(None)
+        self.start(clock=self.clock)
+        new_log, scan, fenced = self.state, state_log.scan, []
+
+        def watched(path):
+            fenced.append(new_log.is_superseded())
+            return scan(path)
+
+        with patch.object(state_log, "scan", watched):
+            old.resume_admitting()
+        self.assertEqual(fenced, [True])
+
+
 class Bounds(Tries):
     def test_replays_and_retries_inside_a_second_add_nothing_to_the_log(self):
         """A flood of retries of one id must not grow the log without bound."""
