--- a/petrelwood/dispatch/core.py
+++ b/petrelwood/dispatch/core.py
@@ -28,6 +28,7 @@
 from petrelwood.dispatch.interfaces import Clock, DecisionModule, Logger, MakeModule, Rule
 from petrelwood.dispatch.load_forecasts import LoadForecasts
 from petrelwood.dispatch.outlet import ModuleOutlet, retry_budget
+from petrelwood.dispatch.queued_calls import QueuedCallChecks
 from petrelwood.dispatch.recent_answers import RecentAnswers
 from petrelwood.dispatch.worker_links import Address, WorkerLink, WorkerLinks
 from petrelwood.ports import EndpointEntry
@@ -45,7 +46,7 @@
 """Makes the link to a worker at an address."""
 
 
-class Core:
+class Core(QueuedCallChecks):
     """One dispatcher.
 
     `chance`: its only source of random numbers. `state`: the state log to continue, if one is open already.
@@ -346,22 +347,6 @@
         mark = f"{act.key[0]}/{act.key[1]}"
         link.run(act.id, attempt, act.function, mark, remaining, act.lanes, act.body or b"")
 
-    def is_attempt_outdated(self, activation_id: str, attempt: int, worker: str) -> bool:
-        """Return whether an attempt that is queued for its worker may no longer be written."""
-        return self.scheduler.is_attempt_outdated(self.now(), activation_id, attempt, worker)
-
-    def may_attempt_leave(self, activation_id: str, attempt: int, worker: str) -> bool:
-        """Return whether an attempt that was queued for its worker may be written now."""
-        return self.scheduler.may_attempt_leave(self.now(), activation_id, attempt, worker)
-
-    def may_send_order(self, given_at: int) -> bool:
-        """Return whether a load order that was issued at `given_at` may be sent now."""
-        return self.scheduler.may_load_order_leave(self.now(), given_at)
-
-    def order_not_sent(self, given_at: int) -> None:
-        """Withdraw a load order that was issued at `given_at` and will never be sent."""
-        self.scheduler.load_order_withdrawn(self.now(), given_at)
-
     def load_order_ended(self, worker: str, function: str, reason: ports.EndReason, copies: int) -> None:
         """Handle the end of a load order; `copies`: the copies of the function that the worker has now."""
         if self.forecasts is not None:
