--- a/review/harness2.py
+++ b/review/harness2.py
@@ -120,7 +120,9 @@
     async def _run(self, writer, number, params):
         act, attempt, function, mark, _, _, body = params
         self.runs.append((mark, function, body))
-        self.record("run", worker=self.name, act=act, attempt=attempt, function=function, mark=mark, body=body)
+        self.record(
+            "run", worker=self.name, act=act, attempt=attempt, function=function, mark=mark, body=body
+        )
         await asyncio.sleep(self.work)
         if not writer.is_closing():
             result = self.result(function, body)
@@ -142,8 +144,13 @@
         self.subscribed = asyncio.Event()
         self._send(
             mqtt.Packet(
-                mqtt.CONNECT, client=self.name, clean=0, keep_alive=60, user=self.user,
-                password=self.user.encode(), props={"session_expiry": 120},
+                mqtt.CONNECT,
+                client=self.name,
+                clean=0,
+                keep_alive=60,
+                user=self.user,
+                password=self.user.encode(),
+                props={"session_expiry": 120},
             )
         )
         self.task = asyncio.ensure_future(self._read())
@@ -161,13 +168,17 @@
     def _packet(self, p):
         if p.type == mqtt.CONNACK:
             name = f"reply/{self.user}/{self.name}/#"
-            self._send(mqtt.Packet(mqtt.SUBSCRIBE, 65000, props={}, subscriptions=[mqtt.Subscription(name, 2)]))
+            self._send(
+                mqtt.Packet(mqtt.SUBSCRIBE, 65000, props={}, subscriptions=[mqtt.Subscription(name, 2)])
+            )
         elif p.type == mqtt.SUBACK:
             self.subscribed.set()
         elif p.type == mqtt.PUBLISH:
             status = dict(p.props.get("user", ())).get("status")
             self.answers.append((status, p.payload, p.topic))
-            self.record("answer", device=self.name, topic=p.topic, status=status, payload=p.payload, dup=p.dup)
+            self.record(
+                "answer", device=self.name, topic=p.topic, status=status, payload=p.payload, dup=p.dup
+            )
             if p.qos:
                 self._send(mqtt.Packet(mqtt.PUBACK if p.qos == 1 else mqtt.PUBREC, p.id))
         elif p.type == mqtt.PUBREL:
@@ -189,7 +200,9 @@
         self.record("publish", device=self.name, type=type_, function=function, body=body, qos=qos, **props)
         topic = f"act/{self.user}/{type_}/{function}"
         self._send(
-            mqtt.Packet(mqtt.PUBLISH, self.last, topic=topic, payload=body, qos=qos, dup=0, retain=0, props=props)
+            mqtt.Packet(
+                mqtt.PUBLISH, self.last, topic=topic, payload=body, qos=qos, dup=0, retain=0, props=props
+            )
         )
         return self.last
 
@@ -242,8 +255,15 @@
         """Start `python -B -m petrelwood...`; wait until it prints `ready` (None: do not wait)."""
         log = open(self.folder / f"log-{len(self.all)}.txt", "wb")
         process = await asyncio.create_subprocess_exec(
-            PYTHON, "-B", "-m", *arguments, stdout=asyncio.subprocess.PIPE, stderr=log, cwd=ROOT,
-            env={**os.environ, **(environment or {})}, start_new_session=True,
+            PYTHON,
+            "-B",
+            "-m",
+            *arguments,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=log,
+            cwd=ROOT,
+            env={**os.environ, **(environment or {})},
+            start_new_session=True,
         )
         log.close()
         process.log = log.name
@@ -255,7 +275,9 @@
             except TimeoutError:
                 line = b""
             if ready not in line:
-                raise CantRun(f"{arguments[:2]} did not get ready: {pathlib.Path(log.name).read_text()[-2000:]}")
+                raise CantRun(
+                    f"{arguments[:2]} did not get ready: {pathlib.Path(log.name).read_text()[-2000:]}"
+                )
             self.record("ready", pid=process.pid)
         return process
 
