--- a/review/harness2.py
+++ b/review/harness2.py
@@ -322,6 +322,9 @@
     record("begin", case=here.name, trouble=TROUBLE)
 
     async def run():
+        task, loop = asyncio.current_task(), asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):  # whoever ends the script ends its processes with it
+            loop.add_signal_handler(number, task.cancel)
         with tempfile.TemporaryDirectory() as name:
             processes = Processes(pathlib.Path(name), record)
             try:
@@ -335,7 +338,7 @@
 
     try:
         breaks = asyncio.run(run())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record("could not run", error=repr(error), place=traceback.format_exc())
         print(f"could not run: {error!r}")
         os._exit(2)
