--- /dev/null
+++ b/tests/test_memory_limit.py
@@ -0,0 +1,98 @@
+"""A dispatcher of the least memory in use keeps its limit, however hundreds of clients use their connections.
+
+The dispatcher is a process with `memory_mb` 32 and 1,024 descriptors in its settings. Clients hold as many
+connections as the protocol allows them, a third of the descriptors, for longer than a request may
+take to arrive. Its private memory is sampled throughout, and one usual client goes on with its calls."""
+
+import asyncio
+import time
+import unittest
+from collections import Counter
+
+import hostile_clients
+from hostile_clients import Crowd, private_memory
+from node_site import Site, Worker, hit
+
+MEMORY_MB = 32
+DESCRIPTORS = 1_024
+CONNECTIONS = DESCRIPTORS // 3  # the most that clients hold, according to the protocol
+SECONDS = 4.0  # of misuse
+SAMPLE_INTERVAL = 0.02  # s
+DEADLINE = 2.0  # s, of the usual client's class in the settings
+ANSWER_SLACK = 0.5  # s after the deadline in which a late answer breaks no rule
+LEAST_SERVED = 1 / 2  # the share of the usual client's calls, as the gate of the operators wants it
+LARGE_ANSWER_FUNCTION = 7
+MAX_BODY = hostile_clients.MAX_BODY
+
+
+def large_answer(worker, said, writer):
+    """Answer the calls of one function with the largest body."""
+    if said["meta"]["asset"] == f"{LARGE_ANSWER_FUNCTION:016x}":
+        return hit(said, b"y" * MAX_BODY)
+    return None
+
+
+class MemoryLimit(unittest.IsolatedAsyncioTestCase):
+    async def misuse(self, *texts):
+        """Use all connections badly; return the peak of the memory (bytes) and the usual client's answers."""
+        workers = [Worker(f"s-{n}", large_answer) for n in range(5)]
+        async with Site(workers, sockets=DESCRIPTORS, memory=MEMORY_MB) as site:
+            client = await site.client()
+            self.assertEqual((await client.call())[0], "completed")
+            crowd = Crowd(site.address, CONNECTIONS, texts)
+            attack = asyncio.ensure_future(crowd.run(SECONDS))
+            peak, words, slowest = 0, Counter(), 0.0
+            while not attack.done():
+                peak = max(peak, private_memory(site.process.pid))
+                began = time.monotonic()
+                words[(await client.call(within=30))[0]] += 1
+                slowest = max(slowest, time.monotonic() - began)
+                await asyncio.sleep(SAMPLE_INTERVAL)
+            await attack
+            peak = max(peak, private_memory(site.process.pid))
+            crowd.close()
+            self.assertEqual([line for line in site.log if '"error"' in line], [])
+            return peak, words, slowest
+
+    async def assert_limit_kept(self, *texts):
+        peak, words, slowest = await self.misuse(*texts)
+        with self.subTest("memory"):
+            self.assertLessEqual(peak / 2**20, MEMORY_MB)
+        with self.subTest("the usual client"):
+            self.assertLessEqual(slowest, DEADLINE + ANSWER_SLACK)
+            self.assertGreaterEqual(words["completed"], LEAST_SERVED * words.total(), words)
+            self.assertNotIn("lost", words)
+
+    async def test_requests_that_stop_after_their_first_bytes(self):
+        """Guards against a decoder of 40 KB for each connection in the middle of a request."""
+        await self.assert_limit_kept(hostile_clients.begun)
+
+    async def test_requests_that_stop_before_their_last_bytes(self):
+        """Guards against incomplete requests whose sizes are bounded for each connection alone."""
+        await self.assert_limit_kept(hostile_clients.large)
+
+    async def test_heads_of_many_short_fields(self):
+        """Guards against fields that are kept decoded until the request is complete."""
+        for text in (hostile_clients.many_fields, hostile_clients.nested, hostile_clients.wide_texts):
+            with self.subTest(text.__name__):
+                await self.assert_limit_kept(text)
+
+    async def test_large_answers_that_nobody_reads(self):
+        """Guards against unread answers whose sizes are bounded for each connection alone."""
+        for size in (100, MAX_BODY):
+            with self.subTest(size=size):
+                await self.assert_limit_kept(hostile_clients.answers_of(LARGE_ANSWER_FUNCTION, size))
+
+    async def test_all_of_it_at_once(self):
+        """Guards against several bounds that each hold, and whose sum does not."""
+        await self.assert_limit_kept(
+            hostile_clients.begun,
+            hostile_clients.large,
+            hostile_clients.nested,
+            hostile_clients.answers_of(LARGE_ANSWER_FUNCTION, 100),
+            hostile_clients.answers_of(LARGE_ANSWER_FUNCTION, MAX_BODY),
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
