Keep the bytes of an incomplete request, not a decoder with what it has decoded

Cause: each connection in the middle of a message held a decoder of its own, of some 40 KB, which also held every value that it had decoded so far. Nothing bounded that: msgpack's max_buffer_size counts only bytes that it has not read yet, so a request inside the frame's limit took up to some 2.6 MB as nested empty maps, and one of nested lists of texts had no bound at all but 1.5 s.

Change: BoundedReader keeps the bytes of the incomplete message, up to the size of a frame. MessageBoundary finds its end by the lengths that it announces, and limits depth and the number of values. One decoder serves all connections. A read takes 2 KB between two messages, and the rest of a body within one. rpc.Reader, for trusted peers, counts the bytes of the whole message too.

--- a/petrelwood/links/rpc.py
+++ b/petrelwood/links/rpc.py
@@ -15,7 +15,6 @@
 
 import msgpack
 
-from petrelwood.links.announced_lengths import AnnouncedLengths, MessageLimits
 from petrelwood.links.errors import MalformedRpcError
 
 __all__ = [
@@ -24,7 +23,6 @@
     "RESPONSE",
     "MalformedRpcError",
     "Message",
-    "MessageLimits",
     "Notification",
     "Reader",
     "Request",
@@ -32,6 +30,7 @@
     "notification",
     "request",
     "response",
+    "to_message",
 ]
 
 REQUEST = 0
@@ -41,7 +40,6 @@
 RESPONSE_FIELDS = 4
 NOTIFICATION_FIELDS = 3
 MESSAGE_IDS = 1 << 32  # the number of message ids, which have 32 bits
-FIRST_BUFFER_SIZE = 4096  # the initial buffer size of a reader with limits, in bytes
 _pack = msgpack.Packer(use_bin_type=True, autoreset=True).pack
 
 
@@ -93,37 +91,24 @@
 
 
 class Reader:
-    """Decodes a stream of bytes into messages.
+    """Decodes the stream of bytes of a trusted peer into messages.
 
     Args:
         max_size: The maximum size of one message, in bytes.
-        limits: Limits on the contents of a message. With them, a message that is too large is rejected by the
-            lengths that it announces, before it is complete.
     """
 
-    def __init__(self, max_size: int, limits: MessageLimits | None = None) -> None:
-        self._limits = limits
+    def __init__(self, max_size: int) -> None:
+        self._max_size = max_size
         self._fed = 0  # bytes received
         self._decoded = 0  # bytes of all complete messages
-        self._lengths: AnnouncedLengths | None = None  # of the incomplete message, if there is one
-        self._unpacker = _unpacker(max_size, limits)
+        self._unpacker = msgpack.Unpacker(raw=False, max_buffer_size=max_size, strict_map_key=False)
 
     def feed(self, data: bytes) -> list[Message]:
         """Return the messages that these bytes complete.
 
         Raises:
-            MalformedRpcError: The bytes are not MessagePack-RPC, or a message exceeds the limits.
+            MalformedRpcError: The bytes are not MessagePack-RPC, or a message is too large.
         """
-        values = self._unpack(data)
-        if values:
-            self._lengths = None
-        if self._limits is not None and self._decoded != self._fed:
-            if self._lengths is None:  # a new message has begun
-                self._lengths = AnnouncedLengths(self._limits)
-            self._lengths.feed(data[self._decoded - self._fed :])
-        return [_message(value) for value in values]
-
-    def _unpack(self, data: bytes) -> list[object]:
         values = []
         try:
             self._fed += len(data)
@@ -135,29 +120,13 @@
         # msgpack raises many types of exceptions for malformed input, such as ValueError
         except Exception as error:
             raise MalformedRpcError(f"not MessagePack: {error!r}") from error
-        return values
+        # msgpack bounds the bytes that it has not read yet, but not what it has decoded of them
+        if self._fed - self._decoded > self._max_size:
+            raise MalformedRpcError("the message is too large")
+        return [to_message(value) for value in values]
 
-    def is_between_messages(self) -> bool:
-        """Return whether all received bytes belong to complete messages."""
-        return self._decoded == self._fed
 
-
-def _unpacker(max_size: int, limits: MessageLimits | None) -> msgpack.Unpacker:
-    if limits is None:
-        return msgpack.Unpacker(raw=False, max_buffer_size=max_size, strict_map_key=False)
-    return msgpack.Unpacker(
-        raw=False,
-        max_buffer_size=max_size,
-        read_size=FIRST_BUFFER_SIZE,  # small because there may be hundreds of such peers
-        max_bin_len=limits.body,
-        max_str_len=limits.text,
-        max_array_len=limits.members,
-        max_map_len=limits.members,
-        max_ext_len=0,
-    )
-
-
-def _message(value: object) -> Message:
+def to_message(value: object) -> Message:
     """Return a decoded value as a message. Raises MalformedRpcError."""
     if isinstance(value, list) and value:
         kind = value[0]
--- a/petrelwood/node/client_connection.py
+++ b/petrelwood/node/client_connection.py
@@ -12,6 +12,7 @@
 from petrelwood.decide.delivery.ledger import ActivationState
 from petrelwood.decide.overload import resource_limits
 from petrelwood.links import rpc, sockets
+from petrelwood.links.bounded_reader import BoundedReader, MessageDecoder, MessageLimits
 from petrelwood.node import call_request
 from petrelwood.node.call_request import InvalidRequestError
 from petrelwood.node.exchange import Exchange, PumpedLink
@@ -19,10 +20,12 @@
 from petrelwood.node.stream import Stream
 from petrelwood.node.units import MS
 
-READ_SIZE = 16_384  # the maximum size of one read, in bytes
-READER_POOL_SIZE = 8  # idle readers kept for reuse by other connections; one takes some 40 KB
+# The size of one read, in bytes: short between two messages, so that hundreds of clients who read no further
+# than that into a message take little memory, and at most the rest of a body within one.
+SHORT_READ_SIZE = 2_048
+READ_SIZE = 16_384
 MAX_ANSWER_SIZE = resource_limits.MAX_BODY + resource_limits.MAX_TEXT  # bytes
-MESSAGE_LIMITS = rpc.MessageLimits(
+MESSAGE_LIMITS = MessageLimits(
     resource_limits.MAX_BODY, resource_limits.MAX_TEXT, resource_limits.MAX_MEMBERS
 )
 CALL_PARAMETERS = 2  # the fields and the body
@@ -39,7 +42,7 @@
     core: Dispatcher
     clients: "dict[ClientConnection, bool]"
     counts: dict[str, int]
-    reader_pool: list[rpc.Reader]
+    decoder: MessageDecoder
     reads: int  # the number of reads on all connections
 
     def is_over_capacity(self) -> bool:
@@ -90,7 +93,7 @@
         self.invalid_requests = 0
         self.draining = False
         self.unreadable = False  # malformed data was received: further data is dropped
-        self.reader: rpc.Reader | None = None  # set while a message is partly received
+        self.reader = BoundedReader(front.decoder, resource_limits.FRAME)
         self.partial_since = 0  # when the partial message began to arrive; 0: there is none
         self.pending_read: asyncio.Future[bytes] | None = None  # resolved with the next data
         self.emptying_reads = 0  # reads that emptied the socket buffer
@@ -110,7 +113,9 @@
                 # Read no further requests while the client does not read its answers.
                 while self._is_write_buffer_full() and self.last_write is not None:
                     await self.last_write
-                self.pending_read = self.stream.read_bytes(READ_SIZE, partial=True)
+                size = self._read_size()
+                self.stream.read_chunk_size = size
+                self.pending_read = self.stream.read_bytes(size, partial=True)
                 self._pump_deferred_links()
                 data = await self.pending_read
                 now = core.now()
@@ -118,7 +123,7 @@
                 front.reads += 1
                 if not self.unreadable:
                     self._receive(data, now)
-                if len(data) < READ_SIZE:
+                if len(data) < size:
                     self.emptying_reads += 1
         except StreamClosedError:
             pass
@@ -127,25 +132,23 @@
         self.close()
 
     # Incoming data
+    def _read_size(self) -> int:
+        """Return the maximum size of the next read, in bytes."""
+        return min(READ_SIZE, max(SHORT_READ_SIZE, self.reader.missing))
+
     def _receive(self, data: bytes, now: int) -> None:
         """Handle the messages that `data` completes."""
-        front = self.front
         reader = self.reader
-        if reader is None:
-            reader = self.reader = front.reader_pool.pop() if front.reader_pool else _new_reader()
         try:
             messages = reader.feed(data)
             if reader.is_between_messages():
-                if len(front.reader_pool) < READER_POOL_SIZE:
-                    front.reader_pool.append(reader)
-                self.reader = None
                 self.partial_since = 0
             elif messages or not self.partial_since:
                 self.partial_since = now
             for message in messages:
                 self._handle(message, now)
         except rpc.MalformedRpcError as error:
-            front.note_fault("unreadable", str(error))
+            self.front.note_fault("unreadable", str(error))
             self._fail_unreadable(now)
 
     def _handle(self, message: rpc.Message, now: int) -> None:
@@ -251,7 +254,7 @@
         Later messages can't be told apart, so further data is read and dropped: closing a connection with
         unread data would reset it, and the reset would overtake the answers.
         """
-        self.reader = None
+        self.reader.clear()
         self.partial_since = 0
         if not self.open_requests and not self.stream.writing():
             self.close()
@@ -340,13 +343,9 @@
         if self.front.clients.pop(self, None) is None:
             return
         self.front.connection_busy(self)
-        self.reader = None
+        self.reader.clear()
         self.stream.close()
         for exchange in list(self.open_requests.values()):
             if exchange.activation_id is not None:
                 self.front.core.detach_client(exchange.activation_id, exchange)
         self.open_requests.clear()
-
-
-def _new_reader() -> rpc.Reader:
-    return rpc.Reader(resource_limits.FRAME + READ_SIZE, MESSAGE_LIMITS)
--- a/petrelwood/node/front.py
+++ b/petrelwood/node/front.py
@@ -11,9 +11,15 @@
 from petrelwood.decide.overload import resource_limits
 from petrelwood.decide.overload.resource_limits import ResourceLimits
 from petrelwood.dispatch.interfaces import Logger
-from petrelwood.links import rpc, sockets
+from petrelwood.links import sockets
+from petrelwood.links.bounded_reader import MessageDecoder
 from petrelwood.links.interfaces import Address
-from petrelwood.node.client_connection import READ_SIZE, ClientConnection
+from petrelwood.node.client_connection import (
+    MESSAGE_LIMITS,
+    READ_SIZE,
+    SHORT_READ_SIZE,
+    ClientConnection,
+)
 from petrelwood.node.client_listener import ClientListener
 from petrelwood.node.interfaces import Dispatcher
 from petrelwood.node.stream import Stream
@@ -40,7 +46,7 @@
         self.clients: dict[ClientConnection, bool] = {}
         # connections without an open request, idle longest first
         self.idle: OrderedDict[ClientConnection, bool] = OrderedDict()
-        self.reader_pool: list[rpc.Reader] = []
+        self.decoder = MessageDecoder(MESSAGE_LIMITS)
         self.reads = 0  # the number of reads on all connections
         self.counts = {
             "connections": 0,
@@ -123,7 +129,7 @@
         stream = Stream(
             sock,
             max_buffer_size=2 * READ_SIZE + resource_limits.FRAME,
-            read_chunk_size=READ_SIZE,
+            read_chunk_size=SHORT_READ_SIZE,
             max_write_buffer_size=resource_limits.MAX_UNREAD + REJECTIONS_SIZE,
         )
         client = ClientConnection(self, stream, self.core.now(), over_capacity)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -22,6 +22,7 @@
 from petrelwood.decide.cluster.polling import INTERVAL, RETRY_INTERVAL, RosterPolling
 from petrelwood.decide.overload.resource_limits import CapacityIntake, ResourceLimits
 from petrelwood.links import rpc
+from petrelwood.links.bounded_reader import BoundedReader, MessageDecoder, MessageLimits
 from petrelwood.node import roster_protocol, worker_protocol
 from petrelwood.node.call_request import InvalidRequestError, decode_call
 from petrelwood.node.json_object import ConfigurationError
@@ -29,7 +30,7 @@
 from petrelwood.node.module_terms import module_terms
 
 MS = 1_000_000
-PARTS = rpc.MessageLimits(16_384, 1_024, 64)
+DECODER = MessageDecoder(MessageLimits(16_384, 1_024, 64))
 
 
 class Codecs(unittest.TestCase):
@@ -38,7 +39,7 @@
         the bench)."""
         frame = rpc.request(1, "plain", [{"call": "a"}, b"x" * 50])
         for cut in range(1, len(frame)):
-            reader = rpc.Reader(50_000, PARTS)
+            reader = BoundedReader(DECODER, 50_000)
             self.assertEqual(len(reader.feed(frame + frame[:cut])), 1)
             self.assertFalse(reader.is_between_messages(), cut)
             self.assertEqual(len(reader.feed(frame[cut:])), 1)
@@ -56,7 +57,7 @@
             (b"\xc7\x01\x01\x01", 0),
         ):
             with self.subTest(bad.hex()):
-                reader, fed = rpc.Reader(50_000, PARTS), 0
+                reader, fed = BoundedReader(DECODER, 50_000), 0
                 with self.assertRaises(rpc.MalformedRpcError):
                     reader.feed(head + bad)
                     while fed < 200_000:
@@ -69,7 +70,7 @@
         for bad in (b"\xc6\x03\x93\x87\x00", b"\xc5\x40\x01", b"\xda\x04\x01", b"\xdb\x00\x00\x04\x01"):
             frame = head + bad
             for cut in range(1, len(frame)):
-                reader = rpc.Reader(50_000, PARTS)
+                reader = BoundedReader(DECODER, 50_000)
                 self.assertEqual(reader.feed(frame[:cut]), [])
                 with self.assertRaises(rpc.MalformedRpcError, msg=f"{bad.hex()} cut at {cut}"):
                     reader.feed(frame[cut:])
@@ -104,7 +105,7 @@
                 "plain",
                 [chance.choice(values) for _ in range(chance.randrange(3))],
             ]
-            frame, reader, found, last = msgpack.packb(message), rpc.Reader(80_000, PARTS), [], 0
+            frame, reader, found, last = msgpack.packb(message), BoundedReader(DECODER, 80_000), [], 0
             twice = frame + frame
             for cut in sorted(chance.randrange(len(twice)) for _ in range(4)) + [len(twice)]:
                 found += reader.feed(twice[last:cut])
@@ -122,7 +123,7 @@
             for _ in range(chance.randrange(1, 4)):
                 bad[chance.randrange(len(bad))] = chance.randrange(256)
             try:
-                messages = rpc.Reader(50_000, PARTS).feed(bytes(bad))
+                messages = BoundedReader(DECODER, 50_000).feed(bytes(bad))
             except rpc.MalformedRpcError:
                 ended["garbage"] += 1
                 continue
