Bound incomplete requests, unread answers and bodies of all connections together

Cause: every bound stood per connection (FRAME for a request, MAX_UNREAD for answers), and the one share of the process, a quarter of the memory for bodies, was counted in frames of 32 KB and left what the interpreter takes out of account. 340 connections may hold 11 MB of requests and 190 MB of answers.

Change: ResourceLimits owns the process's sum. Of the memory beyond 24 MB, a quarter is for bodies, an eighth for incomplete requests, an eighth for unread answers. A MemoryPool knows what each connection holds. Too many bodies: the call is rejected at once. Too many incomplete requests: who has been longest in the middle of one and has nothing unread is closed, or drained if it has open calls; until that helps, only the first reads on. Too many unread answers: who read nothing for longest is closed.

--- a/petrelwood/decide/overload/resource_limits.py
+++ b/petrelwood/decide/overload/resource_limits.py
@@ -3,7 +3,8 @@
 All are derived from two limits that are given at the start:
 
     descriptors:  a few for the process itself, a share for connections to workers, the rest for clients
-    memory:       a share for the bodies of activations; activations that need more are rejected at once
+    memory:       what a process without clients leaves of it, in shares for the bodies of activations, for
+                  incomplete requests and for unread answers
 """
 
 from petrelwood.decide.delivery.ledger import ActivationState
@@ -18,7 +19,13 @@
 MAX_TEXT = 1_024  # bytes of one field of a message; no known field is longer
 MAX_MEMBERS = 64  # fields of a message; no known message has more
 FRAME = 2 * MAX_BODY  # bytes of a complete message with its fields
-BODY_SHARE = 1 / 4  # share of the memory for the bodies of activations
+ACTIVATION_SHARE = 1 / 4  # share of the memory for unanswered activations, if each had the largest frame
+PROCESS_SIZE = 24 << 20  # bytes; the interpreter, the modules, and what grows with workers and functions
+MIN_SPARE_MEMORY = 4 << 20  # bytes besides these, however little memory there is
+# Shares of the spare memory. The rest of it is for connections, frames to workers, and fragmentation.
+BODY_SHARE = 1 / 4  # bodies of activations; their frames to workers take as much again, and a third more
+REQUEST_SHARE = 1 / 8  # incomplete requests
+ANSWER_SHARE = 1 / 8  # answers that clients have not read
 MIN_ACTIVATIONS = 16  # unanswered activations that are admitted, however little memory there is
 MAX_OPEN_REQUESTS = 32  # unanswered requests of one connection
 MAX_FAULTS = 8  # malformed requests after which a connection is closed
@@ -38,7 +45,11 @@
         connections = max(MIN_CONNECTIONS, sockets - OWN_DESCRIPTORS)
         self.workers = max(MIN_WORKER_CONNECTIONS, int(connections * WORKER_SHARE))  # connections to workers
         self.clients = connections - self.workers  # connections from clients
-        self.held = max(MIN_ACTIVATIONS, int(memory * BODY_SHARE) // FRAME)  # unanswered activations
+        self.held = max(MIN_ACTIVATIONS, int(memory * ACTIVATION_SHARE) // FRAME)  # unanswered activations
+        spare = max(MIN_SPARE_MEMORY, memory - PROCESS_SIZE)
+        self.body_bytes = int(spare * BODY_SHARE)  # of all unanswered activations together
+        self.request_bytes = int(spare * REQUEST_SHARE)  # of all connections together
+        self.answer_bytes = int(spare * ANSWER_SHARE)  # of all connections together
 
 
 class CapacityIntake:
@@ -71,6 +82,16 @@
         due = request.arrived_at + request.patience
         return Verdict(ADMIT, due=due, client_gives_up_at=due)
 
+    def has_room(self, body_bytes: int) -> bool:
+        """Return whether the unanswered activations may have `body_bytes` of bodies together.
+
+        If not, the rejection that follows is counted.
+        """
+        if body_bytes <= self.limits.body_bytes:
+            return True
+        self.counts[RejectionReason.FULL] += 1
+        return False
+
     def on_admitted(self, customer: str, request_id: str) -> None:
         """Count an admitted activation."""
         self.unanswered += 1
--- a/petrelwood/node/client_connection.py
+++ b/petrelwood/node/client_connection.py
@@ -15,15 +15,12 @@
 from petrelwood.links.bounded_reader import BoundedReader, MessageDecoder, MessageLimits
 from petrelwood.node import call_request
 from petrelwood.node.call_request import InvalidRequestError
+from petrelwood.node.connection_memory import AnswerMemory, RequestMemory
 from petrelwood.node.exchange import Exchange, PumpedLink
 from petrelwood.node.interfaces import Dispatcher
 from petrelwood.node.stream import Stream
 from petrelwood.node.units import MS
 
-# The size of one read, in bytes: short between two messages, so that hundreds of clients who read no further
-# than that into a message take little memory, and at most the rest of a body within one.
-SHORT_READ_SIZE = 2_048
-READ_SIZE = 16_384
 MAX_ANSWER_SIZE = resource_limits.MAX_BODY + resource_limits.MAX_TEXT  # bytes
 MESSAGE_LIMITS = MessageLimits(
     resource_limits.MAX_BODY, resource_limits.MAX_TEXT, resource_limits.MAX_MEMBERS
@@ -43,6 +40,8 @@
     clients: "dict[ClientConnection, bool]"
     counts: dict[str, int]
     decoder: MessageDecoder
+    request_memory: RequestMemory
+    answer_memory: AnswerMemory
     reads: int  # the number of reads on all connections
 
     def is_over_capacity(self) -> bool:
@@ -113,7 +112,8 @@
                 # Read no further requests while the client does not read its answers.
                 while self._is_write_buffer_full() and self.last_write is not None:
                     await self.last_write
-                size = self._read_size()
+                await front.request_memory.wait_to_read(self)
+                size = front.request_memory.reserve_read(self, self.reader.missing)
                 self.stream.read_chunk_size = size
                 self.pending_read = self.stream.read_bytes(size, partial=True)
                 self._pump_deferred_links()
@@ -123,6 +123,7 @@
                 front.reads += 1
                 if not self.unreadable:
                     self._receive(data, now)
+                front.request_memory.update(self)
                 if len(data) < size:
                     self.emptying_reads += 1
         except StreamClosedError:
@@ -132,10 +133,6 @@
         self.close()
 
     # Incoming data
-    def _read_size(self) -> int:
-        """Return the maximum size of the next read, in bytes."""
-        return min(READ_SIZE, max(SHORT_READ_SIZE, self.reader.missing))
-
     def _receive(self, data: bytes, now: int) -> None:
         """Handle the messages that `data` completes."""
         reader = self.reader
@@ -267,6 +264,15 @@
                 self.front.core.detach_client(exchange.activation_id, exchange)
             self.send_failure(msgid)
 
+    def abandon_partial_request(self) -> None:
+        """Drop the incomplete request, and everything that follows it; end once the others are answered."""
+        self.reader.clear()
+        self.partial_since = 0
+        self.unreadable = True
+        self._drain(self.front.core.now())
+        if not self.open_requests and not self.stream.writing():
+            self.close()
+
     def _drain(self, now: int) -> None:
         """Accept no further requests; `Front.check` closes the connection later."""
         if not self.draining:
@@ -280,7 +286,15 @@
             for link in links:
                 self.front.core.submit(link.pump)
 
+    def partial_size(self) -> int:
+        """Return the size of its incomplete request, in bytes."""
+        return self.reader.size
+
     # Outgoing data
+    def unsent_size(self) -> int:
+        """Return the size of the answers that the kernel has not taken yet, in bytes."""
+        return self.stream.unsent_bytes()
+
     def _is_write_buffer_full(self) -> bool:
         """Return whether unsent answers and those to open requests may exceed their memory limit."""
         return (
@@ -291,6 +305,7 @@
     def _write(self, frame: bytes) -> None:
         try:
             self.last_write = self.stream.write(frame)
+            self.front.answer_memory.update(self)
         except (StreamClosedError, StreamBufferFullError):
             self.front.core.loop.call_soon(self.close)
 
@@ -345,6 +360,8 @@
         self.front.connection_busy(self)
         self.reader.clear()
         self.stream.close()
+        self.front.request_memory.update(self)
+        self.front.answer_memory.update(self)
         for exchange in list(self.open_requests.values()):
             if exchange.activation_id is not None:
                 self.front.core.detach_client(exchange.activation_id, exchange)
--- a/petrelwood/node/front.py
+++ b/petrelwood/node/front.py
@@ -14,20 +14,21 @@
 from petrelwood.links import sockets
 from petrelwood.links.bounded_reader import MessageDecoder
 from petrelwood.links.interfaces import Address
-from petrelwood.node.client_connection import (
-    MESSAGE_LIMITS,
-    READ_SIZE,
+from petrelwood.node.client_connection import MESSAGE_LIMITS, ClientConnection
+from petrelwood.node.client_listener import ClientListener
+from petrelwood.node.connection_memory import (
+    LONG_READ_SIZE,
     SHORT_READ_SIZE,
-    ClientConnection,
+    AnswerMemory,
+    RequestMemory,
 )
-from petrelwood.node.client_listener import ClientListener
 from petrelwood.node.interfaces import Dispatcher
 from petrelwood.node.stream import Stream
 
 # The number of connections accepted beyond the capacity: rejecting their calls is better than closing them.
 CONNECTIONS_OVER_CAPACITY = 8
 # The size of the rejections that one read may cause, in addition to the answers to open requests (bytes).
-REJECTIONS_SIZE = 16 * READ_SIZE
+REJECTIONS_SIZE = 16 * LONG_READ_SIZE
 # The time for which a client without open requests may leave answers unread (ns).
 UNREAD_ANSWER_TIMEOUT = 10_000_000_000
 # Client faults that are logged: the first FAULTS_LOGGED of each kind, then one in FAULTS_PER_LOG_LINE.
@@ -47,6 +48,8 @@
         # connections without an open request, idle longest first
         self.idle: OrderedDict[ClientConnection, bool] = OrderedDict()
         self.decoder = MessageDecoder(MESSAGE_LIMITS)
+        self.request_memory = RequestMemory(limits.request_bytes, self._note_partial_request_dropped)
+        self.answer_memory = AnswerMemory(limits.answer_bytes, self._note_unread_answers_dropped)
         self.reads = 0  # the number of reads on all connections
         self.counts = {
             "connections": 0,
@@ -55,6 +58,7 @@
             "invalid": 0,
             "over request limit": 0,
             "timed out": 0,
+            "over memory": 0,
         }
 
     def note_fault(self, kind: str, reason: str) -> None:
@@ -64,6 +68,13 @@
         if count <= FAULTS_LOGGED or not count % FAULTS_PER_LOG_LINE:
             self.log.info("client fault", kind=kind, reason=reason, count=count)
 
+    def _note_partial_request_dropped(self) -> None:
+        held = self.request_memory.pool.used
+        self.note_fault("over memory", f"incomplete requests take {held} bytes")
+
+    def _note_unread_answers_dropped(self) -> None:
+        self.note_fault("over memory", f"unread answers take {self.answer_memory.pool.used} bytes and more")
+
     def open(self, address: Address) -> None:
         """Listen for clients.
 
@@ -128,7 +139,7 @@
         sockets.disable_delay(sock)
         stream = Stream(
             sock,
-            max_buffer_size=2 * READ_SIZE + resource_limits.FRAME,
+            max_buffer_size=2 * LONG_READ_SIZE + resource_limits.FRAME,
             read_chunk_size=SHORT_READ_SIZE,
             max_write_buffer_size=resource_limits.MAX_UNREAD + REJECTIONS_SIZE,
         )
@@ -150,6 +161,8 @@
     def check(self, now: int) -> None:
         """Resume a paused listener, and close connections that exceed a timeout."""
         self.listener.resume()
+        self.request_memory.relieve()
+        self.answer_memory.relieve()
         for client in list(self.clients):
             if not client.open_requests:  # open requests are answered first, by their deadlines
                 self._check_timeouts(client, now)
--- a/petrelwood/node/node_activations.py
+++ b/petrelwood/node/node_activations.py
@@ -4,6 +4,7 @@
 
 from petrelwood.decide.overload import intake
 from petrelwood.decide.overload.intake import ActivationRequest
+from petrelwood.decide.overload.resource_limits import CapacityIntake
 from petrelwood.dispatch.activations import Activations, ActivationsCore, Exchange
 from petrelwood.dispatch.interfaces import Rule
 from petrelwood.node.exchange import Exchange as ClientExchange
@@ -31,4 +32,8 @@
         if self.core.is_open(request.id):
             exchange.answer(intake.ABORT, detail="an id that is open")
             return
+        capacity = cast(CapacityIntake, self.intake)
+        if not capacity.has_room(self.pending.body_bytes + len(body)):
+            exchange.answer(intake.REJECT, retry_after=capacity.typical_duration)
+            return
         super().admit(request, function, rule, body, exchange)
