Drop the deadlines of ended activations before they come

Change: once over half of the heap, and 256 more, belong to ended activations, it is rebuilt without them. The test kept 5,001 activations before, bound 1,000.

--- a/petrelwood/decide/delivery/pending.py
+++ b/petrelwood/decide/delivery/pending.py
@@ -14,6 +14,10 @@
 if TYPE_CHECKING:
     from petrelwood.decide.overload.intake import ActivationRequest
 
+# The number of deadlines of ended activations that are kept in any case; beyond it they are removed once they
+# are more than half of all.
+MIN_ENDED_DEADLINES = 256
+
 
 class AdmissionObserver(Protocol):
     """Receives the admissions and ends of activations; see `decide.overload.intake`."""
@@ -210,6 +214,7 @@
         self.intake.on_ended(now, activation.customer, activation.type, duration, outcome)
         if self.ledger is not None:
             self.ledger.end(activation.key, outcome, body, activation.attempts > 0)
+        self._remove_ended_deadlines()
         return activation
 
     # Deadlines
@@ -217,6 +222,12 @@
         # A new activation may have the id of one that has ended.
         return self.activations.get(activation.id) is activation
 
+    def _remove_ended_deadlines(self) -> None:
+        """Keep the heap from growing with every activation that ends long before its deadline."""
+        if len(self._deadlines) > 2 * len(self.activations) + MIN_ENDED_DEADLINES:
+            self._deadlines = [entry for entry in self._deadlines if self._is_open(entry[2])]
+            heapq.heapify(self._deadlines)
+
     def next_deadline(self) -> int | None:
         """Return the earliest deadline, or None if no activation is pending."""
         while self._deadlines and not self._is_open(self._deadlines[0][2]):
--- a/petrelwood/node/connection_memory.py
+++ b/petrelwood/node/connection_memory.py
@@ -16,7 +16,7 @@
 
 from petrelwood.decide.overload.memory_pool import MemoryPool
 
-# The number of connections with unread input that a search after a read passes over; each takes a system call.
+# The connections with unread input that each search after a read passes over; each takes a system call.
 MAX_PASSED_OVER = 4
 # The size of a read between two messages, or of any read while there is no memory for a longer one, in bytes.
 SHORT_READ_SIZE = 2_048
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -1,5 +1,6 @@
 """Decisions outside the decision module: the trace of each scenario is compared with a stored one."""
 
+import gc
 import random
 import unittest
 
@@ -9,7 +10,7 @@
 from petrelwood.decide.cluster import link_state, membership
 from petrelwood.decide.delivery import ledger, send_outcome
 from petrelwood.decide.delivery.ledger import Ledger
-from petrelwood.decide.delivery.pending import PendingActivations
+from petrelwood.decide.delivery.pending import PendingActivation, PendingActivations
 from petrelwood.decide.overload import deadlines, intake
 from petrelwood.decide.overload.backoff import Backoff, Budget
 from petrelwood.decide.overload.intake import ActivationRequest, Intake
@@ -236,6 +237,19 @@
         self.assertEqual(pending.next_deadline(), 3 * S)
         self.assertEqual([is_final for _, _, is_final in pending.overdue(3 * S)], [True])
 
+    def test_ended_activations_are_not_kept_until_their_deadlines(self):
+        """Guards against memory that grows with the rate of requests that are rejected at once."""
+        pending = PendingActivations(CapacityIntake(ResourceLimits(256, 64 << 20), S), None, None)
+        stays = pending.admit(ActivationRequest("x", "stays", 0, "t", 0, S, ""), 3 * S, "f", RULE, b"", None)
+        for number in range(5_000):
+            request = ActivationRequest("x", f"m{number}", 0, "again", 0, 4 * S, "")
+            pending.admit(request, 4 * S, "f", RULE, b"", None)
+            pending.end(0, f"m{number}", ledger.ActivationState.REJECTED)
+        kept = [each for each in gc.get_objects() if isinstance(each, PendingActivation)]
+        self.assertLess(len(kept), 1_000)
+        self.assertEqual(pending.next_deadline(), 3 * S)
+        self.assertEqual([each.activation for each in pending.overdue(3 * S)], [stays])
+
     def test_a_joined_retry_with_less_patience_is_answered_apart(self):
         b = TracedIntake("apart")
         b.request("m1", "once", 10)
