Share the time of an iteration of the event loop fairly between clients

Cause: in every iteration of the event loop each readable client had all handled that one read took, 16 KB: some 1,400 health requests, 100 ms of a fifth of a core, and a call of another client needs several iterations. Beyond 100 ms between two checks the loop also counts as blocked, so that nothing is sent for another 50 ms. Bounds stood per connection (open requests, faults); nothing bounded what all of them take of an iteration.

Change: an iteration spends 2 ms on data of clients. Beyond that, data waits for later iterations, and start-time fair queueing chooses whose is next: who sends little is served before those who send at full speed.

Also: data that was read before its connection was closed, and handled after it, was reported as unreadable; it is dropped now.

--- a/petrelwood/decide/overload/resource_limits.py
+++ b/petrelwood/decide/overload/resource_limits.py
@@ -29,6 +29,7 @@
 MIN_ACTIVATIONS = 16  # unanswered activations that are admitted, however little memory there is
 MAX_OPEN_REQUESTS = 32  # unanswered requests of one connection
 MAX_FAULTS = 8  # malformed requests after which a connection is closed
+READ_TIME_PER_ITERATION = 2_000_000  # ns that one iteration of the event loop spends on data of clients
 SECOND = 1_000_000_000
 FIRST_REQUEST_TIMEOUT = SECOND * 3 // 2  # ns that a connection may take to send its first complete request
 REQUEST_TIMEOUT = SECOND * 3 // 2  # ns that a request may take from its first byte to its last
--- a/petrelwood/node/client_connection.py
+++ b/petrelwood/node/client_connection.py
@@ -5,12 +5,14 @@
 """
 
 import asyncio
+from functools import partial
 from typing import Protocol
 
 from tornado.iostream import StreamBufferFullError, StreamClosedError
 
 from petrelwood.decide.delivery.ledger import ActivationState
 from petrelwood.decide.overload import resource_limits
+from petrelwood.decide.overload.fair_queue import Share
 from petrelwood.links import rpc, sockets
 from petrelwood.links.bounded_reader import BoundedReader, MessageDecoder, MessageLimits
 from petrelwood.node import call_request
@@ -18,6 +20,7 @@
 from petrelwood.node.connection_memory import AnswerMemory, RequestMemory
 from petrelwood.node.exchange import Exchange, PumpedLink
 from petrelwood.node.interfaces import Dispatcher
+from petrelwood.node.read_turns import ReadTurns
 from petrelwood.node.stream import Stream
 from petrelwood.node.units import MS
 
@@ -40,6 +43,7 @@
     clients: "dict[ClientConnection, bool]"
     counts: dict[str, int]
     decoder: MessageDecoder
+    read_turns: ReadTurns
     request_memory: RequestMemory
     answer_memory: AnswerMemory
     reads: int  # the number of reads on all connections
@@ -77,6 +81,7 @@
         "pending_read",
         "reader",
         "requested",
+        "share",
         "state_since",
         "stream",
         "unreadable",
@@ -92,6 +97,7 @@
         self.invalid_requests = 0
         self.draining = False
         self.unreadable = False  # malformed data was received: further data is dropped
+        self.share = Share()  # of the time for data of clients
         self.reader = BoundedReader(front.decoder, resource_limits.FRAME)
         self.partial_since = 0  # when the partial message began to arrive; 0: there is none
         self.pending_read: asyncio.Future[bytes] | None = None  # resolved with the next data
@@ -118,12 +124,8 @@
                 self.pending_read = self.stream.read_bytes(size, partial=True)
                 self._pump_deferred_links()
                 data = await self.pending_read
-                now = core.now()
-                core.answer_due(now)
                 front.reads += 1
-                if not self.unreadable:
-                    self._receive(data, now)
-                front.request_memory.update(self)
+                await front.read_turns.take(self.share, partial(self._on_data, data, core.now()))
                 if len(data) < size:
                     self.emptying_reads += 1
         except StreamClosedError:
@@ -133,6 +135,14 @@
         self.close()
 
     # Incoming data
+    def _on_data(self, data: bytes, read_at: int) -> None:
+        """Handle data that was read at `read_at`; drop it if the connection was closed since."""
+        front = self.front
+        front.core.answer_due(front.core.now())
+        if not self.unreadable and self in front.clients:
+            self._receive(data, read_at)
+        front.request_memory.update(self)
+
     def _receive(self, data: bytes, now: int) -> None:
         """Handle the messages that `data` completes."""
         reader = self.reader
--- a/petrelwood/node/front.py
+++ b/petrelwood/node/front.py
@@ -23,6 +23,7 @@
     RequestMemory,
 )
 from petrelwood.node.interfaces import Dispatcher
+from petrelwood.node.read_turns import ReadTurns
 from petrelwood.node.stream import Stream
 
 # The number of connections accepted beyond the capacity: rejecting their calls is better than closing them.
@@ -48,6 +49,7 @@
         # connections without an open request, idle longest first
         self.idle: OrderedDict[ClientConnection, bool] = OrderedDict()
         self.decoder = MessageDecoder(MESSAGE_LIMITS)
+        self.read_turns = ReadTurns(core.loop, core.now)
         self.request_memory = RequestMemory(limits.request_bytes, self._note_partial_request_dropped)
         self.answer_memory = AnswerMemory(limits.answer_bytes, self._note_unread_answers_dropped)
         self.reads = 0  # the number of reads on all connections
