Remember the ids of once-only activations that may have run

Cause: an id counted as taken only while its activation was unanswered or an attempt in flight. The client's departure ends the activation and cancels the attempt, and the id was forgotten, though it may have run. By the protocol an id is new with every request, but a rule on effects can't rest on what clients do.

Change: the id of a once-only activation is kept from the moment that an attempt is written, until the worker says that it never ran. A call with such an id is answered as failed, not rejected, as a rejection would promise no effect. After a restart nothing of it is known: the platform has no disk that outlives a process.

--- a/petrelwood/decide/overload/resource_limits.py
+++ b/petrelwood/decide/overload/resource_limits.py
@@ -29,6 +29,8 @@
 MIN_ACTIVATIONS = 16  # unanswered activations that are admitted, however little memory there is
 MAX_OPEN_REQUESTS = 32  # unanswered requests of one connection
 MAX_FAULTS = 8  # malformed requests after which a connection is closed
+EXECUTED_ID_SHARE = 1 / 16  # ids of once-only activations that may have run
+EXECUTED_ID_SIZE = 160  # bytes that one of them takes, with its place in the table
 READ_TIME_PER_ITERATION = 2_000_000  # ns that one iteration of the event loop spends on data of clients
 SECOND = 1_000_000_000
 FIRST_REQUEST_TIMEOUT = SECOND * 3 // 2  # ns that a connection may take to send its first complete request
@@ -49,6 +51,7 @@
         self.held = max(MIN_ACTIVATIONS, int(memory * ACTIVATION_SHARE) // FRAME)  # unanswered activations
         spare = max(MIN_SPARE_MEMORY, memory - PROCESS_SIZE)
         self.body_bytes = int(spare * BODY_SHARE)  # of all unanswered activations together
+        self.executed_ids = int(spare * EXECUTED_ID_SHARE) // EXECUTED_ID_SIZE
         self.request_bytes = int(spare * REQUEST_SHARE)  # of all connections together
         self.answer_bytes = int(spare * ANSWER_SHARE)  # of all connections together
 
--- a/petrelwood/node/node_activations.py
+++ b/petrelwood/node/node_activations.py
@@ -16,6 +16,9 @@
     def is_open(self, act_id: str) -> bool:
         """Return whether an activation has this id, or an attempt of an earlier one is still in flight."""
 
+    def has_executed(self, act_id: str) -> bool:
+        """Return whether a once-only activation with this id may have run."""
+
 
 class NodeActivations(Activations):
     """Activations with ids that their clients chose."""
@@ -32,6 +35,9 @@
         if self.core.is_open(request.id):
             exchange.answer(intake.ABORT, detail="an id that is open")
             return
+        if self.core.has_executed(request.id):
+            exchange.answer(intake.ABORT, detail="an id that may have run")
+            return
         capacity = cast(CapacityIntake, self.intake)
         if not capacity.has_room(self.pending.body_bytes + len(body)):
             exchange.answer(intake.REJECT, retry_after=capacity.typical_duration)
--- a/petrelwood/node/service.py
+++ b/petrelwood/node/service.py
@@ -9,9 +9,11 @@
 from random import Random
 from typing import TYPE_CHECKING, cast
 
+from petrelwood import ports
 from petrelwood.clocks import LoopClock
 from petrelwood.decide.cluster.membership import Endpoint, EndpointState
 from petrelwood.decide.cluster.polling import RosterPolling
+from petrelwood.decide.delivery.executed_ids import ExecutedIds
 from petrelwood.decide.delivery.pending import PendingActivation
 from petrelwood.decide.overload.intake import Intake
 from petrelwood.decide.overload.resource_limits import CapacityIntake, ResourceLimits
@@ -58,6 +60,7 @@
         self.configuration = gateway
         self.loop = asyncio.get_running_loop()
         self.resource_limits = ResourceLimits(gateway.sockets, gateway.memory)
+        self.executed_ids = ExecutedIds(self.resource_limits.executed_ids)
         self.active_links: dict[NodeLink, bool] = {}  # links that may have open calls
         self.next_check: asyncio.TimerHandle | None = None
         self.check_count = 0
@@ -119,6 +122,32 @@
         activation = self.pending.activations.get(act_id)
         return activation is None or all(waiter.exchange.may_send(link) for waiter in activation.waiters)
 
+    def attempt_written(self, activation: str) -> None:
+        """Note that the attempt of an activation may run from now on."""
+        act = self.pending.activations.get(activation)
+        if act is not None and self.terms.types[act.type].effect == ports.Effect.ONCE_ONLY:
+            self.executed_ids.add(activation)
+
+    def has_executed(self, act_id: str) -> bool:
+        """Return whether a once-only activation with this id may have run."""
+        return act_id in self.executed_ids
+
+    def send_ended(
+        self,
+        activation_id: str,
+        attempt: int,
+        worker: str,
+        reason: ports.EndReason,
+        note: int,
+        body: bytes,
+        sent_at: int,
+        report: dict[str, float] | None,
+    ) -> None:
+        """Handle the end of an attempt as in `Core`; one that never ran may be sent again."""
+        if reason in ports.NEVER_RAN:
+            self.executed_ids.discard(activation_id)
+        super().send_ended(activation_id, attempt, worker, reason, note, body, sent_at, report)
+
     def answer_due(self, now: int) -> None:
         """Answer the activations whose deadline has passed.
 
--- a/petrelwood/node/worker.py
+++ b/petrelwood/node/worker.py
@@ -51,6 +51,9 @@
         It may not be sent while a cancellation or disconnect of its client may be unread.
         """
 
+    def attempt_written(self, activation: str, /) -> object:
+        """Note that the attempt of an activation is being written, so that it may run from now on."""
+
     def may_open_connection(self) -> bool:
         """Return whether a descriptor is left for a connection, or an idle connection could be closed."""
 
@@ -193,6 +196,8 @@
 
     def _write(self, connection: WorkerConnection, call: NodeCall) -> None:
         frame = self._take_frame(call)
+        if call.kind == RUN:
+            self.core.attempt_written(call.activation)
         call.bytes_before = sockets.bytes_written(connection.stream)
         call.connection = connection
         connection.in_flight[call.activation] = call
