--- a/petrelwood/decide/delivery/pending.py
+++ b/petrelwood/decide/delivery/pending.py
@@ -98,7 +98,6 @@
         self.activations: dict[str, PendingActivation] = {}
         self.by_key: dict[Key, PendingActivation] = {}
         self.last_number = 0
-        self.body_bytes = 0  # of all pending activations together
         self._deadlines: list[tuple[int, int, PendingActivation]] = []  # a heap of (due, number, activation)
         self.counts: dict[str, int] = {
             "taken": 0,
@@ -145,7 +144,6 @@
             [],
         )
         self.activations[activation.id] = activation
-        self.body_bytes += len(body)
         self.by_key[key] = activation
         self._wait(activation, exchange, due)
         if self.ledger is not None:
@@ -207,7 +205,6 @@
         if self.by_key.get(activation.key) is activation:
             del self.by_key[activation.key]
         # Free the body now: the heap of deadlines refers to the activation until its deadline.
-        self.body_bytes -= len(activation.body)
         activation.body = b""
         self.counts[outcome] += 1
         duration = now - activation.arrived_at
--- a/petrelwood/node/node_activations.py
+++ b/petrelwood/node/node_activations.py
@@ -2,6 +2,8 @@
 
 from typing import Protocol, cast
 
+from petrelwood.decide.delivery.ledger import ActivationState
+from petrelwood.decide.delivery.pending import PendingActivation
 from petrelwood.decide.overload import intake
 from petrelwood.decide.overload.intake import ActivationRequest
 from petrelwood.decide.overload.resource_limits import CapacityIntake
@@ -25,6 +27,11 @@
 
     core: NodeActivationsCore
 
+    def __init__(self, core: NodeActivationsCore) -> None:
+        super().__init__(core)
+        self._body_sizes: dict[str, int] = {}  # bytes, by activation
+        self._body_bytes = 0  # of all unanswered activations together
+
     def admit(
         self, request: ActivationRequest, function: str, rule: Rule, body: bytes, exchange: Exchange
     ) -> None:
@@ -39,7 +46,17 @@
             exchange.answer(intake.ABORT, detail="an id that may have run")
             return
         capacity = cast(CapacityIntake, self.intake)
-        if not capacity.has_room(self.pending.body_bytes + len(body)):
+        if not capacity.has_room(self._body_bytes + len(body)):
             exchange.answer(intake.REJECT, retry_after=capacity.typical_duration)
             return
         super().admit(request, function, rule, body, exchange)
+
+    def begin(self, act: PendingActivation) -> None:
+        """Begin an activation as in `Activations`, and count its body."""
+        self._body_sizes[act.id] = len(act.body)
+        self._body_bytes += len(act.body)
+        super().begin(act)
+
+    def _record_end(self, act: PendingActivation, outcome: ActivationState, body: bytes | None) -> None:
+        self._body_bytes -= self._body_sizes.pop(act.id, 0)
+        super()._record_end(act, outcome, body)
