Start an activation only once its client's data has been read to the end

Hypotheses: a slow loop; a check that comes before the close arrives; a check that is passed over. A trace of Exchange.may_send told them apart: 52 of 56 sends left with data of the client unread and in the middle of one of its messages. The check passes after two reads that returned less than they asked for. Such a read shows that the socket buffer was empty then; the client's own kernel held the rest of its 512 KB, and the close behind it.

Calls that may not be sent yet were known to the scheduler all the same, and held lanes of the workers. A client that never stops sending kept others from them.

Change: two reads count if each left no full buffer and no message begun, one after the other; and the rest of a message counts as on the way for 250 ms after it began, as a sender whose window was closed may wait 200 ms. An activation is handed to the scheduler once its client has been read so far: usually in the same step. Such an activation is also rejected, not aborted, at its deadline.

--- a/petrelwood/node/client_connection.py
+++ b/petrelwood/node/client_connection.py
@@ -6,20 +6,18 @@
 
 import asyncio
 from functools import partial
-from typing import Protocol
 
 from tornado.iostream import StreamBufferFullError, StreamClosedError
 
 from petrelwood.decide.delivery.ledger import ActivationState
 from petrelwood.decide.overload import resource_limits
 from petrelwood.links import rpc, sockets
-from petrelwood.links.bounded_reader import BoundedReader, MessageDecoder, MessageLimits
+from petrelwood.links.bounded_reader import BoundedReader, MessageLimits
 from petrelwood.node import call_request
 from petrelwood.node.call_request import InvalidRequestError
-from petrelwood.node.connection_memory import AnswerMemory, RequestMemory
+from petrelwood.node.connection_table import ConnectionTable
 from petrelwood.node.exchange import Exchange, PumpedLink
-from petrelwood.node.interfaces import Dispatcher
-from petrelwood.node.read_turns import ReadTurns
+from petrelwood.node.read_progress import ReadProgress
 from petrelwood.node.stream import Stream
 from petrelwood.node.units import MS
 
@@ -28,6 +26,20 @@
     resource_limits.MAX_BODY, resource_limits.MAX_TEXT, resource_limits.MAX_MEMBERS
 )
 CALL_PARAMETERS = 2  # the fields and the body
+# The time for which the rest of an incomplete message, with all that follows it, may be on the way although
+# nothing of it can be read (ns). A kernel whose peer's buffer was full sends on after 200 ms at the latest.
+REST_ON_THE_WAY = 250_000_000
+MAX_ANSWER_SIZE = resource_limits.MAX_BODY + resource_limits.MAX_TEXT  # bytes
+MESSAGE_LIMITS = MessageLimits(
+    resource_limits.MAX_BODY, resource_limits.MAX_TEXT, resource_limits.MAX_MEMBERS
+)
+CALL_PARAMETERS = 2  # the fields and the body
+# The time for which the rest of an incomplete message, with all that follows it, may be on the way although
+# nothing of it can be read (ns). A kernel whose peer's buffer was full sends on after 200 ms at the latest.
+REST_ON_THE_WAY = 250_000_000
+# The number of successive reads that empty the socket buffer and end between two messages after which all
+# data that was unread before them has been read, however much still arrives.
+READS_TO_CATCH_UP = 2
 
 # Error names in answers
 THROTTLED = "Throttled"
@@ -35,31 +47,6 @@
 INVALID = "Invalid"
 
 
-class ConnectionTable(Protocol):
-    """The interface of the table of all client connections, `node.front.Front`, for one of them."""
-
-    core: Dispatcher
-    clients: "dict[ClientConnection, bool]"
-    counts: dict[str, int]
-    decoder: MessageDecoder
-    read_turns: ReadTurns
-    request_memory: RequestMemory
-    answer_memory: AnswerMemory
-    reads: int  # the number of reads on all connections
-
-    def is_over_capacity(self) -> bool:
-        """Return whether the number of connections exceeds the capacity."""
-
-    def note_fault(self, kind: str, reason: str) -> None:
-        """Count and log a client's fault."""
-
-    def connection_idle(self, connection: "ClientConnection") -> None:
-        """Note that a connection no longer has an open request."""
-
-    def connection_busy(self, connection: "ClientConnection") -> None:
-        """Note that a connection has an open request or is closed."""
-
-
 class ClientConnection:
     """One client connection.
 
@@ -70,7 +57,6 @@
     __slots__ = (
         "deferred_links",
         "draining",
-        "emptying_reads",
         "front",
         "invalid_requests",
         "last_write",
@@ -78,6 +64,7 @@
         "over_capacity",
         "partial_since",
         "pending_read",
+        "progress",
         "reader",
         "requested",
         "share",
@@ -86,7 +73,13 @@
         "unreadable",
     )
 
-    def __init__(self, front: ConnectionTable, stream: Stream, now: int, over_capacity: bool = False) -> None:
+    def __init__(
+        self,
+        front: "ConnectionTable[ClientConnection]",
+        stream: Stream,
+        now: int,
+        over_capacity: bool = False,
+    ) -> None:
         self.front = front
         self.stream = stream
         self.over_capacity = over_capacity  # accepted beyond the capacity: its calls are rejected
@@ -100,7 +93,7 @@
         self.reader = BoundedReader(front.decoder, resource_limits.FRAME)
         self.partial_since = 0  # when the partial message began to arrive; 0: there is none
         self.pending_read: asyncio.Future[bytes] | None = None  # resolved with the next data
-        self.emptying_reads = 0  # reads that emptied the socket buffer
+        self.progress = ReadProgress()
         self.deferred_links: dict[PumpedLink, bool] = {}  # links with sends that wait for a read
         self.last_write: asyncio.Future[None] | None = None  # resolved once the kernel has all data
 
@@ -121,12 +114,12 @@
                 size = front.request_memory.reserve_read(self, self.reader.missing)
                 self.stream.read_chunk_size = size
                 self.pending_read = self.stream.read_bytes(size, partial=True)
+                front.deferred_starts.check_client(self)
                 self._pump_deferred_links()
                 data = await self.pending_read
                 front.reads += 1
                 await front.read_turns.take(self.share, partial(self._on_data, data, core.now()))
-                if len(data) < size:
-                    self.emptying_reads += 1
+                self.progress.note_read(is_backlog=len(data) == size or bool(self.partial_since))
         except StreamClosedError:
             pass
         except Exception as error:  # an internal error closes this connection only
@@ -357,6 +350,15 @@
             or (not self.stream.closed() and bool(sockets.readable((self.stream.socket,))))
         )
 
+    def defer_start(self, activation_id: str) -> None:
+        """Have an activation started once all data of the client has been read."""
+        self.front.deferred_starts.add(self, activation_id)
+
+    def may_have_departed(self) -> bool:
+        """Return whether a cancel or the end of the connection may be unread, here or at the client."""
+        is_rest_on_the_way = self.partial_since and self.now() - self.partial_since < REST_ON_THE_WAY
+        return bool(is_rest_on_the_way) or self.has_unread_input()
+
     def is_quiescent(self) -> bool:
         """Return whether all written data has been sent and all received data was handled."""
         return not self.stream.writing() and not self.has_unread_input()
@@ -369,6 +371,7 @@
         self.front.connection_busy(self)
         self.reader.clear()
         self.stream.close()
+        self.front.deferred_starts.forget(self)
         self.front.request_memory.update(self)
         self.front.answer_memory.update(self)
         for exchange in list(self.open_requests.values()):
--- a/petrelwood/node/exchange.py
+++ b/petrelwood/node/exchange.py
@@ -4,15 +4,13 @@
 
 from petrelwood.decide.delivery.ledger import ActivationState
 from petrelwood.decide.overload import intake
+from petrelwood.node.read_progress import ReadProgress
 
 # The time after a client's disconnect or cancel in which an attempt for it may still begin (ns); a rule of
 # the operators.
 DEPARTURE_GRACE = 100_000_000
 # The validity of a check for unread data of a client (ns); after that the check is repeated.
 CHECK_LIFETIME = DEPARTURE_GRACE // 2
-# The number of reads that empty the socket buffer, after which all data that was unread at the check has been
-# read, however much still arrives.
-READS_TO_CATCH_UP = 2
 
 COMPLETED = ActivationState.COMPLETED
 REJECTIONS = (ActivationState.REJECTED, intake.REJECT)
@@ -29,14 +27,17 @@
     """The interface of a client connection for its exchanges."""
 
     open_requests: "dict[int, Exchange]"
-    emptying_reads: int  # reads that emptied the socket buffer
+    progress: ReadProgress
     deferred_links: dict[PumpedLink, bool]  # links with sends that wait for a read
 
     def now(self) -> int:
         """Return the monotonic time in ns."""
 
-    def has_unread_input(self) -> bool:
-        """Return whether data has arrived that was not handled yet."""
+    def may_have_departed(self) -> bool:
+        """Return whether a cancel or the end of the connection may be unread."""
+
+    def defer_start(self, activation_id: str) -> None:
+        """Have an activation started once all data of the client has been read."""
 
     def send_result(self, msgid: int, body: bytes) -> None:
         """Answer a request with its result."""
@@ -62,12 +63,16 @@
         self.activation_id: str | None = None  # the id of its activation once it is admitted
         # when an attempt was first deferred until its client is read (ns); 0: none is deferred
         self.checked_at = 0
-        self.reads_at_check = 0  # `emptying_reads` of the client at that time
+        self.reads_at_check = 0  # the reads of the client at that time
 
     def is_waiting(self) -> bool:
         """Return whether the client still waits for the answer."""
         return self.client.open_requests.get(self.msgid) is self
 
+    def defer_start(self, activation_id: str) -> None:
+        """Have its activation started once all data of the client has been read."""
+        self.client.defer_start(activation_id)
+
     def may_send(self, link: PumpedLink) -> bool:
         """Return whether the client is known to be waiting still, so that an attempt may be sent for it.
 
@@ -75,12 +80,12 @@
         read.
         """
         client = self.client
-        if client.has_unread_input():
+        if client.may_have_departed():
             now = client.now()
             if now - self.checked_at > CHECK_LIFETIME:
                 self.checked_at = now
-                self.reads_at_check = client.emptying_reads
-            if client.emptying_reads - self.reads_at_check < READS_TO_CATCH_UP:
+                self.reads_at_check = client.progress.reads
+            if not client.progress.has_caught_up(self.reads_at_check):
                 client.deferred_links[link] = True
                 return False
         self.checked_at = 0
--- a/petrelwood/node/front.py
+++ b/petrelwood/node/front.py
@@ -22,6 +22,7 @@
     AnswerMemory,
     RequestMemory,
 )
+from petrelwood.node.deferred_starts import DeferredStarts
 from petrelwood.node.interfaces import Dispatcher
 from petrelwood.node.read_turns import ReadTurns
 from petrelwood.node.stream import Stream
@@ -49,6 +50,7 @@
         # connections without an open request, idle longest first
         self.idle: OrderedDict[ClientConnection, bool] = OrderedDict()
         self.decoder = MessageDecoder(MESSAGE_LIMITS)
+        self.deferred_starts = DeferredStarts(core)
         self.read_turns = ReadTurns(core.loop, core.now)
         self.request_memory = RequestMemory(limits.request_bytes, self._note_partial_request_dropped)
         self.answer_memory = AnswerMemory(limits.answer_bytes, self._note_unread_answers_dropped)
@@ -163,6 +165,7 @@
     def check(self, now: int) -> None:
         """Resume a paused listener, and close connections that exceed a timeout."""
         self.listener.resume()
+        self.deferred_starts.check()
         self.request_memory.relieve()
         self.answer_memory.relieve()
         for client in list(self.clients):
--- a/petrelwood/node/interfaces.py
+++ b/petrelwood/node/interfaces.py
@@ -85,6 +85,12 @@
     def detach_client(self, act_id: str, exchange: Exchange, /) -> None:
         """End an activation whose client no longer waits for it, if it may be ended."""
 
+    def start_activation(self, activation_id: str) -> None:
+        """Hand an activation to the scheduler, if it has not ended."""
+
+    def reject_activation(self, activation_id: str) -> None:
+        """Reject an activation that the scheduler does not know, if it has not ended."""
+
     def submit(self, call: Callable[..., object], *args: object) -> None:
         """Make a call, after the call in progress."""
 
--- a/petrelwood/node/node_activations.py
+++ b/petrelwood/node/node_activations.py
@@ -31,6 +31,7 @@
         super().__init__(core)
         self._body_sizes: dict[str, int] = {}  # bytes, by activation
         self._body_bytes = 0  # of all unanswered activations together
+        self._unstarted: set[str] = set()  # ids of activations that the decision module has not received
 
     def admit(
         self, request: ActivationRequest, function: str, rule: Rule, body: bytes, exchange: Exchange
@@ -52,11 +53,34 @@
         super().admit(request, function, rule, body, exchange)
 
     def begin(self, act: PendingActivation) -> None:
-        """Begin an activation as in `Activations`, and count its body."""
+        """Begin an activation once its client has been read to the end."""
+        self._count_body(act)
+        self._unstarted.add(act.id)
+        cast(ClientExchange, act.waiters[0].exchange).defer_start(act.id)
+
+    def _count_body(self, act: PendingActivation) -> None:
         self._body_sizes[act.id] = len(act.body)
         self._body_bytes += len(act.body)
-        super().begin(act)
+
+    def start(self, activation_id: str) -> None:
+        """Hand an activation to the decision module, if it has not ended."""
+        if activation_id in self._unstarted:
+            self._unstarted.remove(activation_id)
+            super().begin(self.pending.activations[activation_id])
+
+    def reject_unstarted(self, activation_id: str) -> None:
+        """Reject an activation that the decision module has not received, if it has not ended."""
+        if activation_id in self._unstarted:
+            self.reject(self.pending.activations[activation_id], self.intake.typical_duration)
+
+    def time_out(self, activation_id: str) -> None:
+        """Time out an activation as in `Activations`; reject one that has not started, as it never ran."""
+        if activation_id in self._unstarted:
+            self.reject_unstarted(activation_id)
+        else:
+            super().time_out(activation_id)
 
     def _record_end(self, act: PendingActivation, outcome: ActivationState, body: bytes | None) -> None:
+        self._unstarted.discard(act.id)
         self._body_bytes -= self._body_sizes.pop(act.id, 0)
         super()._record_end(act, outcome, body)
--- a/petrelwood/node/service.py
+++ b/petrelwood/node/service.py
@@ -86,7 +86,8 @@
         return None, cast(Intake, CapacityIntake(self.resource_limits, typical_duration)), None
 
     def _make_activations(self) -> Activations:
-        return NodeActivations(self)
+        self.node_activations = NodeActivations(self)
+        return self.node_activations
 
     def _make_link(self, worker: str, address: Address | None, core: Core) -> NodeLink:
         return NodeLink(worker, address, self.configuration.workers, self)
@@ -122,6 +123,14 @@
         activation = self.pending.activations.get(act_id)
         return activation is None or all(waiter.exchange.may_send(link) for waiter in activation.waiters)
 
+    def start_activation(self, activation_id: str) -> None:
+        """Hand an activation to the scheduler, if it has not ended."""
+        self.submit(self.node_activations.start, activation_id)
+
+    def reject_activation(self, activation_id: str) -> None:
+        """Reject an activation that the scheduler does not know, if it has not ended."""
+        self.submit(self.node_activations.reject_unstarted, activation_id)
+
     def attempt_written(self, activation: str) -> None:
         """Note that the attempt of an activation may run from now on."""
         act = self.pending.activations.get(activation)
--- a/tests/ration.py
+++ b/tests/ration.py
@@ -109,6 +109,10 @@
     def is_waiting(self):
         return self.ended is None
 
+    def defer_start(self, activation_id):
+        """Start it at once, as no client input is ever unread here."""
+        self.world.node.start_activation(activation_id)
+
     def may_send(self, link):
         """Return True: no client input is ever unread here, as each client action is delivered at once."""
         return True
