Connect to a refused address again only once the worker is known to be there

Cause: a link knows its worker by an address. A refused connection shows that the worker's process has ended, but the link connected again at the next call, to whatever listened there by then. The platform's workers say no name, and the roster may tell of the end 1.5 s late.

Change: after a refused connection a link connects again once the list tells of a later start of the worker, or once a list asked for 1.5 s after the refusal still has it; without any list after 10 s. Until then its calls end at once as never sent, and go elsewhere.

test_system_calls: two tests refused every connection and wanted a call to be served right after that, at an address that then may be another worker's. They now wait until the list has confirmed the workers, check that links wait for that after ECONNREFUSED and only then, and want the same call served.

--- a/petrelwood/decide/cluster/connection_pool.py
+++ b/petrelwood/decide/cluster/connection_pool.py
@@ -15,6 +15,10 @@
 # that RFC 8305 recommends. The kernel repeats a lost first packet only after a second.
 CONNECTION_ATTEMPT_DELAY = 250_000_000
 
+# The time after which a worker is connected to again although the endpoint list could not confirm that it is
+# still at its address (ns), so that the loss of the roster does not cost workers that have only restarted.
+MAX_UNCONFIRMED = 10_000_000_000
+
 
 class Connection(Protocol):
     """The state of a connection on which the selection depends."""
@@ -34,6 +38,15 @@
         del connection.recent_call_ids[next(iter(connection.recent_call_ids))]
 
 
+def may_connect_again(now: int, refused_at: int | None, is_confirmed: bool) -> bool:
+    """Return whether a connection attempt may begin after one was refused at `refused_at` (ns).
+
+    Nobody listened at the address then: the worker's process has ended, and the next one there may be another
+    worker's. `is_confirmed`: whether the endpoint list shows that it is the same.
+    """
+    return refused_at is None or is_confirmed or now - refused_at > MAX_UNCONFIRMED
+
+
 def needs_backup(timeout: int) -> bool:
     """Return whether a slow connection attempt gets a backup; `timeout`: of connecting, in ns."""
     return timeout > CONNECTION_ATTEMPT_DELAY
--- a/petrelwood/decide/cluster/membership.py
+++ b/petrelwood/decide/cluster/membership.py
@@ -183,6 +183,18 @@
         member = self.members.get(worker)
         return member is not None and member.endpoint.state == EndpointState.USABLE
 
+    def has_confirmed(self, worker: str, since: int) -> bool:
+        """Return whether a worker is at its address again, where nobody listened at `since`.
+
+        Another worker may have taken the address. It has not if the list tells of a later start of the
+        worker, or holds all events up to that time and still has the worker.
+        """
+        member = self.members.get(worker)
+        if member is None:
+            return False
+        is_complete = self.complete_at is not None and self.complete_at >= since + MAX_EVENT_DELAY
+        return is_complete or member.booted > since
+
     def address_of(self, worker: str) -> tuple[str, int] | None:
         """Return the address of a worker, or None if it is not on the list."""
         member = self.members.get(worker)
--- a/petrelwood/node/service.py
+++ b/petrelwood/node/service.py
@@ -191,6 +191,10 @@
             link.pump()
 
     # For the links: connections to workers, and tags of calls
+    def is_address_confirmed(self, worker: str, since: int) -> bool:
+        """Return whether a worker is at its address again, where nobody listened at `since` (ns)."""
+        return self.membership.has_confirmed(worker, since)
+
     def connection_opened(self) -> None:
         """Count a new connection to a worker."""
         self.worker_connections += 1
--- a/petrelwood/node/worker.py
+++ b/petrelwood/node/worker.py
@@ -6,7 +6,6 @@
 """
 
 import contextlib
-from typing import Protocol
 
 from tornado.iostream import StreamBufferFullError, StreamClosedError
 
@@ -17,9 +16,10 @@
 from petrelwood.links import sockets
 from petrelwood.links.calls import HEALTH_CHECK, LOAD_ORDER, QUEUED, RUN, Call, Calls
 from petrelwood.links.connection_end import reason_of_end
-from petrelwood.links.interfaces import Address, LinkCore, LoadReport, LoopOwner
+from petrelwood.links.interfaces import Address, LoadReport
 from petrelwood.node import worker_protocol
 from petrelwood.node.configuration import WorkerTerms
+from petrelwood.node.link_core import NodeLinkCore
 from petrelwood.node.stream import Stream
 from petrelwood.node.units import MS
 from petrelwood.node.worker_connection import NodeCall, RunContent, WorkerConnection
@@ -33,49 +33,6 @@
 WRITE_TIMEOUT = 100 * MS
 
 
-class NodeLinkCore(LinkCore, LoopOwner, Protocol):
-    """The interface of the dispatcher for its links."""
-
-    def schedule_checks(self, link: "NodeLink", /) -> object:
-        """Have `link.check` called regularly until it returns false."""
-
-    def is_behind(self) -> bool:
-        """Return whether the loop was blocked, and data that arrived meanwhile may still be unread.
-
-        Nothing is written until that data was read; the core calls `link.pump` afterwards.
-        """
-
-    def may_send(self, activation: str, link: "NodeLink", /) -> bool:
-        """Return whether an attempt may be sent now; if not, the core calls `link.pump` later.
-
-        It may not be sent while a cancellation or disconnect of its client may be unread.
-        """
-
-    def attempt_written(self, activation: str, /) -> object:
-        """Note that the attempt of an activation is being written, so that it may run from now on."""
-
-    def may_open_connection(self) -> bool:
-        """Return whether a descriptor is left for a connection, or an idle connection could be closed."""
-
-    def make_room(self) -> bool:
-        """Close an idle connection of any link if no descriptor is left; return whether one is available."""
-
-    def connection_opened(self) -> object:
-        """Note that a connection takes a descriptor."""
-
-    def connection_closed(self) -> object:
-        """Note that a connection has released its descriptor."""
-
-    def next_tag(self) -> str:
-        """Return the id of a call other than an attempt."""
-
-    def note_loss(self, worker: str, why: str, out: int, /) -> object:
-        """Log that a connection was lost with `out` calls in flight, or was not established."""
-
-    def defect(self, where: str, fault: Exception, /) -> object:
-        """Log an internal error and abort the affected activations."""
-
-
 class NodeLink(Calls[RunContent | bytes, WorkerConnection]):
     """The link of a dispatcher to one worker.
 
@@ -85,15 +42,20 @@
 
     MIN_TIME_LEFT = MS
 
-    core: NodeLinkCore
+    core: "NodeLinkCore[NodeLink]"
 
-    def __init__(self, worker: str, address: Address | None, terms: WorkerTerms, core: NodeLinkCore) -> None:
+    def __init__(
+        self, worker: str, address: Address | None, terms: WorkerTerms, core: "NodeLinkCore[NodeLink]"
+    ) -> None:
         super().__init__(worker, address, core)
         self.terms = terms
         self.ends: dict[str, int] = {}  # answers other than completed, by reason, since they were last logged
         self.connections: list[WorkerConnection] = []  # established or connecting, the last used at the end
         self.connecting = 0  # the number of them that are connecting
         self.connecting_backups = 0  # the number of these that are backups
+        self.refused_at: int | None = (
+            None  # when a connection was refused, until the worker is confirmed (ns)
+        )
         self.pumping = False  # whether `pump` is running
 
     # For the dispatcher
@@ -171,6 +133,10 @@
                         deferred += 1
                     elif self._may_leave(call):
                         self._write(connection, self.waiting.popleft())
+                elif not self._may_connect():
+                    if self.connections:
+                        break
+                    self._end(call, send_outcome.of_loss(QUEUED))
                 elif self._wants_connection() and self.core.make_room():
                     self._connect()
                 elif not self.connections:  # no descriptor is left, and no connection could carry it later
@@ -180,6 +146,16 @@
         finally:
             self.pumping = False
 
+    def _may_connect(self) -> bool:
+        """Return whether the process at the worker's address is known to be the worker's."""
+        if self.refused_at is None:
+            return True
+        is_confirmed = self.core.is_address_confirmed(self.worker, self.refused_at)
+        if not connection_pool.may_connect_again(self.core.now(), self.refused_at, is_confirmed):
+            return False
+        self.refused_at = None
+        return True
+
     def _wants_connection(self) -> bool:
         """Return whether another connection may be opened for the queued calls."""
         return connection_pool.wants_connection(len(self.waiting), self.connecting, self.connecting_backups)
@@ -255,11 +231,14 @@
     def _connect_backup(self) -> None:
         """Begin a backup of a connection attempt that is slow, if calls still wait."""
         may_connect = self.connecting < connection_pool.MAX_CONNECTING
-        if self.waiting and may_connect and not self.core.is_behind() and self.core.make_room():
+        is_timely = may_connect and not self.core.is_behind() and self._may_connect()
+        if self.waiting and is_timely and self.core.make_room():
             self._connect(is_backup=True)
 
     async def _serve(self, connection: WorkerConnection, address: Address) -> None:
         reason = await reason_of_end(self._read(connection, address), self.core.defect)
+        if not connection.up and isinstance(connection.stream.error, ConnectionRefusedError):
+            self.refused_at = self.core.now()
         self._lost(connection, reason)
 
     async def _read(self, connection: WorkerConnection, address: Address) -> None:
--- a/tests/test_address_reuse.py
+++ b/tests/test_address_reuse.py
@@ -8,6 +8,11 @@
 
 from node_site import Site, Worker
 
+from petrelwood.decide.cluster import connection_pool
+from petrelwood.decide.cluster.membership import Endpoint, EndpointState, Membership
+
+S = 1_000_000_000
+
 DOWN = 0.3  # s during which nobody listens at the address
 TOLD_AFTER = 1.4  # s after the worker has ended; an event is told within 1.5 s of its happening
 CALL_INTERVAL = 0.01  # s
@@ -48,5 +53,27 @@
         self.assertGreater(words.count("completed"), len(words) / 2)
 
 
+class Confirmed(unittest.TestCase):
+    def test_a_worker_is_confirmed_by_a_later_start_or_a_list_that_is_late_enough(self):
+        members = Membership(S, S, lambda: 0.5)
+        worker = Endpoint("s-1", ("127.0.0.1", 1), "north", 1, 0, EndpointState.USABLE)
+        members.apply_list("dns-1", [worker], 10 * S, 1_000 * S)
+        self.assertFalse(members.has_confirmed("s-1", 10 * S))
+        members.on_complete(11 * S)
+        self.assertFalse(members.has_confirmed("s-1", 10 * S))  # it may tell of the end only later
+        members.on_complete(11 * S + S // 2)
+        self.assertTrue(members.has_confirmed("s-1", 10 * S))
+        self.assertFalse(members.has_confirmed("s-2", 10 * S))
+        again = worker._replace(booted=1_005 * S)
+        members.apply_list("dns-2", [again], 15 * S, 1_005 * S)
+        self.assertTrue(members.has_confirmed("s-1", 15 * S - 1))
+
+    def test_without_a_list_it_is_tried_again_in_the_end(self):
+        self.assertTrue(connection_pool.may_connect_again(5, None, False))
+        self.assertFalse(connection_pool.may_connect_again(3 * S, 2 * S, False))
+        self.assertTrue(connection_pool.may_connect_again(3 * S, 2 * S, True))
+        self.assertTrue(connection_pool.may_connect_again(13 * S, 2 * S, False))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -284,6 +284,7 @@
                     with failing("connect", error, chosen, times=None) as fault:
                         await self.rejected(site, fault)
                         fault.over()
+                        await self.confirmed(site, error)
                         await self.either(site, first, second)
 
     async def test_a_connection_that_is_not_made(self):
@@ -294,6 +295,7 @@
                     with failed_connections(error, (first.port, second.port), times=None) as fault:
                         await self.rejected(site, fault)
                         fault.over()
+                        await self.confirmed(site, error)
                         await self.either(site, first, second)
 
     async def test_one_connection_that_is_not_made(self):
@@ -306,6 +308,16 @@
                         await self.either(site, first, second)
                     self.assertEqual(fault.failed, 1)
 
+    async def confirmed(self, site, error):
+        """After refused connections, wait until the list shows that the workers are still at their addresses.
+
+        Until then other processes may be there, and nothing may be sent to them.
+        """
+        refused = [link for link in site.node.links.values() if link.refused_at is not None]
+        self.assertEqual(bool(refused), error == errno.ECONNREFUSED)
+        for link in refused:
+            await site.until(lambda link=link: site.node.is_address_confirmed(link.worker, link.refused_at))
+
     async def either(self, site, first, second):
         """Check that one of the two workers completes an activation that must not run twice."""
         client = Caller(site.address)
