Bound the incomplete answers of all workers together

Cause: an incomplete answer was bounded for each connection (32 KB), and there may be 400 connections.

Change: an eighth of the memory beyond the process itself is for incomplete answers of workers. Beyond it the connection is closed whose answer has been incomplete longest; its calls end as ever when a connection is lost.

The new test of test_memory_limit failed before.

--- a/petrelwood/decide/overload/resource_limits.py
+++ b/petrelwood/decide/overload/resource_limits.py
@@ -26,6 +26,7 @@
 BODY_SHARE = 1 / 4  # bodies of activations; their frames to workers take as much again, and a third more
 REQUEST_SHARE = 1 / 8  # incomplete requests
 ANSWER_SHARE = 1 / 8  # answers that clients have not read
+PARTIAL_ANSWER_SHARE = 1 / 8  # incomplete answers of workers
 MIN_ACTIVATIONS = 16  # unanswered activations that are admitted, however little memory there is
 MAX_OPEN_REQUESTS = 32  # unanswered requests of one connection
 MAX_FAULTS = 8  # malformed requests after which a connection is closed
@@ -54,6 +55,9 @@
         self.executed_ids = int(spare * EXECUTED_ID_SHARE) // EXECUTED_ID_SIZE
         self.request_bytes = int(spare * REQUEST_SHARE)  # of all connections together
         self.answer_bytes = int(spare * ANSWER_SHARE)  # of all connections together
+        self.partial_answer_bytes = int(
+            spare * PARTIAL_ANSWER_SHARE
+        )  # of all connections to workers together
 
 
 class CapacityIntake:
--- a/petrelwood/node/link_core.py
+++ b/petrelwood/node/link_core.py
@@ -3,6 +3,7 @@
 from typing import Protocol, TypeVar
 
 from petrelwood.links.interfaces import LinkCore, LoopOwner
+from petrelwood.node.worker_connection import WorkerConnection
 
 LinkT_contra = TypeVar("LinkT_contra", contravariant=True)
 
@@ -28,6 +29,9 @@
     def is_address_confirmed(self, worker: str, since: int, /) -> bool:
         """Return whether a worker is at its address again, where nobody listened at `since` (ns)."""
 
+    def partial_answer_read(self, link: LinkT_contra, connection: WorkerConnection, size: int, /) -> object:
+        """Note how much of an incomplete answer a connection holds (bytes); it may close connections."""
+
     def attempt_written(self, activation: str, /) -> object:
         """Note that the attempt of an activation is being written, so that it may run from now on."""
 
--- a/petrelwood/node/service.py
+++ b/petrelwood/node/service.py
@@ -16,6 +16,7 @@
 from petrelwood.decide.delivery.executed_ids import ExecutedIds
 from petrelwood.decide.delivery.pending import PendingActivation
 from petrelwood.decide.overload.intake import Intake
+from petrelwood.decide.overload.memory_pool import MemoryPool
 from petrelwood.decide.overload.resource_limits import CapacityIntake, ResourceLimits
 from petrelwood.decide.scheduling.scheduler import Scheduler
 from petrelwood.dispatch.activations import Activations
@@ -33,6 +34,7 @@
 from petrelwood.node.roster import DnsRoster
 from petrelwood.node.standing_log import StandingFields, standing_fields
 from petrelwood.node.worker import NodeLink
+from petrelwood.node.worker_connection import WorkerConnection
 
 if TYPE_CHECKING:  # the platform's dispatcher needs no settings in KDL
     from petrelwood.settings.functions import FunctionRule
@@ -61,6 +63,9 @@
         self.loop = asyncio.get_running_loop()
         self.resource_limits = ResourceLimits(gateway.sockets, gateway.memory)
         self.executed_ids = ExecutedIds(self.resource_limits.executed_ids)
+        self.partial_answers: MemoryPool[tuple[NodeLink, WorkerConnection]] = MemoryPool(
+            self.resource_limits.partial_answer_bytes
+        )
         self.active_links: dict[NodeLink, bool] = {}  # links that may have open calls
         self.next_check: asyncio.TimerHandle | None = None
         self.check_count = 0
@@ -195,6 +200,20 @@
         """Return whether a worker is at its address again, where nobody listened at `since` (ns)."""
         return self.membership.has_confirmed(worker, since)
 
+    def partial_answer_read(self, link: NodeLink, connection: WorkerConnection, size: int) -> None:
+        """Note how much of an incomplete answer a connection to a worker holds, in bytes.
+
+        While all of them together are too much, the one is closed whose answer has been incomplete longest.
+        """
+        self.partial_answers.update((link, connection), size)
+        while self.partial_answers.is_exceeded():
+            holder = self.partial_answers.first()
+            if holder is None:
+                return
+            self.partial_answers.update(holder, 0)
+            first_link, first_connection = holder
+            first_link.give_up_connection(first_connection, "its answer is incomplete and memory is short")
+
     def connection_opened(self) -> None:
         """Count a new connection to a worker."""
         self.worker_connections += 1
--- a/petrelwood/node/worker.py
+++ b/petrelwood/node/worker.py
@@ -253,6 +253,7 @@
             connection.last_read_at = self.core.now()
             for answer in reader.feed(data):
                 self._on_answer(connection, answer)
+            self.core.partial_answer_read(self, connection, len(reader.partial_line))
 
     def _on_connected(self, connection: WorkerConnection) -> None:
         self._stop_connect_timers(connection)
@@ -277,6 +278,7 @@
             return
         self.connections.remove(connection)
         connection.stream.close()
+        self.core.partial_answer_read(self, connection, 0)
         self.core.connection_closed()
         if not connection.up:
             self._stop_connect_timers(connection)
@@ -291,6 +293,10 @@
         connection.in_flight.clear()
         self.pump()
 
+    def give_up_connection(self, connection: WorkerConnection, why: str) -> None:
+        """Close one connection and end the calls in flight on it."""
+        self._lost(connection, why)
+
     def give_up(self, why: str) -> None:
         """Close all connections and end the calls in flight on them."""
         for connection in list(self.connections):
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -11,7 +11,7 @@
 
 import hostile_clients
 from hostile_clients import Crowd, private_memory
-from node_site import Site, Worker, hit
+from node_site import Site, Worker, ask, hit
 
 MEMORY_MB = 32
 DESCRIPTORS = 1_024
@@ -22,6 +22,9 @@
 ANSWER_SLACK = 0.5  # s after the deadline in which a late answer breaks no rule
 LEAST_SERVED = 1 / 2  # the share of the usual client's calls, as the gate of the operators wants it
 LARGE_ANSWER_FUNCTION = 7
+UNFINISHED_FUNCTION = 8
+WAITING_CLIENTS = 30
+WAITING_CALLS = 10  # of each of them
 MAX_BODY = hostile_clients.MAX_BODY
 
 
@@ -32,6 +35,13 @@
     return None
 
 
+def unfinished_answer(worker, said, writer):
+    """Answer the calls of one function with a line that does not end."""
+    if said["meta"]["asset"] == f"{UNFINISHED_FUNCTION:016x}":
+        return b'{"type":"HIT","req":"' + b"x" * 32_000
+    return None
+
+
 class MemoryLimit(unittest.IsolatedAsyncioTestCase):
     async def misuse(self, *texts):
         """Use all connections badly; return the peak of the memory (bytes) and the usual client's answers."""
@@ -93,6 +103,29 @@
             hostile_clients.answers_of(LARGE_ANSWER_FUNCTION, MAX_BODY),
         )
 
+    async def test_answers_of_workers_that_stop_before_their_last_bytes(self):
+        """Guards against incomplete answers whose sizes are bounded for each connection alone."""
+        workers = [Worker(f"s-{n}", unfinished_answer) for n in range(5)]
+        async with Site(workers, sockets=DESCRIPTORS, memory=MEMORY_MB) as site:
+            usual = await site.client()
+            self.assertEqual((await usual.call())[0], "completed")
+            clients = [await site.client() for _ in range(WAITING_CLIENTS)]
+            calls, peak, words = [], 0, Counter()
+            for _ in range(WAITING_CALLS):
+                for client in clients:
+                    fields = ask(fn=UNFINISHED_FUNCTION, facts="lanes:64;load_ms:20")
+                    calls.append(asyncio.ensure_future(client.call(fields, within=30)))
+                words[(await usual.call())[0]] += 1
+                peak = max(peak, private_memory(site.process.pid))
+            while not all(call.done() for call in calls):
+                words[(await usual.call(within=30))[0]] += 1
+                peak = max(peak, private_memory(site.process.pid))
+                await asyncio.sleep(SAMPLE_INTERVAL)
+            answers = Counter(call.result()[0] for call in calls)
+        self.assertLessEqual(peak / 2**20, MEMORY_MB)
+        self.assertNotIn("lost", answers)
+        self.assertNotIn("lost", words)
+
 
 if __name__ == "__main__":
     unittest.main()
