--- a/petrelwood/node/service.py
+++ b/petrelwood/node/service.py
@@ -70,12 +70,15 @@
         self.next_check: asyncio.TimerHandle | None = None
         self.check_count = 0
         self.last_tag = 0  # the number in the last tag of a load order or health check
+        self.tag_prefix = ""  # of this process alone, set once the clock is known
         self.worker_connections = 0  # open connections to workers
         self.connection_losses = 0  # lost connections to workers
         self.serving = False  # the start is complete and the shutdown has not begun
         settings = cast("Gateway", gateway)
         make_link = cast(MakeLink, self._make_link)
         super().__init__(settings, LoopClock(), Random(gateway.seed), make_link, log, scheduler)
+        # A process that starts again has the same name, and its tags must not be those of the one before it.
+        self.tag_prefix = f"{self.name}-{self.clock.wall() // 1000:x}-{self.now() // 1000:x}-"
         self.links_by_worker = cast(dict[str, NodeLink], self.links)
         self.front = Front(self, self.resource_limits, log)
         self.deferred_timers: list[str] = []  # marks of timers that fired while the loop was behind
@@ -238,7 +241,7 @@
     def next_tag(self) -> str:
         """Return the tag of a new load order or health check."""
         self.last_tag += 1
-        return f"{self.name}-{self.last_tag}"
+        return f"{self.tag_prefix}{self.last_tag}"
 
     def note_loss(self, worker: str, why: str, out: int) -> None:
         """Count a lost connection to a worker, and log some of them; `out`: the calls in flight on it."""
--- a/tests/test_address_reuse.py
+++ b/tests/test_address_reuse.py
@@ -52,6 +52,35 @@
         self.assertEqual(early, (0, 0, 0), "connections, load orders and activations at the new process")
         self.assertGreater(words.count("completed"), len(words) / 2)
 
+    async def test_a_dispatcher_that_starts_again_uses_no_tag_of_the_one_before_it(self):
+        """Guards against orders that a worker takes for those of a process that has ended."""
+        tags = []
+
+        class Recorder(Worker):
+            async def _line(self, said, writer):
+                if said["type"] != "FN":
+                    tags.append((len(starts), said["req"]))
+                await super()._line(said, writer)
+
+        starts = []
+        async with Site([Recorder("s-1")]) as site:
+            for _ in range(2):
+                client = await site.client()
+                for fn in range(4):
+                    await client.call(fn=fn + 10 * len(starts))
+                await site.until(lambda: any(start == len(starts) for start, _ in tags))
+                client.close()
+                starts.append(site.process.pid)
+                site.process.kill()
+                await site.process.wait()
+                await site.reading
+                site.log.clear()
+                await site.start()
+        first = {tag for start, tag in tags if start == 0}
+        second = {tag for start, tag in tags if start == 1}
+        self.assertTrue(first and second)
+        self.assertFalse(first & second)
+
 
 class Confirmed(unittest.TestCase):
     def test_a_worker_is_confirmed_by_a_later_start_or_a_list_that_is_late_enough(self):
