Handle what was read before the process ends, whatever other clients send

Cause: 330 clients that stop within requests or connect again without end keep the process from ever being quiet, so that it ends at the time that leaves half of its margin. What was read and waited for its turn, or for its coroutine, was lost then; before turns came, only the latter. And all connections were closed in the order of their coming.

Change: at that time requests that are still unread are read and rejected for an eighth of the margin more. Then nothing more is read, what was read is handled, and clients that are served well are closed first.

--- a/petrelwood/decide/cluster/shutdown.py
+++ b/petrelwood/decide/cluster/shutdown.py
@@ -21,7 +21,7 @@
     timeout.
     """
 
-    __slots__ = ("final_answers_after", "end_after", "started_at")
+    __slots__ = ("end_after", "final_answers_after", "last_reads_until", "started_at")
 
     def __init__(self, started_at: int, longest: int) -> None:
         timeout = min(longest, MAX_TIMEOUT)
@@ -29,6 +29,7 @@
         self.started_at = started_at
         self.final_answers_after = ADMISSION_PERIOD + timeout - margin
         self.end_after = self.final_answers_after + margin // 2
+        self.last_reads_until = self.end_after + margin // 8
 
     def is_admission_closed(self, now: int) -> bool:
         """Return whether new activations are no longer admitted."""
@@ -43,3 +44,7 @@
         return (
             self.is_admission_closed(now) and not pending and quiet or now - self.started_at >= self.end_after
         )
+
+    def may_read_on(self, now: int) -> bool:
+        """Return whether requests that are unread when the process may exit may be read and rejected yet."""
+        return now - self.started_at < self.last_reads_until
--- a/petrelwood/node/client_connection.py
+++ b/petrelwood/node/client_connection.py
@@ -359,6 +359,10 @@
         is_rest_on_the_way = self.partial_since and self.now() - self.partial_since < REST_ON_THE_WAY
         return bool(is_rest_on_the_way) or self.has_unread_input()
 
+    def is_misused(self) -> bool:
+        """Return whether its client has stopped within a request, or has sent what can't be read."""
+        return self.unreadable or bool(self.partial_since)
+
     def is_quiescent(self) -> bool:
         """Return whether all written data has been sent and all received data was handled."""
         return not self.stream.writing() and not self.has_unread_input()
--- a/petrelwood/node/front.py
+++ b/petrelwood/node/front.py
@@ -33,6 +33,8 @@
 REJECTIONS_SIZE = 16 * LONG_READ_SIZE
 # The time for which a client without open requests may leave answers unread (ns).
 UNREAD_ANSWER_TIMEOUT = 10_000_000_000
+# The time for data that was read and not handled when the process ends (ns); who sends little is the first.
+LAST_TURNS_TIME = 5_000_000
 # Client faults that are logged: the first FAULTS_LOGGED of each kind, then one in FAULTS_PER_LOG_LINE.
 FAULTS_LOGGED = 8
 FAULTS_PER_LOG_LINE = 1_024
@@ -90,7 +92,10 @@
     def stop(self) -> None:
         """Stop accepting connections and close all of them."""
         self.listener.close()
-        for client in list(self.clients):
+        self.read_turns.run_for(LAST_TURNS_TIME)
+        # Closing hundreds takes a while, and a request that comes before a close is lost: clients that are
+        # served well are the first.
+        for client in sorted(self.clients, key=lambda each: (each.is_misused(), each.stream.writing())):
             client.close()
 
     def shed_connections(self, late: bool) -> None:
@@ -200,6 +205,16 @@
             if client.is_quiescent():
                 client.close()
 
+    def stop_reading(self) -> None:
+        """Read nothing more from any client; what was read is still handled."""
+        for client in self.clients:
+            if not client.stream.closed():
+                self.core.loop.remove_reader(client.stream.socket)
+
+    def has_unread_requests(self) -> bool:
+        """Return whether a client has sent something that was not read, besides the rest of a request."""
+        return any(not client.is_misused() and client.has_unread_input() for client in self.clients)
+
     def is_drained(self) -> bool:
         """Return whether all written data has been sent, and all incoming data was read.
 
--- a/petrelwood/node/graceful_shutdown.py
+++ b/petrelwood/node/graceful_shutdown.py
@@ -14,6 +14,8 @@
 from petrelwood.node.front import Front
 
 CHECK_INTERVAL = 0.01  # seconds between two checks of whether the shutdown is complete
+# Iterations of the event loop within which data that was read is handed to its connection, and handled.
+ITERATIONS_TO_HANDLE = 2
 
 
 class ClosableIntake(Protocol):
@@ -70,6 +72,16 @@
         while not self.times.may_exit(core.now(), len(core.pending.activations), core.front.is_drained()):
             self._check()
             await asyncio.sleep(CHECK_INTERVAL)
+        await self._read_last_requests()
+
+    async def _read_last_requests(self) -> None:
+        """Reject the requests that came last, whatever clients that misuse their connections send."""
+        core = self.core
+        while core.front.has_unread_requests() and self.times.may_read_on(core.now()):
+            await asyncio.sleep(0)
+        core.front.stop_reading()
+        for _ in range(ITERATIONS_TO_HANDLE):
+            await asyncio.sleep(0)
 
     def _check(self) -> None:
         core = self.core
--- a/petrelwood/node/read_turns.py
+++ b/petrelwood/node/read_turns.py
@@ -58,16 +58,25 @@
             self._is_scheduled = True
             self.loop.call_soon(self._next_iteration)
 
+    def run_for(self, duration: int) -> None:
+        """Call what waits for a turn for `duration` ns, because the process ends."""
+        until = self.now() + duration
+        while self._queue and self.now() < until:
+            self._run_next()
+
     def _next_iteration(self) -> None:
         self._is_scheduled = False
         self._used = 0
         while self._queue and self._used < READ_TIME_PER_ITERATION:
-            share, turn = self._queue.pop()
-            if turn.done.done():  # its connection is no longer served
-                continue
-            try:
-                self._run(share, turn.handle)
-            except Exception as error:
-                turn.done.set_exception(error)
-            else:
-                turn.done.set_result(None)
+            self._run_next()
+
+    def _run_next(self) -> None:
+        share, turn = self._queue.pop()
+        if turn.done.done():  # its connection is no longer served
+            return
+        try:
+            self._run(share, turn.handle)
+        except Exception as error:
+            turn.done.set_exception(error)
+        else:
+            turn.done.set_result(None)
