Soak dispatchers with the least memory and hundreds of misused connections

A third of the plans that are neither early nor crowded now have memory_mb 32, 1,024 descriptors, and as many connections as clients may hold that write slowly, stop within requests, send heads of many fields or read no answer, until the kill. The judge holds the private memory against the limit.

--- a/benchmarks/soak/judge.py
+++ b/benchmarks/soak/judge.py
@@ -31,6 +31,7 @@
         *_process(plan, play),
         *play.unexpected_answers,
         *_descriptors(play),
+        *_memory(plan, play),
         *_drained_workers(play),
     ]
     for request in play.requests:
@@ -128,3 +129,8 @@
     first, last = play.first_descriptors, play.last_descriptors
     if first is not None and last is not None and last.own > first.own + SPARE_DESCRIPTORS:
         yield f"{last.own} descriptors beside its connections, {first.own} at the start"
+
+
+def _memory(plan: Plan, play: Play) -> Iterator[str]:
+    if plan.front is Front.NODE and play.peak_memory > plan.memory_mb << 20:
+        yield f"{play.peak_memory / (1 << 20):.1f} MB of memory, {plan.memory_mb} allowed"
--- a/benchmarks/soak/peers.py
+++ b/benchmarks/soak/peers.py
@@ -11,11 +11,21 @@
 from benchmarks.soak.records import Arrival
 
 sys.path.insert(0, str(pathlib.Path(__file__).parents[2] / "tests"))
+import hostile_clients
 import node_site
 import rig
 from free_ports import free_port
 
-__all__ = ["CLOSE_INTERVAL", "SoakRoster", "SoakWorker", "free_port", "error_lines", "node_site", "rig"]
+__all__ = [
+    "CLOSE_INTERVAL",
+    "SoakRoster",
+    "SoakWorker",
+    "error_lines",
+    "free_port",
+    "hostile_clients",
+    "node_site",
+    "rig",
+]
 CLOSE_INTERVAL = 0.1  # s between two times at which a worker closes its connections
 
 
--- a/benchmarks/soak/plan.py
+++ b/benchmarks/soak/plan.py
@@ -1,5 +1,6 @@
 """The scenario of one seed: settings, load and signals of a shutdown. A seed always gives the same plan."""
 
+import dataclasses
 import random
 import signal
 from dataclasses import dataclass
@@ -15,6 +16,9 @@
 CONNECT_TIMEOUTS = (0.1, 0.25, 0.5)  # s
 DESCRIPTOR_LIMITS = (96, 128, 256)
 CROWDED_DESCRIPTOR_LIMIT = 64
+MISUSED_DESCRIPTOR_LIMIT = 1_024  # with it clients may hold hundreds of connections
+LEAST_MEMORY_MB = 32  # the least that the platform gives
+MEMORY_MB = 64
 
 
 class WorkerTrouble(StrEnum):
@@ -59,6 +63,8 @@
     trouble: WorkerTrouble
     drains: bool  # the roster sends that one worker is draining before SIGTERM
     crowd: int  # connections beyond the limits, each with a request
+    misused: int  # connections that write slowly, stop within requests or read nothing, until the kill
+    memory_mb: int  # of the dispatcher
     upgrades: bool  # a successor process takes over before SIGTERM, which is sent to both processes
 
     @property
@@ -73,8 +79,8 @@
         also = ("drain, " if self.drains else "") + ("upgrade, " if self.upgrades else "")
         return (
             f"deadlines {deadlines} s, {self.workers} workers ({self.trouble}), {self.clients} clients,"
-            f" crowd {self.crowd}, descriptors {self.descriptors}, {'early' if self.early else 'serving'}"
-            f" {self.serving:.2f} s, {also}{signals}"
+            f" crowd {self.crowd}, misused {self.misused}, descriptors {self.descriptors},"
+            f" {'early' if self.early else 'serving'} {self.serving:.2f} s, {also}{signals}"
         )
 
 
@@ -86,7 +92,7 @@
     early = chance.random() < 1 / 10
     drains = not early and chance.random() < 1 / 3
     serving = chance.uniform(*_serving_range(early, drains))
-    return Plan(
+    plan = Plan(
         seed=seed,
         front=front,
         deadlines=tuple(chance.choice(DEADLINES) for _ in EFFECTS),
@@ -102,8 +108,23 @@
         trouble=trouble,
         drains=drains,
         crowd=chance.randint(60, 150) if crowded and not early else 0,
+        misused=0,
+        memory_mb=MEMORY_MB,
         upgrades=front is Front.SERVE and not early and chance.random() < 1 / 4,
     )
+    return _misuse(plan) if _is_misused(chance, plan) else plan
+
+
+def _is_misused(chance: random.Random, plan: Plan) -> bool:
+    return chance.random() < 1 / 3 and plan.front is Front.NODE and not plan.early and not plan.crowd
+
+
+def _misuse(plan: Plan) -> Plan:
+    """Return the plan with the least memory, and as many misused connections as the protocol allows."""
+    connections = MISUSED_DESCRIPTOR_LIMIT // 3 - plan.clients
+    return dataclasses.replace(
+        plan, misused=connections, memory_mb=LEAST_MEMORY_MB, descriptors=MISUSED_DESCRIPTOR_LIMIT
+    )
 
 
 def _serving_range(early: bool, drains: bool) -> tuple[float, float]:
--- a/benchmarks/soak/platform_site.py
+++ b/benchmarks/soak/platform_site.py
@@ -36,7 +36,7 @@
             SoakWorker(f"s-{n}", plan.seed, plan.service_time, self.play.arrivals)
             for n in range(plan.workers)
         ]
-        super().__init__(workers, sockets=plan.descriptors, **_settings(plan))
+        super().__init__(workers, sockets=plan.descriptors, memory=plan.memory_mb, **_settings(plan))
         self.rosters = [SoakRoster(self.play.drains)]
         self.roster = self.rosters[0]
         self.log = self.play.log
--- a/benchmarks/soak/play.py
+++ b/benchmarks/soak/play.py
@@ -9,6 +9,7 @@
 from collections.abc import Sequence
 
 from benchmarks.soak.clients import Client
+from benchmarks.soak.peers import hostile_clients
 from benchmarks.soak.plan import DRAIN_AFTER, Front, Plan, WorkerTrouble
 from benchmarks.soak.platform_site import PlatformSite
 from benchmarks.soak.records import Descriptors, Play
@@ -18,6 +19,7 @@
 TROUBLE_LEAD = 0.2  # s before SIGTERM at which workers begin to misbehave
 CROWD_STAY = 0.1  # s for which the first crowd stays; the second one connects this long before SIGTERM
 POLL_INTERVAL = 0.02  # s
+MISUSED_FUNCTION = 99
 CLOSING_WAIT = 0.3  # s after the end within which clients see how their connections ended
 LISTENING = "0A"  # the state of a listener in /proc/net/tcp
 
@@ -31,7 +33,9 @@
     watch = asyncio.ensure_future(_watch_lag(site.play))
     try:
         async with site:
+            memory = asyncio.ensure_future(_watch_memory(site))
             await _shutdown_early(site) if plan.early else await _serve_and_shut_down(site)
+            memory.cancel()
     finally:
         watch.cancel()
     return site.play
@@ -46,6 +50,34 @@
             play.lags.append((now, now - expected))
 
 
+async def _watch_memory(site: Site) -> None:
+    """Record the peak of the dispatcher's private memory until its process has ended."""
+    while site.process.returncode is None:
+        with contextlib.suppress(OSError):
+            memory = hostile_clients.private_memory(site.process.pid)
+            site.play.peak_memory = max(site.play.peak_memory, memory)
+        await asyncio.sleep(POLL_INTERVAL)
+
+
+async def _misuse(site: Site, until: float) -> None:
+    """Misuse connections in all ways at once until the kill."""
+    crowd = hostile_clients.Crowd(
+        site.address,
+        site.plan.misused,
+        (
+            hostile_clients.begun,
+            hostile_clients.large,
+            hostile_clients.many_fields,
+            hostile_clients.nested,
+            hostile_clients.answers_of(MISUSED_FUNCTION, hostile_clients.MAX_BODY),
+        ),
+    )
+    try:
+        await crowd.run(until - time.monotonic())
+    finally:
+        crowd.close()
+
+
 async def _shutdown_early(site: Site) -> None:
     await asyncio.sleep(site.plan.serving)
     site.play.terminated_at = time.monotonic()
@@ -65,6 +97,8 @@
         tasks.append(asyncio.ensure_future(_drain_one(site)))
     if plan.crowd:
         tasks.append(asyncio.ensure_future(_crowd(site, terminated_at)))
+    if plan.misused:
+        tasks.append(asyncio.ensure_future(_misuse(site, killed_at)))
     tasks.append(asyncio.ensure_future(_trouble(site, terminated_at)))
     if plan.upgrades:
         await site.upgrade()
--- a/benchmarks/soak/records.py
+++ b/benchmarks/soak/records.py
@@ -65,6 +65,7 @@
     exit_code: int | None = None
     first_descriptors: Descriptors | None = None
     last_descriptors: Descriptors | None = None
+    peak_memory: int = 0  # bytes of private memory of the dispatcher
     unexpected_answers: list[str] = field(default_factory=list)
     lags: list[tuple[float, float]] = field(default_factory=list)  # (time, delay in s) of this process's loop
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,10 +9,13 @@
 from benchmarks.soak.judge import judge
 from benchmarks.soak.plan import Front, PlannedSignal, WorkerTrouble, draw
 from benchmarks.soak.play import play
+from benchmarks.soak.records import Play
 
 # Seeds whose plans include workers that close connections or hang, crowds of connections, drains, and SIGTERM
 # before readiness; those of `petrelwood serve` include upgrades.
 SEEDS = {Front.NODE: (1, 2, 5, 7, 19), Front.SERVE: (11, 31, 48)}
+# Seeds with the least memory and 333 to 338 misused connections; the kill comes 3.7 or 1.2 s after SIGTERM.
+MISUSED_SEEDS = (24, 27, 48, 52)
 CONCURRENT_PLAYS = 4  # of broken dispatchers
 PRELUDE = """
 import runpy, sys
@@ -171,6 +174,12 @@
                 with self.subTest(name):
                     self.assertTrue([line for line in found if words in line], found[:5])
 
+    async def test_memory_over_the_limit_is_found(self):
+        """Guards against a judge that does not see the memory of a misused dispatcher."""
+        seen = Play(peak_memory=33 << 20, ended_at=1.0, exit_code=0)
+        plan = dataclasses.replace(small_plan(), memory_mb=32)
+        self.assertEqual(judge(plan, seen), ["33.0 MB of memory, 32 allowed"])
+
     async def test_the_dispatcher_as_it_is_keeps_the_rules(self):
         """Guards against a judge that reports allowed behaviour."""
         plan = small_plan()
@@ -192,6 +201,7 @@
         self.assertTrue(35 <= sum(plan.trouble is not WorkerTrouble.NONE for plan in plans) <= 65)
         self.assertTrue(any(plan.early for plan in plans))
         self.assertTrue(any(plan.drains for plan in plans))
+        self.assertGreater(sum(plan.misused > 300 for plan in plans), 20)
         for plan in plans:
             self.assertIn(PlannedSignal(0.0, signal.SIGTERM), plan.signals)
             self.assertLessEqual(plan.kill_after, 3.7)
@@ -206,6 +216,13 @@
                 with self.subTest(seed, front=front, plan=plan.describe()):
                     self.assertEqual(judge(plan, asyncio.run(play(plan))), [])
 
+    def test_misused_connections_cost_no_request_and_no_memory_until_the_kill(self):
+        """Guards against hundreds of connections whose closing takes the time left before the kill."""
+        for seed in MISUSED_SEEDS:
+            plan = draw(seed)
+            with self.subTest(seed, plan=plan.describe()):
+                self.assertEqual(judge(plan, asyncio.run(play(plan))), [])
+
     def test_serve_ends_before_the_kill_with_an_action_timeout_over_three_seconds(self):
         """Guards against a shutdown that waits for a hung worker beyond the earliest kill."""
         plan = dataclasses.replace(
