Let several connections complete their requests while memory is short

Cause: over the limit only the connection that had been longest in the middle of a request read on, 2 KB an iteration, and one that is paused because it reads no answers could hold that place. A request of 16 KB waits there before each read, up to 1.5 s.

Change: eight connections read on, in long reads; one that is paused gives way. While a stream is not asked to read it takes 2 KB into its buffer, not as much as its last read.

--- a/petrelwood/decide/overload/memory_pool.py
+++ b/petrelwood/decide/overload/memory_pool.py
@@ -4,6 +4,7 @@
 which ones have held theirs longest without progress: these give way when the pool is exceeded.
 """
 
+import itertools
 from collections.abc import Iterator
 from typing import Generic, TypeVar
 
@@ -31,6 +32,10 @@
         """Return whether connections hold more than they should together."""
         return self.used > self.size
 
+    def is_among_first(self, holder: HolderT, count: int) -> bool:
+        """Return whether a holder is one of the `count` that have held data longest without progress."""
+        return any(each is holder for each in itertools.islice(self._sizes, count))
+
     def first(self) -> HolderT | None:
         """Return the holder that has held data longest without progress, or None if there is none."""
         return next(iter(self._sizes), None)
--- a/petrelwood/node/client_connection.py
+++ b/petrelwood/node/client_connection.py
@@ -15,6 +15,7 @@
 from petrelwood.links.bounded_reader import BoundedReader, MessageLimits
 from petrelwood.node import call_request
 from petrelwood.node.call_request import InvalidRequestError
+from petrelwood.node.connection_memory import SHORT_READ_SIZE
 from petrelwood.node.connection_table import ConnectionTable
 from petrelwood.node.exchange import Exchange, PumpedLink
 from petrelwood.node.read_progress import ReadProgress
@@ -59,6 +60,7 @@
         "draining",
         "front",
         "invalid_requests",
+        "is_paused",
         "last_write",
         "open_requests",
         "over_capacity",
@@ -88,6 +90,7 @@
         self.requested = False  # whether a complete, valid request was received
         self.invalid_requests = 0
         self.draining = False
+        self.is_paused = False  # nothing is read until the client has read answers
         self.unreadable = False  # malformed data was received: further data is dropped
         self.share = front.read_turns.new_share()
         self.reader = BoundedReader(front.decoder, resource_limits.FRAME)
@@ -109,7 +112,9 @@
             while True:
                 # Read no further requests while the client does not read its answers.
                 while self._is_write_buffer_full() and self.last_write is not None:
+                    self.is_paused = True
                     await self.last_write
+                self.is_paused = False
                 await front.request_memory.wait_to_read(self)
                 size = front.request_memory.reserve_read(self, self.reader.missing)
                 self.stream.read_chunk_size = size
@@ -117,6 +122,7 @@
                 front.deferred_starts.check_client(self)
                 self._pump_deferred_links()
                 data = await self.pending_read
+                self.stream.read_chunk_size = SHORT_READ_SIZE  # of what it reads while it is not asked to
                 front.reads += 1
                 await front.read_turns.take(self.share, partial(self._on_data, data, core.now()))
                 self.progress.note_read(is_backlog=len(data) == size or bool(self.partial_since))
@@ -292,6 +298,10 @@
         """Return the size of its incomplete request, in bytes."""
         return self.reader.size
 
+    def may_complete_request(self) -> bool:
+        """Return whether data has arrived that may complete its request, and will be read."""
+        return not self.is_paused and self.has_unread_input()
+
     # Outgoing data
     def unsent_size(self) -> int:
         """Return the size of the answers that the kernel has not taken yet, in bytes."""
--- a/petrelwood/node/connection_memory.py
+++ b/petrelwood/node/connection_memory.py
@@ -1,9 +1,9 @@
 """Keeps the data of all client connections together within the memory of the process.
 
 Incomplete requests: the connections whose requests have been incomplete longest, and that have sent nothing
-more, are closed. While that does not help, only the first of the others reads on, so that requests become
+more, are closed. While that does not help, only the first few of the others read on, so that requests become
 complete one after another instead of growing side by side. Data is read before it can be counted, so a long
-read needs a reservation, and is made in short ones without it.
+read needs a reservation; without it others read in short ones.
 
 Unread answers: the connections that have read nothing for longest are closed.
 
@@ -16,8 +16,10 @@
 
 from petrelwood.decide.overload.memory_pool import MemoryPool
 
-# The connections with unread input that each search after a read passes over; each takes a system call.
+# The connections in use that each search after a read passes over; each takes a system call.
 MAX_PASSED_OVER = 4
+# The connections that read on while incomplete requests take too much memory.
+READERS_OVER_LIMIT = 8
 # The size of a read between two messages, or of any read while there is no memory for a longer one, in bytes.
 SHORT_READ_SIZE = 2_048
 LONG_READ_SIZE = 16_384  # the maximum size of a read, in bytes
@@ -32,8 +34,8 @@
     def unsent_size(self) -> int:
         """Return the size of the answers that the kernel has not taken yet, in bytes."""
 
-    def has_unread_input(self) -> bool:
-        """Return whether data has arrived that was not handled yet."""
+    def may_complete_request(self) -> bool:
+        """Return whether data has arrived that may complete its request, and will be read."""
 
     def abandon_partial_request(self) -> None:
         """Drop the incomplete request, and everything that follows it."""
@@ -55,7 +57,8 @@
     def reserve_read(self, holder: MemoryHolder, missing: int) -> int:
         """Return the size of the next read of a connection whose current value lacks `missing` bytes."""
         size = min(LONG_READ_SIZE, missing)
-        if size <= SHORT_READ_SIZE or self.pool.used + self._reserved_size + size > self.pool.size:
+        has_memory = self.pool.used + self._reserved_size + size <= self.pool.size
+        if size <= SHORT_READ_SIZE or not (has_memory or self._is_first(holder)):
             return SHORT_READ_SIZE
         self._reserved[holder] = size
         self._reserved_size += size
@@ -73,13 +76,13 @@
     def relieve(self, max_passed_over: int | None = None) -> None:
         """Give up incomplete requests while there are too many bytes of them.
 
-        `max_passed_over`: the number of connections with unread input after which the search ends.
+        `max_passed_over`: the number of connections that may go on after which the search ends.
         """
         passed_over = 0
         for holder in self.pool:
             if not self.pool.is_exceeded() or passed_over == max_passed_over:
                 break
-            if holder.has_unread_input():  # it may hold the rest of the request
+            if holder.may_complete_request():
                 passed_over += 1
                 continue
             self.on_closed()
@@ -89,7 +92,11 @@
 
     def _may_read(self, holder: MemoryHolder) -> bool:
         """Return whether a connection may read further into its request."""
-        return not holder.partial_size() or not self.pool.is_exceeded() or self.pool.first() is holder
+        return not holder.partial_size() or not self.pool.is_exceeded() or self._is_first(holder)
+
+    def _is_first(self, holder: MemoryHolder) -> bool:
+        """Return whether a connection may read on whatever others hold."""
+        return self.pool.is_among_first(holder, READERS_OVER_LIMIT)
 
     async def wait_to_read(self, holder: MemoryHolder) -> None:
         """Wait until a connection may read further into its request."""
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -43,7 +43,7 @@
 
 
 class MemoryLimit(unittest.IsolatedAsyncioTestCase):
-    async def misuse(self, *texts):
+    async def misuse(self, *texts, body=b"x"):
         """Use all connections badly; return the peak of the memory (bytes) and the usual client's answers."""
         workers = [Worker(f"s-{n}", large_answer) for n in range(5)]
         async with Site(workers, sockets=DESCRIPTORS, memory=MEMORY_MB) as site:
@@ -55,7 +55,7 @@
             while not attack.done():
                 peak = max(peak, private_memory(site.process.pid))
                 began = time.monotonic()
-                words[(await client.call(within=30))[0]] += 1
+                words[(await client.call(body=body, within=30))[0]] += 1
                 slowest = max(slowest, time.monotonic() - began)
                 await asyncio.sleep(SAMPLE_INTERVAL)
             await attack
@@ -103,6 +103,19 @@
             hostile_clients.answers_of(LARGE_ANSWER_FUNCTION, MAX_BODY),
         )
 
+    async def test_a_usual_client_with_the_largest_bodies_is_answered_in_its_time(self):
+        """Guards against a request of several reads that waits behind all that are incomplete before each."""
+        _, words, slowest = await self.misuse(
+            hostile_clients.begun,
+            hostile_clients.large,
+            hostile_clients.nested,
+            hostile_clients.wide_texts,
+            hostile_clients.answers_of(LARGE_ANSWER_FUNCTION, MAX_BODY),
+            body=b"z" * MAX_BODY,
+        )
+        self.assertNotIn("lost", words)
+        self.assertLessEqual(slowest, DEADLINE)
+
     async def test_answers_of_workers_that_stop_before_their_last_bytes(self):
         """Guards against incomplete answers whose sizes are bounded for each connection alone."""
         workers = [Worker(f"s-{n}", unfinished_answer) for n in range(5)]
--- a/tests/test_memory_pool.py
+++ b/tests/test_memory_pool.py
@@ -7,6 +7,7 @@
 from petrelwood.decide.overload.resource_limits import CapacityIntake, ResourceLimits
 from petrelwood.node.connection_memory import (
     LONG_READ_SIZE,
+    READERS_OVER_LIMIT,
     SHORT_READ_SIZE,
     AnswerMemory,
     RequestMemory,
@@ -24,7 +25,7 @@
 
     unsent_size = partial_size
 
-    def has_unread_input(self):
+    def may_complete_request(self):
         return self.unread
 
     def close(self):
@@ -66,23 +67,30 @@
     async def test_while_all_go_on_sending_one_after_another_reads(self):
         """Guards against requests that grow side by side, none of which becomes complete."""
         memory = self.memory()
-        holders = [Holder(n, 4_000, unread=True) for n in range(3)]
+        holders = [Holder(n, 4_000, unread=True) for n in range(READERS_OVER_LIMIT + 2)]
         for holder in holders:
             memory.update(holder)
         waits = [asyncio.ensure_future(memory.wait_to_read(holder)) for holder in holders]
         await asyncio.sleep(0)
-        self.assertEqual([wait.done() for wait in waits], [True, False, False])
+        self.assertEqual([wait.done() for wait in waits], [True] * READERS_OVER_LIMIT + [False] * 2)
         holders[0].size = 0  # its request is complete
         memory.update(holders[0])
         await asyncio.sleep(0)
         await asyncio.sleep(0)
-        self.assertEqual([wait.done() for wait in waits], [True, True, True])
+        self.assertEqual([wait.done() for wait in waits[-2:]], [True, False])
+        self.assertEqual(memory.reserve_read(holders[1], 1 << 20), LONG_READ_SIZE)
+        self.assertEqual(memory.reserve_read(holders[-1], 1 << 20), SHORT_READ_SIZE)
+        for holder in holders:
+            holder.size = 0
+            memory.update(holder)
+        await asyncio.wait_for(asyncio.gather(*waits), 1)
 
     async def test_who_is_closed_while_it_waits_waits_no_longer(self):
         memory = self.memory()
-        first, second = Holder(1, 8_000, unread=True), Holder(2, 8_000, unread=True)
-        for holder in (first, second):
+        holders = [Holder(n, 8_000, unread=True) for n in range(READERS_OVER_LIMIT + 1)]
+        for holder in holders:
             memory.update(holder)
+        second = holders[-1]
         wait = asyncio.ensure_future(memory.wait_to_read(second))
         await asyncio.sleep(0)
         second.close()
