Wake only the connections that may read on

Cause, by the code: each close told the memory of incomplete requests, which asked for every waiting connection whether it is among the first eight, some 300 x 8 steps; closing 340 connections took the 150 ms before the kill.

Change: the first eight are asked for themselves, and a connection that is closed wakes itself.

--- a/petrelwood/decide/overload/memory_pool.py
+++ b/petrelwood/decide/overload/memory_pool.py
@@ -32,9 +32,9 @@
         """Return whether connections hold more than they should together."""
         return self.used > self.size
 
-    def is_among_first(self, holder: HolderT, count: int) -> bool:
-        """Return whether a holder is one of the `count` that have held data longest without progress."""
-        return any(each is holder for each in itertools.islice(self._sizes, count))
+    def first_holders(self, count: int) -> list[HolderT]:
+        """Return the `count` holders that have held data longest without progress."""
+        return list(itertools.islice(self._sizes, count))
 
     def first(self) -> HolderT | None:
         """Return the holder that has held data longest without progress, or None if there is none."""
--- a/petrelwood/node/connection_memory.py
+++ b/petrelwood/node/connection_memory.py
@@ -68,6 +68,8 @@
         """Note what a connection holds after a read; it may have been closed."""
         self._reserved_size -= self._reserved.pop(holder, 0)
         self.pool.update(holder, holder.partial_size())
+        if not holder.partial_size():  # it may have been closed while it waited
+            self._let_read(holder)
         if self.pool.is_exceeded():
             self.relieve(MAX_PASSED_OVER)
         elif self._waiting:
@@ -96,7 +98,7 @@
 
     def _is_first(self, holder: MemoryHolder) -> bool:
         """Return whether a connection may read on whatever others hold."""
-        return self.pool.is_among_first(holder, READERS_OVER_LIMIT)
+        return holder in self.pool.first_holders(READERS_OVER_LIMIT)
 
     async def wait_to_read(self, holder: MemoryHolder) -> None:
         """Wait until a connection may read further into its request."""
@@ -109,9 +111,15 @@
                 self._waiting.pop(holder, None)
 
     def _wake(self) -> None:
-        for holder, future in self._waiting.items():
-            if not future.done() and self._may_read(holder):
-                future.set_result(None)
+        """Let connections read on: all, or the first few while requests take too much memory."""
+        is_exceeded = self.pool.is_exceeded()
+        for holder in self.pool.first_holders(READERS_OVER_LIMIT) if is_exceeded else list(self._waiting):
+            self._let_read(holder)
+
+    def _let_read(self, holder: MemoryHolder) -> None:
+        future = self._waiting.get(holder)
+        if future is not None and not future.done():
+            future.set_result(None)
 
 
 class AnswerMemory:
