Remove constants of client connections that stood twice

Left by an edit of mine: MAX_ANSWER_SIZE, MESSAGE_LIMITS, CALL_PARAMETERS and REST_ON_THE_WAY were defined twice in a row with the same values, and READS_TO_CATCH_UP, which moved to read_progress.py, was still there unused. A statement that the formatter had spread over three lines is one again, and a docstring names all shares of the memory.

The program is the same.

--- a/petrelwood/decide/overload/resource_limits.py
+++ b/petrelwood/decide/overload/resource_limits.py
@@ -4,7 +4,7 @@
 
     descriptors:  a few for the process itself, a share for connections to workers, the rest for clients
     memory:       what a process without clients leaves of it, in shares for the bodies of activations, for
-                  incomplete requests and for unread answers
+                  incomplete requests, unread answers, incomplete answers of workers, and remembered ids
 """
 
 from petrelwood.decide.delivery.ledger import ActivationState
@@ -55,9 +55,7 @@
         self.executed_ids = int(spare * EXECUTED_ID_SHARE) // EXECUTED_ID_SIZE
         self.request_bytes = int(spare * REQUEST_SHARE)  # of all connections together
         self.answer_bytes = int(spare * ANSWER_SHARE)  # of all connections together
-        self.partial_answer_bytes = int(
-            spare * PARTIAL_ANSWER_SHARE
-        )  # of all connections to workers together
+        self.partial_answer_bytes = int(spare * PARTIAL_ANSWER_SHARE)  # of all workers together
 
 
 class CapacityIntake:
--- a/petrelwood/node/client_connection.py
+++ b/petrelwood/node/client_connection.py
@@ -30,17 +30,6 @@
 # The time for which the rest of an incomplete message, with all that follows it, may be on the way although
 # nothing of it can be read (ns). A kernel whose peer's buffer was full sends on after 200 ms at the latest.
 REST_ON_THE_WAY = 250_000_000
-MAX_ANSWER_SIZE = resource_limits.MAX_BODY + resource_limits.MAX_TEXT  # bytes
-MESSAGE_LIMITS = MessageLimits(
-    resource_limits.MAX_BODY, resource_limits.MAX_TEXT, resource_limits.MAX_MEMBERS
-)
-CALL_PARAMETERS = 2  # the fields and the body
-# The time for which the rest of an incomplete message, with all that follows it, may be on the way although
-# nothing of it can be read (ns). A kernel whose peer's buffer was full sends on after 200 ms at the latest.
-REST_ON_THE_WAY = 250_000_000
-# The number of successive reads that empty the socket buffer and end between two messages after which all
-# data that was unread before them has been read, however much still arrives.
-READS_TO_CATCH_UP = 2
 
 # Error names in answers
 THROTTLED = "Throttled"
